--- /dev/null
+++ b/src/include/Fescuegauge/Rendezvous.h
@@ -0,0 +1,24 @@
+#ifndef FESCUEGAUGE_RENDEZVOUS_H
+#define FESCUEGAUGE_RENDEZVOUS_H
+
+#include "Fescuegauge/Ids.h"
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace fescuegauge {
+
+/// The weight of `Member` for `Key`; the member with the highest weight owns the key. All processes
+/// compute the same weight.
+std::uint64_t rendezvousWeight(std::string_view Key, std::string_view Member);
+
+/// The `Count` members with the highest weight for `Key`, highest first. Adding or removing a
+/// member changes the result only for keys that it ranks for.
+std::vector<InstanceId> rendezvousRank(std::string_view Key, std::span<const InstanceId> Members,
+                                       std::size_t Count);
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_RENDEZVOUS_H
--- /dev/null
+++ b/src/include/Fescuegauge/Table.h
@@ -0,0 +1,60 @@
+#ifndef FESCUEGAUGE_TABLE_H
+#define FESCUEGAUGE_TABLE_H
+
+#include "Fescuegauge/Ids.h"
+
+#include <string>
+#include <vector>
+
+namespace fescuegauge {
+
+/// A row of the platform's table as read. An absent row has version 0 and an empty value.
+struct TableRow {
+  std::string m_Key;
+  std::string m_Value;
+  RowVersion m_Version;
+};
+
+/// The transaction commits only if the row has exactly this version; version 0 means absent.
+struct RowCondition {
+  std::string m_Key;
+  RowVersion m_Version;
+};
+
+struct RowPut {
+  std::string m_Key;
+  std::string m_Value;
+};
+
+/// A set of conditions, puts and deletions that commits as a whole or not at all. Sending a
+/// transaction again with the same write id returns the outcome of the first and changes nothing.
+struct Transaction {
+  /// The platform accepts at most this many conditions, and at most this many puts and deletions.
+  static constexpr std::size_t MaxRows = 64;
+
+  WriteId m_WriteId;
+  std::vector<RowCondition> m_Conditions;
+  std::vector<RowPut> m_Puts;
+  std::vector<std::string> m_Deletes;
+};
+
+enum class CommitStatus {
+  /// The transaction took effect.
+  Committed,
+  /// A condition did not hold; nothing was changed.
+  Conflict,
+  /// The request did not reach the table; nothing was changed.
+  Unreachable,
+  /// No answer came; the transaction may have taken effect or may still do so.
+  Unknown,
+};
+
+struct CommitResult {
+  CommitStatus m_Status = CommitStatus::Unknown;
+  /// On Conflict: the current rows of the conditions that did not hold.
+  std::vector<TableRow> m_Conflicts;
+};
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_TABLE_H
--- /dev/null
+++ b/src/include/Fescuegauge/Units.h
@@ -0,0 +1,73 @@
+#ifndef FESCUEGAUGE_UNITS_H
+#define FESCUEGAUGE_UNITS_H
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+
+namespace fescuegauge {
+
+/// All durations have microsecond resolution.
+using Duration = std::chrono::microseconds;
+
+/// Time on one process's monotonic clock. Times of two processes are never compared.
+struct MonotonicClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<MonotonicClock, Duration>;
+  static constexpr bool is_steady = true;
+};
+
+using TimePoint = MonotonicClock::time_point;
+
+/// A number of bytes.
+class Bytes {
+public:
+  constexpr Bytes() = default;
+  constexpr explicit Bytes(std::uint64_t Count) : m_Count(Count) {}
+
+  constexpr std::uint64_t count() const { return m_Count; }
+  constexpr Bytes &operator+=(Bytes Other) {
+    m_Count += Other.m_Count;
+    return *this;
+  }
+  constexpr Bytes &operator-=(Bytes Other) {
+    m_Count -= Other.m_Count;
+    return *this;
+  }
+  friend constexpr Bytes operator+(Bytes Left, Bytes Right) { return Left += Right; }
+  friend constexpr Bytes operator-(Bytes Left, Bytes Right) { return Left -= Right; }
+  constexpr auto operator<=>(const Bytes &) const = default;
+
+private:
+  std::uint64_t m_Count = 0;
+};
+
+constexpr Bytes operator""_KiB(unsigned long long Count) { return Bytes(Count << 10); }
+constexpr Bytes operator""_MiB(unsigned long long Count) { return Bytes(Count << 20); }
+
+/// A transfer rate in bytes per second.
+class BytesPerSecond {
+public:
+  constexpr BytesPerSecond() = default;
+  constexpr explicit BytesPerSecond(double Rate) : m_Rate(Rate) {}
+
+  constexpr double rate() const { return m_Rate; }
+  /// The time that `Amount` takes at this rate, rounded up to a microsecond.
+  constexpr Duration timeFor(Bytes Amount) const {
+    return Duration(static_cast<Duration::rep>(static_cast<double>(Amount.count()) * 1e6 / m_Rate) +
+                    1);
+  }
+  constexpr auto operator<=>(const BytesPerSecond &) const = default;
+
+private:
+  double m_Rate = 0;
+};
+
+/// Seconds as a floating-point number, for figures and arithmetic on rates.
+constexpr double toSeconds(Duration Length) { return static_cast<double>(Length.count()) / 1e6; }
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_UNITS_H
--- /dev/null
+++ b/src/libbase/TestMain.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
