--- /dev/null
+++ b/src/librpc/RpcNode.cpp
@@ -0,0 +1,627 @@
+#include "Fescuegauge/RpcNode.h"
+
+#include "EventLoopImpl.h"
+#include "Peer.capnp.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <map>
+#include <set>
+
+namespace fescuegauge {
+
+namespace {
+
+/// Version of the calls in Peer.capnp. Only equal versions talk to each other.
+constexpr std::uint32_t ProtocolVersion = 1;
+
+capnp::Data::Reader dataOf(const std::string &Text) {
+  return {reinterpret_cast<const kj::byte *>(Text.data()), Text.size()};
+}
+
+std::string stringOf(capnp::Data::Reader Data) {
+  return {reinterpret_cast<const char *>(Data.begin()), Data.size()};
+}
+
+std::string stringOf(capnp::Text::Reader Text) { return {Text.cStr(), Text.size()}; }
+
+capnp::Data::Reader dataOf(const Digest &Value) {
+  return {Value.bytes().data(), Value.bytes().size()};
+}
+
+Digest digestOf(capnp::Data::Reader Data) {
+  std::array<std::uint8_t, Digest::Size> Value{};
+  if (Data.size() == Value.size())
+    std::copy(Data.begin(), Data.end(), Value.begin());
+  return Digest(Value);
+}
+
+void encode(const PeerIdentity &Self, rpc::Hello::Builder Hello) {
+  Hello.setProtocolVersion(ProtocolVersion);
+  Hello.setDeployment(Self.m_Deployment);
+  Hello.setInstance(Self.m_Instance.str());
+  Hello.setIncarnation(Self.m_Incarnation.value());
+  Hello.setDataCentre(Self.m_DataCentre.str());
+  Hello.setIsEntry(Self.m_Role == InstanceRole::Entry);
+}
+
+PeerIdentity decode(rpc::Hello::Reader Hello) {
+  return {stringOf(Hello.getDeployment()), InstanceId(stringOf(Hello.getInstance())),
+          Incarnation(Hello.getIncarnation()), DataCentreId(stringOf(Hello.getDataCentre())),
+          Hello.getIsEntry() ? InstanceRole::Entry : InstanceRole::Agent};
+}
+
+void encode(const AttemptRequest &Request, rpc::AttemptRequest::Builder Out) {
+  Out.setAttempt(Request.m_Attempt.str());
+  Out.setRequest(Request.m_Request.str());
+  Out.setAccount(Request.m_Account.str());
+  Out.setService(Request.m_Service.str());
+  Out.setWorkClass(Request.m_Class.str());
+  Out.setExecution(Request.m_Execution);
+  Out.setNonIdempotent(Request.m_NonIdempotent);
+  Out.setGeneration(Request.m_Generation.str());
+  if (!Request.m_RequiredDigest.isZero())
+    Out.setRequiredDigest(dataOf(Request.m_RequiredDigest));
+  Out.setResumeFrom(Request.m_ResumeFrom);
+  Out.setPriority(Request.m_Priority);
+  Out.setTimeoutMs(static_cast<std::uint32_t>(Request.m_Timeout.count() / 1000));
+  Out.setBody(dataOf(Request.m_Body));
+}
+
+AttemptRequest decode(rpc::AttemptRequest::Reader In) {
+  AttemptRequest Request;
+  Request.m_Attempt = AttemptId(stringOf(In.getAttempt()));
+  Request.m_Request = RequestId(stringOf(In.getRequest()));
+  Request.m_Account = ClientAccountId(stringOf(In.getAccount()));
+  Request.m_Service = ServiceId(stringOf(In.getService()));
+  Request.m_Class = WorkClassId(stringOf(In.getWorkClass()));
+  Request.m_Execution = stringOf(In.getExecution());
+  Request.m_NonIdempotent = In.getNonIdempotent();
+  Request.m_Generation = GenerationId(stringOf(In.getGeneration()));
+  Request.m_RequiredDigest = digestOf(In.getRequiredDigest());
+  Request.m_ResumeFrom = In.getResumeFrom();
+  Request.m_Priority = In.getPriority();
+  Request.m_Timeout = std::chrono::milliseconds(In.getTimeoutMs());
+  Request.m_Body = stringOf(In.getBody());
+  return Request;
+}
+
+void encode(const AttemptEnd &End, rpc::AttemptEnd::Builder Out) {
+  Out.setStatus(static_cast<rpc::AttemptStatus>(End.m_Status));
+  Out.setWasRun(static_cast<std::uint8_t>(End.m_WasRun));
+  Out.setReason(End.m_Reason);
+  Out.setTotalBytes(End.m_TotalBytes);
+  Out.setServedDigest(dataOf(End.m_ServedDigest));
+}
+
+/// An end of a kind that this version does not know counts as a lost connection: the outcome is not
+/// known.
+AttemptEnd decode(rpc::AttemptEnd::Reader In) {
+  AttemptEnd End;
+  if (static_cast<int>(In.getStatus()) <= static_cast<int>(AttemptStatus::Cancelled))
+    End.m_Status = static_cast<AttemptStatus>(In.getStatus());
+  if (In.getWasRun() <= static_cast<std::uint8_t>(WasRun::Unknown))
+    End.m_WasRun = static_cast<WasRun>(In.getWasRun());
+  End.m_Reason = stringOf(In.getReason());
+  End.m_TotalBytes = In.getTotalBytes();
+  End.m_ServedDigest = digestOf(In.getServedDigest());
+  return End;
+}
+
+/// Passes answers that arrive over a connection to the sink of the dispatching side. Ends the
+/// attempt as lost when the last reference goes away before an end arrived.
+class SinkServer final : public rpc::AttemptSink::Server {
+public:
+  SinkServer(AttemptId Attempt, std::shared_ptr<AttemptSink> Sink)
+      : m_Attempt(std::move(Attempt)), m_Sink(std::move(Sink)) {}
+  ~SinkServer() noexcept(false) { end(AttemptEnd()); }
+
+  kj::Promise<void> fragment(FragmentContext Context) override {
+    auto In = Context.getParams();
+    if (m_Sink)
+      m_Sink->onFragment({AttemptId(stringOf(In.getAttempt())), In.getOffset(),
+                          stringOf(In.getData()), digestOf(In.getServedDigest())});
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> end(EndContext Context) override {
+    end(decode(Context.getParams().getEnd()));
+    return kj::READY_NOW;
+  }
+
+  void end(const AttemptEnd &End) {
+    if (auto Sink = std::move(m_Sink))
+      Sink->onEnd(m_Attempt, End);
+    m_Sink = nullptr;
+  }
+
+private:
+  AttemptId m_Attempt;
+  std::shared_ptr<AttemptSink> m_Sink;
+};
+
+/// Sends the answer of an attempt back over the connection on which it was dispatched.
+class RemoteSink final : public AttemptSink {
+public:
+  explicit RemoteSink(rpc::AttemptSink::Client Client) : m_Client(kj::mv(Client)) {}
+  ~RemoteSink() noexcept override = default;
+
+  void onFragment(const AttemptFragment &Fragment) override {
+    auto Call = m_Client.fragmentRequest();
+    Call.setAttempt(Fragment.m_Attempt.str());
+    Call.setOffset(Fragment.m_Offset);
+    Call.setData(dataOf(Fragment.m_Data));
+    Call.setServedDigest(dataOf(Fragment.m_ServedDigest));
+    send(Call.send().ignoreResult());
+  }
+
+  void onEnd(const AttemptId &Attempt, const AttemptEnd &End) override {
+    auto Call = m_Client.endRequest();
+    Call.setAttempt(Attempt.str());
+    encode(End, Call.initEnd());
+    send(Call.send().ignoreResult());
+  }
+
+private:
+  /// A failed send needs no action: the dispatching side sees the lost connection itself.
+  static void send(kj::Promise<void> Sent) {
+    Sent.detach([](kj::Exception &&) {});
+  }
+
+  rpc::AttemptSink::Client m_Client;
+};
+
+} // namespace
+
+struct RpcNode::Impl : public kj::TaskSet::ErrorHandler {
+  /// One connection that a peer opened.
+  struct Incoming {
+    kj::Own<kj::AsyncIoStream> m_Stream;
+    kj::Maybe<capnp::TwoPartyVatNetwork> m_Network;
+    kj::Maybe<capnp::RpcSystem<capnp::rpc::twoparty::VatId>> m_System;
+    std::optional<PeerIdentity> m_Peer;
+    TimePoint m_LastCall;
+  };
+
+  /// The connection that this process opened to one peer.
+  struct Outgoing {
+    Endpoint m_Address;
+    bool m_IsConnecting = false;
+    bool m_IsReady = false;
+    /// Grows with each connection, so that late results of an old one are ignored.
+    std::uint64_t m_Epoch = 0;
+    kj::Own<kj::AsyncIoStream> m_Stream;
+    kj::Maybe<capnp::TwoPartyVatNetwork> m_Network;
+    kj::Maybe<capnp::RpcSystem<capnp::rpc::twoparty::VatId>> m_System;
+    kj::Maybe<rpc::Peer::Client> m_Client;
+    TimePoint m_LastAnswer;
+    TimePoint m_NextConnect;
+    std::map<AttemptId, std::weak_ptr<AttemptSink>> m_Attempts;
+  };
+
+  class PeerServer;
+
+  Impl(EventLoop &Loop, RpcOptions Options, RpcHandler &Handler)
+      : m_Loop(Loop), m_Options(std::move(Options)), m_Handler(Handler) {}
+
+  kj::Timer &timer() { return m_Loop.impl().m_Io->provider->getTimer(); }
+  kj::TaskSet &tasks() { return *m_Tasks; }
+  /// Every task handles its own failures; what arrives here is a broken connection.
+  void taskFailed(kj::Exception &&) override {}
+  capnp::ReaderOptions readerOptions() const {
+    capnp::ReaderOptions Result;
+    Result.traversalLimitInWords = m_Options.m_MaxMessage.count() / sizeof(capnp::word);
+    return Result;
+  }
+
+  void listen() {
+    auto &Network = m_Loop.impl().m_Io->provider->getNetwork();
+    auto Address = Network.parseAddress(m_Options.m_Listen.m_Host, m_Options.m_Listen.m_Port)
+                       .wait(m_Loop.impl().m_Io->waitScope);
+    m_Receiver = Address->listen();
+    m_Port = static_cast<std::uint16_t>(m_Receiver->getPort());
+    m_Tasks = kj::heap<kj::TaskSet>(*this);
+    m_Accepting = accept().eagerlyEvaluate([](kj::Exception &&) {});
+    m_Ticking = tick().eagerlyEvaluate([](kj::Exception &&) {});
+  }
+
+  kj::Promise<void> accept() {
+    return m_Receiver->accept().then([this](kj::Own<kj::AsyncIoStream> Stream) {
+      if (m_Incoming.size() < m_Options.m_MaxConnections)
+        open(kj::mv(Stream));
+      return accept();
+    });
+  }
+
+  void open(kj::Own<kj::AsyncIoStream> Stream);
+
+  kj::Promise<void> tick() {
+    auto Interval = std::min(m_Options.m_HeartbeatInterval, m_Options.m_FailureTime / 4);
+    return timer().afterDelay(Interval.count() * kj::MICROSECONDS).then([this] {
+      TimePoint Now = EventLoop::now();
+      dropSilentIncoming(Now);
+      for (auto &[Peer, Link] : m_Outgoing)
+        maintain(Peer, Link, Now);
+      return tick();
+    });
+  }
+
+  void dropSilentIncoming(TimePoint Now) {
+    std::vector<std::uint64_t> Silent;
+    for (auto &[Id, Connection] : m_Incoming)
+      if (Now - Connection->m_LastCall > m_Options.m_FailureTime)
+        Silent.push_back(Id);
+    for (std::uint64_t Id : Silent)
+      close(Id);
+  }
+
+  void close(std::uint64_t Id) {
+    auto Found = m_Incoming.find(Id);
+    if (Found == m_Incoming.end())
+      return;
+    auto Closed = std::move(Found->second);
+    m_Incoming.erase(Found);
+    ++m_Counters.m_ConnectionsLost;
+    if (Closed->m_Peer)
+      m_Handler.onPeerLost(*Closed->m_Peer);
+  }
+
+  void maintain(const InstanceId &Peer, Outgoing &Link, TimePoint Now) {
+    if (Link.m_IsReady && Now - Link.m_LastAnswer > m_Options.m_FailureTime)
+      disconnect(Link);
+    if (Link.m_IsReady)
+      sendHeartbeat(Peer, Link);
+    else if (!Link.m_IsConnecting && Now >= Link.m_NextConnect)
+      connect(Peer, Link);
+  }
+
+  void sendHeartbeat(const InstanceId &Peer, Outgoing &Link) {
+    KJ_IF_MAYBE (Client, Link.m_Client) {
+      tasks().add(Client->heartbeatRequest().send().then(
+          [this, Peer, Epoch = Link.m_Epoch](auto &&) { noteAnswer(Peer, Epoch); },
+          [this, Peer, Epoch = Link.m_Epoch](kj::Exception &&) { noteFailure(Peer, Epoch); }));
+    }
+  }
+
+  Outgoing *findLink(const InstanceId &Peer, std::uint64_t Epoch) {
+    auto Found = m_Outgoing.find(Peer);
+    return Found != m_Outgoing.end() && Found->second.m_Epoch == Epoch ? &Found->second : nullptr;
+  }
+
+  void noteAnswer(const InstanceId &Peer, std::uint64_t Epoch) {
+    if (Outgoing *Link = findLink(Peer, Epoch))
+      Link->m_LastAnswer = EventLoop::now();
+  }
+
+  /// Closes the connection from the loop's queue, because a connection must not be destroyed inside
+  /// one of its own callbacks.
+  void noteFailure(const InstanceId &Peer, std::uint64_t Epoch) {
+    m_Loop.post([this, Peer, Epoch, Alive = std::weak_ptr(m_Alive)] {
+      if (Alive.expired())
+        return;
+      if (Outgoing *Link = findLink(Peer, Epoch))
+        disconnect(*Link);
+    });
+  }
+
+  void connect(const InstanceId &Peer, Outgoing &Link);
+
+  void disconnect(Outgoing &Link) {
+    if (Link.m_IsReady)
+      ++m_Counters.m_ConnectionsLost;
+    ++Link.m_Epoch;
+    Link.m_IsReady = false;
+    Link.m_IsConnecting = false;
+    Link.m_NextConnect = EventLoop::now() + m_Options.m_HeartbeatInterval;
+    auto Attempts = std::move(Link.m_Attempts);
+    Link.m_Attempts.clear();
+    Link.m_Client = nullptr;
+    Link.m_System = nullptr;
+    Link.m_Network = nullptr;
+    Link.m_Stream = nullptr;
+    for (auto &[Attempt, Sink] : Attempts)
+      if (auto Waiting = Sink.lock())
+        Waiting->onEnd(Attempt, {});
+  }
+
+  Outgoing *readyLink(const InstanceId &Peer) {
+    auto Found = m_Outgoing.find(Peer);
+    return Found != m_Outgoing.end() && Found->second.m_IsReady ? &Found->second : nullptr;
+  }
+
+  EventLoop &m_Loop;
+  RpcOptions m_Options;
+  RpcHandler &m_Handler;
+  std::uint16_t m_Port = 0;
+  std::map<std::uint64_t, std::unique_ptr<Incoming>> m_Incoming;
+  std::uint64_t m_NextIncoming = 1;
+  std::map<InstanceId, Outgoing> m_Outgoing;
+  Counters m_Counters;
+  /// Expires with the node; tasks that outlive it check this.
+  std::shared_ptr<int> m_Alive = std::make_shared<int>(0);
+  kj::Own<kj::ConnectionReceiver> m_Receiver;
+  kj::Promise<void> m_Accepting = nullptr;
+  kj::Promise<void> m_Ticking = nullptr;
+  /// Last, so that no task runs while the rest is destroyed.
+  kj::Own<kj::TaskSet> m_Tasks;
+};
+
+/// Serves the calls of one incoming connection.
+class RpcNode::Impl::PeerServer final : public rpc::Peer::Server {
+public:
+  PeerServer(Impl &Node, std::uint64_t Id) : m_Node(Node), m_Id(Id) {}
+
+  kj::Promise<void> hello(HelloContext Context) override {
+    auto In = Context.getParams().getHello();
+    auto Out = Context.getResults();
+    encode(m_Node.m_Options.m_Self, Out.initHello());
+    std::string Reason = refusal(In);
+    Out.setAccepted(Reason.empty());
+    Out.setReason(Reason);
+    if (Incoming *Connection = connection(); Connection && Reason.empty()) {
+      Connection->m_Peer = decode(In);
+      m_Node.m_Handler.onPeerConnected(*Connection->m_Peer);
+    }
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> heartbeat(HeartbeatContext) override {
+    peer();
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> runAttempt(RunAttemptContext Context) override {
+    auto In = Context.getParams();
+    m_Node.m_Handler.onRunAttempt(peer(), decode(In.getRequest()),
+                                  std::make_shared<RemoteSink>(In.getSink()));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> cancelAttempt(CancelAttemptContext Context) override {
+    m_Node.m_Handler.onCancelAttempt(peer(), AttemptId(stringOf(Context.getParams().getAttempt())));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> fetchChunk(FetchChunkContext Context) override {
+    auto Pair = kj::newPromiseAndFulfiller<std::optional<std::string>>();
+    auto Fulfiller = std::make_shared<decltype(Pair.fulfiller)>(kj::mv(Pair.fulfiller));
+    m_Node.m_Handler.onFetchChunk(peer(), digestOf(Context.getParams().getDigest()),
+                                  [Fulfiller](std::optional<std::string> Content) {
+                                    (*Fulfiller)->fulfill(std::move(Content));
+                                  });
+    return Pair.promise.then([Context](std::optional<std::string> Content) mutable {
+      auto Out = Context.getResults();
+      Out.setFound(Content.has_value());
+      if (Content)
+        Out.setData(dataOf(*Content));
+    });
+  }
+
+  kj::Promise<void> control(ControlContext Context) override {
+    auto In = Context.getParams();
+    auto Pair = kj::newPromiseAndFulfiller<std::string>();
+    auto Fulfiller = std::make_shared<decltype(Pair.fulfiller)>(kj::mv(Pair.fulfiller));
+    m_Node.m_Handler.onControl(
+        peer(), static_cast<Topic>(In.getTopic()), stringOf(In.getPayload()),
+        [Fulfiller](std::string Payload) { (*Fulfiller)->fulfill(std::move(Payload)); });
+    return Pair.promise.then([Context](std::string Payload) mutable {
+      Context.getResults().setPayload(dataOf(Payload));
+    });
+  }
+
+private:
+  std::string refusal(rpc::Hello::Reader Hello) const {
+    if (Hello.getProtocolVersion() != ProtocolVersion)
+      return "protocol version " + std::to_string(Hello.getProtocolVersion()) +
+             " is not supported, expected " + std::to_string(ProtocolVersion);
+    if (stringOf(Hello.getDeployment()) != m_Node.m_Options.m_Self.m_Deployment)
+      return "the peer belongs to deployment \"" + stringOf(Hello.getDeployment()) + "\"";
+    return {};
+  }
+
+  Incoming *connection() {
+    auto Found = m_Node.m_Incoming.find(m_Id);
+    if (Found == m_Node.m_Incoming.end())
+      return nullptr;
+    Found->second->m_LastCall = EventLoop::now();
+    return Found->second.get();
+  }
+
+  const PeerIdentity &peer() {
+    Incoming *Connection = connection();
+    KJ_REQUIRE(Connection != nullptr && Connection->m_Peer.has_value(),
+               "a call before hello was accepted");
+    return *Connection->m_Peer;
+  }
+
+  Impl &m_Node;
+  const std::uint64_t m_Id;
+};
+
+void RpcNode::Impl::open(kj::Own<kj::AsyncIoStream> Stream) {
+  std::uint64_t Id = m_NextIncoming++;
+  auto Connection = std::make_unique<Incoming>();
+  Connection->m_LastCall = EventLoop::now();
+  Connection->m_Stream = kj::mv(Stream);
+  auto &Network = Connection->m_Network.emplace(
+      *Connection->m_Stream, capnp::rpc::twoparty::Side::SERVER, readerOptions());
+  Connection->m_System.emplace(capnp::makeRpcServer(Network, kj::heap<PeerServer>(*this, Id)));
+  tasks().add(Network.onDisconnect().then([this, Id, Alive = std::weak_ptr(m_Alive)] {
+    m_Loop.post([this, Id, Alive] {
+      if (!Alive.expired())
+        close(Id);
+    });
+  }));
+  m_Incoming.emplace(Id, std::move(Connection));
+}
+
+void RpcNode::Impl::connect(const InstanceId &Peer, Outgoing &Link) {
+  Link.m_IsConnecting = true;
+  std::uint64_t Epoch = ++Link.m_Epoch;
+  auto &Network = m_Loop.impl().m_Io->provider->getNetwork();
+  auto Connected =
+      Network.parseAddress(Link.m_Address.m_Host, Link.m_Address.m_Port)
+          .then([](kj::Own<kj::NetworkAddress> Address) {
+            auto Pending = Address->connect();
+            return Pending.attach(kj::mv(Address));
+          })
+          .then([this, Peer, Epoch](kj::Own<kj::AsyncIoStream> Stream) -> kj::Promise<bool> {
+            Outgoing *Target = findLink(Peer, Epoch);
+            if (!Target)
+              return false;
+            Target->m_Stream = kj::mv(Stream);
+            auto &Vat = Target->m_Network.emplace(
+                *Target->m_Stream, capnp::rpc::twoparty::Side::CLIENT, readerOptions());
+            auto &System = Target->m_System.emplace(capnp::makeRpcClient(Vat));
+            capnp::MallocMessageBuilder Message;
+            auto VatId = Message.initRoot<capnp::rpc::twoparty::VatId>();
+            VatId.setSide(capnp::rpc::twoparty::Side::SERVER);
+            Target->m_Client = System.bootstrap(VatId).castAs<rpc::Peer>();
+            auto Call = KJ_ASSERT_NONNULL(Target->m_Client).helloRequest();
+            encode(m_Options.m_Self, Call.initHello());
+            return Call.send().then([this, Peer](auto &&Answer) {
+              return Answer.getAccepted() &&
+                     stringOf(Answer.getHello().getInstance()) == Peer.str();
+            });
+          });
+  tasks().add(
+      timer()
+          .timeoutAfter(m_Options.m_FailureTime.count() * kj::MICROSECONDS, kj::mv(Connected))
+          .then(
+              [this, Peer, Epoch](bool Accepted) {
+                Outgoing *Target = findLink(Peer, Epoch);
+                if (!Target || !Accepted)
+                  return noteFailure(Peer, Epoch);
+                Target->m_IsConnecting = false;
+                Target->m_IsReady = true;
+                Target->m_LastAnswer = EventLoop::now();
+              },
+              [this, Peer, Epoch](kj::Exception &&) { noteFailure(Peer, Epoch); }));
+}
+
+RpcNode::RpcNode(EventLoop &Loop, RpcOptions Options, RpcHandler &Handler)
+    : m_Impl(std::make_unique<Impl>(Loop, std::move(Options), Handler)) {
+  std::string Failure;
+  Loop.postAndWait([this, &Failure] {
+    KJ_IF_MAYBE (Error, kj::runCatchingExceptions([this] { m_Impl->listen(); })) {
+      Failure = Error->getDescription().cStr();
+    }
+  });
+  if (!Failure.empty())
+    throw std::runtime_error("cannot listen on " + m_Impl->m_Options.m_Listen.m_Host + ":" +
+                             std::to_string(m_Impl->m_Options.m_Listen.m_Port) + ": " + Failure);
+}
+
+RpcNode::~RpcNode() {
+  EventLoop &Loop = m_Impl->m_Loop;
+  // Capabilities belong to the loop's thread and must be released there.
+  Loop.postAndWait([this] { m_Impl.reset(); });
+}
+
+std::uint16_t RpcNode::port() const { return m_Impl->m_Port; }
+
+void RpcNode::remember(const InstanceId &Peer, const Endpoint &Address) {
+  Impl::Outgoing &Link = m_Impl->m_Outgoing[Peer];
+  if (Link.m_Address == Address)
+    return;
+  m_Impl->disconnect(Link);
+  Link.m_Address = Address;
+  m_Impl->connect(Peer, Link);
+}
+
+void RpcNode::forget(const InstanceId &Peer) {
+  auto Found = m_Impl->m_Outgoing.find(Peer);
+  if (Found == m_Impl->m_Outgoing.end())
+    return;
+  m_Impl->disconnect(Found->second);
+  m_Impl->m_Outgoing.erase(Found);
+}
+
+bool RpcNode::isConnected(const InstanceId &Peer) const {
+  return m_Impl->readyLink(Peer) != nullptr;
+}
+
+void RpcNode::runAttempt(const InstanceId &Peer, const AttemptRequest &Request,
+                         std::shared_ptr<AttemptSink> Sink) {
+  Impl::Outgoing *Link = m_Impl->readyLink(Peer);
+  if (!Link) {
+    AttemptEnd End;
+    End.m_Status = AttemptStatus::Refused;
+    End.m_WasRun = WasRun::No;
+    End.m_Reason = "no connection to the agent";
+    return Sink->onEnd(Request.m_Attempt, End);
+  }
+  KJ_IF_MAYBE (Client, Link->m_Client) {
+    auto Call = Client->runAttemptRequest();
+    encode(Request, Call.initRequest());
+    Call.setSink(kj::heap<SinkServer>(Request.m_Attempt, Sink));
+    std::erase_if(Link->m_Attempts, [](const auto &Entry) { return Entry.second.expired(); });
+    Link->m_Attempts[Request.m_Attempt] = Sink;
+    m_Impl->tasks().add(Call.send().ignoreResult().catch_(
+        [Node = m_Impl.get(), Peer, Epoch = Link->m_Epoch](kj::Exception &&) {
+          Node->noteFailure(Peer, Epoch);
+        }));
+  }
+}
+
+void RpcNode::cancelAttempt(const InstanceId &Peer, const AttemptId &Attempt) {
+  Impl::Outgoing *Link = m_Impl->readyLink(Peer);
+  if (!Link)
+    return;
+  KJ_IF_MAYBE (Client, Link->m_Client) {
+    auto Call = Client->cancelAttemptRequest();
+    Call.setAttempt(Attempt.str());
+    m_Impl->tasks().add(Call.send().ignoreResult().catch_([](kj::Exception &&) {}));
+  }
+}
+
+void RpcNode::fetchChunk(const InstanceId &Peer, const Digest &Chunk, Duration Timeout,
+                         ChunkReply Reply) {
+  Impl::Outgoing *Link = m_Impl->readyLink(Peer);
+  if (!Link)
+    return Reply(std::nullopt);
+  KJ_IF_MAYBE (Client, Link->m_Client) {
+    auto Call = Client->fetchChunkRequest();
+    Call.setDigest(dataOf(Chunk));
+    auto Answer = Call.send().then([](auto &&Out) -> std::optional<std::string> {
+      if (!Out.getFound())
+        return std::nullopt;
+      return stringOf(Out.getData());
+    });
+    m_Impl->tasks().add(
+        m_Impl->timer()
+            .timeoutAfter(Timeout.count() * kj::MICROSECONDS, kj::mv(Answer))
+            .then([Reply](std::optional<std::string> Content) { Reply(std::move(Content)); },
+                  [Reply](kj::Exception &&) { Reply(std::nullopt); }));
+  }
+}
+
+void RpcNode::control(const InstanceId &Peer, Topic Subject, std::string Payload, Duration Timeout,
+                      ControlResult Done) {
+  Impl::Outgoing *Link = m_Impl->readyLink(Peer);
+  if (!Link)
+    return Done(std::nullopt);
+  ++m_Impl->m_Counters.m_ControlMessagesSent;
+  m_Impl->m_Counters.m_ControlBytesSent += Payload.size();
+  KJ_IF_MAYBE (Client, Link->m_Client) {
+    auto Call = Client->controlRequest();
+    Call.setTopic(static_cast<rpc::Topic>(Subject));
+    Call.setPayload(dataOf(Payload));
+    auto Answer = Call.send().then(
+        [](auto &&Out) -> std::optional<std::string> { return stringOf(Out.getPayload()); });
+    m_Impl->tasks().add(
+        m_Impl->timer()
+            .timeoutAfter(Timeout.count() * kj::MICROSECONDS, kj::mv(Answer))
+            .then([Done](std::optional<std::string> Content) { Done(std::move(Content)); },
+                  [Done](kj::Exception &&) { Done(std::nullopt); }));
+  }
+}
+
+RpcNode::Counters RpcNode::counters() const {
+  Counters Result = m_Impl->m_Counters;
+  Result.m_Incoming = m_Impl->m_Incoming.size();
+  for (const auto &[Peer, Link] : m_Impl->m_Outgoing)
+    Result.m_Outgoing += Link.m_IsReady ? 1 : 0;
+  return Result;
+}
+
+} // namespace fescuegauge
--- /dev/null
+++ b/src/librpc/RpcNode_test.cpp
@@ -0,0 +1,202 @@
+#include "Fescuegauge/RpcNode.h"
+
+#include <Poco/Net/StreamSocket.h>
+#include <catch2/catch.hpp>
+#include <condition_variable>
+#include <mutex>
+
+using namespace fescuegauge;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Lets the test's thread wait for something that the loop's thread does. The limit only ends a
+/// test that has failed; no test passes because time went by.
+class Event {
+public:
+  void set() {
+    std::lock_guard Lock(m_Mutex);
+    m_IsSet = true;
+    m_Changed.notify_all();
+  }
+  bool wait() {
+    std::unique_lock Lock(m_Mutex);
+    return m_Changed.wait_for(Lock, 60s, [this] { return m_IsSet; });
+  }
+
+private:
+  std::mutex m_Mutex;
+  std::condition_variable m_Changed;
+  bool m_IsSet = false;
+};
+
+/// Answers every attempt with its body in two fragments, or holds it.
+class FakeAgent : public RpcHandler {
+public:
+  void onPeerLost(const PeerIdentity &) override { m_PeerLost.set(); }
+  void onRunAttempt(const PeerIdentity &, AttemptRequest Request,
+                    std::shared_ptr<AttemptSink> Sink) override {
+    if (m_Holds) {
+      m_Held.push_back(std::move(Sink));
+      m_Received.set();
+      return;
+    }
+    std::size_t Half = Request.m_Body.size() / 2;
+    Sink->onFragment({Request.m_Attempt, 0, Request.m_Body.substr(0, Half), {}});
+    Sink->onFragment({Request.m_Attempt, Half, Request.m_Body.substr(Half), {}});
+    Sink->onEnd(Request.m_Attempt,
+                {AttemptStatus::Complete, WasRun::Yes, "", Request.m_Body.size(), {}});
+  }
+  void onCancelAttempt(const PeerIdentity &, const AttemptId &) override {}
+  void onFetchChunk(const PeerIdentity &, const Digest &Chunk, ChunkReply Reply) override {
+    Reply(Chunk == sha256("held") ? std::optional<std::string>("held") : std::nullopt);
+  }
+  void onControl(const PeerIdentity &, Topic, std::string Payload, ControlReply Reply) override {
+    Reply("echo " + Payload);
+  }
+
+  bool m_Holds = false;
+  std::vector<std::shared_ptr<AttemptSink>> m_Held;
+  Event m_Received;
+  Event m_PeerLost;
+};
+
+class RecordingSink : public AttemptSink {
+public:
+  void onFragment(const AttemptFragment &Fragment) override { m_Answer += Fragment.m_Data; }
+  void onEnd(const AttemptId &, const AttemptEnd &End) override {
+    m_End = End;
+    ++m_Ends;
+    m_Ended.set();
+  }
+
+  std::string m_Answer;
+  AttemptEnd m_End;
+  int m_Ends = 0;
+  Event m_Ended;
+};
+
+RpcOptions optionsFor(const std::string &Name, const std::string &Deployment = "test") {
+  RpcOptions Options;
+  Options.m_Listen = {"127.0.0.1", 0};
+  Options.m_Self = {Deployment, InstanceId(Name), Incarnation(1), DataCentreId("dc"),
+                    InstanceRole::Agent};
+  Options.m_HeartbeatInterval = 20ms;
+  Options.m_FailureTime = 400ms;
+  return Options;
+}
+
+/// Waits until `Loop` finds `Condition` true.
+bool waitFor(EventLoop &Loop, const std::function<bool()> &Condition) {
+  constexpr int MaxTries = 6000;
+  for (int I = 0; I < MaxTries; ++I) {
+    bool Holds = false;
+    Loop.postAndWait([&] { Holds = Condition(); });
+    if (Holds)
+      return true;
+    std::this_thread::sleep_for(10ms);
+  }
+  return false;
+}
+
+} // namespace
+
+// Guards against fragments, chunks or control answers that are lost or mixed on the way.
+TEST_CASE("attempts, chunks and control messages reach the peer and come back") {
+  EventLoop Loop(2);
+  FakeAgent Agent;
+  RpcNode Server(Loop, optionsFor("agent"), Agent);
+  RpcNode Client(Loop, optionsFor("entry"), Agent);
+  InstanceId Peer("agent");
+  Loop.postAndWait([&] { Client.remember(Peer, {"127.0.0.1", Server.port()}); });
+  REQUIRE(waitFor(Loop, [&] { return Client.isConnected(Peer); }));
+
+  auto Sink = std::make_shared<RecordingSink>();
+  std::optional<std::string> Chunk;
+  std::optional<std::string> Missing = "unset";
+  std::optional<std::string> Answer;
+  Event Replied;
+  Loop.post([&] {
+    AttemptRequest Request;
+    Request.m_Attempt = AttemptId("a1");
+    Request.m_Body = "some body";
+    Client.runAttempt(Peer, Request, Sink);
+    Client.fetchChunk(Peer, sha256("held"), 10s, [&](auto Content) { Chunk = Content; });
+    Client.fetchChunk(Peer, sha256("other"), 10s, [&](auto Content) { Missing = Content; });
+    Client.control(Peer, Topic::Claims, "hi", 10s, [&](auto Payload) {
+      Answer = Payload;
+      Replied.set();
+    });
+  });
+  REQUIRE(Sink->m_Ended.wait());
+  REQUIRE(Replied.wait());
+  CHECK(Sink->m_Answer == "some body");
+  CHECK(Sink->m_End.m_Status == AttemptStatus::Complete);
+  CHECK(Chunk == "held");
+  CHECK_FALSE(Missing.has_value());
+  CHECK(Answer == "echo hi");
+}
+
+// Guards against an attempt that never ends because the process that runs it is gone.
+TEST_CASE("an attempt ends as lost when its connection ends") {
+  EventLoop Loop(2);
+  EventLoop ServerLoop(2);
+  FakeAgent Agent;
+  Agent.m_Holds = true;
+  auto Server = std::make_unique<RpcNode>(ServerLoop, optionsFor("agent"), Agent);
+  FakeAgent Unused;
+  RpcNode Client(Loop, optionsFor("entry"), Unused);
+  InstanceId Peer("agent");
+  Loop.postAndWait([&] { Client.remember(Peer, {"127.0.0.1", Server->port()}); });
+  REQUIRE(waitFor(Loop, [&] { return Client.isConnected(Peer); }));
+  auto Sink = std::make_shared<RecordingSink>();
+  AttemptRequest Request;
+  Request.m_Attempt = AttemptId("a1");
+  Loop.post([&] { Client.runAttempt(Peer, Request, Sink); });
+  REQUIRE(Agent.m_Received.wait());
+  ServerLoop.postAndWait([&] { Agent.m_Held.clear(); });
+  Server.reset();
+  REQUIRE(Sink->m_Ended.wait());
+  CHECK(Sink->m_End.m_Status == AttemptStatus::ConnectionLost);
+  CHECK(Sink->m_End.m_WasRun == WasRun::Unknown);
+  CHECK(Sink->m_Ends == 1);
+}
+
+// Guards against a connection that stays open but delivers nothing: a blocked loop stands for it.
+TEST_CASE("a connection that delivers nothing is given up at both ends") {
+  EventLoop Loop(2);
+  EventLoop ServerLoop(2);
+  FakeAgent Agent;
+  RpcNode Server(ServerLoop, optionsFor("agent"), Agent);
+  FakeAgent Unused;
+  RpcNode Client(Loop, optionsFor("entry"), Unused);
+  InstanceId Peer("agent");
+  Loop.postAndWait([&] { Client.remember(Peer, {"127.0.0.1", Server.port()}); });
+  REQUIRE(waitFor(Loop, [&] { return Client.isConnected(Peer); }));
+  Event Release;
+  ServerLoop.post([&] { Release.wait(); });
+  CHECK(waitFor(Loop, [&] { return !Client.isConnected(Peer); }));
+  Release.set();
+  CHECK(Agent.m_PeerLost.wait());
+  CHECK(waitFor(Loop, [&] { return Client.isConnected(Peer); }));
+}
+
+// Guards against a process of another deployment, or bytes that are no message, being served.
+TEST_CASE("strangers and malformed messages are refused") {
+  EventLoop Loop(2);
+  FakeAgent Agent;
+  RpcNode Server(Loop, optionsFor("agent"), Agent);
+  RpcNode Stranger(Loop, optionsFor("entry", "another"), Agent);
+  RpcNode Client(Loop, optionsFor("entry"), Agent);
+  InstanceId Peer("agent");
+  Poco::Net::StreamSocket Garbage(Poco::Net::SocketAddress("127.0.0.1", Server.port()));
+  std::string Bytes(4096, '\xff');
+  Garbage.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+  Loop.postAndWait([&] {
+    Stranger.remember(Peer, {"127.0.0.1", Server.port()});
+    Client.remember(Peer, {"127.0.0.1", Server.port()});
+  });
+  CHECK(waitFor(Loop, [&] { return Client.isConnected(Peer); }));
+  CHECK(waitFor(Loop, [&] { return Server.counters().m_ConnectionsLost > 0; }));
+  Loop.postAndWait([&] { CHECK_FALSE(Stranger.isConnected(Peer)); });
+}
