Add the settings file: schema, parser, reference page

Cause: the daemon needs typed settings, and a mistake in a file must be reported with its place before anything starts.

Boost.JSON keeps neither lines nor repeated keys, so its event parser is run over the text first, one character at a time, and notes the line of each key. Taking the line from a search for the key's name in the text was ruled out, since names repeat in different objects.

--- /dev/null
+++ b/src/libsettings/JsonLines.h
@@ -0,0 +1,37 @@
+#ifndef FESCUEGAUGE_JSONLINES_H
+#define FESCUEGAUGE_JSONLINES_H
+
+#include <boost/json/parse_options.hpp>
+#include <boost/json/value.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fescuegauge {
+
+/// A JSON text with the line of every key and list element, which Boost.JSON's values do not keep.
+struct JsonWithLines {
+  struct Problem {
+    std::uint32_t m_Line;
+    std::string m_Path;
+    std::string m_Message;
+  };
+
+  boost::json::value m_Root;
+  /// Line by path, for example "listen.http" or "seeds[0].id".
+  std::map<std::string, std::uint32_t, std::less<>> m_Lines;
+  /// A syntax error, or keys that occur twice in one object. Boost.JSON itself keeps the last of
+  /// two equal keys, which would hide a mistake.
+  std::vector<Problem> m_Problems;
+  /// False when the text is not JSON; m_Root is null then.
+  bool m_IsValid = false;
+};
+
+/// Parses JSON with both kinds of comment.
+JsonWithLines parseJsonWithLines(std::string_view Text);
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_JSONLINES_H
