--- /dev/null
+++ b/src/fescuegauged/EngineClient.cpp
@@ -0,0 +1,251 @@
+#include "EngineClient.h"
+
+#include "Fescuegauge/HttpClient.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <boost/json.hpp>
+
+namespace fescuegauge {
+
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration ControlTimeout = 5s;
+/// Loading copies a whole model into the accelerators.
+constexpr Duration LoadTimeout = 10min;
+/// Longest line of a streamed answer.
+constexpr std::size_t MaxEventBytes = 1u << 20;
+/// Without an event for this long, a stream counts as broken.
+constexpr Duration StreamSilence = 30s;
+
+std::string textOf(const json::object &Object, std::string_view Key) {
+  const json::value *Found = Object.if_contains(Key);
+  return Found && Found->is_string() ? std::string(Found->as_string()) : std::string();
+}
+
+std::uint64_t numberOf(const json::object &Object, std::string_view Key) {
+  const json::value *Found = Object.if_contains(Key);
+  if (!Found || !Found->is_number())
+    return 0;
+  boost::system::error_code Error;
+  auto Number = Found->to_number<std::uint64_t>(Error);
+  return Error ? 0 : Number;
+}
+
+std::optional<json::object> objectOf(const HttpResult &Answer) {
+  if (!Answer.isOk())
+    return std::nullopt;
+  boost::system::error_code Error;
+  json::value Value = json::parse(Answer.m_Body, Error);
+  if (Error || !Value.is_object())
+    return std::nullopt;
+  return std::move(Value.as_object());
+}
+
+HttpCall engineCall(const Endpoint &Engine, std::string Method, std::string Path,
+                    Duration Timeout = ControlTimeout) {
+  HttpCall Call;
+  Call.m_Server = Engine;
+  Call.m_Method = std::move(Method);
+  Call.m_Path = std::move(Path);
+  Call.m_Timeout = Timeout;
+  Call.m_MaxAnswer = Bytes(64u << 20);
+  return Call;
+}
+
+std::string chunkPath(const Digest &Chunk) { return "/staging/chunks/" + Chunk.hex(); }
+
+json::object chunkList(const Manifest &Model) {
+  json::array Chunks;
+  Chunks.reserve(Model.chunks().size());
+  for (const ChunkRef &Chunk : Model.chunks())
+    Chunks.push_back({{"digest", Chunk.m_Digest.hex()}, {"size", Chunk.m_Size.count()}});
+  return {{"chunks", std::move(Chunks)}};
+}
+
+/// The body that callers send, extended by what the engine needs to run and cancel it.
+std::string engineBody(const AttemptRequest &Request) {
+  boost::system::error_code Error;
+  json::value Parsed = json::parse(Request.m_Body, Error);
+  json::object Body = !Error && Parsed.is_object() ? Parsed.as_object() : json::object();
+  Body["attempt"] = Request.m_Attempt.str();
+  Body["execution"] = Request.m_Execution;
+  Body["resumeFrom"] = Request.m_ResumeFrom;
+  Body["priority"] = Request.m_Priority;
+  return json::serialize(Body);
+}
+
+/// Reads server-sent events from a stream, one at a time.
+class EventReader {
+public:
+  explicit EventReader(std::istream &In) : m_In(In) {}
+
+  /// The next event's data; nothing at the end of the stream or on an overlong event.
+  std::optional<std::string> next() {
+    constexpr std::string_view Prefix = "data: ";
+    std::string Line;
+    while (std::getline(m_In, Line)) {
+      if (Line.size() > MaxEventBytes)
+        return std::nullopt;
+      if (Line.starts_with(Prefix))
+        return Line.substr(Prefix.size());
+    }
+    return std::nullopt;
+  }
+
+private:
+  std::istream &m_In;
+};
+
+} // namespace
+
+std::optional<EngineStatus> EngineClient::status() const {
+  auto Body = objectOf(performHttp(engineCall(m_Engine, "GET", "/status")));
+  if (!Body)
+    return std::nullopt;
+  EngineStatus Status;
+  Status.m_Version = textOf(*Body, "version");
+  Status.m_ServedRoot = Digest::fromHex(textOf(*Body, "rootDigest")).value_or(Digest());
+  Status.m_Token = FencingToken(numberOf(*Body, "fencingToken"));
+  Status.m_Running = static_cast<std::uint32_t>(numberOf(*Body, "running"));
+  Status.m_Capacity = static_cast<std::uint32_t>(numberOf(*Body, "capacity"));
+  Status.m_ReportAge = std::chrono::milliseconds(numberOf(*Body, "reportAgeMs"));
+  return Status;
+}
+
+bool EngineClient::stage(const Digest &Chunk, const std::string &Content) const {
+  HttpCall Call = engineCall(m_Engine, "PUT", chunkPath(Chunk));
+  Call.m_Body = Content;
+  Call.m_ContentType = "application/octet-stream";
+  return performHttp(Call).isOk();
+}
+
+std::optional<std::string> EngineClient::staged(const Digest &Chunk) const {
+  HttpResult Answer = performHttp(engineCall(m_Engine, "GET", chunkPath(Chunk)));
+  if (!Answer.isOk())
+    return std::nullopt;
+  return std::move(Answer.m_Body);
+}
+
+bool EngineClient::unstage(const Digest &Chunk) const {
+  return performHttp(engineCall(m_Engine, "DELETE", chunkPath(Chunk))).isOk();
+}
+
+std::optional<std::vector<ChunkRef>> EngineClient::listStaging() const {
+  auto Body = objectOf(performHttp(engineCall(m_Engine, "GET", "/staging")));
+  const json::value *Listed = Body ? Body->if_contains("chunks") : nullptr;
+  if (!Listed || !Listed->is_array())
+    return std::nullopt;
+  std::vector<ChunkRef> Chunks;
+  for (const json::value &Entry : Listed->as_array())
+    if (const json::object *Fields = Entry.if_object())
+      if (auto Name = Digest::fromHex(textOf(*Fields, "digest")))
+        Chunks.push_back({*Name, Bytes(numberOf(*Fields, "size"))});
+  return Chunks;
+}
+
+EngineLoadResult EngineClient::load(const Manifest &Model, const std::string &Version,
+                                    FencingToken Token) const {
+  json::object Body = chunkList(Model);
+  Body["command"] = "load";
+  Body["version"] = Version;
+  Body["rootDigest"] = Model.rootDigest().hex();
+  Body["fencingToken"] = Token.value();
+  HttpCall Call = engineCall(m_Engine, "POST", "/command", LoadTimeout);
+  Call.m_Body = json::serialize(Body);
+  HttpResult Answer = performHttp(Call);
+  if (Answer.isOk())
+    return EngineLoadResult::Loaded;
+  bool Rejected = Answer.m_Progress == HttpProgress::NotSent ||
+                  (Answer.m_Progress == HttpProgress::Answered && Answer.m_Status / 100 == 4);
+  return Rejected ? EngineLoadResult::Rejected : EngineLoadResult::Unknown;
+}
+
+EngineRunResult EngineClient::run(const AttemptRequest &Request, const FragmentHandler &OnFragment,
+                                  const std::atomic<bool> &Cancelled) const {
+  return m_IsPlain ? call(Request, OnFragment) : generate(Request, OnFragment, Cancelled);
+}
+
+EngineRunResult EngineClient::call(const AttemptRequest &Request,
+                                   const FragmentHandler &OnFragment) const {
+  HttpCall Call = engineCall(m_Engine, "POST", "/call", Request.m_Timeout);
+  Call.m_Body = engineBody(Request);
+  Call.m_MaxAnswer = m_MaxAnswer;
+  HttpResult Answer = performHttp(Call);
+  EngineRunResult Result;
+  if (Answer.m_Progress == HttpProgress::NotSent) {
+    Result.m_Status = EngineRunResult::Status::NotSent;
+    Result.m_Reason = "no connection to the service";
+  } else if (Answer.isOk()) {
+    Result.m_Status = EngineRunResult::Status::Complete;
+    Result.m_TotalBytes = Answer.m_Body.size();
+    OnFragment(0, std::move(Answer.m_Body));
+  } else {
+    Result.m_Reason = "status " + std::to_string(Answer.m_Status) + " from the service";
+  }
+  return Result;
+}
+
+EngineRunResult EngineClient::generate(const AttemptRequest &Request,
+                                       const FragmentHandler &OnFragment,
+                                       const std::atomic<bool> &Cancelled) const {
+  EngineRunResult Result;
+  std::uint64_t Offset = Request.m_ResumeFrom;
+  bool IsSent = false;
+  try {
+    Poco::Net::HTTPClientSession Session(m_Engine.m_Host, m_Engine.m_Port);
+    Poco::Timespan Silence(StreamSilence.count());
+    Session.setTimeout(Poco::Timespan(ControlTimeout.count()), Silence, Silence);
+    Poco::Net::HTTPRequest Head("POST", "/generate", Poco::Net::HTTPMessage::HTTP_1_1);
+    std::string Body = engineBody(Request);
+    Head.setContentType("application/json");
+    Head.setContentLength64(static_cast<Poco::Int64>(Body.size()));
+    std::ostream &Out = Session.sendRequest(Head);
+    IsSent = true;
+    Out << Body << std::flush;
+    Poco::Net::HTTPResponse Response;
+    EventReader Events(Session.receiveResponse(Response));
+    if (Response.getStatus() == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
+      Result.m_Status = EngineRunResult::Status::Refused;
+      Result.m_Reason = "the engine refused the request";
+      return Result;
+    }
+    Result.m_ServedRoot = Digest::fromHex(Response.get("Served-Digest", "")).value_or(Digest());
+    while (auto Event = Events.next()) {
+      if (*Event == "[DONE]") {
+        Result.m_Status = EngineRunResult::Status::Complete;
+        Result.m_TotalBytes = Offset;
+        return Result;
+      }
+      boost::system::error_code Error;
+      json::value Parsed = json::parse(*Event, Error);
+      if (Error || !Parsed.is_object() || Cancelled)
+        break;
+      std::string Text = textOf(Parsed.as_object(), "text");
+      std::size_t Size = Text.size();
+      if (Offset + Size > m_MaxAnswer.count())
+        break;
+      OnFragment(Offset, std::move(Text));
+      Offset += Size;
+    }
+    Result.m_Reason = "the answer ended before its last event";
+  } catch (const Poco::Exception &Error) {
+    Result.m_Reason = Error.displayText();
+    if (!IsSent)
+      Result.m_Status = EngineRunResult::Status::NotSent;
+  }
+  return Result;
+}
+
+void EngineClient::cancel(const AttemptId &Attempt) const {
+  HttpCall Call = engineCall(m_Engine, "POST", "/cancel");
+  Call.m_Body = json::serialize(json::object{{"attempt", Attempt.str()}});
+  performHttp(Call);
+}
+
+} // namespace fescuegauge
--- a/src/include/Fescuegauge/RpcNode.h
+++ b/src/include/Fescuegauge/RpcNode.h
@@ -22,6 +22,10 @@
   Incarnation m_Incarnation;
   DataCentreId m_DataCentre;
   InstanceRole m_Role = InstanceRole::Agent;
+  /// Names the process as the origin of attempts.
+  std::string m_AttemptSource;
+  /// The number that the process gives to its next attempt.
+  std::uint64_t m_NextAttempt = 1;
 };
 
 /// One dispatch of a request to an agent.
@@ -51,6 +55,8 @@
   /// The engine answered with an error or broke off.
   Failed,
   Cancelled,
+  /// The engine is gone; every attempt that it ran ends like this.
+  EngineLost,
   /// The connection to the agent was lost; set by the dispatching side.
   ConnectionLost,
 };
@@ -61,6 +67,11 @@
   std::string m_Reason;
   std::uint64_t m_TotalBytes = 0;
   Digest m_ServedDigest;
+  /// On EngineLost: distinguishes losses of the same engine.
+  Incarnation m_EngineIncarnation;
+  /// On Refused.
+  ErrorKind m_Error = ErrorKind::NotReady;
+  Incarnation m_AgentIncarnation;
 };
 
 struct AttemptFragment {
@@ -79,7 +90,7 @@
 };
 
 /// Subject of a control message.
-enum class Topic { Membership, Configuration, Claims, Weights, Suspects, Load, Operator };
+enum class Topic { Membership, Configuration, Claims, Weights, Suspects, Attempts, Operator };
 
 using ControlReply = std::function<void(std::string Payload)>;
 using ChunkReply = std::function<void(std::optional<std::string> Content)>;
@@ -89,6 +100,16 @@
 public:
   virtual ~RpcHandler() = default;
   virtual void onPeerConnected(const PeerIdentity &) {}
+  /// The number that this process gives to its next attempt, for the hello of a connection.
+  virtual std::uint64_t nextAttemptNumber() const { return 1; }
+  /// What is sent back on a heartbeat of `From`.
+  virtual std::string onHeartbeat(const PeerIdentity &) { return {}; }
+  /// What `Peer` sent back on a heartbeat of this process.
+  virtual void onHeartbeatAnswer(const InstanceId &, const std::string &) {}
+  /// A connection that this process opened was accepted.
+  virtual void onConnected(const PeerIdentity &) {}
+  /// A connection that this process opened was lost.
+  virtual void onDisconnected(const InstanceId &) {}
   /// An incoming connection was closed or carried nothing for the failure time.
   virtual void onPeerLost(const PeerIdentity &) {}
   virtual void onRunAttempt(const PeerIdentity &From, AttemptRequest Request,
--- a/src/librpc/Peer.capnp
+++ b/src/librpc/Peer.capnp
@@ -13,6 +13,10 @@
   incarnation @3 :UInt64;
   dataCentre @4 :Text;
   isEntry @5 :Bool;
+  attemptSource @6 :Text;
+  # Names this process as the origin of attempts.
+  nextAttempt @7 :UInt64;
+  # The number that the process will give to its next attempt.
 }
 
 struct AttemptRequest {
@@ -41,6 +45,8 @@
   failed @2;
   # The engine answered with an error or broke off.
   cancelled @3;
+  engineLost @4;
+  # The engine is gone; every attempt that it ran ends like this.
 }
 
 struct AttemptEnd {
@@ -50,6 +56,11 @@
   reason @2 :Text;
   totalBytes @3 :UInt64;
   servedDigest @4 :Data;
+  engineIncarnation @5 :UInt64;
+  # Distinguishes losses of the same engine.
+  error @6 :Text;
+  # Name of the error kind of a refusal.
+  agentIncarnation @7 :UInt64;
 }
 
 interface AttemptSink {
@@ -65,13 +76,77 @@
   claims @2;
   weights @3;
   suspects @4;
-  load @5;
+  attempts @5;
   operator @6;
 }
 
+struct AgentReport {
+  # An agent's answer to a heartbeat: the state of its upstream.
+  incarnation @0 :UInt64;
+  isLeaving @1 :Bool;
+  servedDigest @2 :Data;
+  # Root digest of the version to which requests may be routed; empty if none.
+  running @3 :UInt32;
+  capacity @4 :UInt32;
+  reportAgeMs @5 :UInt32;
+  change @6 :UInt64;
+  # Number of the configuration in force.
+}
+
+struct RowCondition {
+  key @0 :Text;
+  version @1 :UInt64;
+}
+
+struct ClaimWrite {
+  ticket @0 :UInt64;
+  row @1 :RowCondition;
+  value @2 :Text;
+  guards @3 :List(RowCondition);
+}
+
+struct ClaimWriteResult {
+  ticket @0 :UInt64;
+  status @1 :UInt8;
+  currentKey @2 :Text;
+  currentValue @3 :Text;
+  currentVersion @4 :UInt64;
+  reason @5 :Text;
+}
+
+struct SuspectDelta {
+  account @0 :Text;
+  bodyDigest @1 :Data;
+  upstream @2 :Text;
+  incarnation @3 :UInt64;
+  cleared @4 :Bool;
+  ageMs @5 :UInt64;
+}
+
+struct SuspectDeltas {
+  deltas @0 :List(SuspectDelta);
+}
+
+struct ChunkSummary {
+  root @0 :Data;
+  epoch @1 :UInt32;
+  from @2 :UInt32;
+  indices @3 :List(UInt32);
+  wantsAll @4 :Bool;
+}
+
+struct AttemptStatement {
+  attempt @0 :Text;
+  state @1 :UInt8;
+  # 255 if the agent no longer knows, else the position in AttemptState.
+  agentIncarnation @2 :UInt64;
+  isAnswerRecorded @3 :Bool;
+  answer @4 :Data;
+}
+
 interface Peer {
   hello @0 (hello :Hello) -> (accepted :Bool, reason :Text, hello :Hello);
-  heartbeat @1 () -> ();
+  heartbeat @1 () -> (report :Data);
   runAttempt @2 (request :AttemptRequest, sink :AttemptSink) -> ();
   cancelAttempt @3 (attempt :Text) -> ();
   fetchChunk @4 (digest :Data) -> (found :Bool, data :Data);
--- a/src/librpc/Peer.capnp.h
+++ b/src/librpc/Peer.capnp.h
@@ -27,6 +27,7 @@
   REFUSED,
   FAILED,
   CANCELLED,
+  ENGINE_LOST,
 };
 CAPNP_DECLARE_ENUM(AttemptStatus, e125bc40a84d2e05);
 CAPNP_DECLARE_SCHEMA(f4709f1d17fbe951);
@@ -42,10 +43,18 @@
   CLAIMS,
   WEIGHTS,
   SUSPECTS,
-  LOAD,
+  ATTEMPTS,
   OPERATOR,
 };
 CAPNP_DECLARE_ENUM(Topic, b901699e0ae17ca3);
+CAPNP_DECLARE_SCHEMA(b8c58f9d87cdcf1e);
+CAPNP_DECLARE_SCHEMA(c7e6d0dc99e5a7de);
+CAPNP_DECLARE_SCHEMA(bdaada2758aed9c8);
+CAPNP_DECLARE_SCHEMA(960b7e96956c8b18);
+CAPNP_DECLARE_SCHEMA(851b826f231f58a9);
+CAPNP_DECLARE_SCHEMA(d7351eb693723df1);
+CAPNP_DECLARE_SCHEMA(f6e71a20517f2924);
+CAPNP_DECLARE_SCHEMA(e9e6c8e330d7321f);
 CAPNP_DECLARE_SCHEMA(ac2666ee2e6d6656);
 CAPNP_DECLARE_SCHEMA(b30c4bc875db3a4d);
 CAPNP_DECLARE_SCHEMA(9b2eaf51ba2da6ec);
@@ -74,7 +83,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5de2695699f5c22, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c5de2695699f5c22, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -106,7 +115,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f4709f1d17fbe951, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f4709f1d17fbe951, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -196,6 +205,126 @@
 
 typedef ::capnp::schemas::Topic_b901699e0ae17ca3 Topic;
 
+struct AgentReport {
+  AgentReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b8c58f9d87cdcf1e, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RowCondition {
+  RowCondition() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c7e6d0dc99e5a7de, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ClaimWrite {
+  ClaimWrite() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bdaada2758aed9c8, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ClaimWriteResult {
+  ClaimWriteResult() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(960b7e96956c8b18, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SuspectDelta {
+  SuspectDelta() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(851b826f231f58a9, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SuspectDeltas {
+  SuspectDeltas() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d7351eb693723df1, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ChunkSummary {
+  ChunkSummary() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f6e71a20517f2924, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AttemptStatement {
+  AttemptStatement() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e9e6c8e330d7321f, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -278,7 +407,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c644617bf05d50d3, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(c644617bf05d50d3, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -439,6 +568,11 @@
 
   inline bool getIsEntry() const;
 
+  inline bool hasAttemptSource() const;
+  inline  ::capnp::Text::Reader getAttemptSource() const;
+
+  inline  ::uint64_t getNextAttempt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -497,6 +631,16 @@
   inline bool getIsEntry();
   inline void setIsEntry(bool value);
 
+  inline bool hasAttemptSource();
+  inline  ::capnp::Text::Builder getAttemptSource();
+  inline void setAttemptSource( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAttemptSource(unsigned int size);
+  inline void adoptAttemptSource(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAttemptSource();
+
+  inline  ::uint64_t getNextAttempt();
+  inline void setNextAttempt( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -733,6 +877,13 @@
   inline bool hasServedDigest() const;
   inline  ::capnp::Data::Reader getServedDigest() const;
 
+  inline  ::uint64_t getEngineIncarnation() const;
+
+  inline bool hasError() const;
+  inline  ::capnp::Text::Reader getError() const;
+
+  inline  ::uint64_t getAgentIncarnation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -784,6 +935,19 @@
   inline void adoptServedDigest(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownServedDigest();
 
+  inline  ::uint64_t getEngineIncarnation();
+  inline void setEngineIncarnation( ::uint64_t value);
+
+  inline bool hasError();
+  inline  ::capnp::Text::Builder getError();
+  inline void setError( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initError(unsigned int size);
+  inline void adoptError(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownError();
+
+  inline  ::uint64_t getAgentIncarnation();
+  inline void setAgentIncarnation( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1209,92 +1373,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Peer Calls;
-  typedef Peer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::fescuegauge::rpc::Peer::HelloParams,  ::fescuegauge::rpc::Peer::HelloResults> helloRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::fescuegauge::rpc::Peer::HeartbeatParams,  ::fescuegauge::rpc::Peer::HeartbeatResults> heartbeatRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::fescuegauge::rpc::Peer::RunAttemptParams,  ::fescuegauge::rpc::Peer::RunAttemptResults> runAttemptRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::fescuegauge::rpc::Peer::CancelAttemptParams,  ::fescuegauge::rpc::Peer::CancelAttemptResults> cancelAttemptRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::fescuegauge::rpc::Peer::FetchChunkParams,  ::fescuegauge::rpc::Peer::FetchChunkResults> fetchChunkRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::fescuegauge::rpc::Peer::ControlParams,  ::fescuegauge::rpc::Peer::ControlResults> controlRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Peer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::fescuegauge::rpc::Peer::HelloParams HelloParams;
-  typedef  ::fescuegauge::rpc::Peer::HelloResults HelloResults;
-  typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
-  virtual ::kj::Promise<void> hello(HelloContext context);
-  typedef  ::fescuegauge::rpc::Peer::HeartbeatParams HeartbeatParams;
-  typedef  ::fescuegauge::rpc::Peer::HeartbeatResults HeartbeatResults;
-  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
-  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
-  typedef  ::fescuegauge::rpc::Peer::RunAttemptParams RunAttemptParams;
-  typedef  ::fescuegauge::rpc::Peer::RunAttemptResults RunAttemptResults;
-  typedef ::capnp::CallContext<RunAttemptParams, RunAttemptResults> RunAttemptContext;
-  virtual ::kj::Promise<void> runAttempt(RunAttemptContext context);
-  typedef  ::fescuegauge::rpc::Peer::CancelAttemptParams CancelAttemptParams;
-  typedef  ::fescuegauge::rpc::Peer::CancelAttemptResults CancelAttemptResults;
-  typedef ::capnp::CallContext<CancelAttemptParams, CancelAttemptResults> CancelAttemptContext;
-  virtual ::kj::Promise<void> cancelAttempt(CancelAttemptContext context);
-  typedef  ::fescuegauge::rpc::Peer::FetchChunkParams FetchChunkParams;
-  typedef  ::fescuegauge::rpc::Peer::FetchChunkResults FetchChunkResults;
-  typedef ::capnp::CallContext<FetchChunkParams, FetchChunkResults> FetchChunkContext;
-  virtual ::kj::Promise<void> fetchChunk(FetchChunkContext context);
-  typedef  ::fescuegauge::rpc::Peer::ControlParams ControlParams;
-  typedef  ::fescuegauge::rpc::Peer::ControlResults ControlResults;
-  typedef ::capnp::CallContext<ControlParams, ControlResults> ControlContext;
-  virtual ::kj::Promise<void> control(ControlContext context);
-
-  inline  ::fescuegauge::rpc::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::fescuegauge::rpc::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Peer::HelloParams::Reader {
+class AgentReport::Reader {
 public:
-  typedef HelloParams Reads;
+  typedef AgentReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1309,8 +1390,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHello() const;
-  inline  ::fescuegauge::rpc::Hello::Reader getHello() const;
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool getIsLeaving() const;
+
+  inline bool hasServedDigest() const;
+  inline  ::capnp::Data::Reader getServedDigest() const;
+
+  inline  ::uint32_t getRunning() const;
+
+  inline  ::uint32_t getCapacity() const;
+
+  inline  ::uint32_t getReportAgeMs() const;
+
+  inline  ::uint64_t getChange() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1324,9 +1417,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HelloParams::Builder {
+class AgentReport::Builder {
 public:
-  typedef HelloParams Builds;
+  typedef AgentReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1340,12 +1433,30 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHello();
-  inline  ::fescuegauge::rpc::Hello::Builder getHello();
-  inline void setHello( ::fescuegauge::rpc::Hello::Reader value);
-  inline  ::fescuegauge::rpc::Hello::Builder initHello();
-  inline void adoptHello(::capnp::Orphan< ::fescuegauge::rpc::Hello>&& value);
-  inline ::capnp::Orphan< ::fescuegauge::rpc::Hello> disownHello();
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
+
+  inline bool hasServedDigest();
+  inline  ::capnp::Data::Builder getServedDigest();
+  inline void setServedDigest( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initServedDigest(unsigned int size);
+  inline void adoptServedDigest(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownServedDigest();
+
+  inline  ::uint32_t getRunning();
+  inline void setRunning( ::uint32_t value);
+
+  inline  ::uint32_t getCapacity();
+  inline void setCapacity( ::uint32_t value);
+
+  inline  ::uint32_t getReportAgeMs();
+  inline void setReportAgeMs( ::uint32_t value);
+
+  inline  ::uint64_t getChange();
+  inline void setChange( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1357,15 +1468,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HelloParams::Pipeline {
+class AgentReport::Pipeline {
 public:
-  typedef HelloParams Pipelines;
+  typedef AgentReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::fescuegauge::rpc::Hello::Pipeline getHello();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1374,9 +1484,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::HelloResults::Reader {
+class RowCondition::Reader {
 public:
-  typedef HelloResults Reads;
+  typedef RowCondition Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1391,13 +1501,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getAccepted() const;
-
-  inline bool hasReason() const;
-  inline  ::capnp::Text::Reader getReason() const;
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
-  inline bool hasHello() const;
-  inline  ::fescuegauge::rpc::Hello::Reader getHello() const;
+  inline  ::uint64_t getVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1411,9 +1518,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HelloResults::Builder {
+class RowCondition::Builder {
 public:
-  typedef HelloResults Builds;
+  typedef RowCondition Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1427,22 +1534,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getAccepted();
-  inline void setAccepted(bool value);
-
-  inline bool hasReason();
-  inline  ::capnp::Text::Builder getReason();
-  inline void setReason( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initReason(unsigned int size);
-  inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownReason();
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
-  inline bool hasHello();
-  inline  ::fescuegauge::rpc::Hello::Builder getHello();
-  inline void setHello( ::fescuegauge::rpc::Hello::Reader value);
-  inline  ::fescuegauge::rpc::Hello::Builder initHello();
-  inline void adoptHello(::capnp::Orphan< ::fescuegauge::rpc::Hello>&& value);
-  inline ::capnp::Orphan< ::fescuegauge::rpc::Hello> disownHello();
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1454,15 +1554,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HelloResults::Pipeline {
+class RowCondition::Pipeline {
 public:
-  typedef HelloResults Pipelines;
+  typedef RowCondition Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::fescuegauge::rpc::Hello::Pipeline getHello();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1471,9 +1570,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::HeartbeatParams::Reader {
+class ClaimWrite::Reader {
 public:
-  typedef HeartbeatParams Reads;
+  typedef ClaimWrite Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1488,6 +1587,17 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getTicket() const;
+
+  inline bool hasRow() const;
+  inline  ::fescuegauge::rpc::RowCondition::Reader getRow() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
+
+  inline bool hasGuards() const;
+  inline  ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>::Reader getGuards() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1500,9 +1610,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HeartbeatParams::Builder {
+class ClaimWrite::Builder {
 public:
-  typedef HeartbeatParams Builds;
+  typedef ClaimWrite Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1516,6 +1626,30 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getTicket();
+  inline void setTicket( ::uint64_t value);
+
+  inline bool hasRow();
+  inline  ::fescuegauge::rpc::RowCondition::Builder getRow();
+  inline void setRow( ::fescuegauge::rpc::RowCondition::Reader value);
+  inline  ::fescuegauge::rpc::RowCondition::Builder initRow();
+  inline void adoptRow(::capnp::Orphan< ::fescuegauge::rpc::RowCondition>&& value);
+  inline ::capnp::Orphan< ::fescuegauge::rpc::RowCondition> disownRow();
+
+  inline bool hasValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
+
+  inline bool hasGuards();
+  inline  ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>::Builder getGuards();
+  inline void setGuards( ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>::Builder initGuards(unsigned int size);
+  inline void adoptGuards(::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>> disownGuards();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1526,14 +1660,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HeartbeatParams::Pipeline {
+class ClaimWrite::Pipeline {
 public:
-  typedef HeartbeatParams Pipelines;
+  typedef ClaimWrite Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::fescuegauge::rpc::RowCondition::Pipeline getRow();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1542,9 +1677,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::HeartbeatResults::Reader {
+class ClaimWriteResult::Reader {
 public:
-  typedef HeartbeatResults Reads;
+  typedef ClaimWriteResult Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1559,6 +1694,21 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getTicket() const;
+
+  inline  ::uint8_t getStatus() const;
+
+  inline bool hasCurrentKey() const;
+  inline  ::capnp::Text::Reader getCurrentKey() const;
+
+  inline bool hasCurrentValue() const;
+  inline  ::capnp::Text::Reader getCurrentValue() const;
+
+  inline  ::uint64_t getCurrentVersion() const;
+
+  inline bool hasReason() const;
+  inline  ::capnp::Text::Reader getReason() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1571,9 +1721,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HeartbeatResults::Builder {
+class ClaimWriteResult::Builder {
 public:
-  typedef HeartbeatResults Builds;
+  typedef ClaimWriteResult Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1587,6 +1737,36 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getTicket();
+  inline void setTicket( ::uint64_t value);
+
+  inline  ::uint8_t getStatus();
+  inline void setStatus( ::uint8_t value);
+
+  inline bool hasCurrentKey();
+  inline  ::capnp::Text::Builder getCurrentKey();
+  inline void setCurrentKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCurrentKey(unsigned int size);
+  inline void adoptCurrentKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCurrentKey();
+
+  inline bool hasCurrentValue();
+  inline  ::capnp::Text::Builder getCurrentValue();
+  inline void setCurrentValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCurrentValue(unsigned int size);
+  inline void adoptCurrentValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCurrentValue();
+
+  inline  ::uint64_t getCurrentVersion();
+  inline void setCurrentVersion( ::uint64_t value);
+
+  inline bool hasReason();
+  inline  ::capnp::Text::Builder getReason();
+  inline void setReason( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReason(unsigned int size);
+  inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReason();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1597,9 +1777,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HeartbeatResults::Pipeline {
+class ClaimWriteResult::Pipeline {
 public:
-  typedef HeartbeatResults Pipelines;
+  typedef ClaimWriteResult Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1613,9 +1793,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::RunAttemptParams::Reader {
+class SuspectDelta::Reader {
 public:
-  typedef RunAttemptParams Reads;
+  typedef SuspectDelta Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1630,13 +1810,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::fescuegauge::rpc::AttemptRequest::Reader getRequest() const;
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
 
-  inline bool hasSink() const;
-#if !CAPNP_LITE
-  inline  ::fescuegauge::rpc::AttemptSink::Client getSink() const;
-#endif  // !CAPNP_LITE
+  inline bool hasBodyDigest() const;
+  inline  ::capnp::Data::Reader getBodyDigest() const;
+
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool getCleared() const;
+
+  inline  ::uint64_t getAgeMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1650,9 +1837,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::RunAttemptParams::Builder {
+class SuspectDelta::Builder {
 public:
-  typedef RunAttemptParams Builds;
+  typedef SuspectDelta Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1666,21 +1853,35 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::fescuegauge::rpc::AttemptRequest::Builder getRequest();
-  inline void setRequest( ::fescuegauge::rpc::AttemptRequest::Reader value);
-  inline  ::fescuegauge::rpc::AttemptRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::fescuegauge::rpc::AttemptRequest>&& value);
-  inline ::capnp::Orphan< ::fescuegauge::rpc::AttemptRequest> disownRequest();
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
 
-  inline bool hasSink();
-#if !CAPNP_LITE
-  inline  ::fescuegauge::rpc::AttemptSink::Client getSink();
-  inline void setSink( ::fescuegauge::rpc::AttemptSink::Client&& value);
-  inline void setSink( ::fescuegauge::rpc::AttemptSink::Client& value);
-  inline void adoptSink(::capnp::Orphan< ::fescuegauge::rpc::AttemptSink>&& value);
-  inline ::capnp::Orphan< ::fescuegauge::rpc::AttemptSink> disownSink();
-#endif  // !CAPNP_LITE
+  inline bool hasBodyDigest();
+  inline  ::capnp::Data::Builder getBodyDigest();
+  inline void setBodyDigest( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBodyDigest(unsigned int size);
+  inline void adoptBodyDigest(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBodyDigest();
+
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool getCleared();
+  inline void setCleared(bool value);
+
+  inline  ::uint64_t getAgeMs();
+  inline void setAgeMs( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1692,16 +1893,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::RunAttemptParams::Pipeline {
+class SuspectDelta::Pipeline {
 public:
-  typedef RunAttemptParams Pipelines;
+  typedef SuspectDelta Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::fescuegauge::rpc::AttemptRequest::Pipeline getRequest();
-  inline  ::fescuegauge::rpc::AttemptSink::Client getSink();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1710,9 +1909,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::RunAttemptResults::Reader {
+class SuspectDeltas::Reader {
 public:
-  typedef RunAttemptResults Reads;
+  typedef SuspectDeltas Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1727,6 +1926,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasDeltas() const;
+  inline  ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>::Reader getDeltas() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1739,9 +1941,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::RunAttemptResults::Builder {
+class SuspectDeltas::Builder {
 public:
-  typedef RunAttemptResults Builds;
+  typedef SuspectDeltas Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1755,6 +1957,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasDeltas();
+  inline  ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>::Builder getDeltas();
+  inline void setDeltas( ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>::Builder initDeltas(unsigned int size);
+  inline void adoptDeltas(::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>> disownDeltas();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1765,9 +1974,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::RunAttemptResults::Pipeline {
+class SuspectDeltas::Pipeline {
 public:
-  typedef RunAttemptResults Pipelines;
+  typedef SuspectDeltas Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1781,9 +1990,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::CancelAttemptParams::Reader {
+class ChunkSummary::Reader {
 public:
-  typedef CancelAttemptParams Reads;
+  typedef ChunkSummary Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1798,8 +2007,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAttempt() const;
-  inline  ::capnp::Text::Reader getAttempt() const;
+  inline bool hasRoot() const;
+  inline  ::capnp::Data::Reader getRoot() const;
+
+  inline  ::uint32_t getEpoch() const;
+
+  inline  ::uint32_t getFrom() const;
+
+  inline bool hasIndices() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getIndices() const;
+
+  inline bool getWantsAll() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1813,9 +2031,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::CancelAttemptParams::Builder {
+class ChunkSummary::Builder {
 public:
-  typedef CancelAttemptParams Builds;
+  typedef ChunkSummary Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1829,12 +2047,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAttempt();
-  inline  ::capnp::Text::Builder getAttempt();
-  inline void setAttempt( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAttempt(unsigned int size);
-  inline void adoptAttempt(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAttempt();
+  inline bool hasRoot();
+  inline  ::capnp::Data::Builder getRoot();
+  inline void setRoot( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRoot(unsigned int size);
+  inline void adoptRoot(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRoot();
+
+  inline  ::uint32_t getEpoch();
+  inline void setEpoch( ::uint32_t value);
+
+  inline  ::uint32_t getFrom();
+  inline void setFrom( ::uint32_t value);
+
+  inline bool hasIndices();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getIndices();
+  inline void setIndices( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setIndices(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initIndices(unsigned int size);
+  inline void adoptIndices(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownIndices();
+
+  inline bool getWantsAll();
+  inline void setWantsAll(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1846,9 +2081,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::CancelAttemptParams::Pipeline {
+class ChunkSummary::Pipeline {
 public:
-  typedef CancelAttemptParams Pipelines;
+  typedef ChunkSummary Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1862,9 +2097,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::CancelAttemptResults::Reader {
+class AttemptStatement::Reader {
 public:
-  typedef CancelAttemptResults Reads;
+  typedef AttemptStatement Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1879,6 +2114,18 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasAttempt() const;
+  inline  ::capnp::Text::Reader getAttempt() const;
+
+  inline  ::uint8_t getState() const;
+
+  inline  ::uint64_t getAgentIncarnation() const;
+
+  inline bool getIsAnswerRecorded() const;
+
+  inline bool hasAnswer() const;
+  inline  ::capnp::Data::Reader getAnswer() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1891,9 +2138,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::CancelAttemptResults::Builder {
+class AttemptStatement::Builder {
 public:
-  typedef CancelAttemptResults Builds;
+  typedef AttemptStatement Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1907,6 +2154,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasAttempt();
+  inline  ::capnp::Text::Builder getAttempt();
+  inline void setAttempt( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAttempt(unsigned int size);
+  inline void adoptAttempt(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAttempt();
+
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
+
+  inline  ::uint64_t getAgentIncarnation();
+  inline void setAgentIncarnation( ::uint64_t value);
+
+  inline bool getIsAnswerRecorded();
+  inline void setIsAnswerRecorded(bool value);
+
+  inline bool hasAnswer();
+  inline  ::capnp::Data::Builder getAnswer();
+  inline void setAnswer( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initAnswer(unsigned int size);
+  inline void adoptAnswer(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1917,9 +2187,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::CancelAttemptResults::Pipeline {
+class AttemptStatement::Pipeline {
 public:
-  typedef CancelAttemptResults Pipelines;
+  typedef AttemptStatement Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1933,9 +2203,92 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchChunkParams::Reader {
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef FetchChunkParams Reads;
+  typedef Peer Calls;
+  typedef Peer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::fescuegauge::rpc::Peer::HelloParams,  ::fescuegauge::rpc::Peer::HelloResults> helloRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::fescuegauge::rpc::Peer::HeartbeatParams,  ::fescuegauge::rpc::Peer::HeartbeatResults> heartbeatRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::fescuegauge::rpc::Peer::RunAttemptParams,  ::fescuegauge::rpc::Peer::RunAttemptResults> runAttemptRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::fescuegauge::rpc::Peer::CancelAttemptParams,  ::fescuegauge::rpc::Peer::CancelAttemptResults> cancelAttemptRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::fescuegauge::rpc::Peer::FetchChunkParams,  ::fescuegauge::rpc::Peer::FetchChunkResults> fetchChunkRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::fescuegauge::rpc::Peer::ControlParams,  ::fescuegauge::rpc::Peer::ControlResults> controlRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Peer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::fescuegauge::rpc::Peer::HelloParams HelloParams;
+  typedef  ::fescuegauge::rpc::Peer::HelloResults HelloResults;
+  typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
+  virtual ::kj::Promise<void> hello(HelloContext context);
+  typedef  ::fescuegauge::rpc::Peer::HeartbeatParams HeartbeatParams;
+  typedef  ::fescuegauge::rpc::Peer::HeartbeatResults HeartbeatResults;
+  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
+  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
+  typedef  ::fescuegauge::rpc::Peer::RunAttemptParams RunAttemptParams;
+  typedef  ::fescuegauge::rpc::Peer::RunAttemptResults RunAttemptResults;
+  typedef ::capnp::CallContext<RunAttemptParams, RunAttemptResults> RunAttemptContext;
+  virtual ::kj::Promise<void> runAttempt(RunAttemptContext context);
+  typedef  ::fescuegauge::rpc::Peer::CancelAttemptParams CancelAttemptParams;
+  typedef  ::fescuegauge::rpc::Peer::CancelAttemptResults CancelAttemptResults;
+  typedef ::capnp::CallContext<CancelAttemptParams, CancelAttemptResults> CancelAttemptContext;
+  virtual ::kj::Promise<void> cancelAttempt(CancelAttemptContext context);
+  typedef  ::fescuegauge::rpc::Peer::FetchChunkParams FetchChunkParams;
+  typedef  ::fescuegauge::rpc::Peer::FetchChunkResults FetchChunkResults;
+  typedef ::capnp::CallContext<FetchChunkParams, FetchChunkResults> FetchChunkContext;
+  virtual ::kj::Promise<void> fetchChunk(FetchChunkContext context);
+  typedef  ::fescuegauge::rpc::Peer::ControlParams ControlParams;
+  typedef  ::fescuegauge::rpc::Peer::ControlResults ControlResults;
+  typedef ::capnp::CallContext<ControlParams, ControlResults> ControlContext;
+  virtual ::kj::Promise<void> control(ControlContext context);
+
+  inline  ::fescuegauge::rpc::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::fescuegauge::rpc::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::HelloParams::Reader {
+public:
+  typedef HelloParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1950,8 +2303,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDigest() const;
-  inline  ::capnp::Data::Reader getDigest() const;
+  inline bool hasHello() const;
+  inline  ::fescuegauge::rpc::Hello::Reader getHello() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1965,9 +2318,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchChunkParams::Builder {
+class Peer::HelloParams::Builder {
 public:
-  typedef FetchChunkParams Builds;
+  typedef HelloParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1981,12 +2334,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDigest();
-  inline  ::capnp::Data::Builder getDigest();
-  inline void setDigest( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initDigest(unsigned int size);
-  inline void adoptDigest(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownDigest();
+  inline bool hasHello();
+  inline  ::fescuegauge::rpc::Hello::Builder getHello();
+  inline void setHello( ::fescuegauge::rpc::Hello::Reader value);
+  inline  ::fescuegauge::rpc::Hello::Builder initHello();
+  inline void adoptHello(::capnp::Orphan< ::fescuegauge::rpc::Hello>&& value);
+  inline ::capnp::Orphan< ::fescuegauge::rpc::Hello> disownHello();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1998,14 +2351,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchChunkParams::Pipeline {
+class Peer::HelloParams::Pipeline {
 public:
-  typedef FetchChunkParams Pipelines;
+  typedef HelloParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::fescuegauge::rpc::Hello::Pipeline getHello();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2014,9 +2368,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchChunkResults::Reader {
+class Peer::HelloResults::Reader {
 public:
-  typedef FetchChunkResults Reads;
+  typedef HelloResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2031,10 +2385,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getFound() const;
+  inline bool getAccepted() const;
 
-  inline bool hasData() const;
-  inline  ::capnp::Data::Reader getData() const;
+  inline bool hasReason() const;
+  inline  ::capnp::Text::Reader getReason() const;
+
+  inline bool hasHello() const;
+  inline  ::fescuegauge::rpc::Hello::Reader getHello() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2048,9 +2405,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchChunkResults::Builder {
+class Peer::HelloResults::Builder {
 public:
-  typedef FetchChunkResults Builds;
+  typedef HelloResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2064,15 +2421,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getFound();
-  inline void setFound(bool value);
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
 
-  inline bool hasData();
-  inline  ::capnp::Data::Builder getData();
-  inline void setData( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initData(unsigned int size);
-  inline void adoptData(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownData();
+  inline bool hasReason();
+  inline  ::capnp::Text::Builder getReason();
+  inline void setReason( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReason(unsigned int size);
+  inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReason();
+
+  inline bool hasHello();
+  inline  ::fescuegauge::rpc::Hello::Builder getHello();
+  inline void setHello( ::fescuegauge::rpc::Hello::Reader value);
+  inline  ::fescuegauge::rpc::Hello::Builder initHello();
+  inline void adoptHello(::capnp::Orphan< ::fescuegauge::rpc::Hello>&& value);
+  inline ::capnp::Orphan< ::fescuegauge::rpc::Hello> disownHello();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2084,14 +2448,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchChunkResults::Pipeline {
+class Peer::HelloResults::Pipeline {
 public:
-  typedef FetchChunkResults Pipelines;
+  typedef HelloResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::fescuegauge::rpc::Hello::Pipeline getHello();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2100,9 +2465,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ControlParams::Reader {
+class Peer::HeartbeatParams::Reader {
 public:
-  typedef ControlParams Reads;
+  typedef HeartbeatParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2117,11 +2482,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::fescuegauge::rpc::Topic getTopic() const;
-
-  inline bool hasPayload() const;
-  inline  ::capnp::Data::Reader getPayload() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2134,9 +2494,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ControlParams::Builder {
+class Peer::HeartbeatParams::Builder {
 public:
-  typedef ControlParams Builds;
+  typedef HeartbeatParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2150,16 +2510,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::fescuegauge::rpc::Topic getTopic();
-  inline void setTopic( ::fescuegauge::rpc::Topic value);
-
-  inline bool hasPayload();
-  inline  ::capnp::Data::Builder getPayload();
-  inline void setPayload( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initPayload(unsigned int size);
-  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2170,9 +2520,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ControlParams::Pipeline {
+class Peer::HeartbeatParams::Pipeline {
 public:
-  typedef ControlParams Pipelines;
+  typedef HeartbeatParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2186,9 +2536,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ControlResults::Reader {
+class Peer::HeartbeatResults::Reader {
 public:
-  typedef ControlResults Reads;
+  typedef HeartbeatResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2203,8 +2553,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPayload() const;
-  inline  ::capnp::Data::Reader getPayload() const;
+  inline bool hasReport() const;
+  inline  ::capnp::Data::Reader getReport() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2218,9 +2568,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ControlResults::Builder {
+class Peer::HeartbeatResults::Builder {
 public:
-  typedef ControlResults Builds;
+  typedef HeartbeatResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2234,12 +2584,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPayload();
-  inline  ::capnp::Data::Builder getPayload();
-  inline void setPayload( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initPayload(unsigned int size);
-  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
+  inline bool hasReport();
+  inline  ::capnp::Data::Builder getReport();
+  inline void setReport( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initReport(unsigned int size);
+  inline void adoptReport(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownReport();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2251,9 +2601,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ControlResults::Pipeline {
+class Peer::HeartbeatResults::Pipeline {
 public:
-  typedef ControlResults Pipelines;
+  typedef HeartbeatResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2267,834 +2617,2431 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Peer::RunAttemptParams::Reader {
+public:
+  typedef RunAttemptParams Reads;
 
-inline  ::uint32_t Hello::Reader::getProtocolVersion() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint32_t Hello::Builder::getProtocolVersion() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Hello::Builder::setProtocolVersion( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool Hello::Reader::hasDeployment() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Hello::Builder::hasDeployment() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Hello::Reader::getDeployment() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Hello::Builder::getDeployment() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Hello::Builder::setDeployment( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Hello::Builder::initDeployment(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Hello::Builder::adoptDeployment(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownDeployment() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline bool Hello::Reader::hasInstance() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Hello::Builder::hasInstance() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Hello::Reader::getInstance() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Hello::Builder::getInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Hello::Builder::setInstance( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Hello::Builder::initInstance(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Hello::Builder::adoptInstance(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+  inline bool hasRequest() const;
+  inline  ::fescuegauge::rpc::AttemptRequest::Reader getRequest() const;
 
-inline  ::uint64_t Hello::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+  inline bool hasSink() const;
+#if !CAPNP_LITE
+  inline  ::fescuegauge::rpc::AttemptSink::Client getSink() const;
+#endif  // !CAPNP_LITE
 
-inline  ::uint64_t Hello::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Hello::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline bool Hello::Reader::hasDataCentre() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Hello::Builder::hasDataCentre() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Hello::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Hello::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Hello::Builder::setDataCentre( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Hello::Builder::initDataCentre(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void Hello::Builder::adoptDataCentre(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
+class Peer::RunAttemptParams::Builder {
+public:
+  typedef RunAttemptParams Builds;
 
-inline bool Hello::Reader::getIsEntry() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-inline bool Hello::Builder::getIsEntry() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::fescuegauge::rpc::AttemptRequest::Builder getRequest();
+  inline void setRequest( ::fescuegauge::rpc::AttemptRequest::Reader value);
+  inline  ::fescuegauge::rpc::AttemptRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::fescuegauge::rpc::AttemptRequest>&& value);
+  inline ::capnp::Orphan< ::fescuegauge::rpc::AttemptRequest> disownRequest();
+
+  inline bool hasSink();
+#if !CAPNP_LITE
+  inline  ::fescuegauge::rpc::AttemptSink::Client getSink();
+  inline void setSink( ::fescuegauge::rpc::AttemptSink::Client&& value);
+  inline void setSink( ::fescuegauge::rpc::AttemptSink::Client& value);
+  inline void adoptSink(::capnp::Orphan< ::fescuegauge::rpc::AttemptSink>&& value);
+  inline ::capnp::Orphan< ::fescuegauge::rpc::AttemptSink> disownSink();
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::RunAttemptParams::Pipeline {
+public:
+  typedef RunAttemptParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::fescuegauge::rpc::AttemptRequest::Pipeline getRequest();
+  inline  ::fescuegauge::rpc::AttemptSink::Client getSink();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::RunAttemptResults::Reader {
+public:
+  typedef RunAttemptResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::RunAttemptResults::Builder {
+public:
+  typedef RunAttemptResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::RunAttemptResults::Pipeline {
+public:
+  typedef RunAttemptResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::CancelAttemptParams::Reader {
+public:
+  typedef CancelAttemptParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAttempt() const;
+  inline  ::capnp::Text::Reader getAttempt() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::CancelAttemptParams::Builder {
+public:
+  typedef CancelAttemptParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAttempt();
+  inline  ::capnp::Text::Builder getAttempt();
+  inline void setAttempt( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAttempt(unsigned int size);
+  inline void adoptAttempt(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAttempt();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::CancelAttemptParams::Pipeline {
+public:
+  typedef CancelAttemptParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::CancelAttemptResults::Reader {
+public:
+  typedef CancelAttemptResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::CancelAttemptResults::Builder {
+public:
+  typedef CancelAttemptResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::CancelAttemptResults::Pipeline {
+public:
+  typedef CancelAttemptResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::FetchChunkParams::Reader {
+public:
+  typedef FetchChunkParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDigest() const;
+  inline  ::capnp::Data::Reader getDigest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::FetchChunkParams::Builder {
+public:
+  typedef FetchChunkParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDigest();
+  inline  ::capnp::Data::Builder getDigest();
+  inline void setDigest( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDigest(unsigned int size);
+  inline void adoptDigest(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDigest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::FetchChunkParams::Pipeline {
+public:
+  typedef FetchChunkParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::FetchChunkResults::Reader {
+public:
+  typedef FetchChunkResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getFound() const;
+
+  inline bool hasData() const;
+  inline  ::capnp::Data::Reader getData() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::FetchChunkResults::Builder {
+public:
+  typedef FetchChunkResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getFound();
+  inline void setFound(bool value);
+
+  inline bool hasData();
+  inline  ::capnp::Data::Builder getData();
+  inline void setData( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initData(unsigned int size);
+  inline void adoptData(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownData();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::FetchChunkResults::Pipeline {
+public:
+  typedef FetchChunkResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ControlParams::Reader {
+public:
+  typedef ControlParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::fescuegauge::rpc::Topic getTopic() const;
+
+  inline bool hasPayload() const;
+  inline  ::capnp::Data::Reader getPayload() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ControlParams::Builder {
+public:
+  typedef ControlParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::fescuegauge::rpc::Topic getTopic();
+  inline void setTopic( ::fescuegauge::rpc::Topic value);
+
+  inline bool hasPayload();
+  inline  ::capnp::Data::Builder getPayload();
+  inline void setPayload( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ControlParams::Pipeline {
+public:
+  typedef ControlParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ControlResults::Reader {
+public:
+  typedef ControlResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPayload() const;
+  inline  ::capnp::Data::Reader getPayload() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ControlResults::Builder {
+public:
+  typedef ControlResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPayload();
+  inline  ::capnp::Data::Builder getPayload();
+  inline void setPayload( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ControlResults::Pipeline {
+public:
+  typedef ControlResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint32_t Hello::Reader::getProtocolVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Hello::Builder::getProtocolVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setProtocolVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Hello::Reader::hasDeployment() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasDeployment() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Hello::Reader::getDeployment() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Hello::Builder::getDeployment() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setDeployment( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Hello::Builder::initDeployment(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptDeployment(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownDeployment() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Hello::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Hello::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Hello::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Hello::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Hello::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hello::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Hello::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Hello::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Hello::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Hello::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Hello::Reader::getIsEntry() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool Hello::Builder::getIsEntry() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
 inline void Hello::Builder::setIsEntry(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Hello::Reader::hasAttemptSource() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasAttemptSource() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Hello::Reader::getAttemptSource() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Hello::Builder::getAttemptSource() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setAttemptSource( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Hello::Builder::initAttemptSource(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptAttemptSource(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownAttemptSource() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Hello::Reader::getNextAttempt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hello::Builder::getNextAttempt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setNextAttempt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AttemptRequest::Reader::hasAttempt() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptRequest::Builder::hasAttempt() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AttemptRequest::Reader::getAttempt() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::getAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AttemptRequest::Builder::setAttempt( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::initAttempt(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AttemptRequest::Builder::adoptAttempt(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool AttemptRequest::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptRequest::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AttemptRequest::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AttemptRequest::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void AttemptRequest::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool AttemptRequest::Reader::hasAccount() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptRequest::Builder::hasAccount() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AttemptRequest::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void AttemptRequest::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void AttemptRequest::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool AttemptRequest::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptRequest::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AttemptRequest::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void AttemptRequest::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void AttemptRequest::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool AttemptRequest::Reader::hasWorkClass() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptRequest::Builder::hasWorkClass() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AttemptRequest::Reader::getWorkClass() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::getWorkClass() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void AttemptRequest::Builder::setWorkClass( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::initWorkClass(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void AttemptRequest::Builder::adoptWorkClass(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownWorkClass() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool AttemptRequest::Reader::hasExecution() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptRequest::Builder::hasExecution() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AttemptRequest::Reader::getExecution() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::getExecution() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void AttemptRequest::Builder::setExecution( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::initExecution(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void AttemptRequest::Builder::adoptExecution(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownExecution() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool AttemptRequest::Reader::getNonIdempotent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool AttemptRequest::Builder::getNonIdempotent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AttemptRequest::Builder::setNonIdempotent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AttemptRequest::Reader::hasGeneration() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptRequest::Builder::hasGeneration() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AttemptRequest::Reader::getGeneration() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::getGeneration() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void AttemptRequest::Builder::setGeneration( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::initGeneration(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void AttemptRequest::Builder::adoptGeneration(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownGeneration() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool AttemptRequest::Reader::hasRequiredDigest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptRequest::Builder::hasRequiredDigest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader AttemptRequest::Reader::getRequiredDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder AttemptRequest::Builder::getRequiredDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void AttemptRequest::Builder::setRequiredDigest( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder AttemptRequest::Builder::initRequiredDigest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void AttemptRequest::Builder::adoptRequiredDigest(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> AttemptRequest::Builder::disownRequiredDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AttemptRequest::Reader::getResumeFrom() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AttemptRequest::Builder::getResumeFrom() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AttemptRequest::Builder::setResumeFrom( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t AttemptRequest::Reader::getPriority() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t AttemptRequest::Builder::getPriority() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AttemptRequest::Builder::setPriority( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t AttemptRequest::Reader::getTimeoutMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AttemptRequest::Builder::getTimeoutMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void AttemptRequest::Builder::setTimeoutMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AttemptRequest::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptRequest::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader AttemptRequest::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder AttemptRequest::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void AttemptRequest::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder AttemptRequest::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void AttemptRequest::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> AttemptRequest::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline  ::fescuegauge::rpc::AttemptStatus AttemptEnd::Reader::getStatus() const {
+  return _reader.getDataField< ::fescuegauge::rpc::AttemptStatus>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::fescuegauge::rpc::AttemptStatus AttemptEnd::Builder::getStatus() {
+  return _builder.getDataField< ::fescuegauge::rpc::AttemptStatus>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AttemptEnd::Builder::setStatus( ::fescuegauge::rpc::AttemptStatus value) {
+  _builder.setDataField< ::fescuegauge::rpc::AttemptStatus>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t AttemptEnd::Reader::getWasRun() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t AttemptEnd::Builder::getWasRun() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AttemptEnd::Builder::setWasRun( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AttemptEnd::Reader::hasReason() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptEnd::Builder::hasReason() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AttemptEnd::Reader::getReason() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AttemptEnd::Builder::getReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AttemptEnd::Builder::setReason( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AttemptEnd::Builder::initReason(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AttemptEnd::Builder::adoptReason(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AttemptEnd::Builder::disownReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AttemptEnd::Reader::getTotalBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AttemptEnd::Builder::getTotalBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AttemptEnd::Builder::setTotalBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AttemptEnd::Reader::hasServedDigest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptEnd::Builder::hasServedDigest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader AttemptEnd::Reader::getServedDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder AttemptEnd::Builder::getServedDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AttemptEnd::Builder::setServedDigest( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder AttemptEnd::Builder::initServedDigest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void AttemptEnd::Builder::adoptServedDigest(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> AttemptEnd::Builder::disownServedDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AttemptEnd::Reader::getEngineIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AttemptEnd::Builder::getEngineIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AttemptEnd::Builder::setEngineIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AttemptEnd::Reader::hasError() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptEnd::Builder::hasError() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AttemptEnd::Reader::getError() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AttemptEnd::Builder::getError() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void AttemptEnd::Builder::setError( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AttemptEnd::Builder::initError(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void AttemptEnd::Builder::adoptError(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AttemptEnd::Builder::disownError() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AttemptEnd::Reader::getAgentIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AttemptEnd::Builder::getAgentIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void AttemptEnd::Builder::setAgentIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+#if !CAPNP_LITE
+inline AttemptSink::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline AttemptSink::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline AttemptSink::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline AttemptSink::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline AttemptSink::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::fescuegauge::rpc::AttemptSink::Client& AttemptSink::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::fescuegauge::rpc::AttemptSink::Client& AttemptSink::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool AttemptSink::FragmentParams::Reader::hasAttempt() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptSink::FragmentParams::Builder::hasAttempt() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AttemptSink::FragmentParams::Reader::getAttempt() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AttemptSink::FragmentParams::Builder::getAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AttemptSink::FragmentParams::Builder::setAttempt( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AttemptSink::FragmentParams::Builder::initAttempt(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AttemptSink::FragmentParams::Builder::adoptAttempt(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AttemptSink::FragmentParams::Builder::disownAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AttemptSink::FragmentParams::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AttemptSink::FragmentParams::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AttemptSink::FragmentParams::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AttemptSink::FragmentParams::Reader::hasData() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptSink::FragmentParams::Builder::hasData() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader AttemptSink::FragmentParams::Reader::getData() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder AttemptSink::FragmentParams::Builder::getData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AttemptSink::FragmentParams::Builder::setData( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder AttemptSink::FragmentParams::Builder::initData(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void AttemptSink::FragmentParams::Builder::adoptData(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> AttemptSink::FragmentParams::Builder::disownData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool AttemptSink::FragmentParams::Reader::hasServedDigest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptSink::FragmentParams::Builder::hasServedDigest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader AttemptSink::FragmentParams::Reader::getServedDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder AttemptSink::FragmentParams::Builder::getServedDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void AttemptSink::FragmentParams::Builder::setServedDigest( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder AttemptSink::FragmentParams::Builder::initServedDigest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void AttemptSink::FragmentParams::Builder::adoptServedDigest(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> AttemptSink::FragmentParams::Builder::disownServedDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool AttemptSink::EndParams::Reader::hasAttempt() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptSink::EndParams::Builder::hasAttempt() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AttemptSink::EndParams::Reader::getAttempt() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AttemptSink::EndParams::Builder::getAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AttemptSink::EndParams::Builder::setAttempt( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AttemptSink::EndParams::Builder::initAttempt(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AttemptSink::EndParams::Builder::adoptAttempt(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AttemptSink::EndParams::Builder::disownAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool AttemptSink::EndParams::Reader::hasEnd() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptSink::EndParams::Builder::hasEnd() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::fescuegauge::rpc::AttemptEnd::Reader AttemptSink::EndParams::Reader::getEnd() const {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::AttemptEnd>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::fescuegauge::rpc::AttemptEnd::Builder AttemptSink::EndParams::Builder::getEnd() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::AttemptEnd>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::fescuegauge::rpc::AttemptEnd::Pipeline AttemptSink::EndParams::Pipeline::getEnd() {
+  return  ::fescuegauge::rpc::AttemptEnd::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void AttemptSink::EndParams::Builder::setEnd( ::fescuegauge::rpc::AttemptEnd::Reader value) {
+  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::AttemptEnd>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::fescuegauge::rpc::AttemptEnd::Builder AttemptSink::EndParams::Builder::initEnd() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::AttemptEnd>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AttemptSink::EndParams::Builder::adoptEnd(
+    ::capnp::Orphan< ::fescuegauge::rpc::AttemptEnd>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::AttemptEnd>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fescuegauge::rpc::AttemptEnd> AttemptSink::EndParams::Builder::disownEnd() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::AttemptEnd>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AgentReport::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AgentReport::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AgentReport::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AgentReport::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool AgentReport::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void AgentReport::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AttemptRequest::Reader::hasAttempt() const {
+inline bool AgentReport::Reader::hasServedDigest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AttemptRequest::Builder::hasAttempt() {
+inline bool AgentReport::Builder::hasServedDigest() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AttemptRequest::Reader::getAttempt() const {
+inline  ::capnp::Data::Reader AgentReport::Reader::getServedDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder AgentReport::Builder::getServedDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentReport::Builder::setServedDigest( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder AgentReport::Builder::initServedDigest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AgentReport::Builder::adoptServedDigest(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> AgentReport::Builder::disownServedDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t AgentReport::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AgentReport::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void AgentReport::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t AgentReport::Reader::getCapacity() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AgentReport::Builder::getCapacity() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void AgentReport::Builder::setCapacity( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t AgentReport::Reader::getReportAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AgentReport::Builder::getReportAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void AgentReport::Builder::setReportAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AgentReport::Reader::getChange() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AgentReport::Builder::getChange() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void AgentReport::Builder::setChange( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RowCondition::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RowCondition::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RowCondition::Reader::getKey() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AttemptRequest::Builder::getAttempt() {
+inline  ::capnp::Text::Builder RowCondition::Builder::getKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AttemptRequest::Builder::setAttempt( ::capnp::Text::Reader value) {
+inline void RowCondition::Builder::setKey( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AttemptRequest::Builder::initAttempt(unsigned int size) {
+inline  ::capnp::Text::Builder RowCondition::Builder::initKey(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AttemptRequest::Builder::adoptAttempt(
+inline void RowCondition::Builder::adoptKey(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownAttempt() {
+inline ::capnp::Orphan< ::capnp::Text> RowCondition::Builder::disownKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool AttemptRequest::Reader::hasRequest() const {
+inline  ::uint64_t RowCondition::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RowCondition::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RowCondition::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ClaimWrite::Reader::getTicket() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ClaimWrite::Builder::getTicket() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ClaimWrite::Builder::setTicket( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ClaimWrite::Reader::hasRow() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClaimWrite::Builder::hasRow() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::fescuegauge::rpc::RowCondition::Reader ClaimWrite::Reader::getRow() const {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::RowCondition>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::fescuegauge::rpc::RowCondition::Builder ClaimWrite::Builder::getRow() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::RowCondition>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::fescuegauge::rpc::RowCondition::Pipeline ClaimWrite::Pipeline::getRow() {
+  return  ::fescuegauge::rpc::RowCondition::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void ClaimWrite::Builder::setRow( ::fescuegauge::rpc::RowCondition::Reader value) {
+  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::RowCondition>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::fescuegauge::rpc::RowCondition::Builder ClaimWrite::Builder::initRow() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::RowCondition>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ClaimWrite::Builder::adoptRow(
+    ::capnp::Orphan< ::fescuegauge::rpc::RowCondition>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::RowCondition>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fescuegauge::rpc::RowCondition> ClaimWrite::Builder::disownRow() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::RowCondition>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ClaimWrite::Reader::hasValue() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool AttemptRequest::Builder::hasRequest() {
+inline bool ClaimWrite::Builder::hasValue() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AttemptRequest::Reader::getRequest() const {
+inline  ::capnp::Text::Reader ClaimWrite::Reader::getValue() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AttemptRequest::Builder::getRequest() {
+inline  ::capnp::Text::Builder ClaimWrite::Builder::getValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void AttemptRequest::Builder::setRequest( ::capnp::Text::Reader value) {
+inline void ClaimWrite::Builder::setValue( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AttemptRequest::Builder::initRequest(unsigned int size) {
+inline  ::capnp::Text::Builder ClaimWrite::Builder::initValue(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void AttemptRequest::Builder::adoptRequest(
+inline void ClaimWrite::Builder::adoptValue(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownRequest() {
+inline ::capnp::Orphan< ::capnp::Text> ClaimWrite::Builder::disownValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool AttemptRequest::Reader::hasAccount() const {
+inline bool ClaimWrite::Reader::hasGuards() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool AttemptRequest::Builder::hasAccount() {
+inline bool ClaimWrite::Builder::hasGuards() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AttemptRequest::Reader::getAccount() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>::Reader ClaimWrite::Reader::getGuards() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AttemptRequest::Builder::getAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>::Builder ClaimWrite::Builder::getGuards() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void AttemptRequest::Builder::setAccount( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void ClaimWrite::Builder::setGuards( ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AttemptRequest::Builder::initAccount(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>::Builder ClaimWrite::Builder::initGuards(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void AttemptRequest::Builder::adoptAccount(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void ClaimWrite::Builder::adoptGuards(
+    ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>> ClaimWrite::Builder::disownGuards() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool AttemptRequest::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool AttemptRequest::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader AttemptRequest::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::uint64_t ClaimWriteResult::Reader::getTicket() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder AttemptRequest::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline  ::uint64_t ClaimWriteResult::Builder::getTicket() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AttemptRequest::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void ClaimWriteResult::Builder::setTicket( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder AttemptRequest::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+
+inline  ::uint8_t ClaimWriteResult::Reader::getStatus() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void AttemptRequest::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint8_t ClaimWriteResult::Builder::getStatus() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void ClaimWriteResult::Builder::setStatus( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AttemptRequest::Reader::hasWorkClass() const {
+inline bool ClaimWriteResult::Reader::hasCurrentKey() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AttemptRequest::Builder::hasWorkClass() {
+inline bool ClaimWriteResult::Builder::hasCurrentKey() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AttemptRequest::Reader::getWorkClass() const {
+inline  ::capnp::Text::Reader ClaimWriteResult::Reader::getCurrentKey() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AttemptRequest::Builder::getWorkClass() {
+inline  ::capnp::Text::Builder ClaimWriteResult::Builder::getCurrentKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AttemptRequest::Builder::setWorkClass( ::capnp::Text::Reader value) {
+inline void ClaimWriteResult::Builder::setCurrentKey( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AttemptRequest::Builder::initWorkClass(unsigned int size) {
+inline  ::capnp::Text::Builder ClaimWriteResult::Builder::initCurrentKey(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AttemptRequest::Builder::adoptWorkClass(
+inline void ClaimWriteResult::Builder::adoptCurrentKey(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownWorkClass() {
+inline ::capnp::Orphan< ::capnp::Text> ClaimWriteResult::Builder::disownCurrentKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool AttemptRequest::Reader::hasExecution() const {
+inline bool ClaimWriteResult::Reader::hasCurrentValue() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool AttemptRequest::Builder::hasExecution() {
+inline bool ClaimWriteResult::Builder::hasCurrentValue() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AttemptRequest::Reader::getExecution() const {
+inline  ::capnp::Text::Reader ClaimWriteResult::Reader::getCurrentValue() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AttemptRequest::Builder::getExecution() {
+inline  ::capnp::Text::Builder ClaimWriteResult::Builder::getCurrentValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void AttemptRequest::Builder::setExecution( ::capnp::Text::Reader value) {
+inline void ClaimWriteResult::Builder::setCurrentValue( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AttemptRequest::Builder::initExecution(unsigned int size) {
+inline  ::capnp::Text::Builder ClaimWriteResult::Builder::initCurrentValue(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void AttemptRequest::Builder::adoptExecution(
+inline void ClaimWriteResult::Builder::adoptCurrentValue(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownExecution() {
+inline ::capnp::Orphan< ::capnp::Text> ClaimWriteResult::Builder::disownCurrentValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool AttemptRequest::Reader::getNonIdempotent() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ClaimWriteResult::Reader::getCurrentVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool AttemptRequest::Builder::getNonIdempotent() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ClaimWriteResult::Builder::getCurrentVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void AttemptRequest::Builder::setNonIdempotent(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ClaimWriteResult::Builder::setCurrentVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AttemptRequest::Reader::hasGeneration() const {
+inline bool ClaimWriteResult::Reader::hasReason() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool AttemptRequest::Builder::hasGeneration() {
+inline bool ClaimWriteResult::Builder::hasReason() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AttemptRequest::Reader::getGeneration() const {
+inline  ::capnp::Text::Reader ClaimWriteResult::Reader::getReason() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AttemptRequest::Builder::getGeneration() {
+inline  ::capnp::Text::Builder ClaimWriteResult::Builder::getReason() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void AttemptRequest::Builder::setGeneration( ::capnp::Text::Reader value) {
+inline void ClaimWriteResult::Builder::setReason( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AttemptRequest::Builder::initGeneration(unsigned int size) {
+inline  ::capnp::Text::Builder ClaimWriteResult::Builder::initReason(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void AttemptRequest::Builder::adoptGeneration(
+inline void ClaimWriteResult::Builder::adoptReason(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownGeneration() {
+inline ::capnp::Orphan< ::capnp::Text> ClaimWriteResult::Builder::disownReason() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool AttemptRequest::Reader::hasRequiredDigest() const {
+inline bool SuspectDelta::Reader::hasAccount() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AttemptRequest::Builder::hasRequiredDigest() {
+inline bool SuspectDelta::Builder::hasAccount() {
   return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader AttemptRequest::Reader::getRequiredDigest() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder AttemptRequest::Builder::getRequiredDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline void AttemptRequest::Builder::setRequiredDigest( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder AttemptRequest::Builder::initRequiredDigest(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
-}
-inline void AttemptRequest::Builder::adoptRequiredDigest(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> AttemptRequest::Builder::disownRequiredDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t AttemptRequest::Reader::getResumeFrom() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t AttemptRequest::Builder::getResumeFrom() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void AttemptRequest::Builder::setResumeFrom( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int32_t AttemptRequest::Reader::getPriority() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader SuspectDelta::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::int32_t AttemptRequest::Builder::getPriority() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder SuspectDelta::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AttemptRequest::Builder::setPriority( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void SuspectDelta::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t AttemptRequest::Reader::getTimeoutMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder SuspectDelta::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t AttemptRequest::Builder::getTimeoutMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void SuspectDelta::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void AttemptRequest::Builder::setTimeoutMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> SuspectDelta::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool AttemptRequest::Reader::hasBody() const {
+inline bool SuspectDelta::Reader::hasBodyDigest() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool AttemptRequest::Builder::hasBody() {
+inline bool SuspectDelta::Builder::hasBodyDigest() {
   return !_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader AttemptRequest::Reader::getBody() const {
+inline  ::capnp::Data::Reader SuspectDelta::Reader::getBodyDigest() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder AttemptRequest::Builder::getBody() {
+inline  ::capnp::Data::Builder SuspectDelta::Builder::getBodyDigest() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void AttemptRequest::Builder::setBody( ::capnp::Data::Reader value) {
+inline void SuspectDelta::Builder::setBodyDigest( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder AttemptRequest::Builder::initBody(unsigned int size) {
+inline  ::capnp::Data::Builder SuspectDelta::Builder::initBodyDigest(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void AttemptRequest::Builder::adoptBody(
+inline void SuspectDelta::Builder::adoptBodyDigest(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> AttemptRequest::Builder::disownBody() {
+inline ::capnp::Orphan< ::capnp::Data> SuspectDelta::Builder::disownBodyDigest() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-
-inline  ::fescuegauge::rpc::AttemptStatus AttemptEnd::Reader::getStatus() const {
-  return _reader.getDataField< ::fescuegauge::rpc::AttemptStatus>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::fescuegauge::rpc::AttemptStatus AttemptEnd::Builder::getStatus() {
-  return _builder.getDataField< ::fescuegauge::rpc::AttemptStatus>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void AttemptEnd::Builder::setStatus( ::fescuegauge::rpc::AttemptStatus value) {
-  _builder.setDataField< ::fescuegauge::rpc::AttemptStatus>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint8_t AttemptEnd::Reader::getWasRun() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t AttemptEnd::Builder::getWasRun() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void AttemptEnd::Builder::setWasRun( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool AttemptEnd::Reader::hasReason() const {
+inline bool SuspectDelta::Reader::hasUpstream() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool AttemptEnd::Builder::hasReason() {
+inline bool SuspectDelta::Builder::hasUpstream() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AttemptEnd::Reader::getReason() const {
+inline  ::capnp::Text::Reader SuspectDelta::Reader::getUpstream() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AttemptEnd::Builder::getReason() {
+inline  ::capnp::Text::Builder SuspectDelta::Builder::getUpstream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void AttemptEnd::Builder::setReason( ::capnp::Text::Reader value) {
+inline void SuspectDelta::Builder::setUpstream( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AttemptEnd::Builder::initReason(unsigned int size) {
+inline  ::capnp::Text::Builder SuspectDelta::Builder::initUpstream(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void AttemptEnd::Builder::adoptReason(
+inline void SuspectDelta::Builder::adoptUpstream(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SuspectDelta::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SuspectDelta::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SuspectDelta::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SuspectDelta::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SuspectDelta::Reader::getCleared() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool SuspectDelta::Builder::getCleared() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> AttemptEnd::Builder::disownReason() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void SuspectDelta::Builder::setCleared(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t AttemptEnd::Reader::getTotalBytes() const {
+inline  ::uint64_t SuspectDelta::Reader::getAgeMs() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t AttemptEnd::Builder::getTotalBytes() {
+inline  ::uint64_t SuspectDelta::Builder::getAgeMs() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void AttemptEnd::Builder::setTotalBytes( ::uint64_t value) {
+inline void SuspectDelta::Builder::setAgeMs( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AttemptEnd::Reader::hasServedDigest() const {
+inline bool SuspectDeltas::Reader::hasDeltas() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AttemptEnd::Builder::hasServedDigest() {
+inline bool SuspectDeltas::Builder::hasDeltas() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader AttemptEnd::Reader::getServedDigest() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder AttemptEnd::Builder::getServedDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void AttemptEnd::Builder::setServedDigest( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>::Reader SuspectDeltas::Reader::getDeltas() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder AttemptEnd::Builder::initServedDigest(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>::Builder SuspectDeltas::Builder::getDeltas() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AttemptEnd::Builder::adoptServedDigest(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void SuspectDeltas::Builder::setDeltas( ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Orphan< ::capnp::Data> AttemptEnd::Builder::disownServedDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>::Builder SuspectDeltas::Builder::initDeltas(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-#if !CAPNP_LITE
-inline AttemptSink::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline AttemptSink::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline AttemptSink::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline AttemptSink::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline AttemptSink::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::fescuegauge::rpc::AttemptSink::Client& AttemptSink::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
+inline void SuspectDeltas::Builder::adoptDeltas(
+    ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline  ::fescuegauge::rpc::AttemptSink::Client& AttemptSink::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>> SuspectDeltas::Builder::disownDeltas() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-#endif  // !CAPNP_LITE
-inline bool AttemptSink::FragmentParams::Reader::hasAttempt() const {
+inline bool ChunkSummary::Reader::hasRoot() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AttemptSink::FragmentParams::Builder::hasAttempt() {
+inline bool ChunkSummary::Builder::hasRoot() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AttemptSink::FragmentParams::Reader::getAttempt() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader ChunkSummary::Reader::getRoot() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AttemptSink::FragmentParams::Builder::getAttempt() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder ChunkSummary::Builder::getRoot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AttemptSink::FragmentParams::Builder::setAttempt( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void ChunkSummary::Builder::setRoot( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AttemptSink::FragmentParams::Builder::initAttempt(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::Data::Builder ChunkSummary::Builder::initRoot(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AttemptSink::FragmentParams::Builder::adoptAttempt(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void ChunkSummary::Builder::adoptRoot(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AttemptSink::FragmentParams::Builder::disownAttempt() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> ChunkSummary::Builder::disownRoot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t AttemptSink::FragmentParams::Reader::getOffset() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t ChunkSummary::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t AttemptSink::FragmentParams::Builder::getOffset() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t ChunkSummary::Builder::getEpoch() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AttemptSink::FragmentParams::Builder::setOffset( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void ChunkSummary::Builder::setEpoch( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AttemptSink::FragmentParams::Reader::hasData() const {
+inline  ::uint32_t ChunkSummary::Reader::getFrom() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ChunkSummary::Builder::getFrom() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ChunkSummary::Builder::setFrom( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ChunkSummary::Reader::hasIndices() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool AttemptSink::FragmentParams::Builder::hasData() {
+inline bool ChunkSummary::Builder::hasIndices() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader AttemptSink::FragmentParams::Reader::getData() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader ChunkSummary::Reader::getIndices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder AttemptSink::FragmentParams::Builder::getData() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder ChunkSummary::Builder::getIndices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void AttemptSink::FragmentParams::Builder::setData( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void ChunkSummary::Builder::setIndices( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder AttemptSink::FragmentParams::Builder::initData(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline void ChunkSummary::Builder::setIndices(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder ChunkSummary::Builder::initIndices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void AttemptSink::FragmentParams::Builder::adoptData(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void ChunkSummary::Builder::adoptIndices(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> AttemptSink::FragmentParams::Builder::disownData() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> ChunkSummary::Builder::disownIndices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool AttemptSink::FragmentParams::Reader::hasServedDigest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool AttemptSink::FragmentParams::Builder::hasServedDigest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader AttemptSink::FragmentParams::Reader::getServedDigest() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder AttemptSink::FragmentParams::Builder::getServedDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void AttemptSink::FragmentParams::Builder::setServedDigest( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder AttemptSink::FragmentParams::Builder::initServedDigest(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline bool ChunkSummary::Reader::getWantsAll() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void AttemptSink::FragmentParams::Builder::adoptServedDigest(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool ChunkSummary::Builder::getWantsAll() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Data> AttemptSink::FragmentParams::Builder::disownServedDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void ChunkSummary::Builder::setWantsAll(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AttemptSink::EndParams::Reader::hasAttempt() const {
+inline bool AttemptStatement::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AttemptSink::EndParams::Builder::hasAttempt() {
+inline bool AttemptStatement::Builder::hasAttempt() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AttemptSink::EndParams::Reader::getAttempt() const {
+inline  ::capnp::Text::Reader AttemptStatement::Reader::getAttempt() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AttemptSink::EndParams::Builder::getAttempt() {
+inline  ::capnp::Text::Builder AttemptStatement::Builder::getAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AttemptSink::EndParams::Builder::setAttempt( ::capnp::Text::Reader value) {
+inline void AttemptStatement::Builder::setAttempt( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AttemptSink::EndParams::Builder::initAttempt(unsigned int size) {
+inline  ::capnp::Text::Builder AttemptStatement::Builder::initAttempt(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AttemptSink::EndParams::Builder::adoptAttempt(
+inline void AttemptStatement::Builder::adoptAttempt(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AttemptSink::EndParams::Builder::disownAttempt() {
+inline ::capnp::Orphan< ::capnp::Text> AttemptStatement::Builder::disownAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool AttemptSink::EndParams::Reader::hasEnd() const {
+inline  ::uint8_t AttemptStatement::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t AttemptStatement::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AttemptStatement::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AttemptStatement::Reader::getAgentIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AttemptStatement::Builder::getAgentIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AttemptStatement::Builder::setAgentIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AttemptStatement::Reader::getIsAnswerRecorded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool AttemptStatement::Builder::getIsAnswerRecorded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void AttemptStatement::Builder::setIsAnswerRecorded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AttemptStatement::Reader::hasAnswer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool AttemptSink::EndParams::Builder::hasEnd() {
+inline bool AttemptStatement::Builder::hasAnswer() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::fescuegauge::rpc::AttemptEnd::Reader AttemptSink::EndParams::Reader::getEnd() const {
-  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::AttemptEnd>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader AttemptStatement::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::fescuegauge::rpc::AttemptEnd::Builder AttemptSink::EndParams::Builder::getEnd() {
-  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::AttemptEnd>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder AttemptStatement::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::fescuegauge::rpc::AttemptEnd::Pipeline AttemptSink::EndParams::Pipeline::getEnd() {
-  return  ::fescuegauge::rpc::AttemptEnd::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void AttemptSink::EndParams::Builder::setEnd( ::fescuegauge::rpc::AttemptEnd::Reader value) {
-  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::AttemptEnd>::set(_builder.getPointerField(
+inline void AttemptStatement::Builder::setAnswer( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::fescuegauge::rpc::AttemptEnd::Builder AttemptSink::EndParams::Builder::initEnd() {
-  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::AttemptEnd>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder AttemptStatement::Builder::initAnswer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void AttemptSink::EndParams::Builder::adoptEnd(
-    ::capnp::Orphan< ::fescuegauge::rpc::AttemptEnd>&& value) {
-  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::AttemptEnd>::adopt(_builder.getPointerField(
+inline void AttemptStatement::Builder::adoptAnswer(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::fescuegauge::rpc::AttemptEnd> AttemptSink::EndParams::Builder::disownEnd() {
-  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::AttemptEnd>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> AttemptStatement::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
