@@ -3248,6 +5195,40 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::HeartbeatResults::Reader::hasReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::HeartbeatResults::Builder::hasReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Peer::HeartbeatResults::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Peer::HeartbeatResults::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::HeartbeatResults::Builder::setReport( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Peer::HeartbeatResults::Builder::initReport(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::HeartbeatResults::Builder::adoptReport(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Peer::HeartbeatResults::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::RunAttemptParams::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/librpc/RpcNode.cpp
+++ b/src/librpc/RpcNode.cpp
@@ -35,19 +35,25 @@
   return Digest(Value);
 }
 
-void encode(const PeerIdentity &Self, rpc::Hello::Builder Hello) {
+void encode(const PeerIdentity &Self, std::uint64_t NextAttempt, rpc::Hello::Builder Hello) {
   Hello.setProtocolVersion(ProtocolVersion);
   Hello.setDeployment(Self.m_Deployment);
   Hello.setInstance(Self.m_Instance.str());
   Hello.setIncarnation(Self.m_Incarnation.value());
   Hello.setDataCentre(Self.m_DataCentre.str());
   Hello.setIsEntry(Self.m_Role == InstanceRole::Entry);
+  Hello.setAttemptSource(Self.m_AttemptSource);
+  Hello.setNextAttempt(NextAttempt);
 }
 
 PeerIdentity decode(rpc::Hello::Reader Hello) {
-  return {stringOf(Hello.getDeployment()), InstanceId(stringOf(Hello.getInstance())),
-          Incarnation(Hello.getIncarnation()), DataCentreId(stringOf(Hello.getDataCentre())),
-          Hello.getIsEntry() ? InstanceRole::Entry : InstanceRole::Agent};
+  return {stringOf(Hello.getDeployment()),
+          InstanceId(stringOf(Hello.getInstance())),
+          Incarnation(Hello.getIncarnation()),
+          DataCentreId(stringOf(Hello.getDataCentre())),
+          Hello.getIsEntry() ? InstanceRole::Entry : InstanceRole::Agent,
+          stringOf(Hello.getAttemptSource()),
+          Hello.getNextAttempt()};
 }
 
 void encode(const AttemptRequest &Request, rpc::AttemptRequest::Builder Out) {
@@ -91,19 +97,25 @@
   Out.setReason(End.m_Reason);
   Out.setTotalBytes(End.m_TotalBytes);
   Out.setServedDigest(dataOf(End.m_ServedDigest));
+  Out.setEngineIncarnation(End.m_EngineIncarnation.value());
+  Out.setError(std::string(errorAnswer(End.m_Error).m_Name));
+  Out.setAgentIncarnation(End.m_AgentIncarnation.value());
 }
 
 /// An end of a kind that this version does not know counts as a lost connection: the outcome is not
 /// known.
 AttemptEnd decode(rpc::AttemptEnd::Reader In) {
   AttemptEnd End;
-  if (static_cast<int>(In.getStatus()) <= static_cast<int>(AttemptStatus::Cancelled))
+  if (static_cast<int>(In.getStatus()) <= static_cast<int>(AttemptStatus::EngineLost))
     End.m_Status = static_cast<AttemptStatus>(In.getStatus());
   if (In.getWasRun() <= static_cast<std::uint8_t>(WasRun::Unknown))
     End.m_WasRun = static_cast<WasRun>(In.getWasRun());
   End.m_Reason = stringOf(In.getReason());
   End.m_TotalBytes = In.getTotalBytes();
   End.m_ServedDigest = digestOf(In.getServedDigest());
+  End.m_EngineIncarnation = Incarnation(In.getEngineIncarnation());
+  End.m_Error = errorKindFromName(stringOf(In.getError())).value_or(ErrorKind::NotReady);
+  End.m_AgentIncarnation = Incarnation(In.getAgentIncarnation());
   return End;
 }
 
@@ -267,7 +279,7 @@
 
   void maintain(const InstanceId &Peer, Outgoing &Link, TimePoint Now) {
     if (Link.m_IsReady && Now - Link.m_LastAnswer > m_Options.m_FailureTime)
-      disconnect(Link);
+      disconnect(Peer, Link);
     if (Link.m_IsReady)
       sendHeartbeat(Peer, Link);
     else if (!Link.m_IsConnecting && Now >= Link.m_NextConnect)
@@ -277,7 +289,12 @@
   void sendHeartbeat(const InstanceId &Peer, Outgoing &Link) {
     KJ_IF_MAYBE (Client, Link.m_Client) {
       tasks().add(Client->heartbeatRequest().send().then(
-          [this, Peer, Epoch = Link.m_Epoch](auto &&) { noteAnswer(Peer, Epoch); },
+          [this, Peer, Epoch = Link.m_Epoch](auto &&Answer) {
+            if (!findLink(Peer, Epoch))
+              return;
+            findLink(Peer, Epoch)->m_LastAnswer = EventLoop::now();
+            m_Handler.onHeartbeatAnswer(Peer, stringOf(Answer.getReport()));
+          },
           [this, Peer, Epoch = Link.m_Epoch](kj::Exception &&) { noteFailure(Peer, Epoch); }));
     }
   }
@@ -287,11 +304,6 @@
     return Found != m_Outgoing.end() && Found->second.m_Epoch == Epoch ? &Found->second : nullptr;
   }
 
-  void noteAnswer(const InstanceId &Peer, std::uint64_t Epoch) {
-    if (Outgoing *Link = findLink(Peer, Epoch))
-      Link->m_LastAnswer = EventLoop::now();
-  }
-
   /// Closes the connection from the loop's queue, because a connection must not be destroyed inside
   /// one of its own callbacks.
   void noteFailure(const InstanceId &Peer, std::uint64_t Epoch) {
@@ -299,14 +311,15 @@
       if (Alive.expired())
         return;
       if (Outgoing *Link = findLink(Peer, Epoch))
-        disconnect(*Link);
+        disconnect(Peer, *Link);
     });
   }
 
   void connect(const InstanceId &Peer, Outgoing &Link);
 
-  void disconnect(Outgoing &Link) {
-    if (Link.m_IsReady)
+  void disconnect(const InstanceId &Peer, Outgoing &Link) {
+    bool WasReady = Link.m_IsReady;
+    if (WasReady)
       ++m_Counters.m_ConnectionsLost;
     ++Link.m_Epoch;
     Link.m_IsReady = false;
@@ -321,6 +334,8 @@
     for (auto &[Attempt, Sink] : Attempts)
       if (auto Waiting = Sink.lock())
         Waiting->onEnd(Attempt, {});
+    if (WasReady)
+      m_Handler.onDisconnected(Peer);
   }
 
   Outgoing *readyLink(const InstanceId &Peer) {
@@ -353,7 +368,7 @@
   kj::Promise<void> hello(HelloContext Context) override {
     auto In = Context.getParams().getHello();
     auto Out = Context.getResults();
-    encode(m_Node.m_Options.m_Self, Out.initHello());
+    encode(m_Node.m_Options.m_Self, m_Node.m_Handler.nextAttemptNumber(), Out.initHello());
     std::string Reason = refusal(In);
     Out.setAccepted(Reason.empty());
     Out.setReason(Reason);
@@ -364,8 +379,8 @@
     return kj::READY_NOW;
   }
 
-  kj::Promise<void> heartbeat(HeartbeatContext) override {
-    peer();
+  kj::Promise<void> heartbeat(HeartbeatContext Context) override {
+    Context.getResults().setReport(dataOf(m_Node.m_Handler.onHeartbeat(peer())));
     return kj::READY_NOW;
   }
 
@@ -464,10 +479,11 @@
             auto Pending = Address->connect();
             return Pending.attach(kj::mv(Address));
           })
-          .then([this, Peer, Epoch](kj::Own<kj::AsyncIoStream> Stream) -> kj::Promise<bool> {
+          .then([this, Peer, Epoch](
+                    kj::Own<kj::AsyncIoStream> Stream) -> kj::Promise<std::optional<PeerIdentity>> {
             Outgoing *Target = findLink(Peer, Epoch);
             if (!Target)
-              return false;
+              return std::optional<PeerIdentity>();
             Target->m_Stream = kj::mv(Stream);
             auto &Vat = Target->m_Network.emplace(
                 *Target->m_Stream, capnp::rpc::twoparty::Side::CLIENT, readerOptions());
@@ -477,17 +493,19 @@
             VatId.setSide(capnp::rpc::twoparty::Side::SERVER);
             Target->m_Client = System.bootstrap(VatId).castAs<rpc::Peer>();
             auto Call = KJ_ASSERT_NONNULL(Target->m_Client).helloRequest();
-            encode(m_Options.m_Self, Call.initHello());
-            return Call.send().then([this, Peer](auto &&Answer) {
-              return Answer.getAccepted() &&
-                     stringOf(Answer.getHello().getInstance()) == Peer.str();
+            encode(m_Options.m_Self, m_Handler.nextAttemptNumber(), Call.initHello());
+            return Call.send().then([Peer](auto &&Answer) -> std::optional<PeerIdentity> {
+              PeerIdentity Found = decode(Answer.getHello());
+              if (!Answer.getAccepted() || Found.m_Instance != Peer)
+                return std::nullopt;
+              return Found;
             });
           });
   tasks().add(
       timer()
           .timeoutAfter(m_Options.m_FailureTime.count() * kj::MICROSECONDS, kj::mv(Connected))
           .then(
-              [this, Peer, Epoch](bool Accepted) {
+              [this, Peer, Epoch](std::optional<PeerIdentity> Accepted) {
                 Outgoing *Target = findLink(Peer, Epoch);
                 if (!Target || !Accepted)
                   return noteFailure(Peer, Epoch);
@@ -523,7 +541,7 @@
   Impl::Outgoing &Link = m_Impl->m_Outgoing[Peer];
   if (Link.m_Address == Address)
     return;
-  m_Impl->disconnect(Link);
+  m_Impl->disconnect(Peer, Link);
   Link.m_Address = Address;
   m_Impl->connect(Peer, Link);
 }
@@ -532,7 +550,7 @@
   auto Found = m_Impl->m_Outgoing.find(Peer);
   if (Found == m_Impl->m_Outgoing.end())
     return;
-  m_Impl->disconnect(Found->second);
+  m_Impl->disconnect(Peer, Found->second);
   m_Impl->m_Outgoing.erase(Found);
 }
 
--- a/src/librpc/RpcNode_test.cpp
+++ b/src/librpc/RpcNode_test.cpp
@@ -30,6 +30,14 @@
   bool m_IsSet = false;
 };
 
+AttemptEnd completeEnd(std::size_t TotalBytes) {
+  AttemptEnd End;
+  End.m_Status = AttemptStatus::Complete;
+  End.m_WasRun = WasRun::Yes;
+  End.m_TotalBytes = TotalBytes;
+  return End;
+}
+
 /// Answers every attempt with its body in two fragments, or holds it.
 class FakeAgent : public RpcHandler {
 public:
@@ -44,8 +52,7 @@
     std::size_t Half = Request.m_Body.size() / 2;
     Sink->onFragment({Request.m_Attempt, 0, Request.m_Body.substr(0, Half), {}});
     Sink->onFragment({Request.m_Attempt, Half, Request.m_Body.substr(Half), {}});
-    Sink->onEnd(Request.m_Attempt,
-                {AttemptStatus::Complete, WasRun::Yes, "", Request.m_Body.size(), {}});
+    Sink->onEnd(Request.m_Attempt, completeEnd(Request.m_Body.size()));
   }
   void onCancelAttempt(const PeerIdentity &, const AttemptId &) override {}
   void onFetchChunk(const PeerIdentity &, const Digest &Chunk, ChunkReply Reply) override {
@@ -79,8 +86,10 @@
 RpcOptions optionsFor(const std::string &Name, const std::string &Deployment = "test") {
   RpcOptions Options;
   Options.m_Listen = {"127.0.0.1", 0};
-  Options.m_Self = {Deployment, InstanceId(Name), Incarnation(1), DataCentreId("dc"),
-                    InstanceRole::Agent};
+  Options.m_Self.m_Deployment = Deployment;
+  Options.m_Self.m_Instance = InstanceId(Name);
+  Options.m_Self.m_Incarnation = Incarnation(1);
+  Options.m_Self.m_DataCentre = DataCentreId("dc");
   Options.m_HeartbeatInterval = 20ms;
   Options.m_FailureTime = 400ms;
   return Options;
--- a/src/standins/EngineStandin.cpp
+++ b/src/standins/EngineStandin.cpp
@@ -220,7 +220,7 @@
     std::uint64_t Skip = numberField(Request, "resumeFrom");
     ++m_Running;
     Received.response().setChunkedTransferEncoding(true);
-    Received.response().setContentType("text/plain");
+    Received.response().setContentType("text/event-stream");
     Received.response().set("Served-Digest", Version);
     std::ostream &Out = Received.response().send();
     std::uint64_t Offset = 0;
@@ -238,7 +238,10 @@
       if (m_Stalled)
         stall();
       std::uint64_t Cut = Offset - Skip < Token.size() ? Token.size() - (Offset - Skip) : 0;
-      Out << Token.substr(Cut) << std::flush;
+      Out << "data: " << json::serialize(json::object{{"text", Token.substr(Cut)}}) << "\n\n"
+          << std::flush;
+      if (I + 1 == Tokens)
+        Out << "data: [DONE]\n\n" << std::flush;
     }
     --m_Running;
   }
