--- /dev/null
+++ b/src/include/Fescuegauge/RolloutAgent.h
@@ -0,0 +1,156 @@
+#ifndef FESCUEGAUGE_ROLLOUTAGENT_H
+#define FESCUEGAUGE_ROLLOUTAGENT_H
+
+#include "Fescuegauge/Activator.h"
+#include "Fescuegauge/OriginBudget.h"
+#include "Fescuegauge/ReplacementRule.h"
+#include "Fescuegauge/StagingPolicy.h"
+#include "Fescuegauge/TransferPlanner.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace fescuegauge {
+
+/// Delete a chunk from the staging area.
+struct EvictChunk {
+  Digest m_Chunk;
+};
+
+/// List the staging area, hashing each chunk; answer with onStagingListed().
+struct ListStaging {
+  std::uint64_t m_Number = 0;
+};
+
+/// Find the manifest with this root digest, from the object store or a peer; answer with
+/// addManifest().
+struct NeedManifest {
+  Digest m_Root;
+};
+
+/// A table operation; answer with onTableCommit() or onTableRead() and the same number.
+struct TableRequest {
+  std::uint64_t m_Number = 0;
+  TableAction m_Action;
+};
+
+using AgentAction = std::variant<StartFetch, CancelFetch, SendSummary, TableRequest, EvictChunk,
+                                 ListStaging, NeedManifest, ActivationCommand>;
+
+struct RolloutAgentSettings {
+  InstanceRecord m_Self;
+  /// See TransferPlanner.
+  RegionId m_OriginRegion;
+  Bytes m_StagingCapacity;
+  std::uint64_t m_Seed = 0;
+  /// See Activator.
+  Digest m_LastServed;
+  TransferPlanner::Rules m_TransferRules;
+  OriginBudget::Rules m_BudgetRules;
+  StagingPolicy::Rules m_StagingRules;
+  Activator::Rules m_ActivationRules;
+  ReplacementRule::Rules m_ReplacementRules;
+};
+
+/// Everything that one agent decides about model versions: combines TransferPlanner, OriginBudget,
+/// StagingPolicy, Activator and ReplacementRule for one engine.
+///
+/// The owner reports events, calls poll() after them and at least twice a second, and carries out
+/// the actions in order. Every action that asks for an answer must get one; an answer that does not
+/// come in time is reported as a failure (Unknown for a table write).
+class RolloutAgent {
+public:
+  /// Interval at which the replacement rule is evaluated and unanswered listings are repeated.
+  static constexpr Duration ReviewInterval = std::chrono::seconds(1);
+  static constexpr Duration ListTimeout = std::chrono::minutes(10);
+  static constexpr Duration ManifestInterval = std::chrono::seconds(5);
+
+  explicit RolloutAgent(const RolloutAgentSettings &Settings);
+
+  /// The version in force. Returns false and changes nothing if `Order` carries an older change.
+  bool setTarget(const TransferOrder &Order, TimePoint Now);
+  /// The membership view, and what the classes of the service need in this data centre.
+  void setView(std::shared_ptr<const std::vector<InstanceRecord>> View,
+               std::vector<ClassNeed> Needs, TimePoint Now);
+  void setLinkBudget(const LinkBudget &Budget) { m_Planner.setLinkBudget(Budget); }
+  /// Whether no request is in progress on the engine.
+  void setDrained(bool Drained) { m_Activator.setDrained(Drained); }
+
+  /// Chunks whose content was found to match their digest.
+  void onStagingListed(std::uint64_t Number, std::span<const ChunkRef> Chunks, TimePoint Now);
+  void addManifest(const Manifest &Version);
+  void onSummary(const InstanceId &From, const ChunkSummary &Summary, TimePoint Now) {
+    m_Planner.onSummary(From, Summary, Now);
+  }
+  /// True if the chunk must be written to staging, followed by onStaged().
+  bool onReceived(FetchId Id, const Digest &Received, TimePoint Now) {
+    return m_Planner.onReceived(Id, Received, Now);
+  }
+  void onStaged(const ChunkRef &Chunk, bool Written, TimePoint Now);
+  void onFetchFailed(FetchId Id, FetchFailure Failure, TimePoint Now) {
+    m_Planner.onFetchFailed(Id, Failure, Now);
+  }
+  UploadAnswer admitUpload(const InstanceId &Requester, const Digest &Chunk, TimePoint Now) {
+    return m_Planner.admitUpload(Requester, Chunk, Now);
+  }
+  void endUpload() { m_Planner.endUpload(); }
+  void onTableCommit(std::uint64_t Number, const CommitResult &Result, TimePoint Now);
+  /// `Row` is nothing if the table did not answer.
+  void onTableRead(std::uint64_t Number, const std::optional<TableRow> &Row, TimePoint Now);
+  /// For the results of activation commands.
+  Activator &activator() { return m_Activator; }
+
+  std::vector<AgentAction> poll(TimePoint Now);
+
+  /// The version to which requests may be routed; zero if none.
+  const Digest &routableRoot() const { return m_Activator.routableRoot(); }
+  bool isConverged() const { return m_Activator.isConverged(); }
+  const TransferPlanner &planner() const { return m_Planner; }
+  const Activator &activator() const { return m_Activator; }
+  const StagingPolicy &staging() const { return m_Staging; }
+  ReplacementRule::Verdict replacementVerdict() const { return m_Verdict; }
+  /// Why the rollout does not advance; empty if nothing is wrong.
+  std::string problem() const;
+
+private:
+  void beginOrder(TimePoint Now, std::vector<AgentAction> &Actions);
+  void learnServed(std::vector<AgentAction> &Actions, TimePoint Now);
+  void grant(Bytes Granted, TimePoint Now);
+
+  InstanceRecord m_Self;
+  TransferPlanner m_Planner;
+  StagingPolicy m_Staging;
+  Activator m_Activator;
+  ReplacementRule m_Rule;
+  OriginBudget::Rules m_BudgetRules;
+  std::string m_BudgetOwner;
+  std::optional<OriginBudget> m_Budget;
+  RolloutId m_BudgetRollout;
+  std::uint64_t m_TableNumber = 0;
+  std::optional<TransferOrder> m_Target;
+  /// The target was not yet given to the planner, because staging is not listed or has no room.
+  bool m_OrderPending = false;
+  bool m_DoesNotFit = false;
+  /// Written to the engine after the order had changed.
+  std::vector<Digest> m_Stray;
+  std::shared_ptr<const std::vector<InstanceRecord>> m_View;
+  std::vector<ClassNeed> m_Needs;
+  std::unordered_map<Digest, Manifest> m_Manifests;
+  Digest m_ServedNoted;
+  std::optional<TimePoint> m_ManifestAsked;
+  bool m_Listed = false;
+  std::uint64_t m_ListNumber = 0;
+  std::optional<TimePoint> m_ListAsked;
+  std::optional<TimePoint> m_Reviewed;
+  ReplacementRule::Verdict m_Verdict = ReplacementRule::Verdict::Waiting;
+};
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_ROLLOUTAGENT_H
--- /dev/null
+++ b/src/include/Fescuegauge/TransferPlanner.h
@@ -0,0 +1,394 @@
+#ifndef FESCUEGAUGE_TRANSFERPLANNER_H
+#define FESCUEGAUGE_TRANSFERPLANNER_H
+
+#include "Fescuegauge/ChunkSet.h"
+#include "Fescuegauge/Ids.h"
+#include "Fescuegauge/InstanceRecord.h"
+#include "Fescuegauge/Manifest.h"
+#include "Fescuegauge/Random.h"
+#include "Fescuegauge/Units.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <variant>
+#include <vector>
+
+namespace fescuegauge {
+
+/// What the operators' target `prefer` says about rollouts.
+enum class TransferPreference { OriginBytes, Time };
+
+/// The only two numbers in which the preferences differ.
+struct TransferTradeOff {
+  /// Sites that fetch a chunk directly from the origin in the normal case. Sites are, in this
+  /// order: one data centre of the origin's region, its other data centres, one data centre of each
+  /// other region.
+  std::uint32_t m_OriginSites = 1;
+  /// Time without progress after which the next instance in rank takes over an import, and after
+  /// which an import turns to the next kind of source.
+  Duration m_Patience = std::chrono::seconds(30);
+
+  static TransferTradeOff of(TransferPreference Preference);
+};
+
+/// Rates that transfers may use now, after live requests have taken what they need.
+struct LinkBudget {
+  static constexpr BytesPerSecond MinRate{16e3};
+
+  /// This instance's link, each direction.
+  BytesPerSecond m_Instance{4e6};
+  /// The whole of the link between this region and any other one, towards this region.
+  BytesPerSecond m_Region{2e6};
+  /// The whole of the origin's link.
+  BytesPerSecond m_Origin{8e6};
+};
+
+/// What one agent holds of one version, told to its neighbours.
+///
+/// The sender keeps a log of the chunks it holds, in the order in which it got them. A summary
+/// carries the part of the log that the receiver has not been sent. When the log was rewritten, the
+/// epoch grows and the log is sent from its beginning, as a bitmap if that is shorter.
+struct ChunkSummary {
+  /// Bytes charged for each control message on top of its content, for framing and addresses.
+  static constexpr std::uint64_t HeaderBytes = 64;
+
+  Digest m_Root;
+  std::uint32_t m_Epoch = 0;
+  /// Position in the sender's log of the first index.
+  std::uint32_t m_From = 0;
+  std::vector<std::uint32_t> m_Indices;
+  /// Asks the receiver to send its log from the beginning.
+  bool m_WantsAll = false;
+
+  /// The size on the wire for a manifest of `ChunkCount` chunks.
+  Bytes encodedSize(std::size_t ChunkCount) const;
+};
+
+/// Limits the rate of transfers by their start times.
+class Pace {
+public:
+  /// Whether a transfer may start. `Ahead` is the time for which the link may already be reserved.
+  bool allows(TimePoint Now, Duration Ahead) const { return m_Next <= Now + Ahead; }
+  /// Reserves the link for `Cost`. Time that was not used is made up for by at most `Credit`.
+  void spend(TimePoint Now, Duration Cost, Duration Credit) {
+    m_Next = std::max(m_Next, Now - Credit) + Cost;
+  }
+
+private:
+  TimePoint m_Next;
+};
+
+using FetchId = StrongNumber<struct FetchIdTag>;
+
+enum class FetchSource { Peer, Origin };
+
+/// Start to fetch one chunk. The content goes to the staging area only after onReceived() accepted
+/// its digest.
+struct StartFetch {
+  FetchId m_Id;
+  std::uint32_t m_Index = 0;
+  ChunkRef m_Chunk;
+  FetchSource m_Source = FetchSource::Peer;
+  /// Empty when the source is the origin.
+  InstanceId m_Peer;
+};
+
+/// Stop a fetch; its result is no longer of use.
+struct CancelFetch {
+  FetchId m_Id;
+};
+
+/// Ask for permission to fetch bytes from the origin; answer with addGrant().
+struct AskGrant {
+  RolloutId m_Rollout;
+  Bytes m_Wanted;
+  /// The least that is of use.
+  Bytes m_Least;
+};
+
+struct SendSummary {
+  InstanceId m_To;
+  ChunkSummary m_Summary;
+};
+
+using TransferAction = std::variant<StartFetch, CancelFetch, AskGrant, SendSummary>;
+
+enum class FetchFailure {
+  /// The peer refused because too many uploads are in progress.
+  Busy,
+  /// The peer does not hold the chunk any more.
+  NotHeld,
+  /// The source could not be reached or answered with an error before it sent any content. Bytes
+  /// granted for the fetch may be used again.
+  NotStarted,
+  /// The transfer broke off. Bytes granted for the fetch count as spent.
+  Broken,
+};
+
+enum class UploadAnswer { Accept, Busy, NotHeld };
+
+/// One version to transfer.
+struct TransferOrder {
+  Manifest m_Manifest;
+  ChangeNumber m_Change;
+  RolloutId m_Rollout;
+  TransferPreference m_Preference = TransferPreference::OriginBytes;
+};
+
+/// The transfer policy of one agent: which chunk to fetch next, from whom, and when to ask for
+/// origin bytes.
+///
+/// The chunks of a version form Lanes lanes (index modulo Lanes). For each lane, rendezvous hashing
+/// of root digest and lane over the live agents of a data centre ranks the importers of that data
+/// centre; the first one imports the lane's chunks in order, and the next one takes over after
+/// m_Patience without progress. Rendezvous hashing over data centres chooses the one that imports
+/// for its region. A region link therefore carries at most Lanes paced flows that together use
+/// LinkBudget::m_Region. Within a data centre each agent exchanges summaries with a bounded number
+/// of neighbours, on a ring with geometrically growing offsets, and fetches the rarest chunk that a
+/// neighbour holds.
+///
+/// Memory is bounded: at most MaxFetches chunks and MaxBytesInFlight bytes are in flight, and state
+/// is kept for at most MaxNeighbours peers.
+class TransferPlanner {
+public:
+  static constexpr std::size_t Lanes = 4;
+  /// Fetches in flight, and those of them from the own data centre.
+  static constexpr std::size_t MaxFetches = 6;
+  static constexpr std::size_t MaxLocalFetches = 4;
+  static constexpr std::size_t MaxImportsPerLane = 2;
+  /// One fetch is always allowed, so a chunk may be as large as Manifest::MaxChunkSize.
+  static constexpr Bytes MaxBytesInFlight = 64_MiB;
+  /// Uploads served at the same time; a request beyond it is answered Busy.
+  static constexpr std::size_t MaxUploads = 4;
+  /// Additional uploads for importers of other data centres, on whom many others wait.
+  static constexpr std::size_t MaxImportUploads = 2;
+  static constexpr std::size_t MaxFetchesPerPeer = 2;
+  /// Offsets on the ring of a data centre; neighbours lie at both sides.
+  static constexpr std::size_t RingOffsets = 5;
+  static constexpr std::size_t MaxNeighbours = 64;
+  /// Ranks of a lane that exchange summaries with those of other data centres.
+  static constexpr std::size_t LaneContacts = 2;
+  /// Least time between two summaries to one neighbour.
+  static constexpr Duration SummaryInterval = std::chrono::seconds(1);
+  /// A summary is sent after this time even without news, so that a lost one is noticed.
+  static constexpr Duration SummaryRefresh = std::chrono::seconds(10);
+  /// An importer waits this long for the first summaries of its neighbours, so that a new instance
+  /// does not import what its data centre already holds.
+  static constexpr Duration SettleTime = std::chrono::seconds(4);
+  /// How long a peer that delivered a bad chunk is avoided.
+  static constexpr Duration BadPeerTime = std::chrono::seconds(60);
+  /// How long a peer whose transfer failed or timed out is avoided; doubled for each failure in a
+  /// row up to BadPeerTime.
+  static constexpr Duration FailedPeerTime = std::chrono::seconds(2);
+  static constexpr Duration BusyPeerTime = std::chrono::milliseconds(500);
+  /// A transfer may take this many times as long as the link budget suggests, plus MinFetchTime.
+  static constexpr int FetchTimeFactor = 4;
+  static constexpr Duration MinFetchTime = std::chrono::seconds(8);
+  /// After a timeout, the next import of the lane gets twice the time, up to this factor, so that a
+  /// slow origin or region link still makes progress.
+  static constexpr int MaxSlowFactor = 64;
+  /// Patience is at least this many times the time between two chunks of a lane.
+  static constexpr int PatienceChunks = 3;
+  /// First and longest wait after a failed fetch from the origin.
+  static constexpr Duration OriginRetryMin = std::chrono::seconds(1);
+  static constexpr Duration OriginRetryMax = std::chrono::seconds(16);
+  static constexpr Duration GrantRetryInterval = std::chrono::seconds(5);
+
+  /// Each rule is on in production. Tests switch one off to show that they notice its absence.
+  struct Rules {
+    bool m_VerifyChunks = true;
+    bool m_SpendGrants = true;
+    bool m_IgnoreOlderChange = true;
+    bool m_CancelOldTransfer = true;
+    bool m_AvoidBadPeers = true;
+    bool m_TakeOver = true;
+    bool m_TimeOut = true;
+    bool m_Settle = true;
+    bool m_PaceImports = true;
+  };
+
+  struct Counters {
+    std::uint64_t m_OriginFetches = 0;
+    std::uint64_t m_RegionFetches = 0;
+    std::uint64_t m_BadChunks = 0;
+    std::uint64_t m_TimedOut = 0;
+    std::uint64_t m_BusyAnswers = 0;
+  };
+
+  /// `Self` names the own instance, data centre, region and service. `OriginRegion` is the region
+  /// whose instances reach the origin without using a region link; empty if there is none.
+  TransferPlanner(InstanceRecord Self, RegionId OriginRegion, std::uint64_t Seed, Rules Enabled);
+  TransferPlanner(InstanceRecord Self, RegionId OriginRegion, std::uint64_t Seed)
+      : TransferPlanner(std::move(Self), std::move(OriginRegion), Seed, Rules()) {}
+
+  /// Transfers `Order` from now on, with `Held` as the content of the staging area. Stops the
+  /// transfer of an earlier version at once. Returns false and changes nothing if a newer change is
+  /// known. The same order again only replaces the content of the staging area.
+  bool setOrder(const TransferOrder &Order, const std::unordered_set<Digest> &Held, TimePoint Now);
+  /// Replaces the membership view. Agents of the own service in state Joining or Live count.
+  void setView(std::span<const InstanceRecord> View, TimePoint Now);
+  /// Rates below LinkBudget::MinRate are raised to it, so that a rollout never stops entirely.
+  void setLinkBudget(const LinkBudget &Budget);
+
+  /// A summary arrived from `From`.
+  void onSummary(const InstanceId &From, const ChunkSummary &Summary, TimePoint Now);
+  /// All bytes of a fetch arrived and hash to `Received`. True if the chunk may be written to the
+  /// staging area; call onStaged() after that.
+  bool onReceived(FetchId Id, const Digest &Received, TimePoint Now);
+  /// A chunk that onReceived() accepted was written, or could not be written.
+  void onStaged(const Digest &Chunk, bool Written, TimePoint Now);
+  void onFetchFailed(FetchId Id, FetchFailure Failure, TimePoint Now);
+  /// Bytes that may be fetched from the origin for `Rollout`, in addition to earlier ones. 0 ends
+  /// an unsuccessful request.
+  void addGrant(const RolloutId &Rollout, Bytes Granted, TimePoint Now);
+  /// The staging area lost a chunk.
+  void dropChunk(const Digest &Chunk, TimePoint Now);
+
+  /// Whether `Requester` may fetch a chunk from here. Each accepted upload ends with endUpload().
+  UploadAnswer admitUpload(const InstanceId &Requester, const Digest &Chunk, TimePoint Now);
+  void endUpload();
+
+  /// Everything to do now. Must be called after events and at least twice a second.
+  std::vector<TransferAction> poll(TimePoint Now);
+
+  bool hasOrder() const { return m_Order.has_value(); }
+  /// True when every chunk of the order is in the staging area.
+  bool isComplete() const { return m_Order && m_MissingCount == 0; }
+  std::size_t missingCount() const { return m_MissingCount; }
+  std::size_t chunkCount() const { return m_Order ? m_Order->m_Manifest.chunks().size() : 0; }
+  const Digest &root() const;
+  ChangeNumber change() const { return m_Order ? m_Order->m_Change : ChangeNumber(); }
+  std::size_t fetchesInFlight() const { return m_Fetches.size(); }
+  std::size_t neighbourCount() const { return m_Peers.size(); }
+  const Counters &counters() const { return m_Counters; }
+
+private:
+  struct Peer {
+    bool m_SameDataCentre = false;
+    bool m_SameRegion = false;
+    ChunkSet m_Held;
+    /// Position up to which the peer's log is known; and the epoch of that log.
+    std::uint32_t m_Known = 0;
+    std::uint32_t m_KnownEpoch = 0;
+    bool m_Heard = false;
+    bool m_AskAll = true;
+    /// Position up to which the own log was sent.
+    std::uint32_t m_Sent = 0;
+    bool m_SentAny = false;
+    TimePoint m_LastSent;
+    TimePoint m_AvoidUntil;
+    int m_FailuresInRow = 0;
+    std::size_t m_FetchCount = 0;
+  };
+
+  struct Fetch {
+    std::uint32_t m_Index = 0;
+    Bytes m_Size;
+    /// From the origin or from another data centre.
+    bool m_Import = false;
+    FetchSource m_Source = FetchSource::Peer;
+    InstanceId m_Peer;
+    TimePoint m_Deadline;
+  };
+
+  /// What a lane is to this agent. Ranks count from 0.
+  struct Lane {
+    std::size_t m_OwnRank = 0;
+    /// Place of the own data centre among the sites of the lane.
+    std::size_t m_Site = 0;
+    /// True if the own data centre imports for its region.
+    bool m_LeadsRegion = false;
+    /// The first ranks of the own data centre.
+    std::vector<InstanceId> m_Importers;
+    TimePoint m_LastProgress;
+    bool m_WasWaiting = false;
+    std::size_t m_ImportsInFlight = 0;
+    Pace m_RegionPace;
+    TimePoint m_NextOrigin;
+    Duration m_OriginBackoff{};
+    int m_SlowFactor = 1;
+  };
+
+  struct Member {
+    InstanceId m_Id;
+    DataCentreId m_DataCentre;
+    RegionId m_Region;
+    bool operator==(const Member &) const = default;
+  };
+
+  void rebuildNeighbours(TimePoint Now);
+  void rebuildLog();
+  void forgetPeerChunks(Peer &Entry);
+  void setPeerChunk(Peer &Entry, std::uint32_t Index);
+  void penalise(Peer &Entry, Duration Base, TimePoint Now);
+  std::optional<Fetch> takeFetch(FetchId Id);
+  void onPeerFailure(const Fetch &Failed, Duration Base, TimePoint Now);
+  void onImportTrouble(const Fetch &Failed, TimePoint Now);
+  void cancelAll();
+  void loadHeld(const std::unordered_set<Digest> &Held);
+  void expireFetches(TimePoint Now, std::vector<TransferAction> &Actions);
+  void planImports(TimePoint Now, std::vector<TransferAction> &Actions);
+  void planImport(std::size_t LaneIndex, TimePoint Now, std::vector<TransferAction> &Actions);
+  void planPeerFetches(TimePoint Now, std::vector<TransferAction> &Actions);
+  void planSummaries(TimePoint Now, std::vector<TransferAction> &Actions);
+  bool hasRoom(Bytes Size) const;
+  bool isSettled(TimePoint Now) const;
+  void updatePatience();
+  /// The usable neighbour with the fewest fetches in progress that holds the chunk; empty if none.
+  InstanceId chooseHolder(std::uint32_t Index, bool SameDataCentre, bool OtherRegions,
+                          TimePoint Now);
+  void startFetch(std::uint32_t Index, FetchSource Source, const InstanceId &From, TimePoint Now,
+                  std::vector<TransferAction> &Actions);
+  bool crossesRegion(FetchSource Source, const InstanceId &From) const;
+  bool isUsable(const Peer &Entry, TimePoint Now) const;
+
+  InstanceRecord m_Self;
+  RegionId m_OriginRegion;
+  RandomGenerator m_Random;
+  Rules m_Rules;
+  LinkBudget m_Links;
+  TransferTradeOff m_TradeOff;
+  Duration m_Patience{};
+  std::vector<Member> m_Members;
+  std::optional<TransferOrder> m_Order;
+  TimePoint m_OrderedAt;
+  /// The first index of each chunk. Later ones are never wanted, sent or told.
+  std::unordered_map<Digest, std::uint32_t> m_IndexOf;
+  /// Chunks of the order in the staging area, those that are not there, and those of the latter
+  /// that are not in flight either.
+  ChunkSet m_Have;
+  ChunkSet m_Missing;
+  ChunkSet m_Wanted;
+  std::size_t m_MissingCount = 0;
+  std::vector<std::uint32_t> m_Log;
+  std::uint32_t m_Epoch = 0;
+  std::map<InstanceId, Peer> m_Peers;
+  /// For each chunk, the number of neighbours of the own data centre that hold it.
+  std::vector<std::uint16_t> m_LocalHolders;
+  std::array<Lane, Lanes> m_Lanes;
+  Pace m_DownloadPace;
+  Pace m_UploadPace;
+  std::map<FetchId, Fetch> m_Fetches;
+  /// Accepted by onReceived(), not yet reported by onStaged().
+  ChunkSet m_BeingStaged;
+  std::vector<FetchId> m_Cancelled;
+  std::uint64_t m_NextFetch = 0;
+  Bytes m_BytesInFlight;
+  std::size_t m_Uploads = 0;
+  RolloutId m_GrantRollout;
+  Bytes m_Granted;
+  bool m_GrantAsked = false;
+  TimePoint m_NextGrantRequest;
+  Counters m_Counters;
+};
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_TRANSFERPLANNER_H
--- /dev/null
+++ b/src/libweights/TransferPlanner.cpp
@@ -0,0 +1,738 @@
+#include "Fescuegauge/TransferPlanner.h"
+
+#include "Fescuegauge/Invariant.h"
+#include "Fescuegauge/Rendezvous.h"
+
+#include <cmath>
+#include <limits>
+#include <set>
+
+namespace fescuegauge {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+Invariant OriginWithinGrants("weights.origin_bytes_within_grants");
+Invariant InFlightBounded("weights.bytes_in_flight_bounded");
+Invariant ChunkVerified("weights.accepted_chunk_matches_digest");
+Invariant OrderNotOlder("weights.order_change_never_decreases");
+
+std::string laneKey(const Digest &Root, std::size_t Lane) {
+  return Root.hex() + '/' + std::to_string(Lane);
+}
+
+/// How long an importer of rank `Rank` waits without progress before it takes part. The wait
+/// doubles with each rank, so that few importers fetch the same chunks when it is the source that
+/// is down.
+Duration takeOverTime(std::size_t Rank, Duration Patience) {
+  constexpr std::size_t LastRank = 10;
+  return Rank > LastRank ? Duration::max() : Patience * ((1 << Rank) - 1);
+}
+
+} // namespace
+
+TransferTradeOff TransferTradeOff::of(TransferPreference Preference) {
+  switch (Preference) {
+  case TransferPreference::OriginBytes:
+    return {1, 30s};
+  case TransferPreference::Time:
+    // One of the four copies of the hard budget stays for failures.
+    return {3, 15s};
+  }
+  return {};
+}
+
+Bytes ChunkSummary::encodedSize(std::size_t ChunkCount) const {
+  constexpr std::uint64_t IndexBytes = 2;
+  std::uint64_t List = m_Indices.size() * IndexBytes;
+  return Bytes(HeaderBytes + std::min<std::uint64_t>(List, (ChunkCount + 7) / 8));
+}
+
+TransferPlanner::TransferPlanner(InstanceRecord Self, RegionId OriginRegion, std::uint64_t Seed,
+                                 Rules Enabled)
+    : m_Self(std::move(Self)), m_OriginRegion(std::move(OriginRegion)), m_Random(Seed),
+      m_Rules(Enabled) {
+  m_Epoch = static_cast<std::uint32_t>(m_Random());
+}
+
+const Digest &TransferPlanner::root() const {
+  static const Digest None;
+  return m_Order ? m_Order->m_Manifest.rootDigest() : None;
+}
+
+bool TransferPlanner::setOrder(const TransferOrder &Order, const std::unordered_set<Digest> &Held,
+                               TimePoint Now) {
+  if (m_Order) {
+    if (Order.m_Change < m_Order->m_Change && m_Rules.m_IgnoreOlderChange)
+      return false;
+    OrderNotOlder.check(Order.m_Change >= m_Order->m_Change, "order with an older change number");
+    if (Order.m_Change == m_Order->m_Change && Order.m_Manifest.rootDigest() == root()) {
+      loadHeld(Held);
+      return true;
+    }
+  }
+  cancelAll();
+  if (Order.m_Rollout != m_GrantRollout) {
+    m_GrantRollout = Order.m_Rollout;
+    m_Granted = Bytes();
+    m_GrantAsked = false;
+  }
+  m_Order = Order;
+  m_OrderedAt = Now;
+  m_TradeOff = TransferTradeOff::of(Order.m_Preference);
+  updatePatience();
+  const std::vector<ChunkRef> &Chunks = m_Order->m_Manifest.chunks();
+  m_IndexOf.clear();
+  for (std::uint32_t I = 0; I < Chunks.size(); ++I)
+    m_IndexOf.emplace(Chunks[I].m_Digest, I);
+  m_BeingStaged = ChunkSet(Chunks.size());
+  loadHeld(Held);
+  for (auto &[Id, Entry] : m_Peers)
+    Entry = Peer{};
+  for (Lane &State : m_Lanes)
+    State = Lane{};
+  rebuildNeighbours(Now);
+  return true;
+}
+
+void TransferPlanner::loadHeld(const std::unordered_set<Digest> &Held) {
+  m_Have = ChunkSet(chunkCount());
+  m_Missing = ChunkSet(chunkCount());
+  for (const auto &[Chunk, Index] : m_IndexOf)
+    if (Held.contains(Chunk))
+      m_Have.insert(Index);
+    else
+      m_Missing.insert(Index);
+  m_Wanted = m_Missing;
+  for (const auto &[Id, Entry] : m_Fetches)
+    m_Wanted.erase(Entry.m_Index);
+  m_MissingCount = m_Missing.count();
+  rebuildLog();
+}
+
+void TransferPlanner::cancelAll() {
+  if (!m_Rules.m_CancelOldTransfer)
+    return;
+  for (const auto &[Id, Entry] : m_Fetches)
+    m_Cancelled.push_back(Id);
+  m_Fetches.clear();
+  m_BytesInFlight = Bytes();
+}
+
+void TransferPlanner::rebuildLog() {
+  m_Log.clear();
+  ++m_Epoch;
+  for (std::uint32_t I = 0; I < m_Have.size(); ++I)
+    if (m_Have.contains(I))
+      m_Log.push_back(I);
+  for (auto &[Id, Entry] : m_Peers) {
+    Entry.m_Sent = 0;
+    Entry.m_SentAny = false;
+  }
+}
+
+void TransferPlanner::setView(std::span<const InstanceRecord> View, TimePoint Now) {
+  std::vector<Member> Members;
+  for (const InstanceRecord &Record : View)
+    if (Record.m_Role == InstanceRole::Agent && Record.m_Service == m_Self.m_Service &&
+        (Record.m_State == InstanceState::Live || Record.m_State == InstanceState::Joining) &&
+        Record.m_Id != m_Self.m_Id)
+      Members.push_back({Record.m_Id, Record.m_DataCentre, Record.m_Region});
+  Members.push_back({m_Self.m_Id, m_Self.m_DataCentre, m_Self.m_Region});
+  if (Members == m_Members)
+    return;
+  m_Members = std::move(Members);
+  rebuildNeighbours(Now);
+}
+
+void TransferPlanner::setLinkBudget(const LinkBudget &Budget) {
+  m_Links.m_Instance = std::max(Budget.m_Instance, LinkBudget::MinRate);
+  m_Links.m_Region = std::max(Budget.m_Region, LinkBudget::MinRate);
+  m_Links.m_Origin = std::max(Budget.m_Origin, LinkBudget::MinRate);
+  if (m_Order)
+    updatePatience();
+}
+
+void TransferPlanner::rebuildNeighbours(TimePoint Now) {
+  if (!m_Order || m_Members.empty())
+    return;
+  std::map<DataCentreId, std::vector<InstanceId>> ByDataCentre;
+  std::map<DataCentreId, RegionId> RegionOf;
+  std::map<RegionId, std::vector<InstanceId>> CentresOf;
+  for (const Member &Entry : m_Members) {
+    ByDataCentre[Entry.m_DataCentre].push_back(Entry.m_Id);
+    RegionOf[Entry.m_DataCentre] = Entry.m_Region;
+  }
+  for (const auto &[Centre, Region] : RegionOf)
+    CentresOf[Region].emplace_back(Centre.str());
+
+  std::map<InstanceId, DataCentreId> Contacts;
+  auto AddContact = [&](const InstanceId &Id, const DataCentreId &Centre) {
+    if (Id != m_Self.m_Id && Contacts.size() < MaxNeighbours)
+      Contacts.emplace(Id, Centre);
+  };
+
+  for (std::size_t I = 0; I < Lanes; ++I) {
+    Lane &State = m_Lanes[I];
+    const std::string Key = laneKey(root(), I);
+    RegionId First = m_OriginRegion;
+    if (!CentresOf.contains(First)) {
+      std::vector<InstanceId> Regions;
+      for (const auto &[Region, Centres] : CentresOf)
+        Regions.emplace_back(Region.str());
+      First = RegionId(rendezvousRank(Key, Regions, 1).front().str());
+    }
+    // The own data centre's place among the sites; those that import inside their region are last.
+    auto LeadOf = [&](const RegionId &Region) {
+      return DataCentreId(rendezvousRank(Key, CentresOf[Region], 1).front().str());
+    };
+    std::vector<DataCentreId> Sites{LeadOf(First)};
+    for (const InstanceId &Centre : CentresOf[First])
+      if (Centre.str() != Sites.front().str())
+        Sites.emplace_back(Centre.str());
+    for (const auto &[Region, Centres] : CentresOf)
+      if (Region != First)
+        Sites.push_back(LeadOf(Region));
+    State.m_Site = static_cast<std::size_t>(
+        std::find(Sites.begin(), Sites.end(), m_Self.m_DataCentre) - Sites.begin());
+    if (State.m_Site == Sites.size())
+      State.m_Site = std::numeric_limits<std::size_t>::max();
+    State.m_LeadsRegion = LeadOf(m_Self.m_Region) == m_Self.m_DataCentre;
+
+    std::vector<InstanceId> Importers =
+        rendezvousRank(Key, ByDataCentre[m_Self.m_DataCentre], LaneContacts);
+    if (Importers != State.m_Importers) {
+      State.m_Importers = Importers;
+      State.m_LastProgress = Now;
+    }
+    const std::uint64_t OwnWeight = rendezvousWeight(Key, m_Self.m_Id.str());
+    State.m_OwnRank = 0;
+    for (const InstanceId &Id : ByDataCentre[m_Self.m_DataCentre])
+      if (rendezvousWeight(Key, Id.str()) > OwnWeight)
+        ++State.m_OwnRank;
+    if (State.m_OwnRank >= LaneContacts)
+      continue;
+    for (const auto &[Centre, Ids] : ByDataCentre)
+      for (const InstanceId &Id : rendezvousRank(Key, Ids, LaneContacts))
+        AddContact(Id, Centre);
+  }
+
+  std::vector<InstanceId> &Local = ByDataCentre[m_Self.m_DataCentre];
+  std::vector<InstanceId> Ring = rendezvousRank(root().hex(), Local, Local.size());
+  const std::size_t Size = Ring.size();
+  const auto Own =
+      static_cast<std::size_t>(std::find(Ring.begin(), Ring.end(), m_Self.m_Id) - Ring.begin());
+  std::size_t Offset = 0;
+  for (std::size_t K = 0; K < RingOffsets; ++K) {
+    double Grown = std::pow(static_cast<double>(Size) / 2.0,
+                            static_cast<double>(K) / static_cast<double>(RingOffsets));
+    Offset = std::max(Offset + 1, static_cast<std::size_t>(std::lround(Grown)));
+    if (Offset > Size / 2)
+      break;
+    AddContact(Ring[(Own + Offset) % Size], m_Self.m_DataCentre);
+    AddContact(Ring[(Own + Size - Offset) % Size], m_Self.m_DataCentre);
+  }
+
+  std::map<InstanceId, Peer> Kept;
+  for (const auto &[Id, Centre] : Contacts) {
+    auto It = m_Peers.find(Id);
+    Peer &Entry = Kept[Id];
+    if (It != m_Peers.end())
+      Entry = std::move(It->second);
+    if (Entry.m_Held.size() != m_Have.size())
+      Entry.m_Held = ChunkSet(m_Have.size());
+    Entry.m_SameDataCentre = Centre == m_Self.m_DataCentre;
+    Entry.m_SameRegion = RegionOf[Centre] == m_Self.m_Region;
+  }
+  m_Peers = std::move(Kept);
+  m_LocalHolders.assign(m_Have.size(), 0);
+  for (const auto &[Id, Entry] : m_Peers)
+    if (Entry.m_SameDataCentre)
+      for (std::uint32_t I = 0; I < m_Have.size(); ++I)
+        if (Entry.m_Held.contains(I))
+          ++m_LocalHolders[I];
+  for (auto &[Id, Entry] : m_Fetches)
+    if (Entry.m_Source == FetchSource::Peer && !m_Peers.contains(Entry.m_Peer))
+      Entry.m_Deadline = Now;
+}
+
+void TransferPlanner::forgetPeerChunks(Peer &Entry) {
+  if (Entry.m_SameDataCentre)
+    for (std::uint32_t I = 0; I < m_Have.size(); ++I)
+      if (Entry.m_Held.contains(I))
+        --m_LocalHolders[I];
+  Entry.m_Held = ChunkSet(m_Have.size());
+}
+
+void TransferPlanner::setPeerChunk(Peer &Entry, std::uint32_t Index) {
+  if (Entry.m_Held.insert(Index) && Entry.m_SameDataCentre)
+    ++m_LocalHolders[Index];
+}
+
+void TransferPlanner::onSummary(const InstanceId &From, const ChunkSummary &Summary,
+                                TimePoint Now) {
+  auto It = m_Peers.find(From);
+  if (!m_Order || Summary.m_Root != root() || It == m_Peers.end())
+    return;
+  Peer &Entry = It->second;
+  if (Summary.m_WantsAll) {
+    Entry.m_Sent = 0;
+    Entry.m_SentAny = false;
+  }
+  if (!Entry.m_Heard || Summary.m_Epoch != Entry.m_KnownEpoch) {
+    if (Summary.m_From != 0) {
+      Entry.m_AskAll = true;
+      return;
+    }
+    forgetPeerChunks(Entry);
+    Entry.m_KnownEpoch = Summary.m_Epoch;
+    Entry.m_Known = 0;
+    Entry.m_Heard = true;
+  }
+  if (Summary.m_From > Entry.m_Known) {
+    Entry.m_AskAll = true;
+    return;
+  }
+  Entry.m_AskAll = false;
+  Entry.m_Known = std::max(Entry.m_Known,
+                           Summary.m_From + static_cast<std::uint32_t>(Summary.m_Indices.size()));
+  for (std::uint32_t Index : Summary.m_Indices) {
+    if (Index >= m_Have.size())
+      continue;
+    if (Entry.m_SameDataCentre && m_LocalHolders[Index] == 0 && !m_Have.contains(Index))
+      m_Lanes[Index % Lanes].m_LastProgress = Now;
+    setPeerChunk(Entry, Index);
+  }
+}
+
+std::optional<TransferPlanner::Fetch> TransferPlanner::takeFetch(FetchId Id) {
+  auto It = m_Fetches.find(Id);
+  if (It == m_Fetches.end())
+    return std::nullopt;
+  Fetch Result = It->second;
+  m_Fetches.erase(It);
+  m_BytesInFlight -= Result.m_Size;
+  if (Result.m_Import && m_Lanes[Result.m_Index % Lanes].m_ImportsInFlight > 0)
+    --m_Lanes[Result.m_Index % Lanes].m_ImportsInFlight;
+  auto From = m_Peers.find(Result.m_Peer);
+  if (From != m_Peers.end() && From->second.m_FetchCount > 0)
+    --From->second.m_FetchCount;
+  if (m_Missing.contains(Result.m_Index))
+    m_Wanted.insert(Result.m_Index);
+  return Result;
+}
+
+void TransferPlanner::penalise(Peer &Entry, Duration Base, TimePoint Now) {
+  constexpr int MaxDoublings = 5;
+  if (!m_Rules.m_AvoidBadPeers)
+    return;
+  Duration Avoid = Base * (1 << std::min(Entry.m_FailuresInRow, MaxDoublings));
+  ++Entry.m_FailuresInRow;
+  Entry.m_AvoidUntil = Now + std::min<Duration>(Avoid, BadPeerTime);
+}
+
+void TransferPlanner::onPeerFailure(const Fetch &Failed, Duration Base, TimePoint Now) {
+  auto It = m_Peers.find(Failed.m_Peer);
+  if (It != m_Peers.end())
+    penalise(It->second, Base, Now);
+}
+
+void TransferPlanner::onImportTrouble(const Fetch &Failed, TimePoint Now) {
+  Lane &State = m_Lanes[Failed.m_Index % Lanes];
+  if (Failed.m_Source != FetchSource::Origin)
+    return;
+  State.m_OriginBackoff =
+      std::clamp<Duration>(State.m_OriginBackoff * 2, OriginRetryMin, OriginRetryMax);
+  State.m_NextOrigin = Now + jittered(m_Random, State.m_OriginBackoff);
+}
+
+bool TransferPlanner::onReceived(FetchId Id, const Digest &Received, TimePoint Now) {
+  std::optional<Fetch> Done = takeFetch(Id);
+  if (!Done || !m_Order || Done->m_Index >= chunkCount())
+    return false;
+  Lane &State = m_Lanes[Done->m_Index % Lanes];
+  bool Matches = Received == m_Order->m_Manifest.chunks()[Done->m_Index].m_Digest;
+  if (!Matches && m_Rules.m_VerifyChunks) {
+    ++m_Counters.m_BadChunks;
+    onPeerFailure(*Done, BadPeerTime, Now);
+    onImportTrouble(*Done, Now);
+    return false;
+  }
+  if (m_Have.contains(Done->m_Index) || m_BeingStaged.contains(Done->m_Index))
+    return false;
+  ChunkVerified.check(Matches, "a chunk that does not match its digest was accepted");
+  auto From = m_Peers.find(Done->m_Peer);
+  if (From != m_Peers.end())
+    From->second.m_FailuresInRow = 0;
+  if (Done->m_Import)
+    State.m_SlowFactor = std::max(1, State.m_SlowFactor / 2);
+  if (Done->m_Source == FetchSource::Origin)
+    State.m_OriginBackoff = Duration();
+  m_Wanted.erase(Done->m_Index);
+  m_BeingStaged.insert(Done->m_Index);
+  return true;
+}
+
+void TransferPlanner::onStaged(const Digest &Chunk, bool Written, TimePoint Now) {
+  // The order may have changed since the chunk was accepted.
+  auto It = m_IndexOf.find(Chunk);
+  if (It == m_IndexOf.end())
+    return;
+  const std::uint32_t Index = It->second;
+  m_BeingStaged.erase(Index);
+  if (!Written) {
+    if (m_Missing.contains(Index))
+      m_Wanted.insert(Index);
+    return;
+  }
+  if (!m_Have.insert(Index))
+    return;
+  m_Missing.erase(Index);
+  m_Wanted.erase(Index);
+  m_Log.push_back(Index);
+  --m_MissingCount;
+  m_Lanes[Index % Lanes].m_LastProgress = Now;
+}
+
+void TransferPlanner::onFetchFailed(FetchId Id, FetchFailure Failure, TimePoint Now) {
+  std::optional<Fetch> Failed = takeFetch(Id);
+  if (!Failed)
+    return;
+  auto From = m_Peers.find(Failed->m_Peer);
+  switch (Failure) {
+  case FetchFailure::Busy:
+    ++m_Counters.m_BusyAnswers;
+    if (From != m_Peers.end())
+      From->second.m_AvoidUntil = Now + jittered(m_Random, BusyPeerTime, 0.5);
+    break;
+  case FetchFailure::NotHeld:
+    if (From != m_Peers.end() && From->second.m_Held.contains(Failed->m_Index)) {
+      From->second.m_Held.erase(Failed->m_Index);
+      if (From->second.m_SameDataCentre)
+        --m_LocalHolders[Failed->m_Index];
+    }
+    break;
+  case FetchFailure::NotStarted:
+    if (Failed->m_Source == FetchSource::Origin)
+      m_Granted += Failed->m_Size;
+    [[fallthrough]];
+  case FetchFailure::Broken:
+    onPeerFailure(*Failed, FailedPeerTime, Now);
+    onImportTrouble(*Failed, Now);
+    break;
+  }
+}
+
+void TransferPlanner::addGrant(const RolloutId &Rollout, Bytes Granted, TimePoint Now) {
+  if (Rollout != m_GrantRollout)
+    return;
+  m_GrantAsked = false;
+  m_Granted += Granted;
+  if (Granted == Bytes())
+    m_NextGrantRequest = Now + jittered(m_Random, GrantRetryInterval);
+}
+
+void TransferPlanner::dropChunk(const Digest &Chunk, TimePoint) {
+  auto It = m_IndexOf.find(Chunk);
+  if (It == m_IndexOf.end() || !m_Have.contains(It->second))
+    return;
+  m_Have.erase(It->second);
+  m_Missing.insert(It->second);
+  m_Wanted.insert(It->second);
+  ++m_MissingCount;
+  rebuildLog();
+}
+
+UploadAnswer TransferPlanner::admitUpload(const InstanceId &Requester, const Digest &Chunk,
+                                          TimePoint Now) {
+  auto It = m_IndexOf.find(Chunk);
+  if (It == m_IndexOf.end() || !m_Have.contains(It->second))
+    return UploadAnswer::NotHeld;
+  auto Known = m_Peers.find(Requester);
+  bool Import = Known != m_Peers.end() && !Known->second.m_SameDataCentre;
+  std::size_t Limit = MaxUploads + (Import ? MaxImportUploads : 0);
+  Duration Cost = m_Links.m_Instance.timeFor(m_Order->m_Manifest.chunks()[It->second].m_Size);
+  if (m_Uploads >= Limit || !m_UploadPace.allows(Now, Cost * Limit))
+    return UploadAnswer::Busy;
+  m_UploadPace.spend(Now, Cost, Duration());
+  ++m_Uploads;
+  return UploadAnswer::Accept;
+}
+
+void TransferPlanner::endUpload() {
+  if (m_Uploads > 0)
+    --m_Uploads;
+}
+
+bool TransferPlanner::hasRoom(Bytes Size) const {
+  return m_Fetches.size() < MaxFetches &&
+         (m_Fetches.empty() || m_BytesInFlight + Size <= MaxBytesInFlight);
+}
+
+bool TransferPlanner::isSettled(TimePoint Now) const {
+  if (!m_Rules.m_Settle || Now - m_OrderedAt >= SettleTime)
+    return true;
+  return std::all_of(m_Peers.begin(), m_Peers.end(), [](const auto &Entry) {
+    return Entry.second.m_Heard || !Entry.second.m_SameDataCentre;
+  });
+}
+
+bool TransferPlanner::isUsable(const Peer &Entry, TimePoint Now) const {
+  return Now >= Entry.m_AvoidUntil && Entry.m_FetchCount < MaxFetchesPerPeer;
+}
+
+void TransferPlanner::updatePatience() {
+  Bytes Largest;
+  for (const ChunkRef &Chunk : m_Order->m_Manifest.chunks())
+    Largest = std::max(Largest, Chunk.m_Size);
+  BytesPerSecond LaneRate(m_Links.m_Region.rate() / Lanes);
+  m_Patience =
+      std::max<Duration>(m_TradeOff.m_Patience, LaneRate.timeFor(Largest) * PatienceChunks);
+}
+
+bool TransferPlanner::crossesRegion(FetchSource Source, const InstanceId &From) const {
+  if (Source == FetchSource::Origin)
+    return !m_OriginRegion.empty() && m_OriginRegion != m_Self.m_Region;
+  auto It = m_Peers.find(From);
+  return It != m_Peers.end() && !It->second.m_SameRegion;
+}
+
+InstanceId TransferPlanner::chooseHolder(std::uint32_t Index, bool SameDataCentre,
+                                         bool OtherRegions, TimePoint Now) {
+  InstanceId Best;
+  std::size_t BestCount = 0;
+  std::uint64_t Ties = 0;
+  for (const auto &[Id, Entry] : m_Peers) {
+    if (Entry.m_SameDataCentre != SameDataCentre || !Entry.m_Held.contains(Index) ||
+        (!Entry.m_SameRegion && !OtherRegions) || !isUsable(Entry, Now))
+      continue;
+    // A holder in the own region is preferred to one behind a region link.
+    std::size_t Count = Entry.m_FetchCount + (Entry.m_SameRegion ? 0 : MaxFetches);
+    if (Best.empty() || Count < BestCount) {
+      Best = Id;
+      BestCount = Count;
+      Ties = 1;
+    } else if (Count == BestCount && uniformBelow(m_Random, ++Ties) == 0) {
+      Best = Id;
+    }
+  }
+  return Best;
+}
+
+void TransferPlanner::startFetch(std::uint32_t Index, FetchSource Source, const InstanceId &From,
+                                 TimePoint Now, std::vector<TransferAction> &Actions) {
+  const ChunkRef &Chunk = m_Order->m_Manifest.chunks()[Index];
+  Lane &State = m_Lanes[Index % Lanes];
+  auto FromPeer = m_Peers.find(From);
+  Fetch Started;
+  Started.m_Index = Index;
+  Started.m_Size = Chunk.m_Size;
+  Started.m_Source = Source;
+  Started.m_Peer = From;
+  Started.m_Import = Source == FetchSource::Origin || FromPeer == m_Peers.end() ||
+                     !FromPeer->second.m_SameDataCentre;
+  if (Source == FetchSource::Origin) {
+    if (!OriginWithinGrants.check(m_Granted >= Chunk.m_Size, m_GrantRollout.str()) &&
+        m_Rules.m_SpendGrants)
+      return;
+    m_Granted = m_Granted >= Chunk.m_Size ? m_Granted - Chunk.m_Size : Bytes();
+    ++m_Counters.m_OriginFetches;
+  }
+  if (!InFlightBounded.check(hasRoom(Chunk.m_Size), "too many fetches"))
+    return;
+  double Rate = m_Links.m_Instance.rate();
+  if (Source == FetchSource::Origin)
+    Rate = std::min(Rate, m_Links.m_Origin.rate() / Lanes);
+  if (crossesRegion(Source, From)) {
+    Rate = std::min(Rate, m_Links.m_Region.rate() / Lanes);
+    ++m_Counters.m_RegionFetches;
+    Duration Cost = BytesPerSecond(m_Links.m_Region.rate() / Lanes).timeFor(Chunk.m_Size);
+    State.m_RegionPace.spend(Now, Cost, Cost);
+  }
+  Duration Cost = m_Links.m_Instance.timeFor(Chunk.m_Size);
+  m_DownloadPace.spend(Now, Cost, Cost);
+  Duration Limit = BytesPerSecond(Rate).timeFor(Chunk.m_Size) * FetchTimeFactor + MinFetchTime;
+  if (Started.m_Import) {
+    ++State.m_ImportsInFlight;
+    Limit *= State.m_SlowFactor;
+  }
+  Started.m_Deadline = m_Rules.m_TimeOut ? Now + Limit : TimePoint::max();
+  if (FromPeer != m_Peers.end())
+    ++FromPeer->second.m_FetchCount;
+  m_Wanted.erase(Index);
+  m_BytesInFlight += Chunk.m_Size;
+  FetchId Id(++m_NextFetch);
+  m_Fetches.emplace(Id, Started);
+  Actions.emplace_back(StartFetch{Id, Index, Chunk, Source, From});
+}
+
+void TransferPlanner::expireFetches(TimePoint Now, std::vector<TransferAction> &Actions) {
+  std::vector<FetchId> Expired;
+  for (const auto &[Id, Entry] : m_Fetches)
+    if (Now >= Entry.m_Deadline)
+      Expired.push_back(Id);
+  for (FetchId Id : Expired) {
+    std::optional<Fetch> Failed = takeFetch(Id);
+    if (!Failed)
+      continue;
+    ++m_Counters.m_TimedOut;
+    Actions.emplace_back(CancelFetch{Id});
+    onPeerFailure(*Failed, FailedPeerTime, Now);
+    onImportTrouble(*Failed, Now);
+    if (Failed->m_Import) {
+      Lane &State = m_Lanes[Failed->m_Index % Lanes];
+      State.m_SlowFactor = std::min(State.m_SlowFactor * 2, MaxSlowFactor);
+    }
+  }
+}
+
+void TransferPlanner::planImports(TimePoint Now, std::vector<TransferAction> &Actions) {
+  if (!isSettled(Now))
+    return;
+  for (std::size_t I = 0; I < Lanes; ++I)
+    planImport(I, Now, Actions);
+}
+
+void TransferPlanner::planImport(std::size_t LaneIndex, TimePoint Now,
+                                 std::vector<TransferAction> &Actions) {
+  Lane &State = m_Lanes[LaneIndex];
+  const Duration Start = takeOverTime(State.m_OwnRank, m_Patience);
+  if (Start == Duration::max())
+    return;
+  const std::vector<ChunkRef> &Chunks = m_Order->m_Manifest.chunks();
+  std::vector<std::uint32_t> Needed;
+  Bytes NeededSize;
+  bool Waiting = false;
+  for (std::size_t I = LaneIndex; I < Chunks.size(); I += Lanes) {
+    auto Index = static_cast<std::uint32_t>(I);
+    if (m_LocalHolders[Index] != 0 || !m_Missing.contains(Index))
+      continue;
+    Waiting = true;
+    if (m_Wanted.contains(Index)) {
+      Needed.push_back(Index);
+      NeededSize += Chunks[Index].m_Size;
+    }
+  }
+  if (Waiting && !State.m_WasWaiting)
+    State.m_LastProgress = Now;
+  State.m_WasWaiting = Waiting;
+  if (Needed.empty())
+    return;
+  const Duration Idle = Now - State.m_LastProgress;
+  if (Idle < Start || (State.m_OwnRank > 0 && !m_Rules.m_TakeOver))
+    return;
+  const auto Stage = m_Rules.m_TakeOver ? (Idle - Start) / m_Patience : 0;
+  const bool OtherRegions = State.m_LeadsRegion || Stage >= 1;
+  const bool FromOrigin = State.m_Site < m_TradeOff.m_OriginSites || Stage >= 2;
+  // Importers of different ranks begin at different places, so that they do not fetch the same
+  // chunks when several are active.
+  std::rotate(Needed.begin(),
+              Needed.begin() + static_cast<std::ptrdiff_t>(State.m_OwnRank % Needed.size()),
+              Needed.end());
+
+  const Duration LaneCost =
+      BytesPerSecond(m_Links.m_Region.rate() / Lanes).timeFor(Chunks[Needed.front()].m_Size);
+  for (std::uint32_t Index : Needed) {
+    const Bytes Size = Chunks[Index].m_Size;
+    if (State.m_ImportsInFlight >= MaxImportsPerLane || !hasRoom(Size))
+      return;
+    bool RegionFree = State.m_RegionPace.allows(Now, Duration()) || !m_Rules.m_PaceImports ||
+                      LaneCost.count() == 0;
+    InstanceId Holder = chooseHolder(Index, false, OtherRegions && RegionFree, Now);
+    if (!Holder.empty()) {
+      startFetch(Index, FetchSource::Peer, Holder, Now, Actions);
+      continue;
+    }
+    if (!FromOrigin || Now < State.m_NextOrigin ||
+        (crossesRegion(FetchSource::Origin, InstanceId()) && !RegionFree))
+      continue;
+    if (m_Granted < Size && m_Rules.m_SpendGrants) {
+      if (!m_GrantAsked && Now >= m_NextGrantRequest) {
+        m_GrantAsked = true;
+        Actions.emplace_back(AskGrant{m_Order->m_Rollout, NeededSize, Size});
+      }
+      return;
+    }
+    startFetch(Index, FetchSource::Origin, InstanceId(), Now, Actions);
+  }
+}
+
+void TransferPlanner::planPeerFetches(TimePoint Now, std::vector<TransferAction> &Actions) {
+  std::size_t InFlight = 0;
+  for (const auto &[Id, Entry] : m_Fetches)
+    InFlight += Entry.m_Import ? 0 : 1;
+  while (InFlight < MaxLocalFetches) {
+    std::vector<std::uint64_t> Offered(m_Wanted.words().size(), 0);
+    for (const auto &[Id, Entry] : m_Peers)
+      if (Entry.m_SameDataCentre && isUsable(Entry, Now))
+        for (std::size_t I = 0; I < Offered.size(); ++I)
+          Offered[I] |= Entry.m_Held.words()[I];
+    // The rarest chunk is usually the newest one; spreading it first keeps all uploads useful.
+    std::optional<std::uint32_t> Best;
+    std::uint64_t Ties = 0;
+    for (std::size_t I = 0; I < Offered.size(); ++I)
+      for (std::uint64_t Word = Offered[I] & m_Wanted.words()[I]; Word != 0; Word &= Word - 1) {
+        auto Index =
+            static_cast<std::uint32_t>(I * 64) + static_cast<std::uint32_t>(std::countr_zero(Word));
+        if (!Best || m_LocalHolders[Index] < m_LocalHolders[*Best]) {
+          Best = Index;
+          Ties = 1;
+        } else if (m_LocalHolders[Index] == m_LocalHolders[*Best] &&
+                   uniformBelow(m_Random, ++Ties) == 0) {
+          Best = Index;
+        }
+      }
+    if (!Best)
+      return;
+    const Bytes Size = m_Order->m_Manifest.chunks()[*Best].m_Size;
+    if (!hasRoom(Size) ||
+        !m_DownloadPace.allows(Now, m_Links.m_Instance.timeFor(Size) * MaxLocalFetches))
+      return;
+    InstanceId Holder = chooseHolder(*Best, true, false, Now);
+    if (Holder.empty())
+      return;
+    startFetch(*Best, FetchSource::Peer, Holder, Now, Actions);
+    ++InFlight;
+  }
+}
+
+void TransferPlanner::planSummaries(TimePoint Now, std::vector<TransferAction> &Actions) {
+  const auto End = static_cast<std::uint32_t>(m_Log.size());
+  for (auto &[Id, Entry] : m_Peers) {
+    if (Entry.m_SentAny || Entry.m_LastSent != TimePoint()) {
+      Duration Since = Now - Entry.m_LastSent;
+      bool News = !Entry.m_SentAny || Entry.m_Sent < End || (Entry.m_AskAll && Entry.m_Heard);
+      if (Since < SummaryInterval || (!News && Since < SummaryRefresh))
+        continue;
+    }
+    ChunkSummary Summary;
+    Summary.m_Root = root();
+    Summary.m_Epoch = m_Epoch;
+    Summary.m_From = Entry.m_Sent;
+    Summary.m_Indices.assign(m_Log.begin() + Entry.m_Sent, m_Log.end());
+    Summary.m_WantsAll = Entry.m_AskAll;
+    Entry.m_Sent = End;
+    Entry.m_SentAny = true;
+    Entry.m_LastSent = Now;
+    Actions.emplace_back(SendSummary{Id, std::move(Summary)});
+  }
+}
+
+std::vector<TransferAction> TransferPlanner::poll(TimePoint Now) {
+  std::vector<TransferAction> Actions;
+  for (FetchId Id : m_Cancelled)
+    Actions.emplace_back(CancelFetch{Id});
+  m_Cancelled.clear();
+  if (!m_Order)
+    return Actions;
+  expireFetches(Now, Actions);
+  if (m_MissingCount != 0) {
+    planImports(Now, Actions);
+    planPeerFetches(Now, Actions);
+  }
+  planSummaries(Now, Actions);
+  return Actions;
+}
+
+} // namespace fescuegauge
