--- /dev/null
+++ b/src/fescuegauged/HttpService.cpp
@@ -0,0 +1,246 @@
+#include "HttpService.h"
+
+#include "Fescuegauge/Log.h"
+#include "Fescuegauge/Metrics.h"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/ThreadPool.h>
+#include <Poco/URI.h>
+#include <array>
+#include <boost/json.hpp>
+
+namespace fescuegauge {
+
+namespace json = boost::json;
+
+HttpExchange::HttpExchange(Poco::Net::HTTPServerRequest &Request,
+                           Poco::Net::HTTPServerResponse &Response)
+    : m_Request(Request), m_Response(Response) {
+  Poco::URI Uri(Request.getURI());
+  Uri.getPathSegments(m_Segments);
+  for (const auto &[Name, Value] : Uri.getQueryParameters())
+    m_Query[Name] = Value;
+}
+
+std::string HttpExchange::query(const std::string &Name) const {
+  auto Found = m_Query.find(Name);
+  return Found == m_Query.end() ? std::string() : Found->second;
+}
+
+std::string HttpExchange::header(const std::string &Name) const {
+  return m_Request.get(Name, std::string());
+}
+
+std::optional<ErrorKind> HttpExchange::readBody(const LimitSettings &Limits) {
+  std::size_t HeaderBytes = 0;
+  for (const auto &[Name, Value] : m_Request)
+    HeaderBytes += Name.size() + Value.size();
+  if (m_Request.size() > Limits.m_MaxHeaders || HeaderBytes > Limits.m_MaxHeaderBytes.count())
+    return ErrorKind::RequestTooLarge;
+  if (m_Request.hasContentLength() &&
+      m_Request.getContentLength64() > static_cast<Poco::Int64>(Limits.m_MaxBody.count()))
+    return ErrorKind::RequestTooLarge;
+  auto Deadline = std::chrono::steady_clock::now() + Limits.m_BodyTimeout;
+  std::array<char, 16384> Block{};
+  std::istream &In = m_Request.stream();
+  while (In.read(Block.data(), 1) || In.gcount() > 0) {
+    // Takes what has arrived, so that a slow sender cannot hold one read for the whole block.
+    auto More = In.rdbuf()->in_avail();
+    auto Size = std::min<std::streamsize>(std::max<std::streamsize>(More, 0), Block.size() - 1);
+    In.read(Block.data() + 1, Size);
+    m_Body.append(Block.data(), 1 + static_cast<std::size_t>(In.gcount()));
+    if (m_Body.size() > Limits.m_MaxBody.count())
+      return ErrorKind::RequestTooLarge;
+    if (std::chrono::steady_clock::now() > Deadline)
+      return ErrorKind::RequestTimeout;
+  }
+  if (m_Request.hasContentLength() &&
+      m_Body.size() != static_cast<std::size_t>(m_Request.getContentLength64()))
+    return ErrorKind::MalformedRequest;
+  return std::nullopt;
+}
+
+void HttpExchange::answer(const json::value &Body, int Status) {
+  answerText(json::serialize(Body), "application/json", Status);
+}
+
+void HttpExchange::answerText(const std::string &Body, const std::string &ContentType, int Status) {
+  m_Response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
+  m_Response.setReason(
+      Poco::Net::HTTPResponse::getReasonForStatus(m_Response.getStatus()));
+  m_Response.setContentType(ContentType);
+  m_Response.sendBuffer(Body.data(), Body.size());
+}
+
+void HttpExchange::answerError(ErrorKind Kind, const std::string &Message,
+                               std::optional<Duration> RetryAfter, std::optional<WasRun> Run) {
+  const ErrorAnswer &Answer = errorAnswer(Kind);
+  json::object Body{{"error", Answer.m_Name},
+                    {"message", Message},
+                    {"run", wasRunName(Run.value_or(Answer.m_WasRun))}};
+  if (auto After = RetryAfter ? RetryAfter : Answer.m_RetryAfter) {
+    Body["retryAfterMs"] = After->count() / 1000;
+    // The header has whole seconds; rounding up never asks the caller to come back too early.
+    m_Response.set("Retry-After", std::to_string((After->count() + 999999) / 1000000));
+  }
+  // A request that was not read to its end cannot be followed by another on the connection.
+  if (Kind == ErrorKind::RequestTooLarge || Kind == ErrorKind::RequestTimeout)
+    m_Response.setKeepAlive(false);
+  answer(Body, Answer.m_HttpStatus);
+}
+
+void HttpExchange::setHeader(const std::string &Name, const std::string &Value) {
+  m_Response.set(Name, Value);
+}
+
+bool HttpExchange::sendFragment(const std::string &Data, const std::string &ContentType) {
+  if (!m_Out) {
+    m_Response.setChunkedTransferEncoding(true);
+    m_Response.setContentType(ContentType);
+    m_Out = &m_Response.send();
+  }
+  m_Out->write(Data.data(), static_cast<std::streamsize>(Data.size()));
+  m_Out->flush();
+  return m_Out->good();
+}
+
+void HttpExchange::finishStream() { m_Out->flush(); }
+
+void HttpExchange::breakStream() {
+  // The server would write the terminating chunk when the exchange ends; without a socket it cannot.
+  static_cast<Poco::Net::HTTPServerRequestImpl &>(m_Request).socket().shutdown();
+}
+
+bool HttpExchange::isCallerGone() const {
+  auto &Socket = static_cast<Poco::Net::HTTPServerRequestImpl &>(m_Request).socket();
+  try {
+    if (!Socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
+      return false;
+    char Byte = 0;
+    return Socket.receiveBytes(&Byte, 1, MSG_PEEK) <= 0;
+  } catch (const Poco::Exception &) {
+    return true;
+  }
+}
+
+namespace {
+
+using Routes = std::map<std::string, HttpService::Handler>;
+
+class RoutingHandler final : public Poco::Net::HTTPRequestHandler {
+public:
+  explicit RoutingHandler(const Routes &Table) : m_Table(Table) {}
+
+  void handleRequest(Poco::Net::HTTPServerRequest &Request,
+                     Poco::Net::HTTPServerResponse &Response) override {
+    try {
+      HttpExchange Exchange(Request, Response);
+      if (const HttpService::Handler *Found = find(Request))
+        (*Found)(Exchange);
+      else
+        Exchange.answerError(ErrorKind::MalformedRequest, "no such method and path");
+    } catch (const std::exception &Error) {
+      logEvent(Severity::Info, "http_exchange_failed", {{"reason", Error.what()}});
+    }
+  }
+
+private:
+  const HttpService::Handler *find(const Poco::Net::HTTPServerRequest &Request) const {
+    const std::string &Uri = Request.getURI();
+    std::string Target = Request.getMethod() + " " + Uri.substr(0, Uri.find('?'));
+    const HttpService::Handler *Best = nullptr;
+    std::size_t BestLength = 0;
+    for (const auto &[Prefix, Added] : m_Table) {
+      bool Matches = Target == Prefix || Target.starts_with(Prefix + "/");
+      if (Matches && Prefix.size() >= BestLength) {
+        Best = &Added;
+        BestLength = Prefix.size();
+      }
+    }
+    return Best;
+  }
+
+  const Routes &m_Table;
+};
+
+class RoutingFactory final : public Poco::Net::HTTPRequestHandlerFactory {
+public:
+  explicit RoutingFactory(const Routes &Table) : m_Table(Table) {}
+  Poco::Net::HTTPRequestHandler *
+  createRequestHandler(const Poco::Net::HTTPServerRequest &) override {
+    return new RoutingHandler(m_Table);
+  }
+
+private:
+  const Routes &m_Table;
+};
+
+} // namespace
+
+struct HttpService::Server {
+  Server(const Settings &Configured, const Routes &Table)
+      : m_Pool(2, static_cast<int>(Configured.m_Limits.m_MaxConnections)),
+        m_Socket(Poco::Net::SocketAddress(Configured.m_Listen.m_Http.m_Host,
+                                          Configured.m_Listen.m_Http.m_Port),
+                 ListenBacklog),
+        m_Server(new RoutingFactory(Table), m_Pool, m_Socket, parameters(Configured.m_Limits)) {}
+
+  static constexpr int ListenBacklog = 512;
+
+  static Poco::Net::HTTPServerParams::Ptr parameters(const LimitSettings &Limits) {
+    Poco::Net::HTTPServerParams::Ptr Result(new Poco::Net::HTTPServerParams);
+    Result->setMaxThreads(static_cast<int>(Limits.m_MaxConnections));
+    // Connections beyond the threads are refused rather than left waiting without an answer.
+    Result->setMaxQueued(static_cast<int>(Limits.m_MaxConnections));
+    Result->setTimeout(Poco::Timespan(Limits.m_HeaderTimeout.count()));
+    Result->setKeepAliveTimeout(Poco::Timespan(Limits.m_IdleTimeout.count()));
+    return Result;
+  }
+
+  Poco::ThreadPool m_Pool;
+  Poco::Net::ServerSocket m_Socket;
+  Poco::Net::HTTPServer m_Server;
+};
+
+HttpService::HttpService(const Settings &Configured) : Service("http"), m_Settings(Configured) {}
+
+HttpService::~HttpService() = default;
+
+void HttpService::route(const std::string &MethodAndPrefix, Handler Added) {
+  m_Routes[MethodAndPrefix] = std::move(Added);
+}
+
+void HttpService::start(Kernel &Services) {
+  route("GET /healthz", [](HttpExchange &Exchange) {
+    Exchange.answer(json::object{{"healthy", true}});
+  });
+  route("GET /readyz", [&Services](HttpExchange &Exchange) {
+    json::array Reasons;
+    for (const std::string &Reason : Services.notReadyReasons())
+      Reasons.emplace_back(Reason);
+    bool IsReady = Reasons.empty();
+    Exchange.answer(json::object{{"ready", IsReady}, {"reasons", std::move(Reasons)}},
+                    IsReady ? 200 : 503);
+  });
+  route("GET /dump",
+        [&Services](HttpExchange &Exchange) { Exchange.answer(Services.dumpState()); });
+  auto &Metrics = Services.find<MetricsService>("metrics");
+  route("GET /metrics", [&Metrics](HttpExchange &Exchange) {
+    Exchange.answerText(Metrics.serialize(), "text/plain; version=0.0.4");
+  });
+  m_Server = std::make_unique<Server>(m_Settings, m_Routes);
+  m_Server->m_Server.start();
+}
+
+void HttpService::stop() {
+  if (m_Server)
+    m_Server->m_Server.stopAll(true);
+}
+
+std::uint16_t HttpService::port() const { return m_Server->m_Socket.address().port(); }
+
+} // namespace fescuegauge
--- /dev/null
+++ b/src/fescuegauged/RpcService.cpp
@@ -0,0 +1,96 @@
+#include "RpcService.h"
+
+#include "Fescuegauge/Log.h"
+
+namespace fescuegauge {
+
+RpcService::RpcService(const Settings &Configured, PeerIdentity Self, EventLoop &Loop)
+    : Service("rpc"), m_Settings(Configured), m_Self(std::move(Self)), m_Loop(Loop) {}
+
+RpcService::~RpcService() = default;
+
+void RpcService::start(Kernel &) {
+  RpcOptions Options;
+  Options.m_Listen = m_Settings.m_Listen.m_Rpc;
+  Options.m_Self = m_Self;
+  Options.m_HeartbeatInterval = m_Settings.m_Heartbeats.m_Interval;
+  Options.m_FailureTime = m_Settings.m_Heartbeats.m_FailureTime;
+  m_Node = std::make_unique<RpcNode>(m_Loop, std::move(Options), *this);
+}
+
+void RpcService::stop() { m_Node.reset(); }
+
+boost::json::object RpcService::dumpState() const {
+  RpcNode::Counters Counters;
+  m_Loop.postAndWait([&] { Counters = m_Node->counters(); });
+  return {{"port", m_Node->port()},
+          {"incoming", Counters.m_Incoming},
+          {"outgoing", Counters.m_Outgoing},
+          {"controlMessagesSent", Counters.m_ControlMessagesSent},
+          {"controlBytesSent", Counters.m_ControlBytesSent},
+          {"connectionsLost", Counters.m_ConnectionsLost}};
+}
+
+void RpcService::onPeerConnected(const PeerIdentity &Peer) {
+  if (m_PeerConnected)
+    m_PeerConnected(Peer);
+}
+
+void RpcService::onPeerLost(const PeerIdentity &Peer) {
+  logEvent(Severity::Info, "peer_lost", {{"peer", Peer.m_Instance}});
+}
+
+std::uint64_t RpcService::nextAttemptNumber() const { return m_NextAttempt ? m_NextAttempt() : 1; }
+
+std::string RpcService::onHeartbeat(const PeerIdentity &From) {
+  return m_Heartbeat ? m_Heartbeat(From) : std::string();
+}
+
+void RpcService::onHeartbeatAnswer(const InstanceId &Peer, const std::string &Report) {
+  if (m_HeartbeatAnswer && !Report.empty())
+    m_HeartbeatAnswer(Peer, Report);
+}
+
+void RpcService::onConnected(const PeerIdentity &Peer) {
+  for (const auto &Hook : m_Connected)
+    Hook(Peer);
+}
+
+void RpcService::onDisconnected(const InstanceId &Peer) {
+  logEvent(Severity::Info, "connection_lost", {{"peer", Peer}});
+  for (const auto &Hook : m_Disconnected)
+    Hook(Peer);
+}
+
+void RpcService::onRunAttempt(const PeerIdentity &From, AttemptRequest Request,
+                              std::shared_ptr<AttemptSink> Sink) {
+  if (m_RunAttempt)
+    return m_RunAttempt(From, std::move(Request), std::move(Sink));
+  AttemptEnd End;
+  End.m_Status = AttemptStatus::Refused;
+  End.m_WasRun = WasRun::No;
+  Sink->onEnd(Request.m_Attempt, End);
+}
+
+void RpcService::onCancelAttempt(const PeerIdentity &, const AttemptId &Attempt) {
+  if (m_CancelAttempt)
+    m_CancelAttempt(Attempt);
+}
+
+void RpcService::onFetchChunk(const PeerIdentity &From, const Digest &Chunk, ChunkReply Reply) {
+  if (m_FetchChunk)
+    m_FetchChunk(From, Chunk, std::move(Reply));
+  else
+    Reply(std::nullopt);
+}
+
+void RpcService::onControl(const PeerIdentity &From, Topic Subject, std::string Payload,
+                           ControlReply Reply) {
+  auto Index = static_cast<std::size_t>(Subject);
+  if (Index < TopicCount && m_Topics.at(Index))
+    m_Topics.at(Index)(From, std::move(Payload), std::move(Reply));
+  else
+    Reply({});
+}
+
+} // namespace fescuegauge
--- a/src/include/Fescuegauge/Kernel.h
+++ b/src/include/Fescuegauge/Kernel.h
@@ -43,6 +43,12 @@
 /// Owns the services of a process, starts and stops them, and finds them by name.
 class Kernel {
 public:
+  Kernel() = default;
+  /// Destroys the services in the reverse of the order in which they were added.
+  ~Kernel();
+  Kernel(const Kernel &) = delete;
+  Kernel &operator=(const Kernel &) = delete;
+
   /// Adds a service before start(). Throws std::logic_error if the name is taken.
   void add(std::unique_ptr<Service> Added);
 
--- a/src/libkernel/Kernel.cpp
+++ b/src/libkernel/Kernel.cpp
@@ -4,6 +4,11 @@
 
 namespace fescuegauge {
 
+Kernel::~Kernel() {
+  while (!m_Services.empty())
+    m_Services.pop_back();
+}
+
 void Kernel::add(std::unique_ptr<Service> Added) {
   if (findService(Added->name()))
     throw std::logic_error("service \"" + Added->name() + "\" was added twice");
