--- a/src/include/Fescuegauge/Settings.h
+++ b/src/include/Fescuegauge/Settings.h
@@ -3,6 +3,7 @@
 
 #include "Fescuegauge/Ids.h"
 #include "Fescuegauge/InstanceRecord.h"
+#include "Fescuegauge/Severity.h"
 #include "Fescuegauge/Units.h"
 
 #include <boost/leaf/result.hpp>
@@ -23,8 +24,6 @@
   Plain,
 };
 
-enum class LogLevel { Debug, Info, Warning, Error };
-
 /// Another instance to which a starting process introduces itself.
 struct Seed {
   InstanceId m_Id;
@@ -105,7 +104,7 @@
   DataCentreId m_DataCentre;
   /// Name of the deployment; processes of two deployments do not talk to each other.
   std::string m_Deployment;
-  LogLevel m_LogLevel = LogLevel::Info;
+  Severity m_LogLevel = Severity::Info;
   ListenSettings m_Listen;
   PlatformSettings m_Platform;
   std::vector<Seed> m_Seeds;
--- a/src/libsettings/Schema.cpp
+++ b/src/libsettings/Schema.cpp
@@ -301,10 +301,10 @@
 
 constexpr NamedChoice<InstanceRole> Roles[] = {{"entry", InstanceRole::Entry},
                                                {"agent", InstanceRole::Agent}};
-constexpr NamedChoice<LogLevel> LogLevels[] = {{"debug", LogLevel::Debug},
-                                               {"info", LogLevel::Info},
-                                               {"warning", LogLevel::Warning},
-                                               {"error", LogLevel::Error}};
+constexpr NamedChoice<Severity> LogLevels[] = {{"debug", Severity::Debug},
+                                               {"info", Severity::Info},
+                                               {"warning", Severity::Warning},
+                                               {"error", Severity::Error}};
 constexpr NamedChoice<UpstreamKind> UpstreamKinds[] = {{"engine", UpstreamKind::Engine},
                                                        {"plain", UpstreamKind::Plain}};
 
--- a/src/libsettings/Settings_test.cpp
+++ b/src/libsettings/Settings_test.cpp
@@ -94,7 +94,7 @@
   CHECK(S.m_Region == RegionId("central-valley"));
   CHECK(S.m_DataCentre == DataCentreId("cv-1"));
   CHECK(S.m_Deployment == "tarro-sereno");
-  CHECK(S.m_LogLevel == LogLevel::Error);
+  CHECK(S.m_LogLevel == Severity::Error);
   CHECK(S.m_Listen.m_Http == Endpoint{"127.0.0.1", 0});
   CHECK(S.m_Listen.m_Rpc == Endpoint{"::1", 0});
   CHECK(S.m_Platform.m_InstanceList == Endpoint{"127.0.0.1", 7001});
