--- a/src/fescuegauged/RpcService.cpp
+++ b/src/fescuegauged/RpcService.cpp
@@ -81,7 +81,7 @@
   if (m_FetchChunk)
     m_FetchChunk(From, Chunk, std::move(Reply));
   else
-    Reply(std::nullopt);
+    Reply({ChunkAnswer::Status::NotHeld, {}});
 }
 
 void RpcService::onControl(const PeerIdentity &From, Topic Subject, std::string Payload,
--- a/src/include/Fescuegauge/RpcNode.h
+++ b/src/include/Fescuegauge/RpcNode.h
@@ -93,7 +93,23 @@
 enum class Topic { Membership, Configuration, Claims, Weights, Suspects, Attempts, Operator };
 
 using ControlReply = std::function<void(std::string Payload)>;
-using ChunkReply = std::function<void(std::optional<std::string> Content)>;
+
+/// A peer's answer to the request for a chunk.
+struct ChunkAnswer {
+  enum class Status {
+    Found,
+    /// Too many uploads are in progress.
+    Busy,
+    NotHeld,
+    /// No connection; the peer saw nothing of the request.
+    NotSent,
+    /// No answer in time, or the connection was lost.
+    NoAnswer,
+  };
+  Status m_Status = Status::NoAnswer;
+  std::string m_Content;
+};
+using ChunkReply = std::function<void(ChunkAnswer Answer)>;
 
 /// The process's answer to calls of its peers. All calls are made on the loop.
 class RpcHandler {
@@ -129,6 +145,10 @@
   Duration m_FailureTime = std::chrono::seconds(2);
   /// Connections beyond this number are closed at once.
   std::size_t m_MaxConnections = 2048;
+  /// A connection without monitoring that carries nothing for this long is closed.
+  Duration m_IdleTime = std::chrono::seconds(60);
+  /// Messages that wait for a connection to be opened; a further one fails at once.
+  std::size_t m_MaxWaiting = 32;
   /// A longer message breaks its connection.
   Bytes m_MaxMessage = 64_MiB;
 };
@@ -146,8 +166,9 @@
 
   std::uint16_t port() const;
 
-  /// Keeps a connection to `Peer` until forget(), opening it again whenever it is lost.
-  void remember(const InstanceId &Peer, const Endpoint &Address);
+  /// Makes the address of a peer known; the connection is opened with the first message. With
+  /// `Monitored`, it is opened at once, carries heartbeats and is opened again whenever it is lost.
+  void remember(const InstanceId &Peer, const Endpoint &Address, bool Monitored);
   void forget(const InstanceId &Peer);
   bool isConnected(const InstanceId &Peer) const;
 
@@ -155,10 +176,9 @@
   void runAttempt(const InstanceId &Peer, const AttemptRequest &Request,
                   std::shared_ptr<AttemptSink> Sink);
   void cancelAttempt(const InstanceId &Peer, const AttemptId &Attempt);
-  /// `Reply` gets nothing if the peer has no such chunk or does not answer in time.
   void fetchChunk(const InstanceId &Peer, const Digest &Chunk, Duration Timeout, ChunkReply Reply);
   using ControlResult = std::function<void(std::optional<std::string> Payload)>;
-  /// `Done` gets nothing if no answer came in time.
+  /// `Done` gets nothing if no answer came in time, counted from when the message could be sent.
   void control(const InstanceId &Peer, Topic Subject, std::string Payload, Duration Timeout,
                ControlResult Done);
 
--- a/src/librpc/Peer.capnp
+++ b/src/librpc/Peer.capnp
@@ -149,6 +149,6 @@
   heartbeat @1 () -> (report :Data);
   runAttempt @2 (request :AttemptRequest, sink :AttemptSink) -> ();
   cancelAttempt @3 (attempt :Text) -> ();
-  fetchChunk @4 (digest :Data) -> (found :Bool, data :Data);
+  fetchChunk @4 (digest :Data) -> (found :Bool, data :Data, busy :Bool);
   control @5 (topic :Topic, payload :Data) -> (payload :Data);
 }
--- a/src/librpc/Peer.capnp.h
+++ b/src/librpc/Peer.capnp.h
@@ -3040,6 +3040,8 @@
   inline bool hasData() const;
   inline  ::capnp::Data::Reader getData() const;
 
+  inline bool getBusy() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3078,6 +3080,9 @@
   inline void adoptData(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownData();
 
+  inline bool getBusy();
+  inline void setBusy(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5423,6 +5428,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::FetchChunkResults::Reader::getBusy() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::FetchChunkResults::Builder::getBusy() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::FetchChunkResults::Builder::setBusy(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::fescuegauge::rpc::Topic Peer::ControlParams::Reader::getTopic() const {
   return _reader.getDataField< ::fescuegauge::rpc::Topic>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/librpc/RpcNode.cpp
+++ b/src/librpc/RpcNode.cpp
@@ -4,8 +4,8 @@
 #include "Peer.capnp.h"
 
 #include <capnp/rpc-twoparty.h>
+#include <deque>
 #include <map>
-#include <set>
 
 namespace fescuegauge {
 
@@ -192,11 +192,14 @@
     kj::Maybe<capnp::RpcSystem<capnp::rpc::twoparty::VatId>> m_System;
     std::optional<PeerIdentity> m_Peer;
     TimePoint m_LastCall;
+    /// The peer sends heartbeats, so silence means that the connection has failed.
+    bool m_IsMonitored = false;
   };
 
   /// The connection that this process opened to one peer.
   struct Outgoing {
     Endpoint m_Address;
+    bool m_IsMonitored = false;
     bool m_IsConnecting = false;
     bool m_IsReady = false;
     /// Grows with each connection, so that late results of an old one are ignored.
@@ -208,6 +211,9 @@
     TimePoint m_LastAnswer;
     TimePoint m_NextConnect;
     std::map<AttemptId, std::weak_ptr<AttemptSink>> m_Attempts;
+    /// Messages to send when the connection is open; called with false if it cannot be opened.
+    std::deque<std::function<void(bool IsOpen)>> m_Waiting;
+    TimePoint m_LastUse;
   };
 
   class PeerServer;
@@ -260,12 +266,18 @@
   void dropSilentIncoming(TimePoint Now) {
     std::vector<std::uint64_t> Silent;
     for (auto &[Id, Connection] : m_Incoming)
-      if (Now - Connection->m_LastCall > m_Options.m_FailureTime)
+      if (Now - Connection->m_LastCall > limit(Connection->m_IsMonitored))
         Silent.push_back(Id);
     for (std::uint64_t Id : Silent)
       close(Id);
   }
 
+  /// The longest silence of a connection. The callee waits longer for one without heartbeats, so
+  /// that the caller closes it first.
+  Duration limit(bool IsMonitored) const {
+    return IsMonitored ? m_Options.m_FailureTime : 2 * m_Options.m_IdleTime;
+  }
+
   void close(std::uint64_t Id) {
     auto Found = m_Incoming.find(Id);
     if (Found == m_Incoming.end())
@@ -278,8 +290,12 @@
   }
 
   void maintain(const InstanceId &Peer, Outgoing &Link, TimePoint Now) {
-    if (Link.m_IsReady && Now - Link.m_LastAnswer > m_Options.m_FailureTime)
+    bool IsSilent = Link.m_IsMonitored && Now - Link.m_LastAnswer > m_Options.m_FailureTime;
+    bool IsIdle = !Link.m_IsMonitored && Now - Link.m_LastUse > m_Options.m_IdleTime;
+    if (Link.m_IsReady && (IsSilent || IsIdle))
       disconnect(Peer, Link);
+    if (!Link.m_IsMonitored)
+      return;
     if (Link.m_IsReady)
       sendHeartbeat(Peer, Link);
     else if (!Link.m_IsConnecting && Now >= Link.m_NextConnect)
@@ -316,6 +332,10 @@
   }
 
   void connect(const InstanceId &Peer, Outgoing &Link);
+  void sendFetch(const InstanceId &Peer, const Digest &Chunk, Duration Timeout,
+                 const ChunkReply &Reply);
+  void sendControl(const InstanceId &Peer, Topic Subject, const std::string &Payload,
+                   Duration Timeout, const ControlResult &Done);
 
   void disconnect(const InstanceId &Peer, Outgoing &Link) {
     bool WasReady = Link.m_IsReady;
@@ -334,10 +354,40 @@
     for (auto &[Attempt, Sink] : Attempts)
       if (auto Waiting = Sink.lock())
         Waiting->onEnd(Attempt, {});
+    auto Waiting = std::move(Link.m_Waiting);
+    Link.m_Waiting.clear();
+    for (auto &Message : Waiting)
+      Message(false);
     if (WasReady)
       m_Handler.onDisconnected(Peer);
   }
 
+  /// Calls `Message` once the connection to `Peer` is open, or with false if it cannot be opened.
+  void whenOpen(const InstanceId &Peer, std::function<void(bool IsOpen)> Message) {
+    auto Found = m_Outgoing.find(Peer);
+    if (Found == m_Outgoing.end())
+      return Message(false);
+    Outgoing &Link = Found->second;
+    Link.m_LastUse = EventLoop::now();
+    if (Link.m_IsReady)
+      return Message(true);
+    bool IsTooEarly = !Link.m_IsConnecting && EventLoop::now() < Link.m_NextConnect;
+    if (IsTooEarly || Link.m_Waiting.size() >= m_Options.m_MaxWaiting)
+      return Message(false);
+    Link.m_Waiting.push_back(std::move(Message));
+    if (!Link.m_IsConnecting)
+      connect(Peer, Link);
+  }
+
+  void flushWaiting(const InstanceId &Peer, std::uint64_t Epoch) {
+    for (Outgoing *Link = findLink(Peer, Epoch); Link && !Link->m_Waiting.empty();
+         Link = findLink(Peer, Epoch)) {
+      auto Message = std::move(Link->m_Waiting.front());
+      Link->m_Waiting.pop_front();
+      Message(true);
+    }
+  }
+
   Outgoing *readyLink(const InstanceId &Peer) {
     auto Found = m_Outgoing.find(Peer);
     return Found != m_Outgoing.end() && Found->second.m_IsReady ? &Found->second : nullptr;
@@ -380,7 +430,9 @@
   }
 
   kj::Promise<void> heartbeat(HeartbeatContext Context) override {
-    Context.getResults().setReport(dataOf(m_Node.m_Handler.onHeartbeat(peer())));
+    const PeerIdentity &From = peer();
+    connection()->m_IsMonitored = true;
+    Context.getResults().setReport(dataOf(m_Node.m_Handler.onHeartbeat(From)));
     return kj::READY_NOW;
   }
 
@@ -397,17 +449,17 @@
   }
 
   kj::Promise<void> fetchChunk(FetchChunkContext Context) override {
-    auto Pair = kj::newPromiseAndFulfiller<std::optional<std::string>>();
+    auto Pair = kj::newPromiseAndFulfiller<ChunkAnswer>();
     auto Fulfiller = std::make_shared<decltype(Pair.fulfiller)>(kj::mv(Pair.fulfiller));
-    m_Node.m_Handler.onFetchChunk(peer(), digestOf(Context.getParams().getDigest()),
-                                  [Fulfiller](std::optional<std::string> Content) {
-                                    (*Fulfiller)->fulfill(std::move(Content));
-                                  });
-    return Pair.promise.then([Context](std::optional<std::string> Content) mutable {
+    m_Node.m_Handler.onFetchChunk(
+        peer(), digestOf(Context.getParams().getDigest()),
+        [Fulfiller](ChunkAnswer Answer) { (*Fulfiller)->fulfill(std::move(Answer)); });
+    return Pair.promise.then([Context](ChunkAnswer Answer) mutable {
       auto Out = Context.getResults();
-      Out.setFound(Content.has_value());
-      if (Content)
-        Out.setData(dataOf(*Content));
+      Out.setFound(Answer.m_Status == ChunkAnswer::Status::Found);
+      Out.setBusy(Answer.m_Status == ChunkAnswer::Status::Busy);
+      if (Out.getFound())
+        Out.setData(dataOf(Answer.m_Content));
     });
   }
 
@@ -537,13 +589,17 @@
 
 std::uint16_t RpcNode::port() const { return m_Impl->m_Port; }
 
-void RpcNode::remember(const InstanceId &Peer, const Endpoint &Address) {
+void RpcNode::remember(const InstanceId &Peer, const Endpoint &Address, bool Monitored) {
   Impl::Outgoing &Link = m_Impl->m_Outgoing[Peer];
-  if (Link.m_Address == Address)
-    return;
-  m_Impl->disconnect(Peer, Link);
-  Link.m_Address = Address;
-  m_Impl->connect(Peer, Link);
+  Link.m_IsMonitored = Monitored;
+  if (Link.m_Address != Address) {
+    m_Impl->disconnect(Peer, Link);
+    Link.m_Address = Address;
+    Link.m_NextConnect = TimePoint();
+  }
+  if (Monitored && !Link.m_IsReady && !Link.m_IsConnecting &&
+      EventLoop::now() >= Link.m_NextConnect)
+    m_Impl->connect(Peer, Link);
 }
 
 void RpcNode::forget(const InstanceId &Peer) {
@@ -594,44 +650,61 @@
 
 void RpcNode::fetchChunk(const InstanceId &Peer, const Digest &Chunk, Duration Timeout,
                          ChunkReply Reply) {
-  Impl::Outgoing *Link = m_Impl->readyLink(Peer);
-  if (!Link)
-    return Reply(std::nullopt);
-  KJ_IF_MAYBE (Client, Link->m_Client) {
-    auto Call = Client->fetchChunkRequest();
-    Call.setDigest(dataOf(Chunk));
-    auto Answer = Call.send().then([](auto &&Out) -> std::optional<std::string> {
-      if (!Out.getFound())
-        return std::nullopt;
-      return stringOf(Out.getData());
-    });
-    m_Impl->tasks().add(
-        m_Impl->timer()
-            .timeoutAfter(Timeout.count() * kj::MICROSECONDS, kj::mv(Answer))
-            .then([Reply](std::optional<std::string> Content) { Reply(std::move(Content)); },
-                  [Reply](kj::Exception &&) { Reply(std::nullopt); }));
-  }
+  m_Impl->whenOpen(
+      Peer, [Node = m_Impl.get(), Peer, Chunk, Timeout, Reply = std::move(Reply)](bool IsOpen) {
+        if (!IsOpen)
+          return Reply({ChunkAnswer::Status::NotSent, {}});
+        Node->sendFetch(Peer, Chunk, Timeout, Reply);
+      });
+}
+
+void RpcNode::Impl::sendFetch(const InstanceId &Peer, const Digest &Chunk, Duration Timeout,
+                              const ChunkReply &Reply) {
+  Outgoing &Link = *readyLink(Peer);
+  auto Call = KJ_ASSERT_NONNULL(Link.m_Client).fetchChunkRequest();
+  Call.setDigest(dataOf(Chunk));
+  auto Answer = Call.send().then([](auto &&Out) {
+    if (Out.getFound())
+      return ChunkAnswer{ChunkAnswer::Status::Found, stringOf(Out.getData())};
+    return ChunkAnswer{Out.getBusy() ? ChunkAnswer::Status::Busy : ChunkAnswer::Status::NotHeld,
+                       {}};
+  });
+  tasks().add(timer()
+                  .timeoutAfter(Timeout.count() * kj::MICROSECONDS, kj::mv(Answer))
+                  .then([Reply](ChunkAnswer Result) { Reply(std::move(Result)); },
+                        [this, Peer, Epoch = Link.m_Epoch, Reply](kj::Exception &&) {
+                          noteFailure(Peer, Epoch);
+                          Reply({ChunkAnswer::Status::NoAnswer, {}});
+                        }));
 }
 
 void RpcNode::control(const InstanceId &Peer, Topic Subject, std::string Payload, Duration Timeout,
                       ControlResult Done) {
-  Impl::Outgoing *Link = m_Impl->readyLink(Peer);
-  if (!Link)
-    return Done(std::nullopt);
-  ++m_Impl->m_Counters.m_ControlMessagesSent;
-  m_Impl->m_Counters.m_ControlBytesSent += Payload.size();
-  KJ_IF_MAYBE (Client, Link->m_Client) {
-    auto Call = Client->controlRequest();
-    Call.setTopic(static_cast<rpc::Topic>(Subject));
-    Call.setPayload(dataOf(Payload));
-    auto Answer = Call.send().then(
-        [](auto &&Out) -> std::optional<std::string> { return stringOf(Out.getPayload()); });
-    m_Impl->tasks().add(
-        m_Impl->timer()
-            .timeoutAfter(Timeout.count() * kj::MICROSECONDS, kj::mv(Answer))
-            .then([Done](std::optional<std::string> Content) { Done(std::move(Content)); },
-                  [Done](kj::Exception &&) { Done(std::nullopt); }));
-  }
+  m_Impl->whenOpen(Peer, [Node = m_Impl.get(), Peer, Subject, Payload = std::move(Payload), Timeout,
+                          Done = std::move(Done)](bool IsOpen) {
+    if (!IsOpen)
+      return Done(std::nullopt);
+    Node->sendControl(Peer, Subject, Payload, Timeout, Done);
+  });
+}
+
+void RpcNode::Impl::sendControl(const InstanceId &Peer, Topic Subject, const std::string &Payload,
+                                Duration Timeout, const ControlResult &Done) {
+  ++m_Counters.m_ControlMessagesSent;
+  m_Counters.m_ControlBytesSent += Payload.size();
+  Outgoing &Link = *readyLink(Peer);
+  auto Call = KJ_ASSERT_NONNULL(Link.m_Client).controlRequest();
+  Call.setTopic(static_cast<rpc::Topic>(Subject));
+  Call.setPayload(dataOf(Payload));
+  auto Answer = Call.send().then(
+      [](auto &&Out) -> std::optional<std::string> { return stringOf(Out.getPayload()); });
+  tasks().add(timer()
+                  .timeoutAfter(Timeout.count() * kj::MICROSECONDS, kj::mv(Answer))
+                  .then([Done](std::optional<std::string> Content) { Done(std::move(Content)); },
+                        [this, Peer, Epoch = Link.m_Epoch, Done](kj::Exception &&) {
+                          noteFailure(Peer, Epoch);
+                          Done(std::nullopt);
+                        }));
 }
 
 RpcNode::Counters RpcNode::counters() const {
--- a/src/librpc/RpcNode_test.cpp
+++ b/src/librpc/RpcNode_test.cpp
@@ -56,7 +56,10 @@
   }
   void onCancelAttempt(const PeerIdentity &, const AttemptId &) override {}
   void onFetchChunk(const PeerIdentity &, const Digest &Chunk, ChunkReply Reply) override {
-    Reply(Chunk == sha256("held") ? std::optional<std::string>("held") : std::nullopt);
+    if (Chunk == sha256("held"))
+      Reply({ChunkAnswer::Status::Found, "held"});
+    else
+      Reply({ChunkAnswer::Status::NotHeld, {}});
   }
   void onControl(const PeerIdentity &, Topic, std::string Payload, ControlReply Reply) override {
     Reply("echo " + Payload);
@@ -117,12 +120,12 @@
   RpcNode Server(Loop, optionsFor("agent"), Agent);
   RpcNode Client(Loop, optionsFor("entry"), Agent);
   InstanceId Peer("agent");
-  Loop.postAndWait([&] { Client.remember(Peer, {"127.0.0.1", Server.port()}); });
+  Loop.postAndWait([&] { Client.remember(Peer, {"127.0.0.1", Server.port()}, true); });
   REQUIRE(waitFor(Loop, [&] { return Client.isConnected(Peer); }));
 
   auto Sink = std::make_shared<RecordingSink>();
-  std::optional<std::string> Chunk;
-  std::optional<std::string> Missing = "unset";
+  ChunkAnswer Chunk;
+  ChunkAnswer Missing;
   std::optional<std::string> Answer;
   Event Replied;
   Loop.post([&] {
@@ -130,8 +133,9 @@
     Request.m_Attempt = AttemptId("a1");
     Request.m_Body = "some body";
     Client.runAttempt(Peer, Request, Sink);
-    Client.fetchChunk(Peer, sha256("held"), 10s, [&](auto Content) { Chunk = Content; });
-    Client.fetchChunk(Peer, sha256("other"), 10s, [&](auto Content) { Missing = Content; });
+    Client.fetchChunk(Peer, sha256("held"), 10s, [&](ChunkAnswer Received) { Chunk = Received; });
+    Client.fetchChunk(Peer, sha256("other"), 10s,
+                      [&](ChunkAnswer Received) { Missing = Received; });
     Client.control(Peer, Topic::Claims, "hi", 10s, [&](auto Payload) {
       Answer = Payload;
       Replied.set();
@@ -141,8 +145,8 @@
   REQUIRE(Replied.wait());
   CHECK(Sink->m_Answer == "some body");
   CHECK(Sink->m_End.m_Status == AttemptStatus::Complete);
-  CHECK(Chunk == "held");
-  CHECK_FALSE(Missing.has_value());
+  CHECK(Chunk.m_Content == "held");
+  CHECK(Missing.m_Status == ChunkAnswer::Status::NotHeld);
   CHECK(Answer == "echo hi");
 }
 
@@ -156,7 +160,7 @@
   FakeAgent Unused;
   RpcNode Client(Loop, optionsFor("entry"), Unused);
   InstanceId Peer("agent");
-  Loop.postAndWait([&] { Client.remember(Peer, {"127.0.0.1", Server->port()}); });
+  Loop.postAndWait([&] { Client.remember(Peer, {"127.0.0.1", Server->port()}, true); });
   REQUIRE(waitFor(Loop, [&] { return Client.isConnected(Peer); }));
   auto Sink = std::make_shared<RecordingSink>();
   AttemptRequest Request;
@@ -180,7 +184,7 @@
   FakeAgent Unused;
   RpcNode Client(Loop, optionsFor("entry"), Unused);
   InstanceId Peer("agent");
-  Loop.postAndWait([&] { Client.remember(Peer, {"127.0.0.1", Server.port()}); });
+  Loop.postAndWait([&] { Client.remember(Peer, {"127.0.0.1", Server.port()}, true); });
   REQUIRE(waitFor(Loop, [&] { return Client.isConnected(Peer); }));
   Event Release;
   ServerLoop.post([&] { Release.wait(); });
@@ -202,8 +206,8 @@
   std::string Bytes(4096, '\xff');
   Garbage.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
   Loop.postAndWait([&] {
-    Stranger.remember(Peer, {"127.0.0.1", Server.port()});
-    Client.remember(Peer, {"127.0.0.1", Server.port()});
+    Stranger.remember(Peer, {"127.0.0.1", Server.port()}, true);
+    Client.remember(Peer, {"127.0.0.1", Server.port()}, true);
   });
   CHECK(waitFor(Loop, [&] { return Client.isConnected(Peer); }));
   CHECK(waitFor(Loop, [&] { return Server.counters().m_ConnectionsLost > 0; }));
