--- /dev/null
+++ b/src/fescuegauged/DeclarationSpec.cpp
@@ -0,0 +1,82 @@
+#include "DeclarationSpec.h"
+
+#include <array>
+#include <boost/json.hpp>
+
+namespace fescuegauge {
+
+namespace json = boost::json;
+
+namespace {
+
+/// Keys of durations: in a specification, and in the canonical text of a declaration.
+struct DurationKey {
+  std::string_view m_Spec;
+  std::string_view m_Canonical;
+};
+constexpr std::array<DurationKey, 3> DurationKeys{{{"answerWithinMs", "answerWithin"},
+                                                   {"firstTokenWithinMs", "firstTokenWithin"},
+                                                   {"staleAfterMs", "staleAfter"}}};
+
+void durationsToCanonical(json::object &Object) {
+  for (const DurationKey &Key : DurationKeys) {
+    const json::value *Found = Object.if_contains(Key.m_Spec);
+    if (!Found || !Found->is_int64())
+      continue;
+    std::string Text = std::to_string(Found->as_int64()) + "ms";
+    Object.erase(Key.m_Spec);
+    Object[Key.m_Canonical] = Text;
+  }
+}
+
+void durationsToSpec(json::object &Object) {
+  for (const DurationKey &Key : DurationKeys) {
+    const json::value *Found = Object.if_contains(Key.m_Canonical);
+    if (!Found || !Found->is_string())
+      continue;
+    auto Length = parseDuration(std::string_view(Found->as_string()));
+    Object.erase(Key.m_Canonical);
+    if (Length)
+      Object[Key.m_Spec] = Length->count() / 1000;
+  }
+}
+
+void rename(json::object &Object, std::string_view From, std::string_view To) {
+  const json::value *Found = Object.if_contains(From);
+  if (!Found)
+    return;
+  json::value Value = *Found;
+  Object.erase(From);
+  Object[To] = std::move(Value);
+}
+
+} // namespace
+
+DeclarationSpec specOf(const Declaration &Declared) {
+  json::object Object = json::parse(encodeDeclaration(Declared)).as_object();
+  DeclarationSpec Result;
+  Result.m_Kind = std::string(Object.at("kind").as_string());
+  Object.erase("kind");
+  Object.erase("manifestRoot");
+  Object.erase("holdClass");
+  rename(Object, "holdPromise", "promise");
+  durationsToSpec(Object);
+  Result.m_Spec = std::move(Object);
+  return Result;
+}
+
+ParsedDeclarations parseSpec(const DeclarationSpec &Spec, const Digest &ManifestRoot) {
+  json::object Object = Spec.m_Spec;
+  Object["kind"] = Spec.m_Kind;
+  durationsToCanonical(Object);
+  if (Spec.m_Kind == "rollout")
+    Object["manifestRoot"] = ManifestRoot.hex();
+  if (Spec.m_Kind == "move") {
+    rename(Object, "promise", "holdPromise");
+    if (const json::value *Class = Object.if_contains("class"))
+      Object["holdClass"] = *Class;
+  }
+  return parseDeclaration(json::serialize(Object), "spec");
+}
+
+} // namespace fescuegauge
--- a/src/fescuegauged/EngineClient.cpp
+++ b/src/fescuegauged/EngineClient.cpp
@@ -184,7 +184,7 @@
   } else if (Answer.isOk()) {
     Result.m_Status = EngineRunResult::Status::Complete;
     Result.m_TotalBytes = Answer.m_Body.size();
-    OnFragment(0, std::move(Answer.m_Body));
+    OnFragment(0, std::move(Answer.m_Body), Digest());
   } else {
     Result.m_Reason = "status " + std::to_string(Answer.m_Status) + " from the service";
   }
@@ -230,7 +230,7 @@
       std::size_t Size = Text.size();
       if (Offset + Size > m_MaxAnswer.count())
         break;
-      OnFragment(Offset, std::move(Text));
+      OnFragment(Offset, std::move(Text), Result.m_ServedRoot);
       Offset += Size;
     }
     Result.m_Reason = "the answer ended before its last event";
--- a/src/fescuegauged/EngineClient.h
+++ b/src/fescuegauged/EngineClient.h
@@ -61,7 +61,8 @@
   EngineLoadResult load(const Manifest &Model, const std::string &Version,
                         FencingToken Token) const;
 
-  using FragmentHandler = std::function<void(std::uint64_t Offset, std::string Data)>;
+  using FragmentHandler =
+      std::function<void(std::uint64_t Offset, std::string Data, const Digest &ServedRoot)>;
   /// Runs one attempt. `Cancelled` is looked at between fragments.
   EngineRunResult run(const AttemptRequest &Request, const FragmentHandler &OnFragment,
                       const std::atomic<bool> &Cancelled) const;
--- /dev/null
+++ b/src/fescuegauged/MembershipService.cpp
@@ -0,0 +1,193 @@
+#include "MembershipService.h"
+
+#include "Fescuegauge/Log.h"
+#include "Fescuegauge/Rendezvous.h"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+
+namespace fescuegauge {
+
+namespace {
+
+constexpr Duration TickInterval = std::chrono::milliseconds(50);
+
+std::string_view stateName(InstanceState State) {
+  switch (State) {
+  case InstanceState::Joining:
+    return "joining";
+  case InstanceState::Live:
+    return "live";
+  case InstanceState::Suspect:
+    return "suspect";
+  case InstanceState::Leaving:
+    return "leaving";
+  case InstanceState::Dead:
+    return "dead";
+  }
+  return "unknown";
+}
+
+InstanceRecord ownRecord(const Settings &Configured, Incarnation Started) {
+  InstanceRecord Record;
+  Record.m_Id = Configured.m_Id;
+  Record.m_Role = Configured.m_Role;
+  Record.m_State = InstanceState::Live;
+  Record.m_Incarnation = Started;
+  Record.m_DataCentre = Configured.m_DataCentre;
+  Record.m_Region = Configured.m_Region;
+  if (Configured.m_Role == InstanceRole::Agent) {
+    Record.m_Service = Configured.m_Agent.m_Service;
+    Record.m_Generation = Configured.m_Agent.m_Generation;
+    Record.m_Capacity = Configured.m_Agent.m_Capacity;
+  }
+  return Record;
+}
+
+} // namespace
+
+MembershipService::MembershipService(const Settings &Configured, Incarnation Started,
+                                     EventLoop &Loop)
+    : Service("membership"), m_Settings(Configured), m_Loop(Loop),
+      m_Record(ownRecord(Configured, Started)) {}
+
+void MembershipService::start(Kernel &Services) {
+  m_Platform = &Services.find<PlatformService>("platform");
+  m_Rpc = &Services.find<RpcService>("rpc");
+  m_Record.m_Endpoint = {m_Settings.m_Listen.m_Rpc.m_Host, m_Rpc->node().port()};
+  std::vector<Endpoint> Seeds;
+  for (const Seed &Known : m_Settings.m_Seeds) {
+    Seeds.push_back(Known.m_Address);
+    m_IdsByAddress[Known.m_Address] = Known.m_Id;
+  }
+  m_Membership = std::make_unique<Membership>(m_Record, std::move(Seeds),
+                                              std::hash<std::string>{}(m_Record.m_Id.str()) ^
+                                                  m_Record.m_Incarnation.value());
+  m_Loop.postAndWait([this] {
+    m_Rpc->onTopic(Topic::Membership, [this](const PeerIdentity &From, const std::string &Payload,
+                                             const ControlReply &Reply) {
+      Reply({});
+      if (auto Message = MembershipMessage::decode(Payload))
+        carryOut(m_Membership->onMessage(From.m_Instance, *Message, EventLoop::now()));
+      else
+        logEvent(Severity::Warning, "message_malformed",
+                 {{"peer", From.m_Instance}, {"topic", "membership"}});
+    });
+    carryOut(m_Membership->start(EventLoop::now()));
+  });
+  m_Loop.every(TickInterval, [this] {
+    TimePoint Now = EventLoop::now();
+    if (Now >= m_Membership->nextWake())
+      carryOut(m_Membership->onTime(Now));
+    if (Now >= m_NextListRead && !m_ListReadUnderWay)
+      readList();
+  });
+}
+
+void MembershipService::beginDrain() {
+  m_Loop.postAndWait([this] { carryOut(m_Membership->leave(EventLoop::now())); });
+}
+
+bool MembershipService::isListReader() const {
+  if (m_Record.m_Role == InstanceRole::Agent)
+    return m_Membership->watchers().empty();
+  std::vector<InstanceId> Entries = m_Membership->entries(m_Record.m_DataCentre);
+  Entries.push_back(m_Record.m_Id);
+  auto Readers = rendezvousRank("instance-list", Entries, ListReaders);
+  return std::find(Readers.begin(), Readers.end(), m_Record.m_Id) != Readers.end();
+}
+
+void MembershipService::readList() {
+  bool IsAlone = m_Membership->members().empty();
+  m_NextListRead = EventLoop::now() + (IsAlone ? FirstListInterval : ListInterval);
+  if (!isListReader())
+    return;
+  m_ListReadUnderWay = true;
+  m_Platform->instances([this](const PlatformService::Records &Listed) {
+    m_ListReadUnderWay = false;
+    if (!Listed)
+      return;
+    std::vector<PlatformListEntry> Entries;
+    for (const InstanceRecord &Record : *Listed) {
+      m_IdsByAddress[Record.m_Endpoint] = Record.m_Id;
+      Entries.push_back({Record.m_Id, Record.m_DataCentre, Record.m_Endpoint,
+                         Record.m_State == InstanceState::Leaving});
+    }
+    carryOut(m_Membership->onPlatformList(Entries, EventLoop::now()));
+  });
+}
+
+void MembershipService::updateSelf(const std::function<void(InstanceRecord &)> &Change) {
+  InstanceRecord Record = m_Membership->self();
+  InstanceRecord Before = Record;
+  Change(Record);
+  if (Record != Before)
+    carryOut(m_Membership->updateSelf(Record, EventLoop::now()));
+}
+
+void MembershipService::carryOut(const Membership::Actions &Actions) {
+  for (const Membership::Action &Action : Actions) {
+    if (const auto *Message = std::get_if<Membership::Send>(&Action)) {
+      sendMessage(*Message);
+    } else if (const auto *Change = std::get_if<Membership::Changed>(&Action)) {
+      const InstanceRecord &Record = *Change->m_Record;
+      logEvent(Severity::Info, "member_changed",
+               {{"member", Record.m_Id},
+                {"state", stateName(Record.m_State)},
+                {"incarnation", Record.m_Incarnation}});
+      for (const ChangeHook &Hook : m_ChangeHooks)
+        Hook(Record);
+    } else if (const auto *Passed = std::get_if<Membership::Attachment>(&Action)) {
+      if (m_AttachmentHook)
+        m_AttachmentHook(Passed->m_From, Passed->m_Bytes);
+    }
+  }
+}
+
+void MembershipService::sendMessage(const Membership::Send &Message) {
+  InstanceId To = Message.m_To;
+  if (To.empty()) {
+    auto Known = m_IdsByAddress.find(Message.m_Endpoint);
+    if (Known == m_IdsByAddress.end())
+      return;
+    To = Known->second;
+  }
+  if (To == m_Record.m_Id)
+    return;
+  if (Message.m_Endpoint.m_Port != 0 && !m_Membership->find(To))
+    m_Rpc->node().remember(To, Message.m_Endpoint, false);
+  send(To, Topic::Membership, Message.m_Message.encode());
+}
+
+void MembershipService::send(const InstanceId &To, Topic Subject, std::string Payload,
+                             RpcNode::ControlResult Done, Duration Timeout) {
+  const InstanceRecord *Known = m_Membership->find(To);
+  if (Known && Known->m_Endpoint.m_Port != 0 && !m_Rpc->node().isMonitored(To))
+    m_Rpc->node().remember(To, Known->m_Endpoint, false);
+  if (!Done)
+    Done = [](const std::optional<std::string> &) {};
+  m_Rpc->node().control(To, Subject, std::move(Payload), Timeout, std::move(Done));
+}
+
+boost::json::object MembershipService::dumpState() const {
+  boost::json::array Members;
+  boost::json::object State;
+  m_Loop.postAndWait([&] {
+    for (const auto &Member : m_Membership->members())
+      Members.push_back({{"id", Member->m_Id.str()},
+                         {"role", Member->m_Role == InstanceRole::Entry ? "entry" : "agent"},
+                         {"state", stateName(Member->m_State)},
+                         {"incarnation", Member->m_Incarnation.value()},
+                         {"dataCentre", Member->m_DataCentre.str()},
+                         {"service", Member->m_Service.str()},
+                         {"generation", Member->m_Generation.str()},
+                         {"servedDigest", Member->m_ServedDigest.hex()}});
+    State["incarnation"] = m_Membership->self().m_Incarnation.value();
+    State["isRelay"] = m_Membership->isRelay();
+    State["declaredDead"] = m_Membership->declaredDead();
+  });
+  State["members"] = std::move(Members);
+  return State;
+}
+
+} // namespace fescuegauge
--- /dev/null
+++ b/src/fescuegauged/OperatorService.cpp
@@ -0,0 +1,431 @@
+#include "OperatorService.h"
+
+#include "Fescuegauge/Log.h"
+#include "Fescuegauge/Manifest.h"
+#include "Fescuegauge/OriginBudget.h"
+#include "WeightsService.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <future>
+
+namespace fescuegauge {
+
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view ChangeQuery = "change";
+constexpr std::string_view DumpQuery = "dump";
+/// A dump of another process is collected on its worker threads and can be large.
+constexpr Duration DumpTimeout = 5s;
+
+/// Runs `Start` on the loop and waits until it has called the function that it was given.
+template <typename Result>
+Result waitFor(EventLoop &Loop, const std::function<void(std::function<void(Result)>)> &Start) {
+  auto Promise = std::make_shared<std::promise<Result>>();
+  auto Future = Promise->get_future();
+  Loop.post([Start, Promise] {
+    Start([Promise](Result Value) { Promise->set_value(std::move(Value)); });
+  });
+  return Future.get();
+}
+
+json::value nullable(const json::object *Object, std::string_view Key) {
+  const json::value *Found = Object ? Object->if_contains(Key) : nullptr;
+  return Found ? *Found : json::value();
+}
+
+std::string textOf(const json::object &Object, std::string_view Key) {
+  const json::value *Found = Object.if_contains(Key);
+  return Found && Found->is_string() ? std::string(Found->as_string()) : std::string();
+}
+
+std::optional<std::uint64_t> numberOf(const json::object &Object, std::string_view Key) {
+  const json::value *Found = Object.if_contains(Key);
+  if (!Found || !Found->is_number())
+    return std::nullopt;
+  boost::system::error_code Error;
+  auto Number = Found->to_number<std::uint64_t>(Error);
+  if (Error)
+    return std::nullopt;
+  return Number;
+}
+
+std::optional<Manifest> manifestFromOrigin(const std::string &Text) {
+  boost::system::error_code Error;
+  json::value Parsed = json::parse(Text, Error);
+  const json::value Listed = nullable(Error ? nullptr : Parsed.if_object(), "chunks");
+  if (!Listed.is_array() || Listed.as_array().empty() ||
+      Listed.as_array().size() > Manifest::MaxChunks)
+    return std::nullopt;
+  std::vector<ChunkRef> Chunks;
+  for (const json::value &Entry : Listed.as_array()) {
+    const json::object *Fields = Entry.if_object();
+    auto Name = Fields ? Digest::fromHex(textOf(*Fields, "digest")) : std::nullopt;
+    auto Size = Fields ? numberOf(*Fields, "size") : std::nullopt;
+    if (!Name || !Size || *Size == 0 || *Size > Manifest::MaxChunkSize.count())
+      return std::nullopt;
+    Chunks.push_back({*Name, Bytes(*Size)});
+  }
+  return Manifest(std::move(Chunks));
+}
+
+json::object declarationJson(const DeclarationName &Name, const Declaration &Declared) {
+  DeclarationSpec Spec = specOf(Declared);
+  return {{"name", Name.str()}, {"kind", Spec.m_Kind}, {"spec", Spec.m_Spec}};
+}
+
+} // namespace
+
+void OperatorService::start(Kernel &Services) {
+  m_Kernel = &Services;
+  m_Platform = &Services.find<PlatformService>("platform");
+  m_Membership = &Services.find<MembershipService>("membership");
+  m_Targets = &Services.find<TargetsService>("targets");
+  auto &Rpc = Services.find<RpcService>("rpc");
+  m_Loop.postAndWait([this, &Rpc] {
+    Rpc.onTopic(Topic::Operator, [this](const PeerIdentity &, const std::string &Query,
+                                        const ControlReply &Reply) {
+      if (Query == ChangeQuery)
+        return Reply(m_Targets->isReady()
+                         ? std::to_string(m_Targets->configuration().number().value())
+                         : std::string());
+      if (Query != DumpQuery)
+        return Reply({});
+      auto Text = std::make_shared<std::string>();
+      m_Loop.runBlocking([this, Text] { *Text = json::serialize(m_Kernel->dumpState()); },
+                         [Text, Reply] { Reply(std::move(*Text)); });
+    });
+  });
+  if (m_Settings.m_Role != InstanceRole::Entry)
+    return;
+  auto &Http = Services.find<HttpService>("http");
+  Http.route("GET /operator/targets", [this](HttpExchange &Exchange) { serveTargets(Exchange); });
+  Http.route("POST /operator/targets", [this](HttpExchange &Exchange) { serveChange(Exchange); });
+  Http.route("GET /operator/history", [this](HttpExchange &Exchange) { serveHistory(Exchange); });
+  Http.route("GET /operator/status", [this](HttpExchange &Exchange) { serveStatus(Exchange); });
+  Http.route("GET /operator/instances", [this](HttpExchange &Exchange) { serveDump(Exchange); });
+}
+
+void OperatorService::serveTargets(HttpExchange &Exchange) {
+  json::array Declarations;
+  ChangeNumber Number;
+  bool IsReady = false;
+  m_Loop.postAndWait([&] {
+    IsReady = m_Targets->isReady();
+    Number = m_Targets->configuration().number();
+    for (const auto &[Name, Entry] : m_Targets->configuration().entries()) {
+      if (!Entry.m_Stored)
+        continue;
+      json::object Declared = declarationJson(Name, Entry.m_Stored->m_Declaration);
+      Declared["change"] = Entry.m_SetBy.value();
+      Declarations.push_back(std::move(Declared));
+    }
+  });
+  if (!IsReady)
+    return Exchange.answerError(ErrorKind::NotReady, "this instance has no configuration yet");
+  Exchange.answer(
+      json::object{{"change", Number.value()}, {"declarations", std::move(Declarations)}});
+}
+
+/// Stores the manifest of a rollout's version where agents find it and returns its root digest.
+std::optional<Digest> OperatorService::publishManifest(const DeclarationSpec &Spec) {
+  ServiceId Model(textOf(Spec.m_Spec, "service"));
+  ModelVersionId Version(textOf(Spec.m_Spec, "version"));
+  using Content = PlatformService::Content;
+  Content Text = waitFor<Content>(m_Loop, [&](std::function<void(Content)> Done) {
+    m_Platform->manifest(Model, Version, std::move(Done));
+  });
+  auto Found = Text ? manifestFromOrigin(*Text) : std::nullopt;
+  if (!Found)
+    return std::nullopt;
+  bool Stored = waitFor<bool>(m_Loop, [&](std::function<void(bool)> Done) {
+    m_Platform->putObject(manifestObjectName(Found->rootDigest()), Found->encode(),
+                          std::move(Done));
+  });
+  if (!Stored)
+    return std::nullopt;
+  return Found->rootDigest();
+}
+
+/// Adds the edit for one put; answers the exchange and returns false if it is not sound.
+bool OperatorService::readPut(HttpExchange &Exchange, const json::value &Value,
+                              std::vector<DeclarationEdit> &Edits) {
+  const json::object *Fields = Value.if_object();
+  const json::value Spec = nullable(Fields, "spec");
+  if (!Spec.is_object()) {
+    Exchange.answerError(ErrorKind::InvalidDeclaration, "each put needs kind and spec");
+    return false;
+  }
+  DeclarationSpec Written{textOf(*Fields, "kind"), Spec.as_object()};
+  Digest Root;
+  if (Written.m_Kind == "rollout") {
+    auto Published = publishManifest(Written);
+    if (!Published) {
+      Exchange.answerError(ErrorKind::PeerUnreachable,
+                           "the manifest of version \"" + textOf(Written.m_Spec, "version") +
+                               "\" cannot be read from the origin or stored");
+      return false;
+    }
+    Root = *Published;
+  }
+  ParsedDeclarations Parsed = parseSpec(Written, Root);
+  if (!Parsed.m_Errors.empty()) {
+    std::string Message;
+    for (const DeclarationError &Fault : Parsed.m_Errors)
+      Message += (Message.empty() ? "" : "; ") + Fault.text();
+    Exchange.answerError(ErrorKind::InvalidDeclaration, Message);
+    return false;
+  }
+  DeclarationName Name = declarationName(Parsed.m_Declarations.front());
+  std::string Given = textOf(*Fields, "name");
+  if (!Given.empty() && Given != Name.str()) {
+    Exchange.answerError(ErrorKind::InvalidDeclaration,
+                         "the name \"" + Given + "\" must be \"" + Name.str() + "\"");
+    return false;
+  }
+  Edits.push_back({Name, Parsed.m_Declarations.front()});
+  return true;
+}
+
+void OperatorService::serveChange(HttpExchange &Exchange) {
+  if (auto Failure = Exchange.readBody(m_Settings.m_Limits))
+    return Exchange.answerError(*Failure, "the body cannot be read");
+  boost::system::error_code Error;
+  json::value Body = json::parse(Exchange.body(), Error);
+  const json::object *Fields = Error ? nullptr : Body.if_object();
+  ChangeRequest Request;
+  if (Fields) {
+    Request.m_Id = ChangeId(textOf(*Fields, "changeId"));
+    Request.m_Author = textOf(*Fields, "author");
+    if (auto Base = numberOf(*Fields, "base"))
+      Request.m_Base = ChangeNumber(*Base);
+  }
+  if (Request.m_Id.empty())
+    return Exchange.answerError(ErrorKind::MalformedRequest,
+                                "expected a JSON object with changeId, author, puts and deletes");
+  const json::value Puts = nullable(Fields, "puts");
+  if (Puts.is_array())
+    for (const json::value &Put : Puts.as_array())
+      if (!readPut(Exchange, Put, Request.m_Edits))
+        return;
+  const json::value Deletes = nullable(Fields, "deletes");
+  if (Deletes.is_array())
+    for (const json::value &Name : Deletes.as_array())
+      if (Name.is_string())
+        Request.m_Edits.push_back(
+            {DeclarationName(std::string(Name.as_string())), std::nullopt});
+  ChangeOutcome Outcome =
+      waitFor<ChangeOutcome>(m_Loop, [&](std::function<void(ChangeOutcome)> Done) {
+        m_Targets->apply(Request, std::move(Done));
+      });
+  answerOutcome(Exchange, Request, Outcome);
+}
+
+void OperatorService::answerOutcome(HttpExchange &Exchange, const ChangeRequest &Request,
+                                    const ChangeOutcome &Outcome) {
+  switch (Outcome.m_Status) {
+  case ChangeOutcome::Status::Accepted:
+    return Exchange.answer(
+        json::object{{"outcome", "accepted"}, {"change", Outcome.m_Number.value()}});
+  case ChangeOutcome::Status::Unchanged:
+    return Exchange.answer(
+        json::object{{"outcome", "unchanged"}, {"change", Outcome.m_Number.value()}});
+  case ChangeOutcome::Status::Unknown:
+    return Exchange.answer(
+        json::object{{"outcome", "unknown"}, {"changeId", Request.m_Id.str()}}, 504);
+  case ChangeOutcome::Status::Refused:
+    break;
+  }
+  if (Outcome.m_Error != ErrorKind::StaleBaseVersion)
+    return Exchange.answerError(Outcome.m_Error, Outcome.m_Message, std::nullopt, WasRun::No);
+  Exchange.answer(json::object{{"outcome", "refused"},
+                               {"error", errorAnswer(Outcome.m_Error).m_Name},
+                               {"message", Outcome.m_Message},
+                               {"change", Outcome.m_Number.value()},
+                               {"conflicts", conflictsSince(Request)}},
+                  409);
+}
+
+std::optional<TableRow> OperatorService::readRow(const std::string &Key) {
+  using Row = std::optional<TableRow>;
+  return waitFor<Row>(m_Loop, [&](std::function<void(Row)> Done) {
+    m_Platform->read(Key, std::move(Done));
+  });
+}
+
+/// The declarations of the request that later changes than its base have touched.
+json::array OperatorService::conflictsSince(const ChangeRequest &Request) {
+  json::array Conflicts;
+  Configuration InForce;
+  m_Loop.postAndWait([&] { InForce = m_Targets->configuration(); });
+  for (const DeclarationEdit &Edit : Request.m_Edits) {
+    auto Entry = InForce.entries().find(Edit.m_Name);
+    if (Entry == InForce.entries().end() || Entry->second.m_SetBy <= Request.m_Base)
+      continue;
+    json::object Conflict{{"name", Edit.m_Name.str()},
+                          {"author", ""},
+                          {"change", Entry->second.m_SetBy.value()},
+                          {"spec", nullptr}};
+    if (Entry->second.m_Stored)
+      Conflict["spec"] = specOf(Entry->second.m_Stored->m_Declaration).m_Spec;
+    auto Row = readRow(changeKey(Entry->second.m_SetBy));
+    if (auto Known = Row ? Change::decode(Row->m_Value) : std::nullopt)
+      Conflict["author"] = Known->m_Author;
+    Conflicts.push_back(std::move(Conflict));
+  }
+  return Conflicts;
+}
+
+void OperatorService::serveHistory(HttpExchange &Exchange) {
+  std::uint64_t After = std::strtoull(Exchange.query("after").c_str(), nullptr, 10);
+  std::string LimitText = Exchange.query("limit");
+  std::size_t Limit = LimitText.empty() ? MaxHistoryPage : std::strtoul(LimitText.c_str(), nullptr, 10);
+  Limit = std::min(Limit, MaxHistoryPage);
+  ChangeNumber Last;
+  m_Loop.postAndWait([&] { Last = m_Targets->configuration().number(); });
+  json::array Changes;
+  for (std::uint64_t Number = After + 1; Number <= Last.value() && Changes.size() < Limit;
+       ++Number) {
+    auto Row = readRow(changeKey(ChangeNumber(Number)));
+    if (!Row)
+      return Exchange.answerError(ErrorKind::TableUnreachable, "the table did not answer");
+    auto Known = Change::decode(Row->m_Value);
+    if (!Known)
+      continue;
+    json::array Puts;
+    json::array Deletes;
+    for (const DeclarationEdit &Edit : Known->m_Edits)
+      (Edit.m_Declaration ? Puts : Deletes).emplace_back(Edit.m_Name.str());
+    Changes.push_back({{"change", Number},
+                       {"changeId", Known->m_Id.str()},
+                       {"author", Known->m_Author},
+                       {"puts", std::move(Puts)},
+                       {"deletes", std::move(Deletes)}});
+  }
+  Exchange.answer(json::object{{"changes", std::move(Changes)}});
+}
+
+json::object OperatorService::rolloutStatus(const RolloutDeclaration &Rollout,
+                                            ChangeNumber SetBy,
+                                            const DataCentreId &DataCentre) const {
+  std::size_t Live = 0;
+  std::size_t Wanted = 0;
+  for (const auto &Member : m_Membership->view().members()) {
+    if (Member->m_Role != InstanceRole::Agent || Member->m_DataCentre != DataCentre ||
+        Member->m_Service != Rollout.m_Service ||
+        (!Rollout.m_Generation.empty() && Member->m_Generation != Rollout.m_Generation))
+      continue;
+    ++Wanted;
+    if (Member->m_ServedDigest == Rollout.m_ManifestRoot)
+      ++Live;
+  }
+  return {{"service", Rollout.m_Service.str()},
+          {"version", Rollout.m_Version.str()},
+          {"rootDigest", Rollout.m_ManifestRoot.hex()},
+          {"change", SetBy.value()},
+          {"live", Live},
+          {"wanted", Wanted},
+          {"originBytes", 0}};
+}
+
+void OperatorService::serveStatus(HttpExchange &Exchange) {
+  using Lags = std::vector<DataCentreLag>;
+  Lags Collected = waitFor<Lags>(m_Loop, [&](std::function<void(Lags)> Done) {
+    m_Targets->collectLag(std::move(Done));
+  });
+  json::array DataCentres;
+  ChangeNumber Number;
+  std::vector<std::string> GrantKeys;
+  m_Loop.postAndWait([&] {
+    const Membership &View = m_Membership->view();
+    const Configuration &InForce = m_Targets->configuration();
+    Number = InForce.number();
+    for (const DataCentreId &DataCentre : View.dataCentres()) {
+      std::size_t Instances = DataCentre == m_Settings.m_DataCentre ? 1 : 0;
+      std::size_t Live = Instances;
+      for (const auto &Member : View.members()) {
+        if (Member->m_DataCentre != DataCentre)
+          continue;
+        ++Instances;
+        Live += Member->m_State == InstanceState::Live ? 1 : 0;
+      }
+      json::object Entry{{"dataCentre", DataCentre.str()},
+                         {"change", Number.value()},
+                         {"instances", Instances},
+                         {"live", Live}};
+      json::array Laggards;
+      json::array Unreachable;
+      for (const DataCentreLag &Lag : Collected) {
+        if (Lag.m_DataCentre != DataCentre)
+          continue;
+        Entry["change"] = Lag.m_InForce.value();
+        for (const InstanceId &Behind : Lag.m_Lagging)
+          Laggards.push_back({{"instance", Behind.str()}, {"change", 0}});
+        for (const InstanceId &Lost : Lag.m_NotReached)
+          Unreachable.emplace_back(Lost.str());
+      }
+      Entry["laggards"] = std::move(Laggards);
+      Entry["unreachable"] = std::move(Unreachable);
+      json::array Rollouts;
+      for (const auto &[Name, Stored] : InForce.entries()) {
+        const auto *Rollout =
+            Stored.m_Stored ? std::get_if<RolloutDeclaration>(&Stored.m_Stored->m_Declaration)
+                            : nullptr;
+        if (!Rollout)
+          continue;
+        Rollouts.push_back(rolloutStatus(*Rollout, Stored.m_SetBy, DataCentre));
+        GrantKeys.push_back("grant/" + Rollout->m_Service.str() + "-" +
+                            std::to_string(Stored.m_SetBy.value()));
+      }
+      Entry["rollouts"] = std::move(Rollouts);
+      DataCentres.push_back(std::move(Entry));
+    }
+  });
+  // Granted bytes are an upper bound of what the rollout has drawn from the origin.
+  std::map<std::string, std::uint64_t> Granted;
+  for (const std::string &Key : GrantKeys) {
+    if (Granted.contains(Key))
+      continue;
+    auto Row = readRow(Key);
+    auto Parsed = Row ? GrantRow::parse(Row->m_Value) : std::nullopt;
+    Granted[Key] = Parsed ? Parsed->m_Granted.count() : 0;
+  }
+  for (json::value &DataCentre : DataCentres)
+    for (json::value &Rollout : DataCentre.as_object()["rollouts"].as_array()) {
+      json::object &Fields = Rollout.as_object();
+      std::string Key = "grant/" + std::string(Fields["service"].as_string()) + "-" +
+                        std::to_string(Fields["change"].to_number<std::uint64_t>());
+      Fields["originBytes"] = Granted[Key];
+    }
+  Exchange.answer(
+      json::object{{"change", Number.value()}, {"dataCentres", std::move(DataCentres)}});
+}
+
+void OperatorService::serveDump(HttpExchange &Exchange) {
+  const auto &Path = Exchange.segments();
+  if (Path.size() != 4 || Path[3] != "dump")
+    return Exchange.answerError(ErrorKind::MalformedRequest,
+                                "expected GET /operator/instances/ID/dump");
+  InstanceId Wanted(Path[2]);
+  if (Wanted == m_Settings.m_Id)
+    return Exchange.answer(m_Kernel->dumpState());
+  bool IsKnown = false;
+  m_Loop.postAndWait([&] { IsKnown = m_Membership->view().find(Wanted) != nullptr; });
+  if (!IsKnown)
+    return Exchange.answerError(ErrorKind::UnknownInstance,
+                                "no instance \"" + Wanted.str() + "\" is known");
+  using Text = std::optional<std::string>;
+  Text Dump = waitFor<Text>(m_Loop, [&](std::function<void(Text)> Done) {
+    m_Membership->send(Wanted, Topic::Operator, std::string(DumpQuery), std::move(Done),
+                       DumpTimeout);
+  });
+  if (!Dump || Dump->empty())
+    return Exchange.answerError(ErrorKind::PeerUnreachable,
+                                "instance \"" + Wanted.str() + "\" did not answer");
+  Exchange.answerText(*Dump, "application/json");
+}
+
+} // namespace fescuegauge
--- /dev/null
+++ b/src/fescuegauged/OperatorService.h
@@ -0,0 +1,57 @@
+#ifndef FESCUEGAUGE_FESCUEGAUGED_OPERATORSERVICE_H
+#define FESCUEGAUGE_FESCUEGAUGED_OPERATORSERVICE_H
+
+#include "DeclarationSpec.h"
+#include "HttpService.h"
+#include "TargetsService.h"
+
+#include <map>
+
+namespace fescuegauge {
+
+/// Service "operator": the operators' HTTP interface of an entry instance, and answers to other
+/// processes that ask for this one's state.
+class OperatorService : public Service {
+public:
+  /// Changes in one page of the history.
+  static constexpr std::size_t MaxHistoryPage = 64;
+
+  OperatorService(const Settings &Configured, EventLoop &Loop)
+      : Service("operator"), m_Settings(Configured), m_Loop(Loop) {}
+
+  void start(Kernel &Services) override;
+
+private:
+  struct Put {
+    std::string m_Name;
+    DeclarationSpec m_Spec;
+  };
+
+  // Called by HTTP threads.
+  void serveTargets(HttpExchange &Exchange);
+  void serveChange(HttpExchange &Exchange);
+  void serveHistory(HttpExchange &Exchange);
+  void serveStatus(HttpExchange &Exchange);
+  void serveDump(HttpExchange &Exchange);
+  bool readPut(HttpExchange &Exchange, const boost::json::value &Value,
+               std::vector<DeclarationEdit> &Edits);
+  std::optional<Digest> publishManifest(const DeclarationSpec &Spec);
+  void answerOutcome(HttpExchange &Exchange, const ChangeRequest &Request,
+                     const ChangeOutcome &Outcome);
+  boost::json::array conflictsSince(const ChangeRequest &Request);
+  std::optional<TableRow> readRow(const std::string &Key);
+
+  boost::json::object rolloutStatus(const RolloutDeclaration &Rollout, ChangeNumber SetBy,
+                                    const DataCentreId &DataCentre) const;
+
+  const Settings &m_Settings;
+  EventLoop &m_Loop;
+  Kernel *m_Kernel = nullptr;
+  PlatformService *m_Platform = nullptr;
+  MembershipService *m_Membership = nullptr;
+  TargetsService *m_Targets = nullptr;
+};
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_FESCUEGAUGED_OPERATORSERVICE_H
--- /dev/null
+++ b/src/fescuegauged/main.cpp
@@ -0,0 +1,78 @@
+#include "Daemon.h"
+#include "Fescuegauge/Log.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+namespace leaf = boost::leaf;
+
+/// Signals are taken by one thread that waits for them; every other thread inherits the mask.
+void blockSignals() {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  // A peer that closes its connection is reported by the call that writes to it.
+  signal(SIGPIPE, SIG_IGN);
+}
+
+int runWith(const std::string &SettingsFile) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(Configured, fescuegauge::loadSettings(SettingsFile));
+        blockSignals();
+        return fescuegauge::Daemon(std::move(Configured)).run();
+      },
+      [](const fescuegauge::SettingsErrors &Errors) {
+        return fescuegauge::reportSettingsErrors(std::cerr, Errors);
+      },
+      [] {
+        std::cerr << "fescuegauged: the settings cannot be read\n";
+        return fescuegauge::errorAnswer(fescuegauge::ErrorKind::InvalidSettings).m_ExitCode;
+      });
+}
+
+} // namespace
+
+int main(int ArgumentCount, char **Arguments) {
+  namespace options = boost::program_options;
+  std::string SettingsFile;
+  options::options_description Known("Usage: fescuegauged --settings FILE\n"
+                                     "Runs one process of the system in the role that the settings "
+                                     "name.\n\nOptions");
+  // clang-format off
+  Known.add_options()
+      ("settings", options::value(&SettingsFile)->value_name("FILE"), "JSON file with comments; see docs/settings.md")
+      ("help", "print this text")
+      ("version", "print the version");
+  // clang-format on
+  try {
+    options::variables_map Values;
+    options::store(options::parse_command_line(ArgumentCount, Arguments, Known), Values);
+    options::notify(Values);
+    if (Values.contains("help")) {
+      std::cout << Known;
+      return 0;
+    }
+    if (Values.contains("version")) {
+      std::cout << "fescuegauged " FESCUEGAUGE_VERSION "\n";
+      return 0;
+    }
+    if (SettingsFile.empty()) {
+      std::cerr << "fescuegauged: --settings is missing; see --help\n";
+      return fescuegauge::errorAnswer(fescuegauge::ErrorKind::InvalidArguments).m_ExitCode;
+    }
+    return runWith(SettingsFile);
+  } catch (const options::error &Error) {
+    std::cerr << "fescuegauged: " << Error.what() << "; see --help\n";
+    return fescuegauge::errorAnswer(fescuegauge::ErrorKind::InvalidArguments).m_ExitCode;
+  } catch (const std::exception &Error) {
+    std::cerr << "fescuegauged: " << Error.what() << '\n';
+    return fescuegauge::errorAnswer(fescuegauge::ErrorKind::Internal).m_ExitCode;
+  }
+}
--- /dev/null
+++ b/src/include/Fescuegauge/ControlCodec.h
@@ -0,0 +1,55 @@
+#ifndef FESCUEGAUGE_CONTROLCODEC_H
+#define FESCUEGAUGE_CONTROLCODEC_H
+
+#include "Fescuegauge/AttemptLedger.h"
+#include "Fescuegauge/ClaimBatcher.h"
+#include "Fescuegauge/ClaimRow.h"
+#include "Fescuegauge/CrashSuspects.h"
+#include "Fescuegauge/TransferPlanner.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fescuegauge {
+
+/// An agent's answer to a heartbeat: the state of its upstream.
+struct AgentReport {
+  Incarnation m_Incarnation;
+  bool m_IsLeaving = false;
+  /// Root digest of the version to which requests may be routed; zero if none.
+  Digest m_ServedDigest;
+  std::uint32_t m_Running = 0;
+  std::uint32_t m_Capacity = 0;
+  /// How long ago the engine measured its load.
+  Duration m_Age{};
+  /// Number of the configuration in force.
+  ChangeNumber m_Change;
+};
+
+/// An agent's statement on an attempt, with the answer if the agent kept it.
+struct AttemptStatementReply {
+  AttemptStatement m_Statement;
+  std::optional<RecordedAnswer> m_Answer;
+};
+
+// Payloads of control messages as Cap'n Proto messages. A malformed payload decodes to nothing.
+
+std::string encodePayload(const AgentReport &Report);
+std::string encodePayload(const ClaimWrite &Write);
+std::string encodePayload(const ClaimWriteResult &Result);
+std::string encodePayload(const std::vector<SuspectDelta> &Deltas);
+std::string encodePayload(const ChunkSummary &Summary);
+std::string encodePayload(const AttemptStatementReply &Reply);
+
+std::optional<AgentReport> decodeAgentReport(std::string_view Payload);
+std::optional<ClaimWrite> decodeClaimWrite(std::string_view Payload);
+std::optional<ClaimWriteResult> decodeClaimWriteResult(std::string_view Payload);
+std::optional<std::vector<SuspectDelta>> decodeSuspectDeltas(std::string_view Payload);
+std::optional<ChunkSummary> decodeChunkSummary(std::string_view Payload);
+std::optional<AttemptStatementReply> decodeAttemptStatement(std::string_view Payload);
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_CONTROLCODEC_H
--- a/src/include/Fescuegauge/RpcNode.h
+++ b/src/include/Fescuegauge/RpcNode.h
@@ -171,6 +171,7 @@
   void remember(const InstanceId &Peer, const Endpoint &Address, bool Monitored);
   void forget(const InstanceId &Peer);
   bool isConnected(const InstanceId &Peer) const;
+  bool isMonitored(const InstanceId &Peer) const;
 
   /// Without a connection `Sink` gets an end with status Refused and "not run" at once.
   void runAttempt(const InstanceId &Peer, const AttemptRequest &Request,
--- /dev/null
+++ b/src/librpc/ControlCodec.cpp
@@ -0,0 +1,218 @@
+#include "Fescuegauge/ControlCodec.h"
+
+#include "CapnpText.h"
+#include "Peer.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+namespace fescuegauge {
+
+namespace {
+
+constexpr std::uint8_t UnknownState = 255;
+
+std::string serialized(capnp::MessageBuilder &Message) {
+  auto Words = capnp::messageToFlatArray(Message);
+  auto Chars = Words.asChars();
+  return {Chars.begin(), Chars.size()};
+}
+
+/// Reads a message of type `Schema` with `Read`; nothing if the payload is malformed or `Read` says
+/// that a value is out of range.
+template <typename Schema, typename Result, typename Reader>
+std::optional<Result> decoded(std::string_view Payload, Reader Read) {
+  std::optional<Result> Decoded;
+  // Cap'n Proto needs words that are aligned in memory.
+  auto Words =
+      kj::heapArray<capnp::word>((Payload.size() + sizeof(capnp::word) - 1) / sizeof(capnp::word));
+  memset(Words.begin(), 0, Words.asBytes().size());
+  memcpy(Words.begin(), Payload.data(), Payload.size());
+  kj::runCatchingExceptions([&] {
+    capnp::FlatArrayMessageReader Message(Words);
+    Result Value;
+    if (Read(Message.getRoot<Schema>(), Value))
+      Decoded = std::move(Value);
+  });
+  return Decoded;
+}
+
+void encode(const RowCondition &Condition, rpc::RowCondition::Builder Out) {
+  Out.setKey(Condition.m_Key);
+  Out.setVersion(Condition.m_Version.value());
+}
+
+RowCondition decode(rpc::RowCondition::Reader In) {
+  return {stringOf(In.getKey()), RowVersion(In.getVersion())};
+}
+
+void encode(const SuspectDelta &Delta, rpc::SuspectDelta::Builder Out) {
+  Out.setAccount(Delta.m_Key.m_Account.str());
+  Out.setBodyDigest(dataOf(Delta.m_Key.m_BodyDigest));
+  Out.setUpstream(Delta.m_Upstream.str());
+  Out.setIncarnation(Delta.m_Incarnation.value());
+  Out.setCleared(Delta.m_Cleared);
+  Out.setAgeMs(static_cast<std::uint64_t>(Delta.m_Age.count() / 1000));
+}
+
+SuspectDelta decode(rpc::SuspectDelta::Reader In) {
+  SuspectDelta Delta;
+  Delta.m_Key = {ClientAccountId(stringOf(In.getAccount())), digestOf(In.getBodyDigest())};
+  Delta.m_Upstream = InstanceId(stringOf(In.getUpstream()));
+  Delta.m_Incarnation = Incarnation(In.getIncarnation());
+  Delta.m_Cleared = In.getCleared();
+  Delta.m_Age = std::chrono::milliseconds(
+      std::min<std::uint64_t>(In.getAgeMs(), CrashSuspects::Lifetime.count() / 1000));
+  return Delta;
+}
+
+} // namespace
+
+std::string encodePayload(const AgentReport &Report) {
+  capnp::MallocMessageBuilder Message;
+  auto Out = Message.initRoot<rpc::AgentReport>();
+  Out.setIncarnation(Report.m_Incarnation.value());
+  Out.setIsLeaving(Report.m_IsLeaving);
+  if (!Report.m_ServedDigest.isZero())
+    Out.setServedDigest(dataOf(Report.m_ServedDigest));
+  Out.setRunning(Report.m_Running);
+  Out.setCapacity(Report.m_Capacity);
+  Out.setReportAgeMs(static_cast<std::uint32_t>(Report.m_Age.count() / 1000));
+  Out.setChange(Report.m_Change.value());
+  return serialized(Message);
+}
+
+std::string encodePayload(const ClaimWrite &Write) {
+  capnp::MallocMessageBuilder Message;
+  auto Out = Message.initRoot<rpc::ClaimWrite>();
+  Out.setTicket(Write.m_Ticket.value());
+  encode(Write.m_Row, Out.initRow());
+  Out.setValue(Write.m_Value);
+  auto Guards = Out.initGuards(static_cast<unsigned>(Write.m_Guards.size()));
+  for (unsigned I = 0; I < Guards.size(); ++I)
+    encode(Write.m_Guards[I], Guards[I]);
+  return serialized(Message);
+}
+
+std::string encodePayload(const ClaimWriteResult &Result) {
+  capnp::MallocMessageBuilder Message;
+  auto Out = Message.initRoot<rpc::ClaimWriteResult>();
+  Out.setTicket(Result.m_Ticket.value());
+  Out.setStatus(static_cast<std::uint8_t>(Result.m_Status));
+  Out.setCurrentKey(Result.m_Current.m_Key);
+  Out.setCurrentValue(Result.m_Current.m_Value);
+  Out.setCurrentVersion(Result.m_Current.m_Version.value());
+  Out.setReason(std::string(errorAnswer(Result.m_Reason).m_Name));
+  return serialized(Message);
+}
+
+std::string encodePayload(const std::vector<SuspectDelta> &Deltas) {
+  capnp::MallocMessageBuilder Message;
+  auto Out =
+      Message.initRoot<rpc::SuspectDeltas>().initDeltas(static_cast<unsigned>(Deltas.size()));
+  for (unsigned I = 0; I < Out.size(); ++I)
+    encode(Deltas[I], Out[I]);
+  return serialized(Message);
+}
+
+std::string encodePayload(const ChunkSummary &Summary) {
+  capnp::MallocMessageBuilder Message;
+  auto Out = Message.initRoot<rpc::ChunkSummary>();
+  Out.setRoot(dataOf(Summary.m_Root));
+  Out.setEpoch(Summary.m_Epoch);
+  Out.setFrom(Summary.m_From);
+  auto Indices = Out.initIndices(static_cast<unsigned>(Summary.m_Indices.size()));
+  for (unsigned I = 0; I < Indices.size(); ++I)
+    Indices.set(I, Summary.m_Indices[I]);
+  Out.setWantsAll(Summary.m_WantsAll);
+  return serialized(Message);
+}
+
+std::string encodePayload(const AttemptStatementReply &Reply) {
+  capnp::MallocMessageBuilder Message;
+  auto Out = Message.initRoot<rpc::AttemptStatement>();
+  Out.setAttempt(Reply.m_Statement.m_Attempt.str());
+  Out.setState(Reply.m_Statement.m_State ? static_cast<std::uint8_t>(*Reply.m_Statement.m_State)
+                                         : UnknownState);
+  Out.setAgentIncarnation(Reply.m_Statement.m_Agent.value());
+  Out.setIsAnswerRecorded(Reply.m_Answer.has_value());
+  if (Reply.m_Answer)
+    Out.setAnswer(dataOf(Reply.m_Answer->m_Body));
+  return serialized(Message);
+}
+
+std::optional<AgentReport> decodeAgentReport(std::string_view Payload) {
+  return decoded<rpc::AgentReport, AgentReport>(Payload, [](auto In, AgentReport &Report) {
+    Report.m_Incarnation = Incarnation(In.getIncarnation());
+    Report.m_IsLeaving = In.getIsLeaving();
+    Report.m_ServedDigest = digestOf(In.getServedDigest());
+    Report.m_Running = In.getRunning();
+    Report.m_Capacity = In.getCapacity();
+    Report.m_Age = std::chrono::milliseconds(In.getReportAgeMs());
+    Report.m_Change = ChangeNumber(In.getChange());
+    return true;
+  });
+}
+
+std::optional<ClaimWrite> decodeClaimWrite(std::string_view Payload) {
+  return decoded<rpc::ClaimWrite, ClaimWrite>(Payload, [](auto In, ClaimWrite &Write) {
+    Write.m_Ticket = ClaimTicket(In.getTicket());
+    Write.m_Row = decode(In.getRow());
+    Write.m_Value = stringOf(In.getValue());
+    for (auto Guard : In.getGuards())
+      Write.m_Guards.push_back(decode(Guard));
+    return Write.m_Guards.size() < Transaction::MaxRows;
+  });
+}
+
+std::optional<ClaimWriteResult> decodeClaimWriteResult(std::string_view Payload) {
+  return decoded<rpc::ClaimWriteResult, ClaimWriteResult>(
+      Payload, [](auto In, ClaimWriteResult &Result) {
+        Result.m_Ticket = ClaimTicket(In.getTicket());
+        Result.m_Status = static_cast<ClaimWriteStatus>(In.getStatus());
+        Result.m_Current = {stringOf(In.getCurrentKey()), stringOf(In.getCurrentValue()),
+                            RowVersion(In.getCurrentVersion())};
+        Result.m_Reason =
+            errorKindFromName(stringOf(In.getReason())).value_or(ErrorKind::TableUnreachable);
+        return In.getStatus() <= static_cast<std::uint8_t>(ClaimWriteStatus::Unknown);
+      });
+}
+
+std::optional<std::vector<SuspectDelta>> decodeSuspectDeltas(std::string_view Payload) {
+  return decoded<rpc::SuspectDeltas, std::vector<SuspectDelta>>(
+      Payload, [](auto In, std::vector<SuspectDelta> &Deltas) {
+        for (auto Delta : In.getDeltas())
+          Deltas.push_back(decode(Delta));
+        return Deltas.size() <= CrashSuspects::MaxOutgoing;
+      });
+}
+
+std::optional<ChunkSummary> decodeChunkSummary(std::string_view Payload) {
+  return decoded<rpc::ChunkSummary, ChunkSummary>(Payload, [](auto In, ChunkSummary &Summary) {
+    Summary.m_Root = digestOf(In.getRoot());
+    Summary.m_Epoch = In.getEpoch();
+    Summary.m_From = In.getFrom();
+    for (std::uint32_t Index : In.getIndices())
+      Summary.m_Indices.push_back(Index);
+    Summary.m_WantsAll = In.getWantsAll();
+    return Summary.m_Indices.size() <= Manifest::MaxChunks;
+  });
+}
+
+std::optional<AttemptStatementReply> decodeAttemptStatement(std::string_view Payload) {
+  return decoded<rpc::AttemptStatement, AttemptStatementReply>(
+      Payload, [](auto In, AttemptStatementReply &Reply) {
+        Reply.m_Statement.m_Attempt = AttemptId(stringOf(In.getAttempt()));
+        if (In.getState() != UnknownState)
+          Reply.m_Statement.m_State = static_cast<AttemptState>(In.getState());
+        Reply.m_Statement.m_Agent = Incarnation(In.getAgentIncarnation());
+        if (In.getIsAnswerRecorded()) {
+          Reply.m_Answer.emplace();
+          Reply.m_Answer->m_Body = stringOf(In.getAnswer());
+        }
+        return In.getState() == UnknownState ||
+               In.getState() <= static_cast<std::uint8_t>(AttemptState::Cancelled);
+      });
+}
+
+} // namespace fescuegauge
--- a/src/librpc/RpcNode.cpp
+++ b/src/librpc/RpcNode.cpp
@@ -1,5 +1,6 @@
 #include "Fescuegauge/RpcNode.h"
 
+#include "CapnpText.h"
 #include "EventLoopImpl.h"
 #include "Peer.capnp.h"
 
@@ -14,27 +15,6 @@
 /// Version of the calls in Peer.capnp. Only equal versions talk to each other.
 constexpr std::uint32_t ProtocolVersion = 1;
 
-capnp::Data::Reader dataOf(const std::string &Text) {
-  return {reinterpret_cast<const kj::byte *>(Text.data()), Text.size()};
-}
-
-std::string stringOf(capnp::Data::Reader Data) {
-  return {reinterpret_cast<const char *>(Data.begin()), Data.size()};
-}
-
-std::string stringOf(capnp::Text::Reader Text) { return {Text.cStr(), Text.size()}; }
-
-capnp::Data::Reader dataOf(const Digest &Value) {
-  return {Value.bytes().data(), Value.bytes().size()};
-}
-
-Digest digestOf(capnp::Data::Reader Data) {
-  std::array<std::uint8_t, Digest::Size> Value{};
-  if (Data.size() == Value.size())
-    std::copy(Data.begin(), Data.end(), Value.begin());
-  return Digest(Value);
-}
-
 void encode(const PeerIdentity &Self, std::uint64_t NextAttempt, rpc::Hello::Builder Hello) {
   Hello.setProtocolVersion(ProtocolVersion);
   Hello.setDeployment(Self.m_Deployment);
@@ -614,6 +594,11 @@
   return m_Impl->readyLink(Peer) != nullptr;
 }
 
+bool RpcNode::isMonitored(const InstanceId &Peer) const {
+  auto Found = m_Impl->m_Outgoing.find(Peer);
+  return Found != m_Impl->m_Outgoing.end() && Found->second.m_IsMonitored;
+}
+
 void RpcNode::runAttempt(const InstanceId &Peer, const AttemptRequest &Request,
                          std::shared_ptr<AttemptSink> Sink) {
   Impl::Outgoing *Link = m_Impl->readyLink(Peer);
