--- a/src/fescuegauged/AttemptService.cpp
+++ b/src/fescuegauged/AttemptService.cpp
@@ -10,6 +10,10 @@
 
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 
+/// Stands for the version of a plain service, which has none, so that one rule decides which
+/// upstreams take work.
+Digest plainServiceDigest() { return sha256("plain service"); }
+
 } // namespace
 
 AttemptService::AttemptService(const Settings &Configured, Incarnation Started, EventLoop &Loop)
@@ -204,7 +208,8 @@
   End.m_Reason = Result.m_Reason;
   End.m_TotalBytes = Result.m_TotalBytes;
   End.m_ServedDigest = Result.m_ServedRoot;
-  End.m_EngineIncarnation = m_EngineIncarnation;
+  if (Status == AttemptStatus::EngineLost)
+    End.m_Loss = m_Losses.back();
   End.m_AgentIncarnation = m_Started;
   End.m_Error = Error;
   Ended->m_Sink->onEnd(Ended->m_Request.m_Attempt, End);
@@ -256,9 +261,19 @@
     m_EngineIncarnation = m_EngineIncarnation.next();
   else
     engineLost();
+  if (m_Settings.m_Agent.m_Kind == UpstreamKind::Plain)
+    setRoutable(m_EngineAlive ? plainServiceDigest() : Digest());
 }
 
 void AttemptService::engineLost() {
+  EngineLoss Loss;
+  Loss.m_EngineIncarnation = m_EngineIncarnation;
+  for (const auto &[Id, Running] : m_Running)
+    Loss.m_Running.push_back({Running->m_Request.m_Account, Running->m_Request.m_BodyDigest});
+  m_Losses.push_back(std::move(Loss));
+  if (m_Losses.size() > MaxLosses)
+    m_Losses.erase(m_Losses.begin());
+  m_LastLoss = EventLoop::now();
   for (const AttemptStatement &Statement : m_Ledger.engineLost()) {
     auto Found = m_Running.find(Statement.m_Attempt);
     std::shared_ptr<Attempt> Lost;
@@ -291,6 +306,8 @@
     Report.m_Running = m_Status->m_Running + static_cast<std::uint32_t>(m_Waiting.size());
     Report.m_Age = m_Status->m_ReportAge + (EventLoop::now() - m_StatusAt);
   }
+  if (EventLoop::now() - m_LastLoss < LossRepeatTime)
+    Report.m_Losses = m_Losses;
   return encodePayload(Report);
 }
 
--- a/src/fescuegauged/AttemptService.h
+++ b/src/fescuegauged/AttemptService.h
@@ -22,6 +22,9 @@
   static constexpr std::size_t MaxWaitingPerPlace = 2;
   /// Answers to non-idempotent work that are kept for entry instances that lost their connection.
   static constexpr std::size_t MaxKeptAnswers = 256;
+  /// Losses of the engine are repeated in reports for this long, at most MaxLosses of them.
+  static constexpr Duration LossRepeatTime = std::chrono::seconds(10);
+  static constexpr std::size_t MaxLosses = 4;
   static constexpr Duration StatusInterval = std::chrono::milliseconds(500);
 
   AttemptService(const Settings &Configured, Incarnation Started, EventLoop &Loop);
@@ -82,6 +85,8 @@
   bool m_CheckUnderWay = false;
   bool m_EngineAlive = false;
   Incarnation m_EngineIncarnation;
+  std::vector<EngineLoss> m_Losses;
+  TimePoint m_LastLoss;
   bool m_Draining = false;
   std::uint64_t m_Completed = 0;
   std::uint64_t m_Refused = 0;
--- a/src/fescuegauged/Daemon.cpp
+++ b/src/fescuegauged/Daemon.cpp
@@ -25,8 +25,8 @@
 constexpr unsigned WorkerThreads = 24;
 constexpr Duration DrainPollInterval = 50ms;
 
-/// Grows from one start of an instance to the next as long as the wall clock does. Should it not, the
-/// membership policy raises it.
+/// Grows from one start of an instance to the next as long as the wall clock does. Should it not,
+/// the membership policy raises it.
 Incarnation incarnationNow() {
   auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
   return Incarnation(static_cast<std::uint64_t>(
@@ -57,8 +57,7 @@
   m_Kernel.add(std::make_unique<LogService>(Logs));
   m_Kernel.add(std::make_unique<MetricsService>());
   m_Kernel.add(std::make_unique<PlatformService>(m_Settings, m_Loop));
-  m_Kernel.add(
-      std::make_unique<RpcService>(m_Settings, identityOf(m_Settings, m_Started), m_Loop));
+  m_Kernel.add(std::make_unique<RpcService>(m_Settings, identityOf(m_Settings, m_Started), m_Loop));
   m_Kernel.add(std::make_unique<MembershipService>(m_Settings, m_Started, m_Loop));
   m_Kernel.add(std::make_unique<TargetsService>(m_Settings, m_Started, m_Loop));
   if (m_Settings.m_Role == InstanceRole::Entry) {
--- a/src/fescuegauged/HttpService.cpp
+++ b/src/fescuegauged/HttpService.cpp
@@ -70,8 +70,7 @@
 
 void HttpExchange::answerText(const std::string &Body, const std::string &ContentType, int Status) {
   m_Response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
-  m_Response.setReason(
-      Poco::Net::HTTPResponse::getReasonForStatus(m_Response.getStatus()));
+  m_Response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(m_Response.getStatus()));
   m_Response.setContentType(ContentType);
   m_Response.sendBuffer(Body.data(), Body.size());
 }
@@ -111,7 +110,8 @@
 void HttpExchange::finishStream() { m_Out->flush(); }
 
 void HttpExchange::breakStream() {
-  // The server would write the terminating chunk when the exchange ends; without a socket it cannot.
+  // The server would write the terminating chunk when the exchange ends; without a socket it
+  // cannot.
   static_cast<Poco::Net::HTTPServerRequestImpl &>(m_Request).socket().shutdown();
 }
 
--- a/src/fescuegauged/MembershipService.cpp
+++ b/src/fescuegauged/MembershipService.cpp
@@ -85,7 +85,7 @@
 }
 
 void MembershipService::beginDrain() {
-  m_Loop.postAndWait([this] { carryOut(m_Membership->leave(EventLoop::now())); });
+  m_Loop.postAndWait([this] { carryOut(m_Membership->leave()); });
 }
 
 bool MembershipService::isListReader() const {
@@ -122,7 +122,7 @@
   InstanceRecord Before = Record;
   Change(Record);
   if (Record != Before)
-    carryOut(m_Membership->updateSelf(Record, EventLoop::now()));
+    carryOut(m_Membership->updateSelf(Record));
 }
 
 void MembershipService::carryOut(const Membership::Actions &Actions) {
@@ -130,7 +130,10 @@
     if (const auto *Message = std::get_if<Membership::Send>(&Action)) {
       sendMessage(*Message);
     } else if (const auto *Change = std::get_if<Membership::Changed>(&Action)) {
-      const InstanceRecord &Record = *Change->m_Record;
+      const InstanceRecord *Found = m_Membership->find(Change->m_Id);
+      if (!Found)
+        continue;
+      InstanceRecord Record = *Found;
       logEvent(Severity::Info, "member_changed",
                {{"member", Record.m_Id},
                 {"state", stateName(Record.m_State)},
--- a/src/fescuegauged/OperatorService.cpp
+++ b/src/fescuegauged/OperatorService.cpp
@@ -215,8 +215,7 @@
   if (Deletes.is_array())
     for (const json::value &Name : Deletes.as_array())
       if (Name.is_string())
-        Request.m_Edits.push_back(
-            {DeclarationName(std::string(Name.as_string())), std::nullopt});
+        Request.m_Edits.push_back({DeclarationName(std::string(Name.as_string())), std::nullopt});
   ChangeOutcome Outcome =
       waitFor<ChangeOutcome>(m_Loop, [&](std::function<void(ChangeOutcome)> Done) {
         m_Targets->apply(Request, std::move(Done));
@@ -234,8 +233,8 @@
     return Exchange.answer(
         json::object{{"outcome", "unchanged"}, {"change", Outcome.m_Number.value()}});
   case ChangeOutcome::Status::Unknown:
-    return Exchange.answer(
-        json::object{{"outcome", "unknown"}, {"changeId", Request.m_Id.str()}}, 504);
+    return Exchange.answer(json::object{{"outcome", "unknown"}, {"changeId", Request.m_Id.str()}},
+                           504);
   case ChangeOutcome::Status::Refused:
     break;
   }
@@ -251,9 +250,8 @@
 
 std::optional<TableRow> OperatorService::readRow(const std::string &Key) {
   using Row = std::optional<TableRow>;
-  return waitFor<Row>(m_Loop, [&](std::function<void(Row)> Done) {
-    m_Platform->read(Key, std::move(Done));
-  });
+  return waitFor<Row>(
+      m_Loop, [&](std::function<void(Row)> Done) { m_Platform->read(Key, std::move(Done)); });
 }
 
 /// The declarations of the request that later changes than its base have touched.
@@ -282,7 +280,8 @@
 void OperatorService::serveHistory(HttpExchange &Exchange) {
   std::uint64_t After = std::strtoull(Exchange.query("after").c_str(), nullptr, 10);
   std::string LimitText = Exchange.query("limit");
-  std::size_t Limit = LimitText.empty() ? MaxHistoryPage : std::strtoul(LimitText.c_str(), nullptr, 10);
+  std::size_t Limit =
+      LimitText.empty() ? MaxHistoryPage : std::strtoul(LimitText.c_str(), nullptr, 10);
   Limit = std::min(Limit, MaxHistoryPage);
   ChangeNumber Last;
   m_Loop.postAndWait([&] { Last = m_Targets->configuration().number(); });
@@ -308,8 +307,7 @@
   Exchange.answer(json::object{{"changes", std::move(Changes)}});
 }
 
-json::object OperatorService::rolloutStatus(const RolloutDeclaration &Rollout,
-                                            ChangeNumber SetBy,
+json::object OperatorService::rolloutStatus(const RolloutDeclaration &Rollout, ChangeNumber SetBy,
                                             const DataCentreId &DataCentre) const {
   std::size_t Live = 0;
   std::size_t Wanted = 0;
@@ -333,9 +331,8 @@
 
 void OperatorService::serveStatus(HttpExchange &Exchange) {
   using Lags = std::vector<DataCentreLag>;
-  Lags Collected = waitFor<Lags>(m_Loop, [&](std::function<void(Lags)> Done) {
-    m_Targets->collectLag(std::move(Done));
-  });
+  Lags Collected = waitFor<Lags>(
+      m_Loop, [&](std::function<void(Lags)> Done) { m_Targets->collectLag(std::move(Done)); });
   json::array DataCentres;
   ChangeNumber Number;
   std::vector<std::string> GrantKeys;
@@ -371,9 +368,9 @@
       Entry["unreachable"] = std::move(Unreachable);
       json::array Rollouts;
       for (const auto &[Name, Stored] : InForce.entries()) {
-        const auto *Rollout =
-            Stored.m_Stored ? std::get_if<RolloutDeclaration>(&Stored.m_Stored->m_Declaration)
-                            : nullptr;
+        const auto *Rollout = Stored.m_Stored
+                                  ? std::get_if<RolloutDeclaration>(&Stored.m_Stored->m_Declaration)
+                                  : nullptr;
         if (!Rollout)
           continue;
         Rollouts.push_back(rolloutStatus(*Rollout, Stored.m_SetBy, DataCentre));
--- a/src/fescuegauged/OperatorService.h
+++ b/src/fescuegauged/OperatorService.h
@@ -22,11 +22,6 @@
   void start(Kernel &Services) override;
 
 private:
-  struct Put {
-    std::string m_Name;
-    DeclarationSpec m_Spec;
-  };
-
   // Called by HTTP threads.
   void serveTargets(HttpExchange &Exchange);
   void serveChange(HttpExchange &Exchange);
--- a/src/fescuegauged/PlatformService.cpp
+++ b/src/fescuegauged/PlatformService.cpp
@@ -70,9 +70,11 @@
 
 void PlatformService::manifest(ServiceId Model, ModelVersionId Version,
                                std::function<void(const Content &)> Done) {
-  call<Content>([this, Model = std::move(Model), Version = std::move(
-                                                     Version)] { return toOptional(m_Origin->manifest(Model, Version)); },
-                std::move(Done));
+  call<Content>(
+      [this, Model = std::move(Model), Version = std::move(Version)] {
+        return toOptional(m_Origin->manifest(Model, Version));
+      },
+      std::move(Done));
 }
 
 void PlatformService::originChunk(Digest Chunk, Bytes Size, std::function<void(Content)> Done) {
--- a/src/fescuegauged/PlatformService.h
+++ b/src/fescuegauged/PlatformService.h
@@ -13,8 +13,8 @@
 
 namespace fescuegauge {
 
-/// Service "platform": calls to the platform that do not block the loop. Every function is called on
-/// the loop and reports its result there, exactly once.
+/// Service "platform": calls to the platform that do not block the loop. Every function is called
+/// on the loop and reports its result there, exactly once.
 class PlatformService : public Service {
 public:
   /// The platform gets this long for an answer; a lost answer to a write is reported as Unknown.
--- a/src/fescuegauged/RequestService.cpp
+++ b/src/fescuegauged/RequestService.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <future>
 
 namespace fescuegauge {
 
@@ -42,8 +43,8 @@
 /// Digests of the prompt's prefixes, each one block longer than the one before.
 std::vector<std::uint64_t> prefixBlocks(std::string_view Prompt) {
   std::vector<std::uint64_t> Blocks;
-  for (std::size_t End = PrefixBlockBytes;
-       End <= Prompt.size() && Blocks.size() < MaxPrefixBlocks; End += PrefixBlockBytes)
+  for (std::size_t End = PrefixBlockBytes; End <= Prompt.size() && Blocks.size() < MaxPrefixBlocks;
+       End += PrefixBlockBytes)
     Blocks.push_back(sha256(Prompt.substr(0, End)).prefix());
   return Blocks;
 }
@@ -90,8 +91,7 @@
             Options.m_Source = AttemptSourceId(m_ProcessId);
             Options.m_IsEntryAlive = [this](const InstanceId &Entry) {
               const InstanceRecord *Record = m_Membership->view().find(Entry);
-              return Entry == m_Settings.m_Id ||
-                     (Record && Record->m_State != InstanceState::Dead);
+              return Entry == m_Settings.m_Id || (Record && Record->m_State != InstanceState::Dead);
             };
             return Options;
           }(),
@@ -107,10 +107,9 @@
   m_Outcomes = &Metrics.counter({"fescuegauge_requests_total",
                                  "Requests by class of work and final outcome.",
                                  {{"class", 32}, {"outcome", 32}}});
-  m_Times = &Metrics.histogram({"fescuegauge_request_seconds",
-                                "Time from arrival to the final answer.",
-                                {{"class", 32}}},
-                               {0.05, 0.1, 0.31, 0.5, 1, 2, 5, 10, 30, 60});
+  m_Times = &Metrics.histogram(
+      {"fescuegauge_request_seconds", "Time from arrival to the final answer.", {{"class", 32}}},
+      {0.05, 0.1, 0.31, 0.5, 1, 2, 5, 10, 30, 60});
   auto &Http = Services.find<HttpService>("http");
   Http.route("POST /v1", [this](HttpExchange &Exchange) { serveRequest(Exchange); });
   Http.route("GET /v1/outcomes", [this](HttpExchange &Exchange) { serveOutcome(Exchange); });
@@ -198,8 +197,7 @@
   json::value Body = json::parse(Exchange.body(), Error);
   if (Error || !Body.is_object() || !isRowKeyPart(Request.m_Account.str()))
     return ErrorKind::MalformedRequest;
-  Request.m_Id =
-      RequestId(m_ProcessId + "-" + std::to_string(m_NextRequest.fetch_add(1)));
+  Request.m_Id = RequestId(m_ProcessId + "-" + std::to_string(m_NextRequest.fetch_add(1)));
   Request.m_Service = ServiceId(Path[1]);
   Request.m_Class = WorkClassId(Path[2]);
   Request.m_Key = IdempotencyKey(Exchange.header("Idempotency-Key"));
@@ -209,10 +207,10 @@
   if (Prompt && Prompt->is_string())
     Request.m_PrefixBlocks = prefixBlocks(std::string_view(Prompt->as_string()));
   const json::value *MaxTokens = Body.as_object().if_contains("maxTokens");
-  auto AnswerTokens = MaxTokens && MaxTokens->is_int64() && MaxTokens->as_int64() > 0
-                          ? static_cast<std::uint32_t>(std::min<std::int64_t>(
-                                MaxTokens->as_int64(), 1 << 20))
-                          : DefaultAnswerTokens;
+  auto AnswerTokens =
+      MaxTokens && MaxTokens->is_int64() && MaxTokens->as_int64() > 0
+          ? static_cast<std::uint32_t>(std::min<std::int64_t>(MaxTokens->as_int64(), 1 << 20))
+          : DefaultAnswerTokens;
   Request.m_EstimatedTokens =
       AnswerTokens + static_cast<std::uint32_t>(Exchange.body().size() / BytesPerToken);
   if (std::string Ticket = Exchange.header("Generation-Ticket"); !Ticket.empty()) {
@@ -310,8 +308,7 @@
   std::string Key = claimRowKey(ClientAccountId(Account), IdempotencyKey(Path[2]));
   std::promise<std::optional<TableRow>> Read;
   m_Loop.post([&] {
-    m_Platform->read(Key,
-                     [&Read](const std::optional<TableRow> &Row) { Read.set_value(Row); });
+    m_Platform->read(Key, [&Read](const std::optional<TableRow> &Row) { Read.set_value(Row); });
   });
   auto Row = Read.get_future().get();
   if (!Row)
@@ -334,8 +331,8 @@
     return ErrorKind::Draining;
   if (!m_Targets->isReady())
     return ErrorKind::NotReady;
-  if (m_Running.size() >= m_Settings.m_Limits.m_MaxRequestsInFlight +
-                              m_Settings.m_Limits.m_MaxQueuedRequests)
+  if (m_Running.size() >=
+      m_Settings.m_Limits.m_MaxRequestsInFlight + m_Settings.m_Limits.m_MaxQueuedRequests)
     return ErrorKind::Overloaded;
   RequestDescription &Request = Arrived.m_Request;
   const Configuration &InForce = m_Targets->configuration();
@@ -387,8 +384,7 @@
 void RequestService::createOwner(const std::shared_ptr<Running> &Arrived, const std::string &Key) {
   const RequestDescription &Request = Arrived->m_Request;
   GenerationId Initial;
-  for (const ServiceDeclaration *Declared :
-       m_Targets->configuration().all<ServiceDeclaration>())
+  for (const ServiceDeclaration *Declared : m_Targets->configuration().all<ServiceDeclaration>())
     if (Declared->m_Service == Request.m_Service)
       Initial = Declared->m_InitialGeneration;
   // Without a declaration there is one generation, whose name the upstreams report.
@@ -436,17 +432,16 @@
     Arrived->m_Terms.m_Owner = {Owner->m_Generation, Known->second.m_Version,
                                 Owner->m_State == OwnerRow::State::Paused};
   }
-  const ServiceDeclaration *Service = nullptr;
-  for (const ServiceDeclaration *Declared :
-       m_Targets->configuration().all<ServiceDeclaration>())
+  const ServiceDeclaration *ServiceOf = nullptr;
+  for (const ServiceDeclaration *Declared : m_Targets->configuration().all<ServiceDeclaration>())
     if (Declared->m_Service == Request.m_Service)
-      Service = Declared;
+      ServiceOf = Declared;
   const MoveDeclaration *Move = nullptr;
   for (const MoveDeclaration *Declared : m_Targets->configuration().all<MoveDeclaration>())
     if (Declared->m_Service == Request.m_Service && Declared->m_Class == Request.m_Class)
       Move = Declared;
   GenerationChoice Choice =
-      chooseGeneration(Request, Arrived->m_Ticket, Owner, Service, Move, false);
+      chooseGeneration(Request, Arrived->m_Ticket, Owner, ServiceOf, Move, false);
   if (Choice.m_Paused) {
     // The pause ends with a later row, so the copy must not be used again.
     if (Known != m_Owners.end())
@@ -463,8 +458,7 @@
   FinishRequest Final;
   Final.m_Request = Arrived->m_Request.m_Id;
   const ErrorAnswer &Answer = errorAnswer(Kind);
-  Final.m_Outcome =
-      Answer.m_RetryAfter ? RequestOutcome::NotRun : RequestOutcome::Refused;
+  Final.m_Outcome = Answer.m_RetryAfter ? RequestOutcome::NotRun : RequestOutcome::Refused;
   Final.m_Error = Kind;
   Final.m_RetryAfter = RetryAfter ? RetryAfter : Answer.m_RetryAfter;
   carryOut(Final);
@@ -511,6 +505,7 @@
   Request.m_Priority = From.m_Priority;
   Request.m_Timeout = std::max<Duration>(From.m_Terms.m_Deadline - EventLoop::now(), 1s);
   Request.m_Body = From.m_Body;
+  Request.m_BodyDigest = From.m_Request.m_BodyDigest;
   logEvent(Severity::Debug, "attempt_dispatched",
            {{"request", Action.m_Request},
             {"attempt", Action.m_Attempt},
@@ -528,8 +523,7 @@
                      [this](const std::optional<std::string> &Payload) {
                        auto Reply = Payload ? decodeAttemptStatement(*Payload) : std::nullopt;
                        if (Reply)
-                         carryOut(m_Lifecycle.attemptStatement(Reply->m_Statement,
-                                                               Reply->m_Answer,
+                         carryOut(m_Lifecycle.attemptStatement(Reply->m_Statement, Reply->m_Answer,
                                                                EventLoop::now()));
                      });
 }
@@ -657,10 +651,7 @@
     return carryOut(m_Lifecycle.attemptRefused(Statement, End.m_Error, Now));
   case AttemptStatus::EngineLost: {
     Statement.m_State = AttemptState::Failed;
-    Crash &Collected = m_Crashes[{Upstream, End.m_EngineIncarnation}];
-    if (Collected.m_Ended.empty())
-      Collected.m_At = Now;
-    Collected.m_Ended.push_back(Statement);
+    noteLoss(Upstream, End.m_Loss).m_Ended.push_back(Statement);
     return;
   }
   case AttemptStatus::Failed:
@@ -674,18 +665,37 @@
   }
 }
 
+RequestService::Crash &RequestService::noteLoss(const InstanceId &Upstream,
+                                                const EngineLoss &Loss) {
+  auto [Entry, IsNew] = m_Crashes.try_emplace({Upstream, Loss.m_EngineIncarnation});
+  Crash &Collected = Entry->second;
+  if (IsNew) {
+    Collected.m_At = EventLoop::now();
+    for (const RunningRequest &Lost : Loss.m_Running)
+      Collected.m_Running.push_back({Lost.m_Account, Lost.m_BodyDigest});
+  }
+  return Collected;
+}
+
+/// Hands each loss over once, when the ends of its attempts have been collected. Losses are
+/// remembered as long as agents repeat them in their reports.
 void RequestService::flushCrashes(TimePoint Now) {
   for (auto Next = m_Crashes.begin(); Next != m_Crashes.end();) {
-    if (Now - Next->second.m_At < CrashCollectTime) {
-      ++Next;
-      continue;
+    const auto &[Upstream, Lost] = Next->first;
+    Crash &Collected = Next->second;
+    bool IsDue = Now - Collected.m_At >= CrashCollectTime;
+    if (IsDue && (!Collected.m_IsReported || !Collected.m_Ended.empty())) {
+      logEvent(Severity::Warning, "upstream_engine_lost",
+               {{"upstream", Upstream}, {"attempts", Collected.m_Ended.size()}});
+      std::vector<SuspectKey> Suspected;
+      if (!Collected.m_IsReported)
+        Suspected = Collected.m_Running;
+      Collected.m_IsReported = true;
+      std::vector<AttemptStatement> Ended;
+      Ended.swap(Collected.m_Ended);
+      carryOut(m_Lifecycle.engineCrashed(Upstream, Lost, Suspected, Ended, Now));
     }
-    auto [Upstream, Lost] = Next->first;
-    Crash Collected = std::move(Next->second);
-    Next = m_Crashes.erase(Next);
-    logEvent(Severity::Warning, "upstream_engine_lost",
-             {{"upstream", Upstream}, {"attempts", Collected.m_Ended.size()}});
-    carryOut(m_Lifecycle.engineCrashed(Upstream, Lost, Collected.m_Ended, Now));
+    Next = Now - Collected.m_At > CrashMemory ? m_Crashes.erase(Next) : std::next(Next);
   }
 }
 
@@ -694,6 +704,8 @@
   if (!Report)
     return;
   TimePoint Now = EventLoop::now();
+  for (const EngineLoss &Loss : Report->m_Losses)
+    noteLoss(Upstream, Loss);
   if (Report->m_IsLeaving)
     m_Router.onLeaving(Upstream, Report->m_Incarnation, Now);
   if (const InstanceRecord *Known = m_Membership->view().find(Upstream);
@@ -768,8 +780,8 @@
     else if (Member->m_Region == m_Settings.m_Region)
       ++Entries;
   }
-  for (const ServiceId &Service : Services)
-    m_Scheduler.onLoad(Service, m_Router.load(Service, Now), Entries);
+  for (const ServiceId &Known : Services)
+    m_Scheduler.onLoad(Known, m_Router.load(Known, Now), Entries);
   m_Suspects.onTimer(Now);
 }
 
--- a/src/fescuegauged/RequestService.h
+++ b/src/fescuegauged/RequestService.h
@@ -28,6 +28,8 @@
   static constexpr std::size_t MaxOwners = 4096;
   /// Losses that one engine caused are collected for this long before anyone is blamed.
   static constexpr Duration CrashCollectTime = std::chrono::milliseconds(50);
+  /// Agents repeat a loss in their reports for a shorter time than this.
+  static constexpr Duration CrashMemory = std::chrono::seconds(30);
 
   RequestService(const Settings &Configured, Incarnation Started, EventLoop &Loop);
 
@@ -91,6 +93,8 @@
   void callerLeft(const RequestId &Id);
   void attemptEnded(const InstanceId &Upstream, const RequestId &Request, const AttemptId &Attempt,
                     const AttemptEnd &End);
+  struct Crash;
+  Crash &noteLoss(const InstanceId &Upstream, const EngineLoss &Loss);
   void flushCrashes(TimePoint Now);
   void heartbeatAnswered(const InstanceId &Upstream, const std::string &Payload);
   void memberChanged(const InstanceRecord &Record);
@@ -125,7 +129,9 @@
   std::map<InstanceId, Incarnation> m_AgentIncarnations;
   struct Crash {
     TimePoint m_At;
+    std::vector<SuspectKey> m_Running;
     std::vector<AttemptStatement> m_Ended;
+    bool m_IsReported = false;
   };
   std::map<std::pair<InstanceId, Incarnation>, Crash> m_Crashes;
   std::atomic<std::uint64_t> m_NextRequest{1};
--- a/src/fescuegauged/RpcService.h
+++ b/src/fescuegauged/RpcService.h
@@ -15,7 +15,7 @@
 
 /// Service "rpc": the connections to other processes. Services register what they answer before
 /// start(); all callbacks run on the loop.
-class RpcService : public Service, private RpcHandler {
+class RpcService : public Service, public RpcHandler {
 public:
   using ControlHandler =
       std::function<void(const PeerIdentity &From, std::string Payload, ControlReply Reply)>;
--- a/src/fescuegauged/TargetsService.cpp
+++ b/src/fescuegauged/TargetsService.cpp
@@ -103,10 +103,9 @@
     if (const auto *Message = std::get_if<ConfigurationReplica::Send>(&Action)) {
       sendMessage(*Message);
     } else if (const auto *Read = std::get_if<ConfigurationReplica::ReadRow>(&Action)) {
-      m_Platform->read(Read->m_Key,
-                       [this, Key = Read->m_Key](const std::optional<TableRow> &Row) {
-                         carryOut(m_Replica.onRow(Key, Row, EventLoop::now()));
-                       });
+      m_Platform->read(Read->m_Key, [this, Key = Read->m_Key](const std::optional<TableRow> &Row) {
+        carryOut(m_Replica.onRow(Key, Row, EventLoop::now()));
+      });
     } else if (const auto *Write = std::get_if<ConfigurationReplica::Write>(&Action)) {
       m_Platform->transact(Write->m_Transaction, [this](const CommitResult &Result) {
         carryOut(m_Replica.onCommit(Result, EventLoop::now()));
@@ -117,8 +116,8 @@
         Hook(m_Replica.configuration());
       auto Writers = m_Writers;
       for (const WriterPtr &Target : Writers)
-        carryOut(Target, Target->m_Policy.onConfiguration(m_Replica.configuration(),
-                                                          EventLoop::now()));
+        carryOut(Target,
+                 Target->m_Policy.onConfiguration(m_Replica.configuration(), EventLoop::now()));
     }
   }
 }
@@ -141,10 +140,10 @@
 void TargetsService::carryOut(const WriterPtr &Target, const ChangeWriter::Actions &Actions) {
   for (const ChangeWriter::Action &Action : Actions) {
     if (const auto *Read = std::get_if<ChangeWriter::ReadRow>(&Action)) {
-      m_Platform->read(
-          Read->m_Key, [this, Target, Key = Read->m_Key](const std::optional<TableRow> &Row) {
-            carryOut(Target, Target->m_Policy.onRow(Key, Row, EventLoop::now()));
-          });
+      m_Platform->read(Read->m_Key,
+                       [this, Target, Key = Read->m_Key](const std::optional<TableRow> &Row) {
+                         carryOut(Target, Target->m_Policy.onRow(Key, Row, EventLoop::now()));
+                       });
     } else if (const auto *Write = std::get_if<ChangeWriter::Write>(&Action)) {
       WriteId Id = Write->m_Transaction.m_WriteId;
       m_Platform->transact(Write->m_Transaction, [this, Target, Id](const CommitResult &Result) {
--- a/src/fescuegauged/TargetsService.h
+++ b/src/fescuegauged/TargetsService.h
@@ -12,8 +12,8 @@
 
 namespace fescuegauge {
 
-/// Service "targets": the configuration of this process, and operators' changes to it. All functions
-/// but start() and dumpState() are called on the loop.
+/// Service "targets": the configuration of this process, and operators' changes to it. All
+/// functions but start() and dumpState() are called on the loop.
 class TargetsService : public Service {
 public:
   /// Operators' changes that are written at the same time; a further one is refused.
--- a/src/fescuegauged/WeightsService.cpp
+++ b/src/fescuegauged/WeightsService.cpp
@@ -67,8 +67,7 @@
     const auto *Rollout = std::get_if<RolloutDeclaration>(&Entry.m_Stored->m_Declaration);
     if (!Rollout || Rollout->m_Service != m_Settings.m_Agent.m_Service)
       continue;
-    if (!Rollout->m_Generation.empty() &&
-        Rollout->m_Generation != m_Settings.m_Agent.m_Generation)
+    if (!Rollout->m_Generation.empty() && Rollout->m_Generation != m_Settings.m_Agent.m_Generation)
       continue;
     if (Entry.m_SetBy > m_RolloutChange) {
       m_Rollout = *Rollout;
@@ -89,8 +88,8 @@
   TransferOrder Order;
   Order.m_Manifest = Found->second;
   Order.m_Change = m_RolloutChange;
-  Order.m_Rollout = RolloutId(m_Settings.m_Agent.m_Service.str() + "-" +
-                              std::to_string(m_RolloutChange.value()));
+  Order.m_Rollout =
+      RolloutId(m_Settings.m_Agent.m_Service.str() + "-" + std::to_string(m_RolloutChange.value()));
   Order.m_Preference = m_Rollout->m_Prefer == RolloutPreference::Time
                            ? TransferPreference::Time
                            : TransferPreference::OriginBytes;
@@ -116,16 +115,14 @@
 void WeightsService::askPeerForManifest(const Digest &Root) {
   std::vector<InstanceId> Peers;
   for (const auto &Member : m_Membership->view().members())
-    if (Member->m_Service == m_Settings.m_Agent.m_Service &&
-        Member->m_State == InstanceState::Live)
+    if (Member->m_Service == m_Settings.m_Agent.m_Service && Member->m_State == InstanceState::Live)
       Peers.push_back(Member->m_Id);
   if (Peers.empty())
     return;
   auto Turn = static_cast<std::size_t>(EventLoop::now().time_since_epoch() / ViewInterval);
-  m_Membership->send(Peers[Turn % Peers.size()], Topic::Weights, ManifestTag + Root.hex(),
-                     [this, Root](const std::optional<std::string> &Text) {
-                       manifestFound(Root, Text);
-                     });
+  m_Membership->send(
+      Peers[Turn % Peers.size()], Topic::Weights, ManifestTag + Root.hex(),
+      [this, Root](const std::optional<std::string> &Text) { manifestFound(Root, Text); });
 }
 
 void WeightsService::manifestFound(const Digest &Root, const std::optional<std::string> &Text) {
@@ -171,8 +168,8 @@
   }
   auto Content = std::make_shared<std::optional<std::string>>();
   m_Loop.runBlocking([this, Chunk, Content] { *Content = m_Attempts->engine().staged(Chunk); },
-                     [this, Content, Reply] {
-                       m_Agent->endUpload();
+                     [this, Content, Reply, To = From.m_Instance] {
+                       m_Agent->endUpload(To);
                        if (*Content)
                          Reply({ChunkAnswer::Status::Found, std::move(**Content)});
                        else
@@ -187,8 +184,7 @@
 void WeightsService::updateView(TimePoint Now) {
   std::vector<InstanceRecord> View;
   for (const auto &Member : m_Membership->view().members())
-    if (Member->m_Role == InstanceRole::Agent &&
-        Member->m_Service == m_Settings.m_Agent.m_Service)
+    if (Member->m_Role == InstanceRole::Agent && Member->m_Service == m_Settings.m_Agent.m_Service)
       View.push_back(*Member);
   View.push_back(m_Membership->view().self());
   // The declared number counts upstreams of the whole service; a data centre keeps its part.
@@ -196,12 +192,13 @@
   for (const InstanceRecord &Record : View)
     if (Record.m_DataCentre == m_Settings.m_DataCentre)
       ++Local;
-  auto Part = static_cast<std::uint32_t>((minimumServing() * Local + View.size() - 1) /
-                                         View.size());
+  auto Part =
+      static_cast<std::uint32_t>((minimumServing() * Local + View.size() - 1) / View.size());
   // Where one upstream is all there is, others of the service serve while it loads.
   Part = std::min(Part, static_cast<std::uint32_t>(Local - 1));
   std::vector<ClassNeed> Needs{{WorkClassId("any"), Part * m_Settings.m_Agent.m_Capacity}};
-  m_Agent->setView(View, Needs, Now);
+  m_Agent->setView(std::make_shared<const std::vector<InstanceRecord>>(std::move(View)),
+                   std::move(Needs), Now);
 }
 
 void WeightsService::poll() {
@@ -243,25 +240,22 @@
   if (!Peer)
     return m_Agent->onFetchFailed(Fetch.m_Id, FetchFailure::NotStarted, EventLoop::now());
   m_Rpc->node().remember(Fetch.m_Peer, Peer->m_Endpoint, false);
-  m_Rpc->node().fetchChunk(Fetch.m_Peer, Fetch.m_Chunk.m_Digest, FetchTimeout,
-                           [this, Fetch](ChunkAnswer Answer) {
-                             TimePoint Now = EventLoop::now();
-                             switch (Answer.m_Status) {
-                             case ChunkAnswer::Status::Found:
-                               return received(Fetch, std::move(Answer.m_Content));
-                             case ChunkAnswer::Status::Busy:
-                               return m_Agent->onFetchFailed(Fetch.m_Id, FetchFailure::Busy, Now);
-                             case ChunkAnswer::Status::NotHeld:
-                               return m_Agent->onFetchFailed(Fetch.m_Id, FetchFailure::NotHeld,
-                                                             Now);
-                             case ChunkAnswer::Status::NotSent:
-                               return m_Agent->onFetchFailed(Fetch.m_Id, FetchFailure::NotStarted,
-                                                             Now);
-                             case ChunkAnswer::Status::NoAnswer:
-                               return m_Agent->onFetchFailed(Fetch.m_Id, FetchFailure::Broken,
-                                                             Now);
-                             }
-                           });
+  m_Rpc->node().fetchChunk(
+      Fetch.m_Peer, Fetch.m_Chunk.m_Digest, FetchTimeout, [this, Fetch](ChunkAnswer Answer) {
+        TimePoint Now = EventLoop::now();
+        switch (Answer.m_Status) {
+        case ChunkAnswer::Status::Found:
+          return received(Fetch, std::move(Answer.m_Content));
+        case ChunkAnswer::Status::Busy:
+          return m_Agent->onFetchFailed(Fetch.m_Id, FetchFailure::Busy, Now);
+        case ChunkAnswer::Status::NotHeld:
+          return m_Agent->onFetchFailed(Fetch.m_Id, FetchFailure::NotHeld, Now);
+        case ChunkAnswer::Status::NotSent:
+          return m_Agent->onFetchFailed(Fetch.m_Id, FetchFailure::NotStarted, Now);
+        case ChunkAnswer::Status::NoAnswer:
+          return m_Agent->onFetchFailed(Fetch.m_Id, FetchFailure::Broken, Now);
+        }
+      });
 }
 
 void WeightsService::received(const StartFetch &Fetch, std::string Content) {
@@ -285,7 +279,7 @@
         *Written = m_Attempts->engine().stage(Fetch.m_Chunk.m_Digest, *Content);
       },
       [this, Fetch, Written] {
-        m_Agent->onStaged(Fetch.m_Index, Fetch.m_Chunk, *Written, EventLoop::now());
+        m_Agent->onStaged(Fetch.m_Chunk, *Written, EventLoop::now());
         poll();
       });
 }
--- a/src/fescuegauged/main.cpp
+++ b/src/fescuegauged/main.cpp
@@ -1,4 +1,5 @@
 #include "Daemon.h"
+#include "Fescuegauge/ErrorKind.h"
 #include "Fescuegauge/Log.h"
 
 #include <boost/leaf/handle_errors.hpp>
--- a/src/include/Fescuegauge/ControlCodec.h
+++ b/src/include/Fescuegauge/ControlCodec.h
@@ -5,6 +5,7 @@
 #include "Fescuegauge/ClaimBatcher.h"
 #include "Fescuegauge/ClaimRow.h"
 #include "Fescuegauge/CrashSuspects.h"
+#include "Fescuegauge/RpcNode.h"
 #include "Fescuegauge/TransferPlanner.h"
 
 #include <optional>
@@ -26,6 +27,8 @@
   Duration m_Age{};
   /// Number of the configuration in force.
   ChangeNumber m_Change;
+  /// The latest losses of the engine, for entry instances without an attempt on it.
+  std::vector<EngineLoss> m_Losses;
 };
 
 /// An agent's statement on an attempt, with the answer if the agent kept it.
--- a/src/include/Fescuegauge/RpcNode.h
+++ b/src/include/Fescuegauge/RpcNode.h
@@ -46,6 +46,22 @@
   int m_Priority = 0;
   Duration m_Timeout{};
   std::string m_Body;
+  /// As the entry instance computed it, for recognising requests that crash engines.
+  Digest m_BodyDigest;
+};
+
+/// What identifies a request that may crash engines.
+struct RunningRequest {
+  ClientAccountId m_Account;
+  Digest m_BodyDigest;
+};
+
+/// One loss of the engine beside an agent.
+struct EngineLoss {
+  /// Numbers the losses of one agent's engine.
+  Incarnation m_EngineIncarnation;
+  /// The requests of all entry instances that ran on it.
+  std::vector<RunningRequest> m_Running;
 };
 
 enum class AttemptStatus {
@@ -67,8 +83,8 @@
   std::string m_Reason;
   std::uint64_t m_TotalBytes = 0;
   Digest m_ServedDigest;
-  /// On EngineLost: distinguishes losses of the same engine.
-  Incarnation m_EngineIncarnation;
+  /// On EngineLost.
+  EngineLoss m_Loss;
   /// On Refused.
   ErrorKind m_Error = ErrorKind::NotReady;
   Incarnation m_AgentIncarnation;
--- a/src/librpc/ControlCodec.cpp
+++ b/src/librpc/ControlCodec.cpp
@@ -1,6 +1,7 @@
 #include "Fescuegauge/ControlCodec.h"
 
 #include "CapnpText.h"
+#include "EngineLossCodec.h"
 #include "Peer.capnp.h"
 
 #include <capnp/message.h>
@@ -79,6 +80,9 @@
   Out.setCapacity(Report.m_Capacity);
   Out.setReportAgeMs(static_cast<std::uint32_t>(Report.m_Age.count() / 1000));
   Out.setChange(Report.m_Change.value());
+  auto Losses = Out.initLosses(static_cast<unsigned>(Report.m_Losses.size()));
+  for (unsigned I = 0; I < Losses.size(); ++I)
+    encodeLoss(Report.m_Losses[I], Losses[I]);
   return serialized(Message);
 }
 
@@ -150,6 +154,8 @@
     Report.m_Capacity = In.getCapacity();
     Report.m_Age = std::chrono::milliseconds(In.getReportAgeMs());
     Report.m_Change = ChangeNumber(In.getChange());
+    for (auto Loss : In.getLosses())
+      Report.m_Losses.push_back(decodeLoss(Loss));
     return true;
   });
 }
--- a/src/librpc/Peer.capnp
+++ b/src/librpc/Peer.capnp
@@ -36,6 +36,20 @@
   priority @10 :Int32;
   timeoutMs @11 :UInt32;
   body @12 :Data;
+  bodyDigest @13 :Data;
+  # As the entry instance computed it, for recognising requests that crash engines.
+}
+
+struct SuspectKey {
+  account @0 :Text;
+  bodyDigest @1 :Data;
+}
+
+struct EngineLoss {
+  # One loss of the engine beside an agent.
+  engineIncarnation @0 :UInt64;
+  running @1 :List(SuspectKey);
+  # The requests of all entry instances that ran on it.
 }
 
 enum AttemptStatus {
@@ -56,11 +70,11 @@
   reason @2 :Text;
   totalBytes @3 :UInt64;
   servedDigest @4 :Data;
-  engineIncarnation @5 :UInt64;
-  # Distinguishes losses of the same engine.
-  error @6 :Text;
+  error @5 :Text;
   # Name of the error kind of a refusal.
-  agentIncarnation @7 :UInt64;
+  agentIncarnation @6 :UInt64;
+  loss @7 :EngineLoss;
+  # Set with status engineLost.
 }
 
 interface AttemptSink {
@@ -91,6 +105,8 @@
   reportAgeMs @5 :UInt32;
   change @6 :UInt64;
   # Number of the configuration in force.
+  losses @7 :List(EngineLoss);
+  # The latest losses of the engine, for entry instances without an attempt on it.
 }
 
 struct RowCondition {
--- a/src/librpc/Peer.capnp.h
+++ b/src/librpc/Peer.capnp.h
@@ -21,6 +21,8 @@
 
 CAPNP_DECLARE_SCHEMA(c5de2695699f5c22);
 CAPNP_DECLARE_SCHEMA(dd86bd6a3ffa0caf);
+CAPNP_DECLARE_SCHEMA(f63a035c8de82c9e);
+CAPNP_DECLARE_SCHEMA(81b0441605199b36);
 CAPNP_DECLARE_SCHEMA(e125bc40a84d2e05);
 enum class AttemptStatus_e125bc40a84d2e05: uint16_t {
   COMPLETE,
@@ -98,7 +100,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dd86bd6a3ffa0caf, 3, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(dd86bd6a3ffa0caf, 3, 10)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SuspectKey {
+  SuspectKey() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f63a035c8de82c9e, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EngineLoss {
+  EngineLoss() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(81b0441605199b36, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -115,7 +147,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f4709f1d17fbe951, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f4709f1d17fbe951, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -213,7 +245,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b8c58f9d87cdcf1e, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b8c58f9d87cdcf1e, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -719,6 +751,9 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline bool hasBodyDigest() const;
+  inline  ::capnp::Data::Reader getBodyDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -822,6 +857,13 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline bool hasBodyDigest();
+  inline  ::capnp::Data::Builder getBodyDigest();
+  inline void setBodyDigest( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBodyDigest(unsigned int size);
+  inline void adoptBodyDigest(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBodyDigest();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -848,6 +890,183 @@
 };
 #endif  // !CAPNP_LITE
 
+class SuspectKey::Reader {
+public:
+  typedef SuspectKey Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
+
+  inline bool hasBodyDigest() const;
+  inline  ::capnp::Data::Reader getBodyDigest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SuspectKey::Builder {
+public:
+  typedef SuspectKey Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+
+  inline bool hasBodyDigest();
+  inline  ::capnp::Data::Builder getBodyDigest();
+  inline void setBodyDigest( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBodyDigest(unsigned int size);
+  inline void adoptBodyDigest(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBodyDigest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SuspectKey::Pipeline {
+public:
+  typedef SuspectKey Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EngineLoss::Reader {
+public:
+  typedef EngineLoss Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEngineIncarnation() const;
+
+  inline bool hasRunning() const;
+  inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Reader getRunning() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EngineLoss::Builder {
+public:
+  typedef EngineLoss Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEngineIncarnation();
+  inline void setEngineIncarnation( ::uint64_t value);
+
+  inline bool hasRunning();
+  inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Builder getRunning();
+  inline void setRunning( ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Builder initRunning(unsigned int size);
+  inline void adoptRunning(::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>> disownRunning();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EngineLoss::Pipeline {
+public:
+  typedef EngineLoss Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class AttemptEnd::Reader {
 public:
   typedef AttemptEnd Reads;
@@ -877,13 +1096,14 @@
   inline bool hasServedDigest() const;
   inline  ::capnp::Data::Reader getServedDigest() const;
 
-  inline  ::uint64_t getEngineIncarnation() const;
-
   inline bool hasError() const;
   inline  ::capnp::Text::Reader getError() const;
 
   inline  ::uint64_t getAgentIncarnation() const;
 
+  inline bool hasLoss() const;
+  inline  ::fescuegauge::rpc::EngineLoss::Reader getLoss() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -935,9 +1155,6 @@
   inline void adoptServedDigest(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownServedDigest();
 
-  inline  ::uint64_t getEngineIncarnation();
-  inline void setEngineIncarnation( ::uint64_t value);
-
   inline bool hasError();
   inline  ::capnp::Text::Builder getError();
   inline void setError( ::capnp::Text::Reader value);
@@ -948,6 +1165,13 @@
   inline  ::uint64_t getAgentIncarnation();
   inline void setAgentIncarnation( ::uint64_t value);
 
+  inline bool hasLoss();
+  inline  ::fescuegauge::rpc::EngineLoss::Builder getLoss();
+  inline void setLoss( ::fescuegauge::rpc::EngineLoss::Reader value);
+  inline  ::fescuegauge::rpc::EngineLoss::Builder initLoss();
+  inline void adoptLoss(::capnp::Orphan< ::fescuegauge::rpc::EngineLoss>&& value);
+  inline ::capnp::Orphan< ::fescuegauge::rpc::EngineLoss> disownLoss();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -966,6 +1190,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::fescuegauge::rpc::EngineLoss::Pipeline getLoss();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1405,6 +1630,9 @@
 
   inline  ::uint64_t getChange() const;
 
+  inline bool hasLosses() const;
+  inline  ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>::Reader getLosses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1458,6 +1686,13 @@
   inline  ::uint64_t getChange();
   inline void setChange( ::uint64_t value);
 
+  inline bool hasLosses();
+  inline  ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>::Builder getLosses();
+  inline void setLosses( ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>::Builder initLosses(unsigned int size);
+  inline void adoptLosses(::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>> disownLosses();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3832,6 +4067,156 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline bool AttemptRequest::Reader::hasBodyDigest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptRequest::Builder::hasBodyDigest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader AttemptRequest::Reader::getBodyDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder AttemptRequest::Builder::getBodyDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void AttemptRequest::Builder::setBodyDigest( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder AttemptRequest::Builder::initBodyDigest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void AttemptRequest::Builder::adoptBodyDigest(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> AttemptRequest::Builder::disownBodyDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline bool SuspectKey::Reader::hasAccount() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SuspectKey::Builder::hasAccount() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SuspectKey::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SuspectKey::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SuspectKey::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SuspectKey::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SuspectKey::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SuspectKey::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SuspectKey::Reader::hasBodyDigest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SuspectKey::Builder::hasBodyDigest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader SuspectKey::Reader::getBodyDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder SuspectKey::Builder::getBodyDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SuspectKey::Builder::setBodyDigest( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder SuspectKey::Builder::initBodyDigest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SuspectKey::Builder::adoptBodyDigest(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> SuspectKey::Builder::disownBodyDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t EngineLoss::Reader::getEngineIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EngineLoss::Builder::getEngineIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EngineLoss::Builder::setEngineIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EngineLoss::Reader::hasRunning() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EngineLoss::Builder::hasRunning() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Reader EngineLoss::Reader::getRunning() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Builder EngineLoss::Builder::getRunning() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EngineLoss::Builder::setRunning( ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Builder EngineLoss::Builder::initRunning(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EngineLoss::Builder::adoptRunning(
+    ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>> EngineLoss::Builder::disownRunning() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::fescuegauge::rpc::AttemptStatus AttemptEnd::Reader::getStatus() const {
   return _reader.getDataField< ::fescuegauge::rpc::AttemptStatus>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3942,20 +4327,6 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t AttemptEnd::Reader::getEngineIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t AttemptEnd::Builder::getEngineIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void AttemptEnd::Builder::setEngineIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool AttemptEnd::Reader::hasError() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
@@ -3992,16 +4363,55 @@
 
 inline  ::uint64_t AttemptEnd::Reader::getAgentIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint64_t AttemptEnd::Builder::getAgentIncarnation() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 inline void AttemptEnd::Builder::setAgentIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AttemptEnd::Reader::hasLoss() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptEnd::Builder::hasLoss() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::fescuegauge::rpc::EngineLoss::Reader AttemptEnd::Reader::getLoss() const {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::EngineLoss>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::fescuegauge::rpc::EngineLoss::Builder AttemptEnd::Builder::getLoss() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::EngineLoss>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::fescuegauge::rpc::EngineLoss::Pipeline AttemptEnd::Pipeline::getLoss() {
+  return  ::fescuegauge::rpc::EngineLoss::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void AttemptEnd::Builder::setLoss( ::fescuegauge::rpc::EngineLoss::Reader value) {
+  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::EngineLoss>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::fescuegauge::rpc::EngineLoss::Builder AttemptEnd::Builder::initLoss() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::EngineLoss>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void AttemptEnd::Builder::adoptLoss(
+    ::capnp::Orphan< ::fescuegauge::rpc::EngineLoss>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::EngineLoss>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fescuegauge::rpc::EngineLoss> AttemptEnd::Builder::disownLoss() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::EngineLoss>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
@@ -4335,6 +4745,40 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool AgentReport::Reader::hasLosses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentReport::Builder::hasLosses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>::Reader AgentReport::Reader::getLosses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>::Builder AgentReport::Builder::getLosses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AgentReport::Builder::setLosses( ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>::Builder AgentReport::Builder::initLosses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void AgentReport::Builder::adoptLosses(
+    ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>> AgentReport::Builder::disownLosses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::EngineLoss,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool RowCondition::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/librpc/RpcNode.cpp
+++ b/src/librpc/RpcNode.cpp
@@ -1,6 +1,7 @@
 #include "Fescuegauge/RpcNode.h"
 
 #include "CapnpText.h"
+#include "EngineLossCodec.h"
 #include "EventLoopImpl.h"
 #include "Peer.capnp.h"
 
@@ -51,6 +52,7 @@
   Out.setPriority(Request.m_Priority);
   Out.setTimeoutMs(static_cast<std::uint32_t>(Request.m_Timeout.count() / 1000));
   Out.setBody(dataOf(Request.m_Body));
+  Out.setBodyDigest(dataOf(Request.m_BodyDigest));
 }
 
 AttemptRequest decode(rpc::AttemptRequest::Reader In) {
@@ -68,6 +70,7 @@
   Request.m_Priority = In.getPriority();
   Request.m_Timeout = std::chrono::milliseconds(In.getTimeoutMs());
   Request.m_Body = stringOf(In.getBody());
+  Request.m_BodyDigest = digestOf(In.getBodyDigest());
   return Request;
 }
 
@@ -77,7 +80,8 @@
   Out.setReason(End.m_Reason);
   Out.setTotalBytes(End.m_TotalBytes);
   Out.setServedDigest(dataOf(End.m_ServedDigest));
-  Out.setEngineIncarnation(End.m_EngineIncarnation.value());
+  if (End.m_Status == AttemptStatus::EngineLost)
+    encodeLoss(End.m_Loss, Out.initLoss());
   Out.setError(std::string(errorAnswer(End.m_Error).m_Name));
   Out.setAgentIncarnation(End.m_AgentIncarnation.value());
 }
@@ -93,7 +97,7 @@
   End.m_Reason = stringOf(In.getReason());
   End.m_TotalBytes = In.getTotalBytes();
   End.m_ServedDigest = digestOf(In.getServedDigest());
-  End.m_EngineIncarnation = Incarnation(In.getEngineIncarnation());
+  End.m_Loss = decodeLoss(In.getLoss());
   End.m_Error = errorKindFromName(stringOf(In.getError())).value_or(ErrorKind::NotReady);
   End.m_AgentIncarnation = Incarnation(In.getAgentIncarnation());
   return End;
@@ -571,6 +575,9 @@
 
 void RpcNode::remember(const InstanceId &Peer, const Endpoint &Address, bool Monitored) {
   Impl::Outgoing &Link = m_Impl->m_Outgoing[Peer];
+  // Silence counts from now on, not from the last answer before monitoring.
+  if (Monitored && !Link.m_IsMonitored)
+    Link.m_LastAnswer = EventLoop::now();
   Link.m_IsMonitored = Monitored;
   if (Link.m_Address != Address) {
     m_Impl->disconnect(Peer, Link);
--- a/src/standins/EngineStandin.cpp
+++ b/src/standins/EngineStandin.cpp
@@ -1,4 +1,5 @@
 #include "Fescuegauge/Digest.h"
+#include "Fescuegauge/Manifest.h"
 #include "StandinServer.h"
 
 #include <atomic>
@@ -136,7 +137,7 @@
     std::lock_guard Lock(m_Mutex);
     if (m_Options.m_ChecksFencing && Token < m_FencingToken)
       return Received.answer(json::object{{"error", "old fencing token"}}, 409);
-    std::string Lines;
+    std::vector<ChunkRef> Held;
     const json::value *Chunks = Request.if_contains("chunks");
     if (!Chunks || !Chunks->is_array() || Chunks->as_array().empty())
       return Received.answer(json::object{{"error", "no chunks"}}, 422);
@@ -145,11 +146,11 @@
       std::string Content = m_Staging.get(Hex);
       if (Content.empty())
         return Received.answer(json::object{{"error", "chunk is not staged"}}, 422);
-      Lines += sha256(Content).hex() + " " + std::to_string(Content.size()) + "\n";
+      Held.push_back({sha256(Content), Bytes(Content.size())});
     }
     m_FencingToken = std::max(m_FencingToken, Token);
     m_ServedVersion = textField(Request, "version");
-    m_ServedDigest = sha256(Lines).hex();
+    m_ServedDigest = Manifest::rootOf(Held).hex();
     m_LoadedToken = Token;
     Received.answer(servedJson());
   }
