--- /dev/null
+++ b/src/librequests/Attempts_test.cpp
@@ -0,0 +1,148 @@
+#include "Fescuegauge/AttemptLedger.h"
+#include "Fescuegauge/CrashSuspects.h"
+
+#include <catch2/catch.hpp>
+
+using namespace fescuegauge;
+using namespace std::chrono_literals;
+
+namespace {
+
+const AttemptSourceId Source("entry0~1");
+constexpr TimePoint Start{};
+
+AttemptId attempt(std::uint64_t Number) { return AttemptNumber{Source, Number}.id(); }
+
+SuspectKey suspect(const std::string &Body, const std::string &Account = "a") {
+  return {ClientAccountId(Account), sha256(Body)};
+}
+
+} // namespace
+
+// Guards against a second run of an attempt and a run of one that was refused or cancelled.
+TEST_CASE("an attempt runs once, and never after it was refused or cancelled") {
+  AttemptLedger Ledger(Incarnation(1));
+  using Verdict = AttemptLedger::Verdict;
+  CHECK(Ledger.arrive(attempt(1), {}, Start).m_Verdict == Verdict::Refuse);
+  REQUIRE(Ledger.openSource(Source, 1, Start));
+  CHECK(Ledger.arrive(attempt(2), {}, Start).m_Verdict == Verdict::Run);
+  CHECK(Ledger.start(attempt(2)));
+  CHECK(Ledger.arrive(attempt(2), {}, Start).m_Verdict == Verdict::Duplicate);
+  CHECK(Ledger.cancel(attempt(2)));
+  CHECK_FALSE(Ledger.cancel(attempt(2)));
+  CHECK(Ledger.state(attempt(2)).m_State == AttemptState::Cancelled);
+  CHECK(Ledger.arrive(attempt(3), ErrorKind::Draining, Start).m_Reason == ErrorKind::Draining);
+  CHECK(Ledger.arrive(attempt(3), {}, Start).m_Verdict == Verdict::Refuse);
+  // The cancellation overtakes the attempt.
+  CHECK_FALSE(Ledger.cancel(attempt(4)));
+  CHECK(Ledger.arrive(attempt(4), {}, Start).m_Verdict == Verdict::Refuse);
+  // The question overtakes the attempt: the answer must remain true.
+  CHECK(Ledger.state(attempt(5)).isNotRun());
+  CHECK(Ledger.arrive(attempt(5), {}, Start).m_Verdict == Verdict::Refuse);
+  // Cancelled between acceptance and the first byte.
+  CHECK(Ledger.arrive(attempt(6), {}, Start).m_Verdict == Verdict::Run);
+  CHECK_FALSE(Ledger.cancel(attempt(6)));
+  CHECK_FALSE(Ledger.start(attempt(6)));
+  CHECK(Ledger.state(attempt(6)).isNotRun());
+  CHECK(Ledger.runningCount() == 0);
+}
+
+// Guards against false statements on attempts that the ledger had to forget.
+TEST_CASE("a forgotten attempt is never run and never called not run") {
+  AttemptLedger Ledger(Incarnation(1));
+  REQUIRE(Ledger.openSource(Source, 1, Start));
+  for (std::uint64_t I = 1; I <= AttemptLedger::MaxPerSource + 10; ++I) {
+    REQUIRE(Ledger.arrive(attempt(I), {}, Start).m_Verdict == AttemptLedger::Verdict::Run);
+    REQUIRE(Ledger.start(attempt(I)));
+    Ledger.end(attempt(I), true);
+  }
+  CHECK_FALSE(Ledger.state(attempt(5)).m_State);
+  CHECK(Ledger.arrive(attempt(5), {}, Start).m_Verdict == AttemptLedger::Verdict::Refuse);
+  CHECK(Ledger.state(attempt(AttemptLedger::MaxPerSource)).m_State == AttemptState::Completed);
+  CHECK_FALSE(Ledger.state(AttemptId("other~1.4")).m_State);
+  CHECK_FALSE(Ledger.state(AttemptId("malformed")).m_State);
+}
+
+// Guards against unbounded sources, and late copies from a source that was forgotten as a whole.
+TEST_CASE("closed sources make room and their earlier attempts stay refused") {
+  AttemptLedger Ledger(Incarnation(1));
+  REQUIRE(Ledger.openSource(Source, 1, Start));
+  CHECK(Ledger.arrive(attempt(1), {}, Start).m_Verdict == AttemptLedger::Verdict::Run);
+  REQUIRE(Ledger.start(attempt(1)));
+  CHECK(Ledger.onTimer(Start + AttemptLedger::HeartbeatTimeout) == std::vector{attempt(1)});
+  TimePoint Later = Start + 1min;
+  for (std::size_t I = 0; I < AttemptLedger::MaxSources; ++I)
+    CHECK(Ledger.openSource(AttemptSourceId("e" + std::to_string(I) + "~1"), 1, Later));
+  CHECK_FALSE(Ledger.openSource(Source, 2, Later));
+  CHECK(Ledger.sourceCount() == AttemptLedger::MaxSources);
+  Ledger.onTimer(Later + 1min);
+  REQUIRE(Ledger.openSource(Source, 2, Later + 1min));
+  CHECK(Ledger.arrive(attempt(1), {}, Later + 1min).m_Verdict == AttemptLedger::Verdict::Refuse);
+  CHECK_FALSE(Ledger.state(attempt(1)).m_State);
+}
+
+// Guards against work that starts after a pause during which its entry gave it up.
+TEST_CASE("an attempt that arrives after the heartbeat timeout is refused before any timer ran") {
+  AttemptLedger Ledger(Incarnation(1));
+  REQUIRE(Ledger.openSource(Source, 1, Start));
+  auto Decision = Ledger.arrive(attempt(1), {}, Start + AttemptLedger::HeartbeatTimeout);
+  CHECK(Decision.m_Verdict == AttemptLedger::Verdict::Refuse);
+}
+
+// Guards against blame of all requests on a lost upstream.
+TEST_CASE("only the request that was there at both losses is refused") {
+  CrashSuspects Suspects;
+  std::vector<SuspectKey> First{suspect("poison"), suspect("b"), suspect("c")};
+  Suspects.upstreamLost(InstanceId("u1"), Incarnation(1), First, Start);
+  for (const SuspectKey &Key : First)
+    CHECK_FALSE(Suspects.isBlamed(Key, Start));
+  std::vector<SuspectKey> Second{suspect("d"), suspect("poison")};
+  Suspects.upstreamLost(InstanceId("u2"), Incarnation(1), Second, Start);
+  CHECK(Suspects.isBlamed(suspect("poison"), Start));
+  CHECK_FALSE(Suspects.isSuspect(suspect("d"), Start));
+  CHECK_FALSE(Suspects.isBlamed(suspect("b"), Start));
+  CHECK_FALSE(Suspects.isBlamed(suspect("poison"), Start + CrashSuspects::Lifetime));
+}
+
+// Guards against refusing an innocent request that shared both upstreams with the one to blame.
+TEST_CASE("two requests with the same losses are told apart by a completion or a third loss") {
+  for (bool Completes : {true, false}) {
+    CrashSuspects Suspects;
+    std::vector<SuspectKey> Both{suspect("innocent"), suspect("poison")};
+    Suspects.upstreamLost(InstanceId("u1"), Incarnation(1), Both, Start);
+    Suspects.upstreamLost(InstanceId("u2"), Incarnation(1), Both, Start);
+    CHECK_FALSE(Suspects.isBlamed(Both[0], Start));
+    CHECK_FALSE(Suspects.isBlamed(Both[1], Start));
+    if (Completes)
+      Suspects.completed(Both[0], Start);
+    else
+      Suspects.upstreamLost(InstanceId("u3"), Incarnation(1), std::span(&Both[1], 1), Start);
+    CHECK_FALSE(Suspects.isBlamed(Both[0], Start));
+    CHECK(Suspects.isBlamed(Both[1], Start));
+  }
+}
+
+// Guards against one account that displaces the suspects of others, and unbounded exchange.
+TEST_CASE("an account fills only its own part, and deltas carry blame to other entries") {
+  CrashSuspects Suspects;
+  SuspectKey Poison = suspect("poison");
+  Suspects.upstreamLost(InstanceId("u1"), Incarnation(1), std::span(&Poison, 1), Start);
+  Suspects.upstreamLost(InstanceId("u2"), Incarnation(1), std::span(&Poison, 1), Start);
+  for (std::uint64_t I = 0; I < 5000; ++I) {
+    SuspectKey Flood = suspect(std::to_string(I), "flood");
+    Suspects.upstreamLost(InstanceId("u3"), Incarnation(I), std::span(&Flood, 1), Start);
+  }
+  CHECK(Suspects.sizeOf(ClientAccountId("flood")) == CrashSuspects::MaxPerAccount);
+  CHECK(Suspects.isBlamed(Poison, Start));
+
+  CrashSuspects Other;
+  Other.merge(Suspects.everything(Start), Start + 1s);
+  CHECK(Other.isBlamed(Poison, Start + 1s));
+  CHECK(Other.takeDeltas(Start + 1s).empty());
+  CHECK(Suspects.takeDeltas(Start).size() == CrashSuspects::MaxDeltasPerMessage);
+  Suspects.completed(Poison, Start);
+  Other.merge(Suspects.everything(Start), Start + 1s);
+  CHECK_FALSE(Other.isSuspect(Poison, Start + 1s));
+  Suspects.onTimer(Start + CrashSuspects::Lifetime);
+  CHECK(Suspects.size() == 0);
+}
--- /dev/null
+++ b/src/librequests/Claims_test.cpp
@@ -0,0 +1,286 @@
+#include "Fescuegauge/ClaimBatcher.h"
+#include "Fescuegauge/ClaimCoordinator.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace fescuegauge;
+using namespace std::chrono_literals;
+
+namespace {
+
+const InstanceId Self("entry0");
+const InstanceId Peer("entry1");
+const ClientAccountId Account("tienda");
+const IdempotencyKey Key("20791-abc");
+
+ClaimWrite writeOf(std::uint64_t Ticket, const std::string &RowKey) {
+  return {ClaimTicket(Ticket), {RowKey, RowVersion()}, "value", {{"claim-epoch", RowVersion(1)}}};
+}
+
+struct CoordinatorFixture {
+  CoordinatorFixture() : m_Claims({Self, "entry0~1", {}}) {
+    m_Claims.setEntries({Self, Peer});
+    m_Claims.setEpochRow({std::string(ClaimEpochRowKey), R"({"oldest":100})", RowVersion(3)});
+  }
+  static ClaimRequest request(const std::string &Id, const std::string &Body = "body") {
+    return {RequestId(Id),   Account,        Key,
+            sha256(Body),    ServiceId("s"), {GenerationId("old"), RowVersion(2), false},
+            TimePoint() + 1h};
+  }
+  ClaimActions answer(const ClaimActions &To, ClaimWriteStatus Status, TableRow Current = {}) {
+    const auto *Send = std::get_if<SendClaimWrite>(&To.at(0));
+    REQUIRE(Send);
+    return m_Claims.writeResult(
+        {Send->m_Write.m_Ticket, Status, std::move(Current), ErrorKind::TableUnreachable}, m_Now);
+  }
+  static const ClaimDecision &decision(const ClaimActions &Actions) {
+    const auto *Found = std::get_if<ClaimDecision>(&Actions.at(0));
+    REQUIRE(Found);
+    return *Found;
+  }
+  static ClaimRow rowIn(const ClaimActions &Actions) {
+    return *ClaimRow::decode(std::get<SendClaimWrite>(Actions.at(0)).m_Write.m_Value);
+  }
+
+  TimePoint m_Now{};
+  ClaimCoordinator m_Claims;
+};
+
+} // namespace
+
+// Guards against rows that cannot be read back, in particular with answers that are not text.
+TEST_CASE("a claim row survives encoding") {
+  ClaimRow Row{
+      ClaimId("c"),
+      Self,
+      sha256("x"),
+      ServiceId("s"),
+      GenerationId(""),
+      ClaimState::Done,
+      RecordedAnswer{201, "application/octet-stream", std::string("\xff\x00\"", 3), false}};
+  CHECK(ClaimRow::decode(Row.encode()) == Row);
+  Row.m_Answer->m_Body = "ñandú \n";
+  CHECK(ClaimRow::decode(Row.encode()) == Row);
+  Row.m_Answer->m_Body.clear();
+  Row.m_Answer->m_BodyOmitted = true;
+  CHECK(ClaimRow::decode(Row.encode()) == Row);
+  Row.m_State = ClaimState::Claimed;
+  CHECK_FALSE(ClaimRow::decode(Row.encode()));
+  for (const char *Bad : {"", "[]", "{}", R"({"claimId":1})", "{\"claimId\":\"c\""})
+    CHECK_FALSE(ClaimRow::decode(Bad));
+}
+
+// Guards against keys that would never expire or that name another account's row.
+TEST_CASE("a key has an epoch and a random part") {
+  CHECK(keyEpoch(Key) == ClaimEpoch(20791));
+  for (const char *Bad : {"", "abc", "-abc", "1-", "12x-a", "1234567890-a", "1-a/b", "1-a b"})
+    CHECK_FALSE(keyEpoch(IdempotencyKey(Bad)));
+  CHECK_FALSE(isRowKeyPart("a/b"));
+  CHECK(decodeClaimEpoch(encodeClaimEpoch(ClaimEpoch(7))) == ClaimEpoch(7));
+}
+
+// Guards against two claims of one key that are both told that they committed.
+TEST_CASE("a batcher never writes one row twice in a transaction") {
+  ClaimBatcher Batcher("b");
+  TimePoint Now{};
+  Batcher.submit(Self, writeOf(1, "claim/a/0"), Now);
+  Batcher.submit(Self, writeOf(2, "claim/a/1"), Now);
+  Batcher.submit(Peer, writeOf(3, "claim/a/1"), Now);
+  auto Actions = Batcher.onTimer(Now + ClaimBatcher::MinInterval);
+  REQUIRE(Actions.m_Commits.size() == 1);
+  CHECK(Actions.m_Commits[0].m_Puts.size() == 1);
+  CHECK(Batcher.queued() == 1);
+}
+
+// Guards against more transactions, or larger ones, than the platform accepts.
+TEST_CASE("a batcher keeps to its interval, row limit and queue bound") {
+  ClaimBatcher Batcher("b");
+  TimePoint Now{};
+  std::size_t Refused = 0;
+  for (std::uint64_t I = 0; I < 2 * ClaimBatcher::MaxQueued; ++I)
+    for (const auto &Answer :
+         Batcher.submit(Self, writeOf(I, "claim/a/" + std::to_string(I)), Now).m_Answers)
+      Refused += Answer.m_Result.m_Reason == ErrorKind::Overloaded ? 1 : 0;
+  CHECK(Batcher.transactionsSent() == 1);
+  CHECK(Refused == ClaimBatcher::MaxQueued - 1);
+  CHECK(Batcher.onTimer(Now + ClaimBatcher::MinInterval - 1us).m_Commits.empty());
+  auto Actions = Batcher.onTimer(Now + ClaimBatcher::MinInterval);
+  REQUIRE(Actions.m_Commits.size() == 1);
+  CHECK(Actions.m_Commits[0].m_Conditions.size() == Transaction::MaxRows);
+  for (int I = 2; I < 40; ++I)
+    Batcher.onTimer(Now + I * ClaimBatcher::MinInterval);
+  CHECK(Batcher.inFlight() == ClaimBatcher::MaxInFlight);
+}
+
+// Guards against losing the rows that did not conflict.
+TEST_CASE("a conflicting row is dropped and the others are written again") {
+  ClaimBatcher Batcher("b");
+  TimePoint Now{};
+  auto First = Batcher.submit(Self, writeOf(0, "claim/a/0"), Now).m_Commits.at(0);
+  Batcher.submit(Self, writeOf(1, "claim/a/1"), Now);
+  Batcher.submit(Peer, writeOf(2, "claim/a/2"), Now);
+  Now += ClaimBatcher::MinInterval;
+  auto Sent = Batcher.onTimer(Now).m_Commits.at(0);
+  Now += ClaimBatcher::MinInterval;
+  auto Actions = Batcher.onCommit(
+      Sent.m_WriteId, {CommitStatus::Conflict, {{"claim/a/1", "other", RowVersion(9)}}}, Now);
+  REQUIRE(Actions.m_Answers.size() == 1);
+  CHECK(Actions.m_Answers[0].m_Result.m_Status == ClaimWriteStatus::Conflict);
+  CHECK(Actions.m_Answers[0].m_Result.m_Current.m_Value == "other");
+  REQUIRE(Actions.m_Commits.size() == 1);
+  CHECK(Actions.m_Commits[0].m_WriteId != Sent.m_WriteId);
+  CHECK(Actions.m_Commits[0].m_Puts.at(0).m_Key == "claim/a/2");
+  CHECK(First.m_WriteId != Sent.m_WriteId);
+}
+
+// Guards against a lost response that is taken for a failure, and an outage that holds callers.
+TEST_CASE("a transaction without an answer is repeated under its id, an outage refuses at once") {
+  ClaimBatcher Batcher("b");
+  TimePoint Now{};
+  auto Sent = Batcher.submit(Self, writeOf(1, "claim/a/1"), Now).m_Commits.at(0);
+  ClaimBatcherActions Actions;
+  for (int I = 0; I < ClaimBatcher::MaxRepeats; ++I) {
+    Actions = Batcher.onCommit(Sent.m_WriteId, {CommitStatus::Unknown, {}}, Now);
+    CHECK(Actions.m_Answers.empty());
+    REQUIRE(Batcher.nextTimer());
+    Now = *Batcher.nextTimer();
+    Actions = Batcher.onTimer(Now);
+    REQUIRE(Actions.m_Commits.size() == 1);
+    CHECK(Actions.m_Commits[0].m_WriteId == Sent.m_WriteId);
+  }
+  Batcher.submit(Peer, writeOf(2, "claim/a/2"), Now);
+  Actions = Batcher.onCommit(Sent.m_WriteId, {CommitStatus::Unreachable, {}}, Now);
+  REQUIRE(Actions.m_Answers.size() == 2);
+  CHECK(Actions.m_Answers[0].m_Result.m_Status == ClaimWriteStatus::Unknown);
+  CHECK(Actions.m_Answers[1].m_Result.m_Status == ClaimWriteStatus::NotWritten);
+  Actions = Batcher.submit(Self, writeOf(3, "claim/a/3"), Now + 1ms);
+  REQUIRE(Actions.m_Answers.size() == 1);
+  CHECK(Actions.m_Answers[0].m_Result.m_Status == ClaimWriteStatus::NotWritten);
+  CHECK(Batcher.submit(Self, writeOf(4, "claim/a/4"), Now + 1s).m_Commits.size() == 1);
+}
+
+// Guards against a claim that is taken for lost although an earlier copy of it committed.
+TEST_CASE("a conflict with the own claim id grants the claim") {
+  CoordinatorFixture F;
+  auto Sent = F.m_Claims.claim(F.request("r1"), F.m_Now);
+  ClaimRow Row = F.rowIn(Sent);
+  F.m_Now += ClaimCoordinator::BatcherTimeout;
+  auto Again = F.m_Claims.onTimer(F.m_Now);
+  CHECK(std::get<SendClaimWrite>(Again.at(0)).m_To != std::get<SendClaimWrite>(Sent.at(0)).m_To);
+  auto Actions = F.answer(Again, ClaimWriteStatus::Conflict,
+                          {claimRowKey(Account, Key), Row.encode(), RowVersion(8)});
+  CHECK(F.decision(Actions).m_Verdict == ClaimVerdict::Granted);
+  auto Done = F.m_Claims.resolve(RequestId("r1"), ClaimState::Done, RecordedAnswer{}, F.m_Now);
+  CHECK(std::get<SendClaimWrite>(Done.at(0)).m_Write.m_Row.m_Version == RowVersion(8));
+}
+
+// Guards against "not run" while a late copy of the claim could still hold the key.
+TEST_CASE("an entry that gives up writes notRun on condition that the claim did not commit") {
+  CoordinatorFixture F;
+  auto Actions = F.m_Claims.claim(F.request("r1"), F.m_Now);
+  for (int I = 0; I < ClaimCoordinator::MaxSubmissions; ++I) {
+    F.m_Now += ClaimCoordinator::BatcherTimeout;
+    Actions = F.m_Claims.onTimer(F.m_Now);
+  }
+  REQUIRE(Actions.size() == 2);
+  CHECK(F.decision(Actions).m_Verdict == ClaimVerdict::NotRun);
+  const ClaimWrite &Write = std::get<SendClaimWrite>(Actions[1]).m_Write;
+  CHECK(Write.m_Row.m_Version == RowVersion());
+  CHECK(ClaimRow::decode(Write.m_Value)->m_State == ClaimState::NotRun);
+  // A repeat in the meantime is not run either.
+  CHECK(F.decision(F.m_Claims.claim(F.request("r2"), F.m_Now)).m_Verdict == ClaimVerdict::NotRun);
+}
+
+// Guards against a second run by a repeat, and against a key that stands for two requests.
+TEST_CASE("a repeat gets the recorded answer, waits or is unknown; another body is refused") {
+  CoordinatorFixture F;
+  auto Sent = F.m_Claims.claim(F.request("r1"), F.m_Now);
+  CHECK(F.m_Claims.claim(F.request("r2"), F.m_Now).empty());
+  CHECK(F.decision(F.m_Claims.claim(F.request("r3", "other"), F.m_Now)).m_Error ==
+        ErrorKind::KeyReusedWithOtherBody);
+  CHECK(F.decision(F.answer(Sent, ClaimWriteStatus::Committed)).m_Verdict == ClaimVerdict::Granted);
+  RecordedAnswer Answer{200, "text/plain", "ok", false};
+  auto Actions = F.m_Claims.resolve(RequestId("r1"), ClaimState::Done, Answer, F.m_Now);
+  REQUIRE(Actions.size() == 2);
+  const auto &Told = std::get<ClaimDecision>(Actions[1]);
+  CHECK(Told.m_Request == RequestId("r2"));
+  CHECK(Told.m_Verdict == ClaimVerdict::Recorded);
+  CHECK(Told.m_Answer == Answer);
+
+  for (ClaimState State : {ClaimState::Claimed, ClaimState::Unknown, ClaimState::NotRun}) {
+    CoordinatorFixture Other;
+    Sent = Other.m_Claims.claim(Other.request("r1"), Other.m_Now);
+    ClaimRow Row = Other.rowIn(Sent);
+    Row.m_ClaimId = ClaimId("foreign");
+    Row.m_Entry = Peer;
+    Row.m_State = State;
+    Actions = Other.answer(Sent, ClaimWriteStatus::Conflict,
+                           {claimRowKey(Account, Key), Row.encode(), RowVersion(5)});
+    if (State == ClaimState::Claimed)
+      CHECK(Actions.empty());
+    else if (State == ClaimState::Unknown)
+      CHECK(Other.decision(Actions).m_Verdict == ClaimVerdict::Unknown);
+    else
+      CHECK(std::get<SendClaimWrite>(Actions.at(0)).m_Write.m_Row.m_Version == RowVersion(5));
+    // A wait ends, and never as "not run".
+    Other.m_Now += ClaimCoordinator::MaxWait;
+    if (State == ClaimState::Claimed)
+      CHECK(Other.decision(Other.m_Claims.onTimer(Other.m_Now)).m_Verdict == ClaimVerdict::Unknown);
+  }
+}
+
+// Guards against a claim whose key was checked against an older epoch row than the one in its
+// guard.
+TEST_CASE("a key below the oldest epoch is refused, also when the epoch moves during the claim") {
+  CoordinatorFixture F;
+  auto Sent = F.m_Claims.claim(F.request("r1"), F.m_Now);
+  ClaimRow Row = F.rowIn(Sent);
+  Row.m_ClaimId = ClaimId("foreign");
+  Row.m_State = ClaimState::NotRun;
+  F.m_Claims.setEpochRow({std::string(ClaimEpochRowKey), R"({"oldest":30000})", RowVersion(4)});
+  auto Actions = F.answer(Sent, ClaimWriteStatus::Conflict,
+                          {claimRowKey(Account, Key), Row.encode(), RowVersion(5)});
+  CHECK(F.decision(Actions).m_Error == ErrorKind::KeyExpired);
+  // A stale read does not bring the old epoch back.
+  F.m_Claims.setEpochRow({std::string(ClaimEpochRowKey), R"({"oldest":100})", RowVersion(3)});
+  CHECK(F.decision(F.m_Claims.claim(F.request("r2"), F.m_Now)).m_Error == ErrorKind::KeyExpired);
+}
+
+// Guards against a committed claim that stays `claimed` because the epoch moved during withdrawal.
+TEST_CASE("a withdrawal of a committed claim does not depend on the epoch row") {
+  CoordinatorFixture F;
+  auto Sent = F.m_Claims.claim(F.request("r1"), F.m_Now);
+  ClaimRow Row = F.rowIn(Sent);
+  auto Withdrawal = F.m_Claims.abandon(RequestId("r1"), F.m_Now);
+  CHECK(std::get<SendClaimWrite>(Withdrawal.at(0)).m_Write.m_Guards.size() == 1);
+  auto Actions = F.answer(Withdrawal, ClaimWriteStatus::Conflict,
+                          {claimRowKey(Account, Key), Row.encode(), RowVersion(5)});
+  const ClaimWrite &Write = std::get<SendClaimWrite>(Actions.at(0)).m_Write;
+  CHECK(Write.m_Row.m_Version == RowVersion(5));
+  CHECK(Write.m_Guards.empty());
+}
+
+// Guards against claims for a generation that no longer owns the account.
+TEST_CASE("a failed owner condition ends as not run and reports the row") {
+  CoordinatorFixture F;
+  auto Sent = F.m_Claims.claim(F.request("r1"), F.m_Now);
+  TableRow Owner{ownerRowKey(ServiceId("s"), Account), "new", RowVersion(3)};
+  auto Actions = F.answer(Sent, ClaimWriteStatus::GuardFailed, Owner);
+  REQUIRE(Actions.size() == 2);
+  CHECK(std::get<OwnerRowSeen>(Actions[0]).m_Row.m_Version == RowVersion(3));
+  CHECK(std::get<ClaimDecision>(Actions[1]).m_Error == ErrorKind::HandoverInProgress);
+}
+
+// Guards against more than two batchers in a data centre, which would multiply transactions.
+TEST_CASE("all keys go to two batchers, and to the next when one is unresponsive") {
+  ClaimCoordinator Claims({Self, "entry0~1", {}});
+  std::vector<InstanceId> Entries;
+  for (int I = 0; I < 85; ++I)
+    Entries.emplace_back("entry" + std::to_string(I));
+  Claims.setEntries(Entries);
+  std::set<InstanceId> Used;
+  for (int I = 0; I < 1000; ++I)
+    Used.insert(Claims.batchersFor(IdempotencyKey("1-" + std::to_string(I)), TimePoint()).front());
+  CHECK(Used.size() == ClaimCoordinator::ActiveBatchers);
+}
