--- /dev/null
+++ b/src/librouting/AdmissionController.cpp
@@ -0,0 +1,256 @@
+#include "Fescuegauge/AdmissionController.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
+namespace fescuegauge {
+
+namespace {
+
+/// Weight of a new sample in a running mean.
+constexpr double MeanGain = 0.05;
+/// Step of a running quantile, as a share of the mean, for each sample.
+constexpr double QuantileGain = 0.03;
+/// An estimate that no sample confirms halves in this time, so that a class whose requests are all
+/// refused is tried again.
+constexpr double RelaxHalfLife = 2.0;
+/// Recent refusals count for about this long.
+constexpr double RefusalMemory = 5.0;
+/// A request counts at most this many times the mean cost of its class, and at least its inverse.
+constexpr double MaxCostRatio = 8;
+/// Part of an equal share that an entry instance may always have in flight.
+constexpr double MinPart = 0.25;
+/// Hedges are sent only while upstreams hold less than this part of what they can run.
+constexpr double HedgeBelow = 0.8;
+/// Expected cost of a class before anything is measured.
+constexpr Duration UnknownCost = std::chrono::milliseconds(500);
+/// A hedge is not worth its cost before this many requests were measured.
+constexpr std::uint64_t MinHedgeSamples = 50;
+
+double count(Duration Length) { return static_cast<double>(Length.count()); }
+Duration fromCount(double Microseconds) {
+  return Duration(static_cast<Duration::rep>(Microseconds));
+}
+
+std::string estimateKey(const RequestDescription &Request) {
+  return Request.m_Service.str() + '\n' + Request.m_Class.str();
+}
+
+/// Moves `Quantile` towards the quantile of the samples that `Share` of them do not exceed.
+void updateQuantile(double &Quantile, double Sample, double Mean, double Share) {
+  double Step = QuantileGain * std::max(Mean, 1.0);
+  if (Sample > Quantile)
+    Quantile += Step * Share;
+  else
+    Quantile = std::max(Quantile - Step * (1 - Share), 0.0);
+}
+
+} // namespace
+
+void AdmissionController::setTargets(std::span<const ClassTarget> Targets) {
+  m_Targets.clear();
+  m_Priorities.clear();
+  for (const ClassTarget &Target : Targets) {
+    if (m_Targets.size() >= MaxClasses)
+      break;
+    m_Targets[Target.m_Class] = Target;
+    if (!Target.m_NeverLost)
+      m_Priorities.push_back(Target.m_Priority);
+  }
+  std::sort(m_Priorities.begin(), m_Priorities.end(), std::greater<>());
+  m_Priorities.erase(std::unique(m_Priorities.begin(), m_Priorities.end()), m_Priorities.end());
+}
+
+double AdmissionController::waitingPart(const ClassTarget &Target) const {
+  if (Target.m_NeverLost)
+    return 1;
+  auto Rank = std::find(m_Priorities.begin(), m_Priorities.end(), Target.m_Priority);
+  return std::pow(LowerPriorityPart, Rank - m_Priorities.begin());
+}
+
+const ClassTarget *AdmissionController::target(const WorkClassId &Class) const {
+  auto Found = m_Targets.find(Class);
+  return Found == m_Targets.end() ? nullptr : &Found->second;
+}
+
+AdmissionController::ServiceState &AdmissionController::service(const ServiceId &Service) {
+  auto Found = m_Services.find(Service);
+  if (Found != m_Services.end())
+    return Found->second;
+  return m_Services.size() < MaxServices ? m_Services[Service] : m_Services[ServiceId()];
+}
+
+void AdmissionController::onLoad(const ServiceId &Service, const ServiceLoad &Load,
+                                 std::uint32_t EntryInstances) {
+  ServiceState &State = service(Service);
+  double Entries = std::max(EntryInstances, 1U);
+  double Own = Load.m_OwnInFlight;
+  double Goal = Load.m_Capacity * TargetOccupancy;
+  State.m_Capacity = Load.m_Capacity;
+  if (Load.m_Upstreams == 0 && Load.m_FreeElsewhere == 0)
+    return;
+  double &Local = State.m_LocalLimit;
+  if (Load.m_Upstreams == 0) {
+    Local = 0;
+  } else if (Load.m_Reporting > 0) {
+    double Reported = Load.m_Reported;
+    State.m_Saturated = Load.m_Reported >= Load.m_Capacity * HedgeBelow;
+    if (Reported <= Goal)
+      Local = Load.m_OwnAtReport + (Goal - Reported) / Entries;
+    else
+      // An entry instance that had little in flight keeps a part, so that it is not shut out.
+      Local = std::max(Load.m_OwnAtReport * Goal / Reported, Goal / Entries * MinPart);
+  } else {
+    // Without reports, service times that grow beyond their long-run low show that the upstreams
+    // are full. The equal share of the capacity is always allowed.
+    constexpr double Inflated = 2.0;
+    constexpr double Decrease = 0.9;
+    constexpr double Increase = 0.05;
+    State.m_Saturated = State.m_LowTotal > 0 && State.m_RecentTotal > Inflated * State.m_LowTotal;
+    if (State.m_Saturated)
+      Local *= Decrease;
+    else if (Own + 1 >= Local)
+      Local += std::max(1.0, Increase * Local);
+    Local = std::clamp(Local, Goal / Entries, std::max(Goal, 1.0));
+  }
+  State.m_Limit = std::max(Local + Load.m_OwnElsewhere +
+                               std::min(Load.m_FreeElsewhere / Entries, Load.m_SpillRoom),
+                           1.0);
+}
+
+void AdmissionController::onFinished(const RequestDescription &Request,
+                                     std::optional<Duration> FirstToken, Duration Total,
+                                     TimePoint Now) {
+  std::string Key = estimateKey(Request);
+  if (!m_Estimates.count(Key) && m_Estimates.size() >= MaxClasses)
+    Key.clear();
+  Estimate &Known = m_Estimates[Key];
+  double Sample = count(Total);
+  double FirstSample = count(FirstToken.value_or(Total));
+  double Tokens = std::max(Request.m_EstimatedTokens, 1U);
+  if (Known.m_Count == 0) {
+    Known.m_MeanTokens = Tokens;
+    Known.m_MeanTotal = Sample;
+    Known.m_HighTotal = Sample;
+    Known.m_HighFirstToken = FirstSample;
+    Known.m_MeanFirstToken = FirstSample;
+  } else {
+    // Values relaxed while nothing was measured are the starting point for new samples.
+    Known.m_HighTotal = relaxed(Known.m_HighTotal, Known, Now);
+    Known.m_HighFirstToken = relaxed(Known.m_HighFirstToken, Known, Now);
+    Known.m_MeanTokens += MeanGain * (Tokens - Known.m_MeanTokens);
+    Known.m_MeanTotal += MeanGain * (Sample - Known.m_MeanTotal);
+    updateQuantile(Known.m_HighTotal, Sample, Known.m_MeanTotal, CoveredShare);
+    Known.m_MeanFirstToken += MeanGain * (FirstSample - Known.m_MeanFirstToken);
+    updateQuantile(Known.m_HighFirstToken, FirstSample, Known.m_MeanFirstToken, CoveredShare);
+  }
+  ++Known.m_Count;
+  Known.m_LastSample = Now;
+
+  constexpr double LowRise = 1.0005;
+  ServiceState &State = service(Request.m_Service);
+  State.m_RecentTotal += MeanGain * (Sample - State.m_RecentTotal);
+  if (State.m_LowTotal == 0 || State.m_RecentTotal < State.m_LowTotal)
+    State.m_LowTotal = State.m_RecentTotal;
+  else
+    State.m_LowTotal *= LowRise;
+}
+
+double AdmissionController::inFlightLimit(const ServiceId &Service) const {
+  constexpr double Unlimited = 1e9;
+  if (!m_Rules.m_LimitInFlight)
+    return Unlimited;
+  auto Found = m_Services.find(Service);
+  return Found == m_Services.end() ? InitialLimit : Found->second.m_Limit;
+}
+
+bool AdmissionController::isSaturated(const ServiceId &Service) const {
+  auto Found = m_Services.find(Service);
+  return Found != m_Services.end() && Found->second.m_Saturated;
+}
+
+const AdmissionController::Estimate *
+AdmissionController::estimate(const RequestDescription &Request) const {
+  auto Found = m_Estimates.find(estimateKey(Request));
+  return Found == m_Estimates.end() ? nullptr : &Found->second;
+}
+
+double AdmissionController::relaxed(double Value, const Estimate &Known, TimePoint Now) const {
+  if (!m_Rules.m_RelaxEstimates)
+    return Value;
+  double Idle = std::max(toSeconds(Now - Known.m_LastSample) - RelaxHalfLife, 0.0);
+  return Value * std::exp2(-Idle / RelaxHalfLife);
+}
+
+Duration AdmissionController::expectedCost(const RequestDescription &Request) const {
+  const Estimate *Known = estimate(Request);
+  if (!Known)
+    return UnknownCost;
+  double Ratio = std::max(Request.m_EstimatedTokens, 1U) / std::max(Known->m_MeanTokens, 1.0);
+  return fromCount(Known->m_MeanTotal * std::clamp(Ratio, 1 / MaxCostRatio, MaxCostRatio));
+}
+
+std::optional<Duration> AdmissionController::hedgeAfter(const RequestDescription &Request) const {
+  const Estimate *Known = estimate(Request);
+  if (!Known || Known->m_Count < MinHedgeSamples || Request.m_NonIdempotent)
+    return std::nullopt;
+  return fromCount(Known->m_HighFirstToken);
+}
+
+AdmissionController::StartWindow AdmissionController::startWindow(const RequestDescription &Request,
+                                                                  TimePoint Now) const {
+  StartWindow Window{Now + DefaultMaxWait, Now + DefaultMaxWait};
+  const ClassTarget *Target = target(Request.m_Class);
+  if (!Target)
+    return Window;
+  const Estimate *Found = estimate(Request);
+  const Estimate Known = Found ? *Found : Estimate();
+  auto Limit = [&](const std::optional<Duration> &Within, double High, double Mean) {
+    if (!Within)
+      return;
+    Window.m_Latest =
+        std::min(Window.m_Latest, Now + *Within - fromCount(relaxed(High, Known, Now)));
+    Window.m_GiveUpAt =
+        std::min(Window.m_GiveUpAt, Now + *Within - fromCount(relaxed(Mean, Known, Now)));
+  };
+  Limit(Target->m_AnswerWithin, Known.m_HighTotal, Known.m_MeanTotal);
+  Limit(Target->m_StaleAfter, Known.m_HighTotal, Known.m_MeanTotal);
+  Limit(Target->m_FirstTokenWithin, Known.m_HighFirstToken, Known.m_MeanFirstToken);
+  return Window;
+}
+
+std::optional<Refusal> AdmissionController::assess(const RequestDescription &Request,
+                                                   const StartWindow &Window, Duration Wait,
+                                                   bool DelaysOthers, TimePoint Now) {
+  if (!m_Rules.m_PredictTarget)
+    return std::nullopt;
+  const ClassTarget *Target = target(Request.m_Class);
+  double Part = Target ? waitingPart(*Target) : 1;
+  Duration Allowed = fromCount(count(Window.m_Latest - Now) * Part);
+  bool CanStartAtOnce = Wait == Duration(0) && Window.m_GiveUpAt >= Now;
+  if (CanStartAtOnce || (Wait <= Allowed && !DelaysOthers))
+    return std::nullopt;
+  return refuse(Request.m_Service, ErrorKind::TargetNotAttainable, Wait, Now);
+}
+
+Refusal AdmissionController::refuse(const ServiceId &Service, ErrorKind Kind, Duration Backlog,
+                                    TimePoint Now) {
+  ServiceState &State = service(Service);
+  double Elapsed = toSeconds(Now - State.m_LastRefusal);
+  State.m_RecentRefusals = State.m_RecentRefusals * std::exp(-Elapsed / RefusalMemory) + 1;
+  State.m_LastRefusal = Now;
+  if (!m_Rules.m_SpreadRetries)
+    return {Kind, MinRetryAfter};
+  // The callers refused in recent seconds come back within the window. It is as long as this entry
+  // instance needs to serve them with a part of its slots, so that they fit beside new requests.
+  constexpr double SlotsForReturning = 0.25;
+  double ReturningWork = State.m_RecentRefusals * toSeconds(UnknownCost);
+  double Window =
+      toSeconds(Backlog) + ReturningWork / std::max(SlotsForReturning * State.m_Limit, 0.5);
+  Window = std::clamp(Window, toSeconds(MinRetryAfter), toSeconds(MaxRetryAfter) / 1.5);
+  double Chosen = Window * (0.5 + uniformUnit(m_Random));
+  return {Kind, std::clamp(fromCount(Chosen * 1e6), MinRetryAfter, MaxRetryAfter)};
+}
+
+} // namespace fescuegauge
--- /dev/null
+++ b/src/librouting/FairQueue.cpp
@@ -0,0 +1,312 @@
+#include "Fescuegauge/FairQueue.h"
+
+#include "Fescuegauge/Invariant.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace fescuegauge {
+
+namespace {
+
+Invariant LengthBounded("routing.queue_within_bounds");
+Invariant WorkNeverNegative("routing.queued_work_never_negative");
+
+constexpr std::size_t NeverLostTier = 0;
+constexpr std::size_t OrdinaryTier = 1;
+constexpr std::array<double, 2> TierShare{FairQueue::NeverLostShare, 1 - FairQueue::NeverLostShare};
+
+/// The rate of never-lost work is measured over about this time, in microseconds.
+constexpr double RateMemory = 2e6;
+
+double count(Duration Length) { return static_cast<double>(Length.count()); }
+
+/// All accounts share one queue when fair sharing is off.
+const ClientAccountId AllAccounts("all");
+
+} // namespace
+
+std::size_t FairQueue::tierOf(const QueuedRequest &Request) const {
+  return Request.m_NeverLost && m_Rules.m_NeverLostFirst ? NeverLostTier : OrdinaryTier;
+}
+
+const ClientAccountId &FairQueue::ownerOf(const QueuedRequest &Request) const {
+  return m_Rules.m_ShareByAccount ? Request.m_Account : AllAccounts;
+}
+
+void FairQueue::setWeight(const ClientAccountId &Name, double Weight) {
+  constexpr double MinWeight = 0.01;
+  m_Weights[Name] = std::max(Weight, MinWeight);
+  auto Found = m_Accounts.find(Name);
+  if (Found != m_Accounts.end())
+    Found->second.m_Weight = m_Weights[Name];
+}
+
+FairQueue::PushResult FairQueue::push(QueuedRequest Added) {
+  PushResult Result;
+  const ClientAccountId Name = ownerOf(Added);
+  if (m_Index.count(Added.m_Id))
+    return Result;
+  auto Found = m_Accounts.find(Name);
+  std::size_t OwnLength = Found == m_Accounts.end() ? 0 : Found->second.length();
+  if (m_Rules.m_BoundLength) {
+    std::size_t OwnBound = m_Rules.m_ShareByAccount ? MaxLengthPerAccount : MaxLength;
+    // A request that is never lost displaces ordinary work of its own account.
+    if (OwnLength >= OwnBound) {
+      if (!Added.m_NeverLost || !m_Rules.m_ShareByAccount ||
+          Found->second.m_Tiers[OrdinaryTier].m_Requests.empty())
+        return Result;
+      Result.m_PushedOut = takeLeastImportant(Found->second);
+    } else if (m_Index.size() >= MaxLength) {
+      Result.m_PushedOut = pushOut(Added);
+      if (!Result.m_PushedOut)
+        return Result;
+    }
+    if (Found == m_Accounts.end() && m_Accounts.size() >= MaxAccounts) {
+      // Accounts that are only remembered for what they started make room.
+      std::erase_if(m_Accounts, [](const auto &Entry) { return Entry.second.length() == 0; });
+      if (m_Accounts.size() >= MaxAccounts)
+        return Result;
+    }
+  }
+  Account &Owner = m_Accounts[Name];
+  auto Weight = m_Weights.find(Name);
+  if (Weight != m_Weights.end())
+    Owner.m_Weight = Weight->second;
+  std::size_t Tier = tierOf(Added);
+  TierQueue &Queue = Owner.m_Tiers[Tier];
+  // A tier that was idle starts level with the other one and saves up no credit.
+  if (m_TierLength[Tier] == 0)
+    m_TierFinish[Tier] = std::max(m_TierFinish[Tier], m_TierFinish[1 - Tier]);
+  Order Position{Added.m_LatestStart, m_NextSequence++};
+  Queue.m_Work += Added.m_Cost;
+  m_TierWork[Tier] += Added.m_Cost;
+  ++m_TierLength[Tier];
+  m_Index.emplace(Added.m_Id, Place{Name, Tier, Position});
+  Queue.m_Requests.emplace(Position, std::move(Added));
+  LengthBounded.check(m_Index.size() <= MaxLength, "queue longer than its bound");
+  Result.m_Accepted = true;
+  return Result;
+}
+
+/// Makes room in a full queue; nothing if no queued request should give way to `Added`.
+std::optional<QueuedRequest> FairQueue::pushOut(const QueuedRequest &Added) {
+  Account *Longest = nullptr;
+  for (auto &[Name, Candidate] : m_Accounts) {
+    const TierQueue &Ordinary = Candidate.m_Tiers[OrdinaryTier];
+    if (!Ordinary.m_Requests.empty() &&
+        (!Longest || Ordinary.m_Work > Longest->m_Tiers[OrdinaryTier].m_Work))
+      Longest = &Candidate;
+  }
+  if (!Longest)
+    return std::nullopt;
+  auto Own = m_Accounts.find(ownerOf(Added));
+  Duration OwnWork = Own == m_Accounts.end()
+                         ? Duration(0)
+                         : Own->second.m_Tiers[0].m_Work + Own->second.m_Tiers[1].m_Work;
+  const TierQueue &Queue = Longest->m_Tiers[OrdinaryTier];
+  if (!Added.m_NeverLost && OwnWork >= Queue.m_Work)
+    return std::nullopt;
+  return takeLeastImportant(*Longest);
+}
+
+/// Removes the request of the lowest priority from the account's ordinary work, the last of
+/// several.
+QueuedRequest FairQueue::takeLeastImportant(Account &Owner) {
+  auto &Requests = Owner.m_Tiers[OrdinaryTier].m_Requests;
+  auto Least = Requests.begin();
+  for (auto At = Requests.begin(); At != Requests.end(); ++At)
+    if (At->second.m_Priority <= Least->second.m_Priority)
+      Least = At;
+  return take(Owner, OrdinaryTier, Least);
+}
+
+QueuedRequest FairQueue::take(Account &Owner, std::size_t Tier,
+                              std::map<Order, QueuedRequest>::iterator At) {
+  QueuedRequest Taken = std::move(At->second);
+  Owner.m_Tiers[Tier].m_Requests.erase(At);
+  Owner.m_Tiers[Tier].m_Work -= Taken.m_Cost;
+  m_TierWork[Tier] -= Taken.m_Cost;
+  --m_TierLength[Tier];
+  m_Index.erase(Taken.m_Id);
+  WorkNeverNegative.check(Owner.m_Tiers[Tier].m_Work >= Duration(0) &&
+                          m_TierWork[Tier] >= Duration(0));
+  return Taken;
+}
+
+std::size_t FairQueue::nextTier() const {
+  if (m_TierLength[NeverLostTier] == 0)
+    return OrdinaryTier;
+  if (m_TierLength[OrdinaryTier] == 0)
+    return NeverLostTier;
+  return m_TierFinish[NeverLostTier] <= m_TierFinish[OrdinaryTier] ? NeverLostTier : OrdinaryTier;
+}
+
+/// The virtual time at which the account's next request is due, not before the present.
+double FairQueue::startOf(const Account &Candidate, std::size_t Tier) const {
+  return std::max(m_VirtualTime[Tier], Candidate.m_Tiers[Tier].m_Finish - count(MaxLead));
+}
+
+void FairQueue::decayRates(TimePoint Now) {
+  // Decaying in steps saves a pass over all accounts for most starts.
+  constexpr Duration Step = std::chrono::milliseconds(20);
+  if (Now - m_RatesTaken < Step)
+    return;
+  double Factor = std::exp(-count(Now - m_RatesTaken) / RateMemory);
+  m_RatesTaken = Now;
+  m_NeverLostStarted *= Factor;
+  for (auto &[Name, Known] : m_Accounts)
+    Known.m_Started *= Factor;
+  forgetIdleAccounts();
+}
+
+std::optional<QueuedRequest> FairQueue::pop(TimePoint Now) {
+  decayRates(Now);
+  if (m_Index.empty())
+    return std::nullopt;
+  std::size_t Tier = nextTier();
+  Account *Next = nullptr;
+  double BestStart = std::numeric_limits<double>::infinity();
+  double ActiveWeight = 0;
+  for (auto &[Name, Candidate] : m_Accounts) {
+    const TierQueue &Queue = Candidate.m_Tiers[Tier];
+    if (Queue.m_Requests.empty())
+      continue;
+    ActiveWeight += Candidate.m_Weight;
+    double Start = startOf(Candidate, Tier);
+    // Among accounts that are not ahead of their share the most urgent request goes first.
+    bool IsUrgent = Next && Start == BestStart &&
+                    Queue.m_Requests.begin()->first < Next->m_Tiers[Tier].m_Requests.begin()->first;
+    if (Start < BestStart || IsUrgent) {
+      BestStart = Start;
+      Next = &Candidate;
+    }
+  }
+  QueuedRequest Taken = take(*Next, Tier, Next->m_Tiers[Tier].m_Requests.begin());
+  double Cost = std::max(count(Taken.m_Cost), 1.0);
+  double &Virtual = m_VirtualTime[Tier];
+  Next->m_Tiers[Tier].m_Finish =
+      std::max(Next->m_Tiers[Tier].m_Finish, Virtual) + Cost / Next->m_Weight;
+  Next->m_Started += Cost;
+  if (Tier == NeverLostTier) {
+    m_NeverLostStarted += Cost;
+    TierQueue &Ordinary = Next->m_Tiers[OrdinaryTier];
+    Ordinary.m_Finish =
+        std::min(std::max(Ordinary.m_Finish, m_VirtualTime[OrdinaryTier]) + Cost / Next->m_Weight,
+                 m_VirtualTime[OrdinaryTier] + count(MaxDebt));
+  }
+  Virtual += Cost / ActiveWeight;
+  m_TierFinish[Tier] += Cost / TierShare[Tier];
+  return Taken;
+}
+
+/// An account without queued requests is kept only while what it started still counts.
+void FairQueue::forgetIdleAccounts() {
+  constexpr double Negligible = 1e3;
+  std::erase_if(m_Accounts, [&](const auto &Entry) {
+    const Account &Known = Entry.second;
+    return Known.length() == 0 && Known.m_Started < Negligible &&
+           Known.m_Tiers[0].m_Finish <= m_VirtualTime[0] &&
+           Known.m_Tiers[1].m_Finish <= m_VirtualTime[1];
+  });
+}
+
+bool FairQueue::remove(const RequestId &Id) {
+  auto Found = m_Index.find(Id);
+  if (Found == m_Index.end())
+    return false;
+  Place At = Found->second;
+  Account &Owner = m_Accounts.at(At.m_Account);
+  take(Owner, At.m_Tier, Owner.m_Tiers[At.m_Tier].m_Requests.find(At.m_Order));
+  return true;
+}
+
+std::vector<QueuedRequest> FairQueue::takeLate(TimePoint Now) {
+  std::vector<QueuedRequest> Late;
+  for (auto &[Name, Owner] : m_Accounts)
+    for (std::size_t Tier = 0; Tier < Tiers; ++Tier) {
+      auto &Requests = Owner.m_Tiers[Tier].m_Requests;
+      for (auto At = Requests.begin(); At != Requests.end();) {
+        auto Here = At++;
+        if (Here->second.m_GiveUpAt < Now)
+          Late.push_back(take(Owner, Tier, Here));
+      }
+    }
+  return Late;
+}
+
+double FairQueue::workBefore(const ClientAccountId &Name, std::size_t Tier, double OwnAhead,
+                             double Slots) const {
+  auto Weight = m_Weights.find(Name);
+  double OwnWeight = Weight == m_Weights.end() ? 1 : Weight->second;
+  auto Found = m_Accounts.find(Name);
+  double OwnStart = Found == m_Accounts.end() ? m_VirtualTime[Tier] : startOf(Found->second, Tier);
+  // The virtual time of the start. Others start what lies before it.
+  double Start = OwnStart + OwnAhead / OwnWeight;
+  // What others will ask for while the request waits is not queued yet. Two passes: the first one
+  // gives the time, the second counts what others start in it at their recent rate.
+  double Before = OwnAhead;
+  for (int Pass = 0; Pass < 2; ++Pass) {
+    double Wait = Pass == 0 ? 0 : Before / Slots;
+    Before = OwnAhead;
+    for (const auto &[OtherName, Other] : m_Accounts) {
+      if (OtherName == Name)
+        continue;
+      double Due = (Start - startOf(Other, Tier)) * Other.m_Weight;
+      double Available = count(Other.m_Tiers[Tier].m_Work) + Other.m_Started / RateMemory * Wait;
+      Before += std::clamp(Due, 0.0, Available);
+    }
+  }
+  return Before +
+         std::min(count(m_TierWork[1 - Tier]), Before * TierShare[1 - Tier] / TierShare[Tier]);
+}
+
+double FairQueue::slotsFor(std::size_t Tier, double Slots, TimePoint Now) const {
+  if (Tier == NeverLostTier)
+    return Slots;
+  // Never-lost requests that arrive later go first, at the rate of recent ones.
+  double Rate = m_NeverLostStarted * std::exp(-count(Now - m_RatesTaken) / RateMemory) / RateMemory;
+  return std::max(Slots - Rate, Slots * TierShare[OrdinaryTier]);
+}
+
+Duration FairQueue::predictedWait(const QueuedRequest &Candidate, double Slots,
+                                  TimePoint Now) const {
+  std::size_t Tier = tierOf(Candidate);
+  const ClientAccountId &Name = ownerOf(Candidate);
+  double OwnAhead = 0;
+  auto Found = m_Accounts.find(Name);
+  if (Found != m_Accounts.end())
+    for (const auto &[Position, Request] : Found->second.m_Tiers[Tier].m_Requests) {
+      if (Position.first > Candidate.m_LatestStart)
+        break;
+      OwnAhead += count(Request.m_Cost);
+    }
+  // A slot becomes free each time one of the requests in flight ends, on average after the cost of
+  // the candidate divided by the number of slots.
+  double Available = slotsFor(Tier, Slots, Now);
+  double Ahead = workBefore(Name, Tier, OwnAhead, Available) + count(Candidate.m_Cost);
+  return Duration(static_cast<Duration::rep>(Ahead / Available));
+}
+
+bool FairQueue::delaysOthers(const QueuedRequest &Candidate, double Slots, TimePoint Now) const {
+  std::size_t Tier = tierOf(Candidate);
+  const ClientAccountId &Name = ownerOf(Candidate);
+  auto Found = m_Accounts.find(Name);
+  if (Found == m_Accounts.end())
+    return false;
+  double Available = slotsFor(Tier, Slots, Now);
+  double OwnAhead = 0;
+  for (const auto &[Position, Request] : Found->second.m_Tiers[Tier].m_Requests) {
+    if (Position.first > Candidate.m_LatestStart) {
+      double Before = workBefore(Name, Tier, OwnAhead + count(Candidate.m_Cost), Available);
+      double Wait = (Before + count(Request.m_Cost)) / Available;
+      if (Now + Duration(static_cast<Duration::rep>(Wait)) > Request.m_LatestStart)
+        return true;
+    }
+    OwnAhead += count(Request.m_Cost);
+  }
+  return false;
+}
+
+} // namespace fescuegauge
--- /dev/null
+++ b/src/librouting/Router.cpp
@@ -0,0 +1,883 @@
+#include "Fescuegauge/Router.h"
+
+#include "Fescuegauge/Invariant.h"
+#include "Fescuegauge/Rendezvous.h"
+#include "PrefixIndex.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <list>
+#include <map>
+#include <sstream>
+#include <unordered_map>
+
+namespace fescuegauge {
+
+namespace {
+
+using Slot = PrefixIndex::Slot;
+
+Invariant SelectedIsEligible("routing.selected_upstream_takes_new_work");
+Invariant CountNeverNegative("routing.in_flight_never_negative");
+Invariant CountMatchesRequests("routing.in_flight_matches_requests");
+Invariant SpillWithinBudget("routing.spill_within_budget");
+Invariant AffinityWithinBound("routing.affinity_load_within_bound");
+Invariant ConversationsBounded("routing.conversations_within_bound");
+
+/// Random candidates of each choice. Two give most of the benefit over one; the third makes up for
+/// candidates that the query rules out.
+constexpr std::size_t RandomCandidates = 3;
+/// Places on the hash ring that are tried for a prefix that no upstream is known to hold.
+constexpr std::size_t RingCandidates = 2;
+constexpr std::size_t RingPointsPerUpstream = 8;
+/// Random draws before all upstreams of a pool are looked at.
+constexpr std::size_t MaxDraws = 8;
+/// An upstream that is ramped up starts with this share of its capacity.
+constexpr double RampStart = 0.1;
+/// History of own counts, to find the count at the time of a report.
+constexpr std::size_t HistoryLength = 64;
+constexpr Duration HistoryStep = std::chrono::milliseconds(20);
+/// Reports and ages beyond this are not used.
+constexpr Duration MaxReportAge = std::chrono::seconds(5);
+/// Mean occupancies of pools are kept for this long.
+constexpr Duration MeanLifetime = std::chrono::milliseconds(50);
+/// Extra time by which a full batch delays an answer, used to compare upstreams that are not full.
+constexpr double BatchDelay = 0.1;
+/// Part of the requests that an upstream runs which are delayed while it computes a prompt.
+constexpr double PrefillCrowding = 1.0;
+/// Expected time for which a request occupies a slot before anything is measured, in seconds.
+constexpr double UnknownServiceTime = 0.5;
+constexpr double UnknownTokens = 500;
+constexpr double MinMemory = 0.05;
+/// Weight of a new sample in the mean service time of a service.
+constexpr double MeanGain = 0.05;
+/// Cost of a last resort in the comparison, in seconds: more than any other difference.
+constexpr double LastResortCost = 1e3;
+/// Cost of leaving the data centre and the region in the comparison, in seconds. It is far above
+/// the network's latency, so that small differences in load do not move requests.
+constexpr std::array<double, 3> LocalityCost{0.0, 0.05, 0.25};
+/// Part of the cost of computing a prefix that its place on the ring is preferred by.
+constexpr double RingPreference = 0.5;
+/// Part of a match that is trusted when events were lost after it was learnt.
+constexpr double UncertainMatch = 0.5;
+/// The time that a copy of cached state takes besides the transfer.
+constexpr Duration KvMoveOverhead = std::chrono::milliseconds(15);
+/// A move must save this much to be worth the load that it puts on both upstreams.
+constexpr Duration MinKvSaving = std::chrono::milliseconds(20);
+constexpr double KvMoveMargin = 1.5;
+constexpr std::uint32_t MaxLossDoublings = 3;
+
+struct Sample {
+  TimePoint m_Time;
+  std::uint32_t m_Count = 0;
+};
+
+struct Upstream {
+  InstanceRecord m_Record;
+  std::uint32_t m_Capacity = 1;
+  /// Requests in flight from this entry instance, for exactly-once release.
+  std::unordered_multimap<RequestId, TimePoint> m_Requests;
+  std::uint32_t m_OwnCount = 0;
+  std::array<Sample, HistoryLength> m_History{};
+  std::size_t m_HistoryEnd = 0;
+  bool m_HasReport = false;
+  TimePoint m_ReportTaken;
+  /// Requests of other entry instances and own ones, at the time of the report.
+  double m_OthersAtReport = 0;
+  double m_OwnAtReport = 0;
+  double m_TotalAtReport = 0;
+  TimePoint m_RampFrom = TimePoint::min();
+  TimePoint m_AvoidUntil = TimePoint::min();
+  std::uint32_t m_Losses = 0;
+  std::uint64_t m_LastEvent = 0;
+  bool m_HasEvent = false;
+  TimePoint m_FinalSince;
+  /// The pool that it belongs to; null while it takes no new work.
+  struct Pool *m_Pool = nullptr;
+};
+
+/// Upstreams of one service, generation and data centre that take new work.
+struct Pool {
+  ServiceId m_Service;
+  GenerationId m_Generation;
+  DataCentreId m_DataCentre;
+  RegionId m_Region;
+  /// 0 for the own data centre, 1 for the own region, 2 for other regions.
+  std::size_t m_Locality = 0;
+  std::vector<Slot> m_Members;
+  std::vector<std::pair<std::uint64_t, Slot>> m_Ring;
+  double m_MeanOccupancy = 0;
+  /// Requests of other entry instances for each slot, by the last reports.
+  double m_MeanOthersPerSlot = 0;
+  /// Time constant of changes in occupancy, in seconds.
+  double m_Memory = UnknownServiceTime;
+  TimePoint m_MeanTaken = TimePoint::min();
+};
+
+struct ServiceState {
+  ServiceRouting m_Routing;
+  std::vector<std::unique_ptr<Pool>> m_Pools;
+  double m_MeanServiceTime = UnknownServiceTime;
+  double m_MeanTokens = UnknownTokens;
+};
+
+struct Conversation {
+  ConversationId m_Id;
+  Slot m_Slot = 0;
+  GenerationId m_Generation;
+  Digest m_Digest;
+};
+
+struct Candidate {
+  Slot m_Slot = 0;
+  Pool *m_Pool = nullptr;
+  double m_Cost = 0;
+  double m_Occupancy = 0;
+  bool m_IsLastResort = false;
+  bool m_ForAffinity = false;
+  bool m_IsSticky = false;
+};
+
+bool isFinal(InstanceState State) {
+  return State == InstanceState::Leaving || State == InstanceState::Dead;
+}
+
+} // namespace
+
+struct Router::State {
+  State(RouterOptions Given, std::uint64_t Seed)
+      : m_Options(std::move(Given)), m_Random(Seed),
+        m_Prefixes(MaxBlocksPerUpstream, m_Options.m_Rules.m_DiscountAfterGap) {}
+
+  RouterOptions m_Options;
+  RandomGenerator m_Random;
+  PrefixIndex m_Prefixes;
+  RouterCounters m_Counters;
+  std::vector<std::unique_ptr<Upstream>> m_Upstreams;
+  std::vector<Slot> m_FreeSlots;
+  std::unordered_map<InstanceId, Slot> m_ById;
+  std::unordered_map<ServiceId, ServiceState> m_Services;
+  std::list<Conversation> m_Conversations;
+  std::unordered_map<ConversationId, std::list<Conversation>::iterator> m_ConversationIndex;
+  double m_SpillBalance = 0;
+  TimePoint m_SpillFilled;
+  bool m_SpillStarted = false;
+  std::optional<TimePoint> m_FirstRecord;
+  /// Total granted to other regions, checked against rate and burst.
+  double m_SpillUsed = 0;
+  double m_SpillEarned = 0;
+
+  Upstream &at(Slot Index) { return *m_Upstreams[Index]; }
+  const Upstream &at(Slot Index) const { return *m_Upstreams[Index]; }
+  ServiceState &service(const ServiceId &Service) { return m_Services[Service]; }
+  bool servesModel(const ServiceId &Service) const {
+    auto Found = m_Services.find(Service);
+    return Found == m_Services.end() || Found->second.m_Routing.m_ServesModel;
+  }
+
+  bool takesNewWork(const Upstream &Known) const {
+    if (m_Options.m_Rules.m_RefuseLeaving && isFinal(Known.m_Record.m_State))
+      return false;
+    if (Known.m_Record.m_State == InstanceState::Joining)
+      return false;
+    return !m_Options.m_Rules.m_RequireServedDigest || !servesModel(Known.m_Record.m_Service) ||
+           !Known.m_Record.m_ServedDigest.isZero();
+  }
+
+  std::optional<Slot> addUpstream(const InstanceRecord &Record, TimePoint Now);
+  void forgetDead(TimePoint Now);
+  void updatePool(Slot Index);
+  void removeFromPool(Slot Index);
+  Pool &pool(const InstanceRecord &Record);
+  void noteCount(Upstream &Known, TimePoint Now) const;
+  double ownAt(const Upstream &Known, TimePoint Time) const;
+  double occupancy(const Upstream &Known, TimePoint Now) const;
+  double effectiveCapacity(const Upstream &Known, TimePoint Now) const;
+  bool isSilent(const Upstream &Known, TimePoint Now) const;
+  void updateMeans(Pool &Owner, double ServiceTime, TimePoint Now) const;
+  bool qualifies(Slot Index, const UpstreamQuery &Query,
+                 const std::optional<Digest> &Required) const;
+  void consider(Candidate Considered, double CachedTokens, const RequestDescription &Request,
+                const ServiceState &Service, TimePoint Now, std::optional<Candidate> &Best);
+  void searchPool(Pool &Owner, const UpstreamQuery &Query, const std::optional<Digest> &Required,
+                  const ServiceState &Service, const Conversation *Last, TimePoint Now,
+                  std::optional<Candidate> &Best);
+  Bytes spillSize(const RequestDescription &Request) const;
+  void fillSpillBudget(TimePoint Now);
+  Conversation *conversation(const ConversationId &Id);
+  void rememberConversation(const RequestDescription &Request, Slot Chosen);
+};
+
+std::optional<Slot> Router::State::addUpstream(const InstanceRecord &Record, TimePoint Now) {
+  if (m_ById.size() >= MaxUpstreams)
+    forgetDead(Now);
+  if (m_ById.size() >= MaxUpstreams) {
+    ++m_Counters.m_UpstreamsRefused;
+    return std::nullopt;
+  }
+  Slot Index;
+  if (m_FreeSlots.empty()) {
+    Index = static_cast<Slot>(m_Upstreams.size());
+    m_Upstreams.push_back(std::make_unique<Upstream>());
+  } else {
+    Index = m_FreeSlots.back();
+    m_FreeSlots.pop_back();
+    *m_Upstreams[Index] = {};
+  }
+  m_ById.emplace(Record.m_Id, Index);
+  return Index;
+}
+
+/// Frees the places of upstreams that died long ago and have nothing in flight.
+void Router::State::forgetDead(TimePoint Now) {
+  for (auto Entry = m_ById.begin(); Entry != m_ById.end();) {
+    Upstream &Known = at(Entry->second);
+    if (isFinal(Known.m_Record.m_State) && Known.m_OwnCount == 0 &&
+        Now - Known.m_FinalSince >= TombstoneLifetime) {
+      m_Prefixes.clear(Entry->second);
+      m_FreeSlots.push_back(Entry->second);
+      Entry = m_ById.erase(Entry);
+    } else {
+      ++Entry;
+    }
+  }
+}
+
+Pool &Router::State::pool(const InstanceRecord &Record) {
+  ServiceState &Service = service(Record.m_Service);
+  for (auto &Known : Service.m_Pools)
+    if (Known->m_Generation == Record.m_Generation && Known->m_DataCentre == Record.m_DataCentre &&
+        Known->m_Region == Record.m_Region)
+      return *Known;
+  auto Added = std::make_unique<Pool>();
+  Added->m_Service = Record.m_Service;
+  Added->m_Generation = Record.m_Generation;
+  Added->m_DataCentre = Record.m_DataCentre;
+  Added->m_Region = Record.m_Region;
+  if (Record.m_DataCentre != m_Options.m_DataCentre)
+    Added->m_Locality = Record.m_Region == m_Options.m_Region ? 1 : 2;
+  Service.m_Pools.push_back(std::move(Added));
+  return *Service.m_Pools.back();
+}
+
+void Router::State::removeFromPool(Slot Index) {
+  Upstream &Known = at(Index);
+  if (!Known.m_Pool)
+    return;
+  Pool &Owner = *Known.m_Pool;
+  std::erase(Owner.m_Members, Index);
+  std::erase_if(Owner.m_Ring, [&](const auto &Point) { return Point.second == Index; });
+  Known.m_Pool = nullptr;
+}
+
+void Router::State::updatePool(Slot Index) {
+  Upstream &Known = at(Index);
+  bool Belongs = takesNewWork(Known);
+  if (Belongs == (Known.m_Pool != nullptr))
+    return;
+  if (!Belongs) {
+    removeFromPool(Index);
+    return;
+  }
+  Pool &Owner = pool(Known.m_Record);
+  Owner.m_Members.push_back(Index);
+  for (std::size_t I = 0; I < RingPointsPerUpstream; ++I)
+    Owner.m_Ring.emplace_back(rendezvousWeight(std::to_string(I), Known.m_Record.m_Id.str()),
+                              Index);
+  std::sort(Owner.m_Ring.begin(), Owner.m_Ring.end());
+  Known.m_Pool = &Owner;
+}
+
+void Router::State::noteCount(Upstream &Known, TimePoint Now) const {
+  std::size_t Last = (Known.m_HistoryEnd + HistoryLength - 1) % HistoryLength;
+  if (Known.m_HistoryEnd > 0 && Now - Known.m_History[Last].m_Time < HistoryStep) {
+    Known.m_History[Last].m_Count = Known.m_OwnCount;
+    return;
+  }
+  Known.m_History[Known.m_HistoryEnd % HistoryLength] = {Now, Known.m_OwnCount};
+  ++Known.m_HistoryEnd;
+}
+
+/// The own count at a past time; the oldest known one when the history does not reach back.
+double Router::State::ownAt(const Upstream &Known, TimePoint Time) const {
+  std::size_t Kept = std::min(Known.m_HistoryEnd, HistoryLength);
+  double Oldest = 0;
+  for (std::size_t Back = 1; Back <= Kept; ++Back) {
+    const Sample &Entry = Known.m_History[(Known.m_HistoryEnd - Back) % HistoryLength];
+    if (Entry.m_Time <= Time)
+      return Entry.m_Count;
+    Oldest = Entry.m_Count;
+  }
+  return Known.m_HistoryEnd > HistoryLength ? Oldest : 0;
+}
+
+double Router::State::occupancy(const Upstream &Known, TimePoint Now) const {
+  if (!Known.m_HasReport || Now - Known.m_ReportTaken > MaxReportAge)
+    return Known.m_OwnCount;
+  if (!m_Options.m_Rules.m_CorrectReportsByOwnCounts)
+    return Known.m_TotalAtReport;
+  // What others had in flight tends towards the mean, because their requests end, and because they
+  // too avoid upstreams that were busy. Without this all entry instances would follow one report to
+  // the same upstream.
+  double Expected = Known.m_OthersAtReport;
+  if (Known.m_Pool && Known.m_Pool->m_MeanTaken != TimePoint::min()) {
+    double Mean = Known.m_Pool->m_MeanOthersPerSlot * Known.m_Capacity;
+    double Age = toSeconds(Now - Known.m_ReportTaken);
+    Expected = Mean + (Expected - Mean) * std::exp(-Age / Known.m_Pool->m_Memory);
+  }
+  return Expected + Known.m_OwnCount;
+}
+
+double Router::State::effectiveCapacity(const Upstream &Known, TimePoint Now) const {
+  double Capacity = std::max(Known.m_Capacity, 1U);
+  Duration Since =
+      Known.m_RampFrom == TimePoint::min() ? m_Options.m_RampUp : Duration(Now - Known.m_RampFrom);
+  if (!m_Options.m_Rules.m_RampUp || Since >= m_Options.m_RampUp)
+    return Capacity;
+  double Progress = toSeconds(Since) / toSeconds(m_Options.m_RampUp);
+  return std::max(Capacity * (RampStart + (1 - RampStart) * Progress), 1.0);
+}
+
+bool Router::State::isSilent(const Upstream &Known, TimePoint Now) const {
+  return m_Options.m_Rules.m_AvoidSilent && Known.m_HasReport &&
+         Now - Known.m_ReportTaken > m_Options.m_SilentAfter;
+}
+
+void Router::State::updateMeans(Pool &Owner, double ServiceTime, TimePoint Now) const {
+  if (Owner.m_MeanTaken != TimePoint::min() && Now - Owner.m_MeanTaken < MeanLifetime)
+    return;
+  double Total = 0;
+  double Others = 0;
+  double Slots = 0;
+  for (Slot Member : Owner.m_Members) {
+    const Upstream &Known = at(Member);
+    Total += occupancy(Known, Now);
+    if (Known.m_HasReport) {
+      Others += Known.m_OthersAtReport;
+      Slots += Known.m_Capacity;
+    }
+  }
+  Owner.m_MeanOccupancy =
+      Total / static_cast<double>(std::max<std::size_t>(Owner.m_Members.size(), 1));
+  Owner.m_MeanOthersPerSlot = Others / std::max(Slots, 1.0);
+  Owner.m_Memory = std::max(ServiceTime, MinMemory);
+  Owner.m_MeanTaken = Now;
+}
+
+bool Router::State::qualifies(Slot Index, const UpstreamQuery &Query,
+                              const std::optional<Digest> &Required) const {
+  const Upstream &Known = at(Index);
+  if (Required && m_Options.m_Rules.m_MatchDigest && Known.m_Record.m_ServedDigest != *Required)
+    return false;
+  return std::find(Query.m_Excluded.begin(), Query.m_Excluded.end(), Known.m_Record.m_Id) ==
+         Query.m_Excluded.end();
+}
+
+/// Compares a candidate by the time after which it would answer, in seconds.
+void Router::State::consider(Candidate Considered, double CachedTokens,
+                             const RequestDescription &Request, const ServiceState &Service,
+                             TimePoint Now, std::optional<Candidate> &Best) {
+  const Upstream &Known = at(Considered.m_Slot);
+  double Capacity = effectiveCapacity(Known, Now);
+  Considered.m_Occupancy = occupancy(Known, Now) / Capacity;
+  double After = (occupancy(Known, Now) + 1) / Capacity;
+  double Waiting = std::max(After - 1, 0.0) * Service.m_MeanServiceTime;
+  double PromptTokens =
+      static_cast<double>(Request.m_PrefixBlocks.size()) * Service.m_Routing.m_TokensPerBlock;
+  double Uncached = std::max(PromptTokens - CachedTokens, 0.0);
+  Considered.m_IsLastResort = Known.m_Record.m_State == InstanceState::Suspect ||
+                              isSilent(Known, Now) || Now < Known.m_AvoidUntil;
+  Considered.m_Cost = std::min(After, 1.0) * BatchDelay + Waiting +
+                      Uncached * toSeconds(Service.m_Routing.m_PrefillPerToken) *
+                          (1 + PrefillCrowding * occupancy(Known, Now)) +
+                      LocalityCost[Considered.m_Pool->m_Locality] +
+                      (Considered.m_IsLastResort ? LastResortCost : 0);
+  if (!Best || Considered.m_Cost < Best->m_Cost)
+    Best = Considered;
+}
+
+void Router::State::searchPool(Pool &Owner, const UpstreamQuery &Query,
+                               const std::optional<Digest> &Required, const ServiceState &Service,
+                               const Conversation *Last, TimePoint Now,
+                               std::optional<Candidate> &Best) {
+  if (Owner.m_Members.empty())
+    return;
+  const RequestDescription &Request = *Query.m_Request;
+  updateMeans(Owner, Service.m_MeanServiceTime, Now);
+  bool IsFound = false;
+  double Tokens = Service.m_Routing.m_TokensPerBlock;
+  auto Consider = [&](Slot Index, double CachedTokens, bool ForAffinity, bool IsSticky) {
+    if (!qualifies(Index, Query, Required))
+      return;
+    IsFound = true;
+    Candidate Considered;
+    Considered.m_Slot = Index;
+    Considered.m_Pool = &Owner;
+    Considered.m_ForAffinity = ForAffinity;
+    Considered.m_IsSticky = IsSticky;
+    consider(Considered, CachedTokens, Request, Service, Now, Best);
+  };
+  /// An upstream is not preferred for its cache once it is above the bound on extra load.
+  auto WithinLoadBound = [&](Slot Index) {
+    if (!m_Options.m_Rules.m_BoundAffinityLoad)
+      return true;
+    return occupancy(at(Index), Now) + 1 <=
+           m_Options.m_AffinityLoadBound * Owner.m_MeanOccupancy + 2;
+  };
+  auto BelongsHere = [&](Slot Index) { return at(Index).m_Pool == &Owner; };
+
+  std::array<PrefixIndex::Match, PrefixIndex::MaxHolders> Matches{};
+  std::size_t MatchCount = m_Prefixes.find(Request.m_PrefixBlocks, Matches);
+  for (std::size_t I = 0; I < MatchCount; ++I) {
+    if (!BelongsHere(Matches[I].m_Slot) || !WithinLoadBound(Matches[I].m_Slot))
+      continue;
+    double Trust = Matches[I].m_IsCertain ? 1 : UncertainMatch;
+    Consider(Matches[I].m_Slot, Trust * Tokens * static_cast<double>(Matches[I].m_Blocks), true,
+             false);
+  }
+  if (Last && BelongsHere(Last->m_Slot) && WithinLoadBound(Last->m_Slot))
+    Consider(Last->m_Slot, Tokens * static_cast<double>(Request.m_PrefixBlocks.size() + 1), true,
+             true);
+  if (!Request.m_PrefixBlocks.empty()) {
+    // The first block decides the place, so that requests that share it meet at one upstream.
+    std::uint64_t Key = Request.m_PrefixBlocks.front() * 0x9E3779B97F4A7C15ULL;
+    auto Point = std::lower_bound(Owner.m_Ring.begin(), Owner.m_Ring.end(),
+                                  std::pair<std::uint64_t, Slot>(Key, 0));
+    double Preference =
+        RingPreference * Tokens * static_cast<double>(Request.m_PrefixBlocks.size());
+    for (std::size_t I = 0; I < RingCandidates; ++I, ++Point) {
+      if (Point == Owner.m_Ring.end())
+        Point = Owner.m_Ring.begin();
+      if (WithinLoadBound(Point->second))
+        Consider(Point->second, I == 0 ? Preference : Preference / 2, true, false);
+    }
+  }
+  std::array<Slot, RandomCandidates> Drawn{};
+  std::size_t Taken = 0;
+  for (std::size_t Draw = 0; Draw < MaxDraws && Taken < RandomCandidates; ++Draw) {
+    Slot Index = Owner.m_Members[uniformBelow(m_Random, Owner.m_Members.size())];
+    bool IsRepeated =
+        std::find(Drawn.begin(), Drawn.begin() + Taken, Index) != Drawn.begin() + Taken;
+    if (IsRepeated || !qualifies(Index, Query, Required))
+      continue;
+    Consider(Index, 0, false, false);
+    Drawn[Taken++] = Index;
+  }
+  // Rare: a filter or a failure leaves few upstreams, and none of the candidates is a good one.
+  if (!IsFound || (Best && Best->m_IsLastResort))
+    for (Slot Index : Owner.m_Members)
+      Consider(Index, 0, false, false);
+}
+
+Bytes Router::State::spillSize(const RequestDescription &Request) const {
+  return m_Options.m_BytesPerRequest +
+         Bytes(m_Options.m_BytesPerToken.count() * Request.m_EstimatedTokens);
+}
+
+void Router::State::fillSpillBudget(TimePoint Now) {
+  double Burst = static_cast<double>(m_Options.m_SpillBurst.count());
+  if (!m_SpillStarted) {
+    m_SpillStarted = true;
+    m_SpillBalance = Burst;
+    m_SpillEarned = Burst;
+  } else {
+    double Earned = toSeconds(Now - m_SpillFilled) * m_Options.m_SpillRate.rate();
+    m_SpillEarned += Earned;
+    m_SpillBalance = std::min(m_SpillBalance + Earned, Burst);
+  }
+  m_SpillFilled = Now;
+}
+
+Conversation *Router::State::conversation(const ConversationId &Id) {
+  if (Id.empty())
+    return nullptr;
+  auto Found = m_ConversationIndex.find(Id);
+  if (Found == m_ConversationIndex.end())
+    return nullptr;
+  m_Conversations.splice(m_Conversations.begin(), m_Conversations, Found->second);
+  return &m_Conversations.front();
+}
+
+void Router::State::rememberConversation(const RequestDescription &Request, Slot Chosen) {
+  if (Request.m_Conversation.empty())
+    return;
+  const InstanceRecord &Record = at(Chosen).m_Record;
+  if (Conversation *Known = conversation(Request.m_Conversation)) {
+    *Known = {Request.m_Conversation, Chosen, Record.m_Generation, Record.m_ServedDigest};
+    return;
+  }
+  if (m_Conversations.size() >= MaxConversations) {
+    m_ConversationIndex.erase(m_Conversations.back().m_Id);
+    m_Conversations.pop_back();
+    ++m_Counters.m_ConversationsDropped;
+  }
+  m_Conversations.push_front(
+      {Request.m_Conversation, Chosen, Record.m_Generation, Record.m_ServedDigest});
+  m_ConversationIndex[Request.m_Conversation] = m_Conversations.begin();
+  ConversationsBounded.check(m_Conversations.size() <= MaxConversations);
+}
+
+Router::Router(RouterOptions Options, std::uint64_t Seed)
+    : m_State(std::make_unique<State>(std::move(Options), Seed)) {}
+
+Router::~Router() = default;
+
+void Router::setService(const ServiceId &Service, const ServiceRouting &Routing) {
+  m_State->service(Service).m_Routing = Routing;
+  for (const auto &[Id, Index] : m_State->m_ById)
+    if (m_State->at(Index).m_Record.m_Service == Service)
+      m_State->updatePool(Index);
+}
+
+void Router::setSpillRate(BytesPerSecond Rate) { m_State->m_Options.m_SpillRate = Rate; }
+
+void Router::onInstance(const InstanceRecord &Record, TimePoint Now) {
+  State &Self = *m_State;
+  if (Record.m_Role != InstanceRole::Agent)
+    return;
+  auto Found = Self.m_ById.find(Record.m_Id);
+  std::optional<Slot> Index;
+  bool IsNew = Found == Self.m_ById.end();
+  if (!IsNew)
+    Index = Found->second;
+  else
+    Index = Self.addUpstream(Record, Now);
+  if (!Index)
+    return;
+  Upstream &Known = Self.at(*Index);
+  bool IsRestart = false;
+  if (!IsNew) {
+    const InstanceRecord &Old = Known.m_Record;
+    bool IsOlder = Record.m_Incarnation < Old.m_Incarnation;
+    bool Revives = Record.m_Incarnation == Old.m_Incarnation && isFinal(Old.m_State) &&
+                   Record.m_State != InstanceState::Dead;
+    if (Self.m_Options.m_Rules.m_CompareIncarnations && (IsOlder || Revives)) {
+      ++Self.m_Counters.m_StaleRecords;
+      return;
+    }
+    IsRestart = Record.m_Incarnation > Old.m_Incarnation;
+  }
+  // Records that say nothing about the upstream's digest or its joining keep what is known of it.
+  bool WasInPool = Known.m_Pool != nullptr;
+  bool IsReloaded = !IsNew && Known.m_Record.m_ServedDigest != Record.m_ServedDigest;
+  bool WasFinal = !IsNew && isFinal(Known.m_Record.m_State);
+  Self.removeFromPool(*Index);
+  Known.m_Record = Record;
+  if (Record.m_Capacity > 0)
+    Known.m_Capacity = Record.m_Capacity;
+  if (IsRestart) {
+    // Requests sent to the earlier incarnation stay counted until they are released.
+    Known.m_HasReport = false;
+    Known.m_HasEvent = false;
+    Known.m_Losses = 0;
+    Known.m_AvoidUntil = TimePoint::min();
+  }
+  if (IsRestart || IsReloaded)
+    Self.m_Prefixes.clear(*Index);
+  if (isFinal(Record.m_State) && !WasFinal)
+    Known.m_FinalSince = Now;
+  Self.updatePool(*Index);
+  // Upstreams that are live when this process starts have long been ramped up by others.
+  if (!Self.m_FirstRecord)
+    Self.m_FirstRecord = Now;
+  bool IsStartup = IsNew && Now - *Self.m_FirstRecord < Self.m_Options.m_RampUp;
+  if (Known.m_Pool && (!WasInPool || IsRestart || IsReloaded) && !IsStartup)
+    Known.m_RampFrom = Now;
+}
+
+void Router::onLeaving(const InstanceId &Id, Incarnation Number, TimePoint Now) {
+  auto Found = m_State->m_ById.find(Id);
+  if (Found == m_State->m_ById.end()) {
+    // The notice overtook the first record, which must not bring the upstream in.
+    InstanceRecord Unknown;
+    Unknown.m_Id = Id;
+    Unknown.m_Incarnation = Number;
+    Unknown.m_State = InstanceState::Leaving;
+    onInstance(Unknown, Now);
+    return;
+  }
+  Upstream &Known = m_State->at(Found->second);
+  if (Number < Known.m_Record.m_Incarnation || isFinal(Known.m_Record.m_State)) {
+    ++m_State->m_Counters.m_StaleRecords;
+    return;
+  }
+  Known.m_Record.m_Incarnation = Number;
+  Known.m_Record.m_State = InstanceState::Leaving;
+  Known.m_FinalSince = Now;
+  m_State->updatePool(Found->second);
+}
+
+void Router::onLoadReport(const LoadReport &Report, TimePoint Now) {
+  auto Found = m_State->m_ById.find(Report.m_Upstream);
+  if (Found == m_State->m_ById.end())
+    return;
+  Upstream &Known = m_State->at(Found->second);
+  TimePoint Taken = Now - std::max(Report.m_Age, Duration(0));
+  bool IsOlder = Known.m_HasReport && Taken < Known.m_ReportTaken;
+  if (Report.m_Incarnation < Known.m_Record.m_Incarnation || IsOlder || Report.m_Age > MaxReportAge)
+    return;
+  Known.m_HasReport = true;
+  Known.m_ReportTaken = Taken;
+  if (Report.m_Capacity > 0)
+    Known.m_Capacity = Report.m_Capacity;
+  Known.m_TotalAtReport = static_cast<double>(Report.m_Running) + Report.m_Waiting;
+  Known.m_OwnAtReport = std::min(m_State->ownAt(Known, Taken), Known.m_TotalAtReport);
+  Known.m_OthersAtReport = Known.m_TotalAtReport - Known.m_OwnAtReport;
+}
+
+void Router::onCacheEvent(const CacheEvent &Event, TimePoint) {
+  auto Found = m_State->m_ById.find(Event.m_Upstream);
+  if (Found == m_State->m_ById.end())
+    return;
+  Slot Index = Found->second;
+  Upstream &Known = m_State->at(Index);
+  if (Event.m_Incarnation < Known.m_Record.m_Incarnation)
+    return;
+  // A repeated event is dropped; a late one would undo newer ones.
+  if (Known.m_HasEvent && Event.m_Sequence <= Known.m_LastEvent)
+    return;
+  if (Known.m_HasEvent && Event.m_Sequence > Known.m_LastEvent + 1) {
+    ++m_State->m_Counters.m_CacheEventGaps;
+    m_State->m_Prefixes.markGap(Index);
+  }
+  Known.m_HasEvent = true;
+  Known.m_LastEvent = Event.m_Sequence;
+  if (Event.m_Cleared)
+    m_State->m_Prefixes.clear(Index);
+  for (std::uint64_t Block : Event.m_Removed)
+    m_State->m_Prefixes.remove(Index, Block);
+  for (std::uint64_t Block : Event.m_Added)
+    m_State->m_Prefixes.add(Index, Block);
+}
+
+std::optional<InstanceId> Router::select(const UpstreamQuery &Query, TimePoint Now) {
+  State &Self = *m_State;
+  const RequestDescription &Request = *Query.m_Request;
+  auto Found = Self.m_Services.find(Request.m_Service);
+  if (Found == Self.m_Services.end()) {
+    ++Self.m_Counters.m_NoUpstream;
+    return std::nullopt;
+  }
+  ServiceState &Service = Found->second;
+  const Conversation *Last = Self.conversation(Request.m_Conversation);
+  std::optional<GenerationId> Generation = Query.m_Generation;
+  // A conversation stays with its generation, and with its version while an upstream serves it.
+  if (!Generation && Last)
+    Generation = Last->m_Generation;
+  std::optional<Digest> Required = Query.m_RequiredDigest;
+  bool PrefersDigest = !Required && Last && !Last->m_Digest.isZero();
+  if (PrefersDigest)
+    Required = Last->m_Digest;
+
+  std::optional<Candidate> Best;
+  bool SpillRefused = false;
+  auto Search = [&]() {
+    for (std::size_t Locality = 0; Locality < LocalityCost.size(); ++Locality) {
+      if (Best && !Best->m_IsLastResort && Best->m_Occupancy < Self.m_Options.m_SpillAbove)
+        break;
+      if (Locality == 2 && Self.m_Options.m_Rules.m_BudgetSpill) {
+        Self.fillSpillBudget(Now);
+        if (Self.m_SpillBalance < static_cast<double>(Self.spillSize(Request).count())) {
+          SpillRefused = true;
+          break;
+        }
+      }
+      for (auto &Owner : Service.m_Pools) {
+        bool Matches = !Generation || !Self.m_Options.m_Rules.m_MatchGeneration ||
+                       Owner->m_Generation == *Generation;
+        if (Owner->m_Locality == Locality && Matches)
+          Self.searchPool(*Owner, Query, Required, Service, Last, Now, Best);
+      }
+    }
+  };
+  Search();
+  if (!Best && PrefersDigest) {
+    Required = std::nullopt;
+    Search();
+  }
+  if (SpillRefused)
+    ++Self.m_Counters.m_SpillRefused;
+  if (!Best) {
+    ++Self.m_Counters.m_NoUpstream;
+    return std::nullopt;
+  }
+  Upstream &Chosen = Self.at(Best->m_Slot);
+  const InstanceRecord &Record = Chosen.m_Record;
+  bool IsEligible = !isFinal(Record.m_State) && Record.m_State != InstanceState::Joining &&
+                    (!Self.servesModel(Record.m_Service) || !Record.m_ServedDigest.isZero());
+  if (!SelectedIsEligible.check(IsEligible, Record.m_Id.str()))
+    return std::nullopt;
+  if (Best->m_ForAffinity && Best->m_Occupancy > 1)
+    AffinityWithinBound.check(
+        Self.occupancy(Chosen, Now) + 1 <=
+            Self.m_Options.m_AffinityLoadBound * Best->m_Pool->m_MeanOccupancy + 2,
+        Record.m_Id.str());
+  switch (Best->m_Pool->m_Locality) {
+  case 0:
+    ++Self.m_Counters.m_LocalSelections;
+    break;
+  case 1:
+    ++Self.m_Counters.m_SpilledToDataCentre;
+    break;
+  default: {
+    double Size = static_cast<double>(Self.spillSize(Request).count());
+    Self.fillSpillBudget(Now);
+    if (!SpillWithinBudget.check(Self.m_SpillUsed + Size <= Self.m_SpillEarned, Record.m_Id.str()))
+      return std::nullopt;
+    Self.m_SpillBalance -= Size;
+    Self.m_SpillUsed += Size;
+    ++Self.m_Counters.m_SpilledToRegion;
+  }
+  }
+  ++Self.m_Counters.m_Selections;
+  if (Best->m_IsSticky)
+    ++Self.m_Counters.m_StickySelections;
+  if (Best->m_IsLastResort)
+    ++Self.m_Counters.m_LastResortSelections;
+  Chosen.m_Requests.emplace(Request.m_Id, Now);
+  ++Chosen.m_OwnCount;
+  Self.noteCount(Chosen, Now);
+  // The prefix will be cached there soon. Cache events confirm or correct this later.
+  for (std::uint64_t Block : Request.m_PrefixBlocks)
+    Self.m_Prefixes.add(Best->m_Slot, Block);
+  Self.rememberConversation(Request, Best->m_Slot);
+  return Record.m_Id;
+}
+
+void Router::release(const InstanceId &Id, const RequestDescription &Request, bool Lost,
+                     TimePoint Now) {
+  State &Self = *m_State;
+  auto Found = Self.m_ById.find(Id);
+  if (Found == Self.m_ById.end()) {
+    ++Self.m_Counters.m_UnknownReleases;
+    return;
+  }
+  Upstream &Known = Self.at(Found->second);
+  auto Counted = Known.m_Requests.find(Request.m_Id);
+  if (Counted == Known.m_Requests.end()) {
+    ++Self.m_Counters.m_UnknownReleases;
+    if (Self.m_Options.m_Rules.m_ReleaseOnce)
+      return;
+  } else {
+    if (!Lost) {
+      ServiceState &Service = Self.service(Known.m_Record.m_Service);
+      Service.m_MeanServiceTime +=
+          MeanGain * (toSeconds(Now - Counted->second) - Service.m_MeanServiceTime);
+      Service.m_MeanTokens += MeanGain * (Request.m_EstimatedTokens - Service.m_MeanTokens);
+    }
+    Known.m_Requests.erase(Counted);
+  }
+  if (!CountNeverNegative.check(Known.m_OwnCount > 0, Id.str()))
+    return;
+  --Known.m_OwnCount;
+  CountMatchesRequests.check(Known.m_OwnCount == Known.m_Requests.size(), Id.str());
+  Self.noteCount(Known, Now);
+  if (Lost) {
+    Known.m_AvoidUntil =
+        Now + Self.m_Options.m_AvoidAfterLoss * (1 << std::min(Known.m_Losses, MaxLossDoublings));
+    ++Known.m_Losses;
+  } else {
+    Known.m_Losses = 0;
+  }
+}
+
+std::optional<KvMove> Router::planKvMove(const RequestDescription &Request,
+                                         const InstanceId &Chosen, TimePoint Now) const {
+  const State &Self = *m_State;
+  auto Found = Self.m_ById.find(Chosen);
+  if (Found == Self.m_ById.end() || Request.m_PrefixBlocks.empty())
+    return std::nullopt;
+  const Upstream &Target = Self.at(Found->second);
+  auto Service = Self.m_Services.find(Request.m_Service);
+  if (Service == Self.m_Services.end() || Target.m_Record.m_ServedDigest.isZero())
+    return std::nullopt;
+  std::array<PrefixIndex::Match, PrefixIndex::MaxHolders> Matches{};
+  std::size_t Count = Self.m_Prefixes.find(Request.m_PrefixBlocks, Matches);
+  std::optional<KvMove> Best;
+  for (std::size_t I = 0; I < Count; ++I) {
+    const Upstream &Source = Self.at(Matches[I].m_Slot);
+    // Cached state is only valid for the same model version. An uncertain match may be gone.
+    if (Source.m_Record.m_Id == Chosen || !Matches[I].m_IsCertain || !Source.m_Pool ||
+        Source.m_Record.m_Service != Target.m_Record.m_Service ||
+        Source.m_Record.m_ServedDigest != Target.m_Record.m_ServedDigest ||
+        Source.m_Record.m_Region != Target.m_Record.m_Region || Self.isSilent(Source, Now))
+      continue;
+    double Tokens =
+        static_cast<double>(Matches[I].m_Blocks) * Service->second.m_Routing.m_TokensPerBlock;
+    Duration Compute(static_cast<Duration::rep>(
+        Tokens * static_cast<double>(Service->second.m_Routing.m_PrefillPerToken.count())));
+    Bytes Size(static_cast<std::uint64_t>(
+        Tokens * static_cast<double>(Service->second.m_Routing.m_KvPerToken.count())));
+    Duration Copy = KvMoveOverhead + Service->second.m_Routing.m_KvMoveRate.timeFor(Size);
+    Duration Saving = Compute - Copy;
+    if (Saving < MinKvSaving || toSeconds(Compute) < KvMoveMargin * toSeconds(Copy))
+      continue;
+    if (!Best || Saving > Best->m_Saving)
+      Best = KvMove{Source.m_Record.m_Id, Chosen, Matches[I].m_Blocks, Size, Saving};
+  }
+  return Best;
+}
+
+ServiceLoad Router::load(const ServiceId &Service, TimePoint Now) const {
+  State &Self = *m_State;
+  ServiceLoad Total;
+  auto Found = Self.m_Services.find(Service);
+  if (Found == Self.m_Services.end())
+    return Total;
+  double OwnInOtherRegions = 0;
+  for (const auto &[Id, Index] : Self.m_ById) {
+    const Upstream &Known = Self.at(Index);
+    if (Known.m_Record.m_Service != Service)
+      continue;
+    bool IsInRegion = Known.m_Record.m_Region == Self.m_Options.m_Region;
+    bool IsCounted = Known.m_Pool && !Self.isSilent(Known, Now);
+    if (!IsInRegion || !IsCounted) {
+      Total.m_OwnElsewhere += Known.m_OwnCount;
+      if (IsCounted) {
+        OwnInOtherRegions += Known.m_OwnCount;
+        Total.m_FreeElsewhere += std::max(Known.m_Capacity - Self.occupancy(Known, Now), 0.0);
+      }
+      continue;
+    }
+    ++Total.m_Upstreams;
+    Total.m_OwnInFlight += Known.m_OwnCount;
+    Total.m_Capacity += std::max(Known.m_Capacity, 1U);
+    if (!Known.m_HasReport)
+      continue;
+    ++Total.m_Reporting;
+    Total.m_Reported += Known.m_TotalAtReport;
+    Total.m_OwnAtReport += Known.m_OwnAtReport;
+  }
+  // Requests that the link can carry in one service time.
+  double Size =
+      static_cast<double>(Self.m_Options.m_BytesPerRequest.count()) +
+      Found->second.m_MeanTokens * static_cast<double>(Self.m_Options.m_BytesPerToken.count());
+  double Carried = Self.m_Options.m_SpillRate.rate() / Size * Found->second.m_MeanServiceTime;
+  Total.m_SpillRoom = std::max(Carried - OwnInOtherRegions, 0.0);
+  return Total;
+}
+
+std::uint32_t Router::inFlight(const InstanceId &Id) const {
+  auto Found = m_State->m_ById.find(Id);
+  return Found == m_State->m_ById.end() ? 0 : m_State->at(Found->second).m_OwnCount;
+}
+
+const RouterCounters &Router::counters() const { return m_State->m_Counters; }
+
+std::string Router::describe(TimePoint Now) const {
+  std::map<InstanceId, Slot> Ordered(m_State->m_ById.begin(), m_State->m_ById.end());
+  std::ostringstream Out;
+  for (const auto &[Id, Index] : Ordered) {
+    const Upstream &Known = m_State->at(Index);
+    Out << "upstream=" << Id.str() << " service=" << Known.m_Record.m_Service.str()
+        << " takes_work=" << Known.m_Pool << " incarnation=" << Known.m_Record.m_Incarnation.value()
+        << " own=" << Known.m_OwnCount << " occupancy=" << m_State->occupancy(Known, Now)
+        << " capacity=" << m_State->effectiveCapacity(Known, Now)
+        << " prefixes=" << m_State->m_Prefixes.blocks(Index)
+        << " silent=" << m_State->isSilent(Known, Now) << '\n';
+  }
+  return Out.str();
+}
+
+} // namespace fescuegauge
--- /dev/null
+++ b/src/librouting/Scheduling_test.cpp
@@ -0,0 +1,323 @@
+#include "Fescuegauge/Invariant.h"
+#include "Fescuegauge/RequestScheduler.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+using namespace fescuegauge;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceId Service("asistente");
+const TimePoint Start{100s};
+
+QueuedRequest queued(int Number, int Account, bool NeverLost = false, int Priority = 0) {
+  QueuedRequest Request;
+  Request.m_Id = RequestId("request-" + std::to_string(Number));
+  Request.m_Account = ClientAccountId("account-" + std::to_string(Account));
+  Request.m_Cost = 500ms;
+  Request.m_NeverLost = NeverLost;
+  Request.m_Priority = Priority;
+  Request.m_LatestStart = Start + 10s;
+  Request.m_GiveUpAt = Start + 10s;
+  Request.m_Arrived = Start;
+  return Request;
+}
+
+RequestDescription description(int Number, const char *Class = "quotation") {
+  RequestDescription Request;
+  Request.m_Id = RequestId("request-" + std::to_string(Number));
+  Request.m_Account = ClientAccountId("account");
+  Request.m_Service = Service;
+  Request.m_Class = WorkClassId(Class);
+  Request.m_EstimatedTokens = 100;
+  return Request;
+}
+
+ClassTarget within(const char *Class, Duration Limit, bool NeverLost = false) {
+  ClassTarget Target;
+  Target.m_Class = WorkClassId(Class);
+  Target.m_AnswerWithin = Limit;
+  Target.m_NeverLost = NeverLost;
+  return Target;
+}
+
+/// A scheduler of which the in-flight limit is used up and service times are known to be 500 ms.
+struct Fixture {
+  explicit Fixture(SchedulerRules Rules = {}) : m_Scheduler(3, Rules) {
+    std::vector<ClassTarget> Targets{within("quotation", 2s), within("confirmation", 2s, true)};
+    m_Scheduler.setTargets(Targets);
+    for (int I = 0; I < 50; ++I)
+      for (const char *Class : {"quotation", "confirmation"}) {
+        RequestDescription Request = description(m_Next++, Class);
+        TimePoint Earlier = Start - 25s + 500ms * I;
+        m_Scheduler.submit(Request, Earlier);
+        m_Scheduler.finished(Request.m_Id, 100ms, 500ms, Earlier);
+      }
+    ServiceLoad Load;
+    Load.m_Upstreams = 1;
+    Load.m_Capacity = 4;
+    Load.m_Reporting = 1;
+    m_Scheduler.onLoad(Service, Load, 1);
+    for (int I = 0; I < 4; ++I)
+      m_Running.push_back(submitted(Start));
+  }
+  RequestId submitted(TimePoint Now, const char *Class = "quotation") {
+    RequestDescription Request = description(m_Next++, Class);
+    for (const SchedulerAction &Action : m_Scheduler.submit(Request, Now))
+      m_Actions[Action.m_Id] = Action;
+    return Request.m_Id;
+  }
+  bool wasRefused(const RequestId &Id) const {
+    auto Found = m_Actions.find(Id);
+    return Found != m_Actions.end() && Found->second.m_Kind == SchedulerAction::Kind::Refuse;
+  }
+  void poll(TimePoint Now) {
+    for (const SchedulerAction &Action : m_Scheduler.poll(Now))
+      m_Actions[Action.m_Id] = Action;
+  }
+  RequestScheduler m_Scheduler;
+  std::map<RequestId, SchedulerAction> m_Actions;
+  std::vector<RequestId> m_Running;
+  int m_Next = 0;
+};
+
+} // namespace
+
+// Guards against an account that gets more than its share because it asks for more.
+TEST_CASE("accounts share starts equally whatever they ask for") {
+  auto StartsOfSmall = [](FairQueueRules Rules) {
+    FairQueue Queue(Rules);
+    for (int I = 0; I < 400; ++I)
+      Queue.push(queued(I, 0));
+    for (int I = 400; I < 420; ++I)
+      Queue.push(queued(I, 1));
+    int Small = 0;
+    for (int I = 0; I < 40; ++I)
+      Small += Queue.pop(Start)->m_Account == ClientAccountId("account-1");
+    return Small;
+  };
+  CHECK(StartsOfSmall({}) >= 16);
+  FairQueueRules OneQueue;
+  OneQueue.m_ShareByAccount = false;
+  CHECK(StartsOfSmall(OneQueue) < 16);
+}
+
+// Guards against a weight that has no effect.
+TEST_CASE("an account with twice the weight starts twice as much") {
+  FairQueue Queue;
+  Queue.setWeight(ClientAccountId("account-0"), 2);
+  for (int I = 0; I < 400; ++I)
+    Queue.push(queued(I, I % 2));
+  int Heavy = 0;
+  for (int I = 0; I < 150; ++I)
+    Heavy += Queue.pop(Start)->m_Account == ClientAccountId("account-0");
+  CHECK(Heavy >= 95);
+  CHECK(Heavy <= 105);
+}
+
+// Guards against never-lost work that waits behind other work, or that stops it altogether.
+TEST_CASE("never-lost work goes first but leaves a part to other work") {
+  auto NeverLostStarts = [](FairQueueRules Rules) {
+    FairQueue Queue(Rules);
+    for (int I = 0; I < 400; ++I)
+      Queue.push(queued(I, 0, I >= 200));
+    int Count = 0;
+    for (int I = 0; I < 100; ++I)
+      Count += Queue.pop(Start)->m_NeverLost;
+    return Count;
+  };
+  CHECK(NeverLostStarts({}) >= 68);
+  CHECK(NeverLostStarts({}) <= 72);
+  FairQueueRules NoTier;
+  NoTier.m_NeverLostFirst = false;
+  CHECK(NeverLostStarts(NoTier) < 68);
+}
+
+// Guards against queues that grow without bound, and against the loss of never-lost work in a full
+// queue.
+TEST_CASE("a full queue gives up the least important request") {
+  auto LongestQueue = [](FairQueueRules Rules) {
+    Invariant::setReporter([](std::string_view, std::string_view) {});
+    FairQueue Queue(Rules);
+    for (int I = 0; I < 4000; ++I)
+      Queue.push(queued(I, I % 10));
+    Invariant::setReporter({});
+    return Queue.length();
+  };
+  CHECK(LongestQueue({}) == FairQueue::MaxLength);
+  FairQueueRules NoBound;
+  NoBound.m_BoundLength = false;
+  CHECK(LongestQueue(NoBound) > FairQueue::MaxLength);
+
+  FairQueue Queue;
+  for (int I = 0; I < 512; ++I)
+    CHECK(Queue.push(queued(I, 0, false, I == 100 ? 0 : 1)).m_Accepted);
+  CHECK_FALSE(Queue.push(queued(600, 0)).m_Accepted);
+  FairQueue::PushResult Result = Queue.push(queued(601, 0, true));
+  CHECK(Result.m_Accepted);
+  REQUIRE(Result.m_PushedOut);
+  CHECK(Result.m_PushedOut->m_Id == RequestId("request-100"));
+  CHECK(Queue.push(queued(602, 1)).m_Accepted);
+}
+
+// Guards against requests that are admitted although their target cannot be met.
+TEST_CASE("a request is refused when the backlog is longer than its target allows") {
+  auto Admitted = [](SchedulerRules Rules) {
+    Fixture F(Rules);
+    int Count = 0;
+    for (int I = 0; I < 100; ++I)
+      Count += !F.wasRefused(F.submitted(Start));
+    return Count;
+  };
+  // Four slots of 500 ms each and 1.5 s left for waiting start about 12 requests in time.
+  CHECK(Admitted({}) >= 8);
+  CHECK(Admitted({}) <= 14);
+  SchedulerRules NoPrediction;
+  NoPrediction.m_Admission.m_PredictTarget = false;
+  CHECK(Admitted(NoPrediction) == 100);
+}
+
+// Guards against a limit on requests in flight that is ignored.
+TEST_CASE("no more requests are started than the limit on requests in flight allows") {
+  auto InFlight = [](SchedulerRules Rules) {
+    Fixture F(Rules);
+    for (int I = 0; I < 10; ++I)
+      F.submitted(Start);
+    return F.m_Scheduler.inFlight(Service);
+  };
+  CHECK(InFlight({}) == 4);
+  SchedulerRules NoLimit;
+  NoLimit.m_Admission.m_LimitInFlight = false;
+  CHECK(InFlight(NoLimit) == 14);
+}
+
+// Guards against requests that are held although they can no longer be answered in time.
+TEST_CASE("a queued request that can no longer meet its target is refused at once") {
+  auto IsAnswered = [](SchedulerRules Rules) {
+    Fixture F(Rules);
+    RequestId Waiting = F.submitted(Start);
+    CHECK_FALSE(F.wasRefused(Waiting));
+    F.poll(Start + 1400ms);
+    CHECK_FALSE(F.wasRefused(Waiting));
+    F.poll(Start + 1600ms);
+    return F.wasRefused(Waiting);
+  };
+  CHECK(IsAnswered({}));
+  SchedulerRules Held;
+  Held.m_AnswerLateAtOnce = false;
+  CHECK_FALSE(IsAnswered(Held));
+}
+
+// Guards against never-lost work that is refused while other work is admitted.
+TEST_CASE("never-lost work is refused last") {
+  auto IsRefused = [](SchedulerRules Rules) {
+    Fixture F(Rules);
+    while (!F.wasRefused(F.submitted(Start)))
+      continue;
+    return F.wasRefused(F.submitted(Start, "confirmation"));
+  };
+  CHECK_FALSE(IsRefused({}));
+  SchedulerRules NoTier;
+  NoTier.m_Queue.m_NeverLostFirst = false;
+  CHECK(IsRefused(NoTier));
+}
+
+// Guards against callers that come back all at once, or too early for the backlog.
+TEST_CASE("retry-after times are spread and grow with the backlog") {
+  auto Spread = [](AdmissionRules Rules) {
+    AdmissionController Admission(5, Rules);
+    std::set<Duration> Times;
+    for (int I = 0; I < 200; ++I)
+      Times.insert(
+          Admission.refuse(Service, ErrorKind::TargetNotAttainable, 4s, Start).m_RetryAfter);
+    CHECK(*Times.begin() >= AdmissionController::MinRetryAfter);
+    CHECK(*Times.rbegin() <= AdmissionController::MaxRetryAfter);
+    return *Times.rbegin() - *Times.begin();
+  };
+  CHECK(Spread({}) >= 3s);
+  AdmissionRules NoSpread;
+  NoSpread.m_SpreadRetries = false;
+  CHECK(Spread(NoSpread) < 3s);
+  auto Mean = [](Duration Backlog) {
+    AdmissionController Admission(5);
+    Duration Total{0};
+    for (int I = 0; I < 20; ++I)
+      Total += Admission.refuse(Service, ErrorKind::Overloaded, Backlog, Start).m_RetryAfter;
+    return Total / 20;
+  };
+  CHECK(Mean(10s) > Mean(1s));
+}
+
+// Guards against a class that is refused for ever because nothing new is measured.
+TEST_CASE("an estimate above the target relaxes when nothing is measured") {
+  auto IsAdmittedLater = [](AdmissionRules Rules) {
+    AdmissionController Admission(5, Rules);
+    std::vector<ClassTarget> Targets{within("quotation", 2s)};
+    Admission.setTargets(Targets);
+    Admission.onFinished(description(0), 1s, 5s, Start);
+    TimePoint Later = Start + 20s;
+    return !Admission.assess(description(1), Admission.startWindow(description(1), Later), 0s,
+                             false, Later);
+  };
+  CHECK(IsAdmittedLater({}));
+  AdmissionRules Stuck;
+  Stuck.m_RelaxEstimates = false;
+  CHECK_FALSE(IsAdmittedLater(Stuck));
+}
+
+// Guards against more attempts than 1.1 for each request, and against hedges of work that must not
+// run twice.
+TEST_CASE("retries and hedges stay within the budget") {
+  auto Attempts = [](bool Enforced) {
+    Invariant::setReporter([](std::string_view, std::string_view) {});
+    RetryBudget Budget(Enforced);
+    for (int I = 0; I < 1000; ++I) {
+      Budget.onFirstAttempt(ClientAccountId("a"));
+      Budget.takeRetry(ClientAccountId("a"));
+      Budget.takeHedge(ClientAccountId("a"), false);
+    }
+    Invariant::setReporter({});
+    return static_cast<double>(Budget.firstAttempts() + Budget.furtherAttempts()) /
+           static_cast<double>(Budget.firstAttempts());
+  };
+  CHECK(Attempts(true) <= 1.1);
+  CHECK(Attempts(true) > 1.09);
+  CHECK(Attempts(false) > 1.1);
+  RetryBudget Budget;
+  for (int I = 0; I < 1000; ++I)
+    Budget.onFirstAttempt(ClientAccountId("a"));
+  CHECK_FALSE(Budget.takeHedge(ClientAccountId("a"), true));
+  CHECK(Budget.takeHedge(ClientAccountId("a"), false));
+}
+
+// Guards against one account that uses up the retries of all others.
+TEST_CASE("an account cannot use the retries of others") {
+  RetryBudget Budget;
+  for (int I = 0; I < 1000; ++I)
+    Budget.onFirstAttempt(ClientAccountId(I % 100 == 0 ? "greedy" : "other"));
+  int Greedy = 0;
+  while (Budget.takeRetry(ClientAccountId("greedy")))
+    ++Greedy;
+  CHECK(Greedy <= 3);
+  CHECK(Budget.takeRetry(ClientAccountId("other")));
+}
+
+// Guards against limits that do not follow the load that others put on the upstreams.
+TEST_CASE("the limit on requests in flight follows the load reports") {
+  AdmissionController Admission(5);
+  ServiceLoad Load;
+  Load.m_Upstreams = 10;
+  Load.m_Reporting = 10;
+  Load.m_Capacity = 100;
+  Load.m_Reported = 50;
+  Load.m_OwnAtReport = 10;
+  Admission.onLoad(Service, Load, 5);
+  CHECK(Admission.inFlightLimit(Service) == Approx(10 + 50.0 / 5));
+  Load.m_Reported = 200;
+  Load.m_OwnAtReport = 40;
+  Admission.onLoad(Service, Load, 5);
+  CHECK(Admission.inFlightLimit(Service) == Approx(20));
+}
