--- a/scripts/main_job.py
+++ b/scripts/main_job.py
@@ -60,12 +60,15 @@
     return {upstream.service: cluster.served(upstream) for upstream in models}
 
 
-def ask(cluster, roots, number):
-    """Sends one request of some class through some entry instance and checks the answer."""
+CLASSES = [("asistente", "quotation"), ("pedidos", "confirmation"), ("bodega", "stock-check"),
+           ("asistente", "summary")]
+
+
+def ask(cluster, roots, number, entry=None):
+    """Sends request `number` of some class through some entry instance and checks the answer."""
     entries = list(cluster.entries.values())
-    entry = entries[number % len(entries)]
-    service, work_class = [("asistente", "quotation"), ("pedidos", "confirmation"),
-                           ("bodega", "stock-check"), ("asistente", "summary")][number % 4]
+    entry = entry or entries[number // len(CLASSES) % len(entries)]
+    service, work_class = CLASSES[number % len(CLASSES)]
     prompt = f"request {number} of class {work_class}"
     headers = {"Client-Account": f"cooperative-{number % 10}"}
     if work_class == "confirmation":
@@ -81,10 +84,12 @@
 
 def check_answers(cluster, roots, count):
     # Routes follow the heartbeats of the agents, so the first answer of each class is awaited.
-    for number in range(4 * len(cluster.entries)):
-        wait_until(lambda n=number: ask(cluster, roots, n + 10 ** 6 + time.monotonic_ns())[1] == 200
-                   if n % 4 == 1 else ask(cluster, roots, n)[1] == 200,
-                   "every class is answered through every entry instance")
+    number = 0
+    for entry in cluster.entries.values():
+        for _ in CLASSES:
+            wait_until(lambda n=number, e=entry: ask(cluster, roots, n, e)[1] == 200,
+                       f"{entry.name} answers class {CLASSES[number % len(CLASSES)][1]}")
+            number += 1
     wrong = []
     with concurrent.futures.ThreadPoolExecutor(max_workers=16) as pool:
         for result in pool.map(lambda n: ask(cluster, roots, n), range(1000, 1000 + count)):
