--- a/src/include/Fescuegauge/Activator.h
+++ b/src/include/Fescuegauge/Activator.h
@@ -53,12 +53,13 @@
 
 /// Sequences the commands to one engine and decides when its upstream may receive requests.
 ///
-/// A load goes through these steps: stop routing, wait until drained, verify the root digest over
-/// staging, read back what the engine serves, load, read back again, allow routing. Only one
-/// command is in progress at any time. The read-back prevents an old command from undoing a newer
-/// one on engines that ignore the fencing token: a process that was paused, or that finds a version
-/// which it did not expect, sends no load command until the configuration has been confirmed.
-/// Routing is allowed only to the wanted version or to the version that was live before.
+/// A load goes through these steps: stop routing, wait until drained, confirm the configuration if
+/// there is doubt, verify the root digest over staging, read back what the engine serves, load,
+/// read back again, allow routing. Only one command is in progress at any time. The read-back
+/// prevents an old command from undoing a newer one on engines that ignore the fencing token: a
+/// process that was paused, or that finds a version which it did not expect, sends no load command
+/// until the configuration has been confirmed. Routing is allowed only to the wanted version or to
+/// the version that was live before.
 class Activator {
 public:
   /// A read-back older than this is repeated before a load command.
@@ -124,6 +125,8 @@
   /// True once when the engine was found without the version that it had served, which means that
   /// it restarted; its staging area must be listed again.
   bool takeEngineRestart();
+  /// True from a successful verification of staging until the load command has a result.
+  bool isVerified() const { return !m_VerifiedRoot.isZero(); }
   ChangeNumber targetChange() const { return m_Change; }
   /// A short description of what is being waited for, for status and dumps.
   std::string_view stepName() const;
--- a/src/include/Fescuegauge/RolloutAgent.h
+++ b/src/include/Fescuegauge/RolloutAgent.h
@@ -93,13 +93,14 @@
     return m_Planner.onReceived(Id, Received, Now);
   }
   void onStaged(const ChunkRef &Chunk, bool Written, TimePoint Now);
+  void onProgress(FetchId Id, TimePoint Now) { m_Planner.onProgress(Id, Now); }
   void onFetchFailed(FetchId Id, FetchFailure Failure, TimePoint Now) {
     m_Planner.onFetchFailed(Id, Failure, Now);
   }
   UploadAnswer admitUpload(const InstanceId &Requester, const Digest &Chunk, TimePoint Now) {
     return m_Planner.admitUpload(Requester, Chunk, Now);
   }
-  void endUpload() { m_Planner.endUpload(); }
+  void endUpload(const InstanceId &Requester) { m_Planner.endUpload(Requester); }
   void onTableCommit(std::uint64_t Number, const CommitResult &Result, TimePoint Now);
   /// `Row` is nothing if the table did not answer.
   void onTableRead(std::uint64_t Number, const std::optional<TableRow> &Row, TimePoint Now);
--- a/src/include/Fescuegauge/TransferPlanner.h
+++ b/src/include/Fescuegauge/TransferPlanner.h
@@ -80,6 +80,8 @@
   void spend(TimePoint Now, Duration Cost, Duration Credit) {
     m_Next = std::max(m_Next, Now - Credit) + Cost;
   }
+  /// A transfer that spent `Cost` did not take place.
+  void refund(Duration Cost) { m_Next -= Cost; }
 
 private:
   TimePoint m_Next;
@@ -165,11 +167,14 @@
   static constexpr std::size_t MaxImportsPerLane = 2;
   /// One fetch is always allowed, so a chunk may be as large as Manifest::MaxChunkSize.
   static constexpr Bytes MaxBytesInFlight = 64_MiB;
-  /// Uploads served at the same time; a request beyond it is answered Busy.
+  /// Uploads to the own data centre served at the same time; a request beyond it is answered Busy.
   static constexpr std::size_t MaxUploads = 4;
-  /// Additional uploads for importers of other data centres, on whom many others wait.
-  static constexpr std::size_t MaxImportUploads = 2;
+  /// The same for other data centres. They are counted apart, because uploads over a region link
+  /// are slow and would otherwise occupy all places.
+  static constexpr std::size_t MaxImportUploads = 8;
   static constexpr std::size_t MaxFetchesPerPeer = 2;
+  /// A peer that was refused within this time goes before peers that were served more often.
+  static constexpr Duration RefusalMemory = std::chrono::seconds(2);
   /// Offsets on the ring of a data centre; neighbours lie at both sides.
   static constexpr std::size_t RingOffsets = 5;
   static constexpr std::size_t MaxNeighbours = 64;
@@ -187,10 +192,11 @@
   /// How long a peer whose transfer failed or timed out is avoided; doubled for each failure in a
   /// row up to BadPeerTime.
   static constexpr Duration FailedPeerTime = std::chrono::seconds(2);
-  static constexpr Duration BusyPeerTime = std::chrono::milliseconds(500);
+  static constexpr Duration BusyPeerTime = std::chrono::milliseconds(1500);
   /// A transfer may take this many times as long as the link budget suggests, plus MinFetchTime.
   static constexpr int FetchTimeFactor = 4;
   static constexpr Duration MinFetchTime = std::chrono::seconds(8);
+  static constexpr Duration ProgressInterval = std::chrono::seconds(2);
   /// After a timeout, the next import of the lane gets twice the time, up to this factor, so that a
   /// slow origin or region link still makes progress.
   static constexpr int MaxSlowFactor = 64;
@@ -244,6 +250,10 @@
   bool onReceived(FetchId Id, const Digest &Received, TimePoint Now);
   /// A chunk that onReceived() accepted was written, or could not be written.
   void onStaged(const Digest &Chunk, bool Written, TimePoint Now);
+  /// More bytes of a fetch arrived. A slow import is continued as long as it makes progress,
+  /// because its bytes were granted or have crossed a region link; report this at least every
+  /// ProgressInterval. A slow transfer inside the data centre is not prolonged.
+  void onProgress(FetchId Id, TimePoint Now);
   void onFetchFailed(FetchId Id, FetchFailure Failure, TimePoint Now);
   /// Bytes that may be fetched from the origin for `Rollout`, in addition to earlier ones. 0 ends
   /// an unsuccessful request.
@@ -251,9 +261,10 @@
   /// The staging area lost a chunk.
   void dropChunk(const Digest &Chunk, TimePoint Now);
 
-  /// Whether `Requester` may fetch a chunk from here. Each accepted upload ends with endUpload().
+  /// Whether `Requester` may fetch a chunk from here. Each accepted upload ends with endUpload()
+  /// for the same requester.
   UploadAnswer admitUpload(const InstanceId &Requester, const Digest &Chunk, TimePoint Now);
-  void endUpload();
+  void endUpload(const InstanceId &Requester);
 
   /// Everything to do now. Must be called after events and at least twice a second.
   std::vector<TransferAction> poll(TimePoint Now);
@@ -286,6 +297,9 @@
     TimePoint m_AvoidUntil;
     int m_FailuresInRow = 0;
     std::size_t m_FetchCount = 0;
+    /// Uploads that the peer got since the order, and when it was last refused one.
+    std::uint32_t m_Served = 0;
+    std::optional<TimePoint> m_RefusedAt;
   };
 
   struct Fetch {
@@ -296,6 +310,9 @@
     FetchSource m_Source = FetchSource::Peer;
     InstanceId m_Peer;
     TimePoint m_Deadline;
+    /// What was reserved on the own link and on the region link.
+    Duration m_LinkCost{};
+    Duration m_RegionCost{};
   };
 
   /// What a lane is to this agent. Ranks count from 0.
@@ -330,6 +347,7 @@
   void penalise(Peer &Entry, Duration Base, TimePoint Now);
   std::optional<Fetch> takeFetch(FetchId Id);
   void onPeerFailure(const Fetch &Failed, Duration Base, TimePoint Now);
+  void refundPace(const Fetch &Failed);
   void onImportTrouble(const Fetch &Failed, TimePoint Now);
   void cancelAll();
   void loadHeld(const std::unordered_set<Digest> &Held);
@@ -348,6 +366,9 @@
                   std::vector<TransferAction> &Actions);
   bool crossesRegion(FetchSource Source, const InstanceId &From) const;
   bool isUsable(const Peer &Entry, TimePoint Now) const;
+  /// What one lane may use of the region link. Lanes that have nothing left to import leave their
+  /// part to the others.
+  BytesPerSecond regionLaneRate() const;
 
   InstanceRecord m_Self;
   RegionId m_OriginRegion;
@@ -373,6 +394,7 @@
   /// For each chunk, the number of neighbours of the own data centre that hold it.
   std::vector<std::uint16_t> m_LocalHolders;
   std::array<Lane, Lanes> m_Lanes;
+  std::size_t m_ActiveLanes = Lanes;
   Pace m_DownloadPace;
   Pace m_UploadPace;
   std::map<FetchId, Fetch> m_Fetches;
@@ -381,7 +403,10 @@
   std::vector<FetchId> m_Cancelled;
   std::uint64_t m_NextFetch = 0;
   Bytes m_BytesInFlight;
-  std::size_t m_Uploads = 0;
+  /// Uploads in progress for each requester, and their sums.
+  std::map<InstanceId, std::size_t> m_ImportUploadsOf;
+  std::size_t m_LocalUploads = 0;
+  std::size_t m_ImportUploads = 0;
   RolloutId m_GrantRollout;
   Bytes m_Granted;
   bool m_GrantAsked = false;
--- a/src/libweights/Activator.cpp
+++ b/src/libweights/Activator.cpp
@@ -82,6 +82,7 @@
       return std::nullopt;
     m_InProgress.reset();
     m_Read.reset();
+    m_VerifiedRoot = Digest();
   }
   if (Now < m_NotBefore)
     return std::nullopt;
@@ -119,10 +120,11 @@
   }
   if (!m_Drained && m_Rules.m_DrainFirst)
     return std::nullopt;
-  if (m_VerifiedRoot != m_Target && m_Rules.m_VerifyStaging)
-    return issue(Kind::VerifyStaging, Now);
+  // Verification comes as late as possible, because staging may be damaged after it.
   if (m_NeedsConfirmation && m_Rules.m_ConfirmAfterPause)
     return issue(Kind::ConfirmConfiguration, Now);
+  if (m_VerifiedRoot != m_Target && m_Rules.m_VerifyStaging)
+    return issue(Kind::VerifyStaging, Now);
   if (m_Rules.m_ReadBackBeforeLoad && !readIsFresh(Now))
     return issue(Kind::ReadServed, Now);
   if (m_Rules.m_VerifyStaging && !LoadIsVerified.check(m_VerifiedRoot == m_Target, m_Target.hex()))
@@ -176,6 +178,8 @@
   if (!accepts(Number, ActivationCommand::Kind::ReadServed))
     return;
   if (!Report) {
+    // The engine may be restarting, which empties its staging area.
+    m_VerifiedRoot = Digest();
     retryLater(Now);
     return;
   }
@@ -183,6 +187,7 @@
   if (Unexpected || Report->m_Token > FencingToken(m_Change.value())) {
     // Another process commanded the engine, or it restarted.
     m_NeedsConfirmation = true;
+    m_VerifiedRoot = Digest();
     if (Report->m_Token > FencingToken(m_Change.value()))
       m_RequiredChange = std::max(m_RequiredChange, ChangeNumber(Report->m_Token.value()));
   }
--- a/src/libweights/OriginBudget.cpp
+++ b/src/libweights/OriginBudget.cpp
@@ -116,7 +116,9 @@
 
 Transaction OriginBudget::makeTransaction() {
   Transaction Result;
-  Result.m_WriteId = WriteId(m_Owner + '-' + std::to_string(++m_Sequence));
+  // The id names the row, because the table answers a repeated id with its first outcome even when
+  // the rest of the transaction differs.
+  Result.m_WriteId = WriteId(m_Key + '/' + m_Owner + '-' + std::to_string(++m_Sequence));
   if (m_Rules.m_ConditionalWrite)
     Result.m_Conditions.push_back({m_Key, m_Version});
   GrantRow Row = m_Row;
--- a/src/libweights/RolloutDriver.h
+++ b/src/libweights/RolloutDriver.h
@@ -188,8 +188,8 @@
   std::uint64_t m_Seed = 1;
   /// Share of a data centre's upstreams that must keep serving.
   double m_MinServingShare = 0.5;
-  /// The kinds of faults to draw from, and how many to inject; see Driver::injectFault().
-  std::size_t m_Faults = 0;
+  /// Whether versions share a quarter of their chunks.
+  bool m_SharedChunks = true;
   /// Whether the messages themselves are lost and delayed.
   bool m_LossyMessages = false;
   TransferPlanner::Rules m_TransferRules;
@@ -218,7 +218,7 @@
   void join(std::size_t SiteIndex);
   /// Injects one of FaultKinds kinds of faults, drawn at random, for a random time.
   void injectFault();
-  static constexpr std::uint64_t FaultKinds = 16;
+  static constexpr std::uint64_t FaultKinds = 18;
   /// Injects the fault with this number below FaultKinds.
   void injectFault(std::uint64_t Kind);
   /// Runs until every live agent serves the newest version and no fault is active. False if that
@@ -229,11 +229,14 @@
   EventQueue &queue() { return m_Queue; }
   /// Bytes that left the origin for the rollout of the newest change.
   std::uint64_t originBytes() const;
+  /// Share of live agents that hold every chunk of the newest version.
+  double stagedShare() const;
   double originCopies() const;
   /// The most copies that left the origin in any rollout of the run.
   double worstOriginCopies() const;
   std::uint64_t regionBytes() const { return m_Network.regionBytes(); }
-  /// Control bytes per second, sent and received, of the agent with the most.
+  /// Control bytes per second since the newest change, sent and received, of the agent with the
+  /// most.
   double controlBytesPerSecond() const;
   Bytes versionSize() const { return manifest(1).totalSize(); }
   /// Violations found from outside, with the first one in words.
@@ -281,7 +284,7 @@
     std::uint64_t m_ControlBytes = 0;
     std::uint64_t m_ViewApplied = 0;
     Duration m_ViewLag{};
-    std::map<std::size_t, TimePoint> m_SeenBySite;
+    std::vector<TimePoint> m_SeenBySite;
     TimePoint m_Started;
   };
 
@@ -312,11 +315,15 @@
   void perform(std::size_t Index, const ListStaging &Action);
   void perform(std::size_t Index, const NeedManifest &Action);
   void perform(std::size_t Index, const ActivationCommand &Action);
+  /// Reports progress of a fetch until it has ended. Transfers share a link, so those that wait in
+  /// the queue of the fake network make progress as well.
+  void reportProgress(std::size_t Index, FetchId Id);
   void receive(std::size_t Index, const StartFetch &Action, bool FromBadPeer);
   void load(std::size_t Index, const ActivationCommand &Action);
   void tell(std::size_t Index);
   void takeSnapshots();
   void checkAgent(std::size_t Index);
+  bool allConverged() const;
   void expect(Invariant &Rule, bool Holds, const std::string &Detail);
   bool blocked(std::size_t LeftSite, std::size_t RightSite) const;
   bool platformBlocked(std::size_t SiteIndex) const { return m_PlatformCut.contains(SiteIndex); }
@@ -326,15 +333,24 @@
   std::uint32_t minServing(std::size_t SiteIndex) const;
   void endAfter(Duration Length, std::function<void()> Heal);
   void killAgent(std::size_t Index, bool WithEngine);
+  void pauseAgent(std::size_t Index, Duration Length, bool Replaced);
+  Duration randomSeconds(std::uint64_t Least, std::uint64_t Most);
+  /// A random running agent with a live engine.
+  std::size_t randomAgent();
+  TransferOrder orderOf(ChangeNumber Number) const;
+  bool hears(std::size_t SiteIndex) const;
+  const std::unordered_set<Digest> &digestsOf(std::uint64_t Version) const;
 
   DriverSettings m_Settings;
   mutable std::map<std::uint64_t, Manifest> m_Manifests;
+  mutable std::map<std::uint64_t, std::unordered_set<Digest>> m_Digests;
   EventQueue m_Queue;
   ChunkNetwork m_Network;
   RandomGenerator m_Random;
   FakeTable m_Table;
   std::vector<Engine> m_Engines;
-  std::vector<Agent> m_Agents;
+  /// A deque, because references must stay valid when an instance is added.
+  std::deque<Agent> m_Agents;
   std::unordered_map<InstanceId, std::size_t> m_AgentById;
   std::vector<std::size_t> m_RegionOfSite;
   std::vector<std::size_t> m_SiteSizes;
@@ -359,6 +375,19 @@
   std::size_t m_NextName = 0;
 };
 
+/// The outcome of one randomised run.
+struct FaultRun {
+  bool m_Converged = false;
+  std::uint64_t m_Violations = 0;
+  std::string m_FirstViolation;
+  double m_WorstOriginCopies = 0;
+  std::string m_Pending;
+};
+
+/// One rollout on a small deployment drawn from `Seed`, with several random faults during it, and
+/// with `Settings` for everything that is not drawn.
+FaultRun runWithFaults(DriverSettings Settings, std::uint64_t Seed);
+
 } // namespace fescuegauge::driver
 
 #endif // FESCUEGAUGE_LIBWEIGHTS_ROLLOUTDRIVER_H
--- a/src/libweights/TransferPlanner.cpp
+++ b/src/libweights/TransferPlanner.cpp
@@ -338,6 +338,11 @@
     penalise(It->second, Base, Now);
 }
 
+void TransferPlanner::refundPace(const Fetch &Failed) {
+  m_DownloadPace.refund(Failed.m_LinkCost);
+  m_Lanes[Failed.m_Index % Lanes].m_RegionPace.refund(Failed.m_RegionCost);
+}
+
 void TransferPlanner::onImportTrouble(const Fetch &Failed, TimePoint Now) {
   Lane &State = m_Lanes[Failed.m_Index % Lanes];
   if (Failed.m_Source != FetchSource::Origin)
@@ -395,11 +400,19 @@
   m_Lanes[Index % Lanes].m_LastProgress = Now;
 }
 
+void TransferPlanner::onProgress(FetchId Id, TimePoint Now) {
+  auto It = m_Fetches.find(Id);
+  if (It != m_Fetches.end() && It->second.m_Import && m_Rules.m_TimeOut)
+    It->second.m_Deadline = std::max(It->second.m_Deadline, Now + MinFetchTime);
+}
+
 void TransferPlanner::onFetchFailed(FetchId Id, FetchFailure Failure, TimePoint Now) {
   std::optional<Fetch> Failed = takeFetch(Id);
   if (!Failed)
     return;
   auto From = m_Peers.find(Failed->m_Peer);
+  if (Failure != FetchFailure::Broken)
+    refundPace(*Failed);
   switch (Failure) {
   case FetchFailure::Busy:
     ++m_Counters.m_BusyAnswers;
@@ -451,18 +464,42 @@
     return UploadAnswer::NotHeld;
   auto Known = m_Peers.find(Requester);
   bool Import = Known != m_Peers.end() && !Known->second.m_SameDataCentre;
-  std::size_t Limit = MaxUploads + (Import ? MaxImportUploads : 0);
+  std::size_t Limit = Import ? MaxImportUploads : MaxUploads;
+  std::size_t &InProgress = Import ? m_ImportUploads : m_LocalUploads;
   Duration Cost = m_Links.m_Instance.timeFor(m_Order->m_Manifest.chunks()[It->second].m_Size);
-  if (m_Uploads >= Limit || !m_UploadPace.allows(Now, Cost * Limit))
+  bool Refused = InProgress >= Limit || !m_UploadPace.allows(Now, Cost * Limit);
+  if (!Import && Known != m_Peers.end()) {
+    std::uint32_t Served = Known->second.m_Served;
+    Refused = Refused || std::any_of(m_Peers.begin(), m_Peers.end(), [&](const auto &Other) {
+                const auto &[Id, Entry] = Other;
+                return Entry.m_RefusedAt && Now - *Entry.m_RefusedAt < RefusalMemory &&
+                       Entry.m_Served < Served;
+              });
+    if (Refused)
+      Known->second.m_RefusedAt = Now;
+  }
+  if (Refused)
     return UploadAnswer::Busy;
+  if (!Import && Known != m_Peers.end()) {
+    Known->second.m_RefusedAt.reset();
+    ++Known->second.m_Served;
+  }
   m_UploadPace.spend(Now, Cost, Duration());
-  ++m_Uploads;
+  ++InProgress;
+  if (Import)
+    ++m_ImportUploadsOf[Requester];
   return UploadAnswer::Accept;
 }
 
-void TransferPlanner::endUpload() {
-  if (m_Uploads > 0)
-    --m_Uploads;
+void TransferPlanner::endUpload(const InstanceId &Requester) {
+  auto It = m_ImportUploadsOf.find(Requester);
+  if (It == m_ImportUploadsOf.end()) {
+    m_LocalUploads -= m_LocalUploads > 0 ? 1 : 0;
+    return;
+  }
+  --m_ImportUploads;
+  if (--It->second == 0)
+    m_ImportUploadsOf.erase(It);
 }
 
 bool TransferPlanner::hasRoom(Bytes Size) const {
@@ -491,6 +528,10 @@
       std::max<Duration>(m_TradeOff.m_Patience, LaneRate.timeFor(Largest) * PatienceChunks);
 }
 
+BytesPerSecond TransferPlanner::regionLaneRate() const {
+  return BytesPerSecond(m_Links.m_Region.rate() / static_cast<double>(m_ActiveLanes));
+}
+
 bool TransferPlanner::crossesRegion(FetchSource Source, const InstanceId &From) const {
   if (Source == FetchSource::Origin)
     return !m_OriginRegion.empty() && m_OriginRegion != m_Self.m_Region;
@@ -547,11 +588,11 @@
   if (crossesRegion(Source, From)) {
     Rate = std::min(Rate, m_Links.m_Region.rate() / Lanes);
     ++m_Counters.m_RegionFetches;
-    Duration Cost = BytesPerSecond(m_Links.m_Region.rate() / Lanes).timeFor(Chunk.m_Size);
-    State.m_RegionPace.spend(Now, Cost, Cost);
+    Started.m_RegionCost = regionLaneRate().timeFor(Chunk.m_Size);
+    State.m_RegionPace.spend(Now, Started.m_RegionCost, Started.m_RegionCost);
   }
-  Duration Cost = m_Links.m_Instance.timeFor(Chunk.m_Size);
-  m_DownloadPace.spend(Now, Cost, Cost);
+  Started.m_LinkCost = m_Links.m_Instance.timeFor(Chunk.m_Size);
+  m_DownloadPace.spend(Now, Started.m_LinkCost, Started.m_LinkCost);
   Duration Limit = BytesPerSecond(Rate).timeFor(Chunk.m_Size) * FetchTimeFactor + MinFetchTime;
   if (Started.m_Import) {
     ++State.m_ImportsInFlight;
@@ -592,6 +633,9 @@
     return;
   for (std::size_t I = 0; I < Lanes; ++I)
     planImport(I, Now, Actions);
+  auto Waiting = [](const Lane &State) { return State.m_WasWaiting; };
+  m_ActiveLanes = std::max<std::size_t>(
+      1, static_cast<std::size_t>(std::count_if(m_Lanes.begin(), m_Lanes.end(), Waiting)));
 }
 
 void TransferPlanner::planImport(std::size_t LaneIndex, TimePoint Now,
@@ -631,14 +675,11 @@
               Needed.begin() + static_cast<std::ptrdiff_t>(State.m_OwnRank % Needed.size()),
               Needed.end());
 
-  const Duration LaneCost =
-      BytesPerSecond(m_Links.m_Region.rate() / Lanes).timeFor(Chunks[Needed.front()].m_Size);
   for (std::uint32_t Index : Needed) {
     const Bytes Size = Chunks[Index].m_Size;
     if (State.m_ImportsInFlight >= MaxImportsPerLane || !hasRoom(Size))
       return;
-    bool RegionFree = State.m_RegionPace.allows(Now, Duration()) || !m_Rules.m_PaceImports ||
-                      LaneCost.count() == 0;
+    bool RegionFree = State.m_RegionPace.allows(Now, Duration()) || !m_Rules.m_PaceImports;
     InstanceId Holder = chooseHolder(Index, false, OtherRegions && RegionFree, Now);
     if (!Holder.empty()) {
       startFetch(Index, FetchSource::Peer, Holder, Now, Actions);
