--- /dev/null
+++ b/src/libmembership/Membership.cpp
@@ -0,0 +1,868 @@
+#include "Fescuegauge/Membership.h"
+#include "Fescuegauge/Invariant.h"
+#include "Fescuegauge/Rendezvous.h"
+
+#include <algorithm>
+
+namespace fescuegauge {
+
+namespace {
+
+using Kind = MembershipMessage::Kind;
+using RecordPtr = std::shared_ptr<const InstanceRecord>;
+
+Invariant IncarnationNeverDecreases("membership.incarnation_never_decreases");
+Invariant NoRevivalOfSameIncarnation("membership.no_revival_of_same_incarnation");
+
+/// Departures in the last few seconds go along on probes; see recentDepartures().
+constexpr Duration RecentDeparture = std::chrono::seconds(6);
+constexpr std::size_t MaxRecentDepartures = MembershipMessage::MaxUpdates;
+/// A watcher that hears nobody gives up the idea that it is cut off itself after this.
+constexpr Duration IsolatedLimit = std::chrono::seconds(10);
+/// Fewer local members than this say nothing about whether this process is cut off.
+constexpr std::size_t IsolatedLeastMembers = 3;
+constexpr Duration ContactInterval = std::chrono::seconds(1);
+constexpr Duration RelayContactInterval = std::chrono::seconds(5);
+constexpr Duration RefreshInterval = std::chrono::milliseconds(200);
+/// Times that an instance passes on a departure, each time to GossipFanOut others. Once reaches 94%
+/// of the others, twice 99.8%, so that few wait for a probe or a comparison of views.
+constexpr int DepartureRounds = 2;
+/// An agent that gets no answer from its source of news for this long turns to its next watcher.
+constexpr Duration SourceTimeout = std::chrono::milliseconds(2500);
+/// A watcher that takes over a member, because earlier watchers are gone, suspects it after this
+/// unless it answers a probe or another watcher hears it. Were all watchers lost together with the
+/// member, nobody else would notice it in time.
+constexpr Duration TakeOverGrace = std::chrono::milliseconds(700);
+/// Heartbeats after a change of the own record that carry the whole record.
+constexpr int AnnounceHeartbeats = 3;
+
+std::uint64_t memberHash(const InstanceRecord &Record) {
+  if (Record.m_State == InstanceState::Dead)
+    return 0;
+  std::uint64_t Value = rendezvousWeight("member", Record.m_Id.str());
+  Value ^= (Record.m_Incarnation.value() * 8 + static_cast<std::uint64_t>(Record.m_State)) *
+           0x9e3779b97f4a7c15;
+  Value ^= Value >> 29;
+  Value *= 0xbf58476d1ce4e5b9;
+  return Value ^ (Value >> 32);
+}
+
+std::uint8_t bucketOf(const InstanceId &Id) {
+  return static_cast<std::uint8_t>(rendezvousWeight("bucket", Id.str()) %
+                                   MembershipMessage::SyncBuckets);
+}
+
+bool isUrgent(InstanceState State) {
+  return State == InstanceState::Suspect || State == InstanceState::Leaving ||
+         State == InstanceState::Dead;
+}
+
+bool contains(const std::vector<InstanceId> &Ids, const InstanceId &Id) {
+  return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
+}
+
+} // namespace
+
+Membership::Membership(InstanceRecord Self, std::vector<Endpoint> Seeds, std::uint64_t Seed,
+                       Rules Enabled)
+    : m_Self(std::make_shared<const InstanceRecord>(std::move(Self))), m_Seeds(std::move(Seeds)),
+      m_Random(Seed), m_Rules(Enabled) {
+  // Never 0 or 1, which have a meaning in heartbeats, and small, since every heartbeat carries it.
+  m_LogEpoch = (m_Random() & 0xffffff) | 0x1000000;
+  m_ViewHash = memberHash(*m_Self);
+}
+
+Membership::Actions Membership::start(TimePoint Now) {
+  m_Started = true;
+  m_StartedAt = Now;
+  m_LastTime = Now;
+  m_LastHeard = Now;
+  auto Within = [&](Duration Limit) {
+    return Now + Duration(static_cast<Duration::rep>(
+                     uniformBelow(m_Random, static_cast<std::uint64_t>(Limit.count()))));
+  };
+  m_NextHeartbeat = Within(HeartbeatInterval);
+  m_NextProbe = Within(ProbeInterval);
+  m_NextCrossProbe = Within(CrossProbeInterval);
+  m_NextCheck = Within(CheckInterval);
+  m_NextRefresh = Now;
+  m_NextSync = Now;
+  m_NextContact = Now;
+  m_AnnounceLeft = AnnounceHeartbeats;
+  return onTime(Now);
+}
+
+MembershipMessage Membership::message(Kind MessageKind) const {
+  MembershipMessage Result;
+  Result.m_Kind = MessageKind;
+  Result.m_Incarnation = m_Self->m_Incarnation;
+  Result.m_ViewHash = m_ViewHash;
+  Result.m_Attachment = m_Attachment;
+  return Result;
+}
+
+void Membership::send(const InstanceId &To, MembershipMessage Message, Actions &Out) const {
+  auto Found = m_Members.find(To);
+  Endpoint Address;
+  if (Found != m_Members.end())
+    Address = Found->second.m_Record->m_Endpoint;
+  Out.push_back(Send{To, std::move(Address), std::move(Message)});
+}
+
+MemberUpdate Membership::selfUpdate() const {
+  return {m_Self->m_Id, m_Self->m_Incarnation, m_Self->m_State, m_Self};
+}
+
+MemberUpdate Membership::updateFor(const Member &Known) const {
+  const RecordPtr &Record = Known.m_Record;
+  // Receivers keep what they know of a suspected or dead member, and need no more.
+  bool StatusOnly =
+      Record->m_State == InstanceState::Suspect || Record->m_State == InstanceState::Dead;
+  return {Record->m_Id, Record->m_Incarnation, Record->m_State, StatusOnly ? nullptr : Record};
+}
+
+void Membership::store(RecordPtr Record, TimePoint Now, Actions &Out, bool Spread) {
+  Member &Known = m_Members[Record->m_Id];
+  const InstanceRecord *Previous = Known.m_Record.get();
+  auto TakesPart = [](const InstanceRecord &Value) { return !isUrgent(Value.m_State); };
+  bool Counted = Previous && TakesPart(*Previous);
+  if (Record->m_DataCentre == m_Self->m_DataCentre &&
+      (!Previous ||
+       (Previous->m_State == InstanceState::Dead) != (Record->m_State == InstanceState::Dead) ||
+       (Record->m_Role == InstanceRole::Entry && Counted != TakesPart(*Record))))
+    m_LocalChanged = true;
+  if (Record->m_Role == InstanceRole::Entry) {
+    if (TakesPart(*Record))
+      m_LiveEntries[Record->m_DataCentre].insert(Record->m_Id);
+    else
+      m_LiveEntries[Record->m_DataCentre].erase(Record->m_Id);
+  }
+  if (!Previous || Previous->m_State != Record->m_State) {
+    Known.m_StateSince = Now;
+    if (Record->m_State == InstanceState::Dead)
+      m_Tombstones.emplace_back(Now, Record->m_Id);
+  }
+  if (!Previous)
+    Known.m_Bucket = bucketOf(Record->m_Id);
+  m_ViewHash ^= Known.m_Hash;
+  Known.m_Hash = memberHash(*Record);
+  m_ViewHash ^= Known.m_Hash;
+  m_Log.erase(Known.m_LogPosition);
+  Known.m_LogPosition = ++m_LogPosition;
+  m_Log.emplace_hint(m_Log.end(), Known.m_LogPosition, Record->m_Id);
+  if (m_Log.size() > MaxLog)
+    m_Log.erase(m_Log.begin());
+  Known.m_Record = Record;
+  if (Spread)
+    queueNews(Record->m_Id, Now, isUrgent(Record->m_State));
+  Out.push_back(Changed{Record->m_Id});
+}
+
+bool Membership::merge(const MemberUpdate &Update, TimePoint Now, Actions &Out, bool Spread) {
+  if (Update.m_Id == m_Self->m_Id) {
+    bool Contradicts =
+        Update.m_State == InstanceState::Suspect || Update.m_State == InstanceState::Dead ||
+        (Update.m_State == InstanceState::Leaving && m_Self->m_State != InstanceState::Leaving);
+    if (Update.m_Incarnation > m_Self->m_Incarnation ||
+        (Update.m_Incarnation == m_Self->m_Incarnation && Contradicts))
+      refute(Update.m_Incarnation, Out);
+    return false;
+  }
+  auto Found = m_Members.find(Update.m_Id);
+  if (Found == m_Members.end()) {
+    if (!Update.m_Record || m_Members.size() >= MaxMembers)
+      return false;
+    // Dead members that were never known are of no use.
+    if (Update.m_State == InstanceState::Dead)
+      return false;
+    store(Update.m_Record, Now, Out, Spread);
+    return true;
+  }
+  const InstanceRecord &Known = *Found->second.m_Record;
+  if (m_Rules.m_CompareIncarnations) {
+    if (Update.m_Incarnation < Known.m_Incarnation)
+      return false;
+    if (Update.m_Incarnation == Known.m_Incarnation && Update.m_State <= Known.m_State)
+      return false;
+  } else if (Update.m_Incarnation == Known.m_Incarnation && Update.m_State == Known.m_State) {
+    return false;
+  }
+  if (!IncarnationNeverDecreases.check(Update.m_Incarnation >= Known.m_Incarnation,
+                                       Update.m_Id.str()))
+    return false;
+  if (Known.m_State == InstanceState::Dead &&
+      !NoRevivalOfSameIncarnation.check(Update.m_Incarnation > Known.m_Incarnation,
+                                        Update.m_Id.str()))
+    return false;
+  RecordPtr Next = Update.m_Record;
+  if (!Next) {
+    auto Copy = std::make_shared<InstanceRecord>(Known);
+    Copy->m_Incarnation = Update.m_Incarnation;
+    Copy->m_State = Update.m_State;
+    Next = std::move(Copy);
+  }
+  store(std::move(Next), Now, Out, Spread);
+  return true;
+}
+
+void Membership::learn(std::span<const RecordPtr> Records, TimePoint Now) {
+  Actions Ignored;
+  for (const RecordPtr &Record : Records)
+    if (Record->m_Id != m_Self->m_Id)
+      merge({Record->m_Id, Record->m_Incarnation, Record->m_State, Record}, Now, Ignored, false);
+  m_NextRefresh = Now;
+  refresh(Now);
+}
+
+void Membership::refute(Incarnation Seen, Actions &Out) {
+  if (!m_Rules.m_Refute)
+    return;
+  auto Next = std::make_shared<InstanceRecord>(*m_Self);
+  Next->m_Incarnation = std::max(Seen, m_Self->m_Incarnation).next();
+  m_ViewHash ^= memberHash(*m_Self) ^ memberHash(*Next);
+  m_Self = std::move(Next);
+  announceSelf(Out, true);
+}
+
+Membership::Actions Membership::updateSelf(const InstanceRecord &Record) {
+  Actions Out;
+  auto Next = std::make_shared<InstanceRecord>(Record);
+  Next->m_Id = m_Self->m_Id;
+  Next->m_Role = m_Self->m_Role;
+  Next->m_DataCentre = m_Self->m_DataCentre;
+  Next->m_Incarnation = m_Self->m_Incarnation;
+  // A departure is not taken back.
+  if (m_Self->m_State == InstanceState::Leaving)
+    Next->m_State = InstanceState::Leaving;
+  if (*Next == *m_Self)
+    return Out;
+  Next->m_Incarnation = m_Self->m_Incarnation.next();
+  m_ViewHash ^= memberHash(*m_Self) ^ memberHash(*Next);
+  m_Self = std::move(Next);
+  announceSelf(Out, m_Self->m_State == InstanceState::Leaving);
+  return Out;
+}
+
+Membership::Actions Membership::leave() {
+  InstanceRecord Next = *m_Self;
+  Next.m_State = InstanceState::Leaving;
+  return updateSelf(Next);
+}
+
+void Membership::announceSelf(Actions &Out, bool Urgent) {
+  m_AnnounceLeft = AnnounceHeartbeats;
+  if (!m_Started)
+    return;
+  MembershipMessage News = message(Kind::Updates);
+  News.m_Updates.push_back(selfUpdate());
+  std::vector<InstanceId> Targets = m_Watchers;
+  if (m_Self->m_Role == InstanceRole::Entry && Urgent)
+    for (const InstanceId &Id : sampleLocalEntries(GossipFanOut))
+      if (!contains(Targets, Id))
+        Targets.push_back(Id);
+  for (const InstanceId &Id : relays(m_Self->m_DataCentre))
+    if (m_Self->m_Role == InstanceRole::Entry && Id != m_Self->m_Id && !contains(Targets, Id))
+      Targets.push_back(Id);
+  if (isRelay())
+    for (const DataCentreId &DataCentre : dataCentres())
+      if (DataCentre != m_Self->m_DataCentre)
+        for (const InstanceId &Id : relays(DataCentre))
+          Targets.push_back(Id);
+  for (const InstanceId &Id : Targets)
+    send(Id, News, Out);
+}
+
+void Membership::queueNews(const InstanceId &Id, TimePoint Now, bool Urgent) {
+  if (!m_Rules.m_SpreadNews || m_Self->m_Role != InstanceRole::Entry)
+    return;
+  int &Rounds = m_NewsRounds[Id];
+  if (Rounds == 0)
+    m_News.push_back(Id);
+  Rounds = std::max(Rounds, Urgent ? DepartureRounds : 1);
+  if (m_News.size() > MaxWaitingNews) {
+    m_NewsRounds.erase(m_News.front());
+    m_News.pop_front();
+  }
+  m_NewsAt = std::min(m_NewsAt, Now + jittered(m_Random, Urgent ? UrgentDelay : NewsDelay));
+}
+
+std::vector<InstanceId> Membership::sampleLocalEntries(std::size_t Count) {
+  std::vector<InstanceId> Result;
+  Count = std::min(Count, m_LocalEntries.size());
+  // Few are drawn from many, so that drawing again on a repetition is cheaper than a copy.
+  while (Result.size() < Count) {
+    const InstanceId &Id = m_LocalEntries[uniformBelow(m_Random, m_LocalEntries.size())];
+    if (!contains(Result, Id))
+      Result.push_back(Id);
+  }
+  return Result;
+}
+
+void Membership::flushNews(TimePoint Now, Actions &Out) {
+  MembershipMessage Local = message(Kind::Updates);
+  MembershipMessage Remote = Local;
+  std::vector<InstanceId> Again;
+  while (!m_News.empty() && Local.m_Updates.size() < MembershipMessage::MaxUpdates) {
+    InstanceId Id = std::move(m_News.front());
+    m_News.pop_front();
+    auto Rounds = m_NewsRounds.find(Id);
+    if (--Rounds->second > 0)
+      Again.push_back(Id);
+    else
+      m_NewsRounds.erase(Rounds);
+    auto Found = m_Members.find(Id);
+    if (Found == m_Members.end())
+      continue;
+    Local.m_Updates.push_back(updateFor(Found->second));
+    if (Found->second.m_Record->m_DataCentre == m_Self->m_DataCentre)
+      Remote.m_Updates.push_back(Local.m_Updates.back());
+  }
+  m_NewsAt = TimePoint::max();
+  if (!m_News.empty() || !Again.empty())
+    m_NewsAt = Now + jittered(m_Random, m_News.empty() ? NewsDelay : UrgentDelay);
+  m_News.insert(m_News.end(), Again.begin(), Again.end());
+  if (Local.m_Updates.empty())
+    return;
+  for (const InstanceId &Id : sampleLocalEntries(GossipFanOut))
+    send(Id, Local, Out);
+  if (Remote.m_Updates.empty() || !isRelay())
+    return;
+  for (const DataCentreId &DataCentre : dataCentres()) {
+    std::vector<InstanceId> Relays = relays(DataCentre);
+    if (DataCentre != m_Self->m_DataCentre && !Relays.empty())
+      send(Relays[uniformBelow(m_Random, Relays.size())], Remote, Out);
+  }
+}
+
+void Membership::declare(const InstanceId &Id, InstanceState State, TimePoint Now, Actions &Out) {
+  auto Found = m_Members.find(Id);
+  if (Found == m_Members.end() || Found->second.m_Record->m_State >= State)
+    return;
+  ++(State == InstanceState::Dead ? m_DeclaredDead : m_DeclaredSuspect);
+  auto Next = std::make_shared<InstanceRecord>(*Found->second.m_Record);
+  Next->m_State = State;
+  store(std::move(Next), Now, Out, true);
+  // The member itself may refute, and relays tell the other data centres.
+  MembershipMessage News = message(Kind::Updates);
+  News.m_Updates.push_back(updateFor(Found->second));
+  send(Id, News, Out);
+  for (const InstanceId &Relay : relays(m_Self->m_DataCentre))
+    if (Relay != m_Self->m_Id && Relay != Id)
+      send(Relay, News, Out);
+}
+
+std::vector<InstanceId> Membership::watchersOf(const InstanceId &Id) const {
+  std::vector<InstanceId> Candidates;
+  Candidates.reserve(m_LocalEntries.size() + 1);
+  for (const InstanceId &Entry : m_LocalEntries)
+    if (Entry != Id)
+      Candidates.push_back(Entry);
+  if (m_Self->m_Role == InstanceRole::Entry && Id != m_Self->m_Id)
+    Candidates.push_back(m_Self->m_Id);
+  return rendezvousRank("watch/" + Id.str(), Candidates, WatchersPerProcess);
+}
+
+bool Membership::isWatcherOf(const InstanceId &Id) const {
+  // Equal to a search in watchersOf(), which would rank all entry instances for each member.
+  std::string Key = "watch/" + Id.str();
+  std::uint64_t Own = rendezvousWeight(Key, m_Self->m_Id.str());
+  std::size_t Ahead = 0;
+  for (const InstanceId &Entry : m_LocalEntries) {
+    if (Entry == Id)
+      continue;
+    std::uint64_t Weight = rendezvousWeight(Key, Entry.str());
+    if (Weight > Own || (Weight == Own && Entry < m_Self->m_Id))
+      if (++Ahead == WatchersPerProcess)
+        return false;
+  }
+  return true;
+}
+
+void Membership::refresh(TimePoint Now) {
+  if (!m_LocalChanged || Now < m_NextRefresh)
+    return;
+  m_LocalChanged = false;
+  m_NextRefresh = Now + RefreshInterval;
+  const std::set<InstanceId> &Entries = m_LiveEntries[m_Self->m_DataCentre];
+  m_LocalEntries.assign(Entries.begin(), Entries.end());
+  std::vector<InstanceId> Previous = std::move(m_Watchers);
+  m_Watchers = watchersOf(m_Self->m_Id);
+  if (Previous != m_Watchers)
+    m_AnnounceLeft = std::max(m_AnnounceLeft, 1);
+  if (m_Self->m_Role != InstanceRole::Entry)
+    return;
+  std::map<InstanceId, Watch> Watched;
+  for (const auto &[Id, Known] : m_Members) {
+    if (Known.m_Record->m_DataCentre != m_Self->m_DataCentre ||
+        Known.m_Record->m_State == InstanceState::Dead || !isWatcherOf(Id))
+      continue;
+    auto Found = m_Watched.find(Id);
+    bool TakenOver =
+        m_StartedAt + 2 * SuspectAfter < Now && Known.m_StateSince + 2 * SuspectAfter < Now;
+    TimePoint Heard = TakenOver ? Now - SuspectAfter + TakeOverGrace : Now;
+    Watched[Id] = Found == m_Watched.end() ? Watch{Heard, Now} : Found->second;
+  }
+  m_Watched = std::move(Watched);
+}
+
+void Membership::heard(const InstanceId &From, TimePoint Now) {
+  auto Found = m_Members.find(From);
+  if (Found == m_Members.end())
+    return;
+  m_DataCentreHeard[Found->second.m_Record->m_DataCentre] = Now;
+  if (Found->second.m_Record->m_DataCentre == m_Self->m_DataCentre)
+    m_LastHeard = Now;
+  auto Watched = m_Watched.find(From);
+  if (Watched != m_Watched.end())
+    Watched->second.m_Heard = Now;
+}
+
+Membership::Actions Membership::onMessage(const InstanceId &From, const MembershipMessage &Message,
+                                          TimePoint Now) {
+  Actions Out;
+  if (From == m_Self->m_Id)
+    return Out;
+  bool ByAgent = m_Self->m_Role == InstanceRole::Agent;
+  for (const MemberUpdate &Update : Message.m_Updates)
+    merge(Update, Now, Out, Message.m_Kind != Kind::SyncReply || !Message.m_More);
+  heard(From, Now);
+  if (!Message.m_Attachment.empty())
+    Out.push_back(Attachment{From, Message.m_Attachment});
+
+  MembershipMessage Reply = message(Kind::HeartbeatAck);
+  auto Found = m_Members.find(From);
+  const InstanceRecord *Known = Found == m_Members.end() ? nullptr : Found->second.m_Record.get();
+  Reply.m_NeedRecord = !Known || Known->m_Incarnation < Message.m_Incarnation;
+  bool TellState = Known && !Reply.m_NeedRecord && isUrgent(Known->m_State);
+  if (TellState)
+    Reply.m_Updates.push_back(updateFor(Found->second));
+  if (Message.m_NeedRecord)
+    Reply.m_Updates.push_back(selfUpdate());
+  auto AddDepartures = [&] {
+    for (auto Item = m_Log.rbegin();
+         Item != m_Log.rend() && Reply.m_Updates.size() < MaxRecentDepartures; ++Item) {
+      const Member &Recent = m_Members.at(Item->second);
+      if (Recent.m_StateSince + RecentDeparture < Now)
+        break;
+      if (isUrgent(Recent.m_Record->m_State))
+        Reply.m_Updates.push_back(
+            {Item->second, Recent.m_Record->m_Incarnation, Recent.m_Record->m_State, nullptr});
+    }
+  };
+
+  switch (Message.m_Kind) {
+  case Kind::Heartbeat: {
+    if (Message.m_LogEpoch != 0) {
+      Reply.m_LogEpoch = m_LogEpoch;
+      Reply.m_LogPosition = m_LogPosition;
+      bool HasAll = m_Log.size() < MaxLog || Message.m_LogPosition >= m_Log.begin()->first;
+      if (Message.m_LogEpoch == m_LogEpoch && HasAll) {
+        Reply.m_LogPosition = std::max<std::uint64_t>(Message.m_LogPosition, 1);
+        for (auto Item = m_Log.upper_bound(Message.m_LogPosition);
+             Item != m_Log.end() && Reply.m_Updates.size() < MembershipMessage::MaxUpdates;
+             ++Item) {
+          Reply.m_Updates.push_back(updateFor(m_Members.at(Item->second)));
+          Reply.m_LogPosition = Item->first;
+        }
+      }
+    }
+    // Entry instances exchange everything else by probes, and an agent has one source of news.
+    if (Message.m_LogEpoch != 0 || Reply.m_NeedRecord || TellState || Message.m_NeedRecord)
+      send(From, std::move(Reply), Out);
+    break;
+  }
+  case Kind::Probe:
+    Reply.m_Kind = Kind::ProbeAck;
+    AddDepartures();
+    send(From, std::move(Reply), Out);
+    break;
+  case Kind::QuietQuery: {
+    Reply.m_Kind = Kind::QuietAnswer;
+    for (const MembershipMessage::Quiet &Asked : Message.m_Quiet)
+      if (auto Watched = m_Watched.find(Asked.m_Id); Watched != m_Watched.end())
+        Reply.m_Quiet.push_back({Asked.m_Id, Now - Watched->second.m_Heard});
+    if (!Reply.m_Quiet.empty())
+      send(From, std::move(Reply), Out);
+    break;
+  }
+  case Kind::QuietAnswer:
+    for (const MembershipMessage::Quiet &Report : Message.m_Quiet)
+      if (auto Watched = m_Watched.find(Report.m_Id); Watched != m_Watched.end())
+        Watched->second.m_Heard = std::max(Watched->second.m_Heard, Now - Report.m_Silence);
+    break;
+  case Kind::SyncRequest:
+    onSyncRequest(From, Message, Now, Out);
+    break;
+  case Kind::SyncReply:
+    if (Message.m_More)
+      m_NextSync = Now;
+    break;
+  case Kind::HeartbeatAck:
+    if (Message.m_LogEpoch != 0 && From == m_LogSource) {
+      m_SourceHeard = Now;
+      bool Continues =
+          m_SourceEpoch == Message.m_LogEpoch &&
+          Message.m_LogPosition <= m_SourcePosition + MembershipMessage::MaxUpdates * 8;
+      m_SourceEpoch = Message.m_LogEpoch;
+      m_SourcePosition = Message.m_LogPosition;
+      if (!Continues)
+        sync(From, Now, Out);
+    }
+    [[fallthrough]];
+  case Kind::ProbeAck:
+  case Kind::Updates:
+    if (Message.m_NeedRecord || TellState || (Reply.m_NeedRecord && Known == nullptr)) {
+      Reply.m_Kind = Kind::Updates;
+      send(From, std::move(Reply), Out);
+    }
+    break;
+  }
+
+  bool Comparable = Message.m_Kind == Kind::Probe || Message.m_Kind == Kind::ProbeAck ||
+                    Message.m_Kind == Kind::HeartbeatAck || Message.m_Kind == Kind::SyncReply;
+  if (!Comparable)
+    return Out;
+  if (Message.m_ViewHash == m_ViewHash) {
+    m_DiffersSince.reset();
+  } else if (!ByAgent) {
+    if (Now >= m_NextSync)
+      sync(From, Now, Out);
+  } else {
+    // An agent gets news from its first watcher's log; the comparison repairs what that missed.
+    if (!m_DiffersSince)
+      m_DiffersSince = Now;
+    if ((*m_DiffersSince + AgentSyncAfter <= Now || Message.m_Kind == Kind::SyncReply) &&
+        Now >= m_NextSync && From == m_LogSource)
+      sync(From, Now, Out);
+  }
+  return Out;
+}
+
+void Membership::chooseSource(TimePoint Now) {
+  auto Present = std::find(m_Watchers.begin(), m_Watchers.end(), m_LogSource);
+  if (m_Watchers.empty() || (Present != m_Watchers.end() && m_SourceHeard + SourceTimeout > Now))
+    return;
+  std::size_t Next =
+      Present == m_Watchers.end() ? 0 : static_cast<std::size_t>(Present - m_Watchers.begin() + 1);
+  m_LogSource = m_Watchers[Next % m_Watchers.size()];
+  m_SourceHeard = Now;
+  m_SourceEpoch = 1;
+  m_SourcePosition = 0;
+}
+
+std::vector<std::uint32_t> Membership::buckets() const {
+  std::vector<std::uint32_t> Result(MembershipMessage::SyncBuckets);
+  for (const auto &[Id, Known] : m_Members)
+    Result[Known.m_Bucket] ^= static_cast<std::uint32_t>(Known.m_Hash);
+  Result[bucketOf(m_Self->m_Id)] ^= static_cast<std::uint32_t>(memberHash(*m_Self));
+  return Result;
+}
+
+void Membership::sync(const InstanceId &To, TimePoint Now, Actions &Out) {
+  m_NextSync = Now + jittered(m_Random, SyncInterval);
+  MembershipMessage Request = message(Kind::SyncRequest);
+  Request.m_Buckets = buckets();
+  Request.m_Updates.push_back(selfUpdate());
+  send(To, std::move(Request), Out);
+}
+
+void Membership::onSyncRequest(const InstanceId &From, const MembershipMessage &Message,
+                               TimePoint Now, Actions &Out) {
+  if (Now >= m_SyncWindow + std::chrono::seconds(1)) {
+    m_SyncWindow = Now;
+    m_SyncReplies = 0;
+  }
+  // The requester asks again later or elsewhere.
+  if (++m_SyncReplies > MaxSyncRepliesPerSecond)
+    return;
+  MembershipMessage Reply = message(Kind::SyncReply);
+  Reply.m_Updates.push_back(selfUpdate());
+  std::vector<std::uint32_t> Own = buckets();
+  if (Message.m_Buckets.size() != Own.size())
+    return;
+  // Different requesters that are far behind start at different members.
+  std::vector<const Member *> Differing;
+  for (const auto &[Id, Known] : m_Members)
+    if (Own[Known.m_Bucket] != Message.m_Buckets[Known.m_Bucket] && Id != From)
+      Differing.push_back(&Known);
+  std::size_t Room = MembershipMessage::MaxSyncUpdates - 1;
+  Reply.m_More = Differing.size() > Room;
+  if (Reply.m_More) {
+    // Whole buckets, so that a repeated request finds them equal and gets others.
+    std::stable_sort(
+        Differing.begin(), Differing.end(),
+        [](const Member *Left, const Member *Right) { return Left->m_Bucket < Right->m_Bucket; });
+    std::size_t End = Room;
+    while (End > 1 && Differing[End]->m_Bucket == Differing[End - 1]->m_Bucket)
+      --End;
+    Differing.resize(End > 1 ? End : Room);
+  }
+  for (const Member *Known : Differing)
+    Reply.m_Updates.push_back(
+        {Known->m_Record->m_Id, Known->m_Record->m_Incarnation, Known->m_Record->m_State,
+         Known->m_Record->m_State == InstanceState::Dead ? nullptr : Known->m_Record});
+  send(From, std::move(Reply), Out);
+  // What the requester has and this process lacks comes by its answer to a request from here.
+  if (m_Self->m_Role == InstanceRole::Entry && Now >= m_NextSync &&
+      Message.m_ViewHash != m_ViewHash)
+    sync(From, Now, Out);
+}
+
+Membership::Actions Membership::onPlatformList(std::span<const PlatformListEntry> List,
+                                               TimePoint Now) {
+  Actions Out;
+  m_Contacts.clear();
+  std::set<InstanceId> Listed;
+  for (const PlatformListEntry &Entry : List) {
+    Listed.insert(Entry.m_Id);
+    if (m_Contacts.size() < MaxContacts && !m_Members.contains(Entry.m_Id) &&
+        Entry.m_Id != m_Self->m_Id && !Entry.m_Leaving)
+      m_Contacts.push_back(Entry);
+    if (!Entry.m_Leaving) {
+      m_ListLeaving.erase(Entry.m_Id);
+      continue;
+    }
+    auto Found = m_Members.find(Entry.m_Id);
+    if (Found == m_Members.end() || m_ListLeaving.contains(Entry.m_Id))
+      continue;
+    // Applied once: a member that is back under the same id refutes, and a stale list that keeps
+    // calling it leaving is ignored from then on.
+    m_ListLeaving[Entry.m_Id] = Found->second.m_Record->m_Incarnation;
+    declare(Entry.m_Id, InstanceState::Leaving, Now, Out);
+  }
+  std::vector<DataCentreId> Unreachable = unreachableDataCentres(Now);
+  std::vector<InstanceId> Gone;
+  for (const auto &[Id, Known] : m_Members) {
+    if (Listed.contains(Id) || Known.m_Record->m_State == InstanceState::Dead ||
+        std::find(Unreachable.begin(), Unreachable.end(), Known.m_Record->m_DataCentre) ==
+            Unreachable.end()) {
+      m_ListAbsentSince.erase(Id);
+      continue;
+    }
+    auto Since = m_ListAbsentSince.emplace(Id, Now).first->second;
+    if (Since + ListGrace <= Now)
+      Gone.push_back(Id);
+  }
+  for (const InstanceId &Id : Gone)
+    declare(Id, InstanceState::Dead, Now, Out);
+  return Out;
+}
+
+void Membership::contactSeeds(TimePoint Now, Actions &Out) {
+  bool Alone = m_LocalEntries.empty();
+  m_NextContact = Now + jittered(m_Random, Alone ? ContactInterval : RelayContactInterval);
+  if (!Alone && !isRelay())
+    return;
+  std::vector<Endpoint> Addresses = m_Seeds;
+  for (const PlatformListEntry &Contact : m_Contacts)
+    Addresses.push_back(Contact.m_Endpoint);
+  for (const auto &[Id, Known] : m_Members)
+    if (!Alone && Known.m_Record->m_State != InstanceState::Dead)
+      std::erase(Addresses, Known.m_Record->m_Endpoint);
+  std::erase(Addresses, m_Self->m_Endpoint);
+  MembershipMessage Request = message(Kind::SyncRequest);
+  Request.m_Buckets = buckets();
+  Request.m_Updates.push_back(selfUpdate());
+  std::size_t Count = std::min<std::size_t>(Addresses.size(), Alone ? GossipFanOut : 1);
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    std::swap(Addresses[Index],
+              Addresses[Index + uniformBelow(m_Random, Addresses.size() - Index)]);
+    Out.push_back(Send{{}, Addresses[Index], Request});
+  }
+}
+
+void Membership::checkWatched(TimePoint Now, Actions &Out) {
+  bool MayJudge = m_Members.size() < IsolatedLeastMembers || m_LastHeard + IsolatedAfter > Now ||
+                  m_LastHeard + IsolatedLimit < Now;
+  std::map<InstanceId, MembershipMessage> Queries;
+  std::vector<InstanceId> Silent;
+  for (auto &[Id, Watched] : m_Watched) {
+    Duration Silence = Now - Watched.m_Heard;
+    if (Silence < ProbeAfter)
+      continue;
+    const Member &Known = m_Members.at(Id);
+    if (Known.m_Record->m_State == InstanceState::Dead)
+      continue;
+    if (Now >= Watched.m_NextProbe) {
+      Watched.m_NextProbe = Now + QuietRetry;
+      MembershipMessage Probe = message(Kind::Probe);
+      if (isUrgent(Known.m_Record->m_State))
+        Probe.m_Updates.push_back(updateFor(Known));
+      send(Id, std::move(Probe), Out);
+      if (m_Rules.m_AskOtherWatchers)
+        for (const InstanceId &Other : watchersOf(Id))
+          if (Other != m_Self->m_Id) {
+            MembershipMessage &Query =
+                Queries.emplace(Other, message(Kind::QuietQuery)).first->second;
+            if (Query.m_Quiet.size() < MembershipMessage::MaxQuiet)
+              Query.m_Quiet.push_back({Id, Silence});
+          }
+    }
+    if (Silence >= SuspectAfter && MayJudge)
+      Silent.push_back(Id);
+  }
+  for (auto &[Other, Query] : Queries)
+    send(Other, std::move(Query), Out);
+  for (const InstanceId &Id : Silent) {
+    const Member &Known = m_Members.at(Id);
+    InstanceState State = Known.m_Record->m_State;
+    bool TimedOut = Known.m_StateSince + SuspectTimeout <= Now;
+    if (!m_Rules.m_SuspectFirst || ((State == InstanceState::Suspect) && TimedOut) ||
+        (State == InstanceState::Leaving &&
+         m_Watched.at(Id).m_Heard + SuspectAfter + SuspectTimeout <= Now))
+      declare(Id, InstanceState::Dead, Now, Out);
+    else if (State != InstanceState::Suspect)
+      declare(Id, InstanceState::Suspect, Now, Out);
+  }
+}
+
+Membership::Actions Membership::onTime(TimePoint Now) {
+  Actions Out;
+  if (!m_Started)
+    return Out;
+  bool IsEntry = m_Self->m_Role == InstanceRole::Entry;
+  Duration Gap = Now - m_LastTime;
+  m_LastTime = Now;
+  if (IsEntry && m_Rules.m_AllowForOwnPause && Gap > PausedAfter)
+    for (auto &[Id, Watched] : m_Watched)
+      Watched.m_Heard = std::min(Now, Watched.m_Heard + Gap);
+  refresh(Now);
+  if (Now >= m_NextHeartbeat) {
+    m_NextHeartbeat = Now + jittered(m_Random, HeartbeatInterval, 0.1);
+    MembershipMessage Beat = message(Kind::Heartbeat);
+    if (m_AnnounceLeft > 0) {
+      --m_AnnounceLeft;
+      Beat.m_Updates.push_back(selfUpdate());
+    }
+    if (!IsEntry)
+      chooseSource(Now);
+    for (const InstanceId &Watcher : m_Watchers) {
+      MembershipMessage Copy = Beat;
+      if (!IsEntry && Watcher == m_LogSource) {
+        Copy.m_LogEpoch = m_SourceEpoch;
+        Copy.m_LogPosition = m_SourcePosition;
+      }
+      send(Watcher, std::move(Copy), Out);
+    }
+  }
+  if (Now >= m_NextContact)
+    contactSeeds(Now, Out);
+  if (!IsEntry) {
+    dropTombstones(Now);
+    return Out;
+  }
+  if (Now >= m_NextProbe) {
+    m_NextProbe = Now + jittered(m_Random, ProbeInterval);
+    for (const InstanceId &Id : sampleLocalEntries(1))
+      send(Id, message(Kind::Probe), Out);
+  }
+  if (Now >= m_NextCrossProbe) {
+    m_NextCrossProbe = Now + jittered(m_Random, CrossProbeInterval);
+    if (isRelay())
+      for (const DataCentreId &DataCentre : dataCentres()) {
+        std::vector<InstanceId> Relays = relays(DataCentre);
+        if (DataCentre != m_Self->m_DataCentre && !Relays.empty())
+          send(Relays[uniformBelow(m_Random, Relays.size())], message(Kind::Probe), Out);
+      }
+  }
+  if (Now >= m_NextCheck) {
+    m_NextCheck = Now + CheckInterval;
+    checkWatched(Now, Out);
+    dropTombstones(Now);
+  }
+  if (Now >= m_NewsAt)
+    flushNews(Now, Out);
+  return Out;
+}
+
+void Membership::dropTombstones(TimePoint Now) {
+  Duration Life = m_Rules.m_KeepTombstones ? TombstoneLife : Duration::zero();
+  while (!m_Tombstones.empty() && m_Tombstones.front().first + Life <= Now) {
+    auto Found = m_Members.find(m_Tombstones.front().second);
+    m_Tombstones.pop_front();
+    // The member may have come back, or died a second time and have a later tombstone.
+    if (Found == m_Members.end() || Found->second.m_Record->m_State != InstanceState::Dead ||
+        Found->second.m_StateSince + Life > Now)
+      continue;
+    m_Log.erase(Found->second.m_LogPosition);
+    m_Members.erase(Found);
+  }
+}
+
+TimePoint Membership::nextWake() const {
+  TimePoint Wake = std::min(m_NextHeartbeat, m_NextContact);
+  if (m_Self->m_Role == InstanceRole::Entry)
+    Wake = std::min({Wake, m_NextProbe, m_NextCrossProbe, m_NextCheck, m_NewsAt});
+  return Wake;
+}
+
+const InstanceRecord *Membership::find(const InstanceId &Id) const {
+  if (Id == m_Self->m_Id)
+    return m_Self.get();
+  auto Found = m_Members.find(Id);
+  return Found == m_Members.end() ? nullptr : Found->second.m_Record.get();
+}
+
+bool Membership::isRoutable(const InstanceId &Id) const {
+  const InstanceRecord *Found = find(Id);
+  return Found && Found->m_State == InstanceState::Live;
+}
+
+std::vector<RecordPtr> Membership::members() const {
+  std::vector<RecordPtr> Result;
+  for (const auto &[Id, Known] : m_Members)
+    if (Known.m_Record->m_State != InstanceState::Dead)
+      Result.push_back(Known.m_Record);
+  return Result;
+}
+
+std::vector<InstanceId> Membership::entries(const DataCentreId &DataCentre) const {
+  auto Found = m_LiveEntries.find(DataCentre);
+  if (Found == m_LiveEntries.end())
+    return {};
+  return {Found->second.begin(), Found->second.end()};
+}
+
+std::vector<InstanceId> Membership::relays(const DataCentreId &DataCentre) const {
+  std::vector<InstanceId> Candidates = entries(DataCentre);
+  bool TakesPart =
+      m_Self->m_Role == InstanceRole::Entry && m_Self->m_State != InstanceState::Leaving;
+  if (DataCentre == m_Self->m_DataCentre && TakesPart)
+    Candidates.push_back(m_Self->m_Id);
+  return rendezvousRank("relay/" + DataCentre.str(), Candidates, RelaysPerDataCentre);
+}
+
+std::vector<DataCentreId> Membership::dataCentres() const {
+  std::vector<DataCentreId> Result;
+  for (const auto &[DataCentre, Entries] : m_LiveEntries)
+    if (!Entries.empty() || DataCentre == m_Self->m_DataCentre)
+      Result.push_back(DataCentre);
+  return Result;
+}
+
+bool Membership::isRelay() const {
+  return m_Self->m_Role == InstanceRole::Entry &&
+         contains(relays(m_Self->m_DataCentre), m_Self->m_Id);
+}
+
+std::vector<InstanceId> Membership::watched() const {
+  std::vector<InstanceId> Result;
+  for (const auto &[Id, Watched] : m_Watched)
+    Result.push_back(Id);
+  return Result;
+}
+
+std::vector<DataCentreId> Membership::unreachableDataCentres(TimePoint Now) const {
+  std::vector<DataCentreId> Result;
+  if (!isRelay())
+    return Result;
+  for (const DataCentreId &DataCentre : dataCentres()) {
+    auto Heard = m_DataCentreHeard.find(DataCentre);
+    if (DataCentre != m_Self->m_DataCentre &&
+        (Heard == m_DataCentreHeard.end() || Heard->second + UnreachableAfter <= Now))
+      Result.push_back(DataCentre);
+  }
+  return Result;
+}
+
+} // namespace fescuegauge
--- /dev/null
+++ b/src/libmembership/Membership_test.cpp
@@ -0,0 +1,136 @@
+#include "Fescuegauge/Invariant.h"
+#include "Fescuegauge/Membership.h"
+
+#include <catch2/catch.hpp>
+
+using namespace fescuegauge;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+InstanceRecord record(const std::string &Name, InstanceRole Role, std::uint64_t Number) {
+  InstanceRecord Result;
+  Result.m_Id = InstanceId(Name);
+  Result.m_Role = Role;
+  Result.m_State = InstanceState::Live;
+  Result.m_Incarnation = Incarnation(Number);
+  Result.m_DataCentre = DataCentreId("caribe");
+  Result.m_Endpoint = {"127.0.0.1", static_cast<std::uint16_t>(7000 + Number)};
+  Result.m_Service = ServiceId("asistente");
+  Result.m_ServedDigest = sha256(Name);
+  return Result;
+}
+
+MembershipMessage news(const std::string &Name, std::uint64_t Number, InstanceState State) {
+  MembershipMessage Result;
+  Result.m_Kind = MembershipMessage::Kind::Updates;
+  auto Record = std::make_shared<InstanceRecord>(record(Name, InstanceRole::Agent, Number));
+  Record->m_State = State;
+  Result.m_Updates.push_back({Record->m_Id, Record->m_Incarnation, State, Record});
+  return Result;
+}
+
+} // namespace
+
+// Guards against a message that a peer cannot read back, and against crashes on damaged bytes.
+TEST_CASE("Membership messages survive encoding and reject damaged bytes") {
+  MembershipMessage Message = news("a", 300, InstanceState::Leaving);
+  Message.m_Updates.push_back({InstanceId("b"), Incarnation(4), InstanceState::Dead, nullptr});
+  Message.m_Kind = MembershipMessage::Kind::HeartbeatAck;
+  Message.m_LogEpoch = 1 << 24;
+  Message.m_LogPosition = 77;
+  Message.m_NeedRecord = true;
+  Message.m_Quiet.push_back({InstanceId("c"), milliseconds(1500)});
+  Message.m_Buckets.assign(MembershipMessage::SyncBuckets, 0xfedcba98);
+  Message.m_Attachment = "offer";
+  std::string Bytes = Message.encode();
+  auto Read = MembershipMessage::decode(Bytes);
+  REQUIRE(Read);
+  CHECK(Read->encode() == Bytes);
+  CHECK(*Read->m_Updates[0].m_Record == *Message.m_Updates[0].m_Record);
+  for (std::size_t Length = 0; Length < Bytes.size(); ++Length)
+    CHECK_FALSE(MembershipMessage::decode(Bytes.substr(0, Length)));
+  CHECK_FALSE(MembershipMessage::decode(Bytes + "x"));
+  for (std::size_t Index = 0; Index < Bytes.size(); ++Index)
+    for (int Bit = 0; Bit < 8; ++Bit) {
+      std::string Damaged = Bytes;
+      Damaged[Index] = static_cast<char>(Damaged[Index] ^ (1 << Bit));
+      MembershipMessage::decode(Damaged);
+    }
+}
+
+// Guards against stale news, such as a lagging list or a peer with old state, reviving a member.
+TEST_CASE("Only a higher incarnation replaces a departure") {
+  Membership View(record("self", InstanceRole::Entry, 1), {}, 1);
+  TimePoint Now{};
+  InstanceId Peer("peer");
+  InstanceId Id("a");
+  View.start(Now);
+  View.onMessage(Peer, news("a", 5, InstanceState::Live), Now);
+  CHECK(View.isRoutable(Id));
+  View.onMessage(Peer, news("a", 5, InstanceState::Leaving), Now);
+  CHECK_FALSE(View.isRoutable(Id));
+  View.onMessage(Peer, news("a", 5, InstanceState::Live), Now);
+  View.onMessage(Peer, news("a", 4, InstanceState::Live), Now);
+  CHECK_FALSE(View.isRoutable(Id));
+  View.onMessage(Peer, news("a", 6, InstanceState::Live), Now);
+  CHECK(View.isRoutable(Id));
+}
+
+// Guards against a list that stays stale: it may take a member out once, but not again after the
+// member contradicted, and never brings one in.
+TEST_CASE("The platform's list announces departures and contacts only") {
+  Membership View(record("self", InstanceRole::Entry, 1), {}, 1);
+  TimePoint Now{};
+  View.start(Now);
+  std::vector<PlatformListEntry> List{
+      {InstanceId("a"), DataCentreId("caribe"), {"127.0.0.1", 7005}, false}};
+  View.onPlatformList(List, Now);
+  CHECK(View.find(InstanceId("a")) == nullptr);
+  View.onMessage(InstanceId("a"), news("a", 5, InstanceState::Live), Now);
+  List[0].m_Leaving = true;
+  View.onPlatformList(List, Now);
+  CHECK_FALSE(View.isRoutable(InstanceId("a")));
+  View.onMessage(InstanceId("a"), news("a", 6, InstanceState::Live), Now);
+  View.onPlatformList(List, Now);
+  CHECK(View.isRoutable(InstanceId("a")));
+}
+
+// Guards against a process that stays dead in the views of others because its last life had a
+// higher incarnation, for example after its clock went back.
+TEST_CASE("A process goes beyond what is said of its earlier life") {
+  Membership View(record("self", InstanceRole::Entry, 10), {}, 1);
+  View.start(TimePoint{});
+  View.onMessage(InstanceId("peer"), news("self", 50, InstanceState::Dead), TimePoint{});
+  CHECK(View.self().m_Incarnation == Incarnation(51));
+  View.onMessage(InstanceId("peer"), news("self", 51, InstanceState::Suspect), TimePoint{});
+  CHECK(View.self().m_Incarnation == Incarnation(52));
+  View.leave();
+  View.onMessage(InstanceId("peer"), news("self", 53, InstanceState::Leaving), TimePoint{});
+  CHECK(View.self().m_State == InstanceState::Leaving);
+}
+
+// Guards against messages that grow with the number of changes in a mass failure.
+TEST_CASE("News of many members is split into bounded messages") {
+  Membership View(record("self", InstanceRole::Entry, 1), {}, 1);
+  TimePoint Now{};
+  View.start(Now);
+  View.onMessage(InstanceId("peer"), news("peer", 1, InstanceState::Live), Now);
+  auto Other = std::make_shared<InstanceRecord>(record("other", InstanceRole::Entry, 2));
+  std::vector<std::shared_ptr<const InstanceRecord>> Records{Other};
+  View.learn(Records, Now);
+  for (int Index = 0; Index < 900; ++Index)
+    View.onMessage(InstanceId("peer"), news("m" + std::to_string(Index), 1, InstanceState::Live),
+                   Now);
+  std::size_t Messages = 0;
+  for (int Step = 0; Step < 10; ++Step) {
+    Now += milliseconds(100);
+    for (const auto &Action : View.onTime(Now))
+      if (const auto *Sent = std::get_if<Membership::Send>(&Action)) {
+        ++Messages;
+        CHECK(Sent->m_Message.encode().size() <= 4096);
+      }
+  }
+  CHECK(Messages < 60);
+}
--- /dev/null
+++ b/src/libtargets/FakeDeployment.h
@@ -0,0 +1,441 @@
+#ifndef FESCUEGAUGE_LIBTARGETS_FAKEDEPLOYMENT_H
+#define FESCUEGAUGE_LIBTARGETS_FAKEDEPLOYMENT_H
+
+#include "FakeStore.h"
+#include "Fescuegauge/ChangeWriter.h"
+#include "Fescuegauge/ConfigurationReplica.h"
+#include "Fescuegauge/Invariant.h"
+#include "Fescuegauge/Membership.h"
+
+#include <ctime>
+#include <memory>
+
+namespace fescuegauge {
+
+/// Processes with the real membership and configuration code on a fake network and a fake store, in
+/// virtual time. Tests and benchmarks inject the faults.
+class FakeDeployment {
+public:
+  /// TCP/IP headers and framing of one message.
+  static constexpr std::uint64_t MessageOverhead = 60;
+
+  struct Process {
+    std::shared_ptr<const InstanceRecord> m_Record;
+    std::unique_ptr<Membership> m_Membership;
+    std::unique_ptr<ConfigurationReplica> m_Replica;
+    std::map<std::uint64_t, std::unique_ptr<ChangeWriter>> m_Writers;
+    /// Grows with every start, so that events of an earlier life are dropped.
+    std::uint64_t m_Life = 0;
+    bool m_Alive = false;
+    TimePoint m_PausedUntil{};
+    TimePoint m_Wake{};
+    bool m_PeersChanged = true;
+    TimePoint m_PeersSetAt{};
+    std::uint64_t m_SentBytes = 0;
+    std::uint64_t m_ReceivedBytes = 0;
+    std::uint64_t m_Messages = 0;
+    /// Bytes sent, by kind of message; configuration messages count as kind 15.
+    std::array<std::uint64_t, 16> m_BytesByKind{};
+    std::uint64_t m_CpuNanoseconds = 0;
+    ChangeNumber m_HighestInForce;
+    std::size_t m_DataCentre = 0;
+  };
+
+  FakeDeployment(std::uint64_t Seed) : m_Random(Seed), m_Store(m_Events, Seed + 1) {}
+
+  EventQueue m_Events;
+  RandomGenerator m_Random;
+  FakeStore m_Store;
+  std::vector<Process> m_Processes;
+  std::map<InstanceId, std::size_t> m_ByName;
+  double m_Loss = 0;
+  double m_Duplicate = 0;
+  Duration m_ExtraDelay{};
+  bool m_MeasureCpu = false;
+  /// Pairs of data centres that cannot reach each other, and data centres cut off from the store.
+  std::set<std::pair<std::size_t, std::size_t>> m_Cut;
+  std::set<std::size_t> m_CutFromStore;
+  ConfigurationReplica::Rules m_ReplicaRules;
+  ChangeWriter::Rules m_WriterRules;
+  Membership::Rules m_MembershipRules;
+  std::vector<Endpoint> m_Seeds;
+
+  /// Digest of every number that was ever in force anywhere.
+  std::map<ChangeNumber, Digest> m_Contents;
+  /// Accepted numbers with the time at which the operator was told.
+  std::map<ChangeNumber, TimePoint> m_Accepted;
+  std::vector<ChangeOutcome> m_Outcomes;
+  std::vector<std::string> m_Violations;
+  /// Called when a process has a new number in force.
+  std::function<void(Process &, ChangeNumber)> m_OnInForce;
+  std::function<void(Process &, const InstanceRecord &)> m_OnMemberChange;
+
+  static std::string dataCentreName(std::size_t Index) {
+    static const std::vector<std::string> Names{"central-valley", "guanacaste", "caribe",
+                                                "dalarna"};
+    return Names[Index];
+  }
+
+  /// Adds processes without starting them.
+  void add(InstanceRole Role, std::size_t Count, std::size_t DataCentres) {
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      InstanceRecord Record;
+      Record.m_Role = Role;
+      Record.m_State = InstanceState::Live;
+      std::size_t DataCentre = Index % DataCentres;
+      Record.m_DataCentre = DataCentreId(dataCentreName(DataCentre));
+      Record.m_Region = RegionId(DataCentre < 2 ? "pacifico" : "atlantico");
+      Record.m_Id =
+          InstanceId(dataCentreName(DataCentre) +
+                     (Role == InstanceRole::Entry ? "-entry-" : "-agent-") + std::to_string(Index));
+      std::size_t Number = m_Processes.size();
+      Record.m_Endpoint = {
+          "10.0." + std::to_string(Number / 250) + "." + std::to_string(Number % 250 + 1), 7400};
+      Record.m_Incarnation = Incarnation(1'700'000'000'000);
+      if (Role == InstanceRole::Agent) {
+        Record.m_Service = ServiceId("asistente");
+        Record.m_Generation = GenerationId(Index % 2 ? "new" : "old");
+        Record.m_ServedDigest = sha256("version");
+        Record.m_Capacity = 16;
+      }
+      Process Added;
+      Added.m_DataCentre = DataCentre;
+      Added.m_Record = std::make_shared<const InstanceRecord>(Record);
+      m_ByName[Record.m_Id] = Number;
+      m_Processes.push_back(std::move(Added));
+      if (Role == InstanceRole::Entry && m_Seeds.size() < 8)
+        m_Seeds.push_back(Record.m_Endpoint);
+    }
+  }
+
+  /// Starts a process with an empty memory. With `Primed` it knows all others from the beginning.
+  void start(std::size_t Number, bool Primed) {
+    Process &Started = m_Processes[Number];
+    ++Started.m_Life;
+    Started.m_Alive = true;
+    Started.m_PausedUntil = {};
+    Started.m_Writers.clear();
+    Started.m_HighestInForce = ChangeNumber();
+    auto Record = std::make_shared<InstanceRecord>(*Started.m_Record);
+    Record->m_Incarnation = Incarnation(Record->m_Incarnation.value() + 1000);
+    Started.m_Record = Record;
+    Started.m_Membership =
+        std::make_unique<Membership>(*Record, m_Seeds, m_Random(), m_MembershipRules);
+    Started.m_Replica = std::make_unique<ConfigurationReplica>(Record->m_Id, Record->m_Role,
+                                                               m_Random(), m_ReplicaRules);
+    if (Primed) {
+      std::vector<std::shared_ptr<const InstanceRecord>> Records;
+      for (const Process &Other : m_Processes)
+        Records.push_back(Other.m_Record);
+      Started.m_Membership->learn(Records, m_Events.now());
+    }
+    Started.m_PeersChanged = true;
+    run(Started, [&] { return Started.m_Membership->start(m_Events.now()); });
+    run(Started, [&] { return Started.m_Replica->start(peers(Started), m_Events.now()); });
+    scheduleWake(Number);
+  }
+  void startAll() {
+    // Every process starts later in the list than it is known, so that all views are complete.
+    for (Process &Each : m_Processes) {
+      auto Record = std::make_shared<InstanceRecord>(*Each.m_Record);
+      Record->m_Incarnation = Incarnation(Record->m_Incarnation.value() + 1000);
+      Each.m_Record = Record;
+    }
+    for (std::size_t Number = 0; Number < m_Processes.size(); ++Number) {
+      auto Record = std::make_shared<InstanceRecord>(*m_Processes[Number].m_Record);
+      Record->m_Incarnation = Incarnation(Record->m_Incarnation.value() - 1000);
+      m_Processes[Number].m_Record = Record;
+      start(Number, true);
+    }
+  }
+  void kill(std::size_t Number) {
+    Process &Killed = m_Processes[Number];
+    Killed.m_Alive = false;
+    ++Killed.m_Life;
+    Killed.m_Membership.reset();
+    Killed.m_Replica.reset();
+    Killed.m_Writers.clear();
+  }
+  void pause(std::size_t Number, Duration Length) {
+    m_Processes[Number].m_PausedUntil = m_Events.now() + Length;
+  }
+  void leave(std::size_t Number) {
+    Process &Leaving = m_Processes[Number];
+    run(Leaving, [&] { return Leaving.m_Membership->leave(); });
+  }
+
+  void apply(std::size_t Number, ChangeRequest Request) {
+    Process &Entry = m_Processes[Number];
+    if (!Entry.m_Alive || !Entry.m_Replica->isReady())
+      return;
+    std::uint64_t Key = m_NextWriter++;
+    auto &Writer = Entry.m_Writers[Key];
+    Writer = std::make_unique<ChangeWriter>(std::move(Request), m_WriterRules);
+    perform(Number, Key, Writer->start(Entry.m_Replica->configuration(), m_Events.now()));
+  }
+
+  bool isReachable(std::size_t Left, std::size_t Right) const {
+    return !m_Cut.contains({std::min(Left, Right), std::max(Left, Right)});
+  }
+  void cut(std::size_t Left, std::size_t Right) {
+    m_Cut.insert({std::min(Left, Right), std::max(Left, Right)});
+  }
+
+  std::size_t randomEntry() {
+    std::size_t Number = 0;
+    do
+      Number = uniformBelow(m_Random, m_Processes.size());
+    while (m_Processes[Number].m_Record->m_Role != InstanceRole::Entry);
+    return Number;
+  }
+
+  /// Live, ready processes that are behind `Number`.
+  std::vector<InstanceId> behind(ChangeNumber Number) const {
+    std::vector<InstanceId> Result;
+    for (const Process &Each : m_Processes)
+      if (Each.m_Alive && Each.m_Replica->configuration().number() < Number)
+        Result.push_back(Each.m_Record->m_Id);
+    return Result;
+  }
+
+private:
+  /// Runs decision code of a process, measures it, and carries out what it asks for.
+  template <typename Code> void run(Process &Of, const Code &Decide) {
+    std::uint64_t Before = cpuNow();
+    Of.m_Membership->setAttachment(Of.m_Replica->offer().encode());
+    auto Actions = Decide();
+    std::size_t Number = m_ByName.at(Of.m_Record->m_Id);
+    Of.m_CpuNanoseconds += cpuNow() - Before;
+    for (auto &Each : Actions)
+      perform(Number, Each);
+  }
+  std::uint64_t cpuNow() const {
+    if (!m_MeasureCpu)
+      return 0;
+    timespec Time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Time);
+    return static_cast<std::uint64_t>(Time.tv_sec) * 1'000'000'000 +
+           static_cast<std::uint64_t>(Time.tv_nsec);
+  }
+
+  void perform(std::size_t Number, Membership::Action &Action) {
+    Process &Of = m_Processes[Number];
+    if (auto *Sent = std::get_if<Membership::Send>(&Action)) {
+      std::size_t To = m_Processes.size();
+      if (auto Found = m_ByName.find(Sent->m_To); Found != m_ByName.end())
+        To = Found->second;
+      else
+        for (std::size_t Other = 0; Other < m_Processes.size(); ++Other)
+          if (m_Processes[Other].m_Record->m_Endpoint == Sent->m_Endpoint)
+            To = Other;
+      std::uint64_t Before = cpuNow();
+      std::string Bytes = Sent->m_Message.encode();
+      Of.m_CpuNanoseconds += cpuNow() - Before;
+      transmit(Number, To, std::move(Bytes), true);
+    } else if (auto *Change = std::get_if<Membership::Changed>(&Action)) {
+      Of.m_PeersChanged = true;
+      if (m_OnMemberChange)
+        m_OnMemberChange(Of, *Of.m_Membership->find(Change->m_Id));
+    } else if (auto *Offer = std::get_if<Membership::Attachment>(&Action)) {
+      if (auto Decoded = ConfigurationOffer::decode(Offer->m_Bytes))
+        run(Of, [&] { return Of.m_Replica->onOffer(Offer->m_From, *Decoded, m_Events.now()); });
+    }
+  }
+  void perform(std::size_t Number, ConfigurationReplica::Action &Action) {
+    Process &Of = m_Processes[Number];
+    std::uint64_t Life = Of.m_Life;
+    bool Reachable = !m_CutFromStore.contains(Of.m_DataCentre);
+    if (auto *Sent = std::get_if<ConfigurationReplica::Send>(&Action)) {
+      std::uint64_t Before = cpuNow();
+      std::string Bytes = Sent->m_Message.encode();
+      Of.m_CpuNanoseconds += cpuNow() - Before;
+      transmit(Number, m_ByName.at(Sent->m_To), std::move(Bytes), false);
+    } else if (auto *Read = std::get_if<ConfigurationReplica::ReadRow>(&Action)) {
+      std::string Key = Read->m_Key;
+      m_Store.read(Key, Reachable, [this, Number, Life, Key](std::optional<TableRow> Row) {
+        whenAwake(Number, Life, [this, Key, Row](Process &At) {
+          run(At, [&] { return At.m_Replica->onRow(Key, Row, m_Events.now()); });
+        });
+      });
+    } else if (auto *Write = std::get_if<ConfigurationReplica::Write>(&Action)) {
+      m_Store.transact(Write->m_Transaction, Reachable,
+                       [this, Number, Life](const CommitResult &Result) {
+                         whenAwake(Number, Life, [this, Result](Process &At) {
+                           run(At, [&] { return At.m_Replica->onCommit(Result, m_Events.now()); });
+                         });
+                       });
+    } else if (auto *New = std::get_if<ConfigurationReplica::InForce>(&Action)) {
+      onInForce(Number, New->m_Number);
+    }
+  }
+  void onInForce(std::size_t Number, ChangeNumber InForce) {
+    Process &Of = m_Processes[Number];
+    const Configuration &Present = Of.m_Replica->configuration();
+    if (InForce < Of.m_HighestInForce)
+      m_Violations.push_back("number went back at " + Of.m_Record->m_Id.str());
+    Of.m_HighestInForce = std::max(Of.m_HighestInForce, InForce);
+    auto Known = m_Contents.emplace(Present.number(), Present.digest()).first;
+    if (Known->second != Present.digest())
+      m_Violations.push_back("two contents of change " + std::to_string(Present.number().value()));
+    if (m_OnInForce)
+      m_OnInForce(Of, InForce);
+    std::vector<std::uint64_t> Keys;
+    for (const auto &[Key, Writer] : Of.m_Writers)
+      Keys.push_back(Key);
+    for (std::uint64_t Key : Keys)
+      if (auto Writer = Of.m_Writers.find(Key); Writer != Of.m_Writers.end())
+        perform(Number, Key, Writer->second->onConfiguration(Present, m_Events.now()));
+  }
+  void perform(std::size_t Number, std::uint64_t Key, ChangeWriter::Actions Actions) {
+    Process &Of = m_Processes[Number];
+    std::uint64_t Life = Of.m_Life;
+    bool Reachable = !m_CutFromStore.contains(Of.m_DataCentre);
+    auto Later = [this, Number, Life, Key](auto Report) {
+      whenAwake(Number, Life, [this, Number, Key, Report](Process &At) {
+        if (auto Found = At.m_Writers.find(Key); Found != At.m_Writers.end())
+          perform(Number, Key, Report(*Found->second));
+      });
+    };
+    for (auto &Action : Actions) {
+      if (auto *Read = std::get_if<ChangeWriter::ReadRow>(&Action)) {
+        std::string RowKey = Read->m_Key;
+        m_Store.read(RowKey, Reachable, [this, Later, RowKey](std::optional<TableRow> Row) {
+          Later([this, RowKey, Row](ChangeWriter &Writer) {
+            return Writer.onRow(RowKey, Row, m_Events.now());
+          });
+        });
+      } else if (auto *Write = std::get_if<ChangeWriter::Write>(&Action)) {
+        WriteId Id = Write->m_Transaction.m_WriteId;
+        m_Store.transact(Write->m_Transaction, Reachable,
+                         [this, Later, Id](const CommitResult &Result) {
+                           Later([this, Id, Result](ChangeWriter &Writer) {
+                             return Writer.onCommit(Id, Result, m_Events.now());
+                           });
+                         });
+      } else if (auto *CatchUp = std::get_if<ChangeWriter::CatchUp>(&Action)) {
+        run(Of, [&] { return Of.m_Replica->catchUp(CatchUp->m_Number, m_Events.now()); });
+      } else if (auto *Done = std::get_if<ChangeWriter::Finish>(&Action)) {
+        m_Outcomes.push_back(Done->m_Outcome);
+        if (Done->m_Outcome.m_Status == ChangeOutcome::Status::Accepted)
+          m_Accepted.emplace(Done->m_Outcome.m_Number, m_Events.now());
+        auto Accepted = Done->m_Accepted;
+        Of.m_Writers.erase(Key);
+        if (Accepted)
+          run(Of, [&] { return Of.m_Replica->onAccepted(*Accepted, m_Events.now()); });
+        return;
+      }
+    }
+    if (auto Found = Of.m_Writers.find(Key); Found != Of.m_Writers.end())
+      m_Events.at(Found->second->nextWake(), [this, Later] {
+        Later([this](ChangeWriter &Writer) { return Writer.onTime(m_Events.now()); });
+      });
+  }
+
+  void transmit(std::size_t From, std::size_t To, std::string Bytes, bool IsMembership) {
+    Process &Sender = m_Processes[From];
+    Sender.m_SentBytes += Bytes.size() + MessageOverhead;
+    ++Sender.m_Messages;
+    Sender.m_BytesByKind[IsMembership ? Bytes[0] & 15 : 15] += Bytes.size() + MessageOverhead;
+    if (To >= m_Processes.size())
+      return;
+    auto Shared = std::make_shared<const std::string>(std::move(Bytes));
+    int Copies = chance(m_Random, m_Duplicate) ? 2 : 1;
+    for (int Copy = 0; Copy < Copies; ++Copy) {
+      bool Dropped = chance(m_Random, m_Loss) ||
+                     !isReachable(Sender.m_DataCentre, m_Processes[To].m_DataCentre);
+      Duration Delay = jittered(m_Random, std::chrono::milliseconds(1));
+      if (m_ExtraDelay > Duration::zero())
+        Delay += Duration(static_cast<Duration::rep>(
+            uniformBelow(m_Random, static_cast<std::uint64_t>(m_ExtraDelay.count()))));
+      if (Dropped)
+        continue;
+      m_Events.after(Delay, [this, From, To, Shared, IsMembership] {
+        if (!m_Processes[To].m_Alive)
+          return;
+        whenAwake(To, m_Processes[To].m_Life, [this, From, Shared, IsMembership](Process &At) {
+          deliver(At, m_Processes[From].m_Record->m_Id, *Shared, IsMembership);
+        });
+      });
+    }
+  }
+  void deliver(Process &At, const InstanceId &From, const std::string &Bytes, bool IsMembership) {
+    At.m_ReceivedBytes += Bytes.size() + MessageOverhead;
+    std::uint64_t Before = cpuNow();
+    if (IsMembership) {
+      auto Message = MembershipMessage::decode(Bytes);
+      At.m_CpuNanoseconds += cpuNow() - Before;
+      if (!Message)
+        return m_Violations.push_back("undecodable membership message");
+      run(At, [&] { return At.m_Membership->onMessage(From, *Message, m_Events.now()); });
+    } else {
+      auto Message = ConfigurationMessage::decode(Bytes);
+      At.m_CpuNanoseconds += cpuNow() - Before;
+      if (!Message)
+        return m_Violations.push_back("undecodable configuration message");
+      run(At, [&] { return At.m_Replica->onMessage(From, *Message, m_Events.now()); });
+    }
+    scheduleWake(m_ByName.at(At.m_Record->m_Id));
+  }
+  /// Runs an event of a process when the process is not paused, unless it died meanwhile.
+  void whenAwake(std::size_t Number, std::uint64_t Life, std::function<void(Process &)> Event) {
+    Process &At = m_Processes[Number];
+    if (!At.m_Alive || At.m_Life != Life)
+      return;
+    if (At.m_PausedUntil > m_Events.now())
+      return m_Events.at(At.m_PausedUntil,
+                         [this, Number, Life, Event] { whenAwake(Number, Life, Event); });
+    Event(At);
+  }
+  void scheduleWake(std::size_t Number) {
+    Process &At = m_Processes[Number];
+    TimePoint Wake = std::min(At.m_Membership->nextWake(), At.m_Replica->nextWake());
+    Wake = std::max(Wake, m_Events.now() + std::chrono::milliseconds(1));
+    // A wake-up that is due no later is already waiting.
+    if (At.m_Wake > m_Events.now() && At.m_Wake <= Wake)
+      return;
+    At.m_Wake = Wake;
+    std::uint64_t Life = At.m_Life;
+    m_Events.at(Wake, [this, Number, Life, Wake] {
+      if (m_Processes[Number].m_Wake != Wake)
+        return;
+      whenAwake(Number, Life, [this, Number](Process &Awake) {
+        Awake.m_Wake = {};
+        if (Awake.m_PeersChanged &&
+            m_Events.now() >= Awake.m_PeersSetAt + std::chrono::milliseconds(200)) {
+          Awake.m_PeersChanged = false;
+          Awake.m_PeersSetAt = m_Events.now();
+          std::uint64_t Before = cpuNow();
+          Awake.m_Replica->setPeers(peers(Awake));
+          Awake.m_CpuNanoseconds += cpuNow() - Before;
+        }
+        run(Awake, [&] { return Awake.m_Membership->onTime(m_Events.now()); });
+        run(Awake, [&] { return Awake.m_Replica->onTime(m_Events.now()); });
+        scheduleWake(Number);
+      });
+    });
+  }
+  static ReplicaPeers peers(const Process &Of) {
+    ReplicaPeers Result;
+    const Membership &View = *Of.m_Membership;
+    const DataCentreId &Own = Of.m_Record->m_DataCentre;
+    Result.m_LocalEntries =
+        Of.m_Record->m_Role == InstanceRole::Entry ? View.entries(Own) : View.watchers();
+    Result.m_LocalRelays = View.relays(Own);
+    if (Of.m_Record->m_Role == InstanceRole::Entry)
+      for (const DataCentreId &DataCentre : View.dataCentres())
+        if (DataCentre != Own)
+          for (InstanceId &Relay : View.relays(DataCentre))
+            Result.m_RemoteRelays.push_back(std::move(Relay));
+    for (InstanceId &Id : View.watched())
+      if (const InstanceRecord *Found = View.find(Id);
+          Found && Found->m_Role == InstanceRole::Agent)
+        Result.m_Agents.push_back(std::move(Id));
+    return Result;
+  }
+
+  std::uint64_t m_NextWriter = 1;
+};
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_LIBTARGETS_FAKEDEPLOYMENT_H
--- /dev/null
+++ b/src/libtargets/Json.h
@@ -0,0 +1,30 @@
+#ifndef FESCUEGAUGE_LIBTARGETS_JSON_H
+#define FESCUEGAUGE_LIBTARGETS_JSON_H
+
+#include <boost/json.hpp>
+#include <optional>
+#include <string_view>
+
+namespace fescuegauge {
+
+/// Parses a JSON text with comments, at most 16 levels deep; nothing when it is malformed.
+std::optional<boost::json::value> parseJson(std::string_view Text);
+
+/// A text member, or empty when it is absent or of another type.
+inline std::string jsonText(const boost::json::object &Object, std::string_view Key) {
+  const boost::json::value *Found = Object.if_contains(Key);
+  return Found && Found->is_string() ? std::string(Found->get_string()) : std::string();
+}
+
+/// A whole number of at least 0, or nothing when it is absent or of another type.
+inline std::optional<std::uint64_t> jsonNumber(const boost::json::object &Object,
+                                               std::string_view Key) {
+  const boost::json::value *Found = Object.if_contains(Key);
+  if (!Found || !Found->is_int64() || Found->get_int64() < 0)
+    return {};
+  return static_cast<std::uint64_t>(Found->get_int64());
+}
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_LIBTARGETS_JSON_H
