Move address texts to the base library

The tool and the daemon read the same IP:PORT texts as the settings file. Checks of single values move to a private header, for declaration files.

--- a/src/libsettings/Reference.cpp
+++ b/src/libsettings/Reference.cpp
@@ -18,17 +18,9 @@
     break;
   }
   boost::json::value Default = Key.m_Read(Settings());
-  // Boost.JSON writes doubles with an exponent; whole numbers read better without.
-  if (const double *Number = Default.if_double())
-    if (*Number == static_cast<double>(static_cast<std::int64_t>(*Number)))
-      Default = static_cast<std::int64_t>(*Number);
-  std::string Text;
-  if (const double *Number = Default.if_double()) {
-    Text = std::to_string(*Number);
-    Text.erase(Text.find_last_not_of('0') + 1);
-  } else {
-    Text = boost::json::serialize(Default);
-  }
+  // Boost.JSON writes doubles with an exponent.
+  const double *Number = Default.if_double();
+  std::string Text = Number ? plainNumber(*Number) : boost::json::serialize(Default);
   return "`" + Text + "`" + (Key.isForAgent() ? ", role `agent` only" : "");
 }
 
--- a/src/libsettings/Schema.cpp
+++ b/src/libsettings/Schema.cpp
@@ -1,9 +1,9 @@
 #include "Schema.h"
 
+#include "Fescuegauge/EndpointText.h"
+
 #include <algorithm>
-#include <arpa/inet.h>
 #include <array>
-#include <charconv>
 #include <cmath>
 #include <set>
 
@@ -15,62 +15,11 @@
 
 using Presence = SettingsKey::Presence;
 
-/// Ids end up in row keys, log lines and metric labels, so they are short and need no escapes.
-constexpr std::size_t MaxIdLength = 64;
-constexpr std::string_view IdCharacters =
-    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
 constexpr std::string_view IdType = "id: 1 to 64 letters, digits, `-`, `_` or `.`";
 constexpr std::string_view AddressType = "address `IP:PORT` or `[IPV6]:PORT`";
 /// A starting process asks its seeds one after the other; more than this only delays the start.
 constexpr std::size_t MaxSeeds = 64;
 
-std::string_view kindName(json::kind Kind) {
-  switch (Kind) {
-  case json::kind::null:
-    return "null";
-  case json::kind::bool_:
-    return "a boolean";
-  case json::kind::int64:
-  case json::kind::uint64:
-    return "an integer";
-  case json::kind::double_:
-    return "a number";
-  case json::kind::string:
-    return "a string";
-  case json::kind::array:
-    return "a list";
-  case json::kind::object:
-    return "an object";
-  }
-  return "a value";
-}
-
-/// Decimal form without an exponent: 0.5, 30, 2500000.
-std::string plainNumber(double Value) {
-  std::array<char, 32> Text{};
-  auto End = std::to_chars(Text.data(), Text.data() + Text.size(), Value, std::chars_format::fixed);
-  return {Text.data(), End.ptr};
-}
-
-/// Reads an id; reports a mistake and returns nothing if it is not one.
-std::optional<std::string> readId(const json::value &Value, const std::string &SubPath,
-                                  const ReportMistake &Report) {
-  if (!Value.is_string()) {
-    Report(SubPath, wrongTypeText("a string", Value));
-    return std::nullopt;
-  }
-  std::string_view Text = Value.as_string();
-  if (Text.empty())
-    Report(SubPath, "must not be empty");
-  else if (Text.size() > MaxIdLength)
-    Report(SubPath, "is longer than " + std::to_string(MaxIdLength) + " characters");
-  else if (Text.find_first_not_of(IdCharacters) != std::string_view::npos)
-    Report(SubPath, R"(may only contain letters, digits, "-", "_" and ".")");
-  else
-    return std::string(Text);
-  return std::nullopt;
-}
-
 /// What an address may be, beyond its form.
 struct AddressRule {
   bool m_MayHavePortZero;
@@ -159,11 +108,10 @@
 template <auto... Members, typename Choice, std::size_t Count>
 SettingsKey choiceKey(std::string Path, Presence Needed,
                       const NamedChoice<Choice> (&Choices)[Count], std::string Description) {
-  std::string Names;
-  for (std::size_t I = 0; I < Count; ++I) {
-    Names += I == 0 ? "" : (I + 1 == Count ? " or " : ", ");
-    Names += "\"" + std::string(Choices[I].m_Name) + "\"";
-  }
+  std::vector<std::string_view> NameList;
+  for (const auto &Entry : Choices)
+    NameList.push_back(Entry.m_Name);
+  const std::string Names = choiceText(NameList);
   std::vector<NamedChoice<Choice>> All(std::begin(Choices), std::end(Choices));
   return {std::move(Path),
           Needed,
@@ -450,10 +398,6 @@
 
 } // namespace
 
-std::string wrongTypeText(std::string_view Expected, const json::value &Found) {
-  return "expected " + std::string(Expected) + ", found " + std::string(kindName(Found.kind()));
-}
-
 const std::vector<SettingsKey> &settingsSchema() {
   static const std::vector<SettingsKey> Keys = buildSchema();
   return Keys;
@@ -471,28 +415,4 @@
       settingsSchema(), [&](const SettingsKey &Key) { return Key.m_Path.starts_with(Prefix); });
 }
 
-std::optional<Endpoint> parseEndpoint(std::string_view Text) {
-  auto Colon = Text.rfind(':');
-  if (Colon == std::string_view::npos)
-    return std::nullopt;
-  std::string_view PortText = Text.substr(Colon + 1);
-  Endpoint Address;
-  auto [End, Failure] =
-      std::from_chars(PortText.data(), PortText.data() + PortText.size(), Address.m_Port);
-  if (Failure != std::errc() || End != PortText.data() + PortText.size())
-    return std::nullopt;
-  std::string_view Host = Text.substr(0, Colon);
-  int Family = AF_INET;
-  if (Host.size() > 2 && Host.front() == '[' && Host.back() == ']') {
-    Family = AF_INET6;
-    Host = Host.substr(1, Host.size() - 2);
-  }
-  Address.m_Host = Host;
-  std::array<unsigned char, sizeof(in6_addr)> Binary{};
-  if (Address.m_Host.size() != Host.size() || Host.find('\0') != std::string_view::npos ||
-      inet_pton(Family, Address.m_Host.c_str(), Binary.data()) != 1)
-    return std::nullopt;
-  return Address;
-}
-
 } // namespace fescuegauge
--- a/src/libsettings/Schema.h
+++ b/src/libsettings/Schema.h
@@ -2,20 +2,16 @@
 #define FESCUEGAUGE_SCHEMA_H
 
 #include "Fescuegauge/Settings.h"
+#include "ValueChecks.h"
 
 #include <boost/json/value.hpp>
 #include <functional>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace fescuegauge {
 
-/// Takes one mistake. The first argument is added to the path of the key: "" for the key's own
-/// value, "[1].address" for a part of it.
-using ReportMistake = std::function<void(std::string SubPath, std::string Message)>;
-
 /// One key of the settings file.
 struct SettingsKey {
   enum class Presence {
@@ -58,12 +54,6 @@
 /// True when keys exist below `Path`, so that its value must be an object.
 bool isSettingsGroup(std::string_view Path);
 
-/// Parses "HOST:PORT" with an IPv4 address or an IPv6 address in brackets.
-std::optional<Endpoint> parseEndpoint(std::string_view Text);
-
-/// "expected EXPECTED, found a boolean".
-std::string wrongTypeText(std::string_view Expected, const boost::json::value &Found);
-
 } // namespace fescuegauge
 
 #endif // FESCUEGAUGE_SCHEMA_H
--- a/src/libsettings/Settings.cpp
+++ b/src/libsettings/Settings.cpp
@@ -5,9 +5,7 @@
 #include "Schema.h"
 
 #include <algorithm>
-#include <boost/json/serialize.hpp>
 #include <boost/leaf/error.hpp>
-#include <fstream>
 #include <set>
 
 namespace fescuegauge {
@@ -17,9 +15,6 @@
 
 namespace {
 
-/// Largest settings file; a file of hundreds of seeds has some 50 KiB.
-constexpr std::size_t MaxFileBytes = std::size_t{1} << 20;
-
 /// Checks one parsed file against the schema and collects its mistakes.
 class Validator {
 public:
@@ -125,10 +120,6 @@
   std::set<std::string, std::less<>> m_Mistaken;
 };
 
-leaf::error_id fileError(const std::string &FileName, std::string Message) {
-  return leaf::new_error(SettingsErrors{{{FileName, 0, {}, std::move(Message)}}});
-}
-
 } // namespace
 
 std::string SettingsError::text() const {
@@ -151,17 +142,11 @@
 }
 
 leaf::result<Settings> loadSettings(const std::string &FileName) {
-  std::ifstream File(FileName, std::ios::binary);
-  if (!File)
-    return fileError(FileName, "cannot be opened");
-  std::string Text(MaxFileBytes + 1, '\0');
-  File.read(Text.data(), static_cast<std::streamsize>(Text.size()));
-  if (File.bad() || (File.gcount() == 0 && !File.eof()))
-    return fileError(FileName, "cannot be read");
-  Text.resize(static_cast<std::size_t>(File.gcount()));
-  if (Text.size() > MaxFileBytes)
-    return fileError(FileName, "is larger than " + std::to_string(MaxFileBytes) + " bytes");
-  return parseSettings(Text, FileName);
+  std::string Mistake;
+  std::optional<std::string> Text = readFile(FileName, Mistake);
+  if (!Text)
+    return leaf::new_error(SettingsErrors{{{FileName, 0, {}, std::move(Mistake)}}});
+  return parseSettings(*Text, FileName);
 }
 
 int reportSettingsErrors(std::ostream &Out, const SettingsErrors &Errors) {
