Add the declaration file and the checks of its specs

Cause: operators keep declarations under version control, and both the tool and the daemon must refuse what the system derives by itself.

Conclusion: all mistakes of a file are reported together with their lines; declarationMistakes() gives the daemon the same checks.

--- /dev/null
+++ b/src/include/Fescuegauge/DeclarationFile.h
@@ -0,0 +1,47 @@
+#ifndef FESCUEGAUGE_DECLARATIONFILE_H
+#define FESCUEGAUGE_DECLARATIONFILE_H
+
+#include "Fescuegauge/Settings.h"
+
+#include <boost/json/object.hpp>
+#include <boost/leaf/result.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fescuegauge {
+
+/// One declaration as operators write it and as the operators' HTTP interface carries it.
+struct DeclarationText {
+  /// Unique among all declarations; an id.
+  std::string m_Name;
+  /// "target", "rollout" or "move".
+  std::string m_Kind;
+  boost::json::object m_Spec;
+};
+
+/// Every mistake of a declaration file; the LEAF error object of the functions below.
+struct DeclarationErrors {
+  std::vector<SettingsError> m_Errors;
+};
+
+/// Reads `{"declarations": [{"name", "kind", "spec"}]}`: JSON with both kinds of comment.
+boost::leaf::result<std::vector<DeclarationText>> parseDeclarationFile(std::string_view Text,
+                                                                       std::string_view FileName);
+
+/// Reads a file of at most 1 MiB.
+boost::leaf::result<std::vector<DeclarationText>> loadDeclarationFile(const std::string &FileName);
+
+/// The mistakes of one declaration, each as "KEY: MESSAGE"; empty if it is sound. Weights, shares
+/// and addresses are refused, because the system derives them from targets.
+std::vector<std::string> declarationMistakes(const DeclarationText &Declared);
+
+/// The kinds of declarations with their keys as a Markdown section.
+std::string declarationReference();
+
+/// Most declarations in one file.
+constexpr std::size_t MaxDeclarations = 2000;
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_DECLARATIONFILE_H
--- a/src/libsettings/JsonLines.cpp
+++ b/src/libsettings/JsonLines.cpp
@@ -112,6 +112,17 @@
 
 } // namespace
 
+std::uint32_t JsonWithLines::lineOf(std::string_view Path) const {
+  while (!Path.empty()) {
+    auto Found = m_Lines.find(Path);
+    if (Found != m_Lines.end())
+      return Found->second;
+    auto Cut = Path.find_last_of(".[");
+    Path = Cut == std::string_view::npos ? std::string_view() : Path.substr(0, Cut);
+  }
+  return 0;
+}
+
 JsonWithLines parseJsonWithLines(std::string_view Text) {
   json::basic_parser<LineHandler> Parser(parseOptions());
   LineHandler &Handler = Parser.handler();
--- a/src/libsettings/JsonLines.h
+++ b/src/libsettings/JsonLines.h
@@ -27,6 +27,10 @@
   std::vector<Problem> m_Problems;
   /// False when the text is not JSON; m_Root is null then.
   bool m_IsValid = false;
+
+  /// The line of the value at `Path`, or of the nearest value around it that is in the text; 0 if
+  /// there is none.
+  std::uint32_t lineOf(std::string_view Path) const;
 };
 
 /// Parses JSON with both kinds of comment.
--- a/src/libsettings/Settings.cpp
+++ b/src/libsettings/Settings.cpp
@@ -41,19 +41,8 @@
 private:
   void add(const std::string &Path, std::string Message) {
     m_Mistaken.insert(Path);
-    m_Errors.m_Errors.push_back({std::string(m_FileName), lineOf(Path), Path, std::move(Message)});
-  }
-
-  /// The line of the key, or of the nearest object around it that is in the file.
-  std::uint32_t lineOf(std::string_view Path) const {
-    while (!Path.empty()) {
-      auto Found = m_Source.m_Lines.find(Path);
-      if (Found != m_Source.m_Lines.end())
-        return Found->second;
-      auto Cut = Path.find_last_of(".[");
-      Path = Cut == std::string_view::npos ? std::string_view() : Path.substr(0, Cut);
-    }
-    return 0;
+    m_Errors.m_Errors.push_back(
+        {std::string(m_FileName), m_Source.lineOf(Path), Path, std::move(Message)});
   }
 
   void visit(const std::string &Prefix, const json::object &Object) {
