--- a/src/libsettings/Settings.cpp
+++ b/src/libsettings/Settings.cpp
@@ -5,9 +5,7 @@
 #include "Schema.h"
 
 #include <algorithm>
-#include <boost/json/serialize.hpp>
 #include <boost/leaf/error.hpp>
-#include <fstream>
 #include <set>
 
 namespace fescuegauge {
@@ -17,9 +15,6 @@
 
 namespace {
 
-/// Largest settings file; a file of hundreds of seeds has some 50 KiB.
-constexpr std::size_t MaxFileBytes = std::size_t{1} << 20;
-
 /// Checks one parsed file against the schema and collects its mistakes.
 class Validator {
 public:
@@ -46,19 +41,8 @@
 private:
   void add(const std::string &Path, std::string Message) {
     m_Mistaken.insert(Path);
-    m_Errors.m_Errors.push_back({std::string(m_FileName), lineOf(Path), Path, std::move(Message)});
-  }
-
-  /// The line of the key, or of the nearest object around it that is in the file.
-  std::uint32_t lineOf(std::string_view Path) const {
-    while (!Path.empty()) {
-      auto Found = m_Source.m_Lines.find(Path);
-      if (Found != m_Source.m_Lines.end())
-        return Found->second;
-      auto Cut = Path.find_last_of(".[");
-      Path = Cut == std::string_view::npos ? std::string_view() : Path.substr(0, Cut);
-    }
-    return 0;
+    m_Errors.m_Errors.push_back(
+        {std::string(m_FileName), m_Source.lineOf(Path), Path, std::move(Message)});
   }
 
   void visit(const std::string &Prefix, const json::object &Object) {
@@ -125,10 +109,6 @@
   std::set<std::string, std::less<>> m_Mistaken;
 };
 
-leaf::error_id fileError(const std::string &FileName, std::string Message) {
-  return leaf::new_error(SettingsErrors{{{FileName, 0, {}, std::move(Message)}}});
-}
-
 } // namespace
 
 std::string SettingsError::text() const {
@@ -151,17 +131,11 @@
 }
 
 leaf::result<Settings> loadSettings(const std::string &FileName) {
-  std::ifstream File(FileName, std::ios::binary);
-  if (!File)
-    return fileError(FileName, "cannot be opened");
-  std::string Text(MaxFileBytes + 1, '\0');
-  File.read(Text.data(), static_cast<std::streamsize>(Text.size()));
-  if (File.bad() || (File.gcount() == 0 && !File.eof()))
-    return fileError(FileName, "cannot be read");
-  Text.resize(static_cast<std::size_t>(File.gcount()));
-  if (Text.size() > MaxFileBytes)
-    return fileError(FileName, "is larger than " + std::to_string(MaxFileBytes) + " bytes");
-  return parseSettings(Text, FileName);
+  std::string Mistake;
+  std::optional<std::string> Text = readFile(FileName, Mistake);
+  if (!Text)
+    return leaf::new_error(SettingsErrors{{{FileName, 0, {}, std::move(Mistake)}}});
+  return parseSettings(*Text, FileName);
 }
 
 int reportSettingsErrors(std::ostream &Out, const SettingsErrors &Errors) {
