Release capabilities on the loop and open monitored connections anew

Cause: an agent ended with 'No event loop is running on this thread' under load, because the last reference to an answer sink was dropped by the thread that ran the attempt; and attempts were refused on connections that had been opened for control messages, because the agent had never seen heartbeats on them. Ruled out: the ledger itself, which refuses unknown sources by design. Change: sinks are released on the loop; a connection that becomes monitored is replaced and starts with a heartbeat.

--- a/scripts/loopback_cluster.py
+++ b/scripts/loopback_cluster.py
@@ -139,7 +139,7 @@
         platform = f"127.0.0.1:{self.platform_port}"
         settings = {
             "role": role, "id": name, "region": f"region-{data_centre}",
-            "dataCentre": data_centre, "deployment": "loopback",
+            "dataCentre": data_centre, "deployment": "loopback", "logLevel": os.environ.get("FESCUEGAUGE_LOG_LEVEL", "info"),
             "listen": {"http": "127.0.0.1:0", "rpc": "127.0.0.1:0"},
             "platform": {"table": platform, "objects": platform, "origin": platform,
                          "instanceList": platform},
--- a/src/fescuegauged/AttemptService.cpp
+++ b/src/fescuegauged/AttemptService.cpp
@@ -33,13 +33,10 @@
       run(From, std::move(Request), std::move(Sink));
     };
     Rpc.m_CancelAttempt = [this](const AttemptId &Id) { cancel(Id); };
-    Rpc.m_PeerConnected = [this](const PeerIdentity &Peer) {
-      if (Peer.m_Role == InstanceRole::Entry)
-        m_Ledger.openSource(AttemptSourceId(Peer.m_AttemptSource), Peer.m_NextAttempt,
-                            EventLoop::now());
-    };
     Rpc.m_Heartbeat = [this](const PeerIdentity &From) {
-      m_Ledger.heartbeat(AttemptSourceId(From.m_AttemptSource), EventLoop::now());
+      // Opens the source again if it was closed for a gap that did not break the connection.
+      m_Ledger.openSource(AttemptSourceId(From.m_AttemptSource), From.m_NextAttempt,
+                          EventLoop::now());
       return report();
     };
     Rpc.onTopic(Topic::Attempts,
--- a/src/fescuegauged/RequestService.cpp
+++ b/src/fescuegauged/RequestService.cpp
@@ -632,6 +632,15 @@
 void RequestService::attemptEnded(const InstanceId &Upstream, const RequestId &Request,
                                   const AttemptId &Attempt, const AttemptEnd &End) {
   TimePoint Now = EventLoop::now();
+  constexpr std::array<std::string_view, 6> Names{"complete",  "refused",     "failed",
+                                                  "cancelled", "engine_lost", "connection_lost"};
+  logEvent(Severity::Debug, "attempt_ended",
+           {{"request", Request},
+            {"attempt", Attempt},
+            {"upstream", Upstream},
+            {"status", Names.at(static_cast<std::size_t>(End.m_Status))},
+            {"error", errorAnswer(End.m_Error).m_Name},
+            {"reason", End.m_Reason}});
   AttemptStatement Statement;
   Statement.m_Attempt = Attempt;
   Statement.m_Agent = End.m_AgentIncarnation;
--- a/src/fescuegauged/RpcService.cpp
+++ b/src/fescuegauged/RpcService.cpp
@@ -32,8 +32,7 @@
 }
 
 void RpcService::onPeerConnected(const PeerIdentity &Peer) {
-  if (m_PeerConnected)
-    m_PeerConnected(Peer);
+  logEvent(Severity::Debug, "peer_connected", {{"peer", Peer.m_Instance}});
 }
 
 void RpcService::onPeerLost(const PeerIdentity &Peer) {
--- a/src/fescuegauged/RpcService.h
+++ b/src/fescuegauged/RpcService.h
@@ -42,7 +42,6 @@
   std::function<std::uint64_t()> m_NextAttempt;
   std::function<std::string(const PeerIdentity &)> m_Heartbeat;
   std::function<void(const InstanceId &, const std::string &)> m_HeartbeatAnswer;
-  std::function<void(const PeerIdentity &)> m_PeerConnected;
   std::vector<std::function<void(const PeerIdentity &)>> m_Connected;
   std::vector<std::function<void(const InstanceId &)>> m_Disconnected;
 
--- a/src/librpc/RpcNode.cpp
+++ b/src/librpc/RpcNode.cpp
@@ -215,6 +215,14 @@
     return Result;
   }
 
+  /// The last reference may be dropped on another thread, but a capability must be released on the
+  /// loop's.
+  std::shared_ptr<AttemptSink> makeRemoteSink(rpc::AttemptSink::Client Client) {
+    EventLoop &Loop = m_Loop;
+    return {new RemoteSink(kj::mv(Client)),
+            [&Loop](AttemptSink *Released) { Loop.post([Released] { delete Released; }); }};
+  }
+
   void listen() {
     auto &Network = m_Loop.impl().m_Io->provider->getNetwork();
     auto Address = Network.parseAddress(m_Options.m_Listen.m_Host, m_Options.m_Listen.m_Port)
@@ -423,7 +431,7 @@
   kj::Promise<void> runAttempt(RunAttemptContext Context) override {
     auto In = Context.getParams();
     m_Node.m_Handler.onRunAttempt(peer(), decode(In.getRequest()),
-                                  std::make_shared<RemoteSink>(In.getSink()));
+                                  m_Node.makeRemoteSink(In.getSink()));
     return kj::READY_NOW;
   }
 
@@ -548,6 +556,11 @@
                 Target->m_IsConnecting = false;
                 Target->m_IsReady = true;
                 Target->m_LastAnswer = EventLoop::now();
+                // First, so that the callee knows of the heartbeats before any attempt.
+                if (Target->m_IsMonitored)
+                  sendHeartbeat(Peer, *Target);
+                m_Handler.onConnected(*Accepted);
+                flushWaiting(Peer, Epoch);
               },
               [this, Peer, Epoch](kj::Exception &&) { noteFailure(Peer, Epoch); }));
 }
@@ -575,11 +588,11 @@
 
 void RpcNode::remember(const InstanceId &Peer, const Endpoint &Address, bool Monitored) {
   Impl::Outgoing &Link = m_Impl->m_Outgoing[Peer];
-  // Silence counts from now on, not from the last answer before monitoring.
-  if (Monitored && !Link.m_IsMonitored)
-    Link.m_LastAnswer = EventLoop::now();
+  // Both ends take a monitored connection as the start of a new exchange of attempts, so one that
+  // was opened for control messages is replaced.
+  bool BecomesMonitored = Monitored && !Link.m_IsMonitored;
   Link.m_IsMonitored = Monitored;
-  if (Link.m_Address != Address) {
+  if (Link.m_Address != Address || BecomesMonitored) {
     m_Impl->disconnect(Peer, Link);
     Link.m_Address = Address;
     Link.m_NextConnect = TimePoint();
