--- a/src/include/Fescuegauge/RolloutAgent.h
+++ b/src/include/Fescuegauge/RolloutAgent.h
@@ -67,7 +67,13 @@
 class RolloutAgent {
 public:
   /// Interval at which the replacement rule is evaluated and unanswered listings are repeated.
+  /// Time from a new target until the upstream may stop serving for it. Upstreams that learned of
+  /// the target later may still have been starting to leave for the one before; a change is adopted
+  /// within 3 s and shown by the membership view within another 3 s.
+  static constexpr Duration ReplacementWait = std::chrono::seconds(6);
   static constexpr Duration ReviewInterval = std::chrono::seconds(1);
+  /// Least time between two listings caused by refused writes.
+  static constexpr Duration RelistInterval = std::chrono::seconds(30);
   static constexpr Duration ListTimeout = std::chrono::minutes(10);
   static constexpr Duration ManifestInterval = std::chrono::seconds(5);
 
@@ -137,6 +143,7 @@
   std::optional<TransferOrder> m_Target;
   /// The target was not yet given to the planner, because staging is not listed or has no room.
   bool m_OrderPending = false;
+  TimePoint m_TargetAt;
   bool m_DoesNotFit = false;
   /// Written to the engine after the order had changed.
   std::vector<Digest> m_Stray;
@@ -148,6 +155,7 @@
   bool m_Listed = false;
   std::uint64_t m_ListNumber = 0;
   std::optional<TimePoint> m_ListAsked;
+  TimePoint m_ListedAt;
   std::optional<TimePoint> m_Reviewed;
   ReplacementRule::Verdict m_Verdict = ReplacementRule::Verdict::Waiting;
 };
--- a/src/libweights/RolloutAgent.cpp
+++ b/src/libweights/RolloutAgent.cpp
@@ -13,13 +13,15 @@
       m_BudgetOwner(Settings.m_Self.m_Id.str() + '-' +
                     std::to_string(Settings.m_Self.m_Incarnation.value())) {}
 
-bool RolloutAgent::setTarget(const TransferOrder &Order, TimePoint) {
+bool RolloutAgent::setTarget(const TransferOrder &Order, TimePoint Now) {
   if (!m_Activator.setTarget(Order.m_Manifest.rootDigest(), Order.m_Change))
     return false;
   if (m_Target && m_Target->m_Change == Order.m_Change &&
       m_Target->m_Manifest.rootDigest() == Order.m_Manifest.rootDigest())
     return true;
   m_Target = Order;
+  m_TargetAt = Now;
+  m_Activator.setMayReplace(false);
   m_OrderPending = true;
   addManifest(Order.m_Manifest);
   return true;
@@ -45,10 +47,11 @@
 }
 
 void RolloutAgent::onStagingListed(std::uint64_t Number, std::span<const ChunkRef> Chunks,
-                                   TimePoint) {
+                                   TimePoint Now) {
   if (Number != m_ListNumber || !m_ListAsked)
     return;
   m_ListAsked.reset();
+  m_ListedAt = Now;
   m_Listed = true;
   m_Staging.clear();
   for (const ChunkRef &Chunk : Chunks)
@@ -60,6 +63,10 @@
   bool Kept = Written && m_Staging.addChunk(Chunk);
   if (Written && !Kept)
     m_Stray.push_back(Chunk.m_Digest);
+  // The area may hold chunks that another process beside the engine wrote; a listing finds them and
+  // makes room.
+  if (!Written && Now - m_ListedAt >= RelistInterval)
+    m_Listed = false;
   m_Planner.onStaged(Chunk.m_Digest, Kept, Now);
 }
 
@@ -147,7 +154,8 @@
 
   const bool Staged = m_Listed && !m_OrderPending && m_Planner.isComplete();
   m_Activator.setStaged(Staged);
-  if (Staged && !m_Activator.isConverged() &&
+  const bool Waited = Now - m_TargetAt >= ReplacementWait || m_Activator.routableRoot().isZero();
+  if (Staged && Waited && !m_Activator.isConverged() &&
       (!m_Reviewed || Now - *m_Reviewed >= ReviewInterval)) {
     m_Reviewed = Now;
     m_Self.m_ServedDigest = m_Activator.routableRoot();
--- a/src/libweights/RolloutDriver.cc
+++ b/src/libweights/RolloutDriver.cc
@@ -39,8 +39,11 @@
   m_SiteSizes.resize(m_Settings.m_Sites.size());
   m_Snapshots.resize(m_Settings.m_Sites.size());
   m_Begin = m_Queue.now();
-  for (std::size_t I = 0; I < m_Settings.m_Instances; ++I)
-    startAgent(addEngine(I % m_Settings.m_Sites.size()));
+  for (std::size_t I = 0; I < m_Settings.m_Instances; ++I) {
+    const std::size_t SiteIndex = I % m_Settings.m_Sites.size();
+    ++m_SiteSizes[SiteIndex];
+    startAgent(addEngine(SiteIndex));
+  }
   takeSnapshots();
 }
 
@@ -74,7 +77,6 @@
   Added.m_Node = m_Network.addNode(m_RegionOfSite[SiteIndex]);
   Added.m_ChecksToken = m_Engines.size() % 2 == 0;
   m_Engines.push_back(std::move(Added));
-  ++m_SiteSizes[SiteIndex];
   return m_Engines.size() - 1;
 }
 
@@ -149,7 +151,7 @@
 void Driver::join(std::size_t SiteIndex) { startAgent(addEngine(SiteIndex)); }
 
 bool Driver::blocked(std::size_t LeftSite, std::size_t RightSite) const {
-  return m_Cuts.contains(std::minmax(LeftSite, RightSite));
+  return m_Cuts.contains(std::minmax({LeftSite, RightSite}));
 }
 
 bool Driver::hears(std::size_t SiteIndex) const {
@@ -196,7 +198,7 @@
   Engine &Beside = m_Engines[Entry.m_Engine];
   if (!Entry.m_Superseded) {
     if (Entry.m_Known < ChangeNumber(m_Changes.size()) && hears(Beside.m_Site) &&
-        chance(m_Random, 0.3))
+        (chance(m_Random, 0.3) || Now - m_Changes.back().m_IssuedAt > 2s))
       tell(Index);
     if (m_Settings.m_LossyMessages && Entry.m_Known > ChangeNumber(1) && chance(m_Random, 0.02)) {
       // An old configuration arrives late.
@@ -763,7 +765,6 @@
   }
   Engine &Dead = m_Engines[EngineIndex];
   Dead.m_Alive = false;
-  --m_SiteSizes[Dead.m_Site];
   endAfter(randomSeconds(5, 20), [this, Place = Dead.m_Site] { join(Place); });
 }
 
@@ -865,17 +866,19 @@
     break;
   case 11: {
     // A data centre loses its peers, the platform, or both.
-    auto Cuts = m_Cuts;
-    auto PlatformCut = m_PlatformCut;
-    std::uint64_t Parts = 1 + uniformBelow(m_Random, 3);
+    const std::uint64_t Parts = 1 + uniformBelow(m_Random, 3);
+    std::vector<std::pair<std::size_t, std::size_t>> Cuts;
     for (std::size_t Other = 0; Other < m_Settings.m_Sites.size(); ++Other)
       if (Other != SiteIndex && Parts != 2)
-        m_Cuts.insert(std::minmax(SiteIndex, Other));
+        Cuts.push_back(std::minmax({SiteIndex, Other}));
+    m_Cuts.insert(Cuts.begin(), Cuts.end());
     if (Parts != 1)
       m_PlatformCut.insert(SiteIndex);
-    endAfter(randomSeconds(10, 60), [this, Cuts, PlatformCut] {
-      m_Cuts = Cuts;
-      m_PlatformCut = PlatformCut;
+    endAfter(randomSeconds(10, 60), [this, Cuts, SiteIndex, Parts] {
+      for (const auto &Cut : Cuts)
+        m_Cuts.erase(m_Cuts.find(Cut));
+      if (Parts != 1)
+        m_PlatformCut.erase(m_PlatformCut.find(SiteIndex));
     });
     break;
   }
--- a/src/libweights/RolloutDriver.h
+++ b/src/libweights/RolloutDriver.h
@@ -358,8 +358,9 @@
   std::vector<Change> m_Changes;
   std::map<RolloutId, std::uint64_t> m_OriginBytes;
   std::vector<std::deque<Snapshot>> m_Snapshots;
-  std::set<std::pair<std::size_t, std::size_t>> m_Cuts;
-  std::set<std::size_t> m_PlatformCut;
+  /// Multisets, because partitions overlap.
+  std::multiset<std::pair<std::size_t, std::size_t>> m_Cuts;
+  std::multiset<std::size_t> m_PlatformCut;
   std::size_t m_ActiveFaults = 0;
   bool m_OriginDown = false;
   bool m_TableDown = false;
