--- a/src/include/Fescuegauge/Activator.h
+++ b/src/include/Fescuegauge/Activator.h
@@ -22,8 +22,7 @@
 /// The one command of an Activator that is in progress.
 struct ActivationCommand {
   enum class Kind {
-    /// Ask the entry instances for the highest change number that any of them knows; answer with
-    /// onConfirmed().
+    /// Ask the entry instances for a Confirmation; answer with onConfirmed().
     ConfirmConfiguration,
     /// Compute the root digest over the staging area; answer with onStagingRoot().
     VerifyStaging,
@@ -43,6 +42,14 @@
   TimePoint m_SendBefore;
 };
 
+/// What the entry instances know, in answer to ConfirmConfiguration.
+struct Confirmation {
+  /// The highest change number that any of them knows.
+  ChangeNumber m_Highest;
+  /// Whether they know a newer incarnation of the asking instance, which commands the engine now.
+  bool m_Superseded = false;
+};
+
 enum class LoadResult {
   Loaded,
   /// The engine refused the command, for example for an old fencing token.
@@ -107,7 +114,7 @@
   std::optional<ActivationCommand> poll(TimePoint Now);
 
   /// Results of commands. A result with the number of an earlier command is ignored.
-  void onConfirmed(std::uint64_t Number, std::optional<ChangeNumber> Highest, TimePoint Now);
+  void onConfirmed(std::uint64_t Number, const std::optional<Confirmation> &Known, TimePoint Now);
   void onStagingRoot(std::uint64_t Number, const Digest &Root, TimePoint Now);
   void onServed(std::uint64_t Number, const std::optional<ServedReport> &Report, TimePoint Now);
   void onLoadResult(std::uint64_t Number, LoadResult Result, TimePoint Now);
@@ -127,6 +134,8 @@
   bool takeEngineRestart();
   /// True from a successful verification of staging until the load command has a result.
   bool isVerified() const { return !m_VerifiedRoot.isZero(); }
+  /// True when another process commands the engine now; no command is issued any more.
+  bool isSuperseded() const { return m_Superseded; }
   ChangeNumber targetChange() const { return m_Change; }
   /// A short description of what is being waited for, for status and dumps.
   std::string_view stepName() const;
@@ -148,6 +157,7 @@
   bool m_MayReplace = false;
   bool m_Drained = false;
   bool m_NeedsConfirmation = true;
+  bool m_Superseded = false;
   bool m_StagingFault = false;
   bool m_EngineRestart = false;
   /// The target of a verification that succeeded since routing stopped; zero if none.
--- a/src/include/Fescuegauge/TransferPlanner.h
+++ b/src/include/Fescuegauge/TransferPlanner.h
@@ -347,6 +347,7 @@
   void penalise(Peer &Entry, Duration Base, TimePoint Now);
   std::optional<Fetch> takeFetch(FetchId Id);
   void onPeerFailure(const Fetch &Failed, Duration Base, TimePoint Now);
+  void forgetHolder(const Fetch &Failed);
   void refundPace(const Fetch &Failed);
   void onImportTrouble(const Fetch &Failed, TimePoint Now);
   void cancelAll();
--- a/src/libweights/Activator.cpp
+++ b/src/libweights/Activator.cpp
@@ -84,7 +84,7 @@
     m_Read.reset();
     m_VerifiedRoot = Digest();
   }
-  if (Now < m_NotBefore)
+  if (Now < m_NotBefore || m_Superseded)
     return std::nullopt;
 
   if (!m_RoutableRoot.isZero()) {
@@ -141,15 +141,19 @@
   return true;
 }
 
-void Activator::onConfirmed(std::uint64_t Number, std::optional<ChangeNumber> Highest,
+void Activator::onConfirmed(std::uint64_t Number, const std::optional<Confirmation> &Known,
                             TimePoint Now) {
   if (!accepts(Number, ActivationCommand::Kind::ConfirmConfiguration))
     return;
-  if (!Highest) {
+  if (!Known) {
     retryLater(Now);
     return;
   }
-  m_RequiredChange = std::max(m_RequiredChange, *Highest);
+  m_RequiredChange = std::max(m_RequiredChange, Known->m_Highest);
+  if (Known->m_Superseded) {
+    m_Superseded = true;
+    stopRouting();
+  }
   m_NeedsConfirmation = false;
 }
 
@@ -244,6 +248,8 @@
     case Kind::Load:
       return "loading";
     }
+  if (m_Superseded)
+    return "superseded";
   if (isConverged())
     return "serving-target";
   if (m_Target.isZero())
--- a/src/libweights/RolloutDriver.cc
+++ b/src/libweights/RolloutDriver.cc
@@ -210,7 +210,10 @@
     for (const Snapshot &View : Views)
       if (View.m_At + Entry.m_ViewLag <= Now)
         Chosen = &View;
-    bool Replacing = Entry.m_Policy->planner().isComplete() && !Entry.m_Policy->isConverged();
+    // The planner ignores a view with the same members. To save time, the view is passed on only
+    // when members changed or when the replacement rule may look at it before the next tick.
+    bool Replacing = !Entry.m_Policy->isConverged() &&
+                     Entry.m_Policy->planner().missingCount() <= 4 + m_Settings.m_Chunks / 16;
     if (Chosen->m_Membership != Entry.m_ViewApplied || Replacing) {
       Entry.m_ViewApplied = Chosen->m_Membership;
       Entry.m_Policy->setView(Chosen->m_Records,
@@ -474,14 +477,17 @@
   case Kind::ConfirmConfiguration: {
     deliver(Index, 20ms, [=, this] {
       const std::size_t SiteIndex = m_Engines[EngineIndex].m_Site;
-      std::optional<ChangeNumber> Highest;
+      std::optional<Confirmation> Known;
       if (hears(SiteIndex))
-        Highest = ChangeNumber(m_Changes.size());
+        Known = Confirmation{ChangeNumber(m_Changes.size()), false};
       else
         for (const Agent &Other : m_Agents)
           if (isRunning(Other) && m_Engines[Other.m_Engine].m_Site == SiteIndex)
-            Highest = std::max(Highest.value_or(ChangeNumber()), Other.m_Known);
-      m_Agents[Index].m_Policy->activator().onConfirmed(Number, Highest, m_Queue.now());
+            Known = Confirmation{std::max(Known ? Known->m_Highest : ChangeNumber(), Other.m_Known),
+                                 false};
+      if (Known)
+        Known->m_Superseded = m_Agents[Index].m_Superseded;
+      m_Agents[Index].m_Policy->activator().onConfirmed(Number, Known, m_Queue.now());
       poll(Index);
     });
     return;
--- a/src/libweights/TransferPlanner.cpp
+++ b/src/libweights/TransferPlanner.cpp
@@ -338,6 +338,15 @@
     penalise(It->second, Base, Now);
 }
 
+void TransferPlanner::forgetHolder(const Fetch &Failed) {
+  auto From = m_Peers.find(Failed.m_Peer);
+  if (From == m_Peers.end() || !From->second.m_Held.contains(Failed.m_Index))
+    return;
+  From->second.m_Held.erase(Failed.m_Index);
+  if (From->second.m_SameDataCentre)
+    --m_LocalHolders[Failed.m_Index];
+}
+
 void TransferPlanner::refundPace(const Fetch &Failed) {
   m_DownloadPace.refund(Failed.m_LinkCost);
   m_Lanes[Failed.m_Index % Lanes].m_RegionPace.refund(Failed.m_RegionCost);
@@ -361,6 +370,8 @@
   if (!Matches && m_Rules.m_VerifyChunks) {
     ++m_Counters.m_BadChunks;
     onPeerFailure(*Done, BadPeerTime, Now);
+    // Its copy may be damaged for good. If it was the only one known here, the chunk is imported.
+    forgetHolder(*Done);
     onImportTrouble(*Done, Now);
     return false;
   }
@@ -420,11 +431,7 @@
       From->second.m_AvoidUntil = Now + jittered(m_Random, BusyPeerTime, 0.5);
     break;
   case FetchFailure::NotHeld:
-    if (From != m_Peers.end() && From->second.m_Held.contains(Failed->m_Index)) {
-      From->second.m_Held.erase(Failed->m_Index);
-      if (From->second.m_SameDataCentre)
-        --m_LocalHolders[Failed->m_Index];
-    }
+    forgetHolder(*Failed);
     break;
   case FetchFailure::NotStarted:
     if (Failed->m_Source == FetchSource::Origin)
