--- a/src/include/Fescuegauge/OriginBudget.h
+++ b/src/include/Fescuegauge/OriginBudget.h
@@ -58,6 +58,9 @@
   /// A piece is at most this share of what is left, so that waste by lost grants shrinks with the
   /// remaining budget and some of it stays for the processes that come later.
   static constexpr std::uint64_t PieceDivisor = 4;
+  /// When more than this part of the budget was granted, isScarce() becomes true and a piece is
+  /// only the least that is of use. A rollout without failures stays below it.
+  static constexpr std::uint64_t ScarceDivisor = 2;
 
   /// Each rule is on in production. Tests switch one off to show that they notice its absence.
   struct Rules {
@@ -85,6 +88,8 @@
   bool isPending() const { return m_State != State::Idle; }
   /// True when the last request found too little budget left.
   bool isExhausted() const { return m_Exhausted; }
+  /// True when the row, as last read, leaves less than half of the budget.
+  bool isScarce() const;
   const std::string &rowKey() const { return m_Key; }
 
 private:
--- a/src/include/Fescuegauge/TransferPlanner.h
+++ b/src/include/Fescuegauge/TransferPlanner.h
@@ -258,6 +258,9 @@
   /// Bytes that may be fetched from the origin for `Rollout`, in addition to earlier ones. 0 ends
   /// an unsuccessful request.
   void addGrant(const RolloutId &Rollout, Bytes Granted, TimePoint Now);
+  /// Whether little of the origin budget is left. Only one data centre then fetches directly from
+  /// the origin, whatever the preference.
+  void setOriginScarce(bool Scarce) { m_OriginScarce = Scarce; }
   /// The staging area lost a chunk.
   void dropChunk(const Digest &Chunk, TimePoint Now);
 
@@ -411,6 +414,7 @@
   RolloutId m_GrantRollout;
   Bytes m_Granted;
   bool m_GrantAsked = false;
+  bool m_OriginScarce = false;
   TimePoint m_NextGrantRequest;
   Counters m_Counters;
 };
--- a/src/libweights/OriginBudget.cpp
+++ b/src/libweights/OriginBudget.cpp
@@ -130,6 +130,10 @@
   return Result;
 }
 
+bool OriginBudget::isScarce() const {
+  return m_Row.m_Granted.count() > m_Budget.count() / ScarceDivisor;
+}
+
 Bytes OriginBudget::finish(Bytes Granted) {
   m_State = State::Idle;
   m_ResolveAttempts = 0;
@@ -207,7 +211,10 @@
   m_Row = Parsed ? *Parsed : GrantRow{m_Budget, Bytes(), {}};
   m_Version = Row->m_Version;
   Bytes Left = m_Row.m_Granted < m_Row.m_Budget ? m_Row.m_Budget - m_Row.m_Granted : Bytes();
-  m_Piece = std::min(m_Wanted, std::max(m_Least, Bytes(Left.count() / PieceDivisor)));
+  Bytes Share = isScarce() ? m_Least : Bytes(Left.count() / PieceDivisor);
+  // Whole multiples, because a smaller remainder could not be used.
+  std::uint64_t Unit = std::max<std::uint64_t>(m_Least.count(), 1);
+  m_Piece = std::min(m_Wanted, std::max(m_Least, Bytes(Share.count() / Unit * Unit)));
   if (m_Rules.m_CheckBudget) {
     if (Left < m_Least) {
       m_Exhausted = true;
--- a/src/libweights/RolloutAgent.cpp
+++ b/src/libweights/RolloutAgent.cpp
@@ -71,8 +71,10 @@
 }
 
 void RolloutAgent::grant(Bytes Granted, TimePoint Now) {
-  if (m_Budget && (Granted != Bytes() || !m_Budget->isPending()))
+  if (Granted != Bytes() || !m_Budget->isPending())
     m_Planner.addGrant(m_BudgetRollout, Granted, Now);
+  if (m_Target && m_Target->m_Rollout == m_BudgetRollout)
+    m_Planner.setOriginScarce(m_Budget->isScarce());
 }
 
 void RolloutAgent::onTableCommit(std::uint64_t Number, const CommitResult &Result, TimePoint Now) {
--- a/src/libweights/TransferPlanner.cpp
+++ b/src/libweights/TransferPlanner.cpp
@@ -77,6 +77,7 @@
     m_GrantRollout = Order.m_Rollout;
     m_Granted = Bytes();
     m_GrantAsked = false;
+    m_OriginScarce = false;
   }
   m_Order = Order;
   m_OrderedAt = Now;
@@ -675,7 +676,8 @@
     return;
   const auto Stage = m_Rules.m_TakeOver ? (Idle - Start) / m_Patience : 0;
   const bool OtherRegions = State.m_LeadsRegion || Stage >= 1;
-  const bool FromOrigin = State.m_Site < m_TradeOff.m_OriginSites || Stage >= 2;
+  const std::size_t OriginSites = m_OriginScarce ? 1 : m_TradeOff.m_OriginSites;
+  const bool FromOrigin = State.m_Site < OriginSites || Stage >= 2;
   // Importers of different ranks begin at different places, so that they do not fetch the same
   // chunks when several are active.
   std::rotate(Needed.begin(),
