--- a/src/include/Fescuegauge/TransferPlanner.h
+++ b/src/include/Fescuegauge/TransferPlanner.h
@@ -64,6 +64,9 @@
   /// Position in the sender's log of the first index.
   std::uint32_t m_From = 0;
   std::vector<std::uint32_t> m_Indices;
+  /// Chunks that the sender is importing and whose transfer advances, so that others do not take
+  /// the import over when the source is slow.
+  std::vector<std::uint32_t> m_Importing;
   /// Asks the receiver to send its log from the beginning.
   bool m_WantsAll = false;
 
@@ -193,6 +196,8 @@
   /// row up to BadPeerTime.
   static constexpr Duration FailedPeerTime = std::chrono::seconds(2);
   static constexpr Duration BusyPeerTime = std::chrono::milliseconds(1500);
+  /// Unused time that a paced link makes up for; two intervals of poll().
+  static constexpr Duration PaceCredit = std::chrono::seconds(1);
   /// A transfer may take this many times as long as the link budget suggests, plus MinFetchTime.
   static constexpr int FetchTimeFactor = 4;
   static constexpr Duration MinFetchTime = std::chrono::seconds(8);
@@ -313,6 +318,7 @@
     FetchSource m_Source = FetchSource::Peer;
     InstanceId m_Peer;
     TimePoint m_Deadline;
+    std::optional<TimePoint> m_ProgressAt;
     /// What was reserved on the own link and on the region link.
     Duration m_LinkCost{};
     Duration m_RegionCost{};
--- a/src/libweights/RolloutDriver.cc
+++ b/src/libweights/RolloutDriver.cc
@@ -109,7 +109,9 @@
   Options.m_ReplacementRules = m_Settings.m_ReplacementRules;
   Added.m_Policy = std::make_unique<RolloutAgent>(Options);
   Added.m_Policy->setLinkBudget(
-      {m_Settings.m_Rates.m_Instance, m_Settings.m_Rates.m_Region, m_Settings.m_Rates.m_Origin});
+      {m_Settings.m_Rates.m_Instance,
+       BytesPerSecond(m_Settings.m_Rates.m_Region.rate() * m_Settings.m_TransferRate),
+       m_Settings.m_Rates.m_Origin});
   Beside.m_Agent = Index;
   m_AgentById[Added.m_Record.m_Id] = Index;
   m_Queue.after(Duration(static_cast<Duration::rep>(uniformBelow(m_Random, 500'000))),
--- a/src/libweights/RolloutDriver.h
+++ b/src/libweights/RolloutDriver.h
@@ -188,6 +188,8 @@
   std::uint64_t m_Seed = 1;
   /// Share of a data centre's upstreams that must keep serving.
   double m_MinServingShare = 0.5;
+  /// The part of the region links that planners are told to use.
+  double m_TransferRate = 1;
   /// Whether versions share a quarter of their chunks.
   bool m_SharedChunks = true;
   /// Whether the messages themselves are lost and delayed.
--- a/src/libweights/Rollout_test.cpp
+++ b/src/libweights/Rollout_test.cpp
@@ -50,3 +50,65 @@
       CHECK(Rule->evaluations() > 0);
     }
 }
+
+namespace {
+
+struct Mutant {
+  std::string m_Name;
+  std::function<void(DriverSettings &)> m_Apply;
+};
+
+/// The first seed whose run notices that the rule is missing; 0 if none does.
+std::uint64_t firstSeedThatNotices(const Mutant &Broken, std::uint64_t Seeds) {
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    Invariant::resetCounters();
+    DriverSettings Settings;
+    Broken.m_Apply(Settings);
+    FaultRun Run = runWithFaults(Settings, Seed);
+    if (!Run.m_Converged || Run.m_Violations != 0 || violationsOf("weights.") != 0)
+      return Seed;
+  }
+  return 0;
+}
+
+} // namespace
+
+// Guards against random runs that would not notice the absence of a rule. Rules whose absence costs
+// bytes or time rather than safety have their own cases in the other tests.
+TEST_CASE("random faults reveal each missing rule", "[random]") {
+  Invariant::setReporter([](std::string_view, std::string_view) {});
+  const std::vector<Mutant> Mutants = {
+      {"verify chunks", [](DriverSettings &S) { S.m_TransferRules.m_VerifyChunks = false; }},
+      {"spend grants", [](DriverSettings &S) { S.m_TransferRules.m_SpendGrants = false; }},
+      {"ignore older order",
+       [](DriverSettings &S) {
+         S.m_TransferRules.m_IgnoreOlderChange = false;
+         S.m_ActivationRules.m_IgnoreOlderChange = false;
+       }},
+      {"cancel old transfer",
+       [](DriverSettings &S) { S.m_TransferRules.m_CancelOldTransfer = false; }},
+      {"take over imports", [](DriverSettings &S) { S.m_TransferRules.m_TakeOver = false; }},
+      {"time out fetches", [](DriverSettings &S) { S.m_TransferRules.m_TimeOut = false; }},
+      {"conditional grant", [](DriverSettings &S) { S.m_BudgetRules.m_ConditionalWrite = false; }},
+      {"resolve lost response",
+       [](DriverSettings &S) { S.m_BudgetRules.m_ResolveLostResponse = false; }},
+      {"protect served chunks",
+       [](DriverSettings &S) { S.m_StagingRules.m_ProtectServed = false; }},
+      {"verify staging", [](DriverSettings &S) { S.m_ActivationRules.m_VerifyStaging = false; }},
+      {"drain first", [](DriverSettings &S) { S.m_ActivationRules.m_DrainFirst = false; }},
+      {"read back before routing",
+       [](DriverSettings &S) { S.m_ActivationRules.m_ReadBackBeforeRouting = false; }},
+      {"confirm after pause",
+       [](DriverSettings &S) { S.m_ActivationRules.m_ConfirmAfterPause = false; }},
+      {"count unavailable",
+       [](DriverSettings &S) { S.m_ReplacementRules.m_CountUnavailable = false; }},
+      {"rank waiting", [](DriverSettings &S) { S.m_ReplacementRules.m_RankWaiting = false; }},
+  };
+  for (const Mutant &Broken : Mutants) {
+    INFO(Broken.m_Name);
+    const std::uint64_t Seed = firstSeedThatNotices(Broken, 300);
+    CHECK(Seed != 0);
+  }
+  Invariant::setReporter({});
+  Invariant::resetCounters();
+}
--- a/src/libweights/TransferPlanner.cpp
+++ b/src/libweights/TransferPlanner.cpp
@@ -46,7 +46,8 @@
 Bytes ChunkSummary::encodedSize(std::size_t ChunkCount) const {
   constexpr std::uint64_t IndexBytes = 2;
   std::uint64_t List = m_Indices.size() * IndexBytes;
-  return Bytes(HeaderBytes + std::min<std::uint64_t>(List, (ChunkCount + 7) / 8));
+  return Bytes(HeaderBytes + std::min<std::uint64_t>(List, (ChunkCount + 7) / 8) +
+               m_Importing.size() * IndexBytes);
 }
 
 TransferPlanner::TransferPlanner(InstanceRecord Self, RegionId OriginRegion, std::uint64_t Seed,
@@ -281,6 +282,9 @@
     Entry.m_Sent = 0;
     Entry.m_SentAny = false;
   }
+  if (Entry.m_SameDataCentre)
+    for (std::uint32_t Index : Summary.m_Importing)
+      m_Lanes[Index % Lanes].m_LastProgress = Now;
   if (!Entry.m_Heard || Summary.m_Epoch != Entry.m_KnownEpoch) {
     if (Summary.m_From != 0) {
       Entry.m_AskAll = true;
@@ -414,8 +418,11 @@
 
 void TransferPlanner::onProgress(FetchId Id, TimePoint Now) {
   auto It = m_Fetches.find(Id);
-  if (It != m_Fetches.end() && It->second.m_Import && m_Rules.m_TimeOut)
-    It->second.m_Deadline = std::max(It->second.m_Deadline, Now + MinFetchTime);
+  if (It == m_Fetches.end() || !It->second.m_Import || !m_Rules.m_TimeOut)
+    return;
+  It->second.m_Deadline = std::max(It->second.m_Deadline, Now + MinFetchTime);
+  It->second.m_ProgressAt = Now;
+  m_Lanes[It->second.m_Index % Lanes].m_LastProgress = Now;
 }
 
 void TransferPlanner::onFetchFailed(FetchId Id, FetchFailure Failure, TimePoint Now) {
@@ -597,10 +604,10 @@
     Rate = std::min(Rate, m_Links.m_Region.rate() / Lanes);
     ++m_Counters.m_RegionFetches;
     Started.m_RegionCost = regionLaneRate().timeFor(Chunk.m_Size);
-    State.m_RegionPace.spend(Now, Started.m_RegionCost, Started.m_RegionCost);
+    State.m_RegionPace.spend(Now, Started.m_RegionCost, PaceCredit);
   }
   Started.m_LinkCost = m_Links.m_Instance.timeFor(Chunk.m_Size);
-  m_DownloadPace.spend(Now, Started.m_LinkCost, Started.m_LinkCost);
+  m_DownloadPace.spend(Now, Started.m_LinkCost, PaceCredit);
   Duration Limit = BytesPerSecond(Rate).timeFor(Chunk.m_Size) * FetchTimeFactor + MinFetchTime;
   if (Started.m_Import) {
     ++State.m_ImportsInFlight;
@@ -749,6 +756,10 @@
 
 void TransferPlanner::planSummaries(TimePoint Now, std::vector<TransferAction> &Actions) {
   const auto End = static_cast<std::uint32_t>(m_Log.size());
+  std::vector<std::uint32_t> Importing;
+  for (const auto &[Id, Entry] : m_Fetches)
+    if (Entry.m_ProgressAt && Now - *Entry.m_ProgressAt < MinFetchTime)
+      Importing.push_back(Entry.m_Index);
   for (auto &[Id, Entry] : m_Peers) {
     if (Entry.m_SentAny || Entry.m_LastSent != TimePoint()) {
       Duration Since = Now - Entry.m_LastSent;
@@ -762,6 +773,8 @@
     Summary.m_From = Entry.m_Sent;
     Summary.m_Indices.assign(m_Log.begin() + Entry.m_Sent, m_Log.end());
     Summary.m_WantsAll = Entry.m_AskAll;
+    if (Entry.m_SameDataCentre)
+      Summary.m_Importing = Importing;
     Entry.m_Sent = End;
     Entry.m_SentAny = true;
     Entry.m_LastSent = Now;
--- /dev/null
+++ b/src/libweights/Weights_test.cpp
@@ -0,0 +1,517 @@
+#include "RolloutDriver.h"
+
+#include <catch2/catch.hpp>
+
+using namespace fescuegauge;
+using namespace fescuegauge::driver;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start{1h};
+
+/// Silences reports of violations that a test causes on purpose, and counts them.
+class QuietInvariants {
+public:
+  QuietInvariants() {
+    Invariant::resetCounters();
+    Invariant::setReporter([this](std::string_view, std::string_view) { ++m_Count; });
+  }
+  ~QuietInvariants() {
+    Invariant::setReporter({});
+    Invariant::resetCounters();
+  }
+  std::uint64_t count() const { return m_Count; }
+
+private:
+  std::uint64_t m_Count = 0;
+};
+
+Manifest manifestOf(const std::vector<std::string> &Names, Bytes Size = 1_MiB) {
+  std::vector<ChunkRef> Chunks;
+  for (const std::string &Name : Names)
+    Chunks.push_back({sha256(Name), Size});
+  return Manifest(Chunks);
+}
+
+InstanceRecord agentRecord(const std::string &Id, const Digest &Served = Digest(),
+                           const std::string &DataCentre = "dc") {
+  InstanceRecord Record;
+  Record.m_Id = InstanceId(Id);
+  Record.m_State = InstanceState::Live;
+  Record.m_DataCentre = DataCentreId(DataCentre);
+  Record.m_Region = RegionId("region");
+  Record.m_Service = ServiceId("service");
+  Record.m_ServedDigest = Served;
+  Record.m_Capacity = 1;
+  return Record;
+}
+
+/// Runs the budget's table operations against `Table` until it is idle.
+Bytes settle(OriginBudget &Budget, FakeTable &Table, TimePoint &Now) {
+  Bytes Granted;
+  for (int I = 0; I < 100 && Budget.isPending(); ++I, Now += 1s)
+    if (std::optional<TableAction> Next = Budget.poll(Now)) {
+      if (auto *Sent = std::get_if<Transaction>(&*Next))
+        Granted += Budget.onCommit(Table.transact(*Sent), Now);
+      else
+        Granted += Budget.onRead(Table.row(std::get<ReadRow>(*Next).m_Key), Now);
+    }
+  return Granted;
+}
+
+/// Total size that 40 processes are granted when each asks for a whole copy several times.
+Bytes grantedToMany(OriginBudget::Rules Rules, Bytes Size) {
+  FakeTable Table;
+  Bytes Total;
+  TimePoint Now = Start;
+  for (int I = 0; I < 40; ++I) {
+    OriginBudget Budget(RolloutId("r"), Size, "p" + std::to_string(I), Rules);
+    for (int K = 0; K < 3; ++K) {
+      Budget.request(Size, 1_MiB, Now);
+      Total += settle(Budget, Table, Now);
+    }
+  }
+  return Total;
+}
+
+/// Drives an Activator to its next command of kind `Kind`, answering the commands before it as an
+/// engine that serves `Served` does.
+std::optional<ActivationCommand> advanceTo(Activator &Policy, ActivationCommand::Kind Kind,
+                                           const ServedReport &Served, TimePoint &Now,
+                                           bool Drained = true) {
+  using CommandKind = ActivationCommand::Kind;
+  for (int I = 0; I < 40; ++I, Now += 100ms) {
+    std::optional<ActivationCommand> Command = Policy.poll(Now);
+    Policy.setDrained(Drained);
+    if (!Command)
+      continue;
+    if (Command->m_Kind == Kind)
+      return Command;
+    switch (Command->m_Kind) {
+    case CommandKind::ConfirmConfiguration:
+      Policy.onConfirmed(Command->m_Number, Confirmation{Policy.targetChange(), false}, Now);
+      break;
+    case CommandKind::VerifyStaging:
+      Policy.onStagingRoot(Command->m_Number, Command->m_Root, Now);
+      break;
+    case CommandKind::ReadServed:
+      Policy.onServed(Command->m_Number, Served, Now);
+      break;
+    case CommandKind::Load:
+      return std::nullopt;
+    }
+  }
+  return std::nullopt;
+}
+
+Activator readyToLoad(const Digest &Live, const Digest &Target, Activator::Rules Rules = {}) {
+  Activator Policy(Live, Rules);
+  Policy.setTarget(Target, ChangeNumber(2));
+  Policy.setStaged(true);
+  Policy.setMayReplace(true);
+  Policy.setDrained(true);
+  return Policy;
+}
+
+/// Chunks of `Count` fetches that the planner of "a" starts from "b" when each of them arrives
+/// corrupted.
+std::size_t fetchesFromBadPeer(TransferPlanner::Rules Rules) {
+  QuietInvariants Quiet;
+  std::vector<std::string> Names;
+  for (int I = 0; I < 40; ++I)
+    Names.push_back(std::to_string(I));
+  const Manifest Wanted = manifestOf(Names);
+  TransferPlanner Planner(agentRecord("a"), RegionId("region"), 1, Rules);
+  const std::vector<InstanceRecord> View{agentRecord("a"), agentRecord("b")};
+  Planner.setView(View, Start);
+  Planner.setOrder({Wanted, ChangeNumber(1), RolloutId("r"), TransferPreference::Time}, {}, Start);
+  ChunkSummary Summary;
+  Summary.m_Root = Wanted.rootDigest();
+  for (std::uint32_t I = 0; I < 40; ++I)
+    Summary.m_Indices.push_back(I);
+  Planner.onSummary(InstanceId("b"), Summary, Start);
+  std::size_t Fetches = 0;
+  for (TimePoint Now = Start; Now < Start + 30s; Now += 500ms)
+    for (const TransferAction &Action : Planner.poll(Now))
+      if (const auto *Fetch = std::get_if<StartFetch>(&Action)) {
+        ++Fetches;
+        Planner.onReceived(Fetch->m_Id, sha256("garbage"), Now);
+      }
+  return Fetches;
+}
+
+} // namespace
+
+// Guards against a manifest that changes or loses its meaning on the way to another process.
+TEST_CASE("a manifest is read back as written and refused when altered") {
+  std::vector<std::uint8_t> Data(2500, 7);
+  const Manifest Original = Manifest::ofData(Data, Bytes(1000));
+  CHECK(Original.chunks().size() == 3);
+  CHECK(Original.totalSize() == Bytes(2500));
+  const std::string Text = Original.encode();
+  std::optional<Manifest> Read = Manifest::parse(Text);
+  REQUIRE(Read);
+  CHECK(Read->rootDigest() == Original.rootDigest());
+  CHECK(Read->chunks() == Original.chunks());
+
+  std::string Error;
+  CHECK_FALSE(Manifest::parse(Text.substr(0, Text.size() - 1), &Error));
+  CHECK(Error == "manifest line 5: the last line is incomplete");
+  std::string Altered = Text;
+  Altered.replace(Altered.rfind(" 500"), 4, " 501");
+  CHECK_FALSE(Manifest::parse(Altered, &Error));
+  CHECK(Error == "manifest line 2: the chunks do not hash to the root digest");
+  CHECK_FALSE(Manifest::parse("something else\n", &Error));
+}
+
+// Guards against sending chunks that another version already brought.
+TEST_CASE("only chunks that are not held are missing, each once") {
+  const Manifest Version = manifestOf({"a", "b", "a", "c"});
+  CHECK(Version.missing({}) == std::vector<std::uint32_t>{0, 1, 3});
+  CHECK(Version.missing({sha256("b")}) == std::vector<std::uint32_t>{0, 3});
+  CHECK(Version.missingSize({sha256("a")}) == 2_MiB);
+}
+
+// Guards against more than four copies leaving the origin, and against a rule without effect.
+TEST_CASE("grants never exceed four copies") {
+  QuietInvariants Quiet;
+  const Bytes Size = 64_MiB;
+  CHECK(grantedToMany({}, Size) <= Bytes(Size.count() * 4));
+  CHECK(grantedToMany({}, Size) > Bytes(Size.count() * 3));
+  OriginBudget::Rules Unchecked;
+  Unchecked.m_CheckBudget = false;
+  CHECK(grantedToMany(Unchecked, Size) > Bytes(Size.count() * 4));
+}
+
+// Guards against a grant that is used although its write may not have taken effect, and against one
+// that is lost although it can be read back.
+TEST_CASE("a lost response is resolved by read-back, by repetition, or counts as spent") {
+  FakeTable Table;
+  TimePoint Now = Start;
+  OriginBudget Budget(RolloutId("r"), 8_MiB, "p");
+  auto SendWrite = [&](bool TakesEffect) {
+    Budget.request(4_MiB, 1_MiB, Now);
+    CHECK(std::holds_alternative<ReadRow>(*Budget.poll(Now)));
+    Budget.onRead(Table.row(Budget.rowKey()), Now);
+    auto Sent = std::get<Transaction>(*Budget.poll(Now));
+    if (TakesEffect)
+      Table.transact(Sent);
+    CHECK(Budget.onCommit({CommitStatus::Unknown, {}}, Now) == Bytes());
+    CHECK_FALSE(Budget.poll(Now));
+    Now += OriginBudget::RetryInterval;
+    return Sent;
+  };
+  SECTION("read back") {
+    SendWrite(true);
+    CHECK(std::holds_alternative<ReadRow>(*Budget.poll(Now)));
+    CHECK(Budget.onRead(Table.row(Budget.rowKey()), Now) == 4_MiB);
+  }
+  SECTION("a stale read proves nothing; the repeated write does") {
+    Transaction Sent = SendWrite(true);
+    Budget.poll(Now);
+    CHECK(Budget.onRead(Table.staleRow(Budget.rowKey()), Now) == Bytes());
+    Now += OriginBudget::RetryInterval;
+    auto Again = std::get<Transaction>(*Budget.poll(Now));
+    CHECK(Again.m_WriteId == Sent.m_WriteId);
+    CHECK(Budget.onCommit(Table.transact(Again), Now) == 4_MiB);
+    CHECK(GrantRow::parse(Table.row(Budget.rowKey()).m_Value)->m_Granted == 4_MiB);
+  }
+  SECTION("given up") {
+    SendWrite(false);
+    for (int I = 0; I < 100 && Budget.isPending(); ++I, Now += 1s)
+      if (auto Next = Budget.poll(Now)) {
+        if (std::holds_alternative<ReadRow>(*Next))
+          CHECK(Budget.onRead(std::nullopt, Now) == Bytes());
+        else
+          CHECK(Budget.onCommit({CommitStatus::Unknown, {}}, Now) == Bytes());
+      }
+    CHECK_FALSE(Budget.isPending());
+  }
+}
+
+// Guards against a second rollout whose grant the table answers with the outcome of the first.
+TEST_CASE("write ids of two rollouts differ") {
+  TimePoint Now = Start;
+  FakeTable Table;
+  for (const char *Name : {"r1", "r2"}) {
+    OriginBudget Budget(RolloutId(Name), 8_MiB, "p");
+    Budget.request(4_MiB, 1_MiB, Now);
+    CHECK(settle(Budget, Table, Now) == 4_MiB);
+    CHECK(GrantRow::parse(Table.row(Budget.rowKey()).m_Value)->m_Granted == 4_MiB);
+  }
+}
+
+// Guards against evicting what is served or being transferred, and against rules without effect.
+TEST_CASE("staging evicts the oldest unused version and keeps its bound") {
+  QuietInvariants Quiet;
+  const Manifest Old = manifestOf({"o1", "o2"});
+  const Manifest Served = manifestOf({"s1", "s2"});
+  const Manifest Next = manifestOf({"s1", "n1", "n2"});
+  auto Fill = [&](StagingPolicy::Rules Rules, Bytes Capacity) {
+    StagingPolicy Staging(Capacity, Rules);
+    for (const Manifest &Version : {Old, Served}) {
+      REQUIRE(Staging.beginTransfer(Version));
+      for (const ChunkRef &Chunk : Version.chunks())
+        REQUIRE(Staging.addChunk(Chunk));
+      Staging.setServed(Version);
+    }
+    return Staging;
+  };
+  StagingPolicy Staging = Fill({}, 5_MiB);
+  std::optional<std::vector<Digest>> Evicted = Staging.beginTransfer(Next);
+  REQUIRE(Evicted);
+  CHECK(Evicted->size() == 1);
+  CHECK((Evicted->front() == sha256("o1") || Evicted->front() == sha256("o2")));
+  CHECK_FALSE(Staging.addChunk({sha256("unrelated"), 1_MiB}));
+
+  // Not enough room beside the served version.
+  StagingPolicy Small = Fill({}, 4_MiB);
+  CHECK_FALSE(Small.beginTransfer(manifestOf({"x1", "x2", "x3"})));
+  StagingPolicy::Rules Unchecked;
+  Unchecked.m_CheckCapacity = false;
+  StagingPolicy Overfull = Fill(Unchecked, 4_MiB);
+  const Manifest Large = manifestOf({"x1", "x2", "x3"});
+  REQUIRE(Overfull.beginTransfer(Large));
+  for (const ChunkRef &Chunk : Large.chunks())
+    Overfull.addChunk(Chunk);
+  CHECK(Overfull.usedSize() > Overfull.capacity());
+  CHECK(Quiet.count() == 1);
+
+  // A restart left chunks of the wanted version behind; they are not the ones to go.
+  auto EvictsWanted = [&](StagingPolicy::Rules Rules) {
+    StagingPolicy Restarted(4_MiB, Rules);
+    for (const char *Name : {"n1", "n2", "z1", "z2"})
+      Restarted.restoreChunk({sha256(Name), 1_MiB});
+    auto Gone = Restarted.beginTransfer(Next);
+    return !Gone || std::any_of(Gone->begin(), Gone->end(), [](const Digest &Chunk) {
+      return Chunk == sha256("n1") || Chunk == sha256("n2");
+    });
+  };
+  CHECK_FALSE(EvictsWanted({}));
+  StagingPolicy::Rules Unprotected;
+  Unprotected.m_ProtectTransferred = false;
+  CHECK(EvictsWanted(Unprotected));
+}
+
+// Guards against a load that skips a step, and against routing before the engine reports the
+// digest.
+TEST_CASE("activation drains, verifies, reads back, loads, reads back and routes") {
+  using Kind = ActivationCommand::Kind;
+  const Digest Old = sha256("old");
+  const Digest New = sha256("new");
+  TimePoint Now = Start;
+  Activator Policy(Old);
+  Policy.setTarget(New, ChangeNumber(2));
+  const ServedReport ServesOld{Old, FencingToken(1)};
+  CHECK_FALSE(advanceTo(Policy, Kind::Load, ServesOld, Now, false));
+  CHECK(Policy.routableRoot() == Old);
+  Policy.setStaged(true);
+  Policy.setMayReplace(true);
+  CHECK_FALSE(advanceTo(Policy, Kind::Load, ServesOld, Now, false));
+  CHECK(Policy.routableRoot().isZero());
+  std::optional<ActivationCommand> Load = advanceTo(Policy, Kind::Load, ServesOld, Now);
+  REQUIRE(Load);
+  CHECK(Load->m_Root == New);
+  CHECK(Load->m_Token == FencingToken(2));
+  CHECK_FALSE(Policy.poll(Now));
+  Policy.onLoadResult(Load->m_Number, LoadResult::Loaded, Now);
+  CHECK_FALSE(Policy.isConverged());
+  advanceTo(Policy, Kind::Load, {New, FencingToken(2)}, Now);
+  CHECK(Policy.isConverged());
+  CHECK_FALSE(Policy.setTarget(Old, ChangeNumber(1)));
+
+  // Another process loads the old version again: no routing until it is put right.
+  advanceTo(Policy, Kind::Load, {Old, FencingToken()}, Now);
+  CHECK(Policy.routableRoot().isZero());
+}
+
+// Guards against a newer change that interrupts a load, and against serving what it replaced.
+TEST_CASE("a version that was replaced while it loaded never becomes routable") {
+  using Kind = ActivationCommand::Kind;
+  const Digest Old = sha256("old");
+  const Digest Replaced = sha256("replaced");
+  TimePoint Now = Start;
+  Activator Policy = readyToLoad(Old, Replaced);
+  std::optional<ActivationCommand> Load = advanceTo(Policy, Kind::Load, {Old, FencingToken()}, Now);
+  REQUIRE(Load);
+  Policy.setTarget(sha256("newest"), ChangeNumber(3));
+  Policy.setStaged(true);
+  CHECK_FALSE(Policy.poll(Now));
+  Policy.onLoadResult(Load->m_Number, LoadResult::Loaded, Now);
+  Load = advanceTo(Policy, Kind::Load, {Replaced, FencingToken()}, Now);
+  CHECK(Policy.routableRoot().isZero());
+  REQUIRE(Load);
+  CHECK(Load->m_Token == FencingToken(3));
+}
+
+// Guards against a paused process that resumes in the middle of a load, on engines that ignore the
+// fencing token.
+TEST_CASE("after a pause nothing is loaded before the configuration is confirmed") {
+  using Kind = ActivationCommand::Kind;
+  const Digest Old = sha256("old");
+  TimePoint Now = Start;
+  auto UntilLoad = [&](Activator::Rules Rules) {
+    Activator Policy = readyToLoad(Old, sha256("new"), Rules);
+    return advanceTo(Policy, Kind::Load, {Old, FencingToken()}, Now);
+  };
+  SECTION("a command expires with the read-back that allowed it") {
+    CHECK(UntilLoad({})->m_SendBefore <= Now + Activator::ReadValidity);
+    Activator::Rules Rules;
+    Rules.m_ExpireCommands = false;
+    CHECK(UntilLoad(Rules)->m_SendBefore == TimePoint::max());
+  }
+  SECTION("an unsent command leads to a confirmation that stops a superseded process") {
+    Activator Policy = readyToLoad(Old, sha256("new"));
+    auto Load = advanceTo(Policy, Kind::Load, {Old, FencingToken()}, Now);
+    REQUIRE(Load);
+    Now += 20s;
+    Policy.onNotSent(Load->m_Number, Now);
+    auto Confirm = advanceTo(Policy, Kind::ConfirmConfiguration, {Old, FencingToken()}, Now);
+    REQUIRE(Confirm);
+    Policy.onConfirmed(Confirm->m_Number, Confirmation{ChangeNumber(2), true}, Now);
+    CHECK_FALSE(advanceTo(Policy, Kind::ReadServed, {Old, FencingToken()}, Now));
+  }
+  SECTION("a newer version found on the engine is not replaced by an older one") {
+    // Whether the policy loads change 2 although another process already loaded a newer change,
+    // after it had confirmed the configuration.
+    auto LoadsOverNewer = [&](Activator::Rules Rules) {
+      Activator Policy = readyToLoad(Old, sha256("new"), Rules);
+      auto Verify = advanceTo(Policy, Kind::VerifyStaging, {Old, FencingToken()}, Now);
+      Policy.onStagingRoot(Verify->m_Number, sha256("new"), Now);
+      Now += 1500ms;
+      for (int I = 0; I < 40; ++I, Now += 100ms)
+        if (auto Command = Policy.poll(Now)) {
+          if (Command->m_Kind == Kind::Load)
+            return true;
+          if (Command->m_Kind == Kind::ReadServed)
+            Policy.onServed(Command->m_Number, ServedReport{sha256("newer"), {}}, Now);
+          else if (Command->m_Kind == Kind::ConfirmConfiguration)
+            Policy.onConfirmed(Command->m_Number, Confirmation{ChangeNumber(3), false}, Now);
+        }
+      return false;
+    };
+    CHECK_FALSE(LoadsOverNewer({}));
+    Activator::Rules Rules;
+    Rules.m_ReadBackBeforeLoad = false;
+    CHECK(LoadsOverNewer(Rules));
+  }
+}
+
+// Guards against too many upstreams that leave at once, with equal and with differing views.
+TEST_CASE("the replacement rule keeps each class served") {
+  const Digest Old = sha256("old");
+  const Digest New = sha256("new");
+  std::vector<InstanceRecord> View;
+  for (int I = 0; I < 10; ++I)
+    View.push_back(agentRecord("u" + std::to_string(I), Old));
+  const std::vector<ClassNeed> Needs{{WorkClassId("a"), 3}, {WorkClassId("b"), 7}};
+  auto AllowedCount = [&](const ReplacementRule &Rule) {
+    int Count = 0;
+    for (const InstanceRecord &Self : View)
+      Count += Rule.mayReplace(Self, New, View, Needs) == ReplacementRule::Verdict::Allowed ? 1 : 0;
+    return Count;
+  };
+  CHECK(AllowedCount(ReplacementRule()) == 3);
+  View[0].m_State = InstanceState::Suspect;
+  View[1].m_ServedDigest = Digest();
+  // The one that serves nothing may load; of the eight that serve, one may leave. The suspected one
+  // may be ranked early enough to believe that it is fine, which makes two.
+  const int WithFailures = AllowedCount(ReplacementRule());
+  CHECK(WithFailures >= 2);
+  CHECK(WithFailures <= 3);
+  CHECK(AllowedCount(ReplacementRule({false, true})) > WithFailures);
+  CHECK(AllowedCount(ReplacementRule({true, false})) > WithFailures);
+  const std::vector<ClassNeed> All{{WorkClassId("a"), 10}};
+  CHECK(ReplacementRule().mayReplace(View[5], New, View, All) ==
+        ReplacementRule::Verdict::NeedsSurge);
+  CHECK(ReplacementRule().mayReplace(View[1], New, View, All) == ReplacementRule::Verdict::Allowed);
+}
+
+// Guards against retrying a peer that delivers bad chunks.
+TEST_CASE("a peer that delivers a bad chunk is avoided") {
+  CHECK(fetchesFromBadPeer({}) <= 4);
+  TransferPlanner::Rules Rules;
+  Rules.m_AvoidBadPeers = false;
+  CHECK(fetchesFromBadPeer(Rules) > 10);
+}
+
+// Guards against state or chunks in flight that grow with the size of the deployment.
+TEST_CASE("neighbours and fetches in flight stay within their bounds") {
+  std::vector<InstanceRecord> View;
+  for (int I = 0; I < 1000; ++I)
+    View.push_back(agentRecord("u" + std::to_string(I), Digest(), "dc" + std::to_string(I % 4)));
+  std::vector<std::string> Names;
+  for (int I = 0; I < 64; ++I)
+    Names.push_back(std::to_string(I));
+  const Manifest Wanted = manifestOf(Names, Manifest::MaxChunkSize);
+  for (int I = 0; I < 1000; I += 97) {
+    TransferPlanner Planner(View[static_cast<std::size_t>(I)], RegionId("region"), 1);
+    Planner.setView(View, Start);
+    Planner.setOrder({Wanted, ChangeNumber(1), RolloutId("r"), TransferPreference::Time}, {},
+                     Start);
+    CHECK(Planner.neighbourCount() <= TransferPlanner::MaxNeighbours);
+    Planner.addGrant(RolloutId("r"), Wanted.totalSize(), Start);
+    for (TimePoint Now = Start; Now < Start + 10s; Now += 500ms)
+      Planner.poll(Now);
+    CHECK(Planner.fetchesInFlight() * Manifest::MaxChunkSize.count() <=
+          TransferPlanner::MaxBytesInFlight.count());
+  }
+}
+
+// Guards against extra origin bytes in the cases that need none.
+TEST_CASE("a late joiner and a rollback use no origin bytes") {
+  auto Preference = GENERATE(TransferPreference::OriginBytes, TransferPreference::Time);
+  DriverSettings Settings;
+  Settings.m_Preference = Preference;
+  Settings.m_Sites = fourSites();
+  Driver Run(Settings);
+  Run.startServing(1);
+  Run.run(10s);
+  Run.issue(2);
+  REQUIRE(Run.runUntilConverged(10min));
+  const double Copies = Run.originCopies();
+  CHECK(Copies <= (Preference == TransferPreference::Time ? 4.0 : 1.05));
+  Run.join(0);
+  Run.run(1s);
+  REQUIRE(Run.runUntilConverged(10min));
+  CHECK(Run.originCopies() == Copies);
+  Run.issue(1);
+  REQUIRE(Run.runUntilConverged(10min));
+  CHECK(Run.originCopies() == 0.0);
+  CHECK(Run.violations() == 0);
+}
+
+// Guards against a new instance that imports what its data centre already holds.
+TEST_CASE("without the settling rule a late joiner uses origin bytes") {
+  DriverSettings Settings;
+  Settings.m_TransferRules.m_Settle = false;
+  Driver Run(Settings);
+  Run.issue(1);
+  REQUIRE(Run.runUntilConverged(10min));
+  const double Copies = Run.originCopies();
+  for (int I = 0; I < 4; ++I)
+    Run.join(0);
+  Run.run(30s);
+  CHECK(Run.originCopies() > Copies);
+}
+
+// Guards against imports that take more than the transfers' share of a region link.
+TEST_CASE("imports are paced to the share of the region link") {
+  auto BytesIn = [](bool Paced) {
+    DriverSettings Settings;
+    Settings.m_Chunks = 64;
+    Settings.m_SharedChunks = false;
+    Settings.m_TransferRules.m_PaceImports = Paced;
+    // The link itself is faster than the share that the planner is told to use.
+    Settings.m_TransferRate = 0.25;
+    Driver Run(Settings);
+    Run.issue(1);
+    Run.run(60s);
+    return static_cast<double>(Run.regionBytes()) / 60;
+  };
+  // Two region links leave the first region. Each may begin Lanes chunks at once.
+  const double Share = 2 * (0.25 * 2e6 + TransferPlanner::Lanes * 4.2e6 / 60);
+  CHECK(BytesIn(true) <= Share);
+  CHECK(BytesIn(false) > Share);
+}
