--- a/src/include/Fescuegauge/TransferPlanner.h
+++ b/src/include/Fescuegauge/TransferPlanner.h
@@ -64,6 +64,9 @@
   /// Position in the sender's log of the first index.
   std::uint32_t m_From = 0;
   std::vector<std::uint32_t> m_Indices;
+  /// Chunks that the sender is importing and whose transfer advances, so that others do not take
+  /// the import over when the source is slow.
+  std::vector<std::uint32_t> m_Importing;
   /// Asks the receiver to send its log from the beginning.
   bool m_WantsAll = false;
 
@@ -193,6 +196,8 @@
   /// row up to BadPeerTime.
   static constexpr Duration FailedPeerTime = std::chrono::seconds(2);
   static constexpr Duration BusyPeerTime = std::chrono::milliseconds(1500);
+  /// Unused time that a paced link makes up for; two intervals of poll().
+  static constexpr Duration PaceCredit = std::chrono::seconds(1);
   /// A transfer may take this many times as long as the link budget suggests, plus MinFetchTime.
   static constexpr int FetchTimeFactor = 4;
   static constexpr Duration MinFetchTime = std::chrono::seconds(8);
@@ -258,6 +263,9 @@
   /// Bytes that may be fetched from the origin for `Rollout`, in addition to earlier ones. 0 ends
   /// an unsuccessful request.
   void addGrant(const RolloutId &Rollout, Bytes Granted, TimePoint Now);
+  /// Whether little of the origin budget is left. Only one data centre then fetches directly from
+  /// the origin, whatever the preference.
+  void setOriginScarce(bool Scarce) { m_OriginScarce = Scarce; }
   /// The staging area lost a chunk.
   void dropChunk(const Digest &Chunk, TimePoint Now);
 
@@ -310,6 +318,7 @@
     FetchSource m_Source = FetchSource::Peer;
     InstanceId m_Peer;
     TimePoint m_Deadline;
+    std::optional<TimePoint> m_ProgressAt;
     /// What was reserved on the own link and on the region link.
     Duration m_LinkCost{};
     Duration m_RegionCost{};
@@ -337,7 +346,6 @@
     InstanceId m_Id;
     DataCentreId m_DataCentre;
     RegionId m_Region;
-    bool operator==(const Member &) const = default;
   };
 
   void rebuildNeighbours(TimePoint Now);
@@ -347,6 +355,7 @@
   void penalise(Peer &Entry, Duration Base, TimePoint Now);
   std::optional<Fetch> takeFetch(FetchId Id);
   void onPeerFailure(const Fetch &Failed, Duration Base, TimePoint Now);
+  void forgetHolder(const Fetch &Failed);
   void refundPace(const Fetch &Failed);
   void onImportTrouble(const Fetch &Failed, TimePoint Now);
   void cancelAll();
@@ -410,6 +419,7 @@
   RolloutId m_GrantRollout;
   Bytes m_Granted;
   bool m_GrantAsked = false;
+  bool m_OriginScarce = false;
   TimePoint m_NextGrantRequest;
   Counters m_Counters;
 };
--- a/src/libweights/RolloutDriver.cc
+++ b/src/libweights/RolloutDriver.cc
@@ -39,8 +39,11 @@
   m_SiteSizes.resize(m_Settings.m_Sites.size());
   m_Snapshots.resize(m_Settings.m_Sites.size());
   m_Begin = m_Queue.now();
-  for (std::size_t I = 0; I < m_Settings.m_Instances; ++I)
-    startAgent(addEngine(I % m_Settings.m_Sites.size()));
+  for (std::size_t I = 0; I < m_Settings.m_Instances; ++I) {
+    const std::size_t SiteIndex = I % m_Settings.m_Sites.size();
+    ++m_SiteSizes[SiteIndex];
+    startAgent(addEngine(SiteIndex));
+  }
   takeSnapshots();
 }
 
@@ -74,7 +77,6 @@
   Added.m_Node = m_Network.addNode(m_RegionOfSite[SiteIndex]);
   Added.m_ChecksToken = m_Engines.size() % 2 == 0;
   m_Engines.push_back(std::move(Added));
-  ++m_SiteSizes[SiteIndex];
   return m_Engines.size() - 1;
 }
 
@@ -107,7 +109,9 @@
   Options.m_ReplacementRules = m_Settings.m_ReplacementRules;
   Added.m_Policy = std::make_unique<RolloutAgent>(Options);
   Added.m_Policy->setLinkBudget(
-      {m_Settings.m_Rates.m_Instance, m_Settings.m_Rates.m_Region, m_Settings.m_Rates.m_Origin});
+      {m_Settings.m_Rates.m_Instance,
+       BytesPerSecond(m_Settings.m_Rates.m_Region.rate() * m_Settings.m_TransferRate),
+       m_Settings.m_Rates.m_Origin});
   Beside.m_Agent = Index;
   m_AgentById[Added.m_Record.m_Id] = Index;
   m_Queue.after(Duration(static_cast<Duration::rep>(uniformBelow(m_Random, 500'000))),
@@ -149,7 +153,7 @@
 void Driver::join(std::size_t SiteIndex) { startAgent(addEngine(SiteIndex)); }
 
 bool Driver::blocked(std::size_t LeftSite, std::size_t RightSite) const {
-  return m_Cuts.contains(std::minmax(LeftSite, RightSite));
+  return m_Cuts.contains(std::minmax({LeftSite, RightSite}));
 }
 
 bool Driver::hears(std::size_t SiteIndex) const {
@@ -196,7 +200,7 @@
   Engine &Beside = m_Engines[Entry.m_Engine];
   if (!Entry.m_Superseded) {
     if (Entry.m_Known < ChangeNumber(m_Changes.size()) && hears(Beside.m_Site) &&
-        chance(m_Random, 0.3))
+        (chance(m_Random, 0.3) || Now - m_Changes.back().m_IssuedAt > 2s))
       tell(Index);
     if (m_Settings.m_LossyMessages && Entry.m_Known > ChangeNumber(1) && chance(m_Random, 0.02)) {
       // An old configuration arrives late.
@@ -208,7 +212,10 @@
     for (const Snapshot &View : Views)
       if (View.m_At + Entry.m_ViewLag <= Now)
         Chosen = &View;
-    bool Replacing = Entry.m_Policy->planner().isComplete() && !Entry.m_Policy->isConverged();
+    // The planner ignores a view with the same members. To save time, the view is passed on only
+    // when members changed or when the replacement rule may look at it before the next tick.
+    bool Replacing = !Entry.m_Policy->isConverged() &&
+                     Entry.m_Policy->planner().missingCount() <= 4 + m_Settings.m_Chunks / 16;
     if (Chosen->m_Membership != Entry.m_ViewApplied || Replacing) {
       Entry.m_ViewApplied = Chosen->m_Membership;
       Entry.m_Policy->setView(Chosen->m_Records,
@@ -472,14 +479,17 @@
   case Kind::ConfirmConfiguration: {
     deliver(Index, 20ms, [=, this] {
       const std::size_t SiteIndex = m_Engines[EngineIndex].m_Site;
-      std::optional<ChangeNumber> Highest;
+      std::optional<Confirmation> Known;
       if (hears(SiteIndex))
-        Highest = ChangeNumber(m_Changes.size());
+        Known = Confirmation{ChangeNumber(m_Changes.size()), false};
       else
         for (const Agent &Other : m_Agents)
           if (isRunning(Other) && m_Engines[Other.m_Engine].m_Site == SiteIndex)
-            Highest = std::max(Highest.value_or(ChangeNumber()), Other.m_Known);
-      m_Agents[Index].m_Policy->activator().onConfirmed(Number, Highest, m_Queue.now());
+            Known = Confirmation{std::max(Known ? Known->m_Highest : ChangeNumber(), Other.m_Known),
+                                 false};
+      if (Known)
+        Known->m_Superseded = m_Agents[Index].m_Superseded;
+      m_Agents[Index].m_Policy->activator().onConfirmed(Number, Known, m_Queue.now());
       poll(Index);
     });
     return;
@@ -763,7 +773,6 @@
   }
   Engine &Dead = m_Engines[EngineIndex];
   Dead.m_Alive = false;
-  --m_SiteSizes[Dead.m_Site];
   endAfter(randomSeconds(5, 20), [this, Place = Dead.m_Site] { join(Place); });
 }
 
@@ -865,17 +874,19 @@
     break;
   case 11: {
     // A data centre loses its peers, the platform, or both.
-    auto Cuts = m_Cuts;
-    auto PlatformCut = m_PlatformCut;
-    std::uint64_t Parts = 1 + uniformBelow(m_Random, 3);
+    const std::uint64_t Parts = 1 + uniformBelow(m_Random, 3);
+    std::vector<std::pair<std::size_t, std::size_t>> Cuts;
     for (std::size_t Other = 0; Other < m_Settings.m_Sites.size(); ++Other)
       if (Other != SiteIndex && Parts != 2)
-        m_Cuts.insert(std::minmax(SiteIndex, Other));
+        Cuts.push_back(std::minmax({SiteIndex, Other}));
+    m_Cuts.insert(Cuts.begin(), Cuts.end());
     if (Parts != 1)
       m_PlatformCut.insert(SiteIndex);
-    endAfter(randomSeconds(10, 60), [this, Cuts, PlatformCut] {
-      m_Cuts = Cuts;
-      m_PlatformCut = PlatformCut;
+    endAfter(randomSeconds(10, 60), [this, Cuts, SiteIndex, Parts] {
+      for (const auto &Cut : Cuts)
+        m_Cuts.erase(m_Cuts.find(Cut));
+      if (Parts != 1)
+        m_PlatformCut.erase(m_PlatformCut.find(SiteIndex));
     });
     break;
   }
--- a/src/libweights/RolloutDriver.h
+++ b/src/libweights/RolloutDriver.h
@@ -188,6 +188,8 @@
   std::uint64_t m_Seed = 1;
   /// Share of a data centre's upstreams that must keep serving.
   double m_MinServingShare = 0.5;
+  /// The part of the region links that planners are told to use.
+  double m_TransferRate = 1;
   /// Whether versions share a quarter of their chunks.
   bool m_SharedChunks = true;
   /// Whether the messages themselves are lost and delayed.
@@ -358,8 +360,9 @@
   std::vector<Change> m_Changes;
   std::map<RolloutId, std::uint64_t> m_OriginBytes;
   std::vector<std::deque<Snapshot>> m_Snapshots;
-  std::set<std::pair<std::size_t, std::size_t>> m_Cuts;
-  std::set<std::size_t> m_PlatformCut;
+  /// Multisets, because partitions overlap.
+  std::multiset<std::pair<std::size_t, std::size_t>> m_Cuts;
+  std::multiset<std::size_t> m_PlatformCut;
   std::size_t m_ActiveFaults = 0;
   bool m_OriginDown = false;
   bool m_TableDown = false;
--- a/src/libweights/TransferPlanner.cpp
+++ b/src/libweights/TransferPlanner.cpp
@@ -46,7 +46,8 @@
 Bytes ChunkSummary::encodedSize(std::size_t ChunkCount) const {
   constexpr std::uint64_t IndexBytes = 2;
   std::uint64_t List = m_Indices.size() * IndexBytes;
-  return Bytes(HeaderBytes + std::min<std::uint64_t>(List, (ChunkCount + 7) / 8));
+  return Bytes(HeaderBytes + std::min<std::uint64_t>(List, (ChunkCount + 7) / 8) +
+               m_Importing.size() * IndexBytes);
 }
 
 TransferPlanner::TransferPlanner(InstanceRecord Self, RegionId OriginRegion, std::uint64_t Seed,
@@ -77,6 +78,7 @@
     m_GrantRollout = Order.m_Rollout;
     m_Granted = Bytes();
     m_GrantAsked = false;
+    m_OriginScarce = false;
   }
   m_Order = Order;
   m_OrderedAt = Now;
@@ -133,16 +135,30 @@
 }
 
 void TransferPlanner::setView(std::span<const InstanceRecord> View, TimePoint Now) {
-  std::vector<Member> Members;
+  auto Counts = [&](const InstanceRecord &Record) {
+    return Record.m_Role == InstanceRole::Agent && Record.m_Service == m_Self.m_Service &&
+           (Record.m_State == InstanceState::Live || Record.m_State == InstanceState::Joining) &&
+           Record.m_Id != m_Self.m_Id;
+  };
+  // Most views differ from the last one only in fields that do not matter here.
+  std::size_t Same = 0;
+  std::size_t Count = 0;
   for (const InstanceRecord &Record : View)
-    if (Record.m_Role == InstanceRole::Agent && Record.m_Service == m_Self.m_Service &&
-        (Record.m_State == InstanceState::Live || Record.m_State == InstanceState::Joining) &&
-        Record.m_Id != m_Self.m_Id)
-      Members.push_back({Record.m_Id, Record.m_DataCentre, Record.m_Region});
-  Members.push_back({m_Self.m_Id, m_Self.m_DataCentre, m_Self.m_Region});
-  if (Members == m_Members)
+    if (Counts(Record)) {
+      if (Count == Same && Same < m_Members.size() && m_Members[Same].m_Id == Record.m_Id &&
+          m_Members[Same].m_DataCentre == Record.m_DataCentre &&
+          m_Members[Same].m_Region == Record.m_Region)
+        ++Same;
+      ++Count;
+    }
+  if (Same == Count && m_Members.size() == Count + 1)
     return;
-  m_Members = std::move(Members);
+  m_Members.clear();
+  m_Members.reserve(Count + 1);
+  for (const InstanceRecord &Record : View)
+    if (Counts(Record))
+      m_Members.push_back({Record.m_Id, Record.m_DataCentre, Record.m_Region});
+  m_Members.push_back({m_Self.m_Id, m_Self.m_DataCentre, m_Self.m_Region});
   rebuildNeighbours(Now);
 }
 
@@ -280,6 +296,9 @@
     Entry.m_Sent = 0;
     Entry.m_SentAny = false;
   }
+  if (Entry.m_SameDataCentre)
+    for (std::uint32_t Index : Summary.m_Importing)
+      m_Lanes[Index % Lanes].m_LastProgress = Now;
   if (!Entry.m_Heard || Summary.m_Epoch != Entry.m_KnownEpoch) {
     if (Summary.m_From != 0) {
       Entry.m_AskAll = true;
@@ -338,6 +357,15 @@
     penalise(It->second, Base, Now);
 }
 
+void TransferPlanner::forgetHolder(const Fetch &Failed) {
+  auto From = m_Peers.find(Failed.m_Peer);
+  if (From == m_Peers.end() || !From->second.m_Held.contains(Failed.m_Index))
+    return;
+  From->second.m_Held.erase(Failed.m_Index);
+  if (From->second.m_SameDataCentre)
+    --m_LocalHolders[Failed.m_Index];
+}
+
 void TransferPlanner::refundPace(const Fetch &Failed) {
   m_DownloadPace.refund(Failed.m_LinkCost);
   m_Lanes[Failed.m_Index % Lanes].m_RegionPace.refund(Failed.m_RegionCost);
@@ -361,6 +389,8 @@
   if (!Matches && m_Rules.m_VerifyChunks) {
     ++m_Counters.m_BadChunks;
     onPeerFailure(*Done, BadPeerTime, Now);
+    // Its copy may be damaged for good. If it was the only one known here, the chunk is imported.
+    forgetHolder(*Done);
     onImportTrouble(*Done, Now);
     return false;
   }
@@ -402,8 +432,11 @@
 
 void TransferPlanner::onProgress(FetchId Id, TimePoint Now) {
   auto It = m_Fetches.find(Id);
-  if (It != m_Fetches.end() && It->second.m_Import && m_Rules.m_TimeOut)
-    It->second.m_Deadline = std::max(It->second.m_Deadline, Now + MinFetchTime);
+  if (It == m_Fetches.end() || !It->second.m_Import || !m_Rules.m_TimeOut)
+    return;
+  It->second.m_Deadline = std::max(It->second.m_Deadline, Now + MinFetchTime);
+  It->second.m_ProgressAt = Now;
+  m_Lanes[It->second.m_Index % Lanes].m_LastProgress = Now;
 }
 
 void TransferPlanner::onFetchFailed(FetchId Id, FetchFailure Failure, TimePoint Now) {
@@ -420,11 +453,7 @@
       From->second.m_AvoidUntil = Now + jittered(m_Random, BusyPeerTime, 0.5);
     break;
   case FetchFailure::NotHeld:
-    if (From != m_Peers.end() && From->second.m_Held.contains(Failed->m_Index)) {
-      From->second.m_Held.erase(Failed->m_Index);
-      if (From->second.m_SameDataCentre)
-        --m_LocalHolders[Failed->m_Index];
-    }
+    forgetHolder(*Failed);
     break;
   case FetchFailure::NotStarted:
     if (Failed->m_Source == FetchSource::Origin)
@@ -589,10 +618,10 @@
     Rate = std::min(Rate, m_Links.m_Region.rate() / Lanes);
     ++m_Counters.m_RegionFetches;
     Started.m_RegionCost = regionLaneRate().timeFor(Chunk.m_Size);
-    State.m_RegionPace.spend(Now, Started.m_RegionCost, Started.m_RegionCost);
+    State.m_RegionPace.spend(Now, Started.m_RegionCost, PaceCredit);
   }
   Started.m_LinkCost = m_Links.m_Instance.timeFor(Chunk.m_Size);
-  m_DownloadPace.spend(Now, Started.m_LinkCost, Started.m_LinkCost);
+  m_DownloadPace.spend(Now, Started.m_LinkCost, PaceCredit);
   Duration Limit = BytesPerSecond(Rate).timeFor(Chunk.m_Size) * FetchTimeFactor + MinFetchTime;
   if (Started.m_Import) {
     ++State.m_ImportsInFlight;
@@ -668,7 +697,8 @@
     return;
   const auto Stage = m_Rules.m_TakeOver ? (Idle - Start) / m_Patience : 0;
   const bool OtherRegions = State.m_LeadsRegion || Stage >= 1;
-  const bool FromOrigin = State.m_Site < m_TradeOff.m_OriginSites || Stage >= 2;
+  const std::size_t OriginSites = m_OriginScarce ? 1 : m_TradeOff.m_OriginSites;
+  const bool FromOrigin = State.m_Site < OriginSites || Stage >= 2;
   // Importers of different ranks begin at different places, so that they do not fetch the same
   // chunks when several are active.
   std::rotate(Needed.begin(),
@@ -740,6 +770,10 @@
 
 void TransferPlanner::planSummaries(TimePoint Now, std::vector<TransferAction> &Actions) {
   const auto End = static_cast<std::uint32_t>(m_Log.size());
+  std::vector<std::uint32_t> Importing;
+  for (const auto &[Id, Entry] : m_Fetches)
+    if (Entry.m_ProgressAt && Now - *Entry.m_ProgressAt < MinFetchTime)
+      Importing.push_back(Entry.m_Index);
   for (auto &[Id, Entry] : m_Peers) {
     if (Entry.m_SentAny || Entry.m_LastSent != TimePoint()) {
       Duration Since = Now - Entry.m_LastSent;
@@ -753,6 +787,8 @@
     Summary.m_From = Entry.m_Sent;
     Summary.m_Indices.assign(m_Log.begin() + Entry.m_Sent, m_Log.end());
     Summary.m_WantsAll = Entry.m_AskAll;
+    if (Entry.m_SameDataCentre)
+      Summary.m_Importing = Importing;
     Entry.m_Sent = End;
     Entry.m_SentAny = true;
     Entry.m_LastSent = Now;
