--- a/scripts/loopback_cluster.py
+++ b/scripts/loopback_cluster.py
@@ -16,7 +16,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 # Ends a run that has failed; nothing passes because time went by.
-WAIT_LIMIT_SECONDS = 120
+WAIT_LIMIT_SECONDS = 60
 
 
 def wait_until(condition, what, limit=WAIT_LIMIT_SECONDS):
--- /dev/null
+++ b/src/fescuegauged/process_test.py
@@ -0,0 +1,404 @@
+"""Process-level tests: the real programs on loopback, with processes killed, stopped and paused.
+
+Each test names the failure that it guards against. A test passes because of conditions that it
+observes, never because time went by.
+"""
+
+import http.client
+import pathlib
+import signal
+import socket
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent.parent / "scripts"))
+
+from loopback_cluster import (Cluster, call, call_json, expected_answer,  # noqa: E402
+                              expected_plain_answer, rollout, target, wait_until)
+
+TOKENS = 20
+TARGETS = [
+    target("asistente", "quotation", answerWithinMs=20000),
+    target("pedidos", "confirmation", answerWithinMs=20000, nonIdempotent=True, neverLost=True),
+    target("bodega", "stock-check", answerWithinMs=10000),
+]
+
+
+class Load:
+    """Callers that send requests of all classes until stopped, and what became of each request."""
+
+    def __init__(self, cluster, roots, entries, threads=6):
+        self.cluster = cluster
+        self.roots = roots
+        self.entries = entries
+        self.results = []
+        self._lock = threading.Lock()
+        self._number = 0
+        self._stop = threading.Event()
+        self._threads = [threading.Thread(target=self._run, daemon=True) for _ in range(threads)]
+        for thread in self._threads:
+            thread.start()
+
+    def _next(self):
+        with self._lock:
+            self._number += 1
+            return self._number
+
+    def _run(self):
+        while not self._stop.is_set():
+            number = self._next()
+            result = self.send(number)
+            with self._lock:
+                self.results.append(result)
+
+    def send(self, number):
+        entry = self.entries[number % len(self.entries)]
+        service, work_class = [("asistente", "quotation"), ("pedidos", "confirmation")][number % 2]
+        prompt = f"load {number}"
+        headers = {"Client-Account": f"account-{number % 5}"}
+        execution = None
+        if work_class == "confirmation":
+            headers["Idempotency-Key"] = f"20426-load{number}"
+            execution = f"account-{number % 5}/20426-load{number}"
+        result = {"class": work_class, "execution": execution, "entry": entry.name}
+        try:
+            status, _, body = call(entry.ports["http"], "POST", f"/v1/{service}/{work_class}",
+                                   {"prompt": prompt, "maxTokens": TOKENS}, headers)
+        except (OSError, http.client.HTTPException) as error:
+            return {**result, "end": "broken", "detail": repr(error)}
+        if status == 200:
+            whole = body == expected_answer(self.roots[service], prompt, TOKENS)
+            return {**result, "end": "whole" if whole else "wrong", "detail": body[:200]}
+        end = {"no": "not-run", "yes": "refused", "unknown": "unknown"}
+        import json
+        answer = json.loads(body)
+        return {**result, "end": end[answer["run"]], "detail": answer["error"]}
+
+    def count(self, end=None):
+        with self._lock:
+            return sum(1 for result in self.results if end in (None, result["end"]))
+
+    def wait_for_more(self, more, end="whole"):
+        goal = self.count(end) + more
+        wait_until(lambda: self.count(end) >= goal, f"{more} more requests end as {end}")
+
+    def stop(self):
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+        return self.results
+
+
+class ProcessTest(unittest.TestCase):
+    """One deployment for all tests of the class; every test leaves it complete."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.cluster = Cluster()
+        cluster = cls.cluster
+        for index, data_centre in enumerate(["dc-1", "dc-2", "dc-1", "dc-2"]):
+            cluster.add_upstream(f"asistente-{index}", data_centre, "asistente")
+        for index, data_centre in enumerate(["dc-1", "dc-2"]):
+            cluster.add_upstream(f"pedidos-{index}", data_centre, "pedidos")
+            cluster.add_entry(f"entry-{index}-a", data_centre)
+            cluster.add_entry(f"entry-{index}-b", data_centre)
+        cluster.add_upstream("bodega-0", "dc-1", "bodega", kind="plain")
+        cluster.wait_ready()
+        cluster.wait_membership()
+        cluster.create_model("asistente", "v1", 4 << 20, 21)
+        cluster.create_model("pedidos", "v1", 2 << 20, 22)
+        status, answer = cluster.apply(cls.entry(0), TARGETS + [rollout("asistente", "v1"),
+                                                                rollout("pedidos", "v1")])
+        assert status == 200, answer
+        cls.wait_serving()
+        cls.roots = {"asistente": cluster.served(cluster.upstreams["asistente-0"]),
+                     "pedidos": cluster.served(cluster.upstreams["pedidos-0"])}
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.cluster.__exit__(None, None, None)
+
+    @classmethod
+    def entry(cls, index):
+        return list(cls.cluster.entries.values())[index]
+
+    @classmethod
+    def wait_serving(cls):
+        """Waits until every upstream is routable and every entry instance answers each class."""
+        for upstream in cls.cluster.upstreams.values():
+            wait_until(lambda u=upstream: call(u.agent.ports["http"], "GET", "/readyz")[0] == 200,
+                       f"{upstream.name} is ready")
+        for entry in cls.cluster.entries.values():
+            for service, work_class in (("asistente", "quotation"), ("bodega", "stock-check")):
+                wait_until(lambda e=entry, s=service, w=work_class:
+                           cls.ask(e, s, w, "warm-up")[0] == 200,
+                           f"{entry.name} answers {work_class}")
+
+    @classmethod
+    def ask(cls, entry, service, work_class, prompt, key=None, account="account-0", tokens=TOKENS):
+        headers = {"Client-Account": account}
+        if key:
+            headers["Idempotency-Key"] = key
+        status, _, body = call(entry.ports["http"], "POST", f"/v1/{service}/{work_class}",
+                               {"prompt": prompt, "maxTokens": tokens}, headers)
+        return status, body
+
+    def check_truth(self, results):
+        """No wrong answer, no doubled execution, and nothing that "was not run" was run."""
+        wrong = [result for result in results if result["end"] == "wrong"]
+        self.assertEqual(wrong, [])
+        executions = self.cluster.executions()
+        doubled = {name: count for name, count in executions.items() if count > 1}
+        self.assertEqual(doubled, {})
+        lied = [result for result in results
+                if result["end"] == "not-run" and executions.get(result["execution"])]
+        self.assertEqual(lied, [])
+
+    def restart_agent(self, upstream):
+        self.cluster.start_agent(upstream)
+        self.wait_serving()
+
+    # Guards against a repeated confirmation that runs again, or gets another answer.
+    def test_repeated_key_gets_the_recorded_answer(self):
+        first = self.ask(self.entry(0), "pedidos", "confirmation", "jars", key="20426-repeat")
+        again = self.ask(self.entry(3), "pedidos", "confirmation", "jars", key="20426-repeat")
+        self.assertEqual(first, (200, expected_answer(self.roots["pedidos"], "jars", TOKENS)))
+        self.assertEqual(again, first)
+        self.assertEqual(self.cluster.executions()["account-0/20426-repeat"], 1)
+        other = self.ask(self.entry(1), "pedidos", "confirmation", "lids", key="20426-repeat")
+        self.assertEqual(other[0], 422)
+
+    # Guards against bad input that crashes an instance or is answered without a clear error.
+    def test_bad_input_gets_a_clear_error(self):
+        port = self.entry(0).ports["http"]
+        cases = [
+            ("POST", "/v1/asistente/quotation", b"{", {"Client-Account": "a"}, 400),
+            ("POST", "/v1/asistente/quotation", b"{}", {}, 400),
+            ("POST", "/v1/asistente/nothing", b"{}", {"Client-Account": "a"}, 404),
+            ("POST", "/v1/pedidos/confirmation", b"{}", {"Client-Account": "a"}, 400),
+            ("POST", "/v1/asistente/quotation", b"x" * (2 << 20), {"Client-Account": "a"}, 413),
+            ("POST", "/v1/asistente/quotation", b"{}",
+             {"Client-Account": "a", **{f"X-{i}": "v" for i in range(80)}}, 413),
+            ("GET", "/operator/instances/nobody/dump", None, {}, 404),
+        ]
+        for method, path, body, headers, expected in cases:
+            connection = http.client.HTTPConnection("127.0.0.1", port, timeout=60)
+            try:
+                connection.request(method, path, body, headers)
+                self.assertEqual(connection.getresponse().status, expected, path)
+            except (BrokenPipeError, ConnectionResetError):
+                # The instance may close the connection before an oversized body was sent.
+                self.assertEqual(expected, 413)
+            finally:
+                connection.close()
+        with socket.create_connection(("127.0.0.1", port)) as garbage:
+            garbage.sendall(b"\x00\xff" * 2000 + b"\r\n\r\n")
+            garbage.recv(100)
+        self.assertEqual(call(port, "GET", "/healthz")[0], 200)
+
+    # Guards against lost confirmations, false "not run" and blocked other work in a store outage.
+    def test_table_outage_refuses_only_claims(self):
+        try:
+            self.cluster.faults(tableDown=True)
+            status, body = self.ask(self.entry(0), "pedidos", "confirmation", "p",
+                                    key="20426-outage")
+            self.assertEqual(status, 503, body)
+            self.assertIn(b'"run":"no"', body)
+            status, body = self.ask(self.entry(0), "asistente", "quotation", "p")
+            self.assertEqual((status, body),
+                             (200, expected_answer(self.roots["asistente"], "p", TOKENS)))
+        finally:
+            self.cluster.faults(tableDown=False)
+        self.assertNotIn("account-0/20426-outage", self.cluster.executions())
+        wait_until(lambda: self.ask(self.entry(0), "pedidos", "confirmation", "p",
+                                    key="20426-outage")[0] == 200,
+                   "the confirmation runs after the outage")
+        self.assertEqual(self.cluster.executions()["account-0/20426-outage"], 1)
+
+    # Guards against a second run when the answer to the claim's write is lost.
+    def test_lost_table_answers_never_double_a_confirmation(self):
+        try:
+            self.cluster.faults(tableLosesAnswers=True)
+            self.ask(self.entry(0), "pedidos", "confirmation", "p", key="20426-lost")
+        finally:
+            self.cluster.faults(tableLosesAnswers=False)
+        wait_until(lambda: self.ask(self.entry(1), "pedidos", "confirmation", "p",
+                                    key="20426-lost")[0] in (200, 504),
+                   "the repeated confirmation gets a final answer")
+        self.assertLessEqual(self.cluster.executions().get("account-0/20426-lost", 0), 1)
+
+    # Guards against two operators who overwrite each other without noticing.
+    def test_stale_base_is_refused_and_names_the_author(self):
+        change = call_json(self.entry(0).ports["http"], "GET", "/operator/targets")[1]["change"]
+        put = [target("bodega", "stock-check", answerWithinMs=9000)]
+        status, first = self.cluster.apply(self.entry(0), put, author="ana", base=change)
+        self.assertEqual(status, 200, first)
+        put = [target("bodega", "stock-check", answerWithinMs=8000)]
+        status, second = self.cluster.apply(self.entry(2), put, author="eva", base=change)
+        self.assertEqual(status, 409, second)
+        self.assertEqual(second["conflicts"][0]["author"], "ana")
+        for entry in self.cluster.entries.values():
+            wait_until(lambda e=entry: call_json(e.ports["http"], "GET", "/operator/targets")[1]
+                       ["change"] >= first["change"], f"{entry.name} has the change in force")
+
+    # Guards against answers that are cut, wrong or doubled when an engine dies under load.
+    def test_killed_engine(self):
+        load = Load(self.cluster, self.roots, list(self.cluster.entries.values()))
+        load.wait_for_more(20)
+        victim = self.cluster.upstreams["asistente-0"]
+        port = victim.engine.ports["port"]
+        victim.engine.kill()
+        load.wait_for_more(40)
+        self.cluster.start_engine(victim, port=port)
+        self.wait_serving()
+        results = load.stop()
+        self.check_truth(results)
+        quotations = [result for result in results if result["class"] == "quotation"]
+        self.assertEqual([r for r in quotations if r["end"] not in ("whole", "not-run")], [])
+
+    # Guards against an agent whose death loses or doubles requests.
+    def test_killed_agent(self):
+        load = Load(self.cluster, self.roots, list(self.cluster.entries.values()))
+        load.wait_for_more(20)
+        for name in ("asistente-1", "pedidos-1"):
+            self.cluster.upstreams[name].agent.kill()
+        load.wait_for_more(40)
+        for name in ("asistente-1", "pedidos-1"):
+            self.cluster.start_agent(self.cluster.upstreams[name])
+        self.wait_serving()
+        results = load.stop()
+        self.check_truth(results)
+        quotations = [result for result in results if result["class"] == "quotation"]
+        self.assertEqual([r for r in quotations if r["end"] not in ("whole", "not-run")], [])
+
+    # Guards against requests that hang on, or are run twice by, a process that was paused.
+    def test_paused_agent(self):
+        load = Load(self.cluster, self.roots, list(self.cluster.entries.values()))
+        load.wait_for_more(20)
+        victim = self.cluster.upstreams["asistente-2"]
+        victim.agent.signal(signal.SIGSTOP)
+        load.wait_for_more(60)
+        victim.agent.signal(signal.SIGCONT)
+        load.wait_for_more(20)
+        self.wait_serving()
+        results = load.stop()
+        self.check_truth(results)
+        quotations = [result for result in results if result["class"] == "quotation"]
+        self.assertEqual([r for r in quotations if r["end"] not in ("whole", "not-run")], [])
+
+    # Guards against a killed entry instance that takes other callers' requests with it.
+    def test_killed_entry(self):
+        survivors = [self.entry(0), self.entry(2)]
+        load = Load(self.cluster, self.roots, survivors)
+        victim = self.entry(1)
+        other = Load(self.cluster, self.roots, [victim], threads=3)
+        load.wait_for_more(20)
+        other.wait_for_more(5)
+        victim.kill()
+        load.wait_for_more(40)
+        other.stop()
+        results = load.stop()
+        self.check_truth(results + [r for r in other.results if r["end"] != "broken"])
+        self.assertEqual([r for r in results if r["end"] not in ("whole", "not-run")], [])
+        self.cluster.add_entry(victim.name, victim.data_centre)
+        self.cluster.wait_ready()
+        self.wait_serving()
+
+    # Guards against a graceful shutdown that cuts a request.
+    def test_terminated_agent_cuts_nothing(self):
+        load = Load(self.cluster, self.roots, list(self.cluster.entries.values()))
+        load.wait_for_more(20)
+        victim = self.cluster.upstreams["asistente-3"]
+        self.assertEqual(victim.agent.stop(), 0)
+        load.wait_for_more(20)
+        results = load.stop()
+        self.restart_agent(victim)
+        self.check_truth(results)
+        self.assertEqual([r for r in results if r["end"] not in ("whole", "not-run")], [])
+        self.assertNotIn("attempt_interrupted", victim.agent.log())
+
+    # Guards against a graceful shutdown of an entry instance that cuts its callers off.
+    def test_terminated_entry_cuts_nothing(self):
+        victim = self.entry(3)
+        load = Load(self.cluster, self.roots, [victim])
+        load.wait_for_more(10)
+        victim.signal(signal.SIGTERM)
+        self.assertEqual(victim.handle.wait(timeout=120), 0)
+        results = load.stop()
+        # After the drain the port is closed, so later callers cannot connect; nobody was cut.
+        cut = [r for r in results if r["end"] not in ("whole", "not-run")
+               and "ConnectionRefused" not in str(r["detail"])
+               and "RemoteDisconnected" not in str(r["detail"])
+               and "ConnectionReset" not in str(r["detail"])]
+        self.assertEqual(cut, [])
+        self.assertNotIn("request_interrupted", victim.log())
+        self.check_truth([r for r in results if r["end"] != "broken"])
+        self.cluster.add_entry(victim.name, victim.data_centre)
+        self.cluster.wait_ready()
+        self.wait_serving()
+
+    # Guards against one request that takes down upstream after upstream.
+    def test_crashing_request_is_refused_after_two_losses(self):
+        victims = [u for u in self.cluster.upstreams.values() if u.service == "asistente"]
+        ports = {u.name: u.engine.ports["port"] for u in victims}
+        refused = False
+        for _ in range(12):
+            status, body = self.ask(self.entry(0), "asistente", "quotation", "crash-upstream now")
+            if status == 422:
+                refused = True
+                break
+        self.assertTrue(refused, body)
+        dead = [u for u in victims if not u.engine.is_running()]
+        self.assertLessEqual(len(dead), 2)
+        status, body = self.ask(self.entry(1), "asistente", "quotation", "crash-upstream now")
+        self.assertIn(status, (422,), body)
+        for upstream in dead:
+            self.cluster.start_engine(upstream, port=ports[upstream.name])
+        self.wait_serving()
+
+    # Guards against a process that goes back to an older configuration when everything restarts
+    # while the store answers old reads.
+    def test_restart_of_all_entries_keeps_the_change(self):
+        self.cluster.faults(tableStaleReads=True)
+        put = [target("bodega", "stock-check", answerWithinMs=7000)]
+        status, answer = self.cluster.apply(self.entry(0), put, author="ana")
+        try:
+            self.assertEqual(status, 200, answer)
+            for entry in self.cluster.entries.values():
+                wait_until(lambda e=entry: call_json(e.ports["http"], "GET", "/operator/targets")
+                           [1]["change"] >= answer["change"], f"{entry.name} has the change")
+            for entry in list(self.cluster.entries.values()):
+                entry.kill()
+            restarted = [self.cluster.add_entry(entry.name, entry.data_centre)
+                         for entry in list(self.cluster.entries.values())]
+            for entry in restarted:
+                def change(e=entry):
+                    status, targets = call_json(e.ports["http"], "GET", "/operator/targets")
+                    return targets["change"] if status == 200 else None
+                got = wait_until(change, f"{entry.name} has a configuration")
+                self.assertGreaterEqual(got, answer["change"])
+        finally:
+            self.cluster.faults(tableStaleReads=False)
+        self.cluster.wait_ready()
+        self.wait_serving()
+
+
+class SettingsTest(unittest.TestCase):
+    # Guards against a process that starts with settings that it does not understand.
+    def test_bad_settings_start_nothing(self):
+        import subprocess
+        with Cluster() as cluster:
+            path = cluster.folder / "bad.json"
+            path.write_text('// comment first\n{"role": "king", "extra": 1 /* no */}')
+            run = subprocess.run([str(cluster.build / "bin" / "fescuegauged"), "--settings",
+                                  str(path)], capture_output=True, timeout=60, check=False)
+            self.assertEqual(run.returncode, 2)
+            text = run.stderr.decode()
+            self.assertIn("role", text)
+            self.assertIn("extra", text)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
