--- a/src/include/Fescuegauge/AdmissionController.h
+++ b/src/include/Fescuegauge/AdmissionController.h
@@ -40,7 +40,7 @@
 public:
   /// Upstreams are kept this full, as a multiple of capacity. More would make requests wait inside
   /// upstreams, where they can no longer be refused or put in order.
-  static constexpr double TargetOccupancy = 1.0;
+  static constexpr double TargetOccupancy = 0.9;
   /// Limits of the retry-after time that callers are told.
   static constexpr Duration MinRetryAfter = std::chrono::seconds(1);
   static constexpr Duration MaxRetryAfter = std::chrono::seconds(30);
@@ -50,7 +50,7 @@
   /// higher priority.
   static constexpr double LowerPriorityPart = 0.6;
   /// The share of requests that the predicted service time covers.
-  static constexpr double CoveredShare = 0.95;
+  static constexpr double CoveredShare = 0.97;
   /// Classes and services beyond these numbers share one estimate.
   static constexpr std::size_t MaxClasses = 256;
   static constexpr std::size_t MaxServices = 256;
@@ -108,7 +108,8 @@
     double m_HighFirstToken = 0;
     double m_MeanFirstToken = 0;
     std::uint64_t m_Count = 0;
-    TimePoint m_LastSample;
+    /// Since when requests are refused without a new sample.
+    std::optional<TimePoint> m_RefusedSince;
   };
   struct ServiceState {
     double m_Limit = InitialLimit;
--- a/src/include/Fescuegauge/FairQueue.h
+++ b/src/include/Fescuegauge/FairQueue.h
@@ -75,18 +75,36 @@
     std::optional<QueuedRequest> m_PushedOut;
   };
   PushResult push(QueuedRequest Added);
-  /// The request to start next, removed; nothing when the queue is empty.
-  std::optional<QueuedRequest> pop(TimePoint Now);
+  /// The request to start next, removed; nothing when there is none. With `SmallOnly`, only
+  /// requests of small accounts are considered.
+  std::optional<QueuedRequest> pop(TimePoint Now, bool SmallOnly = false);
+  /// True for an account that recently started clearly less than its share: the mean of all active
+  /// accounts, increased by what those below the mean leave unused.
+  bool isSmall(const ClientAccountId &Account) const;
+  bool hasSmallQueued() const;
+  /// Slots to keep free for small accounts. Targets can leave so little time for waiting that a
+  /// small account which finds all slots taken would be refused as often as a large one.
+  double reservedSlots(double Slots) const;
   /// Removes a request whose caller has gone; false if it is not queued.
   bool remove(const RequestId &Id);
   /// Removes and returns all requests that should have been started before `Now`.
   std::vector<QueuedRequest> takeLate(TimePoint Now);
 
-  /// The time until `Candidate` would start if it were pushed now and `Slots` requests run at a
-  /// time.
-  Duration predictedWait(const QueuedRequest &Candidate, double Slots, TimePoint Now) const;
+  /// How fast queued requests are expected to start.
+  struct Pace {
+    /// Requests that run at a time.
+    double m_Slots = 1;
+    /// Mean slot time of the requests in flight.
+    Duration m_MeanCost{0};
+    /// Requests in flight above the number of slots, which have to end first.
+    double m_Excess = 0;
+    /// Standard deviations that predictions add, because slots become free at random times.
+    double m_Margin = 0;
+  };
+  /// The time until `Candidate` would start if it were pushed now.
+  Duration predictedWait(const QueuedRequest &Candidate, const Pace &Current, TimePoint Now) const;
   /// True if pushing `Candidate` makes a queued request of the same account miss its latest start.
-  bool delaysOthers(const QueuedRequest &Candidate, double Slots, TimePoint Now) const;
+  bool delaysOthers(const QueuedRequest &Candidate, const Pace &Current, TimePoint Now) const;
   Duration totalWork() const { return m_TierWork[0] + m_TierWork[1]; }
   std::size_t length() const { return m_Index.size(); }
 
@@ -125,7 +143,9 @@
   double workBefore(const ClientAccountId &Name, std::size_t Tier, double OwnAhead,
                     double Slots) const;
   /// Slots that requests of the tier can count on.
-  double slotsFor(std::size_t Tier, double Slots, TimePoint Now) const;
+  double slotsFor(const QueuedRequest &Request, double Slots, TimePoint Now) const;
+  static Duration waitFor(double Ahead, double Slots, const Pace &Current);
+  bool isSmall(const Account &Known) const;
   double startOf(const Account &Candidate, std::size_t Tier) const;
   void decayRates(TimePoint Now);
   void forgetIdleAccounts();
@@ -142,6 +162,10 @@
   /// Never-lost work started recently, decaying with RateMemory.
   double m_NeverLostStarted = 0;
   TimePoint m_RatesTaken;
+  /// Mean of the accounts' recently started work for each unit of weight, and the sum over small
+  /// accounts, both as of m_RatesTaken.
+  double m_MeanStarted = 0;
+  double m_SmallStarted = 0;
   std::uint64_t m_NextSequence = 0;
 };
 
--- a/src/include/Fescuegauge/RequestScheduler.h
+++ b/src/include/Fescuegauge/RequestScheduler.h
@@ -17,6 +17,8 @@
   bool m_BudgetRetries = true;
   /// Off: requests that can no longer meet their target stay in the queue.
   bool m_AnswerLateAtOnce = true;
+  /// Off: classes that are never lost are refused like all others.
+  bool m_NeverLostLast = true;
 };
 
 /// What the owner of a request has to do with it.
@@ -86,8 +88,8 @@
     Duration m_CostInFlight{0};
     /// The in-flight limit smoothed over about a second, for predictions.
     double m_SmoothLimit = 0;
-    /// High quantile of actual over predicted waits; predictions are multiplied by it.
-    double m_Correction = 1;
+    /// Standard deviations added to predictions, adjusted by how earlier ones came out.
+    double m_Margin = 1;
     explicit ServiceQueue(FairQueueRules Rules) : m_Queue(Rules) {}
   };
 
--- a/src/librouting/AdmissionController.cpp
+++ b/src/librouting/AdmissionController.cpp
@@ -12,8 +12,8 @@
 constexpr double MeanGain = 0.05;
 /// Step of a running quantile, as a share of the mean, for each sample.
 constexpr double QuantileGain = 0.03;
-/// An estimate that no sample confirms halves in this time, so that a class whose requests are all
-/// refused is tried again.
+/// An estimate halves in this time while requests are refused and nothing is measured, so that a
+/// class whose requests are all refused is tried again.
 constexpr double RelaxHalfLife = 2.0;
 /// Recent refusals count for about this long.
 constexpr double RefusalMemory = 5.0;
@@ -146,7 +146,7 @@
     updateQuantile(Known.m_HighFirstToken, FirstSample, Known.m_MeanFirstToken, CoveredShare);
   }
   ++Known.m_Count;
-  Known.m_LastSample = Now;
+  Known.m_RefusedSince.reset();
 
   constexpr double LowRise = 1.0005;
   ServiceState &State = service(Request.m_Service);
@@ -179,7 +179,9 @@
 double AdmissionController::relaxed(double Value, const Estimate &Known, TimePoint Now) const {
   if (!m_Rules.m_RelaxEstimates)
     return Value;
-  double Idle = std::max(toSeconds(Now - Known.m_LastSample) - RelaxHalfLife, 0.0);
+  if (!Known.m_RefusedSince)
+    return Value;
+  double Idle = std::max(toSeconds(Now - *Known.m_RefusedSince) - RelaxHalfLife, 0.0);
   return Value * std::exp2(-Idle / RelaxHalfLife);
 }
 
@@ -228,9 +230,17 @@
   const ClassTarget *Target = target(Request.m_Class);
   double Part = Target ? waitingPart(*Target) : 1;
   Duration Allowed = fromCount(count(Window.m_Latest - Now) * Part);
-  bool CanStartAtOnce = Wait == Duration(0) && Window.m_GiveUpAt >= Now;
+  // With nothing to wait for there is no reason to refuse a request that is likely to succeed, even
+  // if fewer than CoveredShare do. Under load the bar is higher, because others could use the slot.
+  TimePoint LastChance = Window.m_GiveUpAt;
+  if (isSaturated(Request.m_Service))
+    LastChance -= (Window.m_GiveUpAt - Window.m_Latest) / 2;
+  bool CanStartAtOnce = Wait == Duration(0) && LastChance >= Now;
   if (CanStartAtOnce || (Wait <= Allowed && !DelaysOthers))
     return std::nullopt;
+  auto Known = m_Estimates.find(estimateKey(Request));
+  if (Known != m_Estimates.end() && !Known->second.m_RefusedSince)
+    Known->second.m_RefusedSince = Now;
   return refuse(Request.m_Service, ErrorKind::TargetNotAttainable, Wait, Now);
 }
 
--- a/src/librouting/FairQueue.cpp
+++ b/src/librouting/FairQueue.cpp
@@ -18,7 +18,12 @@
 constexpr std::array<double, 2> TierShare{FairQueue::NeverLostShare, 1 - FairQueue::NeverLostShare};
 
 /// The rate of never-lost work is measured over about this time, in microseconds.
-constexpr double RateMemory = 2e6;
+constexpr double RateMemory = 4e6;
+/// An account is small when it started less than this part of the mean. Accounts that ask for equal
+/// amounts vary around the mean and are not small.
+constexpr double SmallShare = 0.8;
+/// Largest part of the slots that is reserved for small accounts.
+constexpr double MaxReserve = 0.1;
 
 double count(Duration Length) { return static_cast<double>(Length.count()); }
 
@@ -158,22 +163,72 @@
   m_NeverLostStarted *= Factor;
   for (auto &[Name, Known] : m_Accounts)
     Known.m_Started *= Factor;
+  // The first pass finds accounts below the mean, the second one the mean of what they leave to the
+  // others.
+  m_MeanStarted = 0;
+  for (int Pass = 0; Pass < 2; ++Pass) {
+    double Started = 0;
+    double Weight = 0;
+    for (const auto &[Name, Known] : m_Accounts)
+      if (!isSmall(Known)) {
+        Started += Known.m_Started;
+        Weight += Known.m_Weight;
+      }
+    m_MeanStarted = Weight > 0 ? Started / Weight : 0;
+  }
+  m_SmallStarted = 0;
+  for (const auto &[Name, Known] : m_Accounts)
+    if (isSmall(Known))
+      m_SmallStarted += Known.m_Started;
   forgetIdleAccounts();
 }
 
-std::optional<QueuedRequest> FairQueue::pop(TimePoint Now) {
+bool FairQueue::isSmall(const Account &Known) const {
+  return Known.m_Started < SmallShare * m_MeanStarted * Known.m_Weight;
+}
+
+bool FairQueue::isSmall(const ClientAccountId &Name) const {
+  if (!m_Rules.m_ShareByAccount)
+    return false;
+  auto Found = m_Accounts.find(Name);
+  return Found == m_Accounts.end() || isSmall(Found->second);
+}
+
+bool FairQueue::hasSmallQueued() const {
+  return std::any_of(m_Accounts.begin(), m_Accounts.end(), [&](const auto &Entry) {
+    return Entry.second.length() > 0 && isSmall(Entry.second);
+  });
+}
+
+double FairQueue::reservedSlots(double Slots) const {
+  if (!m_Rules.m_ShareByAccount)
+    return 0;
+  // One standard deviation of the number of slots that small accounts use.
+  return std::min(std::sqrt(m_SmallStarted / RateMemory), MaxReserve * Slots);
+}
+
+std::optional<QueuedRequest> FairQueue::pop(TimePoint Now, bool SmallOnly) {
   decayRates(Now);
-  if (m_Index.empty())
+  if (m_Index.empty() || (SmallOnly && !hasSmallQueued()))
     return std::nullopt;
   std::size_t Tier = nextTier();
+  if (SmallOnly) {
+    bool IsNext = std::any_of(m_Accounts.begin(), m_Accounts.end(), [&](const auto &Entry) {
+      return !Entry.second.m_Tiers[Tier].m_Requests.empty() && isSmall(Entry.second);
+    });
+    Tier = IsNext ? Tier : 1 - Tier;
+  }
   Account *Next = nullptr;
   double BestStart = std::numeric_limits<double>::infinity();
   double ActiveWeight = 0;
   for (auto &[Name, Candidate] : m_Accounts) {
     const TierQueue &Queue = Candidate.m_Tiers[Tier];
-    if (Queue.m_Requests.empty())
+    // Queues are short when targets are tight, so an account without queued requests counts as long
+    // as it started something recently.
+    if (!Queue.m_Requests.empty() || Candidate.m_Started > 0)
+      ActiveWeight += Candidate.m_Weight;
+    if (Queue.m_Requests.empty() || (SmallOnly && !isSmall(Candidate)))
       continue;
-    ActiveWeight += Candidate.m_Weight;
     double Start = startOf(Candidate, Tier);
     // Among accounts that are not ahead of their share the most urgent request goes first.
     bool IsUrgent = Next && Start == BestStart &&
@@ -186,6 +241,8 @@
   QueuedRequest Taken = take(*Next, Tier, Next->m_Tiers[Tier].m_Requests.begin());
   double Cost = std::max(count(Taken.m_Cost), 1.0);
   double &Virtual = m_VirtualTime[Tier];
+  // What accounts leave unused goes to the others, so time moves on to the earliest one that waits.
+  Virtual = std::max(Virtual, BestStart);
   Next->m_Tiers[Tier].m_Finish =
       std::max(Next->m_Tiers[Tier].m_Finish, Virtual) + Cost / Next->m_Weight;
   Next->m_Started += Cost;
@@ -262,15 +319,27 @@
          std::min(count(m_TierWork[1 - Tier]), Before * TierShare[1 - Tier] / TierShare[Tier]);
 }
 
-double FairQueue::slotsFor(std::size_t Tier, double Slots, TimePoint Now) const {
-  if (Tier == NeverLostTier)
+double FairQueue::slotsFor(const QueuedRequest &Request, double Slots, TimePoint Now) const {
+  if (!isSmall(ownerOf(Request)))
+    Slots -= reservedSlots(Slots);
+  if (tierOf(Request) == NeverLostTier)
     return Slots;
   // Never-lost requests that arrive later go first, at the rate of recent ones.
   double Rate = m_NeverLostStarted * std::exp(-count(Now - m_RatesTaken) / RateMemory) / RateMemory;
   return std::max(Slots - Rate, Slots * TierShare[OrdinaryTier]);
 }
 
-Duration FairQueue::predictedWait(const QueuedRequest &Candidate, double Slots,
+/// The time until a request starts that has `Ahead` of work before it.
+Duration FairQueue::waitFor(double Ahead, double Slots, const Pace &Current) {
+  double MeanCost = std::max(count(Current.m_MeanCost), 1.0);
+  // Each start waits for one slot to become free, on average after this time.
+  double Interval = MeanCost / Slots;
+  double Starts = Ahead / MeanCost + Current.m_Excess + 1;
+  return Duration(static_cast<Duration::rep>(
+      Interval * std::max(Starts + Current.m_Margin * std::sqrt(Starts), 0.0)));
+}
+
+Duration FairQueue::predictedWait(const QueuedRequest &Candidate, const Pace &Current,
                                   TimePoint Now) const {
   std::size_t Tier = tierOf(Candidate);
   const ClientAccountId &Name = ownerOf(Candidate);
@@ -282,26 +351,23 @@
         break;
       OwnAhead += count(Request.m_Cost);
     }
-  // A slot becomes free each time one of the requests in flight ends, on average after the cost of
-  // the candidate divided by the number of slots.
-  double Available = slotsFor(Tier, Slots, Now);
-  double Ahead = workBefore(Name, Tier, OwnAhead, Available) + count(Candidate.m_Cost);
-  return Duration(static_cast<Duration::rep>(Ahead / Available));
+  double Available = slotsFor(Candidate, Current.m_Slots, Now);
+  return waitFor(workBefore(Name, Tier, OwnAhead, Available), Available, Current);
 }
 
-bool FairQueue::delaysOthers(const QueuedRequest &Candidate, double Slots, TimePoint Now) const {
+bool FairQueue::delaysOthers(const QueuedRequest &Candidate, const Pace &Current,
+                             TimePoint Now) const {
   std::size_t Tier = tierOf(Candidate);
   const ClientAccountId &Name = ownerOf(Candidate);
   auto Found = m_Accounts.find(Name);
   if (Found == m_Accounts.end())
     return false;
-  double Available = slotsFor(Tier, Slots, Now);
+  double Available = slotsFor(Candidate, Current.m_Slots, Now);
   double OwnAhead = 0;
   for (const auto &[Position, Request] : Found->second.m_Tiers[Tier].m_Requests) {
     if (Position.first > Candidate.m_LatestStart) {
       double Before = workBefore(Name, Tier, OwnAhead + count(Candidate.m_Cost), Available);
-      double Wait = (Before + count(Request.m_Cost)) / Available;
-      if (Now + Duration(static_cast<Duration::rep>(Wait)) > Request.m_LatestStart)
+      if (Now + waitFor(Before, Available, Current) > Request.m_LatestStart)
         return true;
     }
     OwnAhead += count(Request.m_Cost);
--- a/src/librouting/RequestScheduler.cpp
+++ b/src/librouting/RequestScheduler.cpp
@@ -13,13 +13,10 @@
 
 /// Weight of the newest limit, ten of which arrive in a second.
 constexpr double SmoothGain = 0.1;
-/// Waits shorter than this say little about predictions.
-constexpr Duration MinComparedWait = std::chrono::milliseconds(30);
-/// The part of waits that corrected predictions cover, the step of the correction and its limits.
+/// The part of waits that predictions cover, the step of their margin and its limits.
 constexpr double CoveredWaits = 0.9;
-constexpr double CorrectionStep = 0.03;
-constexpr double MinCorrection = 0.8;
-constexpr double MaxCorrection = 4;
+constexpr double MarginStep = 0.05;
+constexpr double MaxMargin = 4;
 
 } // namespace
 
@@ -79,28 +76,33 @@
   Added.m_Class = Request.m_Class;
   Added.m_Cost = m_Admission.expectedCost(Request);
   Added.m_Priority = Target ? Target->m_Priority : 0;
-  Added.m_NeverLost = Target && Target->m_NeverLost;
+  Added.m_NeverLost = Target && Target->m_NeverLost && m_Rules.m_NeverLostLast;
   AdmissionController::StartWindow Window = m_Admission.startWindow(Request, Now);
   Added.m_LatestStart = Window.m_Latest;
   Added.m_GiveUpAt = Window.m_GiveUpAt;
   Added.m_Arrived = Now;
 
   double Limit = std::max(m_Admission.inFlightLimit(Request.m_Service), 1.0);
-  bool HasRoom = static_cast<double>(Owner.m_InFlight) < Limit && Owner.m_Queue.length() == 0;
+  double InFlight = static_cast<double>(Owner.m_InFlight);
+  bool IsSmall = Owner.m_Queue.isSmall(Request.m_Account);
+  bool HasRoom = IsSmall ? InFlight < Limit && !Owner.m_Queue.hasSmallQueued()
+                         : InFlight < Limit - Owner.m_Queue.reservedSlots(Limit) &&
+                               Owner.m_Queue.length() == 0;
   Duration Wait{0};
   bool DelaysOthers = false;
   if (!HasRoom) {
+    FairQueue::Pace Current;
+    Current.m_Slots = std::max(Owner.m_SmoothLimit > 0 ? Owner.m_SmoothLimit : Limit, 1.0);
+    Current.m_MeanCost = Owner.m_InFlight > 0
+                             ? Owner.m_CostInFlight / static_cast<Duration::rep>(Owner.m_InFlight)
+                             : Added.m_Cost;
     // After the limit was lowered, requests in flight above it have to end first.
-    double Slots = std::max(Owner.m_SmoothLimit > 0 ? Owner.m_SmoothLimit : Limit, 1.0);
-    double Excess = std::max(static_cast<double>(Owner.m_InFlight) - Limit, 0.0);
-    Duration Cost = Owner.m_CostInFlight / std::max<std::size_t>(Owner.m_InFlight, 1);
-    Duration Blocked(
-        static_cast<Duration::rep>(static_cast<double>(Cost.count()) * Excess / Slots));
-    Slots /= Owner.m_Correction;
-    Wait = Blocked + Owner.m_Queue.predictedWait(Added, Slots, Now);
+    Current.m_Excess = std::max(InFlight - Limit, 0.0);
+    Current.m_Margin = Owner.m_Margin;
+    Wait = Owner.m_Queue.predictedWait(Added, Current, Now);
     Added.m_PredictedWait = Wait;
     // Work that must not be lost displaces other work.
-    DelaysOthers = !Added.m_NeverLost && Owner.m_Queue.delaysOthers(Added, Slots, Now);
+    DelaysOthers = !Added.m_NeverLost && Owner.m_Queue.delaysOthers(Added, Current, Now);
   }
   if (auto Refused = m_Admission.assess(Request, Window, Wait, DelaysOthers, Now)) {
     refuse(Request.m_Id, *Refused, Actions);
@@ -139,20 +141,20 @@
 
 void RequestScheduler::learnFromWait(ServiceQueue &Owner, const QueuedRequest &Request,
                                      TimePoint Now) {
-  if (Request.m_PredictedWait < MinComparedWait)
+  if (Request.m_PredictedWait == Duration(0))
     return;
-  // The prediction included the correction of that time, so the ratio should be about 1.
   bool WasLonger = Now - Request.m_Arrived > Request.m_PredictedWait;
-  Owner.m_Correction *=
-      1 + (WasLonger ? CorrectionStep * CoveredWaits : -CorrectionStep * (1 - CoveredWaits));
-  Owner.m_Correction = std::clamp(Owner.m_Correction, MinCorrection, MaxCorrection);
+  Owner.m_Margin += MarginStep * (WasLonger ? CoveredWaits : CoveredWaits - 1);
+  Owner.m_Margin = std::clamp(Owner.m_Margin, 0.0, MaxMargin);
 }
 
 void RequestScheduler::startWhatFits(ServiceQueue &Owner, const ServiceId &Service, TimePoint Now,
                                      std::vector<SchedulerAction> &Actions) {
   double Limit = std::max(m_Admission.inFlightLimit(Service), 1.0);
   while (static_cast<double>(Owner.m_InFlight) < Limit) {
-    std::optional<QueuedRequest> Next = Owner.m_Queue.pop(Now);
+    bool SmallOnly =
+        static_cast<double>(Owner.m_InFlight) >= Limit - Owner.m_Queue.reservedSlots(Limit);
+    std::optional<QueuedRequest> Next = Owner.m_Queue.pop(Now, SmallOnly);
     if (!Next)
       return;
     learnFromWait(Owner, *Next, Now);
