--- a/src/bench/TrafficSimulation.h
+++ b/src/bench/TrafficSimulation.h
@@ -80,6 +80,9 @@
   /// Prompts share the text of one of this many documents of their class.
   std::uint32_t m_Documents = 100;
   std::uint32_t m_CacheBlocks = 500;
+  /// Share of requests that continue one of this many conversations.
+  double m_InConversation = 0;
+  std::uint32_t m_Conversations = 50;
   std::vector<Fault> m_Faults;
   /// The lagging list repeats records as they were this long ago; 0 for no list.
   Duration m_ListLag{0};
@@ -260,6 +263,9 @@
     std::vector<std::uint32_t> m_OwnCounts;
     /// Upstreams that the instance was told to be leaving or dead, by incarnation.
     std::map<std::uint32_t, Incarnation> m_Gone;
+    /// The newest incarnation that it was told of. Notices of older ones say nothing about this
+    /// one.
+    std::map<std::uint32_t, Incarnation> m_Newest;
   };
 
   struct Attempt {
@@ -428,6 +434,9 @@
     Request.m_Class = Kind.m_Target.m_Class;
     Request.m_NonIdempotent = Kind.m_Target.m_NonIdempotent;
     Request.m_EstimatedTokens = Kind.m_PromptBlocks * TokensPerBlock + Kind.m_AnswerTokens;
+    if (m_Options.m_InConversation > 0 && chance(m_Random, m_Options.m_InConversation))
+      Request.m_Conversation = ConversationId(
+          "talk-" + std::to_string(uniformBelow(m_Random, m_Options.m_Conversations)));
     // The last quarter of a prompt belongs to the request alone.
     std::uint64_t Document = uniformBelow(m_Random, m_Options.m_Documents);
     std::uint64_t Block = 0;
@@ -871,7 +880,9 @@
         bool IsGone =
             Record.m_State == InstanceState::Leaving || Record.m_State == InstanceState::Dead;
         auto Known = Self.m_Gone.find(Index);
-        if (IsGone)
+        Incarnation &Newest = Self.m_Newest[Index];
+        Newest = std::max(Newest, Record.m_Incarnation);
+        if (IsGone && Record.m_Incarnation == Newest)
           Self.m_Gone[Index] = Record.m_Incarnation;
         else if (Known != Self.m_Gone.end() && Record.m_Incarnation > Known->second)
           Self.m_Gone.erase(Known);
--- a/src/librouting/RequestScheduler.cpp
+++ b/src/librouting/RequestScheduler.cpp
@@ -161,7 +161,8 @@
     auto Description = m_Queued.extract(Next->m_Id);
     m_Budget.onFirstAttempt(Next->m_Account);
     ++Owner.m_InFlight;
-    WithinLimit.check(static_cast<double>(Owner.m_InFlight) < Limit + 1);
+    // Adding 1 to the limit instead could round it down to the count.
+    WithinLimit.check(static_cast<double>(Owner.m_InFlight - 1) < Limit);
     Owner.m_CostInFlight += Next->m_Cost;
     m_Started.emplace(Next->m_Id, Started{std::move(Description.mapped()), Next->m_Cost});
     Actions.push_back({SchedulerAction::Kind::Start, Next->m_Id, {}});
--- a/src/librouting/Router.cpp
+++ b/src/librouting/Router.cpp
@@ -598,7 +598,8 @@
     return;
   }
   Upstream &Known = m_State->at(Found->second);
-  if (Number < Known.m_Record.m_Incarnation || isFinal(Known.m_Record.m_State)) {
+  bool IsKnown = Number == Known.m_Record.m_Incarnation && isFinal(Known.m_Record.m_State);
+  if (Number < Known.m_Record.m_Incarnation || IsKnown) {
     ++m_State->m_Counters.m_StaleRecords;
     return;
   }
--- a/src/librouting/Router_test.cpp
+++ b/src/librouting/Router_test.cpp
@@ -130,6 +130,11 @@
   F.m_Router.onLeaving(runner(7).m_Id, Incarnation(1), Start);
   F.m_Router.onInstance(runner(7), Start);
   CHECK(F.spread(40).count("runner-7") == 0);
+  // The same for the second life of an upstream that had left before.
+  F.m_Router.onLeaving(runner(1).m_Id, Incarnation(1), Start);
+  F.m_Router.onLeaving(runner(1).m_Id, Incarnation(2), Start);
+  F.m_Router.onInstance(runner(1, 2), Start);
+  CHECK(F.spread(40).count("runner-1") == 0);
 }
 
 // Guards against traffic for an upstream that has not reported which model it serves.
