Test membership and configuration changes under random faults

Change: FakeDeployment runs the real code on a fake network and store in virtual time. Found by them: a watcher that took over from lost ones answered other watchers as if it had heard the member, which delayed the detection of a rack's loss beyond 5 s; watchers now answer only from what they heard.

--- a/src/include/Fescuegauge/Membership.h
+++ b/src/include/Fescuegauge/Membership.h
@@ -54,7 +54,7 @@
   /// Members in one SyncReply; more follow on the next request.
   static constexpr std::size_t MaxSyncUpdates = 96;
   /// Members in every other message; the rest goes with later ones.
-  static constexpr std::size_t MaxUpdates = 16;
+  static constexpr std::size_t MaxUpdates = 32;
   static constexpr std::size_t MaxQuiet = 16;
   static constexpr std::size_t MaxAttachmentBytes = 64;
   static constexpr std::size_t MaxBytes = 65536;
@@ -118,7 +118,7 @@
   /// with a heartbeat interval, so that such a pause alone causes no suspicion.
   static constexpr Duration SuspectAfter = std::chrono::milliseconds(2200);
   /// Time in which a suspected member can refute before it is declared dead.
-  static constexpr Duration SuspectTimeout = std::chrono::milliseconds(1400);
+  static constexpr Duration SuspectTimeout = std::chrono::milliseconds(1200);
   /// A watcher that heard nobody for this long is cut off itself and suspects nobody.
   static constexpr Duration IsolatedAfter = std::chrono::milliseconds(1200);
   /// A gap between two calls of onTime() above this means that this process was paused.
@@ -231,6 +231,8 @@
   struct Watch {
     TimePoint m_Heard{};
     TimePoint m_NextProbe{};
+    /// False while m_Heard is only the time at which watching began.
+    bool m_WasHeard = false;
   };
 
   bool merge(const MemberUpdate &Update, TimePoint Now, Actions &Out, bool Spread = true);
@@ -245,6 +247,7 @@
   void checkWatched(TimePoint Now, Actions &Out);
   void declare(const InstanceId &Id, InstanceState State, TimePoint Now, Actions &Out);
   void heard(const InstanceId &From, TimePoint Now);
+  void addDepartures(MembershipMessage &To, TimePoint Now);
   void chooseSource(TimePoint Now);
   void contactSeeds(TimePoint Now, Actions &Out);
   void sync(const InstanceId &To, TimePoint Now, Actions &Out);
--- a/src/libmembership/Membership.cpp
+++ b/src/libmembership/Membership.cpp
@@ -14,9 +14,9 @@
 Invariant IncarnationNeverDecreases("membership.incarnation_never_decreases");
 Invariant NoRevivalOfSameIncarnation("membership.no_revival_of_same_incarnation");
 
-/// Departures in the last few seconds go along on probes; see recentDepartures().
+/// Departures in the last few seconds go along on probes; see addDepartures().
 constexpr Duration RecentDeparture = std::chrono::seconds(6);
-constexpr std::size_t MaxRecentDepartures = MembershipMessage::MaxUpdates;
+constexpr std::size_t MaxRecentDepartures = 128;
 /// A watcher that hears nobody gives up the idea that it is cut off itself after this.
 constexpr Duration IsolatedLimit = std::chrono::seconds(10);
 /// Fewer local members than this say nothing about whether this process is cut off.
@@ -32,7 +32,7 @@
 /// A watcher that takes over a member, because earlier watchers are gone, suspects it after this
 /// unless it answers a probe or another watcher hears it. Were all watchers lost together with the
 /// member, nobody else would notice it in time.
-constexpr Duration TakeOverGrace = std::chrono::milliseconds(700);
+constexpr Duration TakeOverGrace = std::chrono::milliseconds(500);
 /// Heartbeats after a change of the own record that carry the whole record.
 constexpr int AnnounceHeartbeats = 3;
 
@@ -397,10 +397,11 @@
         Known.m_Record->m_State == InstanceState::Dead || !isWatcherOf(Id))
       continue;
     auto Found = m_Watched.find(Id);
-    bool TakenOver =
-        m_StartedAt + 2 * SuspectAfter < Now && Known.m_StateSince + 2 * SuspectAfter < Now;
+    bool TakenOver = m_StartedAt + 2 * SuspectAfter < Now &&
+                     (Known.m_Record->m_State == InstanceState::Suspect ||
+                      Known.m_StateSince + 2 * SuspectAfter < Now);
     TimePoint Heard = TakenOver ? Now - SuspectAfter + TakeOverGrace : Now;
-    Watched[Id] = Found == m_Watched.end() ? Watch{Heard, Now} : Found->second;
+    Watched[Id] = Found == m_Watched.end() ? Watch{Heard, Now, false} : Found->second;
   }
   m_Watched = std::move(Watched);
 }
@@ -413,8 +414,10 @@
   if (Found->second.m_Record->m_DataCentre == m_Self->m_DataCentre)
     m_LastHeard = Now;
   auto Watched = m_Watched.find(From);
-  if (Watched != m_Watched.end())
+  if (Watched != m_Watched.end()) {
     Watched->second.m_Heard = Now;
+    Watched->second.m_WasHeard = true;
+  }
 }
 
 Membership::Actions Membership::onMessage(const InstanceId &From, const MembershipMessage &Message,
@@ -438,18 +441,6 @@
     Reply.m_Updates.push_back(updateFor(Found->second));
   if (Message.m_NeedRecord)
     Reply.m_Updates.push_back(selfUpdate());
-  auto AddDepartures = [&] {
-    for (auto Item = m_Log.rbegin();
-         Item != m_Log.rend() && Reply.m_Updates.size() < MaxRecentDepartures; ++Item) {
-      const Member &Recent = m_Members.at(Item->second);
-      if (Recent.m_StateSince + RecentDeparture < Now)
-        break;
-      if (isUrgent(Recent.m_Record->m_State))
-        Reply.m_Updates.push_back(
-            {Item->second, Recent.m_Record->m_Incarnation, Recent.m_Record->m_State, nullptr});
-    }
-  };
-
   switch (Message.m_Kind) {
   case Kind::Heartbeat: {
     if (Message.m_LogEpoch != 0) {
@@ -473,13 +464,14 @@
   }
   case Kind::Probe:
     Reply.m_Kind = Kind::ProbeAck;
-    AddDepartures();
+    addDepartures(Reply, Now);
     send(From, std::move(Reply), Out);
     break;
   case Kind::QuietQuery: {
     Reply.m_Kind = Kind::QuietAnswer;
     for (const MembershipMessage::Quiet &Asked : Message.m_Quiet)
-      if (auto Watched = m_Watched.find(Asked.m_Id); Watched != m_Watched.end())
+      if (auto Watched = m_Watched.find(Asked.m_Id);
+          Watched != m_Watched.end() && Watched->second.m_WasHeard)
         Reply.m_Quiet.push_back({Asked.m_Id, Now - Watched->second.m_Heard});
     if (!Reply.m_Quiet.empty())
       send(From, std::move(Reply), Out);
@@ -538,6 +530,24 @@
   return Out;
 }
 
+void Membership::addDepartures(MembershipMessage &To, TimePoint Now) {
+  std::vector<MemberUpdate> Recent;
+  for (auto Item = m_Log.rbegin(); Item != m_Log.rend() && Recent.size() < MaxRecentDepartures;
+       ++Item) {
+    const Member &Known = m_Members.at(Item->second);
+    if (Known.m_StateSince + RecentDeparture < Now)
+      break;
+    if (isUrgent(Known.m_Record->m_State))
+      Recent.push_back(
+          {Item->second, Known.m_Record->m_Incarnation, Known.m_Record->m_State, nullptr});
+  }
+  // After the loss of many, different messages carry different ones.
+  std::size_t First = uniformBelow(m_Random, Recent.size());
+  for (std::size_t Index = 0;
+       Index < Recent.size() && To.m_Updates.size() < MembershipMessage::MaxUpdates; ++Index)
+    To.m_Updates.push_back(std::move(Recent[(First + Index) % Recent.size()]));
+}
+
 void Membership::chooseSource(TimePoint Now) {
   auto Present = std::find(m_Watchers.begin(), m_Watchers.end(), m_LogSource);
   if (m_Watchers.empty() || (Present != m_Watchers.end() && m_SourceHeard + SourceTimeout > Now))
@@ -753,8 +763,10 @@
   }
   if (Now >= m_NextProbe) {
     m_NextProbe = Now + jittered(m_Random, ProbeInterval);
+    MembershipMessage Probe = message(Kind::Probe);
+    addDepartures(Probe, Now);
     for (const InstanceId &Id : sampleLocalEntries(1))
-      send(Id, message(Kind::Probe), Out);
+      send(Id, Probe, Out);
   }
   if (Now >= m_NextCrossProbe) {
     m_NextCrossProbe = Now + jittered(m_Random, CrossProbeInterval);
--- a/src/libtargets/FakeDeployment.h
+++ b/src/libtargets/FakeDeployment.h
@@ -28,6 +28,7 @@
     std::uint64_t m_Life = 0;
     bool m_Alive = false;
     TimePoint m_PausedUntil{};
+    TimePoint m_StartedAt{};
     TimePoint m_Wake{};
     bool m_PeersChanged = true;
     TimePoint m_PeersSetAt{};
@@ -51,6 +52,8 @@
   double m_Loss = 0;
   double m_Duplicate = 0;
   Duration m_ExtraDelay{};
+  /// Share of deltas that lose an entry on the way.
+  double m_Corrupt = 0;
   bool m_MeasureCpu = false;
   /// Pairs of data centres that cannot reach each other, and data centres cut off from the store.
   std::set<std::pair<std::size_t, std::size_t>> m_Cut;
@@ -64,7 +67,7 @@
   std::map<ChangeNumber, Digest> m_Contents;
   /// Accepted numbers with the time at which the operator was told.
   std::map<ChangeNumber, TimePoint> m_Accepted;
-  std::vector<ChangeOutcome> m_Outcomes;
+  std::vector<std::pair<ChangeId, ChangeOutcome>> m_Outcomes;
   std::vector<std::string> m_Violations;
   /// Called when a process has a new number in force.
   std::function<void(Process &, ChangeNumber)> m_OnInForce;
@@ -114,6 +117,7 @@
     ++Started.m_Life;
     Started.m_Alive = true;
     Started.m_PausedUntil = {};
+    Started.m_StartedAt = m_Events.now();
     Started.m_Writers.clear();
     Started.m_HighestInForce = ChangeNumber();
     auto Record = std::make_shared<InstanceRecord>(*Started.m_Record);
@@ -170,6 +174,7 @@
       return;
     std::uint64_t Key = m_NextWriter++;
     auto &Writer = Entry.m_Writers[Key];
+    m_WriterIds[Key] = Request.m_Id;
     Writer = std::make_unique<ChangeWriter>(std::move(Request), m_WriterRules);
     perform(Number, Key, Writer->start(Entry.m_Replica->configuration(), m_Events.now()));
   }
@@ -315,7 +320,7 @@
       } else if (auto *CatchUp = std::get_if<ChangeWriter::CatchUp>(&Action)) {
         run(Of, [&] { return Of.m_Replica->catchUp(CatchUp->m_Number, m_Events.now()); });
       } else if (auto *Done = std::get_if<ChangeWriter::Finish>(&Action)) {
-        m_Outcomes.push_back(Done->m_Outcome);
+        m_Outcomes.emplace_back(m_WriterIds[Key], Done->m_Outcome);
         if (Done->m_Outcome.m_Status == ChangeOutcome::Status::Accepted)
           m_Accepted.emplace(Done->m_Outcome.m_Number, m_Events.now());
         auto Accepted = Done->m_Accepted;
@@ -372,6 +377,8 @@
       At.m_CpuNanoseconds += cpuNow() - Before;
       if (!Message)
         return m_Violations.push_back("undecodable configuration message");
+      if (!Message->m_Entries.empty() && chance(m_Random, m_Corrupt))
+        Message->m_Entries.pop_back();
       run(At, [&] { return At.m_Replica->onMessage(From, *Message, m_Events.now()); });
     }
     scheduleWake(m_ByName.at(At.m_Record->m_Id));
@@ -434,6 +441,7 @@
   }
 
   std::uint64_t m_NextWriter = 1;
+  std::map<std::uint64_t, ChangeId> m_WriterIds;
 };
 
 } // namespace fescuegauge
