--- /dev/null
+++ b/src/bench/TargetsBench.cpp
@@ -0,0 +1,307 @@
+#include "../libtargets/FakeDeployment.h"
+#include "Fescuegauge/Figure.h"
+
+#include <algorithm>
+#include <iostream>
+
+using namespace fescuegauge;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t DataCentres = 4;
+
+constexpr std::size_t agentsFor(std::size_t Nodes) { return Nodes * 910 / 340; }
+
+DeclarationEdit edit(std::size_t Index, int Milliseconds) {
+  TargetDeclaration Target;
+  Target.m_Service = ServiceId("asistente");
+  Target.m_Target.m_Class = WorkClassId("class-" + std::to_string(Index));
+  Target.m_Target.m_AnswerWithin = milliseconds(Milliseconds);
+  Target.m_Target.m_Priority = 1;
+  return {declarationName(Target), Target};
+}
+
+/// A deployment whose processes all hold `Declarations` declarations and know each other.
+std::unique_ptr<FakeDeployment> deployment(std::size_t Nodes, std::uint64_t Seed,
+                                           std::size_t Declarations) {
+  auto Result = std::make_unique<FakeDeployment>(Seed);
+  Result->add(InstanceRole::Entry, Nodes, DataCentres);
+  Result->add(InstanceRole::Agent, agentsFor(Nodes), DataCentres);
+  Result->startAll();
+  Result->m_Events.runFor(seconds(4));
+  std::vector<DeclarationEdit> Edits;
+  for (std::size_t Index = 0; Index < Declarations; ++Index) {
+    Edits.push_back(edit(Index, 2000));
+    if (Edits.size() == 100 || Index + 1 == Declarations) {
+      Result->apply(0, {ChangeId("first-" + std::to_string(Index)), "ana", {}, Edits});
+      Result->m_Events.runFor(seconds(3));
+      Edits.clear();
+    }
+  }
+  return Result;
+}
+
+double percentile(std::vector<double> Values, double Share) {
+  if (Values.empty())
+    return 1e9;
+  std::sort(Values.begin(), Values.end());
+  auto Index = static_cast<std::size_t>(Share * static_cast<double>(Values.size()));
+  return Values[std::min(Index, Values.size() - 1)];
+}
+
+/// Time until each process has an accepted change in force.
+void measureInForce(FigureReport &Report) {
+  auto Sim = deployment(340, 1, 200);
+  Sim->m_Loss = 0.1;
+  std::vector<double> Latencies;
+  std::map<ChangeNumber, std::vector<TimePoint>> Reached;
+  Sim->m_OnInForce = [&](FakeDeployment::Process &, ChangeNumber Number) {
+    Reached[Number].push_back(Sim->m_Events.now());
+  };
+  constexpr int Changes = 10;
+  std::uint64_t Missing = 0;
+  ChangeNumber Before = Sim->m_Processes[0].m_Replica->configuration().number();
+  for (int Index = 0; Index < Changes; ++Index) {
+    Sim->apply(Sim->randomEntry(),
+               {ChangeId("c" + std::to_string(Index)), "ana", {}, {edit(7, 1000 + Index)}});
+    Sim->m_Events.runFor(seconds(4));
+  }
+  for (const auto &[Number, At] : Sim->m_Accepted) {
+    if (Number <= Before)
+      continue;
+    Missing += Sim->m_Processes.size() - Reached[Number].size();
+    for (TimePoint When : Reached[Number])
+      Latencies.push_back(std::max(0.0, toSeconds(When - At)));
+  }
+  // A process that skipped a number got it with a later one, so it counts as not reached in time.
+  for (std::uint64_t Index = 0; Index < Missing; ++Index)
+    Latencies.push_back(4);
+  Report.add({"targets.in_force_p999_s.nodes340",
+              percentile(Latencies, 0.999),
+              "s",
+              Figure::Limit::AtMost,
+              3,
+              {{"median", percentile(Latencies, 0.5)},
+               {"p99", percentile(Latencies, 0.99)},
+               {"max", percentile(Latencies, 1)},
+               {"polling_only", toSeconds(ConfigurationReplica::PollInterval)}}});
+}
+
+/// Bytes and processor time of a node at the rates of section 2 of the design page: one change (one
+/// every 72 s), and restarts as if all nodes were restarted within an hour, at least one.
+void measureControl(FigureReport &Report, std::size_t Nodes) {
+  auto Sim = deployment(Nodes, 2, 200);
+  constexpr seconds Window(30);
+  std::size_t Restarts = (Nodes * 30 + 3599) / 3600;
+  Sim->m_MeasureCpu = true;
+  for (auto &Process : Sim->m_Processes)
+    Process.m_SentBytes = Process.m_ReceivedBytes = Process.m_CpuNanoseconds = 0;
+  std::uint64_t Reads = Sim->m_Store.m_Reads;
+  TimePoint Start = Sim->m_Events.now();
+  Sim->apply(Sim->randomEntry(), {ChangeId("c"), "ana", {}, {edit(3, 1500)}});
+  for (std::size_t Restart = 0; Restart < Restarts; ++Restart) {
+    std::size_t Number = Sim->randomEntry();
+    Sim->leave(Number);
+    Sim->m_Events.runFor(seconds(2));
+    Sim->kill(Number);
+    Sim->m_Events.runFor(seconds(1));
+    Sim->start(Number, false);
+    Sim->m_Events.runFor(seconds(4));
+  }
+  Sim->m_Events.runUntil(Start + Window);
+  double Length = toSeconds(Window);
+  double Sent = 0;
+  double Both = 0;
+  double MaxBoth = 0;
+  double Cpu = 0;
+  double AgentBoth = 0;
+  std::size_t Agents = 0;
+  for (const auto &Process : Sim->m_Processes) {
+    double Total = static_cast<double>(Process.m_SentBytes + Process.m_ReceivedBytes) / Length;
+    if (Process.m_Record->m_Role != InstanceRole::Entry) {
+      AgentBoth += Total;
+      ++Agents;
+      continue;
+    }
+    Sent += static_cast<double>(Process.m_SentBytes) / Length;
+    Both += Total;
+    MaxBoth = std::max(MaxBoth, Total);
+    Cpu += static_cast<double>(Process.m_CpuNanoseconds) / 1e9 / Length * 100;
+  }
+  auto Count = static_cast<double>(Nodes);
+  std::string Suffix = ".nodes" + std::to_string(Nodes);
+  Report.add({"targets.control_bytes_per_node_s" + Suffix,
+              Both / Count,
+              "B/s",
+              Figure::Limit::AtMost,
+              3000,
+              {{"sent", Sent / Count},
+               {"busiest_node", MaxBoth},
+               {"agent", AgentBoth / static_cast<double>(Agents)}}});
+  Report.add({"targets.control_cpu_percent" + Suffix,
+              Cpu / Count,
+              "percent",
+              Figure::Limit::AtMost,
+              2.2,
+              {}});
+  if (Nodes == 340)
+    Report.add({"targets.platform_reads_per_s" + Suffix,
+                static_cast<double>(Sim->m_Store.m_Reads - Reads) / Length,
+                "reads/s",
+                Figure::Limit::AtMost,
+                2000,
+                {{"every_process_polls", 2.0 * static_cast<double>(Sim->m_Processes.size())}}});
+}
+
+/// Time from the death of processes until every live entry instance of their data centre knows.
+void measureDetection(FigureReport &Report) {
+  auto Sim = deployment(340, 3, 0);
+  std::map<InstanceId, TimePoint> Killed;
+  std::vector<double> Suspected;
+  std::vector<double> Removed;
+  std::map<InstanceId, std::size_t> RemovedBy;
+  Sim->m_OnMemberChange = [&](FakeDeployment::Process &At, const InstanceRecord &Record) {
+    auto Found = Killed.find(Record.m_Id);
+    if (Found == Killed.end() || At.m_Record->m_Role != InstanceRole::Entry ||
+        At.m_Record->m_DataCentre != Record.m_DataCentre)
+      return;
+    double Elapsed = toSeconds(Sim->m_Events.now() - Found->second);
+    if (Record.m_State == InstanceState::Dead) {
+      Removed.push_back(Elapsed);
+      ++RemovedBy[Record.m_Id];
+    } else if (Record.m_State == InstanceState::Suspect) {
+      Suspected.push_back(Elapsed);
+    }
+  };
+  auto Kill = [&](std::size_t Number) {
+    Killed[Sim->m_Processes[Number].m_Record->m_Id] = Sim->m_Events.now();
+    Sim->kill(Number);
+  };
+  for (std::size_t Index = 0; Index < 10; ++Index) {
+    Kill(Index * 31);
+    Kill(340 + Index * 77);
+    Sim->m_Events.runFor(milliseconds(700));
+  }
+  Sim->m_Events.runFor(seconds(8));
+  std::uint64_t MessagesBefore = 0;
+  for (const auto &Process : Sim->m_Processes)
+    MessagesBefore += Process.m_Messages;
+  Sim->m_Events.runFor(seconds(8));
+  std::uint64_t MessagesQuiet = 0;
+  for (const auto &Process : Sim->m_Processes)
+    MessagesQuiet += Process.m_Messages;
+  // Tens at once, half of them in one data centre.
+  std::size_t Lost = 0;
+  for (std::size_t Number = 4; Lost < 60; Number += 4 + (Lost % 2))
+    if (Sim->m_Processes[Number].m_Alive) {
+      Kill(Number);
+      ++Lost;
+    }
+  Sim->m_Events.runFor(seconds(8));
+  std::uint64_t MessagesAfter = 0;
+  for (const auto &Process : Sim->m_Processes)
+    MessagesAfter += Process.m_Messages;
+  std::size_t Unnoticed = 0;
+  for (const auto &[Id, When] : Killed) {
+    std::size_t LiveEntries = 0;
+    for (const auto &Process : Sim->m_Processes)
+      LiveEntries += Process.m_Alive && Process.m_Record->m_Role == InstanceRole::Entry &&
+                     Process.m_Record->m_DataCentre ==
+                         Sim->m_Processes[Sim->m_ByName.at(Id)].m_Record->m_DataCentre;
+    Unnoticed += RemovedBy[Id] < LiveEntries ? 1 : 0;
+  }
+  Report.add({"membership.detection_s",
+              percentile(Removed, 1),
+              "s",
+              Figure::Limit::AtMost,
+              5,
+              {{"median", percentile(Removed, 0.5)},
+               {"p99", percentile(Removed, 0.99)},
+               {"suspected_p99", percentile(Suspected, 0.99)}}});
+  Report.add({"membership.undetected_failures",
+              static_cast<double>(Unnoticed),
+              "processes",
+              Figure::Limit::AtMost,
+              0,
+              {}});
+  double Growth = static_cast<double>(MessagesAfter - MessagesQuiet) /
+                  static_cast<double>(MessagesQuiet - MessagesBefore);
+  Report.add(
+      {"membership.messages_after_losing_60", Growth, "times", Figure::Limit::AtMost, 2, {}});
+}
+
+/// Members removed although they live, with 20% loss and a pause of 1 s of every process each
+/// minute on average.
+void runWithLossAndPauses(std::size_t Nodes, seconds Length, double &Removals, double &Suspicions,
+                          double &Hours) {
+  auto Sim = deployment(Nodes, 4, 0);
+  Sim->m_Loss = 0.2;
+  for (seconds Elapsed(0); Elapsed < Length; ++Elapsed) {
+    for (std::size_t Number = 0; Number < Sim->m_Processes.size(); ++Number)
+      if (chance(Sim->m_Random, 1.0 / 60))
+        Sim->pause(Number, seconds(1));
+    Sim->m_Events.runFor(seconds(1));
+  }
+  for (const auto &Process : Sim->m_Processes) {
+    Removals += static_cast<double>(Process.m_Membership->declaredDead());
+    Suspicions += static_cast<double>(Process.m_Membership->declaredSuspect());
+  }
+  Hours += toSeconds(Length) / 3600;
+}
+
+void measureFalseSuspicions(FigureReport &Report) {
+  double Removals = 0;
+  double Suspicions = 0;
+  double Hours = 0;
+  runWithLossAndPauses(340, seconds(30), Removals, Suspicions, Hours);
+  runWithLossAndPauses(40, seconds(200), Removals, Suspicions, Hours);
+  Report.add({"membership.false_suspicions_per_hour",
+              Removals / Hours,
+              "removals/h",
+              Figure::Limit::AtMost,
+              0,
+              {{"suspicions_refuted", Suspicions / Hours}}});
+}
+
+/// Time until all processes have the highest change after a data centre, cut off from everything,
+/// is reachable again.
+void measureHealing(FigureReport &Report) {
+  auto Sim = deployment(40, 5, 200);
+  for (std::size_t Other = 1; Other < DataCentres; ++Other)
+    Sim->cut(0, Other);
+  Sim->m_CutFromStore.insert(0);
+  Sim->m_Events.runFor(seconds(5));
+  for (int Index = 0; Index < 10; ++Index) {
+    Sim->apply(1, {ChangeId("p" + std::to_string(Index)), "ana", {}, {edit(9, 900 + Index)}});
+    Sim->m_Events.runFor(seconds(2));
+  }
+  ChangeNumber Last = Sim->m_Processes[1].m_Replica->configuration().number();
+  TimePoint Healed = Sim->m_Events.now();
+  double Worst = 0;
+  Sim->m_OnInForce = [&](FakeDeployment::Process &, ChangeNumber Number) {
+    if (Number == Last)
+      Worst = std::max(Worst, toSeconds(Sim->m_Events.now() - Healed));
+  };
+  Sim->m_Cut.clear();
+  Sim->m_CutFromStore.clear();
+  Sim->m_Events.runFor(seconds(10));
+  if (!Sim->behind(Last).empty())
+    Worst = 10;
+  Report.add({"targets.convergence_after_partition_s", Worst, "s", Figure::Limit::AtMost, 3, {}});
+}
+
+} // namespace
+
+int main() {
+  FigureReport Report(std::cout);
+  measureInForce(Report);
+  for (std::size_t Nodes : {10, 40, 160, 340})
+    measureControl(Report, Nodes);
+  measureDetection(Report);
+  measureFalseSuspicions(Report);
+  measureHealing(Report);
+  return Report.exitCode();
+}
