Add the operators' tool

Cause: operators declare targets and rollouts and watch the system through any entry instance, some of which are replaced, lag or give broken answers.

A proposal is sent on to the next instance under the same change id. An answer that is lost or not definite is looked up in the history; it is reported as unknown only if it is not there. Treating a later refusal as final was ruled out, because an instance that does not know of the first attempt sees only a stale base.

The tests found that the session's timeout of POCO has no effect on a socket that was connected before, so that an instance that accepts and stays silent held the tool for ever. Timeouts are now set on the socket, and a whole exchange is limited too, since single bytes never let a read time out.

Conclusion: unsound, oversized, endless and missing answers are passed over or end with the exit code of their kind.

--- /dev/null
+++ b/src/fescuegauge/EntryClient.cpp
@@ -0,0 +1,222 @@
+#include "EntryClient.h"
+
+#include "Fescuegauge/EndpointText.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Timespan.h>
+#include <array>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace fescuegauge {
+
+namespace json = boost::json;
+namespace leaf = boost::leaf;
+
+namespace {
+
+/// Nesting of answers; a dump is the deepest.
+constexpr std::size_t MaxAnswerDepth = 64;
+constexpr int HttpOk = 200;
+/// Changes read to find a proposal whose answer was lost. Far more than are accepted in the time
+/// that a proposal takes.
+constexpr int HistoryLookupLimit = 100;
+
+Poco::Timespan timespan(Duration Length) { return {Length.count()}; }
+
+/// Ends a connection that is still in use after a time, so that an instance that sends its answer
+/// byte by byte cannot hold the tool.
+class ExchangeLimit {
+public:
+  ExchangeLimit(const Poco::Net::StreamSocket &Socket, Duration Limit)
+      : m_Socket(Socket), m_Thread([this, Limit] {
+          std::unique_lock Lock(m_Mutex);
+          if (m_Finished.wait_for(Lock, Limit, [this] { return m_IsFinished; }))
+            return;
+          try {
+            m_Socket.shutdown();
+          } catch (const Poco::Exception &) {
+            // The connection has ended by itself.
+          }
+        }) {}
+  ~ExchangeLimit() {
+    {
+      std::lock_guard Lock(m_Mutex);
+      m_IsFinished = true;
+    }
+    m_Finished.notify_one();
+    m_Thread.join();
+  }
+  ExchangeLimit(const ExchangeLimit &) = delete;
+  ExchangeLimit &operator=(const ExchangeLimit &) = delete;
+
+private:
+  Poco::Net::StreamSocket m_Socket;
+  std::mutex m_Mutex;
+  std::condition_variable m_Finished;
+  bool m_IsFinished = false;
+  std::thread m_Thread;
+};
+
+} // namespace
+
+/// What came of one request to one instance.
+struct EntryClient::Exchange {
+  /// False when the request certainly did not reach the instance.
+  bool m_WasSent = false;
+  int m_Status = 0;
+  /// The answer; nothing if none came or it was not sound.
+  std::optional<json::object> m_Answer;
+  /// Why there is no answer.
+  std::string m_Failure;
+
+  /// The error that the instance reported; nothing if it reported none.
+  std::optional<ErrorBody> error() const {
+    if (!m_Answer || m_Status == HttpOk)
+      return std::nullopt;
+    return readErrorBody(*m_Answer);
+  }
+};
+
+EntryClient::EntryClient(std::vector<Endpoint> Entries, ClientLimits Limits)
+    : m_Entries(std::move(Entries)), m_Limits(Limits) {}
+
+EntryClient::Exchange EntryClient::exchange(const Endpoint &Entry, const std::string &Method,
+                                            const std::string &Path,
+                                            const std::string &Body) const {
+  Exchange Result;
+  try {
+    Poco::Net::StreamSocket Socket;
+    Socket.connect(Poco::Net::SocketAddress(Entry.m_Host, Entry.m_Port),
+                   timespan(m_Limits.m_ConnectTimeout));
+    // The session's own timeout applies to connections that it opens itself only.
+    Socket.setReceiveTimeout(timespan(m_Limits.m_ReceiveTimeout));
+    Socket.setSendTimeout(timespan(m_Limits.m_ReceiveTimeout));
+    ExchangeLimit Limit(Socket, m_Limits.m_TotalTimeout);
+    Poco::Net::HTTPClientSession Session(Socket);
+    // Otherwise the session would close the connection and open another one.
+    Session.setKeepAlive(true);
+    Poco::Net::HTTPRequest Request(Method, Path, Poco::Net::HTTPMessage::HTTP_1_1);
+    Request.setHost(endpointText(Entry));
+    Request.set("Connection", "close");
+    Request.set("Accept", "application/json");
+    if (!Body.empty()) {
+      Request.setContentType("application/json");
+      Request.setContentLength64(static_cast<Poco::Int64>(Body.size()));
+    }
+    Result.m_WasSent = true;
+    Session.sendRequest(Request) << Body << std::flush;
+    Poco::Net::HTTPResponse Response;
+    std::istream &In = Session.receiveResponse(Response);
+    Result.m_Status = Response.getStatus();
+    std::string Text;
+    std::array<char, 16384> Buffer{};
+    while (In) {
+      In.read(Buffer.data(), Buffer.size());
+      Text.append(Buffer.data(), static_cast<std::size_t>(In.gcount()));
+      if (Text.size() > m_Limits.m_MaxAnswer.count()) {
+        Result.m_Failure =
+            "answer is larger than " + std::to_string(m_Limits.m_MaxAnswer.count()) + " bytes";
+        return Result;
+      }
+    }
+    json::parse_options Options;
+    Options.max_depth = MaxAnswerDepth;
+    json::error_code Failure;
+    json::value Parsed = json::parse(Text, Failure, {}, Options);
+    if (Failure || !Parsed.is_object())
+      Result.m_Failure =
+          "answer with HTTP status " + std::to_string(Result.m_Status) + " is not a JSON object";
+    else
+      Result.m_Answer = std::move(Parsed.get_object());
+  } catch (const Poco::Exception &Failure) {
+    Result.m_Failure = Failure.displayText();
+  }
+  return Result;
+}
+
+leaf::result<json::object> EntryClient::get(const std::string &Path) {
+  std::string Failures;
+  std::optional<ErrorBody> LastError;
+  for (std::size_t I = 0; I < m_Entries.size(); ++I) {
+    std::size_t Index = (m_Preferred + I) % m_Entries.size();
+    Exchange Result = exchange(m_Entries[Index], "GET", Path, {});
+    std::optional<ErrorBody> Error = Result.error();
+    if (Result.m_Status == HttpOk && Result.m_Answer) {
+      m_Preferred = Index;
+      return std::move(*Result.m_Answer);
+    }
+    if (Error && !mayBeRepeated(Error->m_Kind))
+      return toolError(Error->m_Kind, Error->m_Message);
+    if (Error)
+      LastError = Error;
+    else if (Result.m_Failure.empty())
+      Result.m_Failure = "unexpected HTTP status " + std::to_string(Result.m_Status);
+    Failures += (Failures.empty() ? "" : "; ") + endpointText(m_Entries[Index]) + ": " +
+                (Error ? Error->m_Message : Result.m_Failure);
+  }
+  return toolError(LastError ? LastError->m_Kind : ErrorKind::PeerUnreachable, Failures);
+}
+
+leaf::result<ProposalOutcome> EntryClient::propose(const ChangeProposal &Proposal) {
+  const std::string Body = json::serialize(Proposal.json());
+  std::string Failures;
+  std::optional<ErrorBody> LastError;
+  bool MayHaveTakenEffect = false;
+  for (std::size_t I = 0; I < m_Entries.size(); ++I) {
+    std::size_t Index = (m_Preferred + I) % m_Entries.size();
+    Exchange Result = exchange(m_Entries[Index], "POST", "/operator/targets", Body);
+    if (Result.m_Answer)
+      if (std::optional<ProposalOutcome> Outcome = readProposalOutcome(*Result.m_Answer)) {
+        m_Preferred = Index;
+        // An instance that does not know of the first attempt sees only that the base is stale.
+        if (Outcome->m_Kind == ProposalOutcome::Kind::Refused && MayHaveTakenEffect)
+          if (auto Change = findInHistory(Proposal))
+            return ProposalOutcome{ProposalOutcome::Kind::Accepted, *Change, {}};
+        return std::move(*Outcome);
+      }
+    std::optional<ErrorBody> Error = Result.error();
+    const bool WasNotRun = !Result.m_WasSent || (Error && Error->m_WasRun == WasRun::No);
+    MayHaveTakenEffect |= !WasNotRun;
+    if (Error && WasNotRun && !MayHaveTakenEffect && !mayBeRepeated(Error->m_Kind))
+      return toolError(Error->m_Kind, Error->m_Message);
+    if (Error)
+      LastError = Error;
+    else if (Result.m_Failure.empty())
+      Result.m_Failure = "no definite outcome, HTTP status " + std::to_string(Result.m_Status);
+    Failures += (Failures.empty() ? "" : "; ") + endpointText(m_Entries[Index]) + ": " +
+                (Error ? Error->m_Message : Result.m_Failure);
+  }
+  if (!MayHaveTakenEffect)
+    return toolError(LastError ? LastError->m_Kind : ErrorKind::PeerUnreachable, Failures);
+  if (auto Change = findInHistory(Proposal))
+    return ProposalOutcome{ProposalOutcome::Kind::Accepted, *Change, {}};
+  return toolError(ErrorKind::OutcomeUnknown,
+                   "it is not known whether change " + Proposal.m_Id.str() +
+                       " was accepted; running the command again is harmless (" + Failures + ")");
+}
+
+std::optional<ChangeNumber> EntryClient::findInHistory(const ChangeProposal &Proposal) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::optional<ChangeNumber>> {
+        BOOST_LEAF_AUTO(Answer,
+                        get("/operator/history?after=" + std::to_string(Proposal.m_Base.value()) +
+                            "&limit=" + std::to_string(HistoryLookupLimit)));
+        BOOST_LEAF_AUTO(Changes, readHistory(Answer));
+        for (const HistoryChange &Change : Changes)
+          if (Change.m_Id == Proposal.m_Id)
+            return std::optional(Change.m_Change);
+        return std::optional<ChangeNumber>();
+      },
+      [] { return std::optional<ChangeNumber>(); });
+}
+
+} // namespace fescuegauge
--- a/src/libsettings/DeclarationFile_test.cpp
+++ b/src/libsettings/DeclarationFile_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/leaf/handle_errors.hpp>
 #include <catch2/catch.hpp>
+#include <fstream>
+#include <sstream>
 
 using namespace fescuegauge;
 namespace leaf = boost::leaf;
@@ -154,6 +156,16 @@
         std::vector<std::string>{"d.json:1: declarations: has more than 2000 entries"});
 }
 
+// Guards against a page that describes other keys than the schema.
+TEST_CASE("the committed page ends with the reference made from the schema") {
+  std::ifstream File(FESCUEGAUGE_DOCS "/operator-api.md");
+  std::stringstream Page;
+  Page << File.rdbuf();
+  std::string Reference = declarationReference();
+  Reference.pop_back();
+  CHECK(Page.str().ends_with(Reference));
+}
+
 // Guards against a daemon that accepts by HTTP what the tool refuses in a file.
 TEST_CASE("single declarations are checked like those of a file") {
   CHECK(declarationMistakes({"n", "target", {{"service", "a"}, {"weight", 3}}}) ==
