--- a/src/fescuegauged/OperatorService.cpp
+++ b/src/fescuegauged/OperatorService.cpp
@@ -1,5 +1,6 @@
 #include "OperatorService.h"
 
+#include "Fescuegauge/ControlCodec.h"
 #include "Fescuegauge/Log.h"
 #include "Fescuegauge/Manifest.h"
 #include "Fescuegauge/OriginBudget.h"
@@ -86,12 +87,10 @@
   m_Targets = &Services.find<TargetsService>("targets");
   auto &Rpc = Services.find<RpcService>("rpc");
   m_Loop.postAndWait([this, &Rpc] {
-    Rpc.onTopic(Topic::Operator, [this](const PeerIdentity &, const std::string &Query,
+    Rpc.onTopic(Topic::Operator, [this](const PeerIdentity &From, const std::string &Query,
                                         const ControlReply &Reply) {
       if (Query == ChangeQuery)
-        return Reply(m_Targets->isReady()
-                         ? std::to_string(m_Targets->configuration().number().value())
-                         : std::string());
+        return Reply(confirmationFor(From.m_Instance));
       if (Query != DumpQuery)
         return Reply({});
       auto Text = std::make_shared<std::string>();
@@ -109,6 +108,17 @@
   Http.route("GET /operator/instances", [this](HttpExchange &Exchange) { serveDump(Exchange); });
 }
 
+/// Empty while this instance has no configuration.
+std::string OperatorService::confirmationFor(const InstanceId &Agent) const {
+  if (!m_Targets->isReady())
+    return {};
+  ConfirmationReply Known;
+  Known.m_Change = m_Targets->configuration().number();
+  if (const InstanceRecord *Record = m_Membership->view().find(Agent))
+    Known.m_AgentIncarnation = Record->m_Incarnation;
+  return encodePayload(Known);
+}
+
 void OperatorService::serveTargets(HttpExchange &Exchange) {
   json::array Declarations;
   ChangeNumber Number;
--- a/src/fescuegauged/OperatorService.h
+++ b/src/fescuegauged/OperatorService.h
@@ -22,6 +22,8 @@
   void start(Kernel &Services) override;
 
 private:
+  std::string confirmationFor(const InstanceId &Agent) const;
+
   // Called by HTTP threads.
   void serveTargets(HttpExchange &Exchange);
   void serveChange(HttpExchange &Exchange);
--- a/src/fescuegauged/WeightsService.cpp
+++ b/src/fescuegauged/WeightsService.cpp
@@ -343,19 +343,23 @@
 
 void WeightsService::confirmConfiguration(std::uint64_t Number) {
   auto Waiting = std::make_shared<std::size_t>(m_Membership->view().watchers().size());
-  auto Highest = std::make_shared<std::optional<ChangeNumber>>();
+  auto Known = std::make_shared<std::optional<Confirmation>>();
   if (*Waiting == 0)
     return m_Agent->activator().onConfirmed(Number, std::nullopt, EventLoop::now());
+  Incarnation Own = m_Membership->view().self().m_Incarnation;
   for (const InstanceId &Entry : m_Membership->view().watchers())
-    m_Membership->send(Entry, Topic::Operator, ChangeQuery,
-                       [this, Number, Waiting, Highest](const std::optional<std::string> &Answer) {
-                         if (Answer && !Answer->empty()) {
-                           ChangeNumber Known(std::strtoull(Answer->c_str(), nullptr, 10));
-                           *Highest = std::max(Highest->value_or(Known), Known);
-                         }
-                         if (--*Waiting == 0)
-                           m_Agent->activator().onConfirmed(Number, *Highest, EventLoop::now());
-                       });
+    m_Membership->send(
+        Entry, Topic::Operator, ChangeQuery,
+        [this, Number, Own, Waiting, Known](const std::optional<std::string> &Payload) {
+          if (auto Reply = Payload ? decodeConfirmation(*Payload) : std::nullopt) {
+            Confirmation Sum = Known->value_or(Confirmation());
+            Sum.m_Highest = std::max(Sum.m_Highest, Reply->m_Change);
+            Sum.m_Superseded = Sum.m_Superseded || Reply->m_AgentIncarnation > Own;
+            *Known = Sum;
+          }
+          if (--*Waiting == 0)
+            m_Agent->activator().onConfirmed(Number, *Known, EventLoop::now());
+        });
 }
 
 void WeightsService::verifyStaging(const ActivationCommand &Command) {
--- a/src/include/Fescuegauge/ControlCodec.h
+++ b/src/include/Fescuegauge/ControlCodec.h
@@ -37,6 +37,13 @@
   std::optional<RecordedAnswer> m_Answer;
 };
 
+/// What an entry instance knows, for an agent that is about to command its engine.
+struct ConfirmationReply {
+  ChangeNumber m_Change;
+  /// The highest incarnation of the asking agent that is known; 0 if none.
+  Incarnation m_AgentIncarnation;
+};
+
 // Payloads of control messages as Cap'n Proto messages. A malformed payload decodes to nothing.
 
 std::string encodePayload(const AgentReport &Report);
@@ -45,6 +52,7 @@
 std::string encodePayload(const std::vector<SuspectDelta> &Deltas);
 std::string encodePayload(const ChunkSummary &Summary);
 std::string encodePayload(const AttemptStatementReply &Reply);
+std::string encodePayload(const ConfirmationReply &Reply);
 
 std::optional<AgentReport> decodeAgentReport(std::string_view Payload);
 std::optional<ClaimWrite> decodeClaimWrite(std::string_view Payload);
@@ -52,6 +60,7 @@
 std::optional<std::vector<SuspectDelta>> decodeSuspectDeltas(std::string_view Payload);
 std::optional<ChunkSummary> decodeChunkSummary(std::string_view Payload);
 std::optional<AttemptStatementReply> decodeAttemptStatement(std::string_view Payload);
+std::optional<ConfirmationReply> decodeConfirmation(std::string_view Payload);
 
 } // namespace fescuegauge
 
--- a/src/librpc/ControlCodec.cpp
+++ b/src/librpc/ControlCodec.cpp
@@ -89,7 +89,7 @@
 std::string encodePayload(const ClaimWrite &Write) {
   capnp::MallocMessageBuilder Message;
   auto Out = Message.initRoot<rpc::ClaimWrite>();
-  Out.setTicket(Write.m_Ticket.value());
+  Out.setTicket(Write.m_Ticket.str());
   encode(Write.m_Row, Out.initRow());
   Out.setValue(Write.m_Value);
   auto Guards = Out.initGuards(static_cast<unsigned>(Write.m_Guards.size()));
@@ -101,7 +101,7 @@
 std::string encodePayload(const ClaimWriteResult &Result) {
   capnp::MallocMessageBuilder Message;
   auto Out = Message.initRoot<rpc::ClaimWriteResult>();
-  Out.setTicket(Result.m_Ticket.value());
+  Out.setTicket(Result.m_Ticket.str());
   Out.setStatus(static_cast<std::uint8_t>(Result.m_Status));
   Out.setCurrentKey(Result.m_Current.m_Key);
   Out.setCurrentValue(Result.m_Current.m_Value);
@@ -145,6 +145,23 @@
   return serialized(Message);
 }
 
+std::string encodePayload(const ConfirmationReply &Reply) {
+  capnp::MallocMessageBuilder Message;
+  auto Out = Message.initRoot<rpc::Confirmation>();
+  Out.setChange(Reply.m_Change.value());
+  Out.setAgentIncarnation(Reply.m_AgentIncarnation.value());
+  return serialized(Message);
+}
+
+std::optional<ConfirmationReply> decodeConfirmation(std::string_view Payload) {
+  return decoded<rpc::Confirmation, ConfirmationReply>(
+      Payload, [](auto In, ConfirmationReply &Reply) {
+        Reply.m_Change = ChangeNumber(In.getChange());
+        Reply.m_AgentIncarnation = Incarnation(In.getAgentIncarnation());
+        return true;
+      });
+}
+
 std::optional<AgentReport> decodeAgentReport(std::string_view Payload) {
   return decoded<rpc::AgentReport, AgentReport>(Payload, [](auto In, AgentReport &Report) {
     Report.m_Incarnation = Incarnation(In.getIncarnation());
@@ -162,7 +179,7 @@
 
 std::optional<ClaimWrite> decodeClaimWrite(std::string_view Payload) {
   return decoded<rpc::ClaimWrite, ClaimWrite>(Payload, [](auto In, ClaimWrite &Write) {
-    Write.m_Ticket = ClaimTicket(In.getTicket());
+    Write.m_Ticket = ClaimTicket(stringOf(In.getTicket()));
     Write.m_Row = decode(In.getRow());
     Write.m_Value = stringOf(In.getValue());
     for (auto Guard : In.getGuards())
@@ -174,7 +191,7 @@
 std::optional<ClaimWriteResult> decodeClaimWriteResult(std::string_view Payload) {
   return decoded<rpc::ClaimWriteResult, ClaimWriteResult>(
       Payload, [](auto In, ClaimWriteResult &Result) {
-        Result.m_Ticket = ClaimTicket(In.getTicket());
+        Result.m_Ticket = ClaimTicket(stringOf(In.getTicket()));
         Result.m_Status = static_cast<ClaimWriteStatus>(In.getStatus());
         Result.m_Current = {stringOf(In.getCurrentKey()), stringOf(In.getCurrentValue()),
                             RowVersion(In.getCurrentVersion())};
--- a/src/librpc/Peer.capnp
+++ b/src/librpc/Peer.capnp
@@ -115,14 +115,14 @@
 }
 
 struct ClaimWrite {
-  ticket @0 :UInt64;
+  ticket @0 :Text;
   row @1 :RowCondition;
   value @2 :Text;
   guards @3 :List(RowCondition);
 }
 
 struct ClaimWriteResult {
-  ticket @0 :UInt64;
+  ticket @0 :Text;
   status @1 :UInt8;
   currentKey @2 :Text;
   currentValue @3 :Text;
@@ -151,6 +151,13 @@
   wantsAll @4 :Bool;
 }
 
+struct Confirmation {
+  # What an entry instance knows, for an agent that is about to command its engine.
+  change @0 :UInt64;
+  agentIncarnation @1 :UInt64;
+  # The highest incarnation of the asking agent that is known.
+}
+
 struct AttemptStatement {
   attempt @0 :Text;
   state @1 :UInt8;
--- a/src/librpc/Peer.capnp.h
+++ b/src/librpc/Peer.capnp.h
@@ -56,6 +56,7 @@
 CAPNP_DECLARE_SCHEMA(851b826f231f58a9);
 CAPNP_DECLARE_SCHEMA(d7351eb693723df1);
 CAPNP_DECLARE_SCHEMA(f6e71a20517f2924);
+CAPNP_DECLARE_SCHEMA(df66fdb5fd512299);
 CAPNP_DECLARE_SCHEMA(e9e6c8e330d7321f);
 CAPNP_DECLARE_SCHEMA(ac2666ee2e6d6656);
 CAPNP_DECLARE_SCHEMA(b30c4bc875db3a4d);
@@ -275,7 +276,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bdaada2758aed9c8, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(bdaada2758aed9c8, 0, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -290,7 +291,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(960b7e96956c8b18, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(960b7e96956c8b18, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -342,6 +343,21 @@
   };
 };
 
+struct Confirmation {
+  Confirmation() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(df66fdb5fd512299, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct AttemptStatement {
   AttemptStatement() = delete;
 
@@ -1822,7 +1838,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getTicket() const;
+  inline bool hasTicket() const;
+  inline  ::capnp::Text::Reader getTicket() const;
 
   inline bool hasRow() const;
   inline  ::fescuegauge::rpc::RowCondition::Reader getRow() const;
@@ -1861,8 +1878,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getTicket();
-  inline void setTicket( ::uint64_t value);
+  inline bool hasTicket();
+  inline  ::capnp::Text::Builder getTicket();
+  inline void setTicket( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTicket(unsigned int size);
+  inline void adoptTicket(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTicket();
 
   inline bool hasRow();
   inline  ::fescuegauge::rpc::RowCondition::Builder getRow();
@@ -1929,7 +1950,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getTicket() const;
+  inline bool hasTicket() const;
+  inline  ::capnp::Text::Reader getTicket() const;
 
   inline  ::uint8_t getStatus() const;
 
@@ -1972,8 +1994,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getTicket();
-  inline void setTicket( ::uint64_t value);
+  inline bool hasTicket();
+  inline  ::capnp::Text::Builder getTicket();
+  inline void setTicket( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTicket(unsigned int size);
+  inline void adoptTicket(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTicket();
 
   inline  ::uint8_t getStatus();
   inline void setStatus( ::uint8_t value);
@@ -2332,6 +2358,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class Confirmation::Reader {
+public:
+  typedef Confirmation Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getChange() const;
+
+  inline  ::uint64_t getAgentIncarnation() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Confirmation::Builder {
+public:
+  typedef Confirmation Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getChange();
+  inline void setChange( ::uint64_t value);
+
+  inline  ::uint64_t getAgentIncarnation();
+  inline void setAgentIncarnation( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Confirmation::Pipeline {
+public:
+  typedef Confirmation Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class AttemptStatement::Reader {
 public:
   typedef AttemptStatement Reads;
@@ -4827,269 +4934,309 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ClaimWrite::Reader::getTicket() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ClaimWrite::Reader::hasTicket() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t ClaimWrite::Builder::getTicket() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ClaimWrite::Builder::hasTicket() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void ClaimWrite::Builder::setTicket( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader ClaimWrite::Reader::getTicket() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ClaimWrite::Builder::getTicket() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ClaimWrite::Builder::setTicket( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ClaimWrite::Builder::initTicket(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ClaimWrite::Builder::adoptTicket(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ClaimWrite::Builder::disownTicket() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool ClaimWrite::Reader::hasRow() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool ClaimWrite::Builder::hasRow() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline  ::fescuegauge::rpc::RowCondition::Reader ClaimWrite::Reader::getRow() const {
   return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::RowCondition>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline  ::fescuegauge::rpc::RowCondition::Builder ClaimWrite::Builder::getRow() {
   return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::RowCondition>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
 inline  ::fescuegauge::rpc::RowCondition::Pipeline ClaimWrite::Pipeline::getRow() {
-  return  ::fescuegauge::rpc::RowCondition::Pipeline(_typeless.getPointerField(0));
+  return  ::fescuegauge::rpc::RowCondition::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
 inline void ClaimWrite::Builder::setRow( ::fescuegauge::rpc::RowCondition::Reader value) {
   ::capnp::_::PointerHelpers< ::fescuegauge::rpc::RowCondition>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
 inline  ::fescuegauge::rpc::RowCondition::Builder ClaimWrite::Builder::initRow() {
   return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::RowCondition>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void ClaimWrite::Builder::adoptRow(
     ::capnp::Orphan< ::fescuegauge::rpc::RowCondition>&& value) {
   ::capnp::_::PointerHelpers< ::fescuegauge::rpc::RowCondition>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::fescuegauge::rpc::RowCondition> ClaimWrite::Builder::disownRow() {
   return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::RowCondition>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ClaimWrite::Reader::hasValue() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool ClaimWrite::Builder::hasValue() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Text::Reader ClaimWrite::Reader::getValue() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Text::Builder ClaimWrite::Builder::getValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void ClaimWrite::Builder::setValue( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Text::Builder ClaimWrite::Builder::initValue(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void ClaimWrite::Builder::adoptValue(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Text> ClaimWrite::Builder::disownValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool ClaimWrite::Reader::hasGuards() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool ClaimWrite::Builder::hasGuards() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>::Reader ClaimWrite::Reader::getGuards() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>::Builder ClaimWrite::Builder::getGuards() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline void ClaimWrite::Builder::setGuards( ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>::Builder ClaimWrite::Builder::initGuards(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void ClaimWrite::Builder::adoptGuards(
     ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>> ClaimWrite::Builder::disownGuards() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::RowCondition,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ClaimWriteResult::Reader::getTicket() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ClaimWriteResult::Reader::hasTicket() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t ClaimWriteResult::Builder::getTicket() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ClaimWriteResult::Builder::hasTicket() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void ClaimWriteResult::Builder::setTicket( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader ClaimWriteResult::Reader::getTicket() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ClaimWriteResult::Builder::getTicket() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ClaimWriteResult::Builder::setTicket( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ClaimWriteResult::Builder::initTicket(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ClaimWriteResult::Builder::adoptTicket(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ClaimWriteResult::Builder::disownTicket() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline  ::uint8_t ClaimWriteResult::Reader::getStatus() const {
   return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint8_t ClaimWriteResult::Builder::getStatus() {
   return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void ClaimWriteResult::Builder::setStatus( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ClaimWriteResult::Reader::hasCurrentKey() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool ClaimWriteResult::Builder::hasCurrentKey() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Text::Reader ClaimWriteResult::Reader::getCurrentKey() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Text::Builder ClaimWriteResult::Builder::getCurrentKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void ClaimWriteResult::Builder::setCurrentKey( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Text::Builder ClaimWriteResult::Builder::initCurrentKey(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void ClaimWriteResult::Builder::adoptCurrentKey(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Text> ClaimWriteResult::Builder::disownCurrentKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ClaimWriteResult::Reader::hasCurrentValue() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool ClaimWriteResult::Builder::hasCurrentValue() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Text::Reader ClaimWriteResult::Reader::getCurrentValue() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Text::Builder ClaimWriteResult::Builder::getCurrentValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void ClaimWriteResult::Builder::setCurrentValue( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Text::Builder ClaimWriteResult::Builder::initCurrentValue(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void ClaimWriteResult::Builder::adoptCurrentValue(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Text> ClaimWriteResult::Builder::disownCurrentValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline  ::uint64_t ClaimWriteResult::Reader::getCurrentVersion() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint64_t ClaimWriteResult::Builder::getCurrentVersion() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void ClaimWriteResult::Builder::setCurrentVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ClaimWriteResult::Reader::hasReason() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool ClaimWriteResult::Builder::hasReason() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Text::Reader ClaimWriteResult::Reader::getReason() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Text::Builder ClaimWriteResult::Builder::getReason() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline void ClaimWriteResult::Builder::setReason( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Text::Builder ClaimWriteResult::Builder::initReason(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void ClaimWriteResult::Builder::adoptReason(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Text> ClaimWriteResult::Builder::disownReason() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool SuspectDelta::Reader::hasAccount() const {
@@ -5384,6 +5531,34 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Confirmation::Reader::getChange() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Confirmation::Builder::getChange() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Confirmation::Builder::setChange( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Confirmation::Reader::getAgentIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Confirmation::Builder::getAgentIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Confirmation::Builder::setAgentIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool AttemptStatement::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
