--- a/src/fescuegauged/RpcService.cpp
+++ b/src/fescuegauged/RpcService.cpp
@@ -18,7 +18,11 @@
   m_Node = std::make_unique<RpcNode>(m_Loop, std::move(Options), *this);
 }
 
-void RpcService::stop() { m_Node.reset(); }
+void RpcService::stop() {
+  // Timers of other services still call the node until the loop stops, so it is closed, not
+  // destroyed.
+  m_Loop.postAndWait([this] { m_Node->close(); });
+}
 
 boost::json::object RpcService::dumpState() const {
   RpcNode::Counters Counters;
--- a/src/include/Fescuegauge/RpcNode.h
+++ b/src/include/Fescuegauge/RpcNode.h
@@ -199,6 +199,9 @@
   void control(const InstanceId &Peer, Topic Subject, std::string Payload, Duration Timeout,
                ControlResult Done);
 
+  /// Closes all connections and stops listening. Later calls behave as if no peer could be reached.
+  void close();
+
   /// Connections, bytes and messages, for dumps and metrics.
   struct Counters {
     std::size_t m_Incoming = 0;
--- a/src/librpc/RpcNode.cpp
+++ b/src/librpc/RpcNode.cpp
@@ -357,7 +357,7 @@
   /// Calls `Message` once the connection to `Peer` is open, or with false if it cannot be opened.
   void whenOpen(const InstanceId &Peer, std::function<void(bool IsOpen)> Message) {
     auto Found = m_Outgoing.find(Peer);
-    if (Found == m_Outgoing.end())
+    if (m_IsClosed || Found == m_Outgoing.end())
       return Message(false);
     Outgoing &Link = Found->second;
     Link.m_LastUse = EventLoop::now();
@@ -393,6 +393,7 @@
   std::uint64_t m_NextIncoming = 1;
   std::map<InstanceId, Outgoing> m_Outgoing;
   Counters m_Counters;
+  bool m_IsClosed = false;
   /// Expires with the node; tasks that outlive it check this.
   std::shared_ptr<int> m_Alive = std::make_shared<int>(0);
   kj::Own<kj::ConnectionReceiver> m_Receiver;
@@ -581,12 +582,26 @@
 RpcNode::~RpcNode() {
   EventLoop &Loop = m_Impl->m_Loop;
   // Capabilities belong to the loop's thread and must be released there.
-  Loop.postAndWait([this] { m_Impl.reset(); });
+  Loop.postAndWait([this] { close(); });
+}
+
+void RpcNode::close() {
+  m_Impl->m_IsClosed = true;
+  m_Impl->m_Accepting = nullptr;
+  m_Impl->m_Ticking = nullptr;
+  m_Impl->m_Receiver = nullptr;
+  while (!m_Impl->m_Incoming.empty())
+    m_Impl->close(m_Impl->m_Incoming.begin()->first);
+  for (auto &[Peer, Link] : m_Impl->m_Outgoing)
+    m_Impl->disconnect(Peer, Link);
+  m_Impl->m_Tasks = nullptr;
 }
 
 std::uint16_t RpcNode::port() const { return m_Impl->m_Port; }
 
 void RpcNode::remember(const InstanceId &Peer, const Endpoint &Address, bool Monitored) {
+  if (m_Impl->m_IsClosed)
+    return;
   Impl::Outgoing &Link = m_Impl->m_Outgoing[Peer];
   // Both ends take a monitored connection as the start of a new exchange of attempts, so one that
   // was opened for control messages is replaced.
