--- a/src/librequests/model/SimulatedDeployment.cpp
+++ b/src/librequests/model/SimulatedDeployment.cpp
@@ -812,8 +812,8 @@
   };
   if (m_Faults.m_Messages && chance(m_Random, 0.01)) {
     On.m_Ledger->end(Id, false);
-    On.m_Jobs.erase(Found);
     Send([this, Id](Entry &To) { perform(To, To.m_Lifecycle->attemptBroken(Id, m_Now)); });
+    On.m_Jobs.erase(Found);
     return;
   }
   std::string Whole = answerOf(m_Operations[Work.m_Operation], On.m_Generation);
