Drop tasks posted after the loop has ended; share suspects at once

Cause: a process that had drained did not end, because the destructor of the RPC node waited for a task that the stopped loop never ran. A second entry instance dispatched a request that had already crashed two engines, because suspects were exchanged every 200 ms. Change: the loop drops late tasks, which ends the wait; suspects are sent with the loss that makes them.

--- a/src/fescuegauged/RequestService.cpp
+++ b/src/fescuegauged/RequestService.cpp
@@ -149,13 +149,7 @@
     configurationChanged(m_Targets->configuration());
   });
   m_Loop.every(TickInterval, [this] { tick(); });
-  m_Loop.every(SuspectInterval, [this] {
-    auto Deltas = m_Suspects.takeDeltas(EventLoop::now());
-    if (Deltas.empty())
-      return;
-    for (const InstanceId &Entry : m_Membership->view().entries(m_Settings.m_DataCentre))
-      m_Membership->send(Entry, Topic::Suspects, encodePayload(Deltas));
-  });
+  m_Loop.every(SuspectInterval, [this] { sendSuspects(); });
 }
 
 void RequestService::beginDrain() {
@@ -686,6 +680,14 @@
   return Collected;
 }
 
+void RequestService::sendSuspects() {
+  auto Deltas = m_Suspects.takeDeltas(EventLoop::now());
+  if (Deltas.empty())
+    return;
+  for (const InstanceId &Entry : m_Membership->view().entries(m_Settings.m_DataCentre))
+    m_Membership->send(Entry, Topic::Suspects, encodePayload(Deltas));
+}
+
 /// Hands each loss over once, when the ends of its attempts have been collected. Losses are
 /// remembered as long as agents repeat them in their reports.
 void RequestService::flushCrashes(TimePoint Now) {
@@ -703,6 +705,7 @@
       std::vector<AttemptStatement> Ended;
       Ended.swap(Collected.m_Ended);
       carryOut(m_Lifecycle.engineCrashed(Upstream, Lost, Suspected, Ended, Now));
+      sendSuspects();
     }
     Next = Now - Collected.m_At > CrashMemory ? m_Crashes.erase(Next) : std::next(Next);
   }
--- a/src/fescuegauged/RequestService.h
+++ b/src/fescuegauged/RequestService.h
@@ -96,6 +96,7 @@
   struct Crash;
   Crash &noteLoss(const InstanceId &Upstream, const EngineLoss &Loss);
   void flushCrashes(TimePoint Now);
+  void sendSuspects();
   void heartbeatAnswered(const InstanceId &Upstream, const std::string &Payload);
   void memberChanged(const InstanceRecord &Record);
   void configurationChanged(const Configuration &InForce);
--- a/src/librpc/EventLoop.cpp
+++ b/src/librpc/EventLoop.cpp
@@ -59,12 +59,13 @@
   m_Impl->m_Stopping = true;
   m_Impl->enqueue([] {});
   m_Impl->m_Thread.join();
-  std::lock_guard Lock(m_Impl->m_Mutex);
-  m_Impl->m_Queue.clear();
 }
 
 void EventLoop::Impl::enqueue(std::function<void()> Task) {
   std::lock_guard Lock(m_Mutex);
+  // Dropping the task ends a postAndWait() that came too late.
+  if (m_IsFinished)
+    return;
   m_Queue.push_back(std::move(Task));
   KJ_IF_MAYBE (Sleeper, m_Wake) {
     (*Sleeper)->fulfill();
@@ -101,6 +102,10 @@
   }
   m_Tasks = nullptr;
   m_Io = nullptr;
+  std::deque<std::function<void()>> Dropped;
+  std::lock_guard Lock(m_Mutex);
+  m_IsFinished = true;
+  Dropped.swap(m_Queue);
 }
 
 kj::Promise<void> EventLoop::Impl::repeat(Duration Interval, std::function<void()> Task) {
--- a/src/librpc/EventLoopImpl.h
+++ b/src/librpc/EventLoopImpl.h
@@ -27,6 +27,8 @@
 
   std::mutex m_Mutex;
   std::deque<std::function<void()>> m_Queue;
+  /// No task will run any more.
+  bool m_IsFinished = false;
   /// Set while the loop sleeps without queued tasks.
   kj::Maybe<kj::Own<kj::CrossThreadPromiseFulfiller<void>>> m_Wake;
 
