--- a/src/include/Fescuegauge/ConfigurationReplica.h
+++ b/src/include/Fescuegauge/ConfigurationReplica.h
@@ -173,6 +173,8 @@
   };
 
   bool adopt(Configuration Next, Actions &Out, TimePoint Now, const InstanceId &Source);
+  void compare(const InstanceId &From, const ConfigurationOffer &Offer, TimePoint Now,
+               Actions &Out);
   void announce(const Configuration &Previous, const InstanceId &Source, Actions &Out);
   void request(const InstanceId &From, ChangeNumber Target, ChangeNumber Since, TimePoint Now,
                Actions &Out);
--- a/src/include/Fescuegauge/Membership.h
+++ b/src/include/Fescuegauge/Membership.h
@@ -236,7 +236,7 @@
   };
 
   bool merge(const MemberUpdate &Update, TimePoint Now, Actions &Out, bool Spread = true);
-  void store(std::shared_ptr<const InstanceRecord> Record, TimePoint Now, Actions &Out,
+  void store(const std::shared_ptr<const InstanceRecord> &Record, TimePoint Now, Actions &Out,
              bool Spread);
   void refute(Incarnation Seen, Actions &Out);
   void announceSelf(Actions &Out, bool Urgent);
--- a/src/libmembership/Membership.cpp
+++ b/src/libmembership/Membership.cpp
@@ -121,7 +121,7 @@
   return {Record->m_Id, Record->m_Incarnation, Record->m_State, StatusOnly ? nullptr : Record};
 }
 
-void Membership::store(RecordPtr Record, TimePoint Now, Actions &Out, bool Spread) {
+void Membership::store(const RecordPtr &Record, TimePoint Now, Actions &Out, bool Spread) {
   Member &Known = m_Members[Record->m_Id];
   const InstanceRecord *Previous = Known.m_Record.get();
   auto TakesPart = [](const InstanceRecord &Value) { return !isUrgent(Value.m_State); };
@@ -201,7 +201,7 @@
     Copy->m_State = Update.m_State;
     Next = std::move(Copy);
   }
-  store(std::move(Next), Now, Out, Spread);
+  store(Next, Now, Out, Spread);
   return true;
 }
 
@@ -341,7 +341,7 @@
   ++(State == InstanceState::Dead ? m_DeclaredDead : m_DeclaredSuspect);
   auto Next = std::make_shared<InstanceRecord>(*Found->second.m_Record);
   Next->m_State = State;
-  store(std::move(Next), Now, Out, true);
+  store(Next, Now, Out, true);
   // The member itself may refute, and relays tell the other data centres.
   MembershipMessage News = message(Kind::Updates);
   News.m_Updates.push_back(updateFor(Found->second));
--- a/src/libtargets/ConfigurationReplica.cpp
+++ b/src/libtargets/ConfigurationReplica.cpp
@@ -159,6 +159,20 @@
                                                             const ConfigurationOffer &Offer,
                                                             TimePoint Now) {
   Actions Out;
+  compare(From, Offer, Now, Out);
+  // A peer that is behind gets what it lacks at once, if that is little; otherwise it asks. Every
+  // watcher of an agent does so, which makes up for lost answers.
+  if (m_Rules.m_RepairByOffers && m_Ready && m_Role == InstanceRole::Entry &&
+      Offer.m_Number < m_Configuration.number()) {
+    ConfigurationMessage Missing = deltaFor(Offer.m_Number, {}, MaxPushBytes);
+    if (!Missing.m_More && !Missing.m_FullCopy)
+      Out.push_back(Send{From, std::move(Missing)});
+  }
+  return Out;
+}
+
+void ConfigurationReplica::compare(const InstanceId &From, const ConfigurationOffer &Offer,
+                                   TimePoint Now, Actions &Out) {
   if (contains(m_Peers.m_Agents, From) && m_AgentNumbers.size() < MaxTracked)
     m_AgentNumbers[From] = Offer.m_Number;
   if (Offer.m_Number == m_Configuration.number() && Offer.m_Number != ChangeNumber())
@@ -170,7 +184,6 @@
   }
   if (m_Rules.m_RepairByOffers && Offer.m_Number > m_Configuration.number())
     request(From, Offer.m_Number, m_Configuration.number(), Now, Out);
-  return Out;
 }
 
 ConfigurationReplica::Actions ConfigurationReplica::onMessage(const InstanceId &From,
@@ -205,9 +218,7 @@
   case Kind::LagAnswer:
     break;
   }
-  Actions FromOffer = onOffer(From, Message.m_Offer, Now);
-  Out.insert(Out.end(), std::make_move_iterator(FromOffer.begin()),
-             std::make_move_iterator(FromOffer.end()));
+  compare(From, Message.m_Offer, Now, Out);
   return Out;
 }
 
--- a/src/libtargets/FakeDeployment.h
+++ b/src/libtargets/FakeDeployment.h
@@ -118,6 +118,7 @@
     Started.m_Alive = true;
     Started.m_PausedUntil = {};
     Started.m_StartedAt = m_Events.now();
+    Started.m_Wake = {};
     Started.m_Writers.clear();
     Started.m_HighestInForce = ChangeNumber();
     auto Record = std::make_shared<InstanceRecord>(*Started.m_Record);
@@ -257,7 +258,7 @@
       transmit(Number, m_ByName.at(Sent->m_To), std::move(Bytes), false);
     } else if (auto *Read = std::get_if<ConfigurationReplica::ReadRow>(&Action)) {
       std::string Key = Read->m_Key;
-      m_Store.read(Key, Reachable, [this, Number, Life, Key](std::optional<TableRow> Row) {
+      m_Store.read(Key, Reachable, [this, Number, Life, Key](const std::optional<TableRow> &Row) {
         whenAwake(Number, Life, [this, Key, Row](Process &At) {
           run(At, [&] { return At.m_Replica->onRow(Key, Row, m_Events.now()); });
         });
@@ -304,7 +305,7 @@
     for (auto &Action : Actions) {
       if (auto *Read = std::get_if<ChangeWriter::ReadRow>(&Action)) {
         std::string RowKey = Read->m_Key;
-        m_Store.read(RowKey, Reachable, [this, Later, RowKey](std::optional<TableRow> Row) {
+        m_Store.read(RowKey, Reachable, [this, Later, RowKey](const std::optional<TableRow> &Row) {
           Later([this, RowKey, Row](ChangeWriter &Writer) {
             return Writer.onRow(RowKey, Row, m_Events.now());
           });
@@ -384,7 +385,8 @@
     scheduleWake(m_ByName.at(At.m_Record->m_Id));
   }
   /// Runs an event of a process when the process is not paused, unless it died meanwhile.
-  void whenAwake(std::size_t Number, std::uint64_t Life, std::function<void(Process &)> Event) {
+  void whenAwake(std::size_t Number, std::uint64_t Life,
+                 const std::function<void(Process &)> &Event) {
     Process &At = m_Processes[Number];
     if (!At.m_Alive || At.m_Life != Life)
       return;
--- a/src/libtargets/FakeStore.h
+++ b/src/libtargets/FakeStore.h
@@ -25,7 +25,8 @@
   void after(Duration Delay, std::function<void()> Event) { at(m_Now + Delay, std::move(Event)); }
   void runUntil(TimePoint End) {
     while (!m_Events.empty() && m_Events.top().m_When <= End) {
-      Item First = m_Events.top();
+      // The item is removed before anything compares it again.
+      Item First = std::move(const_cast<Item &>(m_Events.top()));
       m_Events.pop();
       m_Now = First.m_When;
       First.m_Event();
@@ -73,7 +74,7 @@
   using ScanAnswer = std::function<void(std::optional<std::vector<TableRow>>)>;
   using CommitAnswer = std::function<void(CommitResult)>;
 
-  void read(const std::string &Key, bool Reachable, RowAnswer Answer) {
+  void read(const std::string &Key, bool Reachable, const RowAnswer &Answer) {
     ++m_Reads;
     if (!reached(Reachable))
       return later(AnswerTimeout, [Answer] { Answer(std::nullopt); });
@@ -81,7 +82,7 @@
     later(delay(), [Answer, Row] { Answer(Row); });
   }
   void scan(const std::string &Prefix, const std::string &After, std::size_t Limit, bool Reachable,
-            ScanAnswer Answer) {
+            const ScanAnswer &Answer) {
     ++m_Reads;
     if (!reached(Reachable))
       return later(AnswerTimeout, [Answer] { Answer(std::nullopt); });
@@ -94,7 +95,7 @@
         Rows.push_back(std::move(Row));
     later(delay(), [Answer, Rows] { Answer(Rows); });
   }
-  void transact(const Transaction &Write, bool Reachable, CommitAnswer Answer) {
+  void transact(const Transaction &Write, bool Reachable, const CommitAnswer &Answer) {
     ++m_Writes;
     if (!reached(Reachable)) {
       bool Known = chance(m_Random, 0.5);
@@ -130,7 +131,9 @@
 
   bool reached(bool Reachable) const { return Reachable && !m_Down; }
   Duration delay() { return jittered(m_Random, std::chrono::milliseconds(4), 0.9); }
-  void later(Duration Delay, std::function<void()> Event) { m_Events.after(Delay, Event); }
+  void later(Duration Delay, std::function<void()> Event) {
+    m_Events.after(Delay, std::move(Event));
+  }
   TimePoint readTime() {
     if (!chance(m_Random, m_Faults.m_StaleRead))
       return m_Events.now();
