--- a/src/include/Fescuegauge/Activator.h
+++ b/src/include/Fescuegauge/Activator.h
@@ -91,6 +91,7 @@
     bool m_ConfirmAfterPause = true;
     bool m_IgnoreOlderChange = true;
     bool m_ExpireCommands = true;
+    bool m_StopWhenSuperseded = true;
   };
 
   /// `LastServed` is the version that this upstream is known to have served live before the process
--- a/src/include/Fescuegauge/OriginBudget.h
+++ b/src/include/Fescuegauge/OriginBudget.h
@@ -70,9 +70,9 @@
   };
 
   /// `Owner` distinguishes the write ids of this process and incarnation from all others.
-  OriginBudget(RolloutId Rollout, Bytes VersionSize, std::string Owner, Rules Enabled);
-  OriginBudget(RolloutId Rollout, Bytes VersionSize, std::string Owner)
-      : OriginBudget(std::move(Rollout), VersionSize, std::move(Owner), Rules()) {}
+  OriginBudget(const RolloutId &Rollout, Bytes VersionSize, std::string Owner, Rules Enabled);
+  OriginBudget(const RolloutId &Rollout, Bytes VersionSize, std::string Owner)
+      : OriginBudget(Rollout, VersionSize, std::move(Owner), Rules()) {}
 
   /// Asks for `Wanted` bytes, of which at least `Least` are of use. Ignored while an earlier
   /// request is in progress.
--- a/src/include/Fescuegauge/RolloutAgent.h
+++ b/src/include/Fescuegauge/RolloutAgent.h
@@ -43,6 +43,12 @@
 using AgentAction = std::variant<StartFetch, CancelFetch, SendSummary, TableRequest, EvictChunk,
                                  ListStaging, NeedManifest, ActivationCommand>;
 
+/// Each rule is on in production. Tests switch one off to show that they notice its absence.
+struct RolloutAgentRules {
+  bool m_WaitAfterChange = true;
+  bool m_ListAfterRefusedWrite = true;
+};
+
 struct RolloutAgentSettings {
   InstanceRecord m_Self;
   /// See TransferPlanner.
@@ -56,6 +62,7 @@
   StagingPolicy::Rules m_StagingRules;
   Activator::Rules m_ActivationRules;
   ReplacementRule::Rules m_ReplacementRules;
+  RolloutAgentRules m_AgentRules;
 };
 
 /// Everything that one agent decides about model versions: combines TransferPlanner, OriginBudget,
@@ -135,6 +142,7 @@
   StagingPolicy m_Staging;
   Activator m_Activator;
   ReplacementRule m_Rule;
+  RolloutAgentRules m_Rules;
   OriginBudget::Rules m_BudgetRules;
   std::string m_BudgetOwner;
   std::optional<OriginBudget> m_Budget;
--- a/src/include/Fescuegauge/TransferPlanner.h
+++ b/src/include/Fescuegauge/TransferPlanner.h
@@ -223,6 +223,9 @@
     bool m_TimeOut = true;
     bool m_Settle = true;
     bool m_PaceImports = true;
+    bool m_ForgetBadHolder = true;
+    bool m_ProlongSlowImports = true;
+    bool m_SaveScarceBudget = true;
   };
 
   struct Counters {
--- a/src/libweights/Activator.cpp
+++ b/src/libweights/Activator.cpp
@@ -150,7 +150,7 @@
     return;
   }
   m_RequiredChange = std::max(m_RequiredChange, Known->m_Highest);
-  if (Known->m_Superseded) {
+  if (Known->m_Superseded && m_Rules.m_StopWhenSuperseded) {
     m_Superseded = true;
     stopRouting();
   }
--- a/src/libweights/OriginBudget.cpp
+++ b/src/libweights/OriginBudget.cpp
@@ -80,7 +80,8 @@
   return Row;
 }
 
-OriginBudget::OriginBudget(RolloutId Rollout, Bytes VersionSize, std::string Owner, Rules Enabled)
+OriginBudget::OriginBudget(const RolloutId &Rollout, Bytes VersionSize, std::string Owner,
+                           Rules Enabled)
     : m_Key("grant/" + Rollout.str()), m_Budget(VersionSize.count() * CopiesLimit),
       m_Owner(std::move(Owner)), m_Rules(Enabled) {}
 
--- a/src/libweights/RolloutAgent.cpp
+++ b/src/libweights/RolloutAgent.cpp
@@ -9,7 +9,8 @@
                                          Settings.m_TransferRules),
       m_Staging(Settings.m_StagingCapacity, Settings.m_StagingRules),
       m_Activator(Settings.m_LastServed, Settings.m_ActivationRules),
-      m_Rule(Settings.m_ReplacementRules), m_BudgetRules(Settings.m_BudgetRules),
+      m_Rule(Settings.m_ReplacementRules), m_Rules(Settings.m_AgentRules),
+      m_BudgetRules(Settings.m_BudgetRules),
       m_BudgetOwner(Settings.m_Self.m_Id.str() + '-' +
                     std::to_string(Settings.m_Self.m_Incarnation.value())) {}
 
@@ -65,7 +66,7 @@
     m_Stray.push_back(Chunk.m_Digest);
   // The area may hold chunks that another process beside the engine wrote; a listing finds them and
   // makes room.
-  if (!Written && Now - m_ListedAt >= RelistInterval)
+  if (!Written && Now - m_ListedAt >= RelistInterval && m_Rules.m_ListAfterRefusedWrite)
     m_Listed = false;
   m_Planner.onStaged(Chunk.m_Digest, Kept, Now);
 }
@@ -143,11 +144,11 @@
       m_Budget->request(Ask->m_Wanted, Ask->m_Least, Now);
     } else {
       std::visit(
-          [&](auto &&Other) {
+          [&](auto &Other) {
             if constexpr (!std::is_same_v<std::decay_t<decltype(Other)>, AskGrant>)
               Actions.emplace_back(std::move(Other));
           },
-          std::move(Action));
+          Action);
     }
   }
   if (m_Budget)
@@ -156,7 +157,8 @@
 
   const bool Staged = m_Listed && !m_OrderPending && m_Planner.isComplete();
   m_Activator.setStaged(Staged);
-  const bool Waited = Now - m_TargetAt >= ReplacementWait || m_Activator.routableRoot().isZero();
+  const bool Waited = Now - m_TargetAt >= ReplacementWait || m_Activator.routableRoot().isZero() ||
+                      !m_Rules.m_WaitAfterChange;
   if (Staged && Waited && !m_Activator.isConverged() &&
       (!m_Reviewed || Now - *m_Reviewed >= ReviewInterval)) {
     m_Reviewed = Now;
--- a/src/libweights/RolloutDriver.cc
+++ b/src/libweights/RolloutDriver.cc
@@ -107,6 +107,7 @@
   Options.m_StagingRules = m_Settings.m_StagingRules;
   Options.m_ActivationRules = m_Settings.m_ActivationRules;
   Options.m_ReplacementRules = m_Settings.m_ReplacementRules;
+  Options.m_AgentRules = m_Settings.m_AgentRules;
   Added.m_Policy = std::make_unique<RolloutAgent>(Options);
   Added.m_Policy->setLinkBudget(
       {m_Settings.m_Rates.m_Instance,
@@ -152,6 +153,24 @@
 
 void Driver::join(std::size_t SiteIndex) { startAgent(addEngine(SiteIndex)); }
 
+void Driver::fillStaging() {
+  const Bytes Capacity(versionSize().count() * 9 / 4);
+  for (Engine &Entry : m_Engines)
+    for (int I = 0; Entry.m_Used + m_Settings.m_ChunkSize <= Capacity; ++I) {
+      const Digest Chunk = sha256("stray " + std::to_string(I));
+      Entry.m_Staging[Chunk] = Chunk;
+      Entry.m_Sizes[Chunk] = m_Settings.m_ChunkSize;
+      Entry.m_Used += m_Settings.m_ChunkSize;
+    }
+}
+
+std::size_t Driver::servingCount() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_Agents.begin(), m_Agents.end(), [](const Agent &Entry) {
+        return Entry.m_Alive && !Entry.m_Policy->routableRoot().isZero();
+      }));
+}
+
 bool Driver::blocked(std::size_t LeftSite, std::size_t RightSite) const {
   return m_Cuts.contains(std::minmax({LeftSite, RightSite}));
 }
--- a/src/libweights/RolloutDriver.h
+++ b/src/libweights/RolloutDriver.h
@@ -199,6 +199,7 @@
   StagingPolicy::Rules m_StagingRules;
   Activator::Rules m_ActivationRules;
   ReplacementRule::Rules m_ReplacementRules;
+  RolloutAgentRules m_AgentRules;
 };
 
 /// Runs RolloutAgent objects on virtual time against fakes of links, engines, origin and table, and
@@ -218,6 +219,11 @@
   void startServing(std::uint64_t Version);
   /// Adds an empty instance to the data centre of site `SiteIndex`.
   void join(std::size_t SiteIndex);
+  /// Fills every staging area with chunks that no agent knows of, as a process that commanded the
+  /// engine before may have left them.
+  void fillStaging();
+  /// The number of agents to whose engines requests may be routed.
+  std::size_t servingCount() const;
   /// Injects one of FaultKinds kinds of faults, drawn at random, for a random time.
   void injectFault();
   static constexpr std::uint64_t FaultKinds = 18;
--- a/src/libweights/Rollout_test.cpp
+++ b/src/libweights/Rollout_test.cpp
@@ -88,6 +88,8 @@
       {"cancel old transfer",
        [](DriverSettings &S) { S.m_TransferRules.m_CancelOldTransfer = false; }},
       {"take over imports", [](DriverSettings &S) { S.m_TransferRules.m_TakeOver = false; }},
+      {"prolong slow imports",
+       [](DriverSettings &S) { S.m_TransferRules.m_ProlongSlowImports = false; }},
       {"time out fetches", [](DriverSettings &S) { S.m_TransferRules.m_TimeOut = false; }},
       {"conditional grant", [](DriverSettings &S) { S.m_BudgetRules.m_ConditionalWrite = false; }},
       {"resolve lost response",
--- a/src/libweights/TransferPlanner.cpp
+++ b/src/libweights/TransferPlanner.cpp
@@ -390,7 +390,8 @@
     ++m_Counters.m_BadChunks;
     onPeerFailure(*Done, BadPeerTime, Now);
     // Its copy may be damaged for good. If it was the only one known here, the chunk is imported.
-    forgetHolder(*Done);
+    if (m_Rules.m_ForgetBadHolder)
+      forgetHolder(*Done);
     onImportTrouble(*Done, Now);
     return false;
   }
@@ -432,7 +433,8 @@
 
 void TransferPlanner::onProgress(FetchId Id, TimePoint Now) {
   auto It = m_Fetches.find(Id);
-  if (It == m_Fetches.end() || !It->second.m_Import || !m_Rules.m_TimeOut)
+  if (It == m_Fetches.end() || !It->second.m_Import || !m_Rules.m_TimeOut ||
+      !m_Rules.m_ProlongSlowImports)
     return;
   It->second.m_Deadline = std::max(It->second.m_Deadline, Now + MinFetchTime);
   It->second.m_ProgressAt = Now;
@@ -697,7 +699,8 @@
     return;
   const auto Stage = m_Rules.m_TakeOver ? (Idle - Start) / m_Patience : 0;
   const bool OtherRegions = State.m_LeadsRegion || Stage >= 1;
-  const std::size_t OriginSites = m_OriginScarce ? 1 : m_TradeOff.m_OriginSites;
+  const std::size_t OriginSites =
+      m_OriginScarce && m_Rules.m_SaveScarceBudget ? 1 : m_TradeOff.m_OriginSites;
   const bool FromOrigin = State.m_Site < OriginSites || Stage >= 2;
   // Importers of different ranks begin at different places, so that they do not fetch the same
   // chunks when several are active.
--- a/src/libweights/Weights_test.cpp
+++ b/src/libweights/Weights_test.cpp
@@ -371,6 +371,13 @@
     REQUIRE(Confirm);
     Policy.onConfirmed(Confirm->m_Number, Confirmation{ChangeNumber(2), true}, Now);
     CHECK_FALSE(advanceTo(Policy, Kind::ReadServed, {Old, FencingToken()}, Now));
+    CHECK(Policy.isSuperseded());
+    Activator::Rules Rules;
+    Rules.m_StopWhenSuperseded = false;
+    Activator Mutant = readyToLoad(Old, sha256("new"), Rules);
+    Confirm = advanceTo(Mutant, Kind::ConfirmConfiguration, {Old, FencingToken()}, Now);
+    Mutant.onConfirmed(Confirm->m_Number, Confirmation{ChangeNumber(2), true}, Now);
+    CHECK(advanceTo(Mutant, Kind::Load, {Old, FencingToken()}, Now));
   }
   SECTION("a pause between two steps is noticed") {
     // Whether the policy asks for a confirmation before it loads, when it was paused while it
@@ -453,6 +460,50 @@
   CHECK(fetchesFromBadPeer(Rules) > 10);
 }
 
+// Guards against waiting for ever on the only local holder of a chunk when its copy is damaged.
+TEST_CASE("a chunk whose only local copy is bad is imported") {
+  const Manifest Wanted = manifestOf({"only"});
+  auto AsksForGrant = [&](TransferPlanner::Rules Rules) {
+    TransferPlanner Planner(agentRecord("a"), RegionId("region"), 1, Rules);
+    Planner.setView(std::vector<InstanceRecord>{agentRecord("a"), agentRecord("b")}, Start);
+    Planner.setOrder({Wanted, ChangeNumber(1), RolloutId("r"), TransferPreference::Time}, {},
+                     Start);
+    Planner.onSummary(InstanceId("b"), {Wanted.rootDigest(), 0, 0, {0}, {}, false}, Start);
+    for (TimePoint Now = Start; Now < Start + 5min; Now += 500ms)
+      for (const TransferAction &Action : Planner.poll(Now)) {
+        if (std::holds_alternative<AskGrant>(Action))
+          return true;
+        if (const auto *Fetch = std::get_if<StartFetch>(&Action))
+          Planner.onReceived(Fetch->m_Id, sha256("garbage"), Now);
+      }
+    return false;
+  };
+  CHECK(AsksForGrant({}));
+  TransferPlanner::Rules Rules;
+  Rules.m_ForgetBadHolder = false;
+  CHECK_FALSE(AsksForGrant(Rules));
+}
+
+// Guards against a step of a rollout at which the loss of an instance, of its agent or of its
+// engine is not survived.
+TEST_CASE("a process is killed at every step") {
+  for (std::uint64_t Kind : {0, 1, 2})
+    for (int Seconds = 0; Seconds < 60; Seconds += 3) {
+      DriverSettings Settings;
+      Settings.m_Seed = static_cast<std::uint64_t>(Seconds) + 1;
+      Settings.m_Instances = 6;
+      Driver Run(Settings);
+      Run.startServing(1);
+      Run.run(10s);
+      Run.issue(2);
+      Run.run(std::chrono::seconds(Seconds));
+      Run.injectFault(Kind);
+      INFO("kind " << Kind << " after " << Seconds << " s");
+      CHECK(Run.runUntilConverged(20min));
+      CHECK(Run.violations() == 0);
+    }
+}
+
 // Guards against state or chunks in flight that grow with the size of the deployment.
 TEST_CASE("neighbours and fetches in flight stay within their bounds") {
   std::vector<InstanceRecord> View;
@@ -499,6 +550,79 @@
   CHECK(Run.violations() == 0);
 }
 
+// Guards against a staging area that stays full of chunks that nobody accounts for.
+TEST_CASE("a refused write leads to a listing that makes room") {
+  auto Converges = [](bool Lists) {
+    DriverSettings Settings;
+    Settings.m_AgentRules.m_ListAfterRefusedWrite = Lists;
+    Driver Run(Settings);
+    Run.startServing(1);
+    Run.run(10s);
+    Run.fillStaging();
+    Run.issue(2);
+    return Run.runUntilConverged(20min) && Run.violations() == 0;
+  };
+  CHECK(Converges(true));
+  CHECK_FALSE(Converges(false));
+}
+
+// Guards against upstreams that leave before those that left for the previous target are visible in
+// the views of the others.
+TEST_CASE("no upstream leaves for a new target before all have adopted it") {
+  QuietInvariants Quiet;
+  auto ServingAfterChange = [](bool Waits) {
+    DriverSettings Settings;
+    Settings.m_AgentRules.m_WaitAfterChange = Waits;
+    Driver Run(Settings);
+    Run.startServing(1);
+    Run.run(10s);
+    Run.issue(2);
+    REQUIRE(Run.runUntilConverged(10min));
+    // Every chunk of version 1 is still held, so nothing else delays the change.
+    Run.issue(1);
+    Run.run(5s);
+    return Run.servingCount();
+  };
+  CHECK(ServingAfterChange(true) == DriverSettings().m_Instances);
+  CHECK(ServingAfterChange(false) < DriverSettings().m_Instances);
+}
+
+// Guards against spending the last origin bytes on speed.
+TEST_CASE("a scarce budget leaves direct fetches to one data centre") {
+  std::vector<std::string> Names;
+  for (int I = 0; I < 64; ++I)
+    Names.push_back(std::to_string(I));
+  const Manifest Wanted = manifestOf(Names);
+  const std::vector<InstanceRecord> View{agentRecord("a", Digest(), "dc-a"),
+                                         agentRecord("b", Digest(), "dc-b")};
+  // Lanes that the two data centres fetch directly, together.
+  auto DirectLanes = [&](bool Saves) {
+    std::size_t Count = 0;
+    for (const InstanceRecord &Self : View) {
+      TransferPlanner::Rules Rules;
+      Rules.m_SaveScarceBudget = Saves;
+      TransferPlanner Planner(Self, RegionId("region"), 1, Rules);
+      Planner.setView(View, Start);
+      Planner.setOrder({Wanted, ChangeNumber(1), RolloutId("r"), TransferPreference::Time}, {},
+                       Start);
+      Planner.addGrant(RolloutId("r"), Wanted.totalSize(), Start);
+      Planner.setOriginScarce(true);
+      std::unordered_set<std::uint32_t> Fetched;
+      for (TimePoint Now = Start; Now < Start + 20s; Now += 500ms)
+        for (const TransferAction &Action : Planner.poll(Now))
+          if (const auto *Fetch = std::get_if<StartFetch>(&Action)) {
+            Fetched.insert(Fetch->m_Index % TransferPlanner::Lanes);
+            Planner.onReceived(Fetch->m_Id, Fetch->m_Chunk.m_Digest, Now);
+            Planner.onStaged(Fetch->m_Chunk.m_Digest, true, Now);
+          }
+      Count += Fetched.size();
+    }
+    return Count;
+  };
+  CHECK(DirectLanes(true) == TransferPlanner::Lanes);
+  CHECK(DirectLanes(false) == 2 * TransferPlanner::Lanes);
+}
+
 // Guards against a new instance that imports what its data centre already holds.
 TEST_CASE("without the settling rule a late joiner uses origin bytes") {
   DriverSettings Settings;
