Test rollout wait against data centres without the change or upstreams

Two mutants of rollout wait survived: one without the check that a data centre holds the rollout's change, one without the check that any upstream is live. Both are caught now; the code is unchanged.

--- a/src/fescuegauge/Tool_test.cpp
+++ b/src/fescuegauge/Tool_test.cpp
@@ -587,8 +587,20 @@
   CHECK(Superseded.m_ExitCode == 3);
   CHECK(Superseded.m_Err.find(R"(change 7 set "v1")") != std::string::npos);
   CHECK(Tool({"rollout", "wait", "none"}).m_ExitCode == 2);
-  Entry.answer(Status, R"({"change": 7, "dataCentres": []})");
-  CHECK(Tool({"rollout", "wait", "asistente", "--timeout", "1"}).m_ExitCode == 5);
+  // No data centre, no upstream of the service, and a data centre that does not have the change.
+  const std::string Complete = R"({"dataCentre": "a", "change": 7, "instances": 1, "live": 1,
+    "rollouts": [{"service": "asistente", "version": "v1", "live": 2, "wanted": 2,
+                  "originBytes": 0}]})";
+  for (const std::string &Centres :
+       {std::string(), with(Complete, "asistente", "other"),
+        with(Complete, "\"live\": 2, \"wanted\": 2", "\"live\": 0, \"wanted\": 0"),
+        Complete + R"(, {"dataCentre": "b", "change": 6, "instances": 1, "live": 1})"}) {
+    INFO(Centres);
+    Entry.answer(Status, R"({"change": 7, "dataCentres": [)" + Centres + "]}");
+    CHECK(Tool({"rollout", "wait", "asistente", "--timeout", "1"}).m_ExitCode == 5);
+  }
+  Entry.answer(Status, R"({"change": 7, "dataCentres": [)" + Complete + "]}");
+  CHECK(Tool({"rollout", "wait", "asistente", "--timeout", "1"}).m_ExitCode == 0);
 }
 
 // Guards against mistakes in a file that are sent, or of which only the first is shown.
