Join the operators' tool and the daemon: names of declarations, kinds, metrics

Cause: the tool's names of declarations are ids, the daemon derives names from the declaration; trying the tool against the daemon showed that neither file nor rollout was accepted. A comment in the first line of a settings file was a syntax error, because Boost.JSON 1.81 loses its place in such a comment when it is given in pieces.

--- a/scripts/loopback_cluster.py
+++ b/scripts/loopback_cluster.py
@@ -148,7 +148,7 @@
         for key, value in (extra or {}).items():
             settings.setdefault(key, {}).update(value)
         path = self.folder / f"{name}.json"
-        path.write_text(json.dumps(settings, indent=2))
+        path.write_text("// Written by the loopback cluster.\n" + json.dumps(settings, indent=2))
         return str(path)
 
     def _list(self, name, role, data_centre, port, state="live", **more):
--- a/src/fescuegauged/DeclarationSpec.cpp
+++ b/src/fescuegauged/DeclarationSpec.cpp
@@ -1,5 +1,6 @@
 #include "DeclarationSpec.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/json.hpp>
 
@@ -52,6 +53,12 @@
 
 } // namespace
 
+std::string operatorName(const DeclarationName &Name) {
+  std::string Text = Name.str();
+  std::replace(Text.begin(), Text.end(), '/', '.');
+  return Text;
+}
+
 DeclarationSpec specOf(const Declaration &Declared) {
   json::object Object = json::parse(encodeDeclaration(Declared)).as_object();
   DeclarationSpec Result;
@@ -59,6 +66,9 @@
   Object.erase("kind");
   Object.erase("manifestRoot");
   Object.erase("holdClass");
+  if (const json::value *Least = Object.if_contains("minimumServing");
+      Least && Least->to_number<std::uint64_t>() == RolloutDeclaration().m_MinimumServing)
+    Object.erase("minimumServing");
   rename(Object, "holdPromise", "promise");
   durationsToSpec(Object);
   Result.m_Spec = std::move(Object);
--- a/src/fescuegauged/DeclarationSpec.h
+++ b/src/fescuegauged/DeclarationSpec.h
@@ -16,6 +16,9 @@
   boost::json::object m_Spec;
 };
 
+/// The name that operators see: an id, so with dots in place of the slashes of `Name`.
+std::string operatorName(const DeclarationName &Name);
+
 DeclarationSpec specOf(const Declaration &Declared);
 
 /// Reads a specification; the errors name the keys of the specification. A rollout needs the root
--- a/src/fescuegauged/OperatorService.cpp
+++ b/src/fescuegauged/OperatorService.cpp
@@ -75,7 +75,7 @@
 
 json::object declarationJson(const DeclarationName &Name, const Declaration &Declared) {
   DeclarationSpec Spec = specOf(Declared);
-  return {{"name", Name.str()}, {"kind", Spec.m_Kind}, {"spec", Spec.m_Spec}};
+  return {{"name", operatorName(Name)}, {"kind", Spec.m_Kind}, {"spec", Spec.m_Spec}};
 }
 
 } // namespace
@@ -191,15 +191,26 @@
   }
   DeclarationName Name = declarationName(Parsed.m_Declarations.front());
   std::string Given = textOf(*Fields, "name");
-  if (!Given.empty() && Given != Name.str()) {
+  if (!Given.empty() && Given != operatorName(Name)) {
     Exchange.answerError(ErrorKind::InvalidDeclaration,
-                         "the name \"" + Given + "\" must be \"" + Name.str() + "\"");
+                         "the name \"" + Given + "\" must be \"" + operatorName(Name) + "\"");
     return false;
   }
   Edits.push_back({Name, Parsed.m_Declarations.front()});
   return true;
 }
 
+/// The declaration in force that operators know by `Name`.
+DeclarationName OperatorService::nameInForce(const std::string &Name) const {
+  DeclarationName Found(Name);
+  m_Loop.postAndWait([&] {
+    for (const auto &[Known, Entry] : m_Targets->configuration().entries())
+      if (operatorName(Known) == Name)
+        Found = Known;
+  });
+  return Found;
+}
+
 void OperatorService::serveChange(HttpExchange &Exchange) {
   if (auto Failure = Exchange.readBody(m_Settings.m_Limits))
     return Exchange.answerError(*Failure, "the body cannot be read");
@@ -273,7 +284,7 @@
     auto Entry = InForce.entries().find(Edit.m_Name);
     if (Entry == InForce.entries().end() || Entry->second.m_SetBy <= Request.m_Base)
       continue;
-    json::object Conflict{{"name", Edit.m_Name.str()},
+    json::object Conflict{{"name", operatorName(Edit.m_Name)},
                           {"author", ""},
                           {"change", Entry->second.m_SetBy.value()},
                           {"spec", nullptr}};
@@ -307,7 +318,7 @@
     json::array Puts;
     json::array Deletes;
     for (const DeclarationEdit &Edit : Known->m_Edits)
-      (Edit.m_Declaration ? Puts : Deletes).emplace_back(Edit.m_Name.str());
+      (Edit.m_Declaration ? Puts : Deletes).emplace_back(operatorName(Edit.m_Name));
     Changes.push_back({{"change", Number},
                        {"changeId", Known->m_Id.str()},
                        {"author", Known->m_Author},
--- a/src/fescuegauged/OperatorService.h
+++ b/src/fescuegauged/OperatorService.h
@@ -32,6 +32,7 @@
   void serveDump(HttpExchange &Exchange);
   bool readPut(HttpExchange &Exchange, const boost::json::value &Value,
                std::vector<DeclarationEdit> &Edits);
+  DeclarationName nameInForce(const std::string &Name) const;
   std::optional<Digest> publishManifest(const DeclarationSpec &Spec);
   void answerOutcome(HttpExchange &Exchange, const ChangeRequest &Request,
                      const ChangeOutcome &Outcome);
--- a/src/fescuegauged/PlatformService.cpp
+++ b/src/fescuegauged/PlatformService.cpp
@@ -1,5 +1,7 @@
 #include "PlatformService.h"
 
+#include "Fescuegauge/Metrics.h"
+
 #include <boost/leaf/result.hpp>
 
 namespace fescuegauge {
@@ -21,6 +23,20 @@
       m_Origin(makeHttpOrigin(Configured.m_Platform.m_Origin, OriginTimeout)),
       m_Instances(makeHttpInstanceList(Configured.m_Platform.m_InstanceList, Timeout)) {}
 
+void PlatformService::start(Kernel &Services) {
+  auto &Metrics = Services.find<MetricsService>("metrics");
+  GaugeMetric &TableRequests = Metrics.gauge({"fescuegauge_table_requests",
+                                              "Reads and writes of the table since the start.",
+                                              {{"operation", 2}}});
+  GaugeMetric &OriginBytes = Metrics.gauge(
+      {"fescuegauge_origin_bytes", "Bytes of weights asked of the origin since the start.", {}});
+  Metrics.beforeCollection([this, &TableRequests, &OriginBytes] {
+    TableRequests.set({"read"}, static_cast<double>(m_TableReads));
+    TableRequests.set({"write"}, static_cast<double>(m_TableWrites));
+    OriginBytes.set({}, static_cast<double>(m_OriginBytes));
+  });
+}
+
 boost::json::object PlatformService::dumpState() const {
   return {{"tableWrites", m_TableWrites.load()},
           {"tableReads", m_TableReads.load()},
--- a/src/fescuegauged/PlatformService.h
+++ b/src/fescuegauged/PlatformService.h
@@ -24,7 +24,7 @@
 
   PlatformService(const Settings &Configured, EventLoop &Loop);
 
-  void start(Kernel &) override {}
+  void start(Kernel &Services) override;
   boost::json::object dumpState() const override;
 
   void transact(Transaction Request, std::function<void(const CommitResult &)> Done);
--- a/src/fescuegauged/RpcService.cpp
+++ b/src/fescuegauged/RpcService.cpp
@@ -1,6 +1,7 @@
 #include "RpcService.h"
 
 #include "Fescuegauge/Log.h"
+#include "Fescuegauge/Metrics.h"
 
 namespace fescuegauge {
 
@@ -9,13 +10,25 @@
 
 RpcService::~RpcService() = default;
 
-void RpcService::start(Kernel &) {
+void RpcService::start(Kernel &Services) {
   RpcOptions Options;
   Options.m_Listen = m_Settings.m_Listen.m_Rpc;
   Options.m_Self = m_Self;
   Options.m_HeartbeatInterval = m_Settings.m_Heartbeats.m_Interval;
   Options.m_FailureTime = m_Settings.m_Heartbeats.m_FailureTime;
   m_Node = std::make_unique<RpcNode>(m_Loop, std::move(Options), *this);
+  auto &Metrics = Services.find<MetricsService>("metrics");
+  GaugeMetric &ControlBytes = Metrics.gauge(
+      {"fescuegauge_control_bytes", "Payload bytes of control messages sent since the start.", {}});
+  GaugeMetric &Connections = Metrics.gauge(
+      {"fescuegauge_connections", "Open connections to other processes.", {{"direction", 2}}});
+  Metrics.beforeCollection([this, &ControlBytes, &Connections] {
+    RpcNode::Counters Counters;
+    m_Loop.postAndWait([&] { Counters = m_Node->counters(); });
+    ControlBytes.set({}, static_cast<double>(Counters.m_ControlBytesSent));
+    Connections.set({"incoming"}, static_cast<double>(Counters.m_Incoming));
+    Connections.set({"outgoing"}, static_cast<double>(Counters.m_Outgoing));
+  });
 }
 
 void RpcService::stop() {
--- a/src/fescuegauged/TargetsService.cpp
+++ b/src/fescuegauged/TargetsService.cpp
@@ -1,6 +1,7 @@
 #include "TargetsService.h"
 
 #include "Fescuegauge/Log.h"
+#include "Fescuegauge/Metrics.h"
 
 namespace fescuegauge {
 
@@ -42,6 +43,14 @@
     m_Membership->setAttachment(m_Replica.offer().encode());
   });
   m_Loop.every(TickInterval, [this] { tick(); });
+  auto &Metrics = Services.find<MetricsService>("metrics");
+  GaugeMetric &InForce =
+      Metrics.gauge({"fescuegauge_change_in_force", "Change number in force.", {}});
+  Metrics.beforeCollection([this, &InForce] {
+    ChangeNumber Number;
+    m_Loop.postAndWait([&] { Number = m_Replica.configuration().number(); });
+    InForce.set({}, static_cast<double>(Number.value()));
+  });
 }
 
 std::string TargetsService::notReadyReason() const {
--- a/src/include/Fescuegauge/DeclarationFile.h
+++ b/src/include/Fescuegauge/DeclarationFile.h
@@ -13,9 +13,10 @@
 
 /// One declaration as operators write it and as the operators' HTTP interface carries it.
 struct DeclarationText {
-  /// Unique among all declarations; an id.
+  /// Follows from the spec: the kind and the ids that the declaration is about, joined by dots, for
+  /// example "target.asistente.quotation".
   std::string m_Name;
-  /// "target", "rollout" or "move".
+  /// "target", "rollout", "service" or "move".
   std::string m_Kind;
   boost::json::object m_Spec;
 };
--- a/src/libsettings/DeclarationFile.cpp
+++ b/src/libsettings/DeclarationFile.cpp
@@ -149,15 +149,23 @@
        {id("service", "Service whose upstreams load the version."),
         id("version", "Model version, as the origin names it."),
         choice("prefer", {"origin-bytes", "time"},
-               "Whether few bytes from the origin or a short time matters more.")},
+               "Whether few bytes from the origin or a short time matters more."),
+        integer("minimumServing", 0, 100000,
+                "Upstreams of the service that keep serving while others load; 1 if left out.")},
+       noRelations},
+      {"service",
+       "A service whose old and new system run beside each other.",
+       {id("service", "Service that callers name."),
+        id("initialGeneration",
+           "Generation that has the non-idempotent work of an account that was never moved.")},
        noRelations},
       {"move",
        "A class of work that should move from one generation to another, as far and as fast as its "
        "promise is kept there.",
        {id("service", "Service to which both generations belong."), id("class", "Class of work."),
         id("from", "Generation that has the work now."), id("to", "Generation that should get it."),
-        id("promise", "Guarantee that must hold while the work moves, for example "
-                      "`answerWithin`.")},
+        choice("promise", {"answerWithin", "firstTokenWithin"},
+               "Guarantee that must hold on the new generation while the work moves.")},
        checkMove},
   };
   return Kinds;
--- a/src/libsettings/JsonLines.cpp
+++ b/src/libsettings/JsonLines.cpp
@@ -123,11 +123,37 @@
   return 0;
 }
 
+namespace {
+
+/// `Text` with the comments before the root value replaced by white space. Boost.JSON 1.81 loses
+/// its place when such a comment is given to it in pieces, and reports a syntax error.
+std::string withoutLeadingComments(std::string_view Text) {
+  std::string Result(Text);
+  std::size_t At = 0;
+  while ((At = Result.find_first_not_of(" \t\r\n", At)) != std::string::npos) {
+    std::string_view Rest = std::string_view(Result).substr(At);
+    bool IsLine = Rest.starts_with("//");
+    if (!IsLine && !Rest.starts_with("/*"))
+      break;
+    std::size_t End = IsLine ? Result.find('\n', At) : Result.find("*/", At + 2);
+    if (End == std::string::npos)
+      break;
+    End += IsLine ? 0 : 2;
+    for (; At < End; ++At)
+      if (Result[At] != '\n')
+        Result[At] = ' ';
+  }
+  return Result;
+}
+
+} // namespace
+
 JsonWithLines parseJsonWithLines(std::string_view Text) {
+  const std::string Blanked = withoutLeadingComments(Text);
   json::basic_parser<LineHandler> Parser(parseOptions());
   LineHandler &Handler = Parser.handler();
   json::error_code Failure;
-  for (const char &Character : Text) {
+  for (const char &Character : Blanked) {
     // The parser leaves what follows the document unread and reports no error.
     if (Parser.write_some(true, &Character, 1, Failure) == 0 && !Failure)
       Failure = json::error::extra_data;
--- a/src/libsettings/Settings_test.cpp
+++ b/src/libsettings/Settings_test.cpp
@@ -295,3 +295,21 @@
   CHECK(Accepted > 0);
   CHECK(Accepted < 20000);
 }
+
+// Guards against a comment in front of the root value that is reported as a syntax error.
+TEST_CASE("comments before the root value are allowed and keep the lines right") {
+  const std::string Text = "// one\n/* two\n   three */ // four\n{\n  \"role\": 1\n}";
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_CHECK(parseSettings(Text, "file"));
+        FAIL("the settings are not sound");
+        return {};
+      },
+      [](const SettingsErrors &Errors) {
+        bool Found = false;
+        for (const SettingsError &Error : Errors.m_Errors)
+          Found = Found || Error.text().starts_with("file:5: role:");
+        CHECK(Found);
+      },
+      [] { FAIL("no errors were reported"); });
+}
