--- a/src/include/Fescuegauge/Membership.h
+++ b/src/include/Fescuegauge/Membership.h
@@ -118,7 +118,7 @@
   /// with a heartbeat interval, so that such a pause alone causes no suspicion.
   static constexpr Duration SuspectAfter = std::chrono::milliseconds(2200);
   /// Time in which a suspected member can refute before it is declared dead.
-  static constexpr Duration SuspectTimeout = std::chrono::milliseconds(1200);
+  static constexpr Duration SuspectTimeout = std::chrono::milliseconds(1000);
   /// A watcher that heard nobody for this long is cut off itself and suspects nobody.
   static constexpr Duration IsolatedAfter = std::chrono::milliseconds(1200);
   /// A gap between two calls of onTime() above this means that this process was paused.
--- a/src/libmembership/Membership.cpp
+++ b/src/libmembership/Membership.cpp
@@ -32,7 +32,7 @@
 /// A watcher that takes over a member, because earlier watchers are gone, suspects it after this
 /// unless it answers a probe or another watcher hears it. Were all watchers lost together with the
 /// member, nobody else would notice it in time.
-constexpr Duration TakeOverGrace = std::chrono::milliseconds(500);
+constexpr Duration TakeOverGrace = std::chrono::milliseconds(400);
 /// Heartbeats after a change of the own record that carry the whole record.
 constexpr int AnnounceHeartbeats = 3;
 
