--- a/src/fescuegauge/RolloutCommands.cpp
+++ b/src/fescuegauge/RolloutCommands.cpp
@@ -77,7 +77,7 @@
   return printable(Centre.m_DataCentre.str() + ": " + Rollout.m_Service.str() + " " +
                    Rollout.m_Version.str() + " live on " + std::to_string(Rollout.m_Live) + " of " +
                    std::to_string(Rollout.m_Wanted) + ", " + megabytes(Rollout.m_OriginBytes) +
-                   " from the origin");
+                   " granted from the origin");
 }
 
 json::object progressJson(const DataCentreStatus &Centre, const RolloutProgress &Rollout) {
--- a/src/fescuegauged/OperatorService.cpp
+++ b/src/fescuegauged/OperatorService.cpp
@@ -236,7 +236,7 @@
   if (Deletes.is_array())
     for (const json::value &Name : Deletes.as_array())
       if (Name.is_string())
-        Request.m_Edits.push_back({DeclarationName(std::string(Name.as_string())), std::nullopt});
+        Request.m_Edits.push_back({nameInForce(std::string(Name.as_string())), std::nullopt});
   ChangeOutcome Outcome =
       waitFor<ChangeOutcome>(m_Loop, [&](std::function<void(ChangeOutcome)> Done) {
         m_Targets->apply(Request, std::move(Done));
@@ -318,7 +318,10 @@
     json::array Puts;
     json::array Deletes;
     for (const DeclarationEdit &Edit : Known->m_Edits)
-      (Edit.m_Declaration ? Puts : Deletes).emplace_back(operatorName(Edit.m_Name));
+      if (Edit.m_Declaration)
+        Puts.push_back(declarationJson(Edit.m_Name, *Edit.m_Declaration));
+      else
+        Deletes.emplace_back(operatorName(Edit.m_Name));
     Changes.push_back({{"change", Number},
                        {"changeId", Known->m_Id.str()},
                        {"author", Known->m_Author},
--- a/src/fescuegauged/TargetsService.cpp
+++ b/src/fescuegauged/TargetsService.cpp
@@ -62,14 +62,16 @@
 ReplicaPeers TargetsService::peers() const {
   const Membership &View = m_Membership->view();
   ReplicaPeers Peers;
-  Peers.m_LocalEntries = View.entries(m_Settings.m_DataCentre);
+  bool IsEntry = m_Settings.m_Role == InstanceRole::Entry;
+  // An agent exchanges configurations only with the entry instances that it heartbeats to.
+  Peers.m_LocalEntries = IsEntry ? View.entries(m_Settings.m_DataCentre) : View.watchers();
   for (const DataCentreId &DataCentre : View.dataCentres()) {
     std::vector<InstanceId> Relays = View.relays(DataCentre);
     auto &Target =
         DataCentre == m_Settings.m_DataCentre ? Peers.m_LocalRelays : Peers.m_RemoteRelays;
     Target.insert(Target.end(), Relays.begin(), Relays.end());
   }
-  if (m_Settings.m_Role == InstanceRole::Entry) {
+  if (IsEntry) {
     for (const InstanceId &Watched : View.watched()) {
       const InstanceRecord *Record = View.find(Watched);
       if (Record && Record->m_Role == InstanceRole::Agent)
