Give each load of the process tests keys of its own

Cause: a load found the executions of an earlier load of the same keys, so the test of a terminated entry instance counted requests as run that had been run by an earlier test.

--- a/src/fescuegauged/process_test.py
+++ b/src/fescuegauged/process_test.py
@@ -5,6 +5,7 @@
 """
 
 import http.client
+import json
 import pathlib
 import signal
 import socket
@@ -32,11 +33,16 @@
 class Load:
     """Callers that send requests of all classes until stopped, and what became of each request."""
 
+    # Keys differ between loads, so that none finds the claims of an earlier one.
+    count_of_loads = 0
+
     def __init__(self, cluster, roots, entries, threads=6):
         self.cluster = cluster
         self.roots = roots
         self.entries = entries
         self.results = []
+        Load.count_of_loads += 1
+        self._name = f"load{Load.count_of_loads}"
         self._lock = threading.Lock()
         self._number = 0
         self._stop = threading.Event()
@@ -59,12 +65,12 @@
     def send(self, number):
         entry = self.entries[number % len(self.entries)]
         service, work_class = [("asistente", "quotation"), ("pedidos", "confirmation")][number % 2]
-        prompt = f"load {number}"
+        prompt = f"{self._name} {number}"
         headers = {"Client-Account": f"account-{number % 5}"}
         execution = None
         if work_class == "confirmation":
-            headers["Idempotency-Key"] = f"20426-load{number}"
-            execution = f"account-{number % 5}/20426-load{number}"
+            headers["Idempotency-Key"] = f"20426-{self._name}-{number}"
+            execution = f"account-{number % 5}/20426-{self._name}-{number}"
         result = {"class": work_class, "execution": execution, "entry": entry.name}
         try:
             status, _, body = call(entry.ports["http"], "POST", f"/v1/{service}/{work_class}",
@@ -75,7 +81,6 @@
             whole = body == expected_answer(self.roots[service], prompt, TOKENS)
             return {**result, "end": "whole" if whole else "wrong", "detail": body[:200]}
         end = {"no": "not-run", "yes": "refused", "unknown": "unknown"}
-        import json
         answer = json.loads(body)
         return {**result, "end": end[answer["run"]], "detail": answer["error"]}
 
--- a/src/librpc/EventLoopImpl.h
+++ b/src/librpc/EventLoopImpl.h
@@ -13,7 +13,7 @@
 
 namespace fescuegauge {
 
-struct EventLoop::Impl : private kj::TaskSet::ErrorHandler {
+struct EventLoop::Impl final : private kj::TaskSet::ErrorHandler {
   explicit Impl(unsigned WorkerThreads) : m_Workers(WorkerThreads) {}
 
   void run(std::promise<void> &Started);
--- a/src/librpc/RpcNode.cpp
+++ b/src/librpc/RpcNode.cpp
@@ -168,7 +168,7 @@
 
 } // namespace
 
-struct RpcNode::Impl : public kj::TaskSet::ErrorHandler {
+struct RpcNode::Impl final : public kj::TaskSet::ErrorHandler {
   /// One connection that a peer opened.
   struct Incoming {
     kj::Own<kj::AsyncIoStream> m_Stream;
@@ -447,7 +447,7 @@
     m_Node.m_Handler.onFetchChunk(
         peer(), digestOf(Context.getParams().getDigest()),
         [Fulfiller](ChunkAnswer Answer) { (*Fulfiller)->fulfill(std::move(Answer)); });
-    return Pair.promise.then([Context](ChunkAnswer Answer) mutable {
+    return Pair.promise.then([Context](const ChunkAnswer &Answer) mutable {
       auto Out = Context.getResults();
       Out.setFound(Answer.m_Status == ChunkAnswer::Status::Found);
       Out.setBusy(Answer.m_Status == ChunkAnswer::Status::Busy);
@@ -463,7 +463,7 @@
     m_Node.m_Handler.onControl(
         peer(), static_cast<Topic>(In.getTopic()), stringOf(In.getPayload()),
         [Fulfiller](std::string Payload) { (*Fulfiller)->fulfill(std::move(Payload)); });
-    return Pair.promise.then([Context](std::string Payload) mutable {
+    return Pair.promise.then([Context](const std::string &Payload) mutable {
       Context.getResults().setPayload(dataOf(Payload));
     });
   }
--- a/src/librpc/RpcNode_test.cpp
+++ b/src/librpc/RpcNode_test.cpp
@@ -133,9 +133,10 @@
     Request.m_Attempt = AttemptId("a1");
     Request.m_Body = "some body";
     Client.runAttempt(Peer, Request, Sink);
-    Client.fetchChunk(Peer, sha256("held"), 10s, [&](ChunkAnswer Received) { Chunk = Received; });
+    Client.fetchChunk(Peer, sha256("held"), 10s,
+                      [&](ChunkAnswer Received) { Chunk = std::move(Received); });
     Client.fetchChunk(Peer, sha256("other"), 10s,
-                      [&](ChunkAnswer Received) { Missing = Received; });
+                      [&](ChunkAnswer Received) { Missing = std::move(Received); });
     Client.control(Peer, Topic::Claims, "hi", 10s, [&](auto Payload) {
       Answer = Payload;
       Replied.set();
--- a/src/standins/EngineStandin.cpp
+++ b/src/standins/EngineStandin.cpp
@@ -204,6 +204,13 @@
     return m_Cancelled.contains(Attempt);
   }
 
+  static std::string tokenAt(const std::string &Version, const std::string &Prompt,
+                             std::uint64_t Position) {
+    std::string Source = Version;
+    Source.append(":").append(Prompt).append(":").append(std::to_string(Position));
+    return sha256(Source).hex().substr(0, 7).append(" ");
+  }
+
   /// Streams tokens that depend on the served version, the prompt and the position alone, so that a
   /// checker can compute the whole answer and a stream can be resumed.
   void generate(Call &Received) {
@@ -226,8 +233,7 @@
     std::ostream &Out = Received.response().send();
     std::uint64_t Offset = 0;
     for (std::uint64_t I = 0; I < Tokens && Out.good(); ++I) {
-      std::string Token =
-          sha256(Version + ":" + Prompt + ":" + std::to_string(I)).hex().substr(0, 7) + " ";
+      std::string Token = tokenAt(Version, Prompt, I);
       Offset += Token.size();
       if (Offset <= Skip)
         continue;
