Find replaced members by the list; drain until nobody can be cut

Cause, by traces of the process tests: (1) after all entry instances were replaced at other addresses, an agent wrote to the old ones and was taken for dead for over a minute, because the platform's list was used only for unknown ids; (2) an agent ended while entry instances had not yet heard that it leaves, and an attempt on its way was lost with the connection; (3) an entry instance stopped its HTTP server while the last bytes of an answer were being written. Change: a process that hears nobody for 3 s reads the list and contacts listed addresses that differ from the known ones; an agent counts as drained when each connected entry instance has taken in the report that it leaves; the HTTP service counts as drained when no exchange is in progress.

--- a/src/fescuegauged/AttemptService.cpp
+++ b/src/fescuegauged/AttemptService.cpp
@@ -27,6 +27,7 @@
 void AttemptService::start(Kernel &Services) {
   m_Membership = &Services.find<MembershipService>("membership");
   auto &Rpc = Services.find<RpcService>("rpc");
+  m_Rpc = &Rpc;
   m_Loop.postAndWait([this, &Rpc] {
     Rpc.m_RunAttempt = [this](const PeerIdentity &From, AttemptRequest Request,
                               std::shared_ptr<AttemptSink> Sink) {
@@ -37,6 +38,8 @@
       // Opens the source again if it was closed for a gap that did not break the connection.
       m_Ledger.openSource(AttemptSourceId(From.m_AttemptSource), From.m_NextAttempt,
                           EventLoop::now());
+      if (m_Draining)
+        ++m_LeavingReports[From.m_Instance];
       return report();
     };
     Rpc.onTopic(Topic::Attempts,
@@ -64,10 +67,22 @@
 
 bool AttemptService::isDrained() const {
   bool Idle = false;
-  m_Loop.postAndWait([&] { Idle = isIdle(); });
+  m_Loop.postAndWait([&] { Idle = isIdle() && isLeaveKnown(); });
   return Idle;
 }
 
+/// An entry instance that sends a heartbeat has taken in the answer to the one before. Until then
+/// it may dispatch attempts, which must be refused rather than lost with the connection.
+bool AttemptService::isLeaveKnown() const {
+  constexpr int ReportsNeeded = 2;
+  for (const InstanceId &Entry : m_Rpc->node().monitoringPeers()) {
+    auto Sent = m_LeavingReports.find(Entry);
+    if (Sent == m_LeavingReports.end() || Sent->second < ReportsNeeded)
+      return false;
+  }
+  return true;
+}
+
 void AttemptService::stop() {
   m_Loop.postAndWait([this] {
     for (auto &[Id, Cut] : m_Running) {
--- a/src/fescuegauged/AttemptService.h
+++ b/src/fescuegauged/AttemptService.h
@@ -63,6 +63,8 @@
            const EngineRunResult &Result, ErrorKind Error = ErrorKind::NotReady);
   void keepAnswer(const Attempt &Completed);
   void cancel(const AttemptId &Id);
+  /// True when every connected entry instance has taken in that this upstream is leaving.
+  bool isLeaveKnown() const;
   void checkEngine();
   void engineChecked(const std::optional<EngineStatus> &Status);
   void engineLost();
@@ -75,6 +77,7 @@
   AttemptLedger m_Ledger;
   boost::asio::thread_pool m_Threads;
   MembershipService *m_Membership = nullptr;
+  RpcService *m_Rpc = nullptr;
   std::map<AttemptId, std::shared_ptr<Attempt>> m_Running;
   std::deque<std::shared_ptr<Attempt>> m_Waiting;
   std::map<AttemptId, RecordedAnswer> m_KeptAnswers;
@@ -88,6 +91,8 @@
   std::vector<EngineLoss> m_Losses;
   TimePoint m_LastLoss;
   bool m_Draining = false;
+  /// Reports sent to each entry instance since the drain began.
+  std::map<InstanceId, int> m_LeavingReports;
   std::uint64_t m_Completed = 0;
   std::uint64_t m_Refused = 0;
 };
--- a/src/fescuegauged/HttpService.cpp
+++ b/src/fescuegauged/HttpService.cpp
@@ -133,10 +133,12 @@
 
 class RoutingHandler final : public Poco::Net::HTTPRequestHandler {
 public:
-  explicit RoutingHandler(const Routes &Table) : m_Table(Table) {}
+  RoutingHandler(const Routes &Table, std::atomic<int> &Active)
+      : m_Table(Table), m_Active(Active) {}
 
   void handleRequest(Poco::Net::HTTPServerRequest &Request,
                      Poco::Net::HTTPServerResponse &Response) override {
+    ++m_Active;
     try {
       HttpExchange Exchange(Request, Response);
       if (const HttpService::Handler *Found = find(Request))
@@ -146,6 +148,7 @@
     } catch (const std::exception &Error) {
       logEvent(Severity::Info, "http_exchange_failed", {{"reason", Error.what()}});
     }
+    --m_Active;
   }
 
 private:
@@ -165,29 +168,33 @@
   }
 
   const Routes &m_Table;
+  std::atomic<int> &m_Active;
 };
 
 class RoutingFactory final : public Poco::Net::HTTPRequestHandlerFactory {
 public:
-  explicit RoutingFactory(const Routes &Table) : m_Table(Table) {}
+  RoutingFactory(const Routes &Table, std::atomic<int> &Active)
+      : m_Table(Table), m_Active(Active) {}
   Poco::Net::HTTPRequestHandler *
   createRequestHandler(const Poco::Net::HTTPServerRequest &) override {
-    return new RoutingHandler(m_Table);
+    return new RoutingHandler(m_Table, m_Active);
   }
 
 private:
   const Routes &m_Table;
+  std::atomic<int> &m_Active;
 };
 
 } // namespace
 
 struct HttpService::Server {
-  Server(const Settings &Configured, const Routes &Table)
+  Server(const Settings &Configured, const Routes &Table, std::atomic<int> &Active)
       : m_Pool(2, static_cast<int>(Configured.m_Limits.m_MaxConnections)),
         m_Socket(Poco::Net::SocketAddress(Configured.m_Listen.m_Http.m_Host,
                                           Configured.m_Listen.m_Http.m_Port),
                  ListenBacklog),
-        m_Server(new RoutingFactory(Table), m_Pool, m_Socket, parameters(Configured.m_Limits)) {}
+        m_Server(new RoutingFactory(Table, Active), m_Pool, m_Socket,
+                 parameters(Configured.m_Limits)) {}
 
   static constexpr int ListenBacklog = 512;
 
@@ -232,7 +239,7 @@
   route("GET /metrics", [&Metrics](HttpExchange &Exchange) {
     Exchange.answerText(Metrics.serialize(), "text/plain; version=0.0.4");
   });
-  m_Server = std::make_unique<Server>(m_Settings, m_Routes);
+  m_Server = std::make_unique<Server>(m_Settings, m_Routes, m_Active);
   m_Server->m_Server.start();
 }
 
--- a/src/fescuegauged/HttpService.h
+++ b/src/fescuegauged/HttpService.h
@@ -5,6 +5,7 @@
 #include "Fescuegauge/Kernel.h"
 #include "Fescuegauge/Settings.h"
 
+#include <atomic>
 #include <boost/json/value.hpp>
 #include <functional>
 #include <map>
@@ -75,6 +76,8 @@
 
   /// Serves /healthz, /readyz, /metrics and /dump beside the added routes.
   void start(Kernel &Services) override;
+  /// True when no exchange is in progress, so no answer is cut by stop().
+  bool isDrained() const override { return m_Active == 0; }
   void stop() override;
   std::uint16_t port() const;
 
@@ -82,6 +85,7 @@
   struct Server;
   const Settings &m_Settings;
   std::map<std::string, Handler> m_Routes;
+  std::atomic<int> m_Active{0};
   std::unique_ptr<Server> m_Server;
 };
 
--- a/src/fescuegauged/MembershipService.cpp
+++ b/src/fescuegauged/MembershipService.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(50);
+constexpr Duration ContactTimeout = std::chrono::seconds(1);
 
 std::string_view stateName(InstanceState State) {
   switch (State) {
@@ -89,6 +90,8 @@
 }
 
 bool MembershipService::isListReader() const {
+  if (m_Membership->isCutOff(EventLoop::now()))
+    return true;
   if (m_Record.m_Role == InstanceRole::Agent)
     return m_Membership->watchers().empty();
   std::vector<InstanceId> Entries = m_Membership->entries(m_Record.m_DataCentre);
@@ -157,9 +160,12 @@
   }
   if (To == m_Record.m_Id)
     return;
-  if (Message.m_Endpoint.m_Port != 0 && !m_Membership->find(To))
-    m_Rpc->node().remember(To, Message.m_Endpoint, false);
-  send(To, Topic::Membership, Message.m_Message.encode());
+  // The address of a message without an id is newer than that of the known record, if any.
+  if (!Message.m_To.empty())
+    return send(To, Topic::Membership, Message.m_Message.encode());
+  m_Rpc->node().remember(To, Message.m_Endpoint, m_Rpc->node().isMonitored(To));
+  m_Rpc->node().control(To, Topic::Membership, Message.m_Message.encode(), ContactTimeout,
+                        [](const std::optional<std::string> &) {});
 }
 
 void MembershipService::send(const InstanceId &To, Topic Subject, std::string Payload,
--- a/src/include/Fescuegauge/Membership.h
+++ b/src/include/Fescuegauge/Membership.h
@@ -121,6 +121,9 @@
   static constexpr Duration SuspectTimeout = std::chrono::milliseconds(1000);
   /// A watcher that heard nobody for this long is cut off itself and suspects nobody.
   static constexpr Duration IsolatedAfter = std::chrono::milliseconds(1200);
+  /// A process that heard nobody for this long contacts seeds and listed addresses, because the
+  /// members that it knows may all have been replaced at other addresses.
+  static constexpr Duration CutOffAfter = std::chrono::seconds(3);
   /// A gap between two calls of onTime() above this means that this process was paused.
   static constexpr Duration PausedAfter = std::chrono::milliseconds(700);
   /// Delay of news, so that one message carries several; the short one for departures.
@@ -208,6 +211,8 @@
   /// Data centres with members, in order of name, the own one included.
   std::vector<DataCentreId> dataCentres() const;
   bool isRelay() const;
+  /// True when no message arrived for CutOffAfter.
+  bool isCutOff(TimePoint Now) const { return Now - m_LastHeard > CutOffAfter; }
   /// Members that this process watches.
   std::vector<InstanceId> watched() const;
   /// The entry instances that this process heartbeats to.
--- a/src/include/Fescuegauge/RpcNode.h
+++ b/src/include/Fescuegauge/RpcNode.h
@@ -199,6 +199,9 @@
   void control(const InstanceId &Peer, Topic Subject, std::string Payload, Duration Timeout,
                ControlResult Done);
 
+  /// The peers whose heartbeats this process answers.
+  std::vector<InstanceId> monitoringPeers() const;
+
   /// Closes all connections and stops listening. Later calls behave as if no peer could be reached.
   void close();
 
--- a/src/libmembership/Membership.cpp
+++ b/src/libmembership/Membership.cpp
@@ -625,8 +625,9 @@
   std::set<InstanceId> Listed;
   for (const PlatformListEntry &Entry : List) {
     Listed.insert(Entry.m_Id);
-    if (m_Contacts.size() < MaxContacts && !m_Members.contains(Entry.m_Id) &&
-        Entry.m_Id != m_Self->m_Id && !Entry.m_Leaving)
+    auto Known = m_Members.find(Entry.m_Id);
+    bool IsNew = Known == m_Members.end() || Known->second.m_Record->m_Endpoint != Entry.m_Endpoint;
+    if (m_Contacts.size() < MaxContacts && IsNew && Entry.m_Id != m_Self->m_Id && !Entry.m_Leaving)
       m_Contacts.push_back(Entry);
     if (!Entry.m_Leaving) {
       m_ListLeaving.erase(Entry.m_Id);
@@ -659,7 +660,7 @@
 }
 
 void Membership::contactSeeds(TimePoint Now, Actions &Out) {
-  bool Alone = m_LocalEntries.empty();
+  bool Alone = m_LocalEntries.empty() || isCutOff(Now);
   m_NextContact = Now + jittered(m_Random, Alone ? ContactInterval : RelayContactInterval);
   if (!Alone && !isRelay())
     return;
--- a/src/libmembership/Membership_test.cpp
+++ b/src/libmembership/Membership_test.cpp
@@ -185,3 +185,32 @@
     CHECK((View.find(InstanceId("a")) == nullptr) == Keep);
   }
 }
+
+// Guards against an agent that keeps writing to the old addresses of entry instances that were all
+// replaced at once. Seen with real processes: the agent was declared dead for over a minute.
+TEST_CASE("A process that hears nobody contacts members at the addresses of the platform's list") {
+  TimePoint Now{};
+  Membership Agent(record("agent", InstanceRole::Agent, 1), {}, 7);
+  Agent.start(Now);
+  auto Entry = std::make_shared<InstanceRecord>(record("entry", InstanceRole::Entry, 2));
+  MembershipMessage News = news("entry", 2, InstanceState::Live);
+  News.m_Updates.front().m_Record = Entry;
+  Agent.onMessage(Entry->m_Id, News, Now);
+  for (int Step = 0; Step < 20; ++Step) {
+    Now += milliseconds(100);
+    Agent.onTime(Now);
+  }
+  REQUIRE(Agent.watchers() == std::vector<InstanceId>{Entry->m_Id});
+
+  const Endpoint Replaced{"127.0.0.1", 9999};
+  bool IsContacted = false;
+  for (int Step = 0; Step < 100; ++Step) {
+    Now += milliseconds(100);
+    Agent.onPlatformList(
+        std::vector<PlatformListEntry>{{Entry->m_Id, Entry->m_DataCentre, Replaced, false}}, Now);
+    for (const Membership::Action &Action : Agent.onTime(Now))
+      if (const auto *Message = std::get_if<Membership::Send>(&Action))
+        IsContacted = IsContacted || Message->m_Endpoint == Replaced;
+  }
+  CHECK(IsContacted);
+}
--- a/src/librpc/RpcNode.cpp
+++ b/src/librpc/RpcNode.cpp
@@ -585,6 +585,14 @@
   Loop.postAndWait([this] { close(); });
 }
 
+std::vector<InstanceId> RpcNode::monitoringPeers() const {
+  std::vector<InstanceId> Peers;
+  for (const auto &[Id, Connection] : m_Impl->m_Incoming)
+    if (Connection->m_IsMonitored && Connection->m_Peer)
+      Peers.push_back(Connection->m_Peer->m_Instance);
+  return Peers;
+}
+
 void RpcNode::close() {
   m_Impl->m_IsClosed = true;
   m_Impl->m_Accepting = nullptr;
