Keep connections to a bounded subset of the upstreams

Cause: every entry instance kept a monitored connection to every agent, which at the design scale is 340 x 910 connections with two heartbeats a second each. Ruled out: rendezvous hashing per entry instance, whose random subsets give upstreams very different numbers of callers. Change: entry instances and agents of a data centre are put on rings and each entry instance takes 12 consecutive agents of a service, plus 2 elsewhere.

--- a/src/fescuegauged/RequestService.cpp
+++ b/src/fescuegauged/RequestService.cpp
@@ -143,8 +143,7 @@
         m_Suspects.merge(*Deltas, EventLoop::now());
     });
     m_Membership->onChanged([this](const InstanceRecord &Record) { memberChanged(Record); });
-    for (const auto &Member : m_Membership->view().members())
-      memberChanged(*Member);
+    updateEntries();
     m_Targets->onInForce([this](const Configuration &InForce) { configurationChanged(InForce); });
     configurationChanged(m_Targets->configuration());
   });
@@ -736,18 +735,48 @@
 }
 
 void RequestService::memberChanged(const InstanceRecord &Record) {
-  if (Record.m_Role == InstanceRole::Agent) {
+  m_LinksChanged = true;
+  if (Record.m_Role == InstanceRole::Agent && m_Links.contains(Record.m_Id))
     m_Router.onInstance(Record, EventLoop::now());
-    if (Record.m_State == InstanceState::Dead)
-      m_Rpc->node().forget(Record.m_Id);
-    else
-      m_Rpc->node().remember(Record.m_Id, Record.m_Endpoint, true);
-  }
+  if (Record.m_Role == InstanceRole::Entry)
+    updateEntries();
+}
+
+/// The entry instances of the data centre share the work of batching claims.
+void RequestService::updateEntries() {
   std::vector<InstanceId> Entries = m_Membership->view().entries(m_Settings.m_DataCentre);
   Entries.push_back(m_Settings.m_Id);
   m_Lifecycle.setEntries(std::move(Entries));
 }
 
+/// Opens and closes connections so that they lead to the agents of the own subset. A connection
+/// with attempts in progress is kept until they end.
+void RequestService::updateLinks() {
+  m_LinksChanged = false;
+  const Membership &View = m_Membership->view();
+  std::vector<InstanceId> Chosen = DispatchSubset::choose(View.self(), View.members());
+  std::set<InstanceId> Wanted(Chosen.begin(), Chosen.end());
+  for (auto Link = m_Links.begin(); Link != m_Links.end();) {
+    const InstanceRecord *Record = View.find(*Link);
+    bool IsDead = !Record || Record->m_State == InstanceState::Dead;
+    if (IsDead || (!Wanted.contains(*Link) && m_Router.inFlight(*Link) == 0)) {
+      m_Rpc->node().forget(*Link);
+      Link = m_Links.erase(Link);
+    } else {
+      m_LinksChanged = m_LinksChanged || !Wanted.contains(*Link);
+      ++Link;
+    }
+  }
+  for (const InstanceId &Agent : Wanted) {
+    const InstanceRecord *Record = View.find(Agent);
+    if (!Record || Record->m_State == InstanceState::Dead)
+      continue;
+    m_Links.insert(Agent);
+    m_Router.onInstance(*Record, EventLoop::now());
+    m_Rpc->node().remember(Agent, Record->m_Endpoint, true);
+  }
+}
+
 void RequestService::configurationChanged(const Configuration &InForce) {
   std::vector<ClassTarget> Targets;
   for (const TargetDeclaration *Declared : InForce.all<TargetDeclaration>())
@@ -792,6 +821,8 @@
     else if (Member->m_Region == m_Settings.m_Region)
       ++Entries;
   }
+  if (m_LinksChanged)
+    updateLinks();
   for (const ServiceId &Known : Services)
     m_Scheduler.onLoad(Known, m_Router.load(Known, Now), Entries);
   m_Suspects.onTimer(Now);
--- a/src/fescuegauged/RequestService.h
+++ b/src/fescuegauged/RequestService.h
@@ -4,6 +4,7 @@
 #include "CallerExchange.h"
 #include "Fescuegauge/ClaimBatcher.h"
 #include "Fescuegauge/CrashSuspects.h"
+#include "Fescuegauge/DispatchSubset.h"
 #include "Fescuegauge/GenerationRules.h"
 #include "Fescuegauge/Metrics.h"
 #include "Fescuegauge/RequestLifecycle.h"
@@ -99,6 +100,8 @@
   void sendSuspects();
   void heartbeatAnswered(const InstanceId &Upstream, const std::string &Payload);
   void memberChanged(const InstanceRecord &Record);
+  void updateEntries();
+  void updateLinks();
   void configurationChanged(const Configuration &InForce);
   void readEpoch();
   void tick();
@@ -127,6 +130,9 @@
       m_ClaimAnswers;
   std::unordered_map<RequestId, std::shared_ptr<Running>> m_Running;
   std::map<std::string, OwnerEntry> m_Owners;
+  /// Agents to which monitored connections are kept.
+  std::set<InstanceId> m_Links;
+  bool m_LinksChanged = true;
   std::map<InstanceId, Incarnation> m_AgentIncarnations;
   struct Crash {
     TimePoint m_At;
