--- a/src/fescuegauged/AttemptService.cpp
+++ b/src/fescuegauged/AttemptService.cpp
@@ -336,6 +336,7 @@
     State["engineAlive"] = m_EngineAlive;
     State["engineIncarnation"] = m_EngineIncarnation.value();
     State["routable"] = m_Routable.hex();
+    State["engineChecksFencingTokens"] = m_Settings.m_Agent.m_ChecksFencingTokens;
     State["draining"] = m_Draining;
   });
   return State;
--- a/src/fescuegauged/RequestService.cpp
+++ b/src/fescuegauged/RequestService.cpp
@@ -324,9 +324,13 @@
     return ErrorKind::Draining;
   if (!m_Targets->isReady())
     return ErrorKind::NotReady;
-  if (m_Running.size() >=
-      m_Settings.m_Limits.m_MaxRequestsInFlight + m_Settings.m_Limits.m_MaxQueuedRequests)
+  const LimitSettings &Limits = m_Settings.m_Limits;
+  if (m_Running.size() > Limits.m_MaxRequestsInFlight + Limits.m_MaxQueuedRequests ||
+      m_Waiting > Limits.m_MaxQueuedRequests)
     return ErrorKind::Overloaded;
+  auto Waiting = m_WaitingOfAccount.find(Arrived.m_Request.m_Account);
+  if (Waiting != m_WaitingOfAccount.end() && Waiting->second > Limits.m_MaxQueuedRequestsPerAccount)
+    return ErrorKind::AccountOverShare;
   RequestDescription &Request = Arrived.m_Request;
   const Configuration &InForce = m_Targets->configuration();
   const ClassTarget *Target = InForce.target(Request.m_Service, Request.m_Class);
@@ -344,6 +348,9 @@
 
 void RequestService::arrive(const std::shared_ptr<Running> &Arrived) {
   m_Running[Arrived->m_Request.m_Id] = Arrived;
+  Arrived->m_IsWaiting = true;
+  ++m_Waiting;
+  ++m_WaitingOfAccount[Arrived->m_Request.m_Account];
   if (auto Refusal = refusalFor(*Arrived))
     return refuse(Arrived, *Refusal);
   withOwner(Arrived);
@@ -457,6 +464,16 @@
   carryOut(Final);
 }
 
+void RequestService::endWait(Running &Waited) {
+  if (!Waited.m_IsWaiting)
+    return;
+  Waited.m_IsWaiting = false;
+  --m_Waiting;
+  auto Found = m_WaitingOfAccount.find(Waited.m_Request.m_Account);
+  if (--Found->second == 0)
+    m_WaitingOfAccount.erase(Found);
+}
+
 void RequestService::carryOut(const std::vector<SchedulerAction> &Actions) {
   for (const SchedulerAction &Action : Actions) {
     auto Found = m_Running.find(Action.m_Id);
@@ -468,6 +485,7 @@
       continue;
     }
     Target->m_Started = EventLoop::now();
+    endWait(*Target);
     carryOut(m_Lifecycle.arrive(Target->m_Request, Target->m_Terms, EventLoop::now()));
   }
 }
@@ -536,6 +554,7 @@
     return;
   auto Finished = std::move(Found->second);
   m_Running.erase(Found);
+  endWait(*Finished);
   TimePoint Now = EventLoop::now();
   bool IsComplete = Action.m_Outcome == RequestOutcome::Complete;
   if (Finished->m_Started) {
@@ -846,6 +865,7 @@
   json::object State;
   m_Loop.postAndWait([&] {
     State["inProgress"] = m_Running.size();
+    State["waiting"] = m_Waiting;
     State["draining"] = m_Draining;
     State["dispatches"] = m_Lifecycle.counters().m_Dispatches;
     State["retries"] = m_Lifecycle.counters().m_Retries;
--- a/src/fescuegauged/RequestService.h
+++ b/src/fescuegauged/RequestService.h
@@ -52,6 +52,7 @@
     std::optional<TimePoint> m_FirstToken;
     Digest m_ServedDigest;
     int m_Priority = 0;
+    bool m_IsWaiting = false;
   };
   struct OwnerEntry {
     OwnerRow m_Row;
@@ -76,6 +77,8 @@
   void createOwner(const std::shared_ptr<Running> &Arrived, const std::string &Key);
   bool storeOwner(const TableRow &Row);
   void submit(const std::shared_ptr<Running> &Arrived);
+  /// The request no longer waits: it is started or finished.
+  void endWait(Running &Waited);
   void refuse(const std::shared_ptr<Running> &Arrived, ErrorKind Kind,
               std::optional<Duration> RetryAfter = std::nullopt);
   void carryOut(const std::vector<SchedulerAction> &Actions);
@@ -129,6 +132,9 @@
   std::map<std::pair<InstanceId, ClaimTicket>, std::function<void(const ClaimWriteResult &)>>
       m_ClaimAnswers;
   std::unordered_map<RequestId, std::shared_ptr<Running>> m_Running;
+  /// Requests that were not started yet, of each account that has any.
+  std::unordered_map<ClientAccountId, std::size_t> m_WaitingOfAccount;
+  std::size_t m_Waiting = 0;
   std::map<std::string, OwnerEntry> m_Owners;
   /// Agents to which monitored connections are kept.
   std::set<InstanceId> m_Links;
--- a/src/fescuegauged/WeightsService.cpp
+++ b/src/fescuegauged/WeightsService.cpp
@@ -158,6 +158,8 @@
 
 void WeightsService::serveChunk(const PeerIdentity &From, const Digest &Chunk,
                                 const ChunkReply &Reply) {
+  if (m_ChunkBytes >= m_Settings.m_Limits.m_ChunkBytesInFlight)
+    return Reply({ChunkAnswer::Status::Busy, {}});
   switch (m_Agent->admitUpload(From.m_Instance, Chunk, EventLoop::now())) {
   case UploadAnswer::Busy:
     return Reply({ChunkAnswer::Status::Busy, {}});
@@ -261,6 +263,7 @@
 void WeightsService::received(const StartFetch &Fetch, std::string Content) {
   auto Shared = std::make_shared<std::string>(std::move(Content));
   auto Found = std::make_shared<Digest>();
+  m_ChunkBytes += Bytes(Shared->size());
   m_Loop.runBlocking([Shared, Found] { *Found = sha256(*Shared); },
                      [this, Fetch, Shared, Found] {
                        if (*Found != Fetch.m_Chunk.m_Digest)
@@ -268,17 +271,20 @@
                                   {{"peer", Fetch.m_Peer}, {"digest", Found->hex()}});
                        if (m_Agent->onReceived(Fetch.m_Id, *Found, EventLoop::now()))
                          stage(Fetch, Shared);
+                       else
+                         m_ChunkBytes -= Bytes(Shared->size());
                        poll();
                      });
 }
 
-void WeightsService::stage(const StartFetch &Fetch, std::shared_ptr<std::string> Content) {
+void WeightsService::stage(const StartFetch &Fetch, const std::shared_ptr<std::string> &Content) {
   auto Written = std::make_shared<bool>(false);
   m_Loop.runBlocking(
-      [this, Fetch, Content = std::move(Content), Written] {
+      [this, Fetch, Content, Written] {
         *Written = m_Attempts->engine().stage(Fetch.m_Chunk.m_Digest, *Content);
       },
-      [this, Fetch, Written] {
+      [this, Fetch, Content, Written] {
+        m_ChunkBytes -= Bytes(Content->size());
         m_Agent->onStaged(Fetch.m_Chunk, *Written, EventLoop::now());
         poll();
       });
--- a/src/fescuegauged/WeightsService.h
+++ b/src/fescuegauged/WeightsService.h
@@ -38,7 +38,7 @@
   void poll();
   void carryOut(const StartFetch &Fetch);
   void received(const StartFetch &Fetch, std::string Content);
-  void stage(const StartFetch &Fetch, std::shared_ptr<std::string> Content);
+  void stage(const StartFetch &Fetch, const std::shared_ptr<std::string> &Content);
   void carryOut(const CancelFetch &) {}
   void carryOut(const SendSummary &Message);
   void carryOut(const TableRequest &Request);
@@ -63,6 +63,9 @@
   std::unordered_set<Digest> m_ManifestRequests;
   std::optional<RolloutDeclaration> m_Rollout;
   ChangeNumber m_RolloutChange;
+  /// Bytes of chunks that were received and are not staged yet. At the limit of the settings, peers
+  /// are answered Busy.
+  Bytes m_ChunkBytes;
   bool m_Polling = false;
   TimePoint m_NextView;
   Digest m_Routable;
