weights: a busy peer is avoided for the time of a few chunks

Cause: a dump once a second showed agents with chunks missing and nothing in flight for seconds. A busy answer made a peer unusable for 1.5 s whatever the rate of the link; at 62.5 MB/s a chunk of 1 MiB takes 17 ms. Ruled out: the summaries, which come once a second but name many chunks, and the pace of the region link, which allowed 24 chunks/s. Change: the time follows from the rate of the instance's link, 8 chunks, from 40 ms to the former 1.5 s.

--- a/src/fescuegauged/WeightsService.cpp
+++ b/src/fescuegauged/WeightsService.cpp
@@ -439,6 +439,7 @@
     State["fetchesInFlight"] = Planner.fetchesInFlight();
     State["neighbours"] = Planner.neighbourCount();
     State["originFetches"] = Planner.counters().m_OriginFetches;
+    State["busyAnswers"] = Planner.counters().m_BusyAnswers;
     State["badChunks"] = Planner.counters().m_BadChunks;
     State["stagedBytes"] = m_Agent->staging().usedSize().count();
     State["routableRoot"] = m_Agent->routableRoot().hex();
--- a/src/include/Fescuegauge/TransferPlanner.h
+++ b/src/include/Fescuegauge/TransferPlanner.h
@@ -195,7 +195,11 @@
   /// How long a peer whose transfer failed or timed out is avoided; doubled for each failure in a
   /// row up to BadPeerTime.
   static constexpr Duration FailedPeerTime = std::chrono::seconds(2);
+  /// How long a busy peer is avoided: the time in which it serves BusyPeerChunks chunks at the rate
+  /// of the link, at most BusyPeerTime. With 1.5 s whatever the rate, 64 MiB took 31 s on loopback.
   static constexpr Duration BusyPeerTime = std::chrono::milliseconds(1500);
+  static constexpr Duration MinBusyPeerTime = std::chrono::milliseconds(40);
+  static constexpr int BusyPeerChunks = 8;
   /// Unused time that a paced link makes up for; two intervals of poll().
   static constexpr Duration PaceCredit = std::chrono::seconds(1);
   /// A transfer may take this many times as long as the link budget suggests, plus MinFetchTime.
@@ -368,6 +372,7 @@
   void planImport(std::size_t LaneIndex, TimePoint Now, std::vector<TransferAction> &Actions);
   void planPeerFetches(TimePoint Now, std::vector<TransferAction> &Actions);
   void planSummaries(TimePoint Now, std::vector<TransferAction> &Actions);
+  Duration busyTime(Bytes Size) const;
   bool hasRoom(Bytes Size) const;
   bool isSettled(TimePoint Now) const;
   void updatePatience();
--- a/src/libweights/TransferPlanner.cpp
+++ b/src/libweights/TransferPlanner.cpp
@@ -441,6 +441,11 @@
   m_Lanes[It->second.m_Index % Lanes].m_LastProgress = Now;
 }
 
+Duration TransferPlanner::busyTime(Bytes Size) const {
+  return std::clamp(m_Links.m_Instance.timeFor(Size) * BusyPeerChunks, MinBusyPeerTime,
+                    BusyPeerTime);
+}
+
 void TransferPlanner::onFetchFailed(FetchId Id, FetchFailure Failure, TimePoint Now) {
   std::optional<Fetch> Failed = takeFetch(Id);
   if (!Failed)
@@ -452,7 +457,7 @@
   case FetchFailure::Busy:
     ++m_Counters.m_BusyAnswers;
     if (From != m_Peers.end())
-      From->second.m_AvoidUntil = Now + jittered(m_Random, BusyPeerTime, 0.5);
+      From->second.m_AvoidUntil = Now + jittered(m_Random, busyTime(Failed->m_Size), 0.5);
     break;
   case FetchFailure::NotHeld:
     forgetHolder(*Failed);
