--- a/src/fescuegauged/EngineClient.cpp
+++ b/src/fescuegauged/EngineClient.cpp
@@ -1,6 +1,7 @@
 #include "EngineClient.h"
 
 #include "Fescuegauge/HttpClient.h"
+#include "Fescuegauge/JsonFields.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
@@ -23,28 +24,12 @@
 /// Without an event for this long, a stream counts as broken.
 constexpr Duration StreamSilence = 30s;
 
-std::string textOf(const json::object &Object, std::string_view Key) {
-  const json::value *Found = Object.if_contains(Key);
-  return Found && Found->is_string() ? std::string(Found->as_string()) : std::string();
-}
-
-std::uint64_t numberOf(const json::object &Object, std::string_view Key) {
-  const json::value *Found = Object.if_contains(Key);
-  if (!Found || !Found->is_number())
-    return 0;
-  boost::system::error_code Error;
-  auto Number = Found->to_number<std::uint64_t>(Error);
-  return Error ? 0 : Number;
+std::uint64_t numberOrZero(const json::object &Object, std::string_view Key) {
+  return jsonNumber(Object, Key).value_or(0);
 }
 
 std::optional<json::object> objectOf(const HttpResult &Answer) {
-  if (!Answer.isOk())
-    return std::nullopt;
-  boost::system::error_code Error;
-  json::value Value = json::parse(Answer.m_Body, Error);
-  if (Error || !Value.is_object())
-    return std::nullopt;
-  return std::move(Value.as_object());
+  return Answer.isOk() ? parseJsonObject(Answer.m_Body) : std::nullopt;
 }
 
 HttpCall engineCall(const Endpoint &Engine, std::string Method, std::string Path,
@@ -70,9 +55,7 @@
 
 /// The body that callers send, extended by what the engine needs to run and cancel it.
 std::string engineBody(const AttemptRequest &Request) {
-  boost::system::error_code Error;
-  json::value Parsed = json::parse(Request.m_Body, Error);
-  json::object Body = !Error && Parsed.is_object() ? Parsed.as_object() : json::object();
+  json::object Body = parseJsonObject(Request.m_Body).value_or(json::object());
   Body["attempt"] = Request.m_Attempt.str();
   Body["execution"] = Request.m_Execution;
   Body["resumeFrom"] = Request.m_ResumeFrom;
@@ -109,12 +92,12 @@
   if (!Body)
     return std::nullopt;
   EngineStatus Status;
-  Status.m_Version = textOf(*Body, "version");
-  Status.m_ServedRoot = Digest::fromHex(textOf(*Body, "rootDigest")).value_or(Digest());
-  Status.m_Token = FencingToken(numberOf(*Body, "fencingToken"));
-  Status.m_Running = static_cast<std::uint32_t>(numberOf(*Body, "running"));
-  Status.m_Capacity = static_cast<std::uint32_t>(numberOf(*Body, "capacity"));
-  Status.m_ReportAge = std::chrono::milliseconds(numberOf(*Body, "reportAgeMs"));
+  Status.m_Version = jsonText(*Body, "version");
+  Status.m_ServedRoot = Digest::fromHex(jsonText(*Body, "rootDigest")).value_or(Digest());
+  Status.m_Token = FencingToken(numberOrZero(*Body, "fencingToken"));
+  Status.m_Running = static_cast<std::uint32_t>(numberOrZero(*Body, "running"));
+  Status.m_Capacity = static_cast<std::uint32_t>(numberOrZero(*Body, "capacity"));
+  Status.m_ReportAge = std::chrono::milliseconds(numberOrZero(*Body, "reportAgeMs"));
   return Status;
 }
 
@@ -144,8 +127,8 @@
   std::vector<ChunkRef> Chunks;
   for (const json::value &Entry : Listed->as_array())
     if (const json::object *Fields = Entry.if_object())
-      if (auto Name = Digest::fromHex(textOf(*Fields, "digest")))
-        Chunks.push_back({*Name, Bytes(numberOf(*Fields, "size"))});
+      if (auto Name = Digest::fromHex(jsonText(*Fields, "digest")))
+        Chunks.push_back({*Name, Bytes(numberOrZero(*Fields, "size"))});
   return Chunks;
 }
 
@@ -222,11 +205,10 @@
         Result.m_TotalBytes = Offset;
         return Result;
       }
-      boost::system::error_code Error;
-      json::value Parsed = json::parse(*Event, Error);
-      if (Error || !Parsed.is_object() || Cancelled)
+      auto Parsed = parseJsonObject(*Event);
+      if (!Parsed || Cancelled)
         break;
-      std::string Text = textOf(Parsed.as_object(), "text");
+      std::string Text = jsonText(*Parsed, "text");
       std::size_t Size = Text.size();
       if (Offset + Size > m_MaxAnswer.count())
         break;
--- a/src/fescuegauged/OperatorService.cpp
+++ b/src/fescuegauged/OperatorService.cpp
@@ -1,6 +1,7 @@
 #include "OperatorService.h"
 
 #include "Fescuegauge/ControlCodec.h"
+#include "Fescuegauge/JsonFields.h"
 #include "Fescuegauge/Log.h"
 #include "Fescuegauge/Manifest.h"
 #include "Fescuegauge/OriginBudget.h"
@@ -38,22 +39,6 @@
   return Found ? *Found : json::value();
 }
 
-std::string textOf(const json::object &Object, std::string_view Key) {
-  const json::value *Found = Object.if_contains(Key);
-  return Found && Found->is_string() ? std::string(Found->as_string()) : std::string();
-}
-
-std::optional<std::uint64_t> numberOf(const json::object &Object, std::string_view Key) {
-  const json::value *Found = Object.if_contains(Key);
-  if (!Found || !Found->is_number())
-    return std::nullopt;
-  boost::system::error_code Error;
-  auto Number = Found->to_number<std::uint64_t>(Error);
-  if (Error)
-    return std::nullopt;
-  return Number;
-}
-
 std::optional<Manifest> manifestFromOrigin(const std::string &Text) {
   boost::system::error_code Error;
   json::value Parsed = json::parse(Text, Error);
@@ -64,8 +49,8 @@
   std::vector<ChunkRef> Chunks;
   for (const json::value &Entry : Listed.as_array()) {
     const json::object *Fields = Entry.if_object();
-    auto Name = Fields ? Digest::fromHex(textOf(*Fields, "digest")) : std::nullopt;
-    auto Size = Fields ? numberOf(*Fields, "size") : std::nullopt;
+    auto Name = Fields ? Digest::fromHex(jsonText(*Fields, "digest")) : std::nullopt;
+    auto Size = Fields ? jsonNumber(*Fields, "size") : std::nullopt;
     if (!Name || !Size || *Size == 0 || *Size > Manifest::MaxChunkSize.count())
       return std::nullopt;
     Chunks.push_back({*Name, Bytes(*Size)});
@@ -142,8 +127,8 @@
 
 /// Stores the manifest of a rollout's version where agents find it and returns its root digest.
 std::optional<Digest> OperatorService::publishManifest(const DeclarationSpec &Spec) {
-  ServiceId Model(textOf(Spec.m_Spec, "service"));
-  ModelVersionId Version(textOf(Spec.m_Spec, "version"));
+  ServiceId Model(jsonText(Spec.m_Spec, "service"));
+  ModelVersionId Version(jsonText(Spec.m_Spec, "version"));
   using Content = PlatformService::Content;
   Content Text = waitFor<Content>(m_Loop, [&](std::function<void(Content)> Done) {
     m_Platform->manifest(Model, Version, std::move(Done));
@@ -169,13 +154,13 @@
     Exchange.answerError(ErrorKind::InvalidDeclaration, "each put needs kind and spec");
     return false;
   }
-  DeclarationSpec Written{textOf(*Fields, "kind"), Spec.as_object()};
+  DeclarationSpec Written{jsonText(*Fields, "kind"), Spec.as_object()};
   Digest Root;
   if (Written.m_Kind == "rollout") {
     auto Published = publishManifest(Written);
     if (!Published) {
       Exchange.answerError(ErrorKind::PeerUnreachable,
-                           "the manifest of version \"" + textOf(Written.m_Spec, "version") +
+                           "the manifest of version \"" + jsonText(Written.m_Spec, "version") +
                                "\" cannot be read from the origin or stored");
       return false;
     }
@@ -190,7 +175,7 @@
     return false;
   }
   DeclarationName Name = declarationName(Parsed.m_Declarations.front());
-  std::string Given = textOf(*Fields, "name");
+  std::string Given = jsonText(*Fields, "name");
   if (!Given.empty() && Given != operatorName(Name)) {
     Exchange.answerError(ErrorKind::InvalidDeclaration,
                          "the name \"" + Given + "\" must be \"" + operatorName(Name) + "\"");
@@ -219,9 +204,9 @@
   const json::object *Fields = Error ? nullptr : Body.if_object();
   ChangeRequest Request;
   if (Fields) {
-    Request.m_Id = ChangeId(textOf(*Fields, "changeId"));
-    Request.m_Author = textOf(*Fields, "author");
-    if (auto Base = numberOf(*Fields, "base"))
+    Request.m_Id = ChangeId(jsonText(*Fields, "changeId"));
+    Request.m_Author = jsonText(*Fields, "author");
+    if (auto Base = jsonNumber(*Fields, "base"))
       Request.m_Base = ChangeNumber(*Base);
   }
   if (Request.m_Id.empty())
--- a/src/libplatform/HttpPlatform.cpp
+++ b/src/libplatform/HttpPlatform.cpp
@@ -1,4 +1,5 @@
 #include "Fescuegauge/HttpClient.h"
+#include "Fescuegauge/JsonFields.h"
 #include "Fescuegauge/Platform.h"
 
 #include <boost/json.hpp>
@@ -12,24 +13,12 @@
 
 namespace {
 
-json::value parsed(const std::string &Text) {
-  boost::system::error_code Error;
-  json::value Value = json::parse(Text, Error);
-  return Error ? json::value() : Value;
+std::uint64_t numberOrZero(const json::object &Object, std::string_view Key) {
+  return jsonNumber(Object, Key).value_or(0);
 }
 
-std::string textOf(const json::object &Object, std::string_view Key) {
-  const json::value *Found = Object.if_contains(Key);
-  return Found && Found->is_string() ? std::string(Found->as_string()) : std::string();
-}
-
-std::uint64_t numberOf(const json::object &Object, std::string_view Key) {
-  const json::value *Found = Object.if_contains(Key);
-  if (!Found || !Found->is_number())
-    return 0;
-  boost::system::error_code Error;
-  auto Number = Found->to_number<std::uint64_t>(Error);
-  return Error ? 0 : Number;
+std::optional<json::object> bodyOf(const HttpResult &Answer) {
+  return Answer.isOk() ? parseJsonObject(Answer.m_Body) : std::nullopt;
 }
 
 std::vector<TableRow> rowsOf(const json::value &Rows) {
@@ -38,8 +27,8 @@
     return Result;
   for (const json::value &Row : Rows.as_array())
     if (const json::object *Object = Row.if_object())
-      Result.push_back({textOf(*Object, "key"), textOf(*Object, "value"),
-                        RowVersion(numberOf(*Object, "version"))});
+      Result.push_back({jsonText(*Object, "key"), jsonText(*Object, "value"),
+                        RowVersion(numberOrZero(*Object, "version"))});
   return Result;
 }
 
@@ -90,8 +79,7 @@
     HttpResult Answer = performHttp(Call);
     if (Answer.m_Progress == HttpProgress::NotSent)
       return {CommitStatus::Unreachable, {}};
-    json::value Body = Answer.isOk() ? parsed(Answer.m_Body) : json::value();
-    const json::object *Object = Body.if_object();
+    auto Object = bodyOf(Answer);
     const json::value *Committed = Object ? Object->if_contains("committed") : nullptr;
     if (!Committed || !Committed->is_bool())
       return {CommitStatus::Unknown, {}};
@@ -103,11 +91,10 @@
 
   leaf::result<TableRow> read(const std::string &Key) override {
     HttpResult Answer = performHttp(call("GET", "/table/row?key=" + percentEncode(Key)));
-    json::value Body = Answer.isOk() ? parsed(Answer.m_Body) : json::value();
-    const json::object *Object = Body.if_object();
+    auto Object = bodyOf(Answer);
     if (!Object || !Object->contains("version"))
       return leaf::new_error(ErrorKind::TableUnreachable);
-    return TableRow{Key, textOf(*Object, "value"), RowVersion(numberOf(*Object, "version"))};
+    return TableRow{Key, jsonText(*Object, "value"), RowVersion(numberOrZero(*Object, "version"))};
   }
 
   leaf::result<std::vector<TableRow>> scan(const std::string &Prefix, const std::string &After,
@@ -115,8 +102,7 @@
     HttpResult Answer = performHttp(call("GET", "/table/scan?prefix=" + percentEncode(Prefix) +
                                                     "&after=" + percentEncode(After) +
                                                     "&limit=" + std::to_string(Limit)));
-    json::value Body = Answer.isOk() ? parsed(Answer.m_Body) : json::value();
-    const json::object *Object = Body.if_object();
+    auto Object = bodyOf(Answer);
     const json::value *Rows = Object ? Object->if_contains("rows") : nullptr;
     if (!Rows || !Rows->is_array())
       return leaf::new_error(ErrorKind::TableUnreachable);
@@ -175,8 +161,7 @@
 
   leaf::result<std::vector<InstanceRecord>> list() override {
     HttpResult Answer = performHttp(call("GET", "/instances"));
-    json::value Body = Answer.isOk() ? parsed(Answer.m_Body) : json::value();
-    const json::object *Object = Body.if_object();
+    auto Object = bodyOf(Answer);
     const json::value *Listed = Object ? Object->if_contains("instances") : nullptr;
     if (!Listed || !Listed->is_array())
       return leaf::new_error(ErrorKind::PeerUnreachable);
@@ -190,17 +175,17 @@
 private:
   static InstanceRecord record(const json::object &Fields) {
     InstanceRecord Record;
-    Record.m_Id = InstanceId(textOf(Fields, "id"));
-    Record.m_Role = textOf(Fields, "role") == "entry" ? InstanceRole::Entry : InstanceRole::Agent;
+    Record.m_Id = InstanceId(jsonText(Fields, "id"));
+    Record.m_Role = jsonText(Fields, "role") == "entry" ? InstanceRole::Entry : InstanceRole::Agent;
     Record.m_State =
-        textOf(Fields, "state") == "leaving" ? InstanceState::Leaving : InstanceState::Live;
-    Record.m_Incarnation = Incarnation(numberOf(Fields, "incarnation"));
-    Record.m_DataCentre = DataCentreId(textOf(Fields, "dataCentre"));
-    Record.m_Region = RegionId(textOf(Fields, "region"));
-    Record.m_Endpoint = {textOf(Fields, "host"),
-                         static_cast<std::uint16_t>(numberOf(Fields, "port"))};
-    Record.m_Service = ServiceId(textOf(Fields, "service"));
-    Record.m_Generation = GenerationId(textOf(Fields, "generation"));
+        jsonText(Fields, "state") == "leaving" ? InstanceState::Leaving : InstanceState::Live;
+    Record.m_Incarnation = Incarnation(numberOrZero(Fields, "incarnation"));
+    Record.m_DataCentre = DataCentreId(jsonText(Fields, "dataCentre"));
+    Record.m_Region = RegionId(jsonText(Fields, "region"));
+    Record.m_Endpoint = {jsonText(Fields, "host"),
+                         static_cast<std::uint16_t>(numberOrZero(Fields, "port"))};
+    Record.m_Service = ServiceId(jsonText(Fields, "service"));
+    Record.m_Generation = GenerationId(jsonText(Fields, "generation"));
     return Record;
   }
 };
