--- /dev/null
+++ b/src/fescuegauged/LoopCall.h
@@ -0,0 +1,27 @@
+#ifndef FESCUEGAUGE_FESCUEGAUGED_LOOPCALL_H
+#define FESCUEGAUGE_FESCUEGAUGED_LOOPCALL_H
+
+#include "Fescuegauge/EventLoop.h"
+
+#include <functional>
+#include <future>
+#include <memory>
+
+namespace fescuegauge {
+
+/// Runs `Start` on the loop and waits on another thread until the function that it was given is
+/// called. Throws std::future_error if the loop stops before that.
+template <typename Result>
+Result waitForLoop(EventLoop &Loop,
+                   const std::function<void(std::function<void(Result)> Done)> &Start) {
+  auto Promise = std::make_shared<std::promise<Result>>();
+  auto Future = Promise->get_future();
+  Loop.post([Start, Promise = std::move(Promise)] {
+    Start([Promise](Result Value) { Promise->set_value(std::move(Value)); });
+  });
+  return Future.get();
+}
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_FESCUEGAUGED_LOOPCALL_H
--- a/src/fescuegauged/OperatorService.cpp
+++ b/src/fescuegauged/OperatorService.cpp
@@ -5,11 +5,11 @@
 #include "Fescuegauge/Log.h"
 #include "Fescuegauge/Manifest.h"
 #include "Fescuegauge/OriginBudget.h"
+#include "LoopCall.h"
 #include "WeightsService.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
-#include <future>
 
 namespace fescuegauge {
 
@@ -23,17 +23,6 @@
 /// A dump of another process is collected on its worker threads and can be large.
 constexpr Duration DumpTimeout = 5s;
 
-/// Runs `Start` on the loop and waits until it has called the function that it was given.
-template <typename Result>
-Result waitFor(EventLoop &Loop, const std::function<void(std::function<void(Result)>)> &Start) {
-  auto Promise = std::make_shared<std::promise<Result>>();
-  auto Future = Promise->get_future();
-  Loop.post([Start, Promise] {
-    Start([Promise](Result Value) { Promise->set_value(std::move(Value)); });
-  });
-  return Future.get();
-}
-
 json::value nullable(const json::object *Object, std::string_view Key) {
   const json::value *Found = Object ? Object->if_contains(Key) : nullptr;
   return Found ? *Found : json::value();
@@ -130,13 +119,13 @@
   ServiceId Model(jsonText(Spec.m_Spec, "service"));
   ModelVersionId Version(jsonText(Spec.m_Spec, "version"));
   using Content = PlatformService::Content;
-  Content Text = waitFor<Content>(m_Loop, [&](std::function<void(Content)> Done) {
+  Content Text = waitForLoop<Content>(m_Loop, [&](std::function<void(Content)> Done) {
     m_Platform->manifest(Model, Version, std::move(Done));
   });
   auto Found = Text ? manifestFromOrigin(*Text) : std::nullopt;
   if (!Found)
     return std::nullopt;
-  bool Stored = waitFor<bool>(m_Loop, [&](std::function<void(bool)> Done) {
+  bool Stored = waitForLoop<bool>(m_Loop, [&](std::function<void(bool)> Done) {
     m_Platform->putObject(manifestObjectName(Found->rootDigest()), Found->encode(),
                           std::move(Done));
   });
@@ -223,7 +212,7 @@
       if (Name.is_string())
         Request.m_Edits.push_back({nameInForce(std::string(Name.as_string())), std::nullopt});
   ChangeOutcome Outcome =
-      waitFor<ChangeOutcome>(m_Loop, [&](std::function<void(ChangeOutcome)> Done) {
+      waitForLoop<ChangeOutcome>(m_Loop, [&](std::function<void(ChangeOutcome)> Done) {
         m_Targets->apply(Request, std::move(Done));
       });
   answerOutcome(Exchange, Request, Outcome);
@@ -256,7 +245,7 @@
 
 std::optional<TableRow> OperatorService::readRow(const std::string &Key) {
   using Row = std::optional<TableRow>;
-  return waitFor<Row>(
+  return waitForLoop<Row>(
       m_Loop, [&](std::function<void(Row)> Done) { m_Platform->read(Key, std::move(Done)); });
 }
 
@@ -340,7 +329,7 @@
 
 void OperatorService::serveStatus(HttpExchange &Exchange) {
   using Lags = std::vector<DataCentreLag>;
-  Lags Collected = waitFor<Lags>(
+  Lags Collected = waitForLoop<Lags>(
       m_Loop, [&](std::function<void(Lags)> Done) { m_Targets->collectLag(std::move(Done)); });
   json::array DataCentres;
   ChangeNumber Number;
@@ -424,7 +413,7 @@
     return Exchange.answerError(ErrorKind::UnknownInstance,
                                 "no instance \"" + Wanted.str() + "\" is known");
   using Text = std::optional<std::string>;
-  Text Dump = waitFor<Text>(m_Loop, [&](std::function<void(Text)> Done) {
+  Text Dump = waitForLoop<Text>(m_Loop, [&](std::function<void(Text)> Done) {
     m_Membership->send(Wanted, Topic::Operator, std::string(DumpQuery), std::move(Done),
                        DumpTimeout);
   });
--- a/src/fescuegauged/RequestService.cpp
+++ b/src/fescuegauged/RequestService.cpp
@@ -2,10 +2,10 @@
 
 #include "Fescuegauge/ControlCodec.h"
 #include "Fescuegauge/Log.h"
+#include "LoopCall.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
-#include <future>
 
 namespace fescuegauge {
 
@@ -299,11 +299,9 @@
     return Exchange.answerError(ErrorKind::MalformedRequest,
                                 "expected GET /v1/outcomes/KEY with the header Client-Account");
   std::string Key = claimRowKey(ClientAccountId(Account), IdempotencyKey(Path[2]));
-  std::promise<std::optional<TableRow>> Read;
-  m_Loop.post([&] {
-    m_Platform->read(Key, [&Read](const std::optional<TableRow> &Row) { Read.set_value(Row); });
-  });
-  auto Row = Read.get_future().get();
+  using Found = std::optional<TableRow>;
+  Found Row = waitForLoop<Found>(
+      m_Loop, [&](std::function<void(Found)> Done) { m_Platform->read(Key, std::move(Done)); });
   if (!Row)
     return Exchange.answerError(ErrorKind::TableUnreachable, "the table did not answer");
   auto Claim = ClaimRow::decode(Row->m_Value);
--- a/src/fescuegauged/process_test.py
+++ b/src/fescuegauged/process_test.py
@@ -178,6 +178,41 @@
         other = self.ask(self.entry(1), "pedidos", "confirmation", "lids", key="20426-repeat")
         self.assertEqual(other[0], 422)
 
+    # Guards against a caller who cannot find out what became of a confirmation.
+    def test_outcome_can_be_asked_for_by_key(self):
+        port = self.entry(2).ports["http"]
+        headers = {"Client-Account": "account-0"}
+        self.assertEqual(call_json(port, "GET", "/v1/outcomes/20426-ask", headers=headers)[1]
+                         ["outcome"], "none")
+        self.assertEqual(self.ask(self.entry(0), "pedidos", "confirmation", "jars",
+                                  key="20426-ask")[0], 200)
+        wait_until(lambda: call_json(port, "GET", "/v1/outcomes/20426-ask", headers=headers)[1]
+                   ["outcome"] == "done", "the outcome is recorded")
+
+    # Guards against a rollback that draws bytes from the origin although the chunks are still held,
+    # and against answers of another version than the one that is reported.
+    def test_rollback_draws_nothing_from_the_origin(self):
+        upstreams = [u for u in self.cluster.upstreams.values() if u.service == "pedidos"]
+        self.cluster.create_model("pedidos", "v2", 2 << 20, 23)
+        old = self.roots["pedidos"]
+
+        def roll(version, is_reached):
+            status, answer = self.cluster.apply(self.entry(0), [rollout("pedidos", version)])
+            self.assertEqual(status, 200, answer)
+            for upstream in upstreams:
+                wait_until(lambda u=upstream: is_reached(self.cluster.served(u)),
+                           f"{upstream.name} serves {version}")
+            self.wait_serving()
+
+        roll("v2", lambda root: root != old)
+        new = self.cluster.served(upstreams[0])
+        status, body = self.ask(self.entry(0), "pedidos", "confirmation", "lids",
+                                key="20426-version")
+        self.assertEqual((status, body), (200, expected_answer(new, "lids", TOKENS)))
+        before = self.cluster.origin_bytes()
+        roll("v1", lambda root: root == old)
+        self.assertEqual(self.cluster.origin_bytes(), before)
+
     # Guards against bad input that crashes an instance or is answered without a clear error.
     def test_bad_input_gets_a_clear_error(self):
         port = self.entry(0).ports["http"]
