--- a/src/fescuegauged/CallerExchange.cpp
+++ b/src/fescuegauged/CallerExchange.cpp
@@ -2,7 +2,8 @@
 
 namespace fescuegauge {
 
-void CallerExchange::deliver(const DeliverFragment &Fragment, const Digest &ServedDigest) {
+void CallerExchange::deliver(const DeliverFragment &Fragment, const Digest &ServedDigest,
+                             std::string Ticket) {
   std::lock_guard Lock(m_Mutex);
   if (m_Overflow)
     return;
@@ -12,6 +13,7 @@
   Added.m_Data = m_Overflow ? std::string() : Fragment.m_Data;
   Added.m_ContentType = Fragment.m_ContentType;
   Added.m_ServedDigest = ServedDigest;
+  Added.m_Ticket = std::move(Ticket);
   Added.m_Overflow = m_Overflow;
   m_Events.push_back(std::move(Added));
   m_Changed.notify_one();
--- a/src/fescuegauged/CallerExchange.h
+++ b/src/fescuegauged/CallerExchange.h
@@ -22,13 +22,15 @@
     std::string m_Data;
     std::string m_ContentType;
     Digest m_ServedDigest;
+    /// What the caller sends back to stay with this generation and version.
+    std::string m_Ticket;
     /// Set on the last event.
     std::optional<FinishRequest> m_Finish;
     /// The caller was too slow.
     bool m_Overflow = false;
   };
 
-  void deliver(const DeliverFragment &Fragment, const Digest &ServedDigest);
+  void deliver(const DeliverFragment &Fragment, const Digest &ServedDigest, std::string Ticket);
   void finish(const FinishRequest &Final);
 
   /// Waits up to `Limit` for the next event.
--- a/src/fescuegauged/RequestService.cpp
+++ b/src/fescuegauged/RequestService.cpp
@@ -265,8 +265,10 @@
       Leave();
       continue;
     }
-    if (!Exchange.hasStarted())
+    if (!Exchange.hasStarted()) {
       Exchange.setHeader("Served-Digest", Next->m_ServedDigest.hex());
+      Exchange.setHeader("Generation-Ticket", Next->m_Ticket);
+    }
     if (!Exchange.sendFragment(Next->m_Data, Next->m_ContentType))
       Leave();
   }
@@ -497,7 +499,8 @@
   auto Found = m_Running.find(Action.m_Request);
   if (Found == m_Running.end())
     return carryOut(m_Lifecycle.attemptNotSent(Action.m_Attempt, EventLoop::now()));
-  const Running &From = *Found->second;
+  Running &From = *Found->second;
+  From.m_Generation = generationOf(Action.m_Upstream);
   AttemptRequest Request;
   Request.m_Attempt = Action.m_Attempt;
   Request.m_Request = Action.m_Request;
@@ -508,7 +511,7 @@
   Request.m_Execution = From.m_Request.m_NonIdempotent
                             ? From.m_Request.m_Account.str() + "/" + From.m_Request.m_Key.str()
                             : Action.m_Attempt.str();
-  Request.m_Generation = generationOf(Action.m_Upstream);
+  Request.m_Generation = From.m_Generation;
   Request.m_RequiredDigest = Action.m_RequiredDigest.value_or(Digest());
   Request.m_ResumeFrom = Action.m_ResumeOffset;
   Request.m_Priority = From.m_Priority;
@@ -543,7 +546,12 @@
     return;
   if (!Found->second->m_FirstToken)
     Found->second->m_FirstToken = EventLoop::now();
-  Found->second->m_Exchange->deliver(Action, Found->second->m_ServedDigest);
+  const Running &To = *Found->second;
+  GenerationTicket Ticket;
+  Ticket.m_Generation = To.m_Generation;
+  Ticket.m_ServedDigest = To.m_ServedDigest;
+  Ticket.m_AcknowledgedWrite = To.m_Request.m_NonIdempotent;
+  To.m_Exchange->deliver(Action, To.m_ServedDigest, Ticket.encode());
 }
 
 void RequestService::carryOut(const FinishRequest &Action) {
--- a/src/fescuegauged/RequestService.h
+++ b/src/fescuegauged/RequestService.h
@@ -51,6 +51,8 @@
     std::optional<TimePoint> m_Started;
     std::optional<TimePoint> m_FirstToken;
     Digest m_ServedDigest;
+    /// Of the upstream of the latest attempt.
+    GenerationId m_Generation;
     int m_Priority = 0;
     bool m_IsWaiting = false;
   };
--- a/src/fescuegauged/process_test.py
+++ b/src/fescuegauged/process_test.py
@@ -189,6 +189,21 @@
         wait_until(lambda: call_json(port, "GET", "/v1/outcomes/20426-ask", headers=headers)[1]
                    ["outcome"] == "done", "the outcome is recorded")
 
+    # Guards against a conversation that changes its generation or model version between two requests.
+    def test_answers_carry_a_ticket_for_the_conversation(self):
+        port = self.entry(0).ports["http"]
+        body = {"prompt": "first", "maxTokens": 4}
+        headers = {"Client-Account": "account-0"}
+        status, answer, _ = call(port, "POST", "/v1/asistente/quotation", body, headers)
+        self.assertEqual(status, 200)
+        self.assertEqual(answer["Served-Digest"], self.roots["asistente"])
+        headers["Generation-Ticket"] = answer["Generation-Ticket"]
+        status, again, _ = call(port, "POST", "/v1/asistente/quotation", body, headers)
+        self.assertEqual(status, 200)
+        self.assertEqual(again["Served-Digest"], answer["Served-Digest"])
+        headers["Generation-Ticket"] = "nonsense"
+        self.assertEqual(call(port, "POST", "/v1/asistente/quotation", body, headers)[0], 400)
+
     # Guards against a rollback that draws bytes from the origin although the chunks are still held,
     # and against answers of another version than the one that is reported.
     def test_rollback_draws_nothing_from_the_origin(self):
