Form the keys of shared rows in one place

Cause: the claims and the handover each formed the keys of the owner row and of an account's claims, and at most one run across generations rests on the two agreeing; the key of a grant, the id of a rollout and the queries between processes were also written twice or more. Change: RowKeys.h has the keys and ids, ControlCodec.h the queries. A member of the owner cache that nobody read is gone, and one function finds the declaration of a service. Behaviour and all assertions are as before.

--- a/src/fescuegauged/OperatorService.cpp
+++ b/src/fescuegauged/OperatorService.cpp
@@ -18,8 +18,6 @@
 
 namespace {
 
-constexpr std::string_view ChangeQuery = "change";
-constexpr std::string_view DumpQuery = "dump";
 /// A dump of another process is collected on its worker threads and can be large.
 constexpr Duration DumpTimeout = 5s;
 
@@ -63,7 +61,7 @@
   m_Loop.postAndWait([this, &Rpc] {
     Rpc.onTopic(Topic::Operator, [this](const PeerIdentity &From, const std::string &Query,
                                         const ControlReply &Reply) {
-      if (Query == ChangeQuery)
+      if (Query == ConfirmationQuery)
         return Reply(confirmationFor(From.m_Instance));
       if (Query != DumpQuery)
         return Reply({});
@@ -372,8 +370,7 @@
         if (!Rollout)
           continue;
         Rollouts.push_back(rolloutStatus(*Rollout, Stored.m_SetBy, DataCentre));
-        GrantKeys.push_back("grant/" + Rollout->m_Service.str() + "-" +
-                            std::to_string(Stored.m_SetBy.value()));
+        GrantKeys.push_back(grantRowKey(rolloutIdOf(Rollout->m_Service, Stored.m_SetBy)));
       }
       Entry["rollouts"] = std::move(Rollouts);
       DataCentres.push_back(std::move(Entry));
@@ -391,8 +388,9 @@
   for (json::value &DataCentre : DataCentres)
     for (json::value &Rollout : DataCentre.as_object()["rollouts"].as_array()) {
       json::object &Fields = Rollout.as_object();
-      std::string Key = "grant/" + std::string(Fields["service"].as_string()) + "-" +
-                        std::to_string(Fields["change"].to_number<std::uint64_t>());
+      ServiceId Owner(std::string(Fields["service"].as_string()));
+      ChangeNumber SetBy(Fields["change"].to_number<std::uint64_t>());
+      std::string Key = grantRowKey(rolloutIdOf(Owner, SetBy));
       Fields["originBytes"] = Granted[Key];
     }
   Exchange.answer(
--- a/src/fescuegauged/RequestService.cpp
+++ b/src/fescuegauged/RequestService.cpp
@@ -381,12 +381,18 @@
   submit(Arrived);
 }
 
+const ServiceDeclaration *RequestService::declarationOf(const ServiceId &Wanted) const {
+  for (const ServiceDeclaration *Declared : m_Targets->configuration().all<ServiceDeclaration>())
+    if (Declared->m_Service == Wanted)
+      return Declared;
+  return nullptr;
+}
+
 void RequestService::createOwner(const std::shared_ptr<Running> &Arrived, const std::string &Key) {
   const RequestDescription &Request = Arrived->m_Request;
   GenerationId Initial;
-  for (const ServiceDeclaration *Declared : m_Targets->configuration().all<ServiceDeclaration>())
-    if (Declared->m_Service == Request.m_Service)
-      Initial = Declared->m_InitialGeneration;
+  if (const ServiceDeclaration *Declared = declarationOf(Request.m_Service))
+    Initial = Declared->m_InitialGeneration;
   // Without a declaration there is one generation, whose name the upstreams report.
   if (Initial.empty())
     for (const auto &Member : m_Membership->view().members())
@@ -419,7 +425,7 @@
     return true;
   if (Known == m_Owners.end() && m_Owners.size() >= MaxOwners)
     m_Owners.erase(m_Owners.begin());
-  m_Owners[Row.m_Key] = {*Owner, Row.m_Version, EventLoop::now()};
+  m_Owners[Row.m_Key] = {*Owner, Row.m_Version};
   return true;
 }
 
@@ -432,10 +438,7 @@
     Arrived->m_Terms.m_Owner = {Owner->m_Generation, Known->second.m_Version,
                                 Owner->m_State == OwnerRow::State::Paused};
   }
-  const ServiceDeclaration *ServiceOf = nullptr;
-  for (const ServiceDeclaration *Declared : m_Targets->configuration().all<ServiceDeclaration>())
-    if (Declared->m_Service == Request.m_Service)
-      ServiceOf = Declared;
+  const ServiceDeclaration *ServiceOf = declarationOf(Request.m_Service);
   const MoveDeclaration *Move = nullptr;
   for (const MoveDeclaration *Declared : m_Targets->configuration().all<MoveDeclaration>())
     if (Declared->m_Service == Request.m_Service && Declared->m_Class == Request.m_Class)
--- a/src/fescuegauged/RequestService.h
+++ b/src/fescuegauged/RequestService.h
@@ -59,7 +59,6 @@
   struct OwnerEntry {
     OwnerRow m_Row;
     RowVersion m_Version;
-    TimePoint m_ReadAt;
   };
   class Sink;
 
@@ -78,6 +77,8 @@
                  const std::optional<TableRow> &Row);
   void createOwner(const std::shared_ptr<Running> &Arrived, const std::string &Key);
   bool storeOwner(const TableRow &Row);
+  /// The declaration of the service; null if there is none.
+  const ServiceDeclaration *declarationOf(const ServiceId &Wanted) const;
   void submit(const std::shared_ptr<Running> &Arrived);
   /// The request no longer waits: it is started or finished.
   void endWait(Running &Waited);
--- a/src/fescuegauged/WeightsService.cpp
+++ b/src/fescuegauged/WeightsService.cpp
@@ -16,8 +16,6 @@
 /// First bytes of payloads with the topic Weights.
 constexpr char SummaryTag = 's';
 constexpr char ManifestTag = 'm';
-/// Requests that carry no other payload with the topic Operator.
-const std::string ChangeQuery = "change";
 
 /// Versions whose manifests are kept in memory.
 constexpr std::size_t MaxManifests = 8;
@@ -88,8 +86,7 @@
   TransferOrder Order;
   Order.m_Manifest = Found->second;
   Order.m_Change = m_RolloutChange;
-  Order.m_Rollout =
-      RolloutId(m_Settings.m_Agent.m_Service.str() + "-" + std::to_string(m_RolloutChange.value()));
+  Order.m_Rollout = rolloutIdOf(m_Settings.m_Agent.m_Service, m_RolloutChange);
   Order.m_Preference = m_Rollout->m_Prefer == RolloutPreference::Time
                            ? TransferPreference::Time
                            : TransferPreference::OriginBytes;
@@ -355,7 +352,7 @@
   Incarnation Own = m_Membership->view().self().m_Incarnation;
   for (const InstanceId &Entry : m_Membership->view().watchers())
     m_Membership->send(
-        Entry, Topic::Operator, ChangeQuery,
+        Entry, Topic::Operator, std::string(ConfirmationQuery),
         [this, Number, Own, Waiting, Known](const std::optional<std::string> &Payload) {
           if (auto Reply = Payload ? decodeConfirmation(*Payload) : std::nullopt) {
             Confirmation Sum = Known->value_or(Confirmation());
--- a/src/include/Fescuegauge/ClaimRow.h
+++ b/src/include/Fescuegauge/ClaimRow.h
@@ -3,6 +3,7 @@
 
 #include "Fescuegauge/Digest.h"
 #include "Fescuegauge/Ids.h"
+#include "Fescuegauge/RowKeys.h"
 #include "Fescuegauge/Table.h"
 
 #include <optional>
@@ -75,12 +76,10 @@
 /// True if the name can be part of a row key: not empty, no '/', no control character.
 bool isRowKeyPart(std::string_view Name);
 
-std::string claimRowKey(const ClientAccountId &Account, const IdempotencyKey &Key);
 /// True if the claim row may be deleted, on condition of its version, once `claim-epoch` holds
 /// `Oldest`: its epoch has passed and it is not `claimed`. A handover waits for open claims, so the
 /// deletion of one could move the account while its work is still to be dispatched.
 bool isClaimRowDeletable(const TableRow &Row, ClaimEpoch Oldest);
-std::string ownerRowKey(const ServiceId &Service, const ClientAccountId &Account);
 
 } // namespace fescuegauge
 
--- a/src/include/Fescuegauge/ControlCodec.h
+++ b/src/include/Fescuegauge/ControlCodec.h
@@ -44,6 +44,11 @@
   Incarnation m_AgentIncarnation;
 };
 
+/// Payloads of requests with the topic Operator: a ConfirmationReply or the state of the process is
+/// sent back.
+inline constexpr std::string_view ConfirmationQuery = "change";
+inline constexpr std::string_view DumpQuery = "dump";
+
 // Payloads of control messages as Cap'n Proto messages. A malformed payload decodes to nothing.
 
 std::string encodePayload(const AgentReport &Report);
--- a/src/include/Fescuegauge/Handover.h
+++ b/src/include/Fescuegauge/Handover.h
@@ -2,6 +2,7 @@
 #define FESCUEGAUGE_HANDOVER_H
 
 #include "Fescuegauge/Ids.h"
+#include "Fescuegauge/RowKeys.h"
 #include "Fescuegauge/Table.h"
 #include "Fescuegauge/Units.h"
 
@@ -30,8 +31,6 @@
   bool operator==(const OwnerRow &) const = default;
 };
 
-std::string ownerKey(const ServiceId &Service, const ClientAccountId &Account);
-
 /// Creates the owner row of an account that has none, so that a claim has a row to be conditional
 /// on. When another process was first, the conflict has the row.
 Transaction initialOwner(const ServiceId &Service, const ClientAccountId &Account,
--- a/src/include/Fescuegauge/OriginBudget.h
+++ b/src/include/Fescuegauge/OriginBudget.h
@@ -2,6 +2,7 @@
 #define FESCUEGAUGE_ORIGINBUDGET_H
 
 #include "Fescuegauge/Ids.h"
+#include "Fescuegauge/RowKeys.h"
 #include "Fescuegauge/Table.h"
 #include "Fescuegauge/Units.h"
 
--- a/src/librequests/ClaimRow.cpp
+++ b/src/librequests/ClaimRow.cpp
@@ -185,20 +185,12 @@
   });
 }
 
-std::string claimRowKey(const ClientAccountId &Account, const IdempotencyKey &Key) {
-  return "claim/" + Account.str() + "/" + Key.str();
-}
-
 bool isClaimRowDeletable(const TableRow &Row, ClaimEpoch Oldest) {
-  if (!Row.m_Key.starts_with("claim/"))
+  if (!Row.m_Key.starts_with(ClaimRowsPrefix))
     return false;
   auto Epoch = keyEpoch(IdempotencyKey(Row.m_Key.substr(Row.m_Key.rfind('/') + 1)));
   auto Claim = ClaimRow::decode(Row.m_Value);
   return Epoch && *Epoch < Oldest && Claim && Claim->m_State != ClaimState::Claimed;
 }
 
-std::string ownerRowKey(const ServiceId &Service, const ClientAccountId &Account) {
-  return "owner/" + Service.str() + "/" + Account.str();
-}
-
 } // namespace fescuegauge
--- a/src/libtargets/Generations_test.cpp
+++ b/src/libtargets/Generations_test.cpp
@@ -61,7 +61,7 @@
   static ClientAccountId account(int Number) {
     return ClientAccountId("farm-" + std::to_string(Number));
   }
-  static std::string ownerOf(int Number) { return ownerKey(Pedidos, account(Number)); }
+  static std::string ownerOf(int Number) { return ownerRowKey(Pedidos, account(Number)); }
   static std::string claimValue(const GenerationId &Generation, const char *State) {
     return R"({"service":"pedidos","generation":")" + Generation.str() + R"(","state":")" + State +
            "\"}";
--- a/src/libtargets/Handover.cpp
+++ b/src/libtargets/Handover.cpp
@@ -44,15 +44,11 @@
   return Result;
 }
 
-std::string ownerKey(const ServiceId &Service, const ClientAccountId &Account) {
-  return "owner/" + Service.str() + "/" + Account.str();
-}
-
 Transaction initialOwner(const ServiceId &Service, const ClientAccountId &Account,
                          const GenerationId &Generation, const WriteId &Id) {
   Transaction Result;
   Result.m_WriteId = Id;
-  std::string Key = ownerKey(Service, Account);
+  std::string Key = ownerRowKey(Service, Account);
   Result.m_Conditions.push_back({Key, RowVersion()});
   Result.m_Puts.push_back({Key, OwnerRow{OwnerRow::State::Owned, Generation, {}}.encode()});
   return Result;
@@ -69,7 +65,7 @@
     : m_Service(std::move(Service)), m_Account(std::move(Account)), m_From(std::move(From)),
       m_To(std::move(To)), m_Attempt(std::move(Attempt)), m_Rules(Enabled) {}
 
-std::string Handover::claimPrefix() const { return "claim/" + m_Account.str() + "/"; }
+std::string Handover::claimPrefix() const { return claimRowPrefix(m_Account); }
 
 Handover::Actions Handover::start(TimePoint Now) { return readOwner(Now); }
 
@@ -82,7 +78,7 @@
 Handover::Actions Handover::pending() const {
   switch (m_Phase) {
   case Phase::ReadingOwner:
-    return {ReadRow{ownerKey(m_Service, m_Account)}};
+    return {ReadRow{ownerRowKey(m_Service, m_Account)}};
   case Phase::FindingPages:
     return {Scan{claimPrefix(), m_After, PageRows}};
   case Phase::Draining:
@@ -99,7 +95,7 @@
 }
 
 Handover::Actions Handover::write(Phase Next, std::optional<OwnerRow> Put, TimePoint Now) {
-  std::string Key = ownerKey(m_Service, m_Account);
+  std::string Key = ownerRowKey(m_Service, m_Account);
   m_Phase = Next;
   m_Wake = Now + RetryAfter;
   m_Transaction = Transaction();
@@ -119,7 +115,7 @@
 
 Handover::Actions Handover::onRow(const std::string &Key, const std::optional<TableRow> &Row,
                                   TimePoint Now) {
-  if (m_Phase != Phase::ReadingOwner || !Row || Key != ownerKey(m_Service, m_Account))
+  if (m_Phase != Phase::ReadingOwner || !Row || Key != ownerRowKey(m_Service, m_Account))
     return {};
   if (Row->m_Version == RowVersion()) {
     // The first owner is decided by the first claim or here, whichever comes first.
@@ -211,7 +207,7 @@
 
 Handover::Actions Handover::complete(TimePoint Now) {
   if (m_Rules.m_PauseFirst &&
-      !CompletesOnlyWhenPaused.check(m_Paused, ownerKey(m_Service, m_Account)))
+      !CompletesOnlyWhenPaused.check(m_Paused, ownerRowKey(m_Service, m_Account)))
     return finish(Result::Refused);
   return write(Phase::Completing, OwnerRow{OwnerRow::State::Owned, m_To, {}}, Now);
 }
@@ -221,7 +217,7 @@
     return {};
   if (Commit.m_Status == CommitStatus::Conflict) {
     for (const TableRow &Row : Commit.m_Conflicts)
-      if (Row.m_Key == ownerKey(m_Service, m_Account))
+      if (Row.m_Key == ownerRowKey(m_Service, m_Account))
         if (auto Owner = OwnerRow::decode(Row.m_Value))
           return onOwner(*Owner, Row.m_Version, Now);
     return readOwner(Now);
--- a/src/libweights/OriginBudget.cpp
+++ b/src/libweights/OriginBudget.cpp
@@ -82,7 +82,7 @@
 
 OriginBudget::OriginBudget(const RolloutId &Rollout, Bytes VersionSize, std::string Owner,
                            Rules Enabled)
-    : m_Key("grant/" + Rollout.str()), m_Budget(VersionSize.count() * CopiesLimit),
+    : m_Key(grantRowKey(Rollout)), m_Budget(VersionSize.count() * CopiesLimit),
       m_Owner(std::move(Owner)), m_Rules(Enabled) {}
 
 void OriginBudget::request(Bytes Wanted, Bytes Least, TimePoint Now) {
--- a/src/libweights/RolloutDriver.cc
+++ b/src/libweights/RolloutDriver.cc
@@ -288,7 +288,7 @@
       std::uint64_t &Sent = m_OriginBytes[Rollout];
       Sent += Action.m_Chunk.m_Size.count();
       expect(OriginWithinBudget, Sent <= 4 * versionSize().count(), Rollout.str());
-      std::optional<GrantRow> Row = GrantRow::parse(m_Table.row("grant/" + Rollout.str()).m_Value);
+      std::optional<GrantRow> Row = GrantRow::parse(m_Table.row(grantRowKey(Rollout)).m_Value);
       expect(OriginWithinGrants, Row && Sent <= Row->m_Granted.count(), Rollout.str());
       reportProgress(Index, Action.m_Id);
       m_Network.transfer(ChunkNetwork::OriginNode, Node, Action.m_Chunk.m_Size,
