--- a/cmake/FescuegaugeTargets.cmake
+++ b/cmake/FescuegaugeTargets.cmake
@@ -19,7 +19,7 @@
   endif()
   target_include_directories(fescuegauge_${NAME} ${VISIBILITY} ${PROJECT_SOURCE_DIR}/src/include)
   target_link_libraries(fescuegauge_${NAME} ${VISIBILITY} ${ARG_DEPENDS})
-  if(TESTS)
+  if(TESTS AND NOT FESCUEGAUGE_NODE_ONLY)
     fescuegauge_test_program(${NAME}_test LABEL ${ARG_LABEL} SOURCES ${TESTS}
       DEPENDS fescuegauge_${NAME} ${ARG_TEST_DEPENDS})
   endif()
--- /dev/null
+++ b/src/include/Fescuegauge/ConnectionPool.h
@@ -0,0 +1,89 @@
+#ifndef FESCUEGAUGE_CONNECTIONPOOL_H
+#define FESCUEGAUGE_CONNECTIONPOOL_H
+
+#include "Fescuegauge/AsioTypes.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+
+namespace fescuegauge {
+
+/// An outgoing TCP connection. Keep-alive probes and TCP_USER_TIMEOUT end it when the other side is
+/// gone without a word.
+class HttpConnection {
+public:
+  /// Probes start after this time without traffic and follow at this interval; the connection ends
+  /// after KeepAliveProbes without an answer.
+  static constexpr std::chrono::seconds KeepAliveInterval{1};
+  static constexpr int KeepAliveProbes = 2;
+  /// Data that the other side does not acknowledge for this long end the connection.
+  static constexpr std::chrono::milliseconds UnacknowledgedLimit{2500};
+
+  HttpConnection(const net::any_io_executor &Executor, Endpoint Address)
+      : m_Address(std::move(Address)), m_Socket(Executor) {}
+
+  Tcp::socket &socket() { return m_Socket; }
+  boost::beast::flat_buffer &buffer() { return m_Buffer; }
+  const Endpoint &address() const { return m_Address; }
+  /// Whether requests were sent on it before.
+  bool isReused() const { return m_Reused; }
+  /// Ends all operations in progress with an error.
+  void close();
+  /// As close(), and the other side learns at once that nothing sent is of interest any more.
+  void reset();
+
+private:
+  friend class ConnectionPool;
+
+  Endpoint m_Address;
+  Tcp::socket m_Socket;
+  boost::beast::flat_buffer m_Buffer;
+  bool m_Reused = false;
+  TimePoint m_IdleSince;
+  TimePoint m_IdleUntil;
+};
+
+using ConnectionPtr = std::shared_ptr<HttpConnection>;
+
+/// Sets keep-alive probes, TCP_USER_TIMEOUT and TCP_NODELAY. Errors are ignored: the options only
+/// shorten the time after which a dead connection is noticed.
+void setSocketOptions(Tcp::socket &Socket);
+
+/// Idle outgoing connections by address.
+class ConnectionPool {
+public:
+  /// Idle connections kept to one address; a further one is closed.
+  static constexpr std::size_t MaxIdlePerAddress = 8;
+  /// Time for which a connection is kept when the other side names none.
+  static constexpr Duration DefaultKeepAlive = std::chrono::seconds(4);
+  /// Taken off the time that the other side names, so that it does not close the connection while
+  /// a request is on its way.
+  static constexpr Duration KeepAliveMargin = std::chrono::milliseconds(700);
+
+  explicit ConnectionPool(net::any_io_executor Executor) : m_Executor(std::move(Executor)) {}
+
+  /// An idle connection that was used within `LongestIdle`; null if there is none.
+  ConnectionPtr takeIdle(const Endpoint &Address, Duration LongestIdle);
+  /// A new connection; null and `Error` if it could not be opened within `Timeout`.
+  Task<ConnectionPtr> open(Endpoint Address, Duration Timeout, SystemError &Error);
+  /// Keeps a connection on which an exchange ended cleanly for `KeepAlive`.
+  void keep(const ConnectionPtr &Connection, Duration KeepAlive);
+  /// Closes all idle connections to an address.
+  void dropIdle(const Endpoint &Address);
+  /// Closes idle connections whose time is over; call about once a second.
+  void expire();
+  const net::any_io_executor &executor() const { return m_Executor; }
+  std::uint64_t opened() const { return m_Opened; }
+
+private:
+  net::any_io_executor m_Executor;
+  std::map<Endpoint, std::list<ConnectionPtr>> m_Idle;
+  std::uint64_t m_Opened = 0;
+};
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_CONNECTIONPOOL_H
--- /dev/null
+++ b/src/include/Fescuegauge/Gateway.h
@@ -0,0 +1,68 @@
+#ifndef FESCUEGAUGE_GATEWAY_H
+#define FESCUEGAUGE_GATEWAY_H
+
+#include "Fescuegauge/AsioTypes.h"
+#include "Fescuegauge/CallHeaders.h"
+#include "Fescuegauge/CrashSuspects.h"
+#include "Fescuegauge/Metrics.h"
+#include "Fescuegauge/RoutingPlan.h"
+#include "Fescuegauge/UpstreamBoard.h"
+
+#include <boost/json/object.hpp>
+#include <memory>
+#include <span>
+#include <string>
+
+namespace fescuegauge {
+
+struct GatewayOptions {
+  InstanceId m_Instance;
+  DataCentreId m_DataCentre;
+  RegionId m_Region;
+  CallHeaders m_Headers;
+  std::uint64_t m_Seed = 0;
+};
+
+/// The data path of an entry instance on one event loop: takes callers' HTTP requests, chooses an
+/// upstream for each, and passes the answer on as it arrives.
+///
+/// Decisions are made by UpstreamBoard, DispatchQueue, RetryBudget and CrashSuspects; this class
+/// connects them to sockets and timers. All functions are called on the loop's thread.
+class Gateway {
+public:
+  Gateway(net::io_context &Loop, GatewayOptions Options, MetricsService &Metrics);
+  ~Gateway();
+  Gateway(const Gateway &) = delete;
+  Gateway &operator=(const Gateway &) = delete;
+
+  /// Accepts callers from now on. Throws boost::system::system_error if the address is taken.
+  void listen(const Endpoint &Address);
+
+  /// Puts a plan in force. An older one than the one in force is ignored.
+  void setPlan(std::shared_ptr<const RouteTable> Plan);
+  void setUpstreams(std::span<const UpstreamRecord> Listed);
+  /// From now on, requests for `Model` go only to upstreams with at least this version.
+  void setLeastVersion(const ModelId &Model, WeightsVersion Least);
+  void onPeerReport(const InstanceId &Peer, InFlightByUpstream InFlight,
+                    std::span<const SuspectDelta> Suspects);
+  InFlightByUpstream ownInFlight() const;
+  std::vector<SuspectDelta> takeSuspects();
+
+  /// Whether a plan is in force and the instance is not about to stop.
+  bool isReady() const;
+  /// Requests are still served for DrainGrace; each answer asks its caller to use another
+  /// connection.
+  void beginDrain();
+  /// Whether the grace time is over and no request is in progress.
+  bool isDrained() const;
+
+  boost::json::object dumpState() const;
+
+private:
+  class Implementation;
+  std::shared_ptr<Implementation> m_Implementation;
+};
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_GATEWAY_H
--- /dev/null
+++ b/src/include/Fescuegauge/HttpCaller.h
@@ -0,0 +1,71 @@
+#ifndef FESCUEGAUGE_HTTPCALLER_H
+#define FESCUEGAUGE_HTTPCALLER_H
+
+#include "Fescuegauge/AsioTypes.h"
+#include "Fescuegauge/ConnectionPool.h"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace fescuegauge {
+
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// The result of one call.
+struct CallResult {
+  enum class Kind {
+    Answered,
+    /// No connection could be opened; the request was not sent.
+    NotSent,
+    /// The request may have arrived, but no complete answer came in time.
+    NoAnswer,
+  };
+
+  Kind m_Kind = Kind::NotSent;
+  HttpResponse m_Response;
+  /// Why there is no answer.
+  std::string m_Reason;
+
+  bool isAnswered() const { return m_Kind == Kind::Answered; }
+  /// 0 without an answer.
+  unsigned status() const { return isAnswered() ? m_Response.result_int() : 0; }
+};
+
+/// Makes small HTTP calls whose answer fits into memory, and keeps connections between them.
+class HttpCaller {
+public:
+  /// Largest answer.
+  static constexpr std::uint64_t MaxAnswerBytes = 8 << 20;
+  static constexpr Duration ConnectTimeout = std::chrono::seconds(1);
+
+  explicit HttpCaller(ConnectionPool &Pool) : m_Pool(Pool) {}
+
+  /// Sends `Request` and waits up to `Timeout` for the whole answer. A request that fails on a kept
+  /// connection before any byte of an answer is repeated once on a new one if `Repeatable`.
+  Task<CallResult> call(Endpoint Address, HttpRequest Request, Duration Timeout,
+                        bool Repeatable = true);
+
+private:
+  Task<CallResult> callOn(ConnectionPtr Connection, HttpRequest &Request, Duration Timeout);
+
+  ConnectionPool &m_Pool;
+};
+
+/// A request without a body.
+HttpRequest makeGet(const std::string &Target);
+/// A request with a JSON body.
+HttpRequest makePost(const std::string &Target, std::string Json);
+
+/// The seconds in a Keep-Alive header as a duration; `Default` if the header names none.
+Duration keepAliveOf(std::string_view Header, Duration Default);
+
+/// `Text` with every byte escaped that has a meaning in a query.
+std::string escapeQuery(std::string_view Text);
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_HTTPCALLER_H
--- /dev/null
+++ b/src/include/Fescuegauge/StatusServer.h
@@ -0,0 +1,48 @@
+#ifndef FESCUEGAUGE_STATUSSERVER_H
+#define FESCUEGAUGE_STATUSSERVER_H
+
+#include "Fescuegauge/AsioTypes.h"
+#include "Fescuegauge/HttpCaller.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace fescuegauge {
+
+struct StatusAnswer {
+  unsigned m_Status = 200;
+  std::string m_ContentType = "text/plain";
+  std::string m_Body;
+};
+
+/// Answers small HTTP requests by path, for readiness, metrics, dumps, and between agents.
+class StatusServer {
+public:
+  /// Given the request and its path; the longest registered prefix of the path decides.
+  using Handler = std::function<Task<StatusAnswer>(const HttpRequest &Request)>;
+  /// A connection without a request for this long is closed.
+  static constexpr Duration IdleTimeout = std::chrono::seconds(30);
+  static constexpr std::size_t MaxConnections = 256;
+
+  explicit StatusServer(net::io_context &Loop);
+  ~StatusServer();
+
+  /// Before listen(). Handlers answer requests whose path begins with `Prefix`.
+  void handle(std::string Prefix, Handler Answer);
+  /// Throws boost::system::system_error if the address is taken.
+  void listen(const Endpoint &Address);
+
+private:
+  struct State;
+  static Task<> accept(std::shared_ptr<State> Shared);
+  static Task<> serve(std::shared_ptr<State> Shared, Tcp::socket Socket);
+
+  std::shared_ptr<State> m_State;
+};
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_STATUSSERVER_H
--- /dev/null
+++ b/src/include/Fescuegauge/UpstreamBoard.h
@@ -0,0 +1,186 @@
+#ifndef FESCUEGAUGE_UPSTREAMBOARD_H
+#define FESCUEGAUGE_UPSTREAMBOARD_H
+
+#include "Fescuegauge/Ids.h"
+#include "Fescuegauge/InstanceRecord.h"
+#include "Fescuegauge/Random.h"
+#include "Fescuegauge/RoutingPlan.h"
+#include "Fescuegauge/Units.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace fescuegauge {
+
+/// The weights of one model that an upstream holds completely.
+struct HeldWeights {
+  ModelId m_Model;
+  WeightsVersion m_Version;
+
+  auto operator<=>(const HeldWeights &) const = default;
+};
+
+/// One upstream as the platform lists it.
+struct UpstreamRecord {
+  InstanceId m_Id;
+  /// Distinguishes starts of an upstream that keeps its id: it grows with each of them.
+  Incarnation m_Incarnation;
+  Endpoint m_Address;
+  DataCentreId m_DataCentre;
+  RegionId m_Region;
+  ServiceId m_Service;
+  /// Requests that it runs at the same time.
+  std::uint32_t m_Slots = 1;
+  bool m_Leaving = false;
+  std::vector<HeldWeights> m_Weights;
+
+  auto operator<=>(const UpstreamRecord &) const = default;
+};
+
+/// Requests in flight at each upstream, as another entry instance last told them.
+using InFlightByUpstream = std::map<InstanceId, std::uint32_t>;
+
+/// What a request needs of an upstream.
+struct PlacementRequest {
+  ServiceId m_Service;
+  /// Empty if the request needs no model.
+  ModelId m_Model;
+  /// Only an upstream with exactly this version; nothing if any version in force will do.
+  std::optional<WeightsVersion> m_Version;
+  /// Upstreams to which the request was sent before.
+  std::vector<InstanceId> m_Tried;
+};
+
+enum class PlacementVerdict {
+  Placed,
+  /// Upstreams are usable, but none has a free place.
+  AllFull,
+  /// No upstream that is usable now is known.
+  NoneUsable,
+};
+
+struct Placement {
+  PlacementVerdict m_Verdict = PlacementVerdict::NoneUsable;
+  UpstreamRecord m_Upstream;
+  /// Requests in flight there, as far as known, before this one; for the log.
+  std::uint32_t m_InFlight = 0;
+};
+
+/// How a dispatch ended.
+enum class DispatchResult {
+  Answered,
+  /// The upstream said that it did not run the request.
+  Rejected,
+  /// No connection could be opened, or the connection ended without a complete answer.
+  Failed,
+  /// The caller left or its time was over; says nothing on the upstream.
+  Abandoned,
+};
+
+struct UpstreamBoardOptions {
+  DataCentreId m_DataCentre;
+  RegionId m_Region;
+  /// Requests in flight at an engine above the size of its batch. One that waits keeps the batch
+  /// full when a request ends; more of them only make the first event late.
+  double m_EngineOvercommit = 0;
+  /// Plain services queue little; the same for them.
+  double m_PlainOvercommit = 4;
+  /// Places left free at upstreams of other data centres, because what is known of them is older.
+  double m_RemoteReserve = 2;
+};
+
+/// What one entry instance knows of the upstreams, and its choice between them.
+///
+/// Load pattern answered: demand above capacity from several entry instances that decide alone.
+/// Each counts its own requests in flight and adds what the others last told, so that the sum stays
+/// near the size of the batch at each upstream. Upstreams of the own data centre go first; an
+/// upstream that rejects, fails or is silent is passed over for a time that doubles, so that one
+/// that rejects at once does not attract requests because it looks idle.
+class UpstreamBoard {
+public:
+  /// First and longest time for which an upstream is passed over after it rejected a request or
+  /// failed. A rejecting engine is usually about to load weights, which takes a few hundred
+  /// milliseconds.
+  static constexpr Duration RejectionPause = std::chrono::milliseconds(150);
+  static constexpr Duration MaxRejectionPause = std::chrono::milliseconds(1200);
+  static constexpr Duration FailurePause = std::chrono::milliseconds(800);
+  static constexpr Duration MaxFailurePause = std::chrono::seconds(5);
+  /// An upstream with requests in flight that sent nothing for this long is passed over until it
+  /// sends again. A pass of a full batch with prompts takes about 200 ms.
+  static constexpr Duration SilenceLimit = std::chrono::milliseconds(700);
+  /// What another entry instance told counts for this long after its last message.
+  static constexpr Duration PeerReportLifetime = std::chrono::milliseconds(1500);
+  /// An upstream whose pause between events is above this many times the least of its service is
+  /// given fewer requests in proportion.
+  static constexpr double SlowFactor = 1.6;
+
+  UpstreamBoard(UpstreamBoardOptions Options, std::uint64_t Seed)
+      : m_Options(std::move(Options)), m_Random(Seed) {}
+
+  /// Replaces the list. An upstream that restarted under its id counts as another one.
+  void setUpstreams(std::span<const UpstreamRecord> Listed);
+  /// Requests for `Model` go only to upstreams that hold at least this version.
+  void setLeastVersion(const ModelId &Model, WeightsVersion Least) { m_Least[Model] = Least; }
+  /// Which services have engines, and their parameters.
+  void setPlan(const RouteTable &Plan);
+
+  Placement place(const PlacementRequest &Request, TimePoint Now);
+
+  void onDispatched(const InstanceId &Upstream, TimePoint Now);
+  void onEnded(const InstanceId &Upstream, DispatchResult Result, TimePoint Now);
+  /// Bytes of an answer arrived.
+  void onProgress(const InstanceId &Upstream, TimePoint Now);
+  /// The pause between two events of a stream.
+  void onEventGap(const InstanceId &Upstream, Duration Gap);
+  void onPeerReport(const InstanceId &Peer, InFlightByUpstream InFlight, TimePoint Now);
+
+  /// Own requests in flight, for the other entry instances.
+  InFlightByUpstream ownInFlight() const;
+  /// Places of the usable upstreams of a service, and how many of them are taken as far as known.
+  struct Occupancy {
+    double m_Places = 0;
+    double m_Taken = 0;
+  };
+  Occupancy occupancy(const ServiceId &Service, TimePoint Now) const;
+  bool isListed(const InstanceId &Upstream) const { return m_Upstreams.contains(Upstream); }
+  const UpstreamRecord *find(const InstanceId &Upstream) const;
+  std::size_t size() const { return m_Upstreams.size(); }
+
+private:
+  struct State {
+    UpstreamRecord m_Record;
+    std::uint32_t m_Own = 0;
+    TimePoint m_LastByte;
+    TimePoint m_PausedUntil;
+    int m_FailuresInRow = 0;
+    int m_RejectionsInRow = 0;
+    /// Moving average of the pause between events, in microseconds; 0 while unknown.
+    double m_EventGap = 0;
+  };
+  struct PeerReport {
+    InFlightByUpstream m_InFlight;
+    TimePoint m_At;
+  };
+
+  bool holdsWeights(const UpstreamRecord &Record, const PlacementRequest &Request) const;
+  double inFlight(const State &Upstream, TimePoint Now) const;
+  double limit(const State &Upstream, double LeastGap) const;
+  double leastGap(const ServiceId &Service) const;
+  bool isEngine(const ServiceId &Service) const { return m_Engines.contains(Service); }
+  bool isSilent(const State &Upstream, TimePoint Now) const;
+
+  UpstreamBoardOptions m_Options;
+  RandomGenerator m_Random;
+  std::map<InstanceId, State> m_Upstreams;
+  std::map<InstanceId, PeerReport> m_Peers;
+  std::map<ModelId, WeightsVersion> m_Least;
+  std::map<ServiceId, EngineParameters> m_Engines;
+};
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_UPSTREAMBOARD_H
--- /dev/null
+++ b/src/include/Fescuegauge/WeightsAgent.h
@@ -0,0 +1,140 @@
+#ifndef FESCUEGAUGE_WEIGHTSAGENT_H
+#define FESCUEGAUGE_WEIGHTSAGENT_H
+
+#include "Fescuegauge/AsioTypes.h"
+#include "Fescuegauge/Digest.h"
+#include "Fescuegauge/HttpCaller.h"
+#include "Fescuegauge/PieceSources.h"
+#include "Fescuegauge/Random.h"
+#include "Fescuegauge/RoutingPlan.h"
+#include "Fescuegauge/StatusServer.h"
+
+#include <boost/json/object.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fescuegauge {
+
+/// What a runner says of itself.
+struct RunnerReport {
+  /// Distinguishes starts of the runner.
+  Incarnation m_Incarnation;
+  /// Orders accepted since its start.
+  std::uint64_t m_OrderCount = 0;
+  /// An order is in progress.
+  bool m_IsBusy = false;
+  /// The version of which all layers are loaded, by model.
+  std::map<ModelId, WeightsVersion> m_Loaded;
+};
+
+enum class LoadOrderResult {
+  Accepted,
+  /// The runner's state does not fit; read it again.
+  Refused,
+  /// No answer; the order may have been accepted.
+  Unknown,
+};
+
+/// The runner beside an agent. Calls that fail for any reason give nothing or false.
+class RunnerControl {
+public:
+  virtual ~RunnerControl() = default;
+  virtual Task<std::optional<RunnerReport>> report() = 0;
+  /// Writes one piece to the staging area, over an older one of the same number.
+  virtual Task<bool> stage(ModelId Model, std::uint32_t Piece, std::shared_ptr<const std::string> Bytes) = 0;
+  /// The bytes that the staging area holds.
+  virtual Task<std::optional<std::string>> readStaged(ModelId Model, std::uint32_t Piece) = 0;
+  /// Has the runner load what is staged once its running requests have ended. The order is valid
+  /// only while the runner has accepted `ExpectedOrders` orders.
+  virtual Task<LoadOrderResult> load(ModelId Model, WeightsVersion Version,
+                                     std::uint64_t ExpectedOrders) = 0;
+};
+
+/// The digests of the pieces of one version.
+struct PieceManifest {
+  ModelId m_Model;
+  WeightsVersion m_Version;
+  std::vector<Digest> m_Digests;
+};
+
+/// Where new weights come from.
+class WeightsOriginClient {
+public:
+  virtual ~WeightsOriginClient() = default;
+  virtual Task<std::optional<PieceManifest>> manifest(ModelId Model, WeightsVersion Version) = 0;
+  virtual Task<std::optional<std::string>> piece(ModelId Model, WeightsVersion Version,
+                                                 std::uint32_t Piece) = 0;
+};
+
+/// The agents of the same service, as far as the platform knows them.
+class PeerDirectory {
+public:
+  virtual ~PeerDirectory() = default;
+  /// Nothing if the platform cannot be asked now.
+  virtual Task<std::optional<std::vector<PiecePeer>>> peers(ModelId Model,
+                                                            WeightsVersion Version) = 0;
+};
+
+struct WeightsAgentOptions {
+  InstanceId m_Self;
+  /// The address under which the peers list this agent.
+  Endpoint m_Address;
+  RegionId m_OriginRegion;
+  /// Time from the announcement of a version until no request may begin on an older one.
+  Duration m_Deadline = std::chrono::seconds(8);
+  std::uint64_t m_Seed = 0;
+};
+
+/// Brings the announced version of a model to the runner beside it, and serves pieces of it to the
+/// other agents.
+///
+/// A version goes through these steps: digests, pieces (each checked against its digest before it
+/// is staged), the wait for the agent's turn, a read-back of the whole staging area, the order to
+/// load, and the report that shows it loaded. Any step that fails is taken again from the report. A
+/// newer announcement replaces the version at any step before the order.
+class WeightsAgent {
+public:
+  /// Pieces fetched at the same time.
+  static constexpr std::size_t ParallelFetches = 4;
+  /// Uploads to other agents at the same time; further requests wait, up to MaxWaitingUploads.
+  static constexpr std::size_t ParallelUploads = 3;
+  static constexpr std::size_t MaxWaitingUploads = 32;
+  /// A request for a piece that is on its way here is kept for this long.
+  static constexpr Duration PieceWait = std::chrono::milliseconds(1200);
+  /// A peer must deliver within this time, the wait above included.
+  static constexpr Duration PeerTimeout = std::chrono::milliseconds(2500);
+  /// Interval at which the runner is asked what it holds, at rest and while it loads.
+  static constexpr Duration RestInterval = std::chrono::milliseconds(500);
+  static constexpr Duration LoadInterval = std::chrono::milliseconds(100);
+  static constexpr Duration RetryInterval = std::chrono::milliseconds(200);
+  /// The list of peers is read again after this time during a transfer.
+  static constexpr Duration PeersValidity = std::chrono::seconds(2);
+  /// A staging area that was read back longer ago than this is read again before the order.
+  static constexpr Duration ReadBackValidity = std::chrono::milliseconds(1500);
+  /// Versions whose pieces are kept in memory for other agents.
+  static constexpr std::size_t KeptVersions = 2;
+
+  WeightsAgent(net::io_context &Loop, HttpCaller &Caller, RunnerControl &Runner,
+               WeightsOriginClient &Origin, PeerDirectory &Peers, WeightsAgentOptions Options);
+  ~WeightsAgent();
+  WeightsAgent(const WeightsAgent &) = delete;
+  WeightsAgent &operator=(const WeightsAgent &) = delete;
+
+  /// Starts to work. `Server` gets the handler for other agents; call before its listen().
+  void start(StatusServer &Server);
+  /// A version was announced. Older ones than the one known are ignored. `IsNews` is false if it
+  /// may have been announced long ago.
+  void announce(const ModelId &Model, WeightsVersion Version, bool IsNews);
+  boost::json::object dumpState() const;
+
+private:
+  struct Implementation;
+  std::shared_ptr<Implementation> m_Implementation;
+};
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_WEIGHTSAGENT_H
--- /dev/null
+++ b/src/libdispatch/EventSplitter.cpp
@@ -0,0 +1,55 @@
+#include "Fescuegauge/EventSplitter.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace fescuegauge {
+
+namespace {
+
+std::optional<std::uint64_t> idOf(std::string_view Event) {
+  while (!Event.empty()) {
+    const std::size_t End = Event.find('\n');
+    std::string_view Line = Event.substr(0, End);
+    Event.remove_prefix(End == std::string_view::npos ? Event.size() : End + 1);
+    if (!Line.starts_with("id:"))
+      continue;
+    Line.remove_prefix(3);
+    if (Line.starts_with(' '))
+      Line.remove_prefix(1);
+    std::uint64_t Id = 0;
+    auto [Rest, Error] = std::from_chars(Line.data(), Line.data() + Line.size(), Id);
+    if (Error == std::errc())
+      return Id;
+  }
+  return std::nullopt;
+}
+
+/// The length of the first event with its empty line; npos if it is not whole.
+std::size_t firstEventEnd(std::string_view Bytes) {
+  constexpr std::string_view Plain = "\n\n";
+  constexpr std::string_view WithReturns = "\r\n\r\n";
+  const std::size_t A = Bytes.find(Plain);
+  const std::size_t B = Bytes.find(WithReturns);
+  if (A == std::string_view::npos && B == std::string_view::npos)
+    return std::string_view::npos;
+  return B < A ? B + WithReturns.size() : A + Plain.size();
+}
+
+} // namespace
+
+std::optional<EventSplitter::Event> EventSplitter::next() {
+  std::size_t End = firstEventEnd(m_Pending);
+  if (End == std::string::npos) {
+    if (m_Pending.size() <= MaxEventBytes)
+      return std::nullopt;
+    End = m_Pending.size();
+  }
+  Event Result;
+  Result.m_Bytes = m_Pending.substr(0, End);
+  Result.m_Id = idOf(Result.m_Bytes);
+  m_Pending.erase(0, End);
+  return Result;
+}
+
+} // namespace fescuegauge
--- /dev/null
+++ b/src/libgateway/ClientSession.cpp
@@ -0,0 +1,119 @@
+#include "ClientSession.h"
+
+#include "Fescuegauge/Log.h"
+#include "RequestExchange.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace fescuegauge {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+ErrorKind errorKindOf(SystemError Error) {
+  if (Error == http::error::header_limit || Error == http::error::buffer_overflow)
+    return ErrorKind::HeaderTooLarge;
+  if (Error == http::error::body_limit)
+    return ErrorKind::RequestTooLarge;
+  return ErrorKind::MalformedRequest;
+}
+
+bool isProtocolError(SystemError Error) {
+  return Error.category() == make_error_code(http::error::bad_value).category() &&
+         Error != http::error::end_of_stream && Error != http::error::partial_message;
+}
+
+} // namespace
+
+ClientSession::ClientSession(std::shared_ptr<GatewayCore> Core, Tcp::socket Socket)
+    : m_Core(std::move(Core)), m_Client(std::make_shared<ClientConnection>(std::move(Socket))),
+      m_Limit(m_Core->executor()) {
+  ++m_Core->m_Sessions;
+}
+
+ClientSession::~ClientSession() { --m_Core->m_Sessions; }
+
+ClientLimits ClientSession::limits() const {
+  return m_Core->plan() ? m_Core->plan()->limits() : ClientLimits();
+}
+
+void ClientSession::closeIfIdle() {
+  if (m_Idle && m_Client->buffer().size() == 0)
+    m_Client->close();
+}
+
+Task<> ClientSession::run() {
+  auto Self = shared_from_this();
+  setSocketOptions(m_Client->socket());
+  bool Open = true;
+  while (Open && m_Client->isOpen())
+    Open = co_await serveNext();
+  m_Client->close();
+}
+
+Task<> ClientSession::reject(ErrorKind Kind) {
+  const ErrorAnswer &Answer = errorAnswer(Kind);
+  http::response<http::string_body> Response(static_cast<http::status>(Answer.m_HttpStatus), 11);
+  Response.set(http::field::content_type, "application/json");
+  Response.keep_alive(false);
+  Response.body() = "{\"error\":\"" + std::string(Answer.m_Name) + "\",\"run\":\"no\"}";
+  Response.prepare_payload();
+  co_await http::async_write(m_Client->socket(), Response, AsTuple);
+  m_Core->countRequest("none", Answer.m_Name);
+  if (m_Core->mayLog(true))
+    logEvent(Severity::Info, "request_unreadable", {{"outcome", Answer.m_Name}});
+}
+
+Task<bool> ClientSession::serveNext() {
+  const ClientLimits Limits = limits();
+  http::request_parser<http::string_body> Parser;
+  Parser.header_limit(Limits.m_MaxHeaderBytes);
+  Parser.body_limit(Limits.m_MaxBodyBytes);
+
+  auto CloseLate = [this] { m_Client->close(); };
+  m_Idle = true;
+  if (m_Client->buffer().size() == 0) {
+    m_Limit.set(Limits.m_IdleTimeout, CloseLate);
+    auto [WaitError] = co_await m_Client->socket().async_wait(Tcp::socket::wait_read, AsTuple);
+    if (WaitError)
+      co_return false;
+  }
+  m_Idle = false;
+  m_Limit.set(Limits.m_HeaderTimeout, CloseLate);
+  auto [HeadError, HeadSize] = co_await http::async_read_header(
+      m_Client->socket(), m_Client->buffer(), Parser, AsTuple);
+  if (HeadError) {
+    m_Limit.cancel();
+    if (isProtocolError(HeadError))
+      co_await reject(errorKindOf(HeadError));
+    co_return false;
+  }
+  const TimePoint ArrivedAt = monotonicNow();
+  if (!Parser.is_done()) {
+    m_Limit.set(BodyTimeout, CloseLate);
+    if (boost::beast::iequals(Parser.get()[http::field::expect], "100-continue")) {
+      http::response<http::empty_body> Continue(http::status::continue_, 11);
+      co_await http::async_write(m_Client->socket(), Continue, AsTuple);
+    }
+    auto [BodyError, BodySize] =
+        co_await http::async_read(m_Client->socket(), m_Client->buffer(), Parser, AsTuple);
+    if (BodyError) {
+      m_Limit.cancel();
+      if (isProtocolError(BodyError))
+        co_await reject(errorKindOf(BodyError));
+      co_return false;
+    }
+  }
+  m_Limit.cancel();
+  auto Exchange =
+      std::make_shared<RequestExchange>(*m_Core, m_Client, Parser.release(), ArrivedAt);
+  co_return co_await Exchange->run();
+}
+
+} // namespace fescuegauge
--- /dev/null
+++ b/src/libgateway/ConnectionPool.cpp
@@ -0,0 +1,144 @@
+#include "Fescuegauge/ConnectionPool.h"
+
+#include "Fescuegauge/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace fescuegauge {
+
+namespace {
+
+template <typename T> void setOption(int Handle, int Level, int Name, T Value) {
+  // A failure leaves the default, which only notices dead connections later.
+  (void)::setsockopt(Handle, Level, Name, &Value, sizeof Value);
+}
+
+} // namespace
+
+Task<> sleepFor(Duration Length) {
+  net::steady_timer Timer(co_await net::this_coro::executor, Length);
+  co_await Timer.async_wait(AsTuple);
+}
+
+void spawnTask(const net::any_io_executor &Executor, const char *Name, Task<> Body) {
+  net::co_spawn(Executor, std::move(Body), [Name](const std::exception_ptr &Thrown) {
+    if (!Thrown)
+      return;
+    try {
+      std::rethrow_exception(Thrown);
+    } catch (const std::exception &Error) {
+      logEvent(Severity::Error, "task_failed", {{"task", Name}, {"reason", Error.what()}});
+    }
+  });
+}
+
+void setSocketOptions(Tcp::socket &Socket) {
+  const int Handle = Socket.native_handle();
+  const auto Interval = static_cast<int>(HttpConnection::KeepAliveInterval.count());
+  setOption(Handle, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(Handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPIDLE, Interval);
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPINTVL, Interval);
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPCNT, HttpConnection::KeepAliveProbes);
+  setOption(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<unsigned>(HttpConnection::UnacknowledgedLimit.count()));
+}
+
+void HttpConnection::close() {
+  SystemError Ignored;
+  m_Socket.close(Ignored);
+}
+
+void HttpConnection::reset() {
+  SystemError Ignored;
+  m_Socket.set_option(net::socket_base::linger(true, 0), Ignored);
+  m_Socket.close(Ignored);
+}
+
+ConnectionPtr ConnectionPool::takeIdle(const Endpoint &Address, Duration LongestIdle) {
+  auto Found = m_Idle.find(Address);
+  if (Found == m_Idle.end())
+    return nullptr;
+  const TimePoint Now = monotonicNow();
+  while (!Found->second.empty()) {
+    ConnectionPtr Taken = std::move(Found->second.back());
+    Found->second.pop_back();
+    SystemError Ignored;
+    Taken->m_Socket.cancel(Ignored);
+    if (!Taken->m_Socket.is_open() || Now >= Taken->m_IdleUntil ||
+        Now - Taken->m_IdleSince > LongestIdle) {
+      Taken->close();
+      continue;
+    }
+    Taken->m_Reused = true;
+    return Taken;
+  }
+  m_Idle.erase(Found);
+  return nullptr;
+}
+
+Task<ConnectionPtr> ConnectionPool::open(Endpoint Address, Duration Timeout, SystemError &Error) {
+  auto Connection = std::make_shared<HttpConnection>(m_Executor, Address);
+  Alarm Limit(m_Executor);
+  Limit.set(Timeout, [Weak = std::weak_ptr(Connection)] {
+    if (ConnectionPtr Late = Weak.lock())
+      Late->close();
+  });
+  ++m_Opened;
+  auto [Failure] = co_await Connection->m_Socket.async_connect(tcpEndpoint(Address), AsTuple);
+  Error = Failure;
+  if (Failure)
+    co_return nullptr;
+  setSocketOptions(Connection->m_Socket);
+  co_return Connection;
+}
+
+void ConnectionPool::keep(const ConnectionPtr &Connection, Duration KeepAlive) {
+  if (!Connection->m_Socket.is_open() || Connection->m_Buffer.size() != 0 ||
+      KeepAlive <= KeepAliveMargin) {
+    Connection->close();
+    return;
+  }
+  std::list<ConnectionPtr> &Idle = m_Idle[Connection->m_Address];
+  if (Idle.size() >= MaxIdlePerAddress) {
+    Connection->close();
+    return;
+  }
+  Connection->m_IdleSince = monotonicNow();
+  Connection->m_IdleUntil = Connection->m_IdleSince + KeepAlive - KeepAliveMargin;
+  Idle.push_back(Connection);
+  // Nothing may arrive on an idle connection: data would belong to no request, and an end makes it
+  // useless.
+  Connection->m_Socket.async_wait(Tcp::socket::wait_read,
+                                  [Weak = std::weak_ptr(Connection)](SystemError Error) {
+                                    ConnectionPtr Ended = Weak.lock();
+                                    if (!Error && Ended)
+                                      Ended->close();
+                                  });
+}
+
+void ConnectionPool::dropIdle(const Endpoint &Address) {
+  auto Found = m_Idle.find(Address);
+  if (Found == m_Idle.end())
+    return;
+  for (const ConnectionPtr &Each : Found->second)
+    Each->close();
+  m_Idle.erase(Found);
+}
+
+void ConnectionPool::expire() {
+  const TimePoint Now = monotonicNow();
+  for (auto &[Address, Idle] : m_Idle)
+    Idle.remove_if([&](const ConnectionPtr &Each) {
+      if (Each->m_Socket.is_open() && Now < Each->m_IdleUntil)
+        return false;
+      Each->close();
+      return true;
+    });
+  std::erase_if(m_Idle, [](const auto &Entry) { return Entry.second.empty(); });
+}
+
+} // namespace fescuegauge
--- /dev/null
+++ b/src/libgateway/FakeUpstream.h
@@ -0,0 +1,267 @@
+#ifndef FESCUEGAUGE_LIBGATEWAY_FAKEUPSTREAM_H
+#define FESCUEGAUGE_LIBGATEWAY_FAKEUPSTREAM_H
+
+#include "Fescuegauge/AsioTypes.h"
+#include "Fescuegauge/Gateway.h"
+#include "Fescuegauge/HttpCaller.h"
+#include "Fescuegauge/Metrics.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace fescuegauge::test {
+
+/// An upstream whose answers a test writes byte for byte.
+class FakeUpstream {
+public:
+  /// What to do with one request: bytes to send, then pauses and more bytes, then maybe the end.
+  struct Step {
+    std::string m_Bytes;
+    Duration m_PauseBefore{0};
+  };
+  struct Script {
+    std::vector<Step> m_Steps;
+    enum class End { KeepOpen, Close, Reset } m_End = End::KeepOpen;
+  };
+  using Behaviour = std::function<Script(const HttpRequest &)>;
+
+  FakeUpstream(net::io_context &Loop, Behaviour Answer)
+      : m_Answer(std::move(Answer)), m_Acceptor(Loop, Tcp::endpoint(net::ip::address_v4::loopback(), 0)) {
+    net::co_spawn(Loop, accept(), net::detached);
+  }
+
+  Endpoint address() const { return {"127.0.0.1", m_Acceptor.local_endpoint().port()}; }
+  const std::vector<HttpRequest> &requests() const { return m_Requests; }
+  /// Connections that the other side ended while a script was running.
+  int abandoned() const { return m_Abandoned; }
+  int connections() const { return m_Connections; }
+  void stopListening() { m_Acceptor.close(); }
+
+private:
+  Task<> accept() {
+    while (true) {
+      auto [Error, Socket] = co_await m_Acceptor.async_accept(AsTuple);
+      if (Error)
+        co_return;
+      ++m_Connections;
+      net::co_spawn(m_Acceptor.get_executor(), serve(std::move(Socket)), net::detached);
+    }
+  }
+
+  Task<> serve(Tcp::socket Socket) {
+    namespace http = boost::beast::http;
+    boost::beast::flat_buffer Buffer;
+    while (true) {
+      HttpRequest Request;
+      auto [Error, Size] = co_await http::async_read(Socket, Buffer, Request, AsTuple);
+      if (Error)
+        co_return;
+      m_Requests.push_back(Request);
+      const Script Plan = m_Answer(Request);
+      for (const Step &Each : Plan.m_Steps) {
+        if (Each.m_PauseBefore > Duration(0))
+          co_await sleepFor(Each.m_PauseBefore);
+        auto [WriteError, Written] =
+            co_await net::async_write(Socket, net::buffer(Each.m_Bytes), AsTuple);
+        if (WriteError) {
+          ++m_Abandoned;
+          co_return;
+        }
+      }
+      if (Plan.m_End == Script::End::Reset)
+        Socket.set_option(net::socket_base::linger(true, 0));
+      if (Plan.m_End != Script::End::KeepOpen) {
+        Socket.close();
+        co_return;
+      }
+    }
+  }
+
+  Behaviour m_Answer;
+  Tcp::acceptor m_Acceptor;
+  std::vector<HttpRequest> m_Requests;
+  int m_Abandoned = 0;
+  int m_Connections = 0;
+};
+
+/// A caller's view of one answer, kept as raw bytes so that framing can be checked.
+struct RawAnswer {
+  std::string m_Bytes;
+  bool m_ClosedByServer = false;
+  bool m_Reset = false;
+
+  unsigned status() const {
+    return m_Bytes.size() > 12 ? static_cast<unsigned>(std::stoi(m_Bytes.substr(9, 3))) : 0;
+  }
+  bool contains(std::string_view Text) const { return m_Bytes.find(Text) != std::string::npos; }
+  /// A chunked answer that ended with its last chunk.
+  bool isWholeChunked() const { return m_Bytes.ends_with("0\r\n\r\n"); }
+};
+
+/// A gateway with one stream route, one at-most-once route and one idempotent route, on loopback.
+class GatewayFixture {
+public:
+  GatewayFixture() {
+    GatewayOptions Options;
+    Options.m_Instance = InstanceId("entry-1");
+    Options.m_DataCentre = DataCentreId("a");
+    Options.m_Region = RegionId("r");
+    Options.m_Seed = 7;
+    m_Gateway = std::make_unique<Gateway>(m_Loop, Options, m_Metrics);
+    Tcp::acceptor Probe(m_Loop, Tcp::endpoint(net::ip::address_v4::loopback(), 0));
+    m_Address = {"127.0.0.1", Probe.local_endpoint().port()};
+    Probe.close();
+    m_Gateway->listen(m_Address);
+  }
+
+  /// Puts a plan with the three routes in force; `Change` may alter it.
+  void setPlan(std::function<void(RoutingPlan &)> Change = {}) {
+    RoutingPlan Plan;
+    Plan.m_Version = PlanVersion(++m_Version);
+    auto Add = [&](const char *Prefix, Repeatability Kind, std::uint32_t Attempts) {
+      Route Each;
+      Each.m_Id = RouteId(Prefix);
+      Each.m_Host = "host.example";
+      Each.m_Prefix = std::string("/") + Prefix + "/";
+      Each.m_Kind = Kind;
+      Each.m_Timeout = std::chrono::milliseconds(1500);
+      Each.m_TargetLatency = std::chrono::milliseconds(400);
+      Each.m_Services = {{ServiceId("service"), 1}};
+      Each.m_MaxAttempts = Attempts;
+      Plan.m_Routes.push_back(Each);
+    };
+    Add("stream", Repeatability::ResumableStream, 2);
+    Add("once", Repeatability::AtMostOnce, 1);
+    Add("safe", Repeatability::Idempotent, 2);
+    ServicePlan Service;
+    Service.m_Id = ServiceId("service");
+    Plan.m_Services.push_back(Service);
+    Plan.m_Accounts.push_back({ClientAccountId("account"), {"key"}, std::nullopt});
+    if (Change)
+      Change(Plan);
+    m_Gateway->setPlan(std::make_shared<const RouteTable>(std::move(Plan)));
+  }
+
+  FakeUpstream &addUpstream(FakeUpstream::Behaviour Answer) {
+    m_Upstreams.push_back(std::make_unique<FakeUpstream>(m_Loop, std::move(Answer)));
+    UpstreamRecord Record;
+    Record.m_Id = InstanceId("upstream-" + std::to_string(m_Upstreams.size()));
+    Record.m_Address = m_Upstreams.back()->address();
+    Record.m_DataCentre = DataCentreId("a");
+    Record.m_Region = RegionId("r");
+    Record.m_Service = ServiceId("service");
+    Record.m_Slots = 4;
+    m_Records.push_back(Record);
+    m_Gateway->setUpstreams(m_Records);
+    return *m_Upstreams.back();
+  }
+
+  static std::string request(const std::string &Path, const std::string &Id,
+                             const std::string &Extra = "", const std::string &Method = "POST") {
+    return Method + " " + Path + " HTTP/1.1\r\nHost: host.example\r\nRequest-Id: " + Id +
+           "\r\nAccount-Key: key\r\nDeadline-Ms: 1200\r\nContent-Length: 4\r\n" + Extra +
+           "\r\nbody";
+  }
+
+  /// Sends raw bytes and reads until the server closes, an answer is whole, or `Limit` is over.
+  RawAnswer exchange(const std::string &Bytes,
+                     Duration Limit = std::chrono::milliseconds(2500)) {
+    RawAnswer Result;
+    bool Done = false;
+    net::co_spawn(m_Loop, call(Bytes, Result, Done), net::detached);
+    runUntil([&] { return Done; }, Limit);
+    return Result;
+  }
+
+  /// Runs the loop until a condition holds. Returns whether it did within the limit.
+  bool runUntil(const std::function<bool()> &Holds, Duration Limit) {
+    const TimePoint End = monotonicNow() + Limit;
+    while (!Holds()) {
+      if (monotonicNow() >= End)
+        return false;
+      m_Loop.restart();
+      m_Loop.run_for(std::chrono::milliseconds(5));
+    }
+    return true;
+  }
+
+  net::io_context &loop() { return m_Loop; }
+  Gateway &gateway() { return *m_Gateway; }
+  const Endpoint &address() const { return m_Address; }
+  std::vector<UpstreamRecord> &records() { return m_Records; }
+
+private:
+  static bool isWhole(const std::string &Bytes) {
+    const std::size_t Head = Bytes.find("\r\n\r\n");
+    if (Head == std::string::npos)
+      return false;
+    const std::size_t At = Bytes.find("Content-Length: ");
+    if (At != std::string::npos && At < Head)
+      return Bytes.size() >= Head + 4 + std::stoul(Bytes.substr(At + 16));
+    return Bytes.ends_with("\r\n0\r\n\r\n");
+  }
+
+  Task<> call(std::string Bytes, RawAnswer &Result, bool &Done) {
+    Tcp::socket Socket(m_Loop);
+    co_await Socket.async_connect(tcpEndpoint(m_Address), AsTuple);
+    co_await net::async_write(Socket, net::buffer(Bytes), AsTuple);
+    std::array<char, 4096> Chunk;
+    while (!isWhole(Result.m_Bytes)) {
+      auto [Error, Size] = co_await Socket.async_read_some(net::buffer(Chunk), AsTuple);
+      Result.m_Bytes.append(Chunk.data(), Size);
+      if (Error) {
+        Result.m_ClosedByServer = true;
+        Result.m_Reset = Error != net::error::eof;
+        break;
+      }
+    }
+    Done = true;
+  }
+
+  net::io_context m_Loop;
+  MetricsService m_Metrics;
+  std::unique_ptr<Gateway> m_Gateway;
+  Endpoint m_Address;
+  std::vector<std::unique_ptr<FakeUpstream>> m_Upstreams;
+  std::vector<UpstreamRecord> m_Records;
+  std::uint64_t m_Version = 0;
+};
+
+/// An answer with a length.
+inline std::string plainAnswer(const HttpRequest &To, unsigned Status, const std::string &Body,
+                               const std::string &Extra = "") {
+  return "HTTP/1.1 " + std::to_string(Status) + " Any\r\nRequest-Id: " +
+         std::string(To["Request-Id"]) + "\r\nContent-Length: " + std::to_string(Body.size()) +
+         "\r\n" + Extra + "\r\n" + Body;
+}
+
+/// The head of an event stream in chunks.
+inline std::string streamHead(const HttpRequest &To) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(To["Request-Id"]) +
+         "\r\nContent-Type: text/event-stream\r\nWeights-Version: 3\r\nSignature: s\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+inline std::string chunk(const std::string &Bytes) {
+  char Size[16];
+  std::snprintf(Size, sizeof Size, "%zx\r\n", Bytes.size());
+  return Size + Bytes + "\r\n";
+}
+
+inline std::string event(int Id) {
+  return "id: " + std::to_string(Id) + "\ndata: token-" + std::to_string(Id) + "\n\n";
+}
+
+inline const std::string LastChunk = "0\r\n\r\n";
+
+} // namespace fescuegauge::test
+
+#endif // FESCUEGAUGE_LIBGATEWAY_FAKEUPSTREAM_H
--- /dev/null
+++ b/src/libgateway/Gateway.cpp
@@ -0,0 +1,157 @@
+#include "Fescuegauge/Gateway.h"
+
+#include "ClientSession.h"
+#include "Fescuegauge/Log.h"
+#include "GatewayCore.h"
+
+#include <list>
+
+namespace fescuegauge {
+
+/// Accepts connections and keeps the sessions and the housekeeping going.
+class Gateway::Implementation : public std::enable_shared_from_this<Gateway::Implementation> {
+public:
+  /// Interval at which idle connections are closed and old facts forgotten.
+  static constexpr Duration HousekeepingInterval = std::chrono::seconds(1);
+  /// Wait after accepting failed, for example for want of descriptors.
+  static constexpr Duration AcceptRetry = std::chrono::milliseconds(50);
+
+  Implementation(net::io_context &Loop, GatewayOptions Options, MetricsService &Metrics)
+      : m_Core(std::make_shared<GatewayCore>(Loop, std::move(Options), Metrics)),
+        m_Acceptor(Loop), m_Housekeeping(Loop.get_executor()) {}
+
+  GatewayCore &core() { return *m_Core; }
+
+  void listen(const Endpoint &Address) {
+    const Tcp::endpoint Local = tcpEndpoint(Address);
+    m_Acceptor.open(Local.protocol());
+    m_Acceptor.set_option(net::socket_base::reuse_address(true));
+    m_Acceptor.bind(Local);
+    m_Acceptor.listen(net::socket_base::max_listen_connections);
+    spawnTask(m_Core->executor(), "accept", accept(shared_from_this()));
+    keepHouse();
+  }
+
+  void beginDrain() {
+    if (m_Core->isDraining())
+      return;
+    m_Core->beginDrain();
+    logEvent(Severity::Info, "drain_started",
+             {{"requests", m_Core->m_RequestsInProgress}, {"sessions", m_Core->m_Sessions}});
+  }
+
+private:
+  static Task<> accept(std::shared_ptr<Implementation> Self) {
+    while (Self->m_Acceptor.is_open()) {
+      auto [Error, Socket] = co_await Self->m_Acceptor.async_accept(AsTuple);
+      if (Error == net::error::operation_aborted)
+        co_return;
+      if (Error) {
+        logEvent(Severity::Warning, "accept_failed", {{"reason", Error.message()}});
+        co_await sleepFor(AcceptRetry);
+        continue;
+      }
+      auto Session = std::make_shared<ClientSession>(Self->m_Core, std::move(Socket));
+      Self->m_Sessions.push_back(Session);
+      spawnTask(Self->m_Core->executor(), "session", Session->run());
+    }
+  }
+
+  void keepHouse() {
+    m_Housekeeping.set(HousekeepingInterval, [Weak = weak_from_this()] {
+      auto Self = Weak.lock();
+      if (!Self)
+        return;
+      Self->m_Core->pool().expire();
+      Self->m_Core->suspects().onTimer(monotonicNow());
+      Self->m_Sessions.remove_if([](const auto &Each) { return Each.expired(); });
+      if (Self->m_Core->refusesRequests())
+        for (const auto &Each : Self->m_Sessions)
+          if (auto Session = Each.lock())
+            Session->closeIfIdle();
+      Self->keepHouse();
+    });
+  }
+
+  std::shared_ptr<GatewayCore> m_Core;
+  Tcp::acceptor m_Acceptor;
+  Alarm m_Housekeeping;
+  std::list<std::weak_ptr<ClientSession>> m_Sessions;
+};
+
+Gateway::Gateway(net::io_context &Loop, GatewayOptions Options, MetricsService &Metrics)
+    : m_Implementation(std::make_shared<Implementation>(Loop, std::move(Options), Metrics)) {}
+
+Gateway::~Gateway() = default;
+
+void Gateway::listen(const Endpoint &Address) { m_Implementation->listen(Address); }
+
+void Gateway::setPlan(std::shared_ptr<const RouteTable> Plan) {
+  GatewayCore &Core = m_Implementation->core();
+  if (Core.plan() && Plan->version() <= Core.plan()->version()) {
+    if (Plan->version() < Core.plan()->version())
+      logEvent(Severity::Warning, "old_plan_ignored",
+               {{"plan", Plan->version()}, {"inForce", Core.plan()->version()}});
+    return;
+  }
+  logEvent(Severity::Info, "plan_in_force",
+           {{"plan", Plan->version()},
+            {"routes", Plan->plan().m_Routes.size()},
+            {"services", Plan->plan().m_Services.size()},
+            {"accounts", Plan->plan().m_Accounts.size()}});
+  Core.setPlan(std::move(Plan));
+}
+
+void Gateway::setUpstreams(std::span<const UpstreamRecord> Listed) {
+  m_Implementation->core().board().setUpstreams(Listed);
+  m_Implementation->core().pump();
+}
+
+void Gateway::setLeastVersion(const ModelId &Model, WeightsVersion Least) {
+  m_Implementation->core().board().setLeastVersion(Model, Least);
+}
+
+void Gateway::onPeerReport(const InstanceId &Peer, InFlightByUpstream InFlight,
+                           std::span<const SuspectDelta> Suspects) {
+  GatewayCore &Core = m_Implementation->core();
+  Core.board().onPeerReport(Peer, std::move(InFlight), monotonicNow());
+  if (!Suspects.empty())
+    Core.suspects().merge(Suspects, monotonicNow());
+  Core.pump();
+}
+
+InFlightByUpstream Gateway::ownInFlight() const {
+  return m_Implementation->core().board().ownInFlight();
+}
+
+std::vector<SuspectDelta> Gateway::takeSuspects() {
+  return m_Implementation->core().suspects().takeDeltas(monotonicNow());
+}
+
+bool Gateway::isReady() const {
+  GatewayCore &Core = m_Implementation->core();
+  return Core.plan() && !Core.isDraining();
+}
+
+void Gateway::beginDrain() { m_Implementation->beginDrain(); }
+
+bool Gateway::isDrained() const {
+  GatewayCore &Core = m_Implementation->core();
+  return Core.refusesRequests() && Core.m_RequestsInProgress == 0;
+}
+
+boost::json::object Gateway::dumpState() const {
+  GatewayCore &Core = m_Implementation->core();
+  boost::json::object InFlight;
+  for (const auto &[Upstream, Count] : Core.board().ownInFlight())
+    InFlight[Upstream.str()] = Count;
+  return {{"planVersion", Core.plan() ? Core.plan()->version().value() : 0},
+          {"upstreams", Core.board().size()},
+          {"requests", Core.m_RequestsInProgress},
+          {"sessions", Core.m_Sessions},
+          {"draining", Core.isDraining()},
+          {"connectionsOpened", Core.pool().opened()},
+          {"inFlight", std::move(InFlight)}};
+}
+
+} // namespace fescuegauge
--- /dev/null
+++ b/src/libgateway/GatewayCore.cpp
@@ -0,0 +1,215 @@
+#include "GatewayCore.h"
+
+#include "Fescuegauge/Log.h"
+
+#include <algorithm>
+
+namespace fescuegauge {
+
+namespace {
+
+/// A deadline shorter than this part of the longest one on its route belongs to a caller that has
+/// waited or asked before.
+constexpr double FreshDeadlineShare = 0.97;
+
+/// Lines on requests written in one second, and as many again on failures and refusals. A line
+/// costs about 20 us of processor time, so both bounds together are 0.4% of a core.
+constexpr std::uint32_t MaxLogLinesPerSecond = 100;
+
+constexpr Duration CrashCheckTimeout = std::chrono::milliseconds(300);
+
+UpstreamBoardOptions boardOptions(const GatewayOptions &Options) {
+  UpstreamBoardOptions Result;
+  Result.m_DataCentre = Options.m_DataCentre;
+  Result.m_Region = Options.m_Region;
+  return Result;
+}
+
+} // namespace
+
+GatewayCore::GatewayCore(net::io_context &Loop, GatewayOptions Options, MetricsService &Metrics)
+    : m_Options(std::move(Options)), m_Pool(Loop.get_executor()), m_Random(m_Options.m_Seed),
+      m_Board(boardOptions(m_Options), m_Random()), m_RetryTimes(m_Random()),
+      m_PumpAlarm(Loop.get_executor()),
+      m_Requests(Metrics.counter({"fescuegauge_gateway_requests_total",
+                                  "Requests of callers by kind of route and outcome.",
+                                  {{"kind", 8}, {"outcome", 40}}})),
+      m_Attempts(Metrics.counter({"fescuegauge_gateway_attempts_total",
+                                  "Dispatches to upstreams by outcome.",
+                                  {{"outcome", 16}}})),
+      m_DroppedLines(Metrics.counter({"fescuegauge_gateway_log_lines_dropped_total",
+                                      "Lines on requests left out to bound the log's volume.",
+                                      {}})),
+      m_FirstByte(Metrics.histogram(
+          {"fescuegauge_gateway_first_byte_seconds",
+           "Time from a request's arrival to the first byte of its answer.",
+           {{"kind", 8}}},
+          {0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4})),
+      m_Wait(Metrics.histogram({"fescuegauge_gateway_queue_seconds",
+                                "Time that dispatched requests waited for a place.",
+                                {}},
+                               {0.001, 0.01, 0.025, 0.05, 0.1, 0.2, 0.5})) {}
+
+void GatewayCore::setPlan(std::shared_ptr<const RouteTable> Plan) {
+  m_Plan = std::move(Plan);
+  m_Board.setPlan(*m_Plan);
+  pump();
+}
+
+Placement GatewayCore::placeNow(const PlacementRequest &Request) {
+  const TimePoint Now = monotonicNow();
+  Placement Result = m_Board.place(Request, Now);
+  if (Result.m_Verdict == PlacementVerdict::Placed) {
+    m_Board.onDispatched(Result.m_Upstream.m_Id, Now);
+    m_Queue.onPlaced(Request.m_Service, Now);
+  }
+  return Result;
+}
+
+Task<Placement> GatewayCore::waitForPlace(PlacementRequest Request, WaitTerms Terms,
+                                          std::shared_ptr<PlaceWaiter> &Waiter) {
+  const TimePoint Now = monotonicNow();
+  WaitingRequest Entry;
+  Entry.m_Priority = Terms.m_Priority;
+  Entry.m_Returned = Terms.m_Returned;
+  Entry.m_Since = Now;
+  Entry.m_GiveUpAt = Now + Terms.m_Longest;
+  Placement Direct;
+  Direct.m_Verdict = PlacementVerdict::AllFull;
+  if (m_Queue.waiting(Request.m_Service) == 0) {
+    Direct = placeNow(Request);
+    if (Direct.m_Verdict != PlacementVerdict::AllFull)
+      co_return Direct;
+  }
+  if (!m_Queue.shouldWait(Request.m_Service, Entry, Terms.m_Longest, Now))
+    co_return Direct;
+
+  m_LastNumber = m_LastNumber.next();
+  Entry.m_Number = m_LastNumber;
+  const ServiceId Service = Request.m_Service;
+  auto Waiting = std::make_shared<PlaceWaiter>(executor(), std::move(Request));
+  Waiter = Waiting;
+  m_Waiters.emplace(Entry.m_Number, Waiting);
+  m_Queue.push(Service, Entry);
+  pump();
+  if (!Waiting->m_Placed) {
+    Waiting->m_Timer.expires_after(Terms.m_Longest);
+    co_await Waiting->m_Timer.async_wait(AsTuple);
+  }
+  Waiter.reset();
+  m_Waiters.erase(Entry.m_Number);
+  m_Queue.remove(Service, Entry.m_Number);
+  co_return Waiting->m_Placed.value_or(Direct);
+}
+
+void GatewayCore::pump() {
+  const auto Services = m_Queue.waitingServices();
+  for (const auto &[Service, Count] : Services) {
+    for (const WaitingNumber Number : m_Queue.order(Service)) {
+      PlaceWaiter &Waiting = *m_Waiters.at(Number);
+      Placement Found = placeNow(Waiting.m_Request);
+      if (Found.m_Verdict != PlacementVerdict::Placed) {
+        // Others may go where this one has been already, but not if nothing at all is free.
+        if (Waiting.m_Request.m_Tried.empty())
+          break;
+        continue;
+      }
+      Waiting.m_Placed = std::move(Found);
+      m_Queue.remove(Service, Number);
+      Waiting.cancel();
+    }
+  }
+  schedulePump();
+}
+
+void GatewayCore::schedulePump() {
+  if (m_PumpScheduled || m_Queue.waitingServices().empty())
+    return;
+  m_PumpScheduled = true;
+  m_PumpAlarm.set(PumpInterval, [this] {
+    m_PumpScheduled = false;
+    pump();
+  });
+}
+
+void GatewayCore::release(const InstanceId &Upstream, DispatchResult Result) {
+  m_Board.onEnded(Upstream, Result, monotonicNow());
+  pump();
+}
+
+void GatewayCore::addRunning(const InstanceId &Upstream, const SuspectKey &Key) {
+  m_Running.emplace(Upstream, Key);
+}
+
+void GatewayCore::removeRunning(const InstanceId &Upstream, const SuspectKey &Key) {
+  auto [First, Last] = m_Running.equal_range(Upstream);
+  auto Found = std::find_if(First, Last, [&](const auto &Each) { return Each.second == Key; });
+  if (Found != Last)
+    m_Running.erase(Found);
+}
+
+void GatewayCore::checkCrash(const UpstreamRecord &Upstream) {
+  const TimePoint Now = monotonicNow();
+  auto [Entry, IsNew] = m_CrashChecked.try_emplace(Upstream.m_Id, Now);
+  if (!IsNew && Now - Entry->second < CrashCheckInterval)
+    return;
+  Entry->second = Now;
+  std::erase_if(m_CrashChecked, [&](const auto &Each) {
+    return Now - Each.second > CrashCheckInterval;
+  });
+  std::vector<SuspectKey> Running;
+  auto [First, Last] = m_Running.equal_range(Upstream.m_Id);
+  for (auto Each = First; Each != Last; ++Each)
+    Running.push_back(Each->second);
+  spawnTask(executor(), "confirm_crash", confirmCrash(Upstream, std::move(Running)));
+}
+
+Task<> GatewayCore::confirmCrash(UpstreamRecord Upstream, std::vector<SuspectKey> Running) {
+  co_await sleepFor(CrashCheckDelay);
+  SystemError Error;
+  ConnectionPtr Opened = co_await m_Pool.open(Upstream.m_Address, CrashCheckTimeout, Error);
+  if (Opened) {
+    m_Pool.keep(Opened, ConnectionPool::DefaultKeepAlive);
+    co_return;
+  }
+  if (Error != net::error::connection_refused)
+    co_return;
+  const TimePoint Now = monotonicNow();
+  // Each crash of one start of an upstream counts once; the time tells two of them apart.
+  const Incarnation Crash(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::seconds>(Now.time_since_epoch()).count()));
+  m_Suspects.upstreamLost(Upstream.m_Id, Crash, Running, Now);
+  logEvent(Severity::Warning, "upstream_crashed",
+           {{"upstream", Upstream.m_Id}, {"requestsRunning", Running.size()}});
+}
+
+bool GatewayCore::hasReturned(const RouteId &Route, Duration Deadline) {
+  Duration &Longest = m_LongestDeadline[Route];
+  Longest = std::max(Longest, Deadline);
+  return static_cast<double>(Deadline.count()) <
+         FreshDeadlineShare * static_cast<double>(Longest.count());
+}
+
+bool GatewayCore::refusesRequests() const {
+  return m_DrainingSince && monotonicNow() - *m_DrainingSince > DrainGrace;
+}
+
+bool GatewayCore::mayLog(bool IsFailure) {
+  const TimePoint Now = monotonicNow();
+  if (Now - m_LogSecond >= std::chrono::seconds(1)) {
+    if (m_LogDropped > 0)
+      logEvent(Severity::Warning, "request_lines_left_out", {{"count", m_LogDropped}});
+    m_LogSecond = Now;
+    m_LogLines = m_LogFailures = m_LogDropped = 0;
+  }
+  std::uint32_t &Lines = IsFailure ? m_LogFailures : m_LogLines;
+  if (Lines < MaxLogLinesPerSecond) {
+    ++Lines;
+    return true;
+  }
+  ++m_LogDropped;
+  m_DroppedLines.add();
+  return false;
+}
+
+} // namespace fescuegauge
--- /dev/null
+++ b/src/libgateway/GatewayCore.h
@@ -0,0 +1,148 @@
+#ifndef FESCUEGAUGE_LIBGATEWAY_GATEWAYCORE_H
+#define FESCUEGAUGE_LIBGATEWAY_GATEWAYCORE_H
+
+#include "Fescuegauge/ConnectionPool.h"
+#include "Fescuegauge/CrashSuspects.h"
+#include "Fescuegauge/DispatchQueue.h"
+#include "Fescuegauge/Gateway.h"
+#include "Fescuegauge/RetryBudget.h"
+#include "Fescuegauge/UpstreamBoard.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace fescuegauge {
+
+/// A request that waits in the DispatchQueue for a place at an upstream.
+class PlaceWaiter {
+public:
+  PlaceWaiter(const net::any_io_executor &Executor, PlacementRequest Request)
+      : m_Timer(Executor), m_Request(std::move(Request)) {}
+
+  /// Ends the wait without a place.
+  void cancel() { m_Timer.cancel(); }
+
+private:
+  friend class GatewayCore;
+
+  net::steady_timer m_Timer;
+  PlacementRequest m_Request;
+  std::optional<Placement> m_Placed;
+};
+
+/// How a request may wait for a place.
+struct WaitTerms {
+  Duration m_Longest{0};
+  int m_Priority = 0;
+  bool m_Returned = false;
+};
+
+/// What the requests of one gateway share: the plan, the decisions, and the connections.
+class GatewayCore {
+public:
+  /// Requests are served for this long after a stop was announced; callers are sent elsewhere once
+  /// the balancer has noticed.
+  static constexpr Duration DrainGrace = std::chrono::milliseconds(3000);
+  /// While requests wait, places are looked for at this interval, because pauses of upstreams end
+  /// without an event.
+  static constexpr Duration PumpInterval = std::chrono::milliseconds(25);
+  /// Least time between two checks whether an upstream has crashed.
+  static constexpr Duration CrashCheckInterval = std::chrono::milliseconds(500);
+  /// An upstream that crashed refuses connections when this time has passed since it broke one.
+  static constexpr Duration CrashCheckDelay = std::chrono::milliseconds(40);
+  /// Requests of callers in progress; a further one is refused.
+  static constexpr std::size_t MaxRequests = 2048;
+
+  GatewayCore(net::io_context &Loop, GatewayOptions Options, MetricsService &Metrics);
+
+  const GatewayOptions &options() const { return m_Options; }
+  const CallHeaders &headers() const { return m_Options.m_Headers; }
+  const std::shared_ptr<const RouteTable> &plan() const { return m_Plan; }
+  void setPlan(std::shared_ptr<const RouteTable> Plan);
+  UpstreamBoard &board() { return m_Board; }
+  ConnectionPool &pool() { return m_Pool; }
+  RetryTimes &retryTimes() { return m_RetryTimes; }
+  RetryBudget &retryBudget(const ServiceId &Service) { return m_RetryBudgets[Service]; }
+  CrashSuspects &suspects() { return m_Suspects; }
+  RandomGenerator &random() { return m_Random; }
+  const net::any_io_executor &executor() { return m_Pool.executor(); }
+
+  /// Gives a place at once, after a wait, or not at all. A place that was given counts as a request
+  /// in flight until release(). `Waiter` is set while the wait lasts.
+  Task<Placement> waitForPlace(PlacementRequest Request, WaitTerms Terms,
+                               std::shared_ptr<PlaceWaiter> &Waiter);
+  /// Gives a place only if one is free.
+  Placement placeNow(const PlacementRequest &Request);
+  /// The request that was given a place at `Upstream` has ended.
+  void release(const InstanceId &Upstream, DispatchResult Result);
+  /// Gives free places to requests that wait.
+  void pump();
+
+  /// Requests in flight at an upstream, for when it crashes.
+  void addRunning(const InstanceId &Upstream, const SuspectKey &Key);
+  void removeRunning(const InstanceId &Upstream, const SuspectKey &Key);
+  /// A connection to an upstream broke. Finds out whether the upstream has crashed, and if so holds
+  /// it against the requests that ran there.
+  void checkCrash(const UpstreamRecord &Upstream);
+
+  /// Whether the deadline of a request shows that its caller has used up part of its time before,
+  /// judged by the longest deadline seen on the route.
+  bool hasReturned(const RouteId &Route, Duration Deadline);
+
+  bool isDraining() const { return m_DrainingSince.has_value(); }
+  /// Whether the grace time after the announcement is over.
+  bool refusesRequests() const;
+  void beginDrain() { m_DrainingSince = monotonicNow(); }
+
+  void countRequest(std::string_view Kind, std::string_view Outcome) {
+    m_Requests.add({Kind, Outcome});
+  }
+  void countAttempt(std::string_view Outcome) { m_Attempts.add({Outcome}); }
+  void observeFirstByte(std::string_view Kind, Duration Time) {
+    m_FirstByte.observe({Kind}, toSeconds(Time));
+  }
+  void observeWait(Duration Time) { m_Wait.observe({}, toSeconds(Time)); }
+  /// Log lines on requests that may still be written in this second. Failures and refusals have a
+  /// share of their own.
+  bool mayLog(bool IsFailure);
+
+  std::size_t m_RequestsInProgress = 0;
+  std::size_t m_Sessions = 0;
+
+private:
+  Task<> confirmCrash(UpstreamRecord Upstream, std::vector<SuspectKey> Running);
+  void schedulePump();
+
+  GatewayOptions m_Options;
+  ConnectionPool m_Pool;
+  RandomGenerator m_Random;
+  UpstreamBoard m_Board;
+  DispatchQueue m_Queue;
+  RetryTimes m_RetryTimes;
+  std::unordered_map<ServiceId, RetryBudget> m_RetryBudgets;
+  CrashSuspects m_Suspects;
+  std::shared_ptr<const RouteTable> m_Plan;
+  std::map<WaitingNumber, std::shared_ptr<PlaceWaiter>> m_Waiters;
+  WaitingNumber m_LastNumber;
+  Alarm m_PumpAlarm;
+  bool m_PumpScheduled = false;
+  std::multimap<InstanceId, SuspectKey> m_Running;
+  std::map<InstanceId, TimePoint> m_CrashChecked;
+  std::unordered_map<RouteId, Duration> m_LongestDeadline;
+  std::optional<TimePoint> m_DrainingSince;
+  CounterMetric &m_Requests;
+  CounterMetric &m_Attempts;
+  CounterMetric &m_DroppedLines;
+  HistogramMetric &m_FirstByte;
+  HistogramMetric &m_Wait;
+  TimePoint m_LogSecond;
+  std::uint32_t m_LogLines = 0;
+  std::uint32_t m_LogFailures = 0;
+  std::uint32_t m_LogDropped = 0;
+};
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_LIBGATEWAY_GATEWAYCORE_H
--- /dev/null
+++ b/src/libgateway/HttpCaller.cpp
@@ -0,0 +1,102 @@
+#include "Fescuegauge/HttpCaller.h"
+
+#include <Poco/URI.h>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <charconv>
+
+namespace fescuegauge {
+
+namespace http = boost::beast::http;
+
+HttpRequest makeGet(const std::string &Target) {
+  return HttpRequest(http::verb::get, Target, 11);
+}
+
+HttpRequest makePost(const std::string &Target, std::string Json) {
+  HttpRequest Request(http::verb::post, Target, 11);
+  Request.set(http::field::content_type, "application/json");
+  Request.body() = std::move(Json);
+  return Request;
+}
+
+Duration keepAliveOf(std::string_view Header, Duration Default) {
+  constexpr std::string_view Name = "timeout=";
+  const std::size_t At = Header.find(Name);
+  if (At == std::string_view::npos)
+    return Default;
+  const std::string_view Rest = Header.substr(At + Name.size());
+  unsigned Seconds = 0;
+  auto [End, Error] = std::from_chars(Rest.data(), Rest.data() + Rest.size(), Seconds);
+  return Error == std::errc() ? Duration(std::chrono::seconds(Seconds)) : Default;
+}
+
+std::string escapeQuery(std::string_view Text) {
+  std::string Result;
+  Poco::URI::encode(std::string(Text), "/:;?&=+#%,@!$'()*", Result);
+  return Result;
+}
+
+Task<CallResult> HttpCaller::callOn(ConnectionPtr Connection, HttpRequest &Request,
+                                    Duration Timeout) {
+  CallResult Result;
+  Result.m_Kind = CallResult::Kind::NoAnswer;
+  bool TimedOut = false;
+  Alarm Limit(m_Pool.executor());
+  Limit.set(Timeout, [&TimedOut, Connection] {
+    TimedOut = true;
+    Connection->close();
+  });
+  auto [WriteError, Written] =
+      co_await http::async_write(Connection->socket(), Request, AsTuple);
+  if (WriteError) {
+    Result.m_Reason = TimedOut ? "timeout" : WriteError.message();
+    Connection->close();
+    co_return Result;
+  }
+  http::response_parser<http::string_body> Parser;
+  Parser.body_limit(MaxAnswerBytes);
+  auto [ReadError, Read] =
+      co_await http::async_read(Connection->socket(), Connection->buffer(), Parser, AsTuple);
+  Limit.cancel();
+  if (ReadError) {
+    Result.m_Reason = TimedOut ? "timeout" : ReadError.message();
+    Connection->close();
+    co_return Result;
+  }
+  Result.m_Kind = CallResult::Kind::Answered;
+  const bool Reusable = Parser.keep_alive();
+  Result.m_Response = Parser.release();
+  if (Reusable)
+    m_Pool.keep(Connection, keepAliveOf(Result.m_Response[http::field::keep_alive],
+                                        ConnectionPool::DefaultKeepAlive));
+  else
+    Connection->close();
+  co_return Result;
+}
+
+Task<CallResult> HttpCaller::call(Endpoint Address, HttpRequest Request, Duration Timeout,
+                                  bool Repeatable) {
+  Request.set(http::field::host, Address.m_Host + ":" + std::to_string(Address.m_Port));
+  Request.prepare_payload();
+  const TimePoint Start = monotonicNow();
+  if (ConnectionPtr Kept =
+          m_Pool.takeIdle(Address, Repeatable ? Duration::max() : Duration::zero())) {
+    CallResult Result = co_await callOn(Kept, Request, Timeout);
+    const bool Late = monotonicNow() - Start >= Timeout;
+    if (Result.isAnswered() || !Repeatable || Late)
+      co_return Result;
+  }
+  SystemError Error;
+  ConnectionPtr Fresh =
+      co_await m_Pool.open(Address, std::min(ConnectTimeout, Timeout), Error);
+  if (!Fresh) {
+    CallResult Result;
+    Result.m_Reason = Error.message();
+    co_return Result;
+  }
+  co_return co_await callOn(Fresh, Request, Timeout - (monotonicNow() - Start));
+}
+
+} // namespace fescuegauge
--- /dev/null
+++ b/src/libgateway/PeerLink.cpp
@@ -0,0 +1,146 @@
+#include "Fescuegauge/PeerLink.h"
+
+#include "Fescuegauge/ByteCodec.h"
+
+#include <algorithm>
+
+namespace fescuegauge {
+
+namespace {
+
+constexpr std::uint64_t ReportVersion = 1;
+
+Endpoint endpointOf(const Udp::endpoint &From) {
+  return {From.address().to_string(), From.port()};
+}
+
+} // namespace
+
+std::string encodePeerReport(const PeerReport &Report) {
+  ByteWriter Writer;
+  Writer.number(ReportVersion);
+  Writer.id(Report.m_Sender);
+  Writer.id(Report.m_DataCentre);
+  Writer.number(Report.m_InFlight.size());
+  for (const auto &[Upstream, Count] : Report.m_InFlight) {
+    Writer.id(Upstream);
+    Writer.number(Count);
+  }
+  Writer.number(Report.m_Suspects.size());
+  for (const SuspectDelta &Each : Report.m_Suspects) {
+    Writer.id(Each.m_Key.m_Account);
+    Writer.digest(Each.m_Key.m_BodyDigest);
+    Writer.id(Each.m_Upstream);
+    Writer.id(Each.m_Incarnation);
+    Writer.number(Each.m_Cleared ? 1 : 0);
+    Writer.number(static_cast<std::uint64_t>(Each.m_Age.count()));
+  }
+  return Writer.take();
+}
+
+std::optional<PeerReport> decodePeerReport(std::string_view Datagram) {
+  ByteReader Reader(Datagram);
+  PeerReport Report;
+  if (Reader.number() != ReportVersion)
+    return std::nullopt;
+  Report.m_Sender = Reader.id<InstanceId>();
+  Report.m_DataCentre = Reader.id<DataCentreId>();
+  constexpr std::size_t LeastEntry = 2;
+  for (std::size_t Left = Reader.count(LeastEntry); Left > 0; --Left) {
+    InstanceId Upstream = Reader.id<InstanceId>();
+    Report.m_InFlight[Upstream] = static_cast<std::uint32_t>(Reader.number());
+  }
+  constexpr std::size_t LeastSuspect = Digest::Size + 5;
+  for (std::size_t Left = Reader.count(LeastSuspect); Left > 0; --Left) {
+    SuspectDelta Each;
+    Each.m_Key.m_Account = Reader.id<ClientAccountId>();
+    Each.m_Key.m_BodyDigest = Reader.digest();
+    Each.m_Upstream = Reader.id<InstanceId>();
+    Each.m_Incarnation = Reader.id<Incarnation>();
+    Each.m_Cleared = Reader.number() != 0;
+    Each.m_Age = Duration(static_cast<Duration::rep>(Reader.number()));
+    Report.m_Suspects.push_back(std::move(Each));
+  }
+  if (Reader.failed() || !Reader.atEnd())
+    return std::nullopt;
+  return Report;
+}
+
+PeerLink::PeerLink(net::io_context &Loop, InstanceId Self, DataCentreId DataCentre, Handlers Calls)
+    : m_Self(std::move(Self)), m_DataCentre(std::move(DataCentre)), m_Calls(std::move(Calls)),
+      m_Socket(Loop), m_Tick(Loop.get_executor()) {}
+
+void PeerLink::start(const Endpoint &Local) {
+  const Tcp::endpoint Address = tcpEndpoint(Local);
+  m_Socket.open(Udp::v4());
+  m_Socket.bind(Udp::endpoint(Address.address(), Address.port()));
+  m_Socket.non_blocking(true);
+  receive();
+  tick();
+}
+
+void PeerLink::addPeer(const Endpoint &Address, const DataCentreId &DataCentre) {
+  m_Peers[Address] = {DataCentre, monotonicNow()};
+}
+
+void PeerLink::receive() {
+  m_Socket.async_receive_from(
+      net::buffer(m_Buffer), m_From, [this](SystemError Error, std::size_t Size) {
+        if (Error == net::error::operation_aborted)
+          return;
+        if (!Error) {
+          if (auto Report = decodePeerReport({m_Buffer.data(), Size})) {
+            if (Report->m_Sender != m_Self) {
+              addPeer(endpointOf(m_From), Report->m_DataCentre);
+              m_Calls.m_OnReport(std::move(*Report));
+            }
+          }
+        }
+        receive();
+      });
+}
+
+void PeerLink::sendTo(const Endpoint &Address, const std::string &Datagram) {
+  const Tcp::endpoint To = tcpEndpoint(Address);
+  SystemError Ignored;
+  // A datagram that cannot be sent now is made good by the next one.
+  m_Socket.send_to(net::buffer(Datagram), Udp::endpoint(To.address(), To.port()), 0, Ignored);
+}
+
+void PeerLink::tick() {
+  const TimePoint Now = monotonicNow();
+  PeerReport Report{m_Self, m_DataCentre, m_Calls.m_InFlight(), m_Calls.m_TakeSuspects()};
+  const bool Urgent = !Report.m_Suspects.empty();
+  const bool Changed = Report.m_InFlight != m_LastSent;
+  const bool Local = Urgent || Changed || Now - m_LocalSentAt >= RefreshInterval;
+  const bool Remote =
+      Urgent || Now - m_RemoteSentAt >= (Changed ? RemoteInterval : RefreshInterval);
+  if (Local || Remote) {
+    const std::string Datagram = encodePeerReport(Report);
+    std::erase_if(m_Peers,
+                  [&](const auto &Each) { return Now - Each.second.m_HeardAt > PeerLifetime; });
+    std::vector<Endpoint> Others;
+    std::size_t LocalCount = 0;
+    for (const auto &[Address, Known] : m_Peers) {
+      if (Known.m_DataCentre != m_DataCentre)
+        Others.push_back(Address);
+      else if (Local && LocalCount++ < MaxLocalPeers)
+        sendTo(Address, Datagram);
+    }
+    if (Local) {
+      m_LocalSentAt = Now;
+      m_LastSent = Report.m_InFlight;
+    }
+    if (Remote) {
+      m_RemoteSentAt = Now;
+      // With more peers than are sent to at once, they take turns.
+      const std::size_t Count = std::min(Others.size(), MaxRemotePeers);
+      for (std::size_t I = 0; I < Count; ++I)
+        sendTo(Others[(m_RemoteStart + I) % Others.size()], Datagram);
+      m_RemoteStart += Count;
+    }
+  }
+  m_Tick.set(LocalInterval, [this] { tick(); });
+}
+
+} // namespace fescuegauge
--- /dev/null
+++ b/src/libgateway/RequestExchange.h
@@ -0,0 +1,159 @@
+#ifndef FESCUEGAUGE_LIBGATEWAY_REQUESTEXCHANGE_H
+#define FESCUEGAUGE_LIBGATEWAY_REQUESTEXCHANGE_H
+
+#include "ClientConnection.h"
+#include "Fescuegauge/ErrorKind.h"
+#include "Fescuegauge/EventSplitter.h"
+#include "GatewayCore.h"
+#include "UpstreamExchange.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fescuegauge {
+
+/// Serves one request of a caller from its head to the last byte of its answer.
+///
+/// Truth about whether the request was run: m_MayHaveRun is set before the first byte of it can
+/// have left this process and is only taken back when the upstream states that it did not run it.
+/// The statuses 408, 421, 429 and 503 promise that a request was not run and are sent only while
+/// m_MayHaveRun is false.
+class RequestExchange : public std::enable_shared_from_this<RequestExchange> {
+public:
+  /// Upstreams to which no connection could be opened before the request is refused. They do not
+  /// count as attempts, because nothing was sent.
+  static constexpr int MaxConnectFailures = 3;
+  static constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
+  /// Work that runs at most once uses only connections that were used this recently, because one
+  /// that its upstream closes meanwhile leaves the outcome unknown.
+  static constexpr Duration LongestIdleAtMostOnce = std::chrono::milliseconds(1500);
+  /// An answer without events is held back until it is complete or this long, so that one that
+  /// breaks off can be asked for again.
+  static constexpr std::size_t HeldBytes = 64 << 10;
+  /// Time without an event after which a stream looks for another upstream, if its own one is
+  /// silent to all requests.
+  static constexpr Duration StallLimit = std::chrono::milliseconds(900);
+  static constexpr Duration StallCheckInterval = std::chrono::milliseconds(150);
+  /// A plain idempotent request looks for another upstream after this many times its target
+  /// latency.
+  static constexpr int PlainStallFactor = 2;
+  /// A stream that broke off in the middle waits this long for a place to go on.
+  static constexpr Duration LongestResumeWait = std::chrono::milliseconds(1200);
+
+  RequestExchange(GatewayCore &Core, std::shared_ptr<ClientConnection> Client, HttpRequest Request,
+                  TimePoint ArrivedAt);
+
+  /// Returns whether the caller's connection can be used for another request.
+  Task<bool> run();
+
+private:
+  enum class AttemptEnd {
+    /// The answer, or all that there is of it, was passed on.
+    Delivered,
+    NotSent,
+    Rejected,
+    /// The upstream may have run the request, and nothing usable came.
+    Failed,
+    /// The upstream ran the request and answered with a failure, kept in m_KeptAnswer.
+    AnsweredFailure,
+    /// Another upstream was found for a request whose own one is silent.
+    Moved,
+    /// The time was over, or the caller left.
+    Interrupted,
+  };
+
+  struct KeptAnswer {
+    UpstreamExchange::Header m_Header;
+    std::string m_Body;
+  };
+
+  std::optional<ErrorKind> classify();
+  Task<> dispatch();
+  Task<std::optional<Placement>> findPlace();
+  Task<AttemptEnd> attempt(const Placement &Chosen);
+  Task<AttemptEnd> receive(const Placement &Chosen, UpstreamExchange &Sent);
+  Task<AttemptEnd> relayEvents(UpstreamExchange &Sent, const UpstreamRecord &From);
+  Task<AttemptEnd> relayPlain(UpstreamExchange &Sent, const UpstreamRecord &From);
+  Task<bool> passEvent(UpstreamExchange &Sent, const EventSplitter::Event &Event);
+  HttpRequest upstreamRequest(const UpstreamRecord &To) const;
+
+  bool mayRetry() const;
+  bool takeRetry();
+  bool canResume() const { return m_HeadSent && m_Route->m_Kind == Repeatability::ResumableStream && m_EventsResumable; }
+  void onDeadline();
+  void onCallerLeft();
+  void interrupt();
+  void checkStall();
+  void noteFirstByte();
+  bool isInterrupted() const { return m_TimedOut || m_CallerLeft; }
+  Duration timeLeft() const { return m_Deadline - monotonicNow(); }
+
+  Task<> refuse(ErrorKind Kind);
+  Task<> finishFailed();
+  Task<> replyError(ErrorKind Kind, std::optional<Duration> RetryAfter);
+  Task<> deliverKept();
+  /// Sends the head of the answer unless it was sent before. False if the caller is gone.
+  Task<bool> ensureHead(const UpstreamExchange::Header &From, std::optional<std::uint64_t> Length);
+  Task<bool> sendBody(std::string Bytes, bool IsLast);
+  Task<bool> writeClient(std::string Bytes);
+  bool keepsConnection() const { return m_KeepAlive && !m_Core.isDraining(); }
+
+  void logAttempt(const Placement &Chosen, std::string_view Outcome, std::string_view Detail);
+  void logEnd();
+  std::string_view kindName() const;
+
+  GatewayCore &m_Core;
+  std::shared_ptr<ClientConnection> m_Client;
+  HttpRequest m_Request;
+  TimePoint m_ArrivedAt;
+  TimePoint m_Deadline;
+  bool m_KeepAlive;
+
+  std::shared_ptr<const RouteTable> m_Plan;
+  const Route *m_Route = nullptr;
+  ClientAccountId m_Account;
+  ServiceId m_Service;
+  ModelId m_Model;
+  std::string m_RequestId;
+  int m_Priority = 0;
+  bool m_Returned = false;
+  SuspectKey m_SuspectKey;
+
+  Alarm m_DeadlineAlarm;
+  Alarm m_StallAlarm;
+  std::shared_ptr<PlaceWaiter> m_Waiter;
+  std::shared_ptr<UpstreamExchange> m_Current;
+  InstanceId m_CurrentUpstream;
+  std::optional<Placement> m_MoveTo;
+  bool m_TimedOut = false;
+  bool m_CallerLeft = false;
+
+  bool m_MayHaveRun = false;
+  std::uint32_t m_AttemptsSent = 0;
+  int m_ConnectFailures = 0;
+  std::vector<InstanceId> m_Tried;
+  std::optional<KeptAnswer> m_KeptAnswer;
+  bool m_AnswerMalformed = false;
+  PlacementVerdict m_LastVerdict = PlacementVerdict::Placed;
+
+  bool m_HeadSent = false;
+  bool m_Chunked = false;
+  bool m_ClientBroken = false;
+  bool m_Complete = false;
+  bool m_EventsResumable = true;
+  std::optional<std::uint64_t> m_LastEventId;
+  std::optional<WeightsVersion> m_StreamVersion;
+  TimePoint m_LastByteAt;
+  std::optional<Duration> m_FirstByteAfter;
+  Duration m_Waited{0};
+  std::uint64_t m_EventsPassed = 0;
+
+  std::string_view m_Outcome = "none";
+  unsigned m_Status = 0;
+};
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_LIBGATEWAY_REQUESTEXCHANGE_H
