Agents exchange pieces by what the others hold

Cause: agents waited for single pieces at their importers, so fetches stood still while other agents held pieces that they lacked; empty runners were not loaded before the first announcement. Ruled out: the links (the origin's was saturated from the start; imports were complete after 2.6 s). Before: all runners converted 7.8 s after the announcement at best, six added runners idle until then.

--- a/src/include/Fescuegauge/RoutingPlan.h
+++ b/src/include/Fescuegauge/RoutingPlan.h
@@ -84,6 +84,8 @@
   /// Number of pieces into which the weights are cut, and the size of one.
   std::uint32_t m_Chunks = 0;
   Bytes m_ChunkSize;
+  /// The models that its runners load.
+  std::vector<ModelId> m_Models;
   /// Time to load all layers from the staging area.
   Duration m_LoadTime{0};
   /// Means over the service's requests, in tokens.
--- a/src/include/Fescuegauge/WeightsAgent.h
+++ b/src/include/Fescuegauge/WeightsAgent.h
@@ -4,7 +4,7 @@
 #include "Fescuegauge/AsioTypes.h"
 #include "Fescuegauge/Digest.h"
 #include "Fescuegauge/HttpCaller.h"
-#include "Fescuegauge/PieceSources.h"
+#include "Fescuegauge/PieceExchange.h"
 #include "Fescuegauge/Random.h"
 #include "Fescuegauge/RoutingPlan.h"
 #include "Fescuegauge/StatusServer.h"
@@ -97,14 +97,13 @@
 /// newer announcement replaces the version at any step before the order.
 class WeightsAgent {
 public:
-  /// Pieces fetched at the same time.
-  static constexpr std::size_t ParallelFetches = 4;
-  /// Uploads to other agents at the same time; further requests wait, up to MaxWaitingUploads.
-  static constexpr std::size_t ParallelUploads = 3;
-  static constexpr std::size_t MaxWaitingUploads = 32;
-  /// A request for a piece that is on its way here is kept for this long.
-  static constexpr Duration PieceWait = std::chrono::milliseconds(1200);
-  /// A peer must deliver within this time, the wait above included.
+  /// Uploads to other agents at the same time; further ones are refused.
+  static constexpr std::size_t MaxUploads = 32;
+  /// A question for what this agent holds is answered when that has changed, after this time at
+  /// the latest, and not before HoldingsInterval, which bounds the number of answers.
+  static constexpr Duration HoldingsWait = std::chrono::milliseconds(1000);
+  static constexpr Duration HoldingsInterval = std::chrono::milliseconds(60);
+  /// A peer must deliver a piece within this time.
   static constexpr Duration PeerTimeout = std::chrono::milliseconds(2500);
   /// Interval at which the runner is asked what it holds, at rest and while it loads.
   static constexpr Duration RestInterval = std::chrono::milliseconds(500);
--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -15,12 +15,12 @@
 namespace {
 
 constexpr std::string_view PiecePath = "/pieces/";
-/// In place of a piece's number: the digests of all pieces.
+/// In place of a piece's number: the digests of all pieces, and the set of pieces held.
 constexpr std::string_view DigestsName = "digests";
-/// Fetches from one peer at the same time.
-constexpr int FetchesPerSource = 2;
-constexpr Duration ProgressCheck = std::chrono::milliseconds(30);
-constexpr Duration UploadCheck = std::chrono::milliseconds(20);
+constexpr std::string_view HoldingsName = "holdings";
+/// Follows HoldingsName: the set that the asking agent knows of.
+constexpr std::string_view KnownParameter = "?known=";
+constexpr Duration ProgressCheck = std::chrono::milliseconds(20);
 
 Invariant LoadedWhatWasVerified("agent.load_only_after_read_back");
 
@@ -80,6 +80,37 @@
   return Result;
 }
 
+/// The words of a set in hexadecimal, 16 digits each.
+std::string holdingsText(const ChunkSet &Held) {
+  std::string Text;
+  for (const std::uint64_t Word : Held.words()) {
+    char Digits[17];
+    std::snprintf(Digits, sizeof Digits, "%016llx", static_cast<unsigned long long>(Word));
+    Text += Digits;
+  }
+  return Text;
+}
+
+std::optional<ChunkSet> parseHoldings(std::string_view Text, std::size_t Size) {
+  constexpr std::size_t WordDigits = 16;
+  constexpr std::size_t WordBits = 64;
+  ChunkSet Result(Size);
+  if (Text.size() != Result.words().size() * WordDigits)
+    return std::nullopt;
+  for (std::size_t Word = 0; Word * WordDigits < Text.size(); ++Word) {
+    const std::string_view Digits = Text.substr(Word * WordDigits, WordDigits);
+    std::uint64_t Bits = 0;
+    auto [End, Error] =
+        std::from_chars(Digits.data(), Digits.data() + Digits.size(), Bits, 16);
+    if (Error != std::errc() || End != Digits.data() + Digits.size())
+      return std::nullopt;
+    for (std::size_t Bit = 0; Bit < WordBits; ++Bit)
+      if ((Bits >> Bit & 1) != 0)
+        Result.insert(static_cast<std::uint32_t>(Word * WordBits + Bit));
+  }
+  return Result;
+}
+
 using PieceBytes = std::shared_ptr<const std::string>;
 
 /// One version on its way to the runner.
@@ -87,24 +118,22 @@
   Transfer(PieceManifest Of, const WeightsAgentOptions &Options)
       : m_Manifest(std::move(Of)), m_Pieces(m_Manifest.m_Digests.size()),
         m_Staged(m_Manifest.m_Digests.size()),
-        m_Sources(m_Manifest.m_Model.str() + "/" + std::to_string(m_Manifest.m_Version.value()),
-                  static_cast<std::uint32_t>(m_Manifest.m_Digests.size()), Options.m_Self,
-                  Options.m_OriginRegion) {}
+        m_Exchange(m_Manifest.m_Model.str() + "/" + std::to_string(m_Manifest.m_Version.value()),
+                   static_cast<std::uint32_t>(m_Manifest.m_Digests.size()), Options.m_Self,
+                   Options.m_OriginRegion, Options.m_Seed, m_StartedAt) {}
 
   std::uint32_t count() const { return static_cast<std::uint32_t>(m_Pieces.size()); }
-  bool isComplete() const { return m_Have == m_Pieces.size(); }
+  bool isComplete() const { return m_Exchange.isComplete(); }
 
+  TimePoint m_StartedAt = monotonicNow();
   PieceManifest m_Manifest;
   std::vector<PieceBytes> m_Pieces;
   /// Pieces written to the staging area and not found bad there since.
   std::vector<bool> m_Staged;
-  std::size_t m_Have = 0;
-  PieceSources m_Sources;
-  std::set<std::uint32_t> m_InFlight;
-  std::map<InstanceId, int> m_FetchesFrom;
-  TimePoint m_StartedAt = monotonicNow();
+  PieceExchange m_Exchange;
+  /// Peers that are being asked for their holdings.
+  std::set<InstanceId> m_Asked;
   std::optional<TimePoint> m_CompleteAt;
-  std::uint32_t m_FromOrigin = 0;
   std::uint32_t m_BadPieces = 0;
 };
 
@@ -132,10 +161,11 @@
   Task<bool> refreshPeers(Target Wanted);
   Task<> restoreFromStaging(std::shared_ptr<Transfer> Version);
   Task<> fetchPieces(std::shared_ptr<Transfer> Version);
-  Task<bool> fetchOne(std::shared_ptr<Transfer> Version);
+  Task<> fetchOne(std::shared_ptr<Transfer> Version, PieceFetch Fetch);
+  Task<> followHoldings(std::shared_ptr<Transfer> Version, PiecePeer Peer);
+  Task<std::optional<PieceManifest>> askDigests(Target Wanted, Endpoint Address);
   Task<bool> verifyStaging(std::shared_ptr<Transfer> Version);
-  Task<std::optional<std::string>> fetchFrom(PieceSource From, std::shared_ptr<Transfer> Version,
-                                             std::uint32_t Piece);
+  Task<std::optional<std::string>> fetchBytes(std::shared_ptr<Transfer> Version, PieceFetch Fetch);
   TimePoint orderTime(const Target &Wanted, bool ServesNothing) const;
   bool isCurrent(const std::shared_ptr<Transfer> &Version) const {
     return m_Current == Version && m_Target &&
@@ -145,6 +175,11 @@
 
   Task<StatusAnswer> serve(HttpRequest Request);
   Task<StatusAnswer> servePiece(PieceName Wanted, std::uint32_t Piece);
+  Task<StatusAnswer> serveHoldings(PieceName Wanted, std::string Known);
+  bool isCurrentVersion(const PieceName &Wanted) const {
+    return m_Current && m_Current->m_Manifest.m_Model == Wanted.m_Model &&
+           m_Current->m_Manifest.m_Version == Wanted.m_Version;
+  }
 
   Task<> pause(Duration Length);
 
@@ -166,7 +201,6 @@
   std::map<ModelId, WeightsVersion> m_Loaded;
   std::optional<TimePoint> m_OrderedAt;
   std::size_t m_Uploads = 0;
-  std::size_t m_WaitingUploads = 0;
   std::uint64_t m_UploadedPieces = 0;
 };
 
@@ -252,7 +286,7 @@
             {"sinceAnnouncementSeconds", monotonicNow() - Wanted.m_AnnouncedAt},
             {"transferSeconds", Version->m_CompleteAt.value_or(Version->m_StartedAt) -
                                     Version->m_StartedAt},
-            {"fromOrigin", Version->m_FromOrigin},
+            {"fromOrigin", Version->m_Exchange.originFetches()},
             {"badPieces", Version->m_BadPieces}});
   co_await pause(LoadInterval);
 }
@@ -305,33 +339,34 @@
   m_PeersAt = Now;
   m_Peers = std::move(*Found);
   if (m_Current)
-    m_Current->m_Sources.setPeers(m_Peers);
+    m_Current->m_Exchange.setPeers(m_Peers);
   co_return true;
 }
 
+Task<std::optional<PieceManifest>>
+WeightsAgent::Implementation::askDigests(Target Wanted, Endpoint Address) {
+  const CallResult Answer = co_await m_Caller.call(
+      Address, makeGet(piecePath(Wanted.m_Model, Wanted.m_Version, DigestsName)), PeerTimeout);
+  if (Answer.status() != 200)
+    co_return std::nullopt;
+  PieceManifest Manifest{Wanted.m_Model, Wanted.m_Version, parseDigests(Answer.m_Response.body())};
+  if (Manifest.m_Digests.empty())
+    co_return std::nullopt;
+  co_return Manifest;
+}
+
 Task<bool> WeightsAgent::Implementation::learnDigests(Target Wanted) {
   co_await refreshPeers(Wanted);
   std::optional<PieceManifest> Found;
-  auto AskPeer = [this, &Wanted](Endpoint Address) -> Task<std::optional<PieceManifest>> {
-    const CallResult Answer =
-        co_await m_Caller.call(Address, makeGet(piecePath(Wanted.m_Model, Wanted.m_Version, DigestsName)),
-                               PeerTimeout);
-    if (Answer.status() != 200)
-      co_return std::nullopt;
-    PieceManifest Manifest{Wanted.m_Model, Wanted.m_Version,
-                           parseDigests(Answer.m_Response.body())};
-    if (Manifest.m_Digests.empty())
-      co_return std::nullopt;
-    co_return Manifest;
-  };
-  for (const PiecePeer &Each : std::vector<PiecePeer>(m_Peers))
+  const std::vector<PiecePeer> Peers = m_Peers;
+  for (const PiecePeer &Each : Peers)
     if (!Found && Each.m_HoldsAll && Each.m_Id != m_Options.m_Self)
-      Found = co_await AskPeer(Each.m_Address);
+      Found = co_await askDigests(Wanted, Each.m_Address);
   if (!Found)
     Found = co_await m_Origin.manifest(Wanted.m_Model, Wanted.m_Version);
-  for (const PiecePeer &Each : std::vector<PiecePeer>(m_Peers))
+  for (const PiecePeer &Each : Peers)
     if (!Found && Each.m_Id != m_Options.m_Self)
-      Found = co_await AskPeer(Each.m_Address);
+      Found = co_await askDigests(Wanted, Each.m_Address);
   if (!Found) {
     logEvent(Severity::Warning, "digests_unavailable",
              {{"model", Wanted.m_Model}, {"version", Wanted.m_Version}});
@@ -340,7 +375,7 @@
   if (!m_Target || m_Target->m_Version != Wanted.m_Version)
     co_return false;
   m_Current = std::make_shared<Transfer>(std::move(*Found), m_Options);
-  m_Current->m_Sources.setPeers(m_Peers);
+  m_Current->m_Exchange.setPeers(m_Peers);
   logEvent(Severity::Info, "transfer_started",
            {{"model", Wanted.m_Model},
             {"version", Wanted.m_Version},
@@ -354,7 +389,7 @@
   if (Version.m_Pieces[Piece])
     return;
   Version.m_Pieces[Piece] = std::make_shared<const std::string>(std::move(Bytes));
-  ++Version.m_Have;
+  Version.m_Exchange.onHeld(Piece);
   if (!Version.isComplete())
     return;
   Version.m_CompleteAt = monotonicNow();
@@ -362,7 +397,7 @@
            {{"model", Version.m_Manifest.m_Model},
             {"version", Version.m_Manifest.m_Version},
             {"seconds", *Version.m_CompleteAt - Version.m_StartedAt},
-            {"fromOrigin", Version.m_FromOrigin},
+            {"fromOrigin", Version.m_Exchange.originFetches()},
             {"badPieces", Version.m_BadPieces}});
 }
 
@@ -384,92 +419,81 @@
 }
 
 Task<> WeightsAgent::Implementation::fetchPieces(std::shared_ptr<Transfer> Version) {
-  auto Workers = std::make_shared<std::size_t>(0);
-  auto Work = [](std::shared_ptr<Implementation> Self, std::shared_ptr<Transfer> Of,
-                 std::shared_ptr<std::size_t> Count) -> Task<> {
-    while (Self->isCurrent(Of) && !Of->isComplete()) {
-      const bool Fetched = co_await Self->fetchOne(Of);
-      if (!Fetched)
-        co_await sleepFor(ProgressCheck);
-    }
-    --*Count;
-  };
-  for (std::size_t I = 0; I < ParallelFetches; ++I) {
-    ++*Workers;
-    spawnTask(m_Executor, "fetch_pieces", Work(shared_from_this(), Version, Workers));
-  }
-  while (*Workers > 0) {
-    co_await sleepFor(ProgressCheck);
-    if (isCurrent(Version) && m_Target)
-      co_await refreshPeers(*m_Target);
+  while (isCurrent(Version) && !Version->isComplete()) {
+    const TimePoint Now = monotonicNow();
+    for (const PiecePeer &Each : Version->m_Exchange.followed(Now))
+      if (Version->m_Asked.insert(Each.m_Id).second)
+        spawnTask(m_Executor, "follow_holdings", followHoldings(Version, Each));
+    while (auto Fetch = Version->m_Exchange.next(Now))
+      spawnTask(m_Executor, "fetch_piece", fetchOne(Version, *Fetch));
+    co_await pause(ProgressCheck);
+    co_await refreshPeers(*m_Target);
   }
 }
 
-Task<bool> WeightsAgent::Implementation::fetchOne(std::shared_ptr<Transfer> Version) {
-  // Imports first, because others wait for them; the rest from a random start, so that agents do
-  // not all ask the same peer at the same time.
-  const std::uint32_t Count = Version->count();
-  const auto Start = static_cast<std::uint32_t>(uniformBelow(m_Random, Count));
-  std::optional<std::uint32_t> Chosen;
-  std::optional<PieceSource> From;
-  for (const bool Imports : {true, false}) {
-    for (std::uint32_t I = 0; I < Count && !Chosen; ++I) {
-      const std::uint32_t Piece = (Start + I) % Count;
-      if (Version->m_Pieces[Piece] || Version->m_InFlight.contains(Piece) ||
-          Version->m_Sources.isImporter(Piece) != Imports)
-        continue;
-      std::optional<PieceSource> Source = Version->m_Sources.next(Piece);
-      if (!Source) {
-        Version->m_Sources.forgetFailures(Piece);
-        continue;
-      }
-      if (Version->m_FetchesFrom[Source->m_Peer.m_Id] >= FetchesPerSource)
-        continue;
-      Chosen = Piece;
-      From = Source;
+Task<> WeightsAgent::Implementation::followHoldings(std::shared_ptr<Transfer> Version,
+                                                    PiecePeer Peer) {
+  auto Self = shared_from_this();
+  const PieceManifest &Manifest = Version->m_Manifest;
+  ChunkSet Known(Version->count());
+  bool Answered = true;
+  while (Answered && isCurrent(Version) && !Version->isComplete()) {
+    const std::string Path = piecePath(Manifest.m_Model, Manifest.m_Version, HoldingsName) +
+                             std::string(KnownParameter) + holdingsText(Known);
+    const CallResult Answer = co_await m_Caller.call(Peer.m_Address, makeGet(Path), PeerTimeout);
+    const auto Held = Answer.status() == 200
+                          ? parseHoldings(Answer.m_Response.body(), Version->count())
+                          : std::nullopt;
+    Answered = Held.has_value();
+    if (Answered) {
+      Known = *Held;
+      Version->m_Exchange.onHoldings(Peer.m_Id, Known);
+      m_Wake.cancel();
+    } else {
+      co_await sleepFor(RetryInterval);
     }
   }
-  if (!Chosen)
-    co_return false;
-  const std::uint32_t Piece = *Chosen;
-  const InstanceId SourceId = From->m_Peer.m_Id;
-  Version->m_InFlight.insert(Piece);
-  ++Version->m_FetchesFrom[SourceId];
-  std::optional<std::string> Bytes = co_await fetchFrom(*From, Version, Piece);
-  --Version->m_FetchesFrom[SourceId];
-  Version->m_InFlight.erase(Piece);
-  if (!Bytes) {
-    Version->m_Sources.onFailed(Piece, *From);
-    co_return true;
-  }
-  if (sha256(*Bytes) != Version->m_Manifest.m_Digests[Piece]) {
-    ++Version->m_BadPieces;
-    Version->m_Sources.onFailed(Piece, *From);
-    logEvent(Severity::Warning, "piece_corrupt",
-             {{"piece", Piece}, {"from", From->m_IsOrigin ? "origin" : SourceId.str()}});
-    co_return true;
-  }
-  accept(*Version, Piece, std::move(*Bytes));
-  if (isCurrent(Version) && !Version->m_Staged[Piece]) {
-    const PieceBytes Kept = Version->m_Pieces[Piece];
-    const bool Written = co_await m_Runner.stage(Version->m_Manifest.m_Model, Piece, Kept);
-    Version->m_Staged[Piece] = Written;
+  // Asked again by fetchPieces() if it is still of use.
+  Version->m_Asked.erase(Peer.m_Id);
+}
+
+Task<> WeightsAgent::Implementation::fetchOne(std::shared_ptr<Transfer> Version, PieceFetch Fetch) {
+  auto Self = shared_from_this();
+  std::optional<std::string> Bytes = co_await fetchBytes(Version, Fetch);
+  const bool Good = Bytes && sha256(*Bytes) == Version->m_Manifest.m_Digests[Fetch.m_Piece];
+  Version->m_Exchange.onEnded(Fetch, Good, monotonicNow());
+  m_Wake.cancel();
+  if (!Good) {
+    if (Bytes)
+      ++Version->m_BadPieces;
+    logEvent(Severity::Warning, "piece_not_fetched",
+             {{"piece", Fetch.m_Piece},
+              {"from", Fetch.m_FromOrigin ? "origin" : Fetch.m_Peer.str()},
+              {"corrupt", Bytes.has_value()}});
+    co_return;
   }
-  co_return true;
+  accept(*Version, Fetch.m_Piece, std::move(*Bytes));
+  if (!isCurrent(Version) || Version->m_Staged[Fetch.m_Piece])
+    co_return;
+  const PieceBytes Kept = Version->m_Pieces[Fetch.m_Piece];
+  const bool Written = co_await m_Runner.stage(Version->m_Manifest.m_Model, Fetch.m_Piece, Kept);
+  if (isCurrent(Version))
+    Version->m_Staged[Fetch.m_Piece] = Written;
 }
 
 Task<std::optional<std::string>>
-WeightsAgent::Implementation::fetchFrom(PieceSource From, std::shared_ptr<Transfer> Version,
-                                        std::uint32_t Piece) {
+WeightsAgent::Implementation::fetchBytes(std::shared_ptr<Transfer> Version, PieceFetch Fetch) {
   const PieceManifest &Manifest = Version->m_Manifest;
-  if (From.m_IsOrigin) {
-    Version->m_Sources.onOriginFetch();
-    ++Version->m_FromOrigin;
-    co_return co_await m_Origin.piece(Manifest.m_Model, Manifest.m_Version, Piece);
-  }
+  if (Fetch.m_FromOrigin)
+    co_return co_await m_Origin.piece(Manifest.m_Model, Manifest.m_Version, Fetch.m_Piece);
+  const std::vector<PiecePeer> &Peers = Version->m_Exchange.peers();
+  auto Peer = std::find_if(Peers.begin(), Peers.end(),
+                           [&](const PiecePeer &Each) { return Each.m_Id == Fetch.m_Peer; });
+  if (Peer == Peers.end())
+    co_return std::nullopt;
   CallResult Answer = co_await m_Caller.call(
-      From.m_Peer.m_Address,
-      makeGet(piecePath(Manifest.m_Model, Manifest.m_Version, std::to_string(Piece))),
+      Peer->m_Address,
+      makeGet(piecePath(Manifest.m_Model, Manifest.m_Version, std::to_string(Fetch.m_Piece))),
       PeerTimeout);
   if (Answer.status() != 200)
     co_return std::nullopt;
@@ -504,47 +528,59 @@
 
 Task<StatusAnswer> WeightsAgent::Implementation::serve(HttpRequest Request) {
   const std::string Target(Request.target());
-  const auto Name = parsePiecePath(Target);
+  const std::size_t Query = Target.find('?');
+  const auto Name = parsePiecePath(Target.substr(0, Query));
   if (!Name)
     co_return StatusAnswer{404, "text/plain", ""};
-  const bool IsCurrent = m_Current && m_Current->m_Manifest.m_Model == Name->m_Model &&
-                         m_Current->m_Manifest.m_Version == Name->m_Version;
   if (Name->m_Name == DigestsName) {
-    if (!IsCurrent)
+    if (!isCurrentVersion(*Name))
       co_return StatusAnswer{404, "text/plain", ""};
     co_return StatusAnswer{200, "text/plain", digestsText(m_Current->m_Manifest)};
   }
+  if (Name->m_Name == HoldingsName) {
+    std::string Known;
+    if (Query != std::string::npos && Target.substr(Query).starts_with(KnownParameter))
+      Known = Target.substr(Query + KnownParameter.size());
+    co_return co_await serveHoldings(*Name, Known);
+  }
   const auto Piece = parseIndex(Name->m_Name);
   if (!Piece)
     co_return StatusAnswer{404, "text/plain", ""};
-  if (m_WaitingUploads >= MaxWaitingUploads)
+  if (m_Uploads >= MaxUploads)
     co_return StatusAnswer{503, "text/plain", ""};
-  ++m_WaitingUploads;
+  ++m_Uploads;
   const StatusAnswer Answer = co_await servePiece(*Name, *Piece);
-  --m_WaitingUploads;
+  --m_Uploads;
   co_return Answer;
 }
 
-Task<StatusAnswer> WeightsAgent::Implementation::servePiece(PieceName Wanted, std::uint32_t Piece) {
+Task<StatusAnswer> WeightsAgent::Implementation::serveHoldings(PieceName Wanted,
+                                                               std::string Known) {
   const TimePoint Start = monotonicNow();
-  while (monotonicNow() - Start < PieceWait) {
-    const std::shared_ptr<Transfer> Version = m_Current;
-    const bool IsCurrent = Version && Version->m_Manifest.m_Model == Wanted.m_Model &&
-                           Version->m_Manifest.m_Version == Wanted.m_Version;
-    if (IsCurrent && Piece < Version->count() && Version->m_Pieces[Piece]) {
-      ++m_UploadedPieces;
-      co_return StatusAnswer{200, "application/octet-stream", *Version->m_Pieces[Piece]};
-    }
-    auto Loaded = m_Loaded.find(Wanted.m_Model);
-    if (!IsCurrent && Loaded != m_Loaded.end() && Loaded->second == Wanted.m_Version) {
-      // This process started after the version was loaded; the receiver checks the digest.
-      std::optional<std::string> Staged = co_await m_Runner.readStaged(Wanted.m_Model, Piece);
-      if (!Staged)
-        break;
+  co_await sleepFor(HoldingsInterval);
+  while (isCurrentVersion(Wanted)) {
+    std::string Held = holdingsText(m_Current->m_Exchange.held());
+    if (Held != Known || monotonicNow() - Start > HoldingsWait)
+      co_return StatusAnswer{200, "text/plain", std::move(Held)};
+    co_await sleepFor(ProgressCheck);
+  }
+  co_return StatusAnswer{404, "text/plain", ""};
+}
+
+Task<StatusAnswer> WeightsAgent::Implementation::servePiece(PieceName Wanted, std::uint32_t Piece) {
+  const bool IsCurrent = isCurrentVersion(Wanted);
+  if (IsCurrent && Piece < m_Current->count() && m_Current->m_Pieces[Piece]) {
+    ++m_UploadedPieces;
+    co_return StatusAnswer{200, "application/octet-stream", *m_Current->m_Pieces[Piece]};
+  }
+  auto Loaded = m_Loaded.find(Wanted.m_Model);
+  if (!IsCurrent && Loaded != m_Loaded.end() && Loaded->second == Wanted.m_Version) {
+    // This process started after the version was loaded; the receiver checks the digest.
+    std::optional<std::string> Staged = co_await m_Runner.readStaged(Wanted.m_Model, Piece);
+    if (Staged) {
       ++m_UploadedPieces;
       co_return StatusAnswer{200, "application/octet-stream", std::move(*Staged)};
     }
-    co_await sleepFor(UploadCheck);
   }
   co_return StatusAnswer{404, "text/plain", ""};
 }
@@ -584,8 +620,8 @@
   }
   if (State.m_Current) {
     Result["pieces"] = State.m_Current->count();
-    Result["piecesHeld"] = State.m_Current->m_Have;
-    Result["fromOrigin"] = State.m_Current->m_FromOrigin;
+    Result["piecesHeld"] = State.m_Current->m_Exchange.held().count();
+    Result["fromOrigin"] = State.m_Current->m_Exchange.originFetches();
     Result["badPieces"] = State.m_Current->m_BadPieces;
   }
   Result["peers"] = State.m_Peers.size();
