--- a/src/include/Fescuegauge/PeerLink.h
+++ b/src/include/Fescuegauge/PeerLink.h
@@ -4,6 +4,7 @@
 #include "Fescuegauge/AsioTypes.h"
 #include "Fescuegauge/CrashSuspects.h"
 #include "Fescuegauge/UpstreamBoard.h"
+#include "Fescuegauge/WeightsDeadlines.h"
 
 #include <array>
 #include <functional>
@@ -22,6 +23,7 @@
   DataCentreId m_DataCentre;
   InFlightByUpstream m_InFlight;
   std::vector<SuspectDelta> m_Suspects;
+  std::vector<AnnouncedWeights> m_Weights;
 };
 
 std::string encodePeerReport(const PeerReport &Report);
@@ -47,6 +49,7 @@
   struct Handlers {
     std::function<InFlightByUpstream()> m_InFlight;
     std::function<std::vector<SuspectDelta>()> m_TakeSuspects;
+    std::function<std::vector<AnnouncedWeights>()> m_Weights;
     std::function<void(PeerReport)> m_OnReport;
   };
 
--- a/src/include/Fescuegauge/WeightsAgent.h
+++ b/src/include/Fescuegauge/WeightsAgent.h
@@ -127,6 +127,8 @@
   /// A version was announced. Older ones than the one known are ignored. `IsNews` is false if it
   /// may have been announced long ago.
   void announce(const ModelId &Model, WeightsVersion Version, bool IsNews);
+  /// See WeightsAgentOptions::m_Deadline.
+  void setDeadline(Duration Deadline);
   boost::json::object dumpState() const;
 
 private:
--- /dev/null
+++ b/src/include/Fescuegauge/WeightsDeadlines.h
@@ -0,0 +1,72 @@
+#ifndef FESCUEGAUGE_WEIGHTSDEADLINES_H
+#define FESCUEGAUGE_WEIGHTSDEADLINES_H
+
+#include "Fescuegauge/RoutingPlan.h"
+#include "Fescuegauge/Units.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace fescuegauge {
+
+/// A version of a model's weights that operators have announced, and how long ago at least.
+struct AnnouncedWeights {
+  ModelId m_Model;
+  WeightsVersion m_Version;
+  Duration m_Age{};
+
+  bool operator==(const AnnouncedWeights &) const = default;
+};
+
+/// Decides from when on requests may no longer go to upstreams with older weights.
+///
+/// Requests must not begin on older weights later than a bound after a version was announced. An
+/// entry instance that was restarted, or that could not read the announcement when it was made, does
+/// not know its age; it takes the greatest age that is possible, or that another instance tells.
+/// Only for a version of unknown age that no upstream holds yet it allows UnknownAgeAllowance,
+/// because a version that nobody holds was announced a short time ago.
+class WeightsDeadlines {
+public:
+  /// Requests stop going to older weights this long before the bound, because one that waits at an
+  /// upstream begins later than it was sent.
+  static constexpr Duration Margin = std::chrono::milliseconds(1200);
+  static constexpr Duration UnknownAgeAllowance = std::chrono::seconds(2);
+  /// Versions of one model that are remembered.
+  static constexpr std::size_t MaxVersions = 8;
+
+  explicit WeightsDeadlines(Duration Bound) : m_Bound(Bound) {}
+
+  void setBound(Duration Bound) { m_Bound = Bound; }
+  /// A version that is news if `NotBefore` is given: it was announced after that time.
+  void onAnnounced(const ModelId &Model, WeightsVersion Version,
+                   std::optional<TimePoint> NotBefore, TimePoint Now);
+  /// What another entry instance knows.
+  void onTold(const AnnouncedWeights &Known, TimePoint Now);
+  /// An upstream holds this version.
+  void onHolder(const ModelId &Model, WeightsVersion Version);
+
+  /// The least version that upstreams must hold, for each model.
+  std::map<ModelId, WeightsVersion> leastVersions(TimePoint Now) const;
+  /// When leastVersions() changes next.
+  std::optional<TimePoint> nextChange(TimePoint Now) const;
+  /// For the other entry instances.
+  std::vector<AnnouncedWeights> known(TimePoint Now) const;
+
+private:
+  struct Announcement {
+    TimePoint m_At;
+    /// The true age is not known.
+    bool m_AgeUnknown = false;
+    bool m_IsHeld = false;
+  };
+
+  TimePoint enforcedAt(const Announcement &Of) const;
+
+  Duration m_Bound;
+  std::map<ModelId, std::map<WeightsVersion, Announcement>> m_Announced;
+};
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_WEIGHTSDEADLINES_H
--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -611,6 +611,10 @@
   m_Implementation->m_Wake.cancel();
 }
 
+void WeightsAgent::setDeadline(Duration Deadline) {
+  m_Implementation->m_Options.m_Deadline = Deadline;
+}
+
 boost::json::object WeightsAgent::dumpState() const {
   const Implementation &State = *m_Implementation;
   boost::json::object Result;
--- /dev/null
+++ b/src/libdispatch/WeightsDeadlines.cpp
@@ -0,0 +1,73 @@
+#include "Fescuegauge/WeightsDeadlines.h"
+
+#include <algorithm>
+
+namespace fescuegauge {
+
+void WeightsDeadlines::onAnnounced(const ModelId &Model, WeightsVersion Version,
+                                   std::optional<TimePoint> NotBefore, TimePoint Now) {
+  auto &Versions = m_Announced[Model];
+  auto [Entry, IsNew] = Versions.try_emplace(Version);
+  if (IsNew) {
+    Entry->second.m_At = NotBefore.value_or(Now);
+    Entry->second.m_AgeUnknown = !NotBefore;
+  }
+  while (Versions.size() > MaxVersions)
+    Versions.erase(Versions.begin());
+}
+
+void WeightsDeadlines::onTold(const AnnouncedWeights &Known, TimePoint Now) {
+  auto &Versions = m_Announced[Known.m_Model];
+  auto [Entry, IsNew] = Versions.try_emplace(Known.m_Version);
+  Announcement &Own = Entry->second;
+  const TimePoint At = Now - Known.m_Age;
+  if (IsNew || Own.m_AgeUnknown || At < Own.m_At)
+    Own.m_At = At;
+  Own.m_AgeUnknown = false;
+  while (Versions.size() > MaxVersions)
+    Versions.erase(Versions.begin());
+}
+
+void WeightsDeadlines::onHolder(const ModelId &Model, WeightsVersion Version) {
+  auto Found = m_Announced.find(Model);
+  if (Found == m_Announced.end())
+    return;
+  for (auto &[Announced, Entry] : Found->second)
+    if (Announced <= Version)
+      Entry.m_IsHeld = true;
+}
+
+TimePoint WeightsDeadlines::enforcedAt(const Announcement &Of) const {
+  if (!Of.m_AgeUnknown)
+    return Of.m_At + m_Bound - Margin;
+  return Of.m_IsHeld ? Of.m_At : Of.m_At + UnknownAgeAllowance;
+}
+
+std::map<ModelId, WeightsVersion> WeightsDeadlines::leastVersions(TimePoint Now) const {
+  std::map<ModelId, WeightsVersion> Result;
+  for (const auto &[Model, Versions] : m_Announced)
+    for (const auto &[Version, Entry] : Versions)
+      if (enforcedAt(Entry) <= Now)
+        Result[Model] = std::max(Result[Model], Version);
+  return Result;
+}
+
+std::optional<TimePoint> WeightsDeadlines::nextChange(TimePoint Now) const {
+  std::optional<TimePoint> Next;
+  for (const auto &[Model, Versions] : m_Announced)
+    for (const auto &[Version, Entry] : Versions)
+      if (const TimePoint At = enforcedAt(Entry); At > Now && (!Next || At < *Next))
+        Next = At;
+  return Next;
+}
+
+std::vector<AnnouncedWeights> WeightsDeadlines::known(TimePoint Now) const {
+  std::vector<AnnouncedWeights> Result;
+  for (const auto &[Model, Versions] : m_Announced)
+    for (const auto &[Version, Entry] : Versions)
+      if (!Entry.m_AgeUnknown)
+        Result.push_back({Model, Version, Now - Entry.m_At});
+  return Result;
+}
+
+} // namespace fescuegauge
--- a/src/libgateway/PeerLink.cpp
+++ b/src/libgateway/PeerLink.cpp
@@ -35,6 +35,12 @@
     Writer.number(Each.m_Cleared ? 1 : 0);
     Writer.number(static_cast<std::uint64_t>(Each.m_Age.count()));
   }
+  Writer.number(Report.m_Weights.size());
+  for (const AnnouncedWeights &Each : Report.m_Weights) {
+    Writer.id(Each.m_Model);
+    Writer.id(Each.m_Version);
+    Writer.number(static_cast<std::uint64_t>(Each.m_Age.count()));
+  }
   return Writer.take();
 }
 
@@ -61,6 +67,14 @@
     Each.m_Age = Duration(static_cast<Duration::rep>(Reader.number()));
     Report.m_Suspects.push_back(std::move(Each));
   }
+  constexpr std::size_t LeastWeights = 3;
+  for (std::size_t Left = Reader.count(LeastWeights); Left > 0; --Left) {
+    AnnouncedWeights Each;
+    Each.m_Model = Reader.id<ModelId>();
+    Each.m_Version = Reader.id<WeightsVersion>();
+    Each.m_Age = Duration(static_cast<Duration::rep>(Reader.number()));
+    Report.m_Weights.push_back(std::move(Each));
+  }
   if (Reader.failed() || !Reader.atEnd())
     return std::nullopt;
   return Report;
@@ -109,7 +123,8 @@
 
 void PeerLink::tick() {
   const TimePoint Now = monotonicNow();
-  PeerReport Report{m_Self, m_DataCentre, m_Calls.m_InFlight(), m_Calls.m_TakeSuspects()};
+  PeerReport Report{m_Self, m_DataCentre, m_Calls.m_InFlight(), m_Calls.m_TakeSuspects(),
+                    m_Calls.m_Weights()};
   const bool Urgent = !Report.m_Suspects.empty();
   const bool Changed = Report.m_InFlight != m_LastSent;
   const bool Local = Urgent || Changed || Now - m_LocalSentAt >= RefreshInterval;
