Count only fetches that reached the origin against the allowance

Cause: while the origin was down, refused connections used up each agent's allowance, and no version was completed after its return. Ruled out: the store (in touch), the peers (none had the pieces).

--- a/src/include/Fescuegauge/PieceExchange.h
+++ b/src/include/Fescuegauge/PieceExchange.h
@@ -34,6 +34,16 @@
   InstanceId m_Peer;
 };
 
+/// How a fetch ended.
+enum class PieceResult {
+  /// The piece arrived and has the right digest.
+  Good,
+  /// Bytes may have been sent, but the piece is not usable.
+  Bad,
+  /// The source was not reached; it sent nothing.
+  NotStarted,
+};
+
 /// Decides which piece of a version an agent fetches next, and from where.
 ///
 /// Made for versions that are transferred in seconds, where TransferPlanner's settling time and its
@@ -58,6 +68,9 @@
   static constexpr std::size_t MaxRemoteFollowed = 6;
   /// A peer whose fetch failed is not asked again for this time.
   static constexpr Duration FailurePause = std::chrono::milliseconds(500);
+  /// With the allowance used up, the origin is asked for one piece in this time, so that a transfer
+  /// never stands still for good.
+  static constexpr Duration BeyondAllowanceInterval = std::chrono::seconds(2);
 
   /// `Key` names the version.
   PieceExchange(std::string Key, std::uint32_t PieceCount, InstanceId Self, RegionId OriginRegion,
@@ -72,7 +85,7 @@
 
   /// The next fetch; nothing if none is possible now. Counts as in flight until onEnded().
   std::optional<PieceFetch> next(TimePoint Now);
-  void onEnded(const PieceFetch &Fetch, bool Good, TimePoint Now);
+  void onEnded(const PieceFetch &Fetch, PieceResult Result, TimePoint Now);
   /// A piece is held without a fetch.
   void onHeld(std::uint32_t Piece) { m_Held.insert(Piece); }
 
@@ -112,6 +125,7 @@
   std::uint32_t m_FromOrigin = 0;
   std::map<InstanceId, TimePoint> m_PausedUntil;
   TimePoint m_OriginPausedUntil;
+  TimePoint m_OriginFetchedAt;
   std::uint32_t m_OriginFetches = 0;
   TimePoint m_ProgressAt;
 };
--- a/src/include/Fescuegauge/WeightsAgent.h
+++ b/src/include/Fescuegauge/WeightsAgent.h
@@ -60,13 +60,20 @@
   std::vector<Digest> m_Digests;
 };
 
+/// The answer of the origin or of another agent to the request for a piece.
+struct FetchedPiece {
+  /// Nothing if the piece did not arrive.
+  std::optional<std::string> m_Bytes;
+  /// The source was reached and may have sent bytes.
+  bool m_WasAsked = false;
+};
+
 /// Where new weights come from.
 class WeightsOriginClient {
 public:
   virtual ~WeightsOriginClient() = default;
   virtual Task<std::optional<PieceManifest>> manifest(ModelId Model, WeightsVersion Version) = 0;
-  virtual Task<std::optional<std::string>> piece(ModelId Model, WeightsVersion Version,
-                                                 std::uint32_t Piece) = 0;
+  virtual Task<FetchedPiece> piece(ModelId Model, WeightsVersion Version, std::uint32_t Piece) = 0;
 };
 
 /// The agents of the same service, as far as the platform knows them.
--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -165,7 +165,7 @@
   Task<> followHoldings(std::shared_ptr<Transfer> Version, PiecePeer Peer);
   Task<std::optional<PieceManifest>> askDigests(Target Wanted, Endpoint Address);
   Task<bool> verifyStaging(std::shared_ptr<Transfer> Version);
-  Task<std::optional<std::string>> fetchBytes(std::shared_ptr<Transfer> Version, PieceFetch Fetch);
+  Task<FetchedPiece> fetchBytes(std::shared_ptr<Transfer> Version, PieceFetch Fetch);
   TimePoint orderTime(const Target &Wanted, bool ServesNothing) const;
   bool isCurrent(const std::shared_ptr<Transfer> &Version) const {
     return m_Current == Version && m_Target &&
@@ -459,9 +459,13 @@
 
 Task<> WeightsAgent::Implementation::fetchOne(std::shared_ptr<Transfer> Version, PieceFetch Fetch) {
   auto Self = shared_from_this();
-  std::optional<std::string> Bytes = co_await fetchBytes(Version, Fetch);
+  FetchedPiece Answer = co_await fetchBytes(Version, Fetch);
+  std::optional<std::string> &Bytes = Answer.m_Bytes;
   const bool Good = Bytes && sha256(*Bytes) == Version->m_Manifest.m_Digests[Fetch.m_Piece];
-  Version->m_Exchange.onEnded(Fetch, Good, monotonicNow());
+  PieceResult Result = Answer.m_WasAsked ? PieceResult::Bad : PieceResult::NotStarted;
+  if (Good)
+    Result = PieceResult::Good;
+  Version->m_Exchange.onEnded(Fetch, Result, monotonicNow());
   m_Wake.cancel();
   if (!Good) {
     if (Bytes)
@@ -481,8 +485,8 @@
     Version->m_Staged[Fetch.m_Piece] = Written;
 }
 
-Task<std::optional<std::string>>
-WeightsAgent::Implementation::fetchBytes(std::shared_ptr<Transfer> Version, PieceFetch Fetch) {
+Task<FetchedPiece> WeightsAgent::Implementation::fetchBytes(std::shared_ptr<Transfer> Version,
+                                                           PieceFetch Fetch) {
   const PieceManifest &Manifest = Version->m_Manifest;
   if (Fetch.m_FromOrigin)
     co_return co_await m_Origin.piece(Manifest.m_Model, Manifest.m_Version, Fetch.m_Piece);
@@ -490,14 +494,16 @@
   auto Peer = std::find_if(Peers.begin(), Peers.end(),
                            [&](const PiecePeer &Each) { return Each.m_Id == Fetch.m_Peer; });
   if (Peer == Peers.end())
-    co_return std::nullopt;
+    co_return FetchedPiece();
   CallResult Answer = co_await m_Caller.call(
       Peer->m_Address,
       makeGet(piecePath(Manifest.m_Model, Manifest.m_Version, std::to_string(Fetch.m_Piece))),
       PeerTimeout);
-  if (Answer.status() != 200)
-    co_return std::nullopt;
-  co_return std::move(Answer.m_Response.body());
+  FetchedPiece Result;
+  Result.m_WasAsked = Answer.m_Kind != CallResult::Kind::NotSent;
+  if (Answer.status() == 200)
+    Result.m_Bytes = std::move(Answer.m_Response.body());
+  co_return Result;
 }
 
 Task<bool> WeightsAgent::Implementation::verifyStaging(std::shared_ptr<Transfer> Version) {
--- a/src/libweights/PieceExchange.cpp
+++ b/src/libweights/PieceExchange.cpp
@@ -122,8 +122,9 @@
 }
 
 std::optional<std::uint32_t> PieceExchange::originPiece(TimePoint Now) {
-  if (m_FromOrigin >= MaxFromOrigin || m_OriginFetches >= originAllowance() ||
-      Now < m_OriginPausedUntil)
+  if (m_FromOrigin >= MaxFromOrigin || Now < m_OriginPausedUntil)
+    return std::nullopt;
+  if (m_OriginFetches >= originAllowance() && Now - m_OriginFetchedAt < BeyondAllowanceInterval)
     return std::nullopt;
   const bool NobodyAtOrigin =
       std::none_of(m_Peers.begin(), m_Peers.end(),
@@ -149,6 +150,7 @@
     Best = PieceFetch{*Piece, true, {}};
     ++m_FromOrigin;
     ++m_OriginFetches;
+    m_OriginFetchedAt = Now;
   } else {
     // Pieces that fewer agents of the data centre hold go first; imports have none.
     std::uint64_t BestRank = 0;
@@ -182,13 +184,15 @@
   return Best;
 }
 
-void PieceExchange::onEnded(const PieceFetch &Fetch, bool Good, TimePoint Now) {
+void PieceExchange::onEnded(const PieceFetch &Fetch, PieceResult Result, TimePoint Now) {
   m_InFlight.erase(Fetch.m_Piece);
   if (Fetch.m_FromOrigin)
     --m_FromOrigin;
   else
     --m_FromPeer[Fetch.m_Peer];
-  if (Good) {
+  if (Fetch.m_FromOrigin && Result == PieceResult::NotStarted)
+    --m_OriginFetches;
+  if (Result == PieceResult::Good) {
     m_Held.insert(Fetch.m_Piece);
     m_ProgressAt = Now;
   } else if (Fetch.m_FromOrigin) {
