--- a/src/include/Fescuegauge/HttpCaller.h
+++ b/src/include/Fescuegauge/HttpCaller.h
@@ -40,7 +40,7 @@
 public:
   /// Largest answer.
   static constexpr std::uint64_t MaxAnswerBytes = 8 << 20;
-  static constexpr Duration ConnectTimeout = std::chrono::seconds(1);
+  static constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 
   explicit HttpCaller(ConnectionPool &Pool) : m_Pool(Pool) {}
 
--- a/src/include/Fescuegauge/UpstreamBoard.h
+++ b/src/include/Fescuegauge/UpstreamBoard.h
@@ -146,6 +146,8 @@
     double m_Taken = 0;
   };
   Occupancy occupancy(const ServiceId &Service, TimePoint Now) const;
+  /// Whether the upstream has requests in flight and sent nothing for SilenceLimit.
+  bool isSilent(const InstanceId &Upstream, TimePoint Now) const;
   bool isListed(const InstanceId &Upstream) const { return m_Upstreams.contains(Upstream); }
   const UpstreamRecord *find(const InstanceId &Upstream) const;
   std::size_t size() const { return m_Upstreams.size(); }
@@ -171,7 +173,7 @@
   double limit(const State &Upstream, double LeastGap) const;
   double leastGap(const ServiceId &Service) const;
   bool isEngine(const ServiceId &Service) const { return m_Engines.contains(Service); }
-  bool isSilent(const State &Upstream, TimePoint Now) const;
+  static bool isSilent(const State &Upstream, TimePoint Now);
 
   UpstreamBoardOptions m_Options;
   RandomGenerator m_Random;
--- a/src/include/Fescuegauge/UpstreamDirectory.h
+++ b/src/include/Fescuegauge/UpstreamDirectory.h
@@ -16,8 +16,10 @@
 /// is over, because living upstreams are back by then; one that is missing after it is gone.
 class UpstreamDirectory {
 public:
-  /// Living upstreams are listed again within about two seconds of the list's return.
-  static constexpr Duration ReturnGrace = std::chrono::milliseconds(1900);
+  /// Living upstreams are listed again within about two seconds of the list's return, which this
+  /// process may notice up to about 1.2 s late. An upstream that has left must be passed over less
+  /// than 3 s after the return.
+  static constexpr Duration ReturnGrace = std::chrono::milliseconds(1700);
 
   /// The list cannot be read.
   void onListLost(TimePoint Now) { m_LostAt = Now; }
--- a/src/libdispatch/UpstreamBoard.cpp
+++ b/src/libdispatch/UpstreamBoard.cpp
@@ -82,10 +82,15 @@
   return Slots + m_Options.m_EngineOvercommit;
 }
 
-bool UpstreamBoard::isSilent(const State &Upstream, TimePoint Now) const {
+bool UpstreamBoard::isSilent(const State &Upstream, TimePoint Now) {
   return Upstream.m_Own > 0 && Now - Upstream.m_LastByte > SilenceLimit;
 }
 
+bool UpstreamBoard::isSilent(const InstanceId &Upstream, TimePoint Now) const {
+  auto Found = m_Upstreams.find(Upstream);
+  return Found == m_Upstreams.end() || isSilent(Found->second, Now);
+}
+
 Placement UpstreamBoard::place(const PlacementRequest &Request, TimePoint Now) {
   const double LeastGap = leastGap(Request.m_Service);
   const State *Best = nullptr;
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -289,15 +289,17 @@
   const bool RanBefore = m_MayHaveRun;
   // Set first: the request may run from the moment at which it leaves.
   m_MayHaveRun = true;
+  // Counted before it is sent, because a stalled attempt may be given up for another one.
+  ++m_AttemptsSent;
   const Duration LongestIdle =
       isRepeatable(m_Route->m_Kind) ? Duration::max() : LongestIdleAtMostOnce;
   const ExchangeError Error = co_await Sent.start(From.m_Address, LongestIdle, ConnectTimeout);
   if (!Sent.wasSent()) {
     m_MayHaveRun = RanBefore;
+    --m_AttemptsSent;
     logAttempt(Chosen, "not-sent", exchangeErrorName(Error));
     co_return AttemptEnd::NotSent;
   }
-  ++m_AttemptsSent;
   if (m_AttemptsSent == 1)
     m_Core.retryBudget(m_Service).onFirstAttempt(m_Account);
   if (Error != ExchangeError::None) {
@@ -488,8 +490,9 @@
   m_StallAlarm.set(StallCheckInterval, [this] {
     const TimePoint Now = monotonicNow();
     const Duration Silent = Now - m_LastByteAt;
+    const bool UpstreamSilent = m_Core.board().isSilent(m_CurrentUpstream, Now);
     const bool Stalled = isStream(m_Route->m_Kind)
-                             ? Silent > StallLimit && Silent > UpstreamBoard::SilenceLimit
+                             ? Silent > (UpstreamSilent ? StallLimit : LongStallLimit)
                              : Silent > PlainStallFactor * m_Route->m_TargetLatency;
     if (Stalled && m_Current && isRepeatable(m_Route->m_Kind) && mayRetry()) {
       Placement Found = m_Core.placeNow({m_Service, m_Model, m_StreamVersion, m_Tried});
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -35,6 +35,9 @@
   /// Time without an event after which a stream looks for another upstream, if its own one is
   /// silent to all requests.
   static constexpr Duration StallLimit = std::chrono::milliseconds(900);
+  /// The same where the upstream goes on with other requests. Callers leave after 2 s without an
+  /// event or more.
+  static constexpr Duration LongStallLimit = std::chrono::milliseconds(1600);
   static constexpr Duration StallCheckInterval = std::chrono::milliseconds(150);
   /// A plain idempotent request looks for another upstream after this many times its target
   /// latency.
