--- a/src/include/Fescuegauge/AsioTypes.h
+++ b/src/include/Fescuegauge/AsioTypes.h
@@ -38,7 +38,8 @@
       std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
-/// `Address` holds a numeric address; a text that is none gives an address that refuses connections.
+/// `Address` holds a numeric address; a text that is none gives an address that refuses
+/// connections.
 inline Tcp::endpoint tcpEndpoint(const Endpoint &Address) {
   SystemError Error;
   return {net::ip::make_address(Address.m_Host, Error), Address.m_Port};
--- a/src/include/Fescuegauge/DispatchQueue.h
+++ b/src/include/Fescuegauge/DispatchQueue.h
@@ -3,12 +3,15 @@
 
 #include "Fescuegauge/Ids.h"
 #include "Fescuegauge/Random.h"
+#include "Fescuegauge/RoutingPlan.h"
 #include "Fescuegauge/Units.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <map>
+#include <unordered_map>
 #include <vector>
 
 namespace fescuegauge {
@@ -45,8 +48,8 @@
 
   /// The wait that a request of this target latency is given.
   static Duration longestWait(Duration TargetLatency) {
-    return Duration(static_cast<Duration::rep>(static_cast<double>(TargetLatency.count()) *
-                                               WaitShare));
+    return Duration(
+        static_cast<Duration::rep>(static_cast<double>(TargetLatency.count()) * WaitShare));
   }
 
   /// Whether a request that arrives now is likely to get a place within `Longest`.
@@ -78,13 +81,32 @@
   std::map<ServiceId, Line> m_Lines;
 };
 
+/// Recognises callers that ask again after a refusal by their deadlines.
+///
+/// A caller that asks for the first time gives about the deadline of its kind of work; one that
+/// returns gives what is left of it.
+class ReturnDetector {
+public:
+  /// Deadlines of a route that are remembered, and the part of the longest of them that a first
+  /// request has at least: callers differ in their patience.
+  static constexpr std::size_t Remembered = 64;
+  static constexpr double FreshShare = 0.84;
+  static constexpr std::size_t MaxRoutes = 1024;
+
+  /// Notes the deadline of a request. True if its caller is likely to have asked before.
+  bool hasReturned(const RouteId &Route, Duration Deadline);
+
+private:
+  std::unordered_map<RouteId, std::deque<Duration>> m_Lately;
+};
+
 /// When a refused caller should come back.
 ///
 /// Load pattern answered: many callers refused at the same moment. Their times are spread, so that
 /// they do not come back together, and lie within the part of their time in which they obey.
 class RetryTimes {
 public:
-  static constexpr Duration Earliest = std::chrono::milliseconds(300);
+  static constexpr Duration Earliest = std::chrono::milliseconds(900);
   static constexpr Duration Latest = std::chrono::milliseconds(1700);
   /// Callers obey a time of up to a third of what they have left.
   static constexpr int ObeyedPart = 3;
--- a/src/include/Fescuegauge/Gateway.h
+++ b/src/include/Fescuegauge/Gateway.h
@@ -45,6 +45,8 @@
   void setLeastVersion(const ModelId &Model, WeightsVersion Least);
   void onPeerReport(const InstanceId &Peer, InFlightByUpstream InFlight,
                     std::span<const SuspectDelta> Suspects);
+  /// See UpstreamBoard::onLoading().
+  void onLoading(const LoadNotice &Notice);
   InFlightByUpstream ownInFlight() const;
   std::vector<SuspectDelta> takeSuspects();
 
--- a/src/include/Fescuegauge/PeerLink.h
+++ b/src/include/Fescuegauge/PeerLink.h
@@ -24,12 +24,20 @@
   InFlightByUpstream m_InFlight;
   std::vector<SuspectDelta> m_Suspects;
   std::vector<AnnouncedWeights> m_Weights;
+  std::vector<LoadNotice> m_Loading;
 };
 
 std::string encodePeerReport(const PeerReport &Report);
 /// Nothing if the datagram is malformed or of another version.
 std::optional<PeerReport> decodePeerReport(std::string_view Datagram);
 
+std::string encodeLoadNotice(const LoadNotice &Notice);
+std::optional<LoadNotice> decodeLoadNotice(std::string_view Datagram);
+
+/// Sends a notice to entry instances; for agents. One that gets it tells the others.
+void sendLoadNotice(net::io_context &Loop, std::span<const Endpoint> Entries,
+                    const LoadNotice &Notice);
+
 /// Exchanges PeerReport datagrams between the entry instances.
 ///
 /// Reports go often to a bounded number of instances of the own data centre, whose upstreams are
@@ -45,11 +53,14 @@
   static constexpr std::size_t MaxRemotePeers = 8;
   /// A peer that was not heard and is not listed for this long is forgotten.
   static constexpr Duration PeerLifetime = std::chrono::seconds(60);
+  /// A notice from an agent is told on for this long, in several reports, because any may be lost.
+  static constexpr Duration NoticeLifetime = std::chrono::milliseconds(1000);
 
   struct Handlers {
     std::function<InFlightByUpstream()> m_InFlight;
     std::function<std::vector<SuspectDelta>()> m_TakeSuspects;
     std::function<std::vector<AnnouncedWeights>()> m_Weights;
+    std::function<void(const LoadNotice &)> m_OnLoading;
     std::function<void(PeerReport)> m_OnReport;
   };
 
@@ -69,6 +80,7 @@
 
   void receive();
   void tick();
+  void take(std::string_view Datagram);
   void sendTo(const Endpoint &Address, const std::string &Datagram);
 
   InstanceId m_Self;
@@ -80,6 +92,13 @@
   std::array<char, 4096> m_Buffer{};
   Udp::endpoint m_From;
   InFlightByUpstream m_LastSent;
+  /// Notices from agents, with the time at which they end and the time at which they came.
+  struct TakenNotice {
+    Endpoint m_Upstream;
+    TimePoint m_Until;
+    TimePoint m_TakenAt;
+  };
+  std::vector<TakenNotice> m_Notices;
   TimePoint m_LocalSentAt;
   TimePoint m_RemoteSentAt;
   std::size_t m_RemoteStart = 0;
--- a/src/include/Fescuegauge/PieceExchange.h
+++ b/src/include/Fescuegauge/PieceExchange.h
@@ -47,9 +47,10 @@
 /// Decides which piece of a version an agent fetches next, and from where.
 ///
 /// Made for versions that are transferred in seconds, where TransferPlanner's settling time and its
-/// interval of summaries would be longer than the transfer. Every agent ranks the agents of its
-/// data centre for each piece in the same way. The first one imports the piece: from the origin if
-/// its region is the origin's, else from the agents there. Within a data centre, agents fetch any
+/// interval of summaries would be longer than the transfer. The agents of a data centre take turns
+/// as importers of pieces: from the origin if their region is the origin's, else from the agents of
+/// another region. For each piece the regions form a chain that begins with the origin's, so that
+/// no region serves more than one other. Within a data centre, agents fetch any
 /// piece from any agent that is known to hold it, those that few hold first. So a piece leaves the
 /// origin once and crosses each region link once in normal times, and all links of a data centre
 /// are used. Without progress for StallTime, any agent and the origin may be asked for any piece;
@@ -59,13 +60,15 @@
   /// Copies that the agents may fetch from the origin beyond the first one, all together.
   static constexpr double SpareCopies = 2;
   static constexpr Duration StallTime = std::chrono::milliseconds(1000);
-  /// Pieces in flight: in all, from one peer, and from the origin.
-  static constexpr std::size_t MaxInFlight = 8;
+  /// Pieces in flight: in all, from one peer, and from the origin. The machine's link also carries
+  /// the runner's requests, which wait behind what is in flight: a piece of 24 KiB takes 27 ms of
+  /// 7.3 Mbit/s.
+  static constexpr std::size_t MaxInFlight = 4;
   static constexpr std::uint32_t MaxFromPeer = 2;
   static constexpr std::uint32_t MaxFromOrigin = 2;
   /// Peers of the own data centre, and of others, whose holdings are followed.
   static constexpr std::size_t MaxLocalFollowed = 10;
-  static constexpr std::size_t MaxRemoteFollowed = 6;
+  static constexpr std::size_t MaxRemoteFollowed = 12;
   /// A peer whose fetch failed is not asked again for this time.
   static constexpr Duration FailurePause = std::chrono::milliseconds(500);
   /// With the allowance used up, the origin is asked for one piece in this time, so that a transfer
@@ -106,6 +109,8 @@
   std::optional<std::uint32_t> originPiece(TimePoint Now);
   std::uint32_t localHolders(std::uint32_t Piece) const;
   void computeImports();
+  /// The region before the own one in the chain of a piece.
+  RegionId sourceRegion(std::uint32_t Piece) const;
 
   std::string m_Key;
   std::uint32_t m_Count;
@@ -119,6 +124,8 @@
   /// its region.
   ChunkSet m_Imports;
   ChunkSet m_RegionImports;
+  /// For each piece, sourceRegion().
+  std::vector<RegionId> m_SourceRegions;
   std::map<InstanceId, ChunkSet> m_Holdings;
   std::set<std::uint32_t> m_InFlight;
   std::map<InstanceId, std::uint32_t> m_FromPeer;
@@ -137,9 +144,9 @@
 /// on the old version; a runner that serves nothing loads at once.
 class ConversionSchedule {
 public:
-  /// Time that a runner needs from the order until it serves again: its longest running request,
-  /// and the load itself.
-  static constexpr Duration ConversionTime = std::chrono::milliseconds(2500);
+  /// The last order is given this long before the bound. Entry instances send nothing to runners
+  /// with the old version from about then on, so a later order would only leave its runner idle.
+  static constexpr Duration LastOrderMargin = std::chrono::milliseconds(1300);
 
   /// The time at which the agent of rank `Rank` of `Count` orders the load, given when the version
   /// was announced and when its pieces were complete here.
--- a/src/include/Fescuegauge/UpstreamBoard.h
+++ b/src/include/Fescuegauge/UpstreamBoard.h
@@ -44,6 +44,14 @@
 /// Requests in flight at each upstream, as another entry instance last told them.
 using InFlightByUpstream = std::map<InstanceId, std::uint32_t>;
 
+/// An upstream is about to load weights, or has done so if no time is left.
+struct LoadNotice {
+  Endpoint m_Upstream;
+  Duration m_TimeLeft{};
+
+  bool operator==(const LoadNotice &) const = default;
+};
+
 /// What a request needs of an upstream.
 struct PlacementRequest {
   ServiceId m_Service;
@@ -117,6 +125,8 @@
   /// An upstream whose pause between events is above this many times the least of its service is
   /// given fewer requests in proportion.
   static constexpr double SlowFactor = 1.6;
+  /// A notice that an upstream loads counts for this long at most.
+  static constexpr Duration LongestLoad = std::chrono::seconds(6);
 
   UpstreamBoard(UpstreamBoardOptions Options, std::uint64_t Seed)
       : m_Options(std::move(Options)), m_Random(Seed) {}
@@ -137,6 +147,8 @@
   /// The pause between two events of a stream.
   void onEventGap(const InstanceId &Upstream, Duration Gap);
   void onPeerReport(const InstanceId &Peer, InFlightByUpstream InFlight, TimePoint Now);
+  /// The upstream at this address is about to load weights, and starts no request until then.
+  void onLoading(const Endpoint &Address, TimePoint Until);
 
   /// Own requests in flight, for the other entry instances.
   InFlightByUpstream ownInFlight() const;
@@ -169,6 +181,7 @@
   };
 
   bool holdsWeights(const UpstreamRecord &Record, const PlacementRequest &Request) const;
+  bool isLoading(const State &Upstream, TimePoint Now) const;
   double inFlight(const State &Upstream, TimePoint Now) const;
   double limit(const State &Upstream, double LeastGap) const;
   double leastGap(const ServiceId &Service) const;
@@ -179,6 +192,7 @@
   RandomGenerator m_Random;
   std::map<InstanceId, State> m_Upstreams;
   std::map<InstanceId, PeerReport> m_Peers;
+  std::map<Endpoint, TimePoint> m_Loading;
   std::map<ModelId, WeightsVersion> m_Least;
   std::map<ServiceId, EngineParameters> m_Engines;
 };
--- a/src/include/Fescuegauge/WeightsAgent.h
+++ b/src/include/Fescuegauge/WeightsAgent.h
@@ -44,7 +44,8 @@
   virtual ~RunnerControl() = default;
   virtual Task<std::optional<RunnerReport>> report() = 0;
   /// Writes one piece to the staging area, over an older one of the same number.
-  virtual Task<bool> stage(ModelId Model, std::uint32_t Piece, std::shared_ptr<const std::string> Bytes) = 0;
+  virtual Task<bool> stage(ModelId Model, std::uint32_t Piece,
+                           std::shared_ptr<const std::string> Bytes) = 0;
   /// The bytes that the staging area holds.
   virtual Task<std::optional<std::string>> readStaged(ModelId Model, std::uint32_t Piece) = 0;
   /// Has the runner load what is staged once its running requests have ended. The order is valid
@@ -85,6 +86,14 @@
                                                             WeightsVersion Version) = 0;
 };
 
+/// Tells entry instances that the runner is about to load.
+class LoadAnnouncer {
+public:
+  virtual ~LoadAnnouncer() = default;
+  /// Requests sent to the runner within `TimeLeft` would wait. 0 takes an earlier notice back.
+  virtual Task<> announce(Duration TimeLeft) = 0;
+};
+
 struct WeightsAgentOptions {
   InstanceId m_Self;
   /// The address under which the peers list this agent.
@@ -93,6 +102,9 @@
   /// Time from the announcement of a version until no request may begin on an older one.
   Duration m_Deadline = std::chrono::seconds(8);
   std::uint64_t m_Seed = 0;
+  /// Uploads are started at this rate. The runner's events leave by the same link and wait behind
+  /// them, so it must be less than the link's rate.
+  BytesPerSecond m_UploadRate{0.75e6};
 };
 
 /// Brings the announced version of a model to the runner beside it, and serves pieces of it to the
@@ -104,8 +116,8 @@
 /// newer announcement replaces the version at any step before the order.
 class WeightsAgent {
 public:
-  /// Uploads to other agents at the same time; further ones are refused.
-  static constexpr std::size_t MaxUploads = 32;
+  /// Requests of other agents for pieces that wait for their turn; further ones are refused.
+  static constexpr std::size_t MaxWaitingUploads = 32;
   /// A question for what this agent holds is answered when that has changed, after this time at
   /// the latest, and not before HoldingsInterval, which bounds the number of answers.
   static constexpr Duration HoldingsWait = std::chrono::milliseconds(1000);
@@ -120,11 +132,16 @@
   static constexpr Duration PeersValidity = std::chrono::seconds(2);
   /// A staging area that was read back longer ago than this is read again before the order.
   static constexpr Duration ReadBackValidity = std::chrono::milliseconds(1500);
-  /// Versions whose pieces are kept in memory for other agents.
-  static constexpr std::size_t KeptVersions = 2;
+  /// Announcements whose times are remembered.
+  static constexpr std::size_t MaxAnnouncements = 16;
+  /// Entry instances are told for how long the runner is out: its running requests, and the load.
+  static constexpr Duration LoadOutage = std::chrono::milliseconds(4000);
+  /// The notice is given this long before the order, so that it arrives first.
+  static constexpr Duration NoticeLead = std::chrono::milliseconds(40);
 
   WeightsAgent(net::io_context &Loop, HttpCaller &Caller, RunnerControl &Runner,
-               WeightsOriginClient &Origin, PeerDirectory &Peers, WeightsAgentOptions Options);
+               WeightsOriginClient &Origin, PeerDirectory &Peers, LoadAnnouncer &Announcer,
+               WeightsAgentOptions Options);
   ~WeightsAgent();
   WeightsAgent(const WeightsAgent &) = delete;
   WeightsAgent &operator=(const WeightsAgent &) = delete;
--- a/src/include/Fescuegauge/WeightsDeadlines.h
+++ b/src/include/Fescuegauge/WeightsDeadlines.h
@@ -22,10 +22,10 @@
 /// Decides from when on requests may no longer go to upstreams with older weights.
 ///
 /// Requests must not begin on older weights later than a bound after a version was announced. An
-/// entry instance that was restarted, or that could not read the announcement when it was made, does
-/// not know its age; it takes the greatest age that is possible, or that another instance tells.
-/// Only for a version of unknown age that no upstream holds yet it allows UnknownAgeAllowance,
-/// because a version that nobody holds was announced a short time ago.
+/// entry instance that was restarted, or that could not read the announcement when it was made,
+/// does not know its age; it takes the greatest age that is possible, or that another instance
+/// tells. Only for a version of unknown age that no upstream holds yet it allows
+/// UnknownAgeAllowance, because a version that nobody holds was announced a short time ago.
 class WeightsDeadlines {
 public:
   /// Requests stop going to older weights this long before the bound, because one that waits at an
@@ -39,8 +39,8 @@
 
   void setBound(Duration Bound) { m_Bound = Bound; }
   /// A version that is news if `NotBefore` is given: it was announced after that time.
-  void onAnnounced(const ModelId &Model, WeightsVersion Version,
-                   std::optional<TimePoint> NotBefore, TimePoint Now);
+  void onAnnounced(const ModelId &Model, WeightsVersion Version, std::optional<TimePoint> NotBefore,
+                   TimePoint Now);
   /// What another entry instance knows.
   void onTold(const AnnouncedWeights &Known, TimePoint Now);
   /// An upstream holds this version.
--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -4,6 +4,7 @@
 #include "Fescuegauge/Invariant.h"
 #include "Fescuegauge/Log.h"
 #include "Fescuegauge/Rendezvous.h"
+#include "Fescuegauge/TransferPlanner.h"
 
 #include <algorithm>
 #include <charconv>
@@ -21,6 +22,7 @@
 /// Follows HoldingsName: the set that the asking agent knows of.
 constexpr std::string_view KnownParameter = "?known=";
 constexpr Duration ProgressCheck = std::chrono::milliseconds(20);
+constexpr Duration UploadCheck = std::chrono::milliseconds(5);
 
 Invariant LoadedWhatWasVerified("agent.load_only_after_read_back");
 
@@ -44,8 +46,7 @@
   if (First == std::string_view::npos || Second == std::string_view::npos)
     return std::nullopt;
   std::uint64_t Version = 0;
-  auto [End, Error] =
-      std::from_chars(Path.data() + First + 1, Path.data() + Second, Version);
+  auto [End, Error] = std::from_chars(Path.data() + First + 1, Path.data() + Second, Version);
   if (Error != std::errc() || End != Path.data() + Second)
     return std::nullopt;
   return PieceName{ModelId(std::string(Path.substr(0, First))), WeightsVersion(Version),
@@ -100,8 +101,7 @@
   for (std::size_t Word = 0; Word * WordDigits < Text.size(); ++Word) {
     const std::string_view Digits = Text.substr(Word * WordDigits, WordDigits);
     std::uint64_t Bits = 0;
-    auto [End, Error] =
-        std::from_chars(Digits.data(), Digits.data() + Digits.size(), Bits, 16);
+    auto [End, Error] = std::from_chars(Digits.data(), Digits.data() + Digits.size(), Bits, 16);
     if (Error != std::errc() || End != Digits.data() + Digits.size())
       return std::nullopt;
     for (std::size_t Bit = 0; Bit < WordBits; ++Bit)
@@ -148,10 +148,11 @@
   };
 
   Implementation(net::io_context &Loop, HttpCaller &Caller, RunnerControl &Runner,
-                 WeightsOriginClient &Origin, PeerDirectory &Peers, WeightsAgentOptions Options)
+                 WeightsOriginClient &Origin, PeerDirectory &Peers, LoadAnnouncer &Announcer,
+                 WeightsAgentOptions Options)
       : m_Executor(Loop.get_executor()), m_Caller(Caller), m_Runner(Runner), m_Origin(Origin),
-        m_PeerDirectory(Peers), m_Options(std::move(Options)), m_Random(m_Options.m_Seed),
-        m_Wake(Loop) {}
+        m_PeerDirectory(Peers), m_Announcer(Announcer), m_Options(std::move(Options)),
+        m_Random(m_Options.m_Seed), m_Wake(Loop) {}
 
   // The steps of one version.
   Task<> drive();
@@ -168,8 +169,7 @@
   Task<FetchedPiece> fetchBytes(std::shared_ptr<Transfer> Version, PieceFetch Fetch);
   TimePoint orderTime(const Target &Wanted, bool ServesNothing) const;
   bool isCurrent(const std::shared_ptr<Transfer> &Version) const {
-    return m_Current == Version && m_Target &&
-           Version->m_Manifest.m_Version == m_Target->m_Version;
+    return m_Current == Version && m_Target && Version->m_Manifest.m_Version == m_Target->m_Version;
   }
   void accept(Transfer &Version, std::uint32_t Piece, std::string Bytes);
 
@@ -188,10 +188,13 @@
   RunnerControl &m_Runner;
   WeightsOriginClient &m_Origin;
   PeerDirectory &m_PeerDirectory;
+  LoadAnnouncer &m_Announcer;
   WeightsAgentOptions m_Options;
   RandomGenerator m_Random;
   net::steady_timer m_Wake;
   std::optional<Target> m_Target;
+  /// When versions were announced.
+  std::map<WeightsVersion, TimePoint> m_AnnouncedAt;
   std::shared_ptr<Transfer> m_Current;
   std::vector<PiecePeer> m_Peers;
   std::optional<TimePoint> m_PeersAt;
@@ -200,7 +203,8 @@
   bool m_StagingUnread = true;
   std::map<ModelId, WeightsVersion> m_Loaded;
   std::optional<TimePoint> m_OrderedAt;
-  std::size_t m_Uploads = 0;
+  Pace m_UploadPace;
+  std::size_t m_WaitingUploads = 0;
   std::uint64_t m_UploadedPieces = 0;
 };
 
@@ -227,11 +231,14 @@
     }
     if (m_Loaded != Report->m_Loaded) {
       m_Loaded = Report->m_Loaded;
+      if (m_OrderedAt)
+        co_await m_Announcer.announce(Duration(0));
       for (const auto &[Model, Version] : m_Loaded)
-        logEvent(Severity::Info, "runner_serves",
-                 {{"model", Model},
-                  {"version", Version},
-                  {"sinceOrderSeconds", m_OrderedAt ? monotonicNow() - *m_OrderedAt : Duration(0)}});
+        logEvent(
+            Severity::Info, "runner_serves",
+            {{"model", Model},
+             {"version", Version},
+             {"sinceOrderSeconds", m_OrderedAt ? monotonicNow() - *m_OrderedAt : Duration(0)}});
     }
     if (!m_Target) {
       co_await pause(RestInterval);
@@ -243,16 +250,11 @@
 
 Task<> WeightsAgent::Implementation::advance(const RunnerReport &Report, Target Wanted) {
   auto Loaded = Report.m_Loaded.find(Wanted.m_Model);
-  const bool ServesNothing =
-      Loaded == Report.m_Loaded.end() || Loaded->second == WeightsVersion();
+  const bool ServesNothing = Loaded == Report.m_Loaded.end() || Loaded->second == WeightsVersion();
   if (!ServesNothing && Loaded->second >= Wanted.m_Version) {
     co_await pause(RestInterval);
     co_return;
   }
-  if (Report.m_IsBusy) {
-    co_await pause(LoadInterval);
-    co_return;
-  }
   const bool Prepared = co_await prepare(Wanted);
   if (!Prepared) {
     co_await pause(RetryInterval);
@@ -263,7 +265,15 @@
     co_await pause(std::min(Due - Now, RestInterval));
     co_return;
   }
+  if (Report.m_IsBusy) {
+    co_await pause(LoadInterval);
+    co_return;
+  }
   const std::shared_ptr<Transfer> Version = m_Current;
+  if (!ServesNothing) {
+    co_await m_Announcer.announce(LoadOutage);
+    co_await sleepFor(NoticeLead);
+  }
   const bool Verified = co_await verifyStaging(Version);
   if (!Verified || !isCurrent(Version))
     co_return;
@@ -284,8 +294,8 @@
             {"version", Wanted.m_Version},
             {"result", Names[static_cast<int>(Result)]},
             {"sinceAnnouncementSeconds", monotonicNow() - Wanted.m_AnnouncedAt},
-            {"transferSeconds", Version->m_CompleteAt.value_or(Version->m_StartedAt) -
-                                    Version->m_StartedAt},
+            {"transferSeconds",
+             Version->m_CompleteAt.value_or(Version->m_StartedAt) - Version->m_StartedAt},
             {"fromOrigin", Version->m_Exchange.originFetches()},
             {"badPieces", Version->m_BadPieces}});
   co_await pause(LoadInterval);
@@ -295,13 +305,19 @@
   const TimePoint Complete = m_Current->m_CompleteAt.value_or(monotonicNow());
   if (ServesNothing || !Wanted.m_IsNews)
     return Complete;
+  // The oldest announcement that the runner does not meet decides until when it is of use.
+  TimePoint Announced = Wanted.m_AnnouncedAt;
+  auto Loaded = m_Loaded.find(Wanted.m_Model);
+  for (const auto &[Version, At] : m_AnnouncedAt)
+    if (Loaded != m_Loaded.end() && Version > Loaded->second)
+      Announced = std::min(Announced, At);
   // All agents compute the same order of turns.
   const std::string Key = "turn/" + std::to_string(Wanted.m_Version.value());
   const std::uint64_t Own = rendezvousWeight(Key, m_Options.m_Self.str());
   const auto Before = std::count_if(m_Peers.begin(), m_Peers.end(), [&](const PiecePeer &Each) {
     return rendezvousWeight(Key, Each.m_Id.str()) > Own;
   });
-  return ConversionSchedule::orderAt(Wanted.m_AnnouncedAt, Complete, m_Options.m_Deadline,
+  return ConversionSchedule::orderAt(Announced, Complete, m_Options.m_Deadline,
                                      static_cast<std::size_t>(Before), m_Peers.size());
 }
 
@@ -343,8 +359,8 @@
   co_return true;
 }
 
-Task<std::optional<PieceManifest>>
-WeightsAgent::Implementation::askDigests(Target Wanted, Endpoint Address) {
+Task<std::optional<PieceManifest>> WeightsAgent::Implementation::askDigests(Target Wanted,
+                                                                            Endpoint Address) {
   const CallResult Answer = co_await m_Caller.call(
       Address, makeGet(piecePath(Wanted.m_Model, Wanted.m_Version, DigestsName)), PeerTimeout);
   if (Answer.status() != 200)
@@ -486,7 +502,7 @@
 }
 
 Task<FetchedPiece> WeightsAgent::Implementation::fetchBytes(std::shared_ptr<Transfer> Version,
-                                                           PieceFetch Fetch) {
+                                                            PieceFetch Fetch) {
   const PieceManifest &Manifest = Version->m_Manifest;
   if (Fetch.m_FromOrigin)
     co_return co_await m_Origin.piece(Manifest.m_Model, Manifest.m_Version, Fetch.m_Piece);
@@ -529,7 +545,7 @@
     Version->m_Staged[Piece] = false;
     AllGood = false;
   }
-  co_return AllGood && isCurrent(Version);
+  co_return AllGood &&isCurrent(Version);
 }
 
 Task<StatusAnswer> WeightsAgent::Implementation::serve(HttpRequest Request) {
@@ -552,11 +568,15 @@
   const auto Piece = parseIndex(Name->m_Name);
   if (!Piece)
     co_return StatusAnswer{404, "text/plain", ""};
-  if (m_Uploads >= MaxUploads)
+  if (m_WaitingUploads >= MaxWaitingUploads)
     co_return StatusAnswer{503, "text/plain", ""};
-  ++m_Uploads;
-  const StatusAnswer Answer = co_await servePiece(*Name, *Piece);
-  --m_Uploads;
+  ++m_WaitingUploads;
+  while (!m_UploadPace.allows(monotonicNow(), Duration(0)))
+    co_await sleepFor(UploadCheck);
+  --m_WaitingUploads;
+  StatusAnswer Answer = co_await servePiece(*Name, *Piece);
+  const Bytes Size(Answer.m_Body.size());
+  m_UploadPace.spend(monotonicNow(), m_Options.m_UploadRate.timeFor(Size), Duration(0));
   co_return Answer;
 }
 
@@ -593,9 +613,9 @@
 
 WeightsAgent::WeightsAgent(net::io_context &Loop, HttpCaller &Caller, RunnerControl &Runner,
                            WeightsOriginClient &Origin, PeerDirectory &Peers,
-                           WeightsAgentOptions Options)
+                           LoadAnnouncer &Announcer, WeightsAgentOptions Options)
     : m_Implementation(std::make_shared<Implementation>(Loop, Caller, Runner, Origin, Peers,
-                                                        std::move(Options))) {}
+                                                        Announcer, std::move(Options))) {}
 
 WeightsAgent::~WeightsAgent() = default;
 
@@ -612,6 +632,10 @@
   if (Known && Version <= Known->m_Version)
     return;
   Known = Implementation::Target{Model, Version, monotonicNow(), IsNews};
+  auto &Announced = m_Implementation->m_AnnouncedAt;
+  Announced[Version] = Known->m_AnnouncedAt;
+  if (Announced.size() > MaxAnnouncements)
+    Announced.erase(Announced.begin());
   logEvent(Severity::Info, "weights_announced",
            {{"model", Model}, {"version", Version}, {"isNews", IsNews}});
   m_Implementation->m_Wake.cancel();
--- a/src/libdispatch/DispatchQueue.cpp
+++ b/src/libdispatch/DispatchQueue.cpp
@@ -23,10 +23,9 @@
   const Line &Queue = Found->second;
   if (Queue.m_Requests.size() >= MaxWaiting)
     return false;
-  const auto Ahead = std::count_if(Queue.m_Requests.begin(), Queue.m_Requests.end(),
-                                   [&](const WaitingRequest &Each) {
-                                     return !goesBefore(Request, Each);
-                                   });
+  const auto Ahead =
+      std::count_if(Queue.m_Requests.begin(), Queue.m_Requests.end(),
+                    [&](const WaitingRequest &Each) { return !goesBefore(Request, Each); });
   if (Ahead == 0)
     return Longest > Duration(0);
   const double Rate = rateAt(Queue, Now) / toSeconds(RateTime);
@@ -35,9 +34,8 @@
 
 void DispatchQueue::push(const ServiceId &Service, const WaitingRequest &Request) {
   std::list<WaitingRequest> &Queue = m_Lines[Service].m_Requests;
-  auto Place = std::find_if(Queue.begin(), Queue.end(), [&](const WaitingRequest &Each) {
-    return goesBefore(Request, Each);
-  });
+  auto Place = std::find_if(Queue.begin(), Queue.end(),
+                            [&](const WaitingRequest &Each) { return goesBefore(Request, Each); });
   Queue.insert(Place, Request);
 }
 
@@ -74,6 +72,17 @@
   return Result;
 }
 
+bool ReturnDetector::hasReturned(const RouteId &Route, Duration Deadline) {
+  if (m_Lately.size() >= MaxRoutes && !m_Lately.contains(Route))
+    m_Lately.clear();
+  std::deque<Duration> &Lately = m_Lately[Route];
+  Lately.push_back(Deadline);
+  if (Lately.size() > Remembered)
+    Lately.pop_front();
+  const Duration Longest = *std::max_element(Lately.begin(), Lately.end());
+  return static_cast<double>(Deadline.count()) < FreshShare * static_cast<double>(Longest.count());
+}
+
 Duration RetryTimes::next(Duration TimeLeft) {
   const Duration Longest = std::min(Latest, TimeLeft / ObeyedPart);
   const Duration Shortest = std::min(Earliest, Longest / 2);
--- a/src/libdispatch/UpstreamBoard.cpp
+++ b/src/libdispatch/UpstreamBoard.cpp
@@ -109,6 +109,10 @@
         LastResort = &Entry;
       continue;
     }
+    if (isLoading(Entry, Now)) {
+      AnyFull = true;
+      continue;
+    }
     const bool Local = Record.m_DataCentre == m_Options.m_DataCentre;
     const int Tier = Local ? 0 : Record.m_Region == m_Options.m_Region ? 1 : 2;
     const double Limit = limit(Entry, LeastGap);
@@ -127,7 +131,8 @@
     }
   }
   Placement Result;
-  if (!Best && !AnyFull && LastResort && inFlight(*LastResort, Now) + 1 <= limit(*LastResort, LeastGap) &&
+  if (!Best && !AnyFull && LastResort &&
+      inFlight(*LastResort, Now) + 1 <= limit(*LastResort, LeastGap) &&
       LastResort->m_RejectionsInRow == 0)
     Best = LastResort;
   if (Best) {
@@ -194,6 +199,15 @@
                 [&](const auto &Each) { return Now - Each.second.m_At > PeerReportLifetime; });
 }
 
+void UpstreamBoard::onLoading(const Endpoint &Address, TimePoint Until) {
+  m_Loading[Address] = Until;
+}
+
+bool UpstreamBoard::isLoading(const State &Upstream, TimePoint Now) const {
+  auto Found = m_Loading.find(Upstream.m_Record.m_Address);
+  return Found != m_Loading.end() && Now < Found->second && Found->second - Now <= LongestLoad;
+}
+
 InFlightByUpstream UpstreamBoard::ownInFlight() const {
   InFlightByUpstream Result;
   for (const auto &[Id, Entry] : m_Upstreams)
@@ -207,7 +221,7 @@
   const double LeastGap = leastGap(Service);
   for (const auto &[Id, Entry] : m_Upstreams) {
     if (Entry.m_Record.m_Service != Service || Entry.m_Record.m_Leaving ||
-        Entry.m_PausedUntil > Now || isSilent(Entry, Now))
+        Entry.m_PausedUntil > Now || isSilent(Entry, Now) || isLoading(Entry, Now))
       continue;
     Result.m_Places += limit(Entry, LeastGap);
     Result.m_Taken += inFlight(Entry, Now);
--- a/src/libgateway/ClientConnection.cpp
+++ b/src/libgateway/ClientConnection.cpp
@@ -33,25 +33,24 @@
 void ClientConnection::waitReadable() {
   if (!m_Socket.is_open())
     return;
-  m_Socket.async_wait(Tcp::socket::wait_read,
-                      [Self = shared_from_this(), Watch = m_Watch](SystemError Error) {
-                        if (Watch != Self->m_Watch || !Self->m_OnLeft)
-                          return;
-                        if (!Error) {
-                          char Byte = 0;
-                          const ssize_t Got = ::recv(Self->m_Socket.native_handle(), &Byte, 1,
-                                                     MSG_PEEK | MSG_DONTWAIT);
-                          if (Got > 0)
-                            return;
-                          if (Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-                            Self->waitReadable();
-                            return;
-                          }
-                        }
-                        auto OnLeft = std::move(Self->m_OnLeft);
-                        Self->m_OnLeft = nullptr;
-                        OnLeft();
-                      });
+  m_Socket.async_wait(Tcp::socket::wait_read, [Self = shared_from_this(),
+                                               Watch = m_Watch](SystemError Error) {
+    if (Watch != Self->m_Watch || !Self->m_OnLeft)
+      return;
+    if (!Error) {
+      char Byte = 0;
+      const ssize_t Got = ::recv(Self->m_Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+      if (Got > 0)
+        return;
+      if (Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+        Self->waitReadable();
+        return;
+      }
+    }
+    auto OnLeft = std::move(Self->m_OnLeft);
+    Self->m_OnLeft = nullptr;
+    OnLeft();
+  });
 }
 
 } // namespace fescuegauge
--- a/src/libgateway/ClientSession.cpp
+++ b/src/libgateway/ClientSession.cpp
@@ -86,8 +86,8 @@
   }
   m_Idle = false;
   m_Limit.set(Limits.m_HeaderTimeout, CloseLate);
-  auto [HeadError, HeadSize] = co_await http::async_read_header(
-      m_Client->socket(), m_Client->buffer(), Parser, AsTuple);
+  auto [HeadError, HeadSize] =
+      co_await http::async_read_header(m_Client->socket(), m_Client->buffer(), Parser, AsTuple);
   if (HeadError) {
     m_Limit.cancel();
     if (isProtocolError(HeadError))
@@ -111,8 +111,7 @@
     }
   }
   m_Limit.cancel();
-  auto Exchange =
-      std::make_shared<RequestExchange>(*m_Core, m_Client, Parser.release(), ArrivedAt);
+  auto Exchange = std::make_shared<RequestExchange>(*m_Core, m_Client, Parser.release(), ArrivedAt);
   co_return co_await Exchange->run();
 }
 
--- a/src/libgateway/FakeUpstream.h
+++ b/src/libgateway/FakeUpstream.h
@@ -34,7 +34,8 @@
   using Behaviour = std::function<Script(const HttpRequest &)>;
 
   FakeUpstream(net::io_context &Loop, Behaviour Answer)
-      : m_Answer(std::move(Answer)), m_Acceptor(Loop, Tcp::endpoint(net::ip::address_v4::loopback(), 0)) {
+      : m_Answer(std::move(Answer)),
+        m_Acceptor(Loop, Tcp::endpoint(net::ip::address_v4::loopback(), 0)) {
     net::co_spawn(Loop, accept(), net::detached);
   }
 
@@ -172,8 +173,7 @@
   }
 
   /// Sends raw bytes and reads until the server closes, an answer is whole, or `Limit` is over.
-  RawAnswer exchange(const std::string &Bytes,
-                     Duration Limit = std::chrono::milliseconds(2500)) {
+  RawAnswer exchange(const std::string &Bytes, Duration Limit = std::chrono::milliseconds(2500)) {
     RawAnswer Result;
     bool Done = false;
     net::co_spawn(m_Loop, call(Bytes, Result, Done), net::detached);
@@ -238,9 +238,9 @@
 /// An answer with a length.
 inline std::string plainAnswer(const HttpRequest &To, unsigned Status, const std::string &Body,
                                const std::string &Extra = "") {
-  return "HTTP/1.1 " + std::to_string(Status) + " Any\r\nRequest-Id: " +
-         std::string(To["Request-Id"]) + "\r\nContent-Length: " + std::to_string(Body.size()) +
-         "\r\n" + Extra + "\r\n" + Body;
+  return "HTTP/1.1 " + std::to_string(Status) +
+         " Any\r\nRequest-Id: " + std::string(To["Request-Id"]) +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n" + Extra + "\r\n" + Body;
 }
 
 /// The head of an event stream in chunks.
--- a/src/libgateway/Gateway.cpp
+++ b/src/libgateway/Gateway.cpp
@@ -17,8 +17,8 @@
   static constexpr Duration AcceptRetry = std::chrono::milliseconds(50);
 
   Implementation(net::io_context &Loop, GatewayOptions Options, MetricsService &Metrics)
-      : m_Core(std::make_shared<GatewayCore>(Loop, std::move(Options), Metrics)),
-        m_Acceptor(Loop), m_Housekeeping(Loop.get_executor()) {}
+      : m_Core(std::make_shared<GatewayCore>(Loop, std::move(Options), Metrics)), m_Acceptor(Loop),
+        m_Housekeeping(Loop.get_executor()) {}
 
   GatewayCore &core() { return *m_Core; }
 
@@ -120,6 +120,13 @@
   Core.pump();
 }
 
+void Gateway::onLoading(const LoadNotice &Notice) {
+  GatewayCore &Core = m_Implementation->core();
+  Core.board().onLoading(Notice.m_Upstream, monotonicNow() + Notice.m_TimeLeft);
+  if (Notice.m_TimeLeft == Duration(0))
+    Core.pump();
+}
+
 InFlightByUpstream Gateway::ownInFlight() const {
   return m_Implementation->core().board().ownInFlight();
 }
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-/// A deadline shorter than this part of the longest one on its route belongs to a caller that has
-/// waited or asked before.
-constexpr double FreshDeadlineShare = 0.97;
-
 /// Lines on requests written in one second, and as many again on failures and refusals. A line
 /// costs about 20 us of processor time, so both bounds together are 0.4% of a core.
 constexpr std::uint32_t MaxLogLinesPerSecond = 100;
@@ -40,11 +36,11 @@
       m_DroppedLines(Metrics.counter({"fescuegauge_gateway_log_lines_dropped_total",
                                       "Lines on requests left out to bound the log's volume.",
                                       {}})),
-      m_FirstByte(Metrics.histogram(
-          {"fescuegauge_gateway_first_byte_seconds",
-           "Time from a request's arrival to the first byte of its answer.",
-           {{"kind", 8}}},
-          {0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4})),
+      m_FirstByte(
+          Metrics.histogram({"fescuegauge_gateway_first_byte_seconds",
+                             "Time from a request's arrival to the first byte of its answer.",
+                             {{"kind", 8}}},
+                            {0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4})),
       m_Wait(Metrics.histogram({"fescuegauge_gateway_queue_seconds",
                                 "Time that dispatched requests waited for a place.",
                                 {}},
@@ -154,9 +150,8 @@
   if (!IsNew && Now - Entry->second < CrashCheckInterval)
     return;
   Entry->second = Now;
-  std::erase_if(m_CrashChecked, [&](const auto &Each) {
-    return Now - Each.second > CrashCheckInterval;
-  });
+  std::erase_if(m_CrashChecked,
+                [&](const auto &Each) { return Now - Each.second > CrashCheckInterval; });
   std::vector<SuspectKey> Running;
   auto [First, Last] = m_Running.equal_range(Upstream.m_Id);
   for (auto Each = First; Each != Last; ++Each)
@@ -183,13 +178,6 @@
            {{"upstream", Upstream.m_Id}, {"requestsRunning", Running.size()}});
 }
 
-bool GatewayCore::hasReturned(const RouteId &Route, Duration Deadline) {
-  Duration &Longest = m_LongestDeadline[Route];
-  Longest = std::max(Longest, Deadline);
-  return static_cast<double>(Deadline.count()) <
-         FreshDeadlineShare * static_cast<double>(Longest.count());
-}
-
 bool GatewayCore::refusesRequests() const {
   return m_DrainingSince && monotonicNow() - *m_DrainingSince > DrainGrace;
 }
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -87,9 +87,7 @@
   /// it against the requests that ran there.
   void checkCrash(const UpstreamRecord &Upstream);
 
-  /// Whether the deadline of a request shows that its caller has used up part of its time before,
-  /// judged by the longest deadline seen on the route.
-  bool hasReturned(const RouteId &Route, Duration Deadline);
+  ReturnDetector &returns() { return m_Returns; }
 
   bool isDraining() const { return m_DrainingSince.has_value(); }
   /// Whether the grace time after the announcement is over.
@@ -130,7 +128,7 @@
   bool m_PumpScheduled = false;
   std::multimap<InstanceId, SuspectKey> m_Running;
   std::map<InstanceId, TimePoint> m_CrashChecked;
-  std::unordered_map<RouteId, Duration> m_LongestDeadline;
+  ReturnDetector m_Returns;
   std::optional<TimePoint> m_DrainingSince;
   CounterMetric &m_Requests;
   CounterMetric &m_Attempts;
--- a/src/libgateway/HttpCaller.cpp
+++ b/src/libgateway/HttpCaller.cpp
@@ -10,9 +10,7 @@
 
 namespace http = boost::beast::http;
 
-HttpRequest makeGet(const std::string &Target) {
-  return HttpRequest(http::verb::get, Target, 11);
-}
+HttpRequest makeGet(const std::string &Target) { return HttpRequest(http::verb::get, Target, 11); }
 
 HttpRequest makePost(const std::string &Target, std::string Json) {
   HttpRequest Request(http::verb::post, Target, 11);
@@ -48,8 +46,7 @@
     TimedOut = true;
     Connection->close();
   });
-  auto [WriteError, Written] =
-      co_await http::async_write(Connection->socket(), Request, AsTuple);
+  auto [WriteError, Written] = co_await http::async_write(Connection->socket(), Request, AsTuple);
   if (WriteError) {
     Result.m_Reason = TimedOut ? "timeout" : WriteError.message();
     Connection->close();
@@ -89,8 +86,7 @@
       co_return Result;
   }
   SystemError Error;
-  ConnectionPtr Fresh =
-      co_await m_Pool.open(Address, std::min(ConnectTimeout, Timeout), Error);
+  ConnectionPtr Fresh = co_await m_Pool.open(Address, std::min(ConnectTimeout, Timeout), Error);
   if (!Fresh) {
     CallResult Result;
     Result.m_Reason = Error.message();
--- a/src/libgateway/PeerLink.cpp
+++ b/src/libgateway/PeerLink.cpp
@@ -9,11 +9,24 @@
 namespace {
 
 constexpr std::uint64_t ReportVersion = 1;
+constexpr std::uint64_t NoticeVersion = 2;
 
-Endpoint endpointOf(const Udp::endpoint &From) {
-  return {From.address().to_string(), From.port()};
+void writeNotice(ByteWriter &Writer, const LoadNotice &Notice) {
+  Writer.text(Notice.m_Upstream.m_Host);
+  Writer.number(Notice.m_Upstream.m_Port);
+  Writer.number(static_cast<std::uint64_t>(Notice.m_TimeLeft.count()));
 }
 
+LoadNotice readNotice(ByteReader &Reader) {
+  LoadNotice Notice;
+  Notice.m_Upstream.m_Host = Reader.text();
+  Notice.m_Upstream.m_Port = static_cast<std::uint16_t>(Reader.number());
+  Notice.m_TimeLeft = Duration(static_cast<Duration::rep>(Reader.number()));
+  return Notice;
+}
+
+Endpoint endpointOf(const Udp::endpoint &From) { return {From.address().to_string(), From.port()}; }
+
 } // namespace
 
 std::string encodePeerReport(const PeerReport &Report) {
@@ -41,6 +54,9 @@
     Writer.id(Each.m_Version);
     Writer.number(static_cast<std::uint64_t>(Each.m_Age.count()));
   }
+  Writer.number(Report.m_Loading.size());
+  for (const LoadNotice &Each : Report.m_Loading)
+    writeNotice(Writer, Each);
   return Writer.take();
 }
 
@@ -75,11 +91,43 @@
     Each.m_Age = Duration(static_cast<Duration::rep>(Reader.number()));
     Report.m_Weights.push_back(std::move(Each));
   }
+  constexpr std::size_t LeastNotice = 3;
+  for (std::size_t Left = Reader.count(LeastNotice); Left > 0; --Left)
+    Report.m_Loading.push_back(readNotice(Reader));
   if (Reader.failed() || !Reader.atEnd())
     return std::nullopt;
   return Report;
 }
 
+std::string encodeLoadNotice(const LoadNotice &Notice) {
+  ByteWriter Writer;
+  Writer.number(NoticeVersion);
+  writeNotice(Writer, Notice);
+  return Writer.take();
+}
+
+std::optional<LoadNotice> decodeLoadNotice(std::string_view Datagram) {
+  ByteReader Reader(Datagram);
+  if (Reader.number() != NoticeVersion)
+    return std::nullopt;
+  LoadNotice Notice = readNotice(Reader);
+  if (Reader.failed() || !Reader.atEnd())
+    return std::nullopt;
+  return Notice;
+}
+
+void sendLoadNotice(net::io_context &Loop, std::span<const Endpoint> Entries,
+                    const LoadNotice &Notice) {
+  Udp::socket Socket(Loop, Udp::v4());
+  const std::string Datagram = encodeLoadNotice(Notice);
+  for (const Endpoint &Each : Entries) {
+    const Tcp::endpoint To = tcpEndpoint(Each);
+    SystemError Ignored;
+    // A lost notice costs some requests a wait at the upstream.
+    Socket.send_to(net::buffer(Datagram), Udp::endpoint(To.address(), To.port()), 0, Ignored);
+  }
+}
+
 PeerLink::PeerLink(net::io_context &Loop, InstanceId Self, DataCentreId DataCentre, Handlers Calls)
     : m_Self(std::move(Self)), m_DataCentre(std::move(DataCentre)), m_Calls(std::move(Calls)),
       m_Socket(Loop), m_Tick(Loop.get_executor()) {}
@@ -98,20 +146,33 @@
 }
 
 void PeerLink::receive() {
-  m_Socket.async_receive_from(
-      net::buffer(m_Buffer), m_From, [this](SystemError Error, std::size_t Size) {
-        if (Error == net::error::operation_aborted)
-          return;
-        if (!Error) {
-          if (auto Report = decodePeerReport({m_Buffer.data(), Size})) {
-            if (Report->m_Sender != m_Self) {
-              addPeer(endpointOf(m_From), Report->m_DataCentre);
-              m_Calls.m_OnReport(std::move(*Report));
-            }
-          }
-        }
-        receive();
-      });
+  m_Socket.async_receive_from(net::buffer(m_Buffer), m_From,
+                              [this](SystemError Error, std::size_t Size) {
+                                if (Error == net::error::operation_aborted)
+                                  return;
+                                if (!Error)
+                                  take({m_Buffer.data(), Size});
+                                receive();
+                              });
+}
+
+void PeerLink::take(std::string_view Datagram) {
+  const TimePoint Now = monotonicNow();
+  if (auto Notice = decodeLoadNotice(Datagram)) {
+    std::erase_if(m_Notices, [&](const TakenNotice &Each) {
+      return Each.m_Upstream == Notice->m_Upstream || Now - Each.m_TakenAt > NoticeLifetime;
+    });
+    m_Notices.push_back({Notice->m_Upstream, Now + Notice->m_TimeLeft, Now});
+    m_Calls.m_OnLoading(*Notice);
+    return;
+  }
+  auto Report = decodePeerReport(Datagram);
+  if (!Report || Report->m_Sender == m_Self)
+    return;
+  addPeer(endpointOf(m_From), Report->m_DataCentre);
+  for (const LoadNotice &Each : Report->m_Loading)
+    m_Calls.m_OnLoading(Each);
+  m_Calls.m_OnReport(std::move(*Report));
 }
 
 void PeerLink::sendTo(const Endpoint &Address, const std::string &Datagram) {
@@ -123,9 +184,13 @@
 
 void PeerLink::tick() {
   const TimePoint Now = monotonicNow();
-  PeerReport Report{m_Self, m_DataCentre, m_Calls.m_InFlight(), m_Calls.m_TakeSuspects(),
-                    m_Calls.m_Weights()};
-  const bool Urgent = !Report.m_Suspects.empty();
+  PeerReport Report{
+      m_Self, m_DataCentre, m_Calls.m_InFlight(), m_Calls.m_TakeSuspects(), m_Calls.m_Weights(),
+      {}};
+  for (const TakenNotice &Each : m_Notices)
+    if (Now - Each.m_TakenAt <= NoticeLifetime)
+      Report.m_Loading.push_back({Each.m_Upstream, std::max(Each.m_Until - Now, Duration(0))});
+  const bool Urgent = !Report.m_Suspects.empty() || !Report.m_Loading.empty();
   const bool Changed = Report.m_InFlight != m_LastSent;
   const bool Local = Urgent || Changed || Now - m_LocalSentAt >= RefreshInterval;
   const bool Remote =
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -110,8 +110,8 @@
   if (!m_Plan)
     return ErrorKind::NotReady;
   std::string_view Target(m_Request.target().data(), m_Request.target().size());
-  m_Route = m_Plan->find(std::string(m_Request[http::field::host]),
-                         Target.substr(0, Target.find('?')));
+  m_Route =
+      m_Plan->find(std::string(m_Request[http::field::host]), Target.substr(0, Target.find('?')));
   if (!m_Route)
     return ErrorKind::UnknownRoute;
   m_Priority = m_Route->m_Priority;
@@ -128,7 +128,7 @@
   Duration Allowed = m_Route->m_Timeout;
   if (auto Wanted = parseNumber(std::string(m_Request[Names.m_Deadline]))) {
     const Duration Asked = std::chrono::milliseconds(std::min<std::uint64_t>(*Wanted, 86'400'000));
-    m_Returned = m_Core.hasReturned(m_Route->m_Id, Asked);
+    m_Returned = m_Core.returns().hasReturned(m_Route->m_Id, Asked);
     Allowed = std::min(Allowed, Asked);
   }
   m_Deadline = m_ArrivedAt + Allowed;
@@ -327,10 +327,11 @@
     logAttempt(Chosen, "failed", "content-encoding");
     co_return AttemptEnd::Failed;
   }
-  const bool IsEvents = isStream(m_Route->m_Kind) && Status == 200 &&
-                        beast::iequals(beast::string_view(Head[http::field::content_type])
-                                           .substr(0, EventStreamType.size()),
-                                       EventStreamType);
+  const bool IsEvents =
+      isStream(m_Route->m_Kind) && Status == 200 &&
+      beast::iequals(
+          beast::string_view(Head[http::field::content_type]).substr(0, EventStreamType.size()),
+          EventStreamType);
   if (m_HeadSent && !IsEvents) {
     logAttempt(Chosen, "failed", "resumed-without-events");
     co_return AttemptEnd::Failed;
@@ -401,6 +402,8 @@
       co_return AttemptEnd::Failed;
     const TimePoint Now = monotonicNow();
     m_Core.board().onProgress(From.m_Id, Now);
+    if (m_HeadSent && !Bytes.empty())
+      m_LongestPause = std::max(m_LongestPause, Now - m_LastByteAt);
     if (!FirstRead && !Bytes.empty())
       m_Core.board().onEventGap(From.m_Id, Now - m_LastByteAt);
     FirstRead = false;
@@ -513,8 +516,8 @@
   const ErrorAnswer &Answer = errorAnswer(Kind);
   std::optional<Duration> RetryAfter;
   if (Answer.m_HttpStatus == 503 && Answer.m_RetryAfter)
-    RetryAfter = m_Core.retryTimes().next(
-        m_Route ? std::max(timeLeft(), Duration(0)) : std::chrono::seconds(1));
+    RetryAfter = m_Core.retryTimes().next(m_Route ? std::max(timeLeft(), Duration(0))
+                                                  : std::chrono::seconds(1));
   co_await replyError(Kind, RetryAfter);
 }
 
@@ -622,8 +625,7 @@
 }
 
 Task<bool> RequestExchange::writeClient(std::string Bytes) {
-  auto [Error, Size] =
-      co_await net::async_write(m_Client->socket(), net::buffer(Bytes), AsTuple);
+  auto [Error, Size] = co_await net::async_write(m_Client->socket(), net::buffer(Bytes), AsTuple);
   if (Error)
     m_ClientBroken = true;
   co_return !Error;
@@ -659,6 +661,7 @@
             {"attempts", m_AttemptsSent},
             {"upstream", m_CurrentUpstream},
             {"events", m_EventsPassed},
+            {"longestPauseSeconds", m_LongestPause},
             {"mayHaveRun", m_MayHaveRun},
             {"waitSeconds", m_Waited},
             {"firstByteSeconds", m_FirstByteAfter.value_or(Duration(0))},
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -84,7 +84,9 @@
 
   bool mayRetry() const;
   bool takeRetry();
-  bool canResume() const { return m_HeadSent && m_Route->m_Kind == Repeatability::ResumableStream && m_EventsResumable; }
+  bool canResume() const {
+    return m_HeadSent && m_Route->m_Kind == Repeatability::ResumableStream && m_EventsResumable;
+  }
   void onDeadline();
   void onCallerLeft();
   void interrupt();
@@ -152,6 +154,8 @@
   std::optional<Duration> m_FirstByteAfter;
   Duration m_Waited{0};
   std::uint64_t m_EventsPassed = 0;
+  /// The longest pause between two reads of a stream, and when the last one was.
+  Duration m_LongestPause{0};
 
   std::string_view m_Outcome = "none";
   unsigned m_Status = 0;
--- a/src/libgateway/UpstreamExchange.cpp
+++ b/src/libgateway/UpstreamExchange.cpp
@@ -64,16 +64,17 @@
     auto [Error, Size] = co_await http::async_read_header(
         m_Connection->socket(), m_Connection->buffer(), *m_Parser, AsTuple);
     if (Error) {
-      const bool Unreadable = Error.category() == http::make_error_code(http::error::bad_value).category() &&
-                              Error != http::error::end_of_stream &&
-                              Error != http::error::partial_message;
+      const bool Unreadable =
+          Error.category() == http::make_error_code(http::error::bad_value).category() &&
+          Error != http::error::end_of_stream && Error != http::error::partial_message;
       co_return Unreadable ? ExchangeError::Malformed : ExchangeError::Broken;
     }
     const Header &Head = header();
     if (http::to_status_class(Head.result_int()) == http::status_class::informational)
       continue;
     const auto Id = Head[m_Names.m_RequestId];
-    const bool IsSuccess = http::to_status_class(Head.result_int()) == http::status_class::successful;
+    const bool IsSuccess =
+        http::to_status_class(Head.result_int()) == http::status_class::successful;
     if (Id == m_RequestId || (Id.empty() && !IsSuccess))
       co_return ExchangeError::None;
     if (Id.empty())
@@ -105,8 +106,8 @@
     auto &Body = m_Parser->get().body();
     Body.data = m_Chunk.data();
     Body.size = m_Chunk.size();
-    auto [Error, Size] = co_await http::async_read_some(
-        m_Connection->socket(), m_Connection->buffer(), *m_Parser, AsTuple);
+    auto [Error, Size] = co_await http::async_read_some(m_Connection->socket(),
+                                                        m_Connection->buffer(), *m_Parser, AsTuple);
     const std::size_t Got = m_Chunk.size() - Body.size;
     Bytes.append(m_Chunk.data(), Got);
     if (Error && Error != http::error::need_buffer)
--- a/src/libgateway/UpstreamExchange.h
+++ b/src/libgateway/UpstreamExchange.h
@@ -45,8 +45,7 @@
 
   UpstreamExchange(ConnectionPool &Pool, const CallHeaders &Names, HttpRequest Request,
                    std::string Id)
-      : m_Pool(Pool), m_Names(Names), m_Request(std::move(Request)),
-        m_RequestId(std::move(Id)) {}
+      : m_Pool(Pool), m_Names(Names), m_Request(std::move(Request)), m_RequestId(std::move(Id)) {}
   UpstreamExchange(const UpstreamExchange &) = delete;
   UpstreamExchange &operator=(const UpstreamExchange &) = delete;
 
--- a/src/libweights/PieceExchange.cpp
+++ b/src/libweights/PieceExchange.cpp
@@ -36,6 +36,7 @@
 void PieceExchange::computeImports() {
   m_Imports = ChunkSet(m_Count);
   m_RegionImports = ChunkSet(m_Count);
+  m_SourceRegions.assign(m_Count, RegionId());
   if (!m_SelfPeer)
     return;
   std::vector<InstanceId> Mates;
@@ -47,9 +48,13 @@
       DataCentres.insert(Each.m_DataCentre);
   }
   auto Text = [](const auto &Id) -> std::string_view { return Id.str(); };
+  // In turns, so that every agent imports the same number of pieces.
+  std::sort(Mates.begin(), Mates.end());
+  const std::size_t First = rendezvousWeight(m_Key, m_SelfPeer->m_DataCentre.str()) % Mates.size();
   for (std::uint32_t Piece = 0; Piece < m_Count; ++Piece) {
+    m_SourceRegions[Piece] = sourceRegion(Piece);
     const std::string Key = m_Key + "/" + std::to_string(Piece);
-    if (*firstRanked(Key, Mates, Text) != m_Self)
+    if (Mates[(First + Piece) % Mates.size()] != m_Self)
       continue;
     m_Imports.insert(Piece);
     if (*firstRanked(Key, DataCentres, Text) == m_SelfPeer->m_DataCentre)
@@ -66,8 +71,9 @@
       continue;
     const bool IsLocal = m_SelfPeer && Each.m_DataCentre == m_SelfPeer->m_DataCentre;
     const bool SameRegion = m_SelfPeer && Each.m_Region == m_SelfPeer->m_Region;
-    // Imports into the region come from the origin's region; nobody else has them earlier.
-    const bool IsSource = SameRegion || Each.m_Region == m_OriginRegion || Stalled;
+    const bool IsSource = SameRegion || Stalled ||
+                          std::find(m_SourceRegions.begin(), m_SourceRegions.end(),
+                                    Each.m_Region) != m_SourceRegions.end();
     if (IsLocal)
       Local.push_back(Each);
     else if (IsSource)
@@ -101,7 +107,27 @@
     return true;
   if (Peer.m_Region == m_SelfPeer->m_Region)
     return m_Imports.contains(Piece);
-  return m_RegionImports.contains(Piece);
+  return m_RegionImports.contains(Piece) && Peer.m_Region == m_SourceRegions[Piece];
+}
+
+RegionId PieceExchange::sourceRegion(std::uint32_t Piece) const {
+  if (m_SelfPeer->m_Region == m_OriginRegion)
+    return {};
+  const std::string Key = m_Key + "/region/" + std::to_string(Piece);
+  const std::uint64_t Own = rendezvousWeight(Key, m_SelfPeer->m_Region.str());
+  // The region with the next higher weight; the origin's if there is none.
+  RegionId Best = m_OriginRegion;
+  std::uint64_t BestWeight = 0;
+  for (const PiecePeer &Each : m_Peers) {
+    if (Each.m_Region == m_OriginRegion || Each.m_Region == m_SelfPeer->m_Region)
+      continue;
+    const std::uint64_t Weight = rendezvousWeight(Key, Each.m_Region.str());
+    if (Weight > Own && (Best == m_OriginRegion || Weight < BestWeight)) {
+      Best = Each.m_Region;
+      BestWeight = Weight;
+    }
+  }
+  return Best;
 }
 
 std::uint32_t PieceExchange::localHolders(std::uint32_t Piece) const {
@@ -115,8 +141,8 @@
 
 std::uint32_t PieceExchange::originAllowance() const {
   const bool InOriginRegion = m_SelfPeer && m_SelfPeer->m_Region == m_OriginRegion;
-  const double Spare =
-      std::ceil(SpareCopies * m_Count / static_cast<double>(std::max<std::size_t>(m_Peers.size(), 1)));
+  const double Spare = std::ceil(SpareCopies * m_Count /
+                                 static_cast<double>(std::max<std::size_t>(m_Peers.size(), 1)));
   return static_cast<std::uint32_t>(InOriginRegion ? m_RegionImports.count() : 0) +
          static_cast<std::uint32_t>(Spare);
 }
@@ -136,7 +162,8 @@
   const auto Start = static_cast<std::uint32_t>(uniformBelow(m_Random, m_Count));
   for (std::uint32_t I = 0; I < m_Count; ++I) {
     const std::uint32_t Piece = (Start + I) % m_Count;
-    if (isMissing(Piece) && (Stalled || (m_RegionImports.contains(Piece) && localHolders(Piece) == 0)))
+    if (isMissing(Piece) &&
+        (Stalled || (m_RegionImports.contains(Piece) && localHolders(Piece) == 0)))
       return Piece;
   }
   return std::nullopt;
@@ -206,7 +233,7 @@
 
 TimePoint ConversionSchedule::orderAt(TimePoint Announced, TimePoint Complete, Duration Deadline,
                                       std::size_t Rank, std::size_t Count) {
-  const TimePoint Last = Announced + Deadline - ConversionTime;
+  const TimePoint Last = Announced + Deadline - LastOrderMargin;
   if (Complete >= Last || Count <= 1)
     return Complete;
   const Duration Span = Last - Complete;
