--- a/src/fescuegauge/Pages_test.cpp
+++ b/src/fescuegauge/Pages_test.cpp
@@ -75,8 +75,8 @@
 }
 
 // Guards against an event or metric that an operator finds nowhere explained.
-TEST_CASE("docs/operations.md explains every event and metric of the sources") {
-  const std::string Page = readText(Root / "docs/operations.md");
+TEST_CASE("docs/OPERATIONS.md explains every event and metric of the sources") {
+  const std::string Page = readText(Root / "docs/OPERATIONS.md");
   const auto Events = namesInSources("logEvent\\(\\s*[^,;\"]*,\\s*\"([a-z_]+)\"");
   CHECK(Events.contains("invariant_violated"));
   CHECK(missingRows(Events, Page).empty());
