Pass the store's tables on inside a data centre, so that a plan crosses its link once

Ruled out: decoding and event loop (0.015 cores), the store itself (instances of its own region were in time).

--- a/src/include/Fescuegauge/HttpCaller.h
+++ b/src/include/Fescuegauge/HttpCaller.h
@@ -44,13 +44,16 @@
 
   explicit HttpCaller(ConnectionPool &Pool) : m_Pool(Pool) {}
 
-  /// Sends `Request` and waits up to `Timeout` for the whole answer. A request that fails on a kept
-  /// connection before any byte of an answer is repeated once on a new one if `Repeatable`.
+  /// Sends `Request` and waits up to `Timeout` for the whole answer; with a `BodyTimeout`, up to
+  /// `Timeout` for its header and as long again as `BodyTimeout` for its body. A request that fails
+  /// on a kept connection before any byte of an answer is repeated once on a new one if
+  /// `Repeatable`.
   Task<CallResult> call(Endpoint Address, HttpRequest Request, Duration Timeout,
-                        bool Repeatable = true);
+                        bool Repeatable = true, Duration BodyTimeout = Duration(0));
 
 private:
-  Task<CallResult> callOn(ConnectionPtr Connection, HttpRequest &Request, Duration Timeout);
+  Task<CallResult> callOn(ConnectionPtr Connection, HttpRequest &Request, Duration Timeout,
+                          Duration BodyTimeout);
 
   ConnectionPool &m_Pool;
 };
--- a/src/include/Fescuegauge/PeerLink.h
+++ b/src/include/Fescuegauge/PeerLink.h
@@ -71,6 +71,8 @@
   /// Adds instances that the platform knows.
   void addPeer(const Endpoint &Address, const DataCentreId &DataCentre);
   std::size_t peerCount() const { return m_Peers.size(); }
+  /// The known instances of the own data centre.
+  std::vector<Endpoint> localPeers() const;
 
 private:
   struct Peer {
--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -1,5 +1,6 @@
 #include "Fescuegauge/DispatchQueue.h"
 #include "Fescuegauge/EventSplitter.h"
+#include "Fescuegauge/RelayRanking.h"
 #include "Fescuegauge/RoutingPlan.h"
 #include "Fescuegauge/UpstreamBoard.h"
 #include "Fescuegauge/UpstreamDirectory.h"
@@ -353,3 +354,30 @@
   CHECK_FALSE(Events.next());
   CHECK(Events.pending() == "id: 9\nda");
 }
+
+// Guards against instances that wait for each other, and against all agents asking the same one.
+TEST_CASE("entry instances ask only those before them, agents spread over all", "[dispatch]") {
+  std::vector<Endpoint> Entries;
+  for (int I = 1; I <= 6; ++I)
+    Entries.push_back({"10.0.0." + std::to_string(I), 7700});
+  const TimePoint Start(std::chrono::seconds(1));
+
+  RelayRanking First(Entries[0], true);
+  First.setInstances(Entries);
+  CHECK(First.candidates(Start).empty());
+  RelayRanking Fifth(Entries[4], true);
+  Fifth.setInstances({Entries.rbegin(), Entries.rend()});
+  CHECK(Fifth.candidates(Start) == std::vector<Endpoint>{Entries[0], Entries[1], Entries[2]});
+  Fifth.onFailure(Entries[0], Start);
+  CHECK(Fifth.candidates(Start) == std::vector<Endpoint>{Entries[1], Entries[2], Entries[3]});
+  CHECK(Fifth.candidates(Start + RelayRanking::FailurePause).front() == Entries[0]);
+
+  std::set<Endpoint> Asked;
+  for (int I = 0; I < 60; ++I) {
+    RelayRanking Agent({"10.1.0." + std::to_string(I), 7700}, false);
+    Agent.setInstances(Entries);
+    REQUIRE(Agent.candidates(Start).size() == RelayRanking::MinCandidates);
+    Asked.insert(Agent.candidates(Start).front());
+  }
+  CHECK(Asked.size() == Entries.size());
+}
--- /dev/null
+++ b/src/libdispatch/RelayRanking.cpp
@@ -0,0 +1,39 @@
+#include "Fescuegauge/RelayRanking.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace fescuegauge {
+
+void RelayRanking::setInstances(std::vector<Endpoint> Known) {
+  std::sort(Known.begin(), Known.end());
+  if (m_IsEntry) {
+    Known.erase(std::lower_bound(Known.begin(), Known.end(), m_Self), Known.end());
+  } else if (!Known.empty()) {
+    const std::size_t First = std::hash<std::string>()(m_Self.m_Host) % Known.size();
+    std::rotate(Known.begin(), Known.begin() + static_cast<std::ptrdiff_t>(First), Known.end());
+  }
+  std::erase_if(m_PausedUntil, [&](const auto &Each) {
+    return std::find(Known.begin(), Known.end(), Each.first) == Known.end();
+  });
+  m_Ranked = std::move(Known);
+}
+
+std::vector<Endpoint> RelayRanking::candidates(TimePoint Now) const {
+  std::vector<Endpoint> Result;
+  const std::size_t Most = MinCandidates + m_Ranked.size() / InstancesPerCandidate;
+  for (const Endpoint &Each : m_Ranked) {
+    if (Result.size() == Most)
+      break;
+    auto Paused = m_PausedUntil.find(Each);
+    if (Paused == m_PausedUntil.end() || Now >= Paused->second)
+      Result.push_back(Each);
+  }
+  return Result;
+}
+
+void RelayRanking::onFailure(const Endpoint &Instance, TimePoint Now) {
+  m_PausedUntil[Instance] = Now + FailurePause;
+}
+
+} // namespace fescuegauge
--- a/src/libgateway/HttpCaller.cpp
+++ b/src/libgateway/HttpCaller.cpp
@@ -37,15 +37,16 @@
 }
 
 Task<CallResult> HttpCaller::callOn(ConnectionPtr Connection, HttpRequest &Request,
-                                    Duration Timeout) {
+                                    Duration Timeout, Duration BodyTimeout) {
   CallResult Result;
   Result.m_Kind = CallResult::Kind::NoAnswer;
   bool TimedOut = false;
   Alarm Limit(m_Pool.executor());
-  Limit.set(Timeout, [&TimedOut, Connection] {
+  const auto GiveUp = [&TimedOut, Connection] {
     TimedOut = true;
     Connection->close();
-  });
+  };
+  Limit.set(Timeout, GiveUp);
   auto [WriteError, Written] = co_await http::async_write(Connection->socket(), Request, AsTuple);
   if (WriteError) {
     Result.m_Reason = TimedOut ? "timeout" : WriteError.message();
@@ -55,7 +56,14 @@
   http::response_parser<http::string_body> Parser;
   Parser.body_limit(MaxAnswerBytes);
   auto [ReadError, Read] =
-      co_await http::async_read(Connection->socket(), Connection->buffer(), Parser, AsTuple);
+      co_await http::async_read_header(Connection->socket(), Connection->buffer(), Parser, AsTuple);
+  if (!ReadError && !Parser.is_done()) {
+    if (BodyTimeout > Duration(0))
+      Limit.set(BodyTimeout, GiveUp);
+    auto [BodyError, BodyRead] =
+        co_await http::async_read(Connection->socket(), Connection->buffer(), Parser, AsTuple);
+    ReadError = BodyError;
+  }
   Limit.cancel();
   if (ReadError) {
     Result.m_Reason = TimedOut ? "timeout" : ReadError.message();
@@ -74,13 +82,13 @@
 }
 
 Task<CallResult> HttpCaller::call(Endpoint Address, HttpRequest Request, Duration Timeout,
-                                  bool Repeatable) {
+                                  bool Repeatable, Duration BodyTimeout) {
   Request.set(http::field::host, Address.m_Host + ":" + std::to_string(Address.m_Port));
   Request.prepare_payload();
   const TimePoint Start = monotonicNow();
   if (ConnectionPtr Kept =
           m_Pool.takeIdle(Address, Repeatable ? Duration::max() : Duration::zero())) {
-    CallResult Result = co_await callOn(Kept, Request, Timeout);
+    CallResult Result = co_await callOn(Kept, Request, Timeout, BodyTimeout);
     const bool Late = monotonicNow() - Start >= Timeout;
     if (Result.isAnswered() || !Repeatable || Late)
       co_return Result;
@@ -92,7 +100,7 @@
     Result.m_Reason = Error.message();
     co_return Result;
   }
-  co_return co_await callOn(Fresh, Request, Timeout - (monotonicNow() - Start));
+  co_return co_await callOn(Fresh, Request, Timeout - (monotonicNow() - Start), BodyTimeout);
 }
 
 } // namespace fescuegauge
--- a/src/libgateway/PeerLink.cpp
+++ b/src/libgateway/PeerLink.cpp
@@ -145,6 +145,14 @@
   m_Peers[Address] = {DataCentre, monotonicNow()};
 }
 
+std::vector<Endpoint> PeerLink::localPeers() const {
+  std::vector<Endpoint> Result;
+  for (const auto &[Address, Known] : m_Peers)
+    if (Known.m_DataCentre == m_DataCentre)
+      Result.push_back(Address);
+  return Result;
+}
+
 void PeerLink::receive() {
   m_Socket.async_receive_from(net::buffer(m_Buffer), m_From,
                               [this](SystemError Error, std::size_t Size) {
