--- a/src/fescuegauge/Tool.cpp
+++ b/src/fescuegauge/Tool.cpp
@@ -2,6 +2,7 @@
 
 #include "Command.h"
 #include "Fescuegauge/EndpointText.h"
+#include "Fescuegauge/ParseNumber.h"
 #include "TextTable.h"
 
 #include <Poco/Environment.h>
@@ -215,12 +216,10 @@
 void validate(boost::any &Result, const std::vector<std::string> &Texts, WholeNumber *, int) {
   // Boost's own conversion reads -1 as a large number.
   const std::string &Text = po::validators::get_single_string(Texts);
-  WholeNumber Number;
-  auto [End, Failure] = std::from_chars(Text.data(), Text.data() + Text.size(), Number.m_Value);
-  if (Failure != std::errc() || End != Text.data() + Text.size() ||
-      Number.m_Value > WholeNumber::Most)
+  const auto Value = parseNumber<std::uint64_t>(Text);
+  if (!Value || *Value > WholeNumber::Most)
     throw po::validation_error(po::validation_error::invalid_option_value);
-  Result = Number;
+  Result = WholeNumber{*Value};
 }
 
 std::uint64_t numberOption(const CommandContext &Context, const char *Name, std::uint64_t Default) {
--- a/src/include/Fescuegauge/ConnectionPool.h
+++ b/src/include/Fescuegauge/ConnectionPool.h
@@ -28,8 +28,7 @@
   Tcp::socket &socket() { return m_Socket; }
   boost::beast::flat_buffer &buffer() { return m_Buffer; }
   const Endpoint &address() const { return m_Address; }
-  /// Whether requests were sent on it before.
-  bool isReused() const { return m_Reused; }
+
   /// Ends all operations in progress with an error.
   void close();
   /// As close(), and the other side learns at once that nothing sent is of interest any more.
@@ -41,7 +40,7 @@
   Endpoint m_Address;
   Tcp::socket m_Socket;
   boost::beast::flat_buffer m_Buffer;
-  bool m_Reused = false;
+
   TimePoint m_IdleSince;
   TimePoint m_IdleUntil;
 };
@@ -71,8 +70,7 @@
   Task<ConnectionPtr> open(Endpoint Address, Duration Timeout, SystemError &Error);
   /// Keeps a connection on which an exchange ended cleanly for `KeepAlive`.
   void keep(const ConnectionPtr &Connection, Duration KeepAlive);
-  /// Closes all idle connections to an address.
-  void dropIdle(const Endpoint &Address);
+
   /// Closes idle connections whose time is over; call about once a second.
   void expire();
   const net::any_io_executor &executor() const { return m_Executor; }
--- a/src/include/Fescuegauge/DispatchQueue.h
+++ b/src/include/Fescuegauge/DispatchQueue.h
@@ -25,9 +25,6 @@
   int m_Priority = 0;
   /// The caller has asked before and was refused, or has used much of its time.
   bool m_Returned = false;
-  TimePoint m_Since;
-  /// Refused if no place was found by then.
-  TimePoint m_GiveUpAt;
 };
 
 /// The short queues of an entry instance, one for each service.
--- /dev/null
+++ b/src/include/Fescuegauge/ParseNumber.h
@@ -0,0 +1,23 @@
+#ifndef FESCUEGAUGE_PARSENUMBER_H
+#define FESCUEGAUGE_PARSENUMBER_H
+
+#include <charconv>
+#include <optional>
+#include <string_view>
+
+namespace fescuegauge {
+
+/// The number that the whole text is, in decimal; nothing if any of it is no part of a number that
+/// `T` can hold.
+template <typename T> std::optional<T> parseNumber(std::string_view Text) {
+  T Value = 0;
+  const char *End = Text.data() + Text.size();
+  const auto [Stopped, Error] = std::from_chars(Text.data(), End, Value);
+  if (Error != std::errc() || Stopped != End)
+    return std::nullopt;
+  return Value;
+}
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_PARSENUMBER_H
--- a/src/include/Fescuegauge/PieceExchange.h
+++ b/src/include/Fescuegauge/PieceExchange.h
@@ -106,8 +106,10 @@
   }
   bool mayFetchFrom(const PiecePeer &Peer, std::uint32_t Piece, TimePoint Now) const;
   bool holds(const PiecePeer &Peer, std::uint32_t Piece) const;
-  std::optional<std::uint32_t> originPiece(TimePoint Now);
-  std::uint32_t localHolders(std::uint32_t Piece) const;
+  std::optional<std::uint32_t> originPiece(const std::vector<std::uint32_t> &Holders,
+                                           TimePoint Now);
+  /// For each piece, how many other agents of the data centre hold it.
+  std::vector<std::uint32_t> localHolders() const;
   void computeImports();
   /// The region before the own one in the chain of a piece.
   RegionId sourceRegion(std::uint32_t Piece) const;
--- a/src/include/Fescuegauge/Random.h
+++ b/src/include/Fescuegauge/Random.h
@@ -12,6 +12,12 @@
 /// standard distributions differ between library versions and would change fixed-seed runs.
 using RandomGenerator = std::mt19937_64;
 
+/// A seed that differs between processes and starts.
+inline std::uint64_t freshSeed() {
+  std::random_device Device;
+  return (std::uint64_t(Device()) << 32) | Device();
+}
+
 /// A number in [0, Limit); 0 when Limit is 0.
 inline std::uint64_t uniformBelow(RandomGenerator &Random, std::uint64_t Limit) {
   return Limit == 0 ? 0 : Random() % Limit;
--- a/src/include/Fescuegauge/UpstreamBoard.h
+++ b/src/include/Fescuegauge/UpstreamBoard.h
@@ -152,16 +152,9 @@
 
   /// Own requests in flight, for the other entry instances.
   InFlightByUpstream ownInFlight() const;
-  /// Places of the usable upstreams of a service, and how many of them are taken as far as known.
-  struct Occupancy {
-    double m_Places = 0;
-    double m_Taken = 0;
-  };
-  Occupancy occupancy(const ServiceId &Service, TimePoint Now) const;
   /// Whether the upstream has requests in flight and sent nothing for SilenceLimit.
   bool isSilent(const InstanceId &Upstream, TimePoint Now) const;
-  bool isListed(const InstanceId &Upstream) const { return m_Upstreams.contains(Upstream); }
-  const UpstreamRecord *find(const InstanceId &Upstream) const;
+
   std::size_t size() const { return m_Upstreams.size(); }
 
 private:
--- a/src/include/Fescuegauge/WeightsAgent.h
+++ b/src/include/Fescuegauge/WeightsAgent.h
@@ -96,8 +96,7 @@
 
 struct WeightsAgentOptions {
   InstanceId m_Self;
-  /// The address under which the peers list this agent.
-  Endpoint m_Address;
+
   RegionId m_OriginRegion;
   /// Time from the announcement of a version until no request may begin on an older one.
   Duration m_Deadline = std::chrono::seconds(8);
--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -3,6 +3,7 @@
 #include "Fescuegauge/EndpointText.h"
 #include "Fescuegauge/Invariant.h"
 #include "Fescuegauge/Log.h"
+#include "Fescuegauge/ParseNumber.h"
 #include "Fescuegauge/Rendezvous.h"
 #include "Fescuegauge/TransferPlanner.h"
 
@@ -45,22 +46,13 @@
   const std::size_t Second = Path.find('/', First + 1);
   if (First == std::string_view::npos || Second == std::string_view::npos)
     return std::nullopt;
-  std::uint64_t Version = 0;
-  auto [End, Error] = std::from_chars(Path.data() + First + 1, Path.data() + Second, Version);
-  if (Error != std::errc() || End != Path.data() + Second)
+  const auto Version = parseNumber<std::uint64_t>(Path.substr(First + 1, Second - First - 1));
+  if (!Version)
     return std::nullopt;
-  return PieceName{ModelId(std::string(Path.substr(0, First))), WeightsVersion(Version),
+  return PieceName{ModelId(std::string(Path.substr(0, First))), WeightsVersion(*Version),
                    std::string(Path.substr(Second + 1))};
 }
 
-std::optional<std::uint32_t> parseIndex(const std::string &Text) {
-  std::uint32_t Value = 0;
-  auto [End, Error] = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  if (Error != std::errc() || End != Text.data() + Text.size())
-    return std::nullopt;
-  return Value;
-}
-
 std::string digestsText(const PieceManifest &Manifest) {
   std::string Text;
   for (const Digest &Each : Manifest.m_Digests)
@@ -152,7 +144,7 @@
                  WeightsAgentOptions Options)
       : m_Executor(Loop.get_executor()), m_Caller(Caller), m_Runner(Runner), m_Origin(Origin),
         m_PeerDirectory(Peers), m_Announcer(Announcer), m_Options(std::move(Options)),
-        m_Random(m_Options.m_Seed), m_Wake(Loop) {}
+        m_Wake(Loop) {}
 
   // The steps of one version.
   Task<> drive();
@@ -190,7 +182,7 @@
   PeerDirectory &m_PeerDirectory;
   LoadAnnouncer &m_Announcer;
   WeightsAgentOptions m_Options;
-  RandomGenerator m_Random;
+
   net::steady_timer m_Wake;
   std::optional<Target> m_Target;
   /// When versions were announced.
@@ -566,7 +558,7 @@
       Known = Path.substr(Query + KnownParameter.size());
     co_return co_await serveHoldings(*Name, Known);
   }
-  const auto Piece = parseIndex(Name->m_Name);
+  const auto Piece = parseNumber<std::uint32_t>(Name->m_Name);
   if (!Piece)
     co_return StatusAnswer{404, "text/plain", ""};
   if (m_WaitingUploads >= MaxWaitingUploads)
--- a/src/libagent/WeightsAgent_test.cpp
+++ b/src/libagent/WeightsAgent_test.cpp
@@ -1,4 +1,5 @@
 #include "Fescuegauge/WeightsAgent.h"
+#include "LoopbackTest.h"
 
 #include <catch2/catch.hpp>
 
@@ -119,12 +120,9 @@
 public:
   explicit AgentFixture(net::io_context &Loop, const std::string &Name = "127.0.0.1")
       : m_Loop(Loop), m_Pool(Loop.get_executor()), m_Caller(m_Pool), m_Server(Loop) {
-    Tcp::acceptor Probe(Loop, Tcp::endpoint(net::ip::address_v4::loopback(), 0));
-    m_Address = {"127.0.0.1", Probe.local_endpoint().port()};
-    Probe.close();
+    m_Address = {"127.0.0.1", test::freePort(Loop)};
     WeightsAgentOptions Options;
     Options.m_Self = InstanceId(Name);
-    Options.m_Address = m_Address;
     Options.m_OriginRegion = RegionId("r");
     Options.m_Deadline = 400ms;
     Options.m_Seed = 5;
@@ -139,14 +137,7 @@
   }
 
   bool runUntil(const std::function<bool()> &Holds, Duration Limit = 5s) {
-    const TimePoint End = monotonicNow() + Limit;
-    while (!Holds()) {
-      if (monotonicNow() >= End)
-        return false;
-      m_Loop.restart();
-      m_Loop.run_for(std::chrono::milliseconds(5));
-    }
-    return true;
+    return test::runUntil(m_Loop, Holds, Limit);
   }
 
   net::io_context &m_Loop;
--- a/src/libbase/EndpointText.cpp
+++ b/src/libbase/EndpointText.cpp
@@ -1,8 +1,9 @@
 #include "Fescuegauge/EndpointText.h"
 
+#include "Fescuegauge/ParseNumber.h"
+
 #include <arpa/inet.h>
 #include <array>
-#include <charconv>
 
 namespace fescuegauge {
 
@@ -28,11 +29,10 @@
     Family = AF_INET6;
     Host = Host.substr(1, Host.size() - 2);
   }
-  Endpoint Address{std::string(Host), 0};
-  auto [End, Failure] = std::from_chars(Port.data(), Port.data() + Port.size(), Address.m_Port);
-  if (Failure != std::errc() || End != Port.data() + Port.size() || !isAddressOf(Family, Host))
+  const auto Number = parseNumber<std::uint16_t>(Port);
+  if (!Number || !isAddressOf(Family, Host))
     return std::nullopt;
-  return Address;
+  return Endpoint{std::string(Host), *Number};
 }
 
 std::string endpointText(const Endpoint &Address) {
--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -243,7 +243,7 @@
 TEST_CASE("first requests go before returned ones, urgent ones before others", "[dispatch]") {
   DispatchQueue Queue;
   auto Push = [&](std::uint64_t Number, bool Returned, int Priority) {
-    Queue.push(Service, {WaitingNumber(Number), Priority, Returned, at(0s), at(1s)});
+    Queue.push(Service, {WaitingNumber(Number), Priority, Returned});
   };
   Push(1, true, 0);
   Push(2, false, 1);
--- a/src/libdispatch/UpstreamBoard.cpp
+++ b/src/libdispatch/UpstreamBoard.cpp
@@ -216,22 +216,4 @@
   return Result;
 }
 
-UpstreamBoard::Occupancy UpstreamBoard::occupancy(const ServiceId &Service, TimePoint Now) const {
-  Occupancy Result;
-  const double LeastGap = leastGap(Service);
-  for (const auto &[Id, Entry] : m_Upstreams) {
-    if (Entry.m_Record.m_Service != Service || Entry.m_Record.m_Leaving ||
-        Entry.m_PausedUntil > Now || isSilent(Entry, Now) || isLoading(Entry, Now))
-      continue;
-    Result.m_Places += limit(Entry, LeastGap);
-    Result.m_Taken += inFlight(Entry, Now);
-  }
-  return Result;
-}
-
-const UpstreamRecord *UpstreamBoard::find(const InstanceId &Upstream) const {
-  auto Found = m_Upstreams.find(Upstream);
-  return Found == m_Upstreams.end() ? nullptr : &Found->second.m_Record;
-}
-
 } // namespace fescuegauge
--- a/src/libgateway/ClientSession.cpp
+++ b/src/libgateway/ClientSession.cpp
@@ -59,10 +59,8 @@
 
 Task<> ClientSession::reject(ErrorKind Kind) {
   const ErrorAnswer &Answer = errorAnswer(Kind);
-  http::response<http::string_body> Response(static_cast<http::status>(Answer.m_HttpStatus), 11);
-  Response.set(http::field::content_type, "application/json");
+  HttpResponse Response = errorResponse(Answer);
   Response.keep_alive(false);
-  Response.body() = "{\"error\":\"" + std::string(Answer.m_Name) + "\",\"run\":\"no\"}";
   Response.prepare_payload();
   co_await http::async_write(m_Client->socket(), Response, AsTuple);
   m_Core->countRequest("none", Answer.m_Name);
--- a/src/libgateway/ConnectionPool.cpp
+++ b/src/libgateway/ConnectionPool.cpp
@@ -73,7 +73,7 @@
       Taken->close();
       continue;
     }
-    Taken->m_Reused = true;
+
     return Taken;
   }
   m_Idle.erase(Found);
@@ -120,15 +120,6 @@
                                   });
 }
 
-void ConnectionPool::dropIdle(const Endpoint &Address) {
-  auto Found = m_Idle.find(Address);
-  if (Found == m_Idle.end())
-    return;
-  for (const ConnectionPtr &Each : Found->second)
-    Each->close();
-  m_Idle.erase(Found);
-}
-
 void ConnectionPool::expire() {
   const TimePoint Now = monotonicNow();
   for (auto &[Address, Idle] : m_Idle)
--- a/src/libgateway/FakeUpstream.h
+++ b/src/libgateway/FakeUpstream.h
@@ -1,19 +1,11 @@
 #ifndef FESCUEGAUGE_LIBGATEWAY_FAKEUPSTREAM_H
 #define FESCUEGAUGE_LIBGATEWAY_FAKEUPSTREAM_H
 
-#include "Fescuegauge/AsioTypes.h"
 #include "Fescuegauge/Gateway.h"
-#include "Fescuegauge/HttpCaller.h"
 #include "Fescuegauge/Metrics.h"
+#include "LoopbackTest.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
-#include <deque>
-#include <functional>
 #include <string>
 #include <vector>
 
@@ -35,30 +27,19 @@
 
   FakeUpstream(net::io_context &Loop, Behaviour Answer)
       : m_Answer(std::move(Answer)),
-        m_Acceptor(Loop, Tcp::endpoint(net::ip::address_v4::loopback(), 0)) {
-    net::co_spawn(Loop, accept(), net::detached);
-  }
+        m_Server(Loop, [this](Tcp::socket Socket) { return serve(std::move(Socket)); }) {}
 
-  Endpoint address() const { return {"127.0.0.1", m_Acceptor.local_endpoint().port()}; }
+  Endpoint address() const { return m_Server.address(); }
   const std::vector<HttpRequest> &requests() const { return m_Requests; }
   /// Connections that the other side ended while a script was running.
   int abandoned() const { return m_Abandoned; }
   int connections() const { return m_Connections; }
-  void stopListening() { m_Acceptor.close(); }
+  void stopListening() { m_Server.stopListening(); }
 
 private:
-  Task<> accept() {
-    while (true) {
-      auto [Error, Socket] = co_await m_Acceptor.async_accept(AsTuple);
-      if (Error)
-        co_return;
-      ++m_Connections;
-      net::co_spawn(m_Acceptor.get_executor(), serve(std::move(Socket)), net::detached);
-    }
-  }
-
   Task<> serve(Tcp::socket Socket) {
     namespace http = boost::beast::http;
+    ++m_Connections;
     Socket.set_option(Tcp::no_delay(true));
     boost::beast::flat_buffer Buffer;
     while (true) {
@@ -88,10 +69,10 @@
   }
 
   Behaviour m_Answer;
-  Tcp::acceptor m_Acceptor;
   std::vector<HttpRequest> m_Requests;
   int m_Abandoned = 0;
   int m_Connections = 0;
+  LoopbackServer m_Server;
 };
 
 /// A caller's view of one answer, kept as raw bytes so that framing can be checked.
@@ -118,9 +99,7 @@
     Options.m_Region = RegionId("r");
     Options.m_Seed = 7;
     m_Gateway = std::make_unique<Gateway>(m_Loop, Options, m_Metrics);
-    Tcp::acceptor Probe(m_Loop, Tcp::endpoint(net::ip::address_v4::loopback(), 0));
-    m_Address = {"127.0.0.1", Probe.local_endpoint().port()};
-    Probe.close();
+    m_Address = {"127.0.0.1", freePort(m_Loop)};
     m_Gateway->listen(m_Address);
   }
 
@@ -184,14 +163,7 @@
 
   /// Runs the loop until a condition holds. Returns whether it did within the limit.
   bool runUntil(const std::function<bool()> &Holds, Duration Limit) {
-    const TimePoint End = monotonicNow() + Limit;
-    while (!Holds()) {
-      if (monotonicNow() >= End)
-        return false;
-      m_Loop.restart();
-      m_Loop.run_for(std::chrono::milliseconds(5));
-    }
-    return true;
+    return test::runUntil(m_Loop, Holds, Limit);
   }
 
   net::io_context &loop() { return m_Loop; }
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -23,6 +23,15 @@
 
 } // namespace
 
+HttpResponse errorResponse(const ErrorAnswer &Answer) {
+  namespace http = boost::beast::http;
+  HttpResponse Response(static_cast<http::status>(Answer.m_HttpStatus), 11);
+  Response.set(http::field::content_type, "application/json");
+  Response.body() = "{\"error\":\"" + std::string(Answer.m_Name) + "\",\"run\":\"" +
+                    std::string(wasRunName(Answer.m_WasRun)) + "\"}";
+  return Response;
+}
+
 GatewayCore::GatewayCore(net::io_context &Loop, GatewayOptions Options, MetricsService &Metrics)
     : m_Options(std::move(Options)), m_Pool(Loop.get_executor()), m_Random(m_Options.m_Seed),
       m_Board(boardOptions(m_Options), m_Random()), m_RetryTimes(m_Random()),
@@ -68,8 +77,7 @@
   WaitingRequest Entry;
   Entry.m_Priority = Terms.m_Priority;
   Entry.m_Returned = Terms.m_Returned;
-  Entry.m_Since = Now;
-  Entry.m_GiveUpAt = Now + Terms.m_Longest;
+
   Placement Direct;
   Direct.m_Verdict = PlacementVerdict::AllFull;
   if (m_Queue.waiting(Request.m_Service) == 0) {
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -4,7 +4,9 @@
 #include "Fescuegauge/ConnectionPool.h"
 #include "Fescuegauge/CrashSuspects.h"
 #include "Fescuegauge/DispatchQueue.h"
+#include "Fescuegauge/ErrorKind.h"
 #include "Fescuegauge/Gateway.h"
+#include "Fescuegauge/HttpCaller.h"
 #include "Fescuegauge/RetryBudget.h"
 #include "Fescuegauge/UpstreamBoard.h"
 
@@ -15,6 +17,9 @@
 
 namespace fescuegauge {
 
+/// The answer of this process's own for an error, without the headers of one exchange.
+HttpResponse errorResponse(const ErrorAnswer &Answer);
+
 /// A request that waits in the DispatchQueue for a place at an upstream.
 class PlaceWaiter {
 public:
--- /dev/null
+++ b/src/libgateway/LoopbackTest.h
@@ -0,0 +1,92 @@
+#ifndef FESCUEGAUGE_LIBGATEWAY_LOOPBACKTEST_H
+#define FESCUEGAUGE_LIBGATEWAY_LOOPBACKTEST_H
+
+#include "Fescuegauge/AsioTypes.h"
+#include "Fescuegauge/HttpCaller.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <functional>
+#include <optional>
+
+namespace fescuegauge::test {
+
+/// Runs the loop until a condition holds; false if it does not within `Limit`.
+inline bool runUntil(net::io_context &Loop, const std::function<bool()> &Holds,
+                     Duration Limit = std::chrono::seconds(4)) {
+  const TimePoint End = monotonicNow() + Limit;
+  while (!Holds()) {
+    if (monotonicNow() >= End)
+      return false;
+    Loop.restart();
+    Loop.run_for(std::chrono::milliseconds(5));
+  }
+  return true;
+}
+
+inline void runFor(net::io_context &Loop, Duration Length) {
+  runUntil(
+      Loop, [] { return false; }, Length);
+}
+
+inline std::uint16_t freePort(net::io_context &Loop) {
+  Tcp::acceptor Probe(Loop, Tcp::endpoint(net::ip::address_v4::loopback(), 0));
+  return Probe.local_endpoint().port();
+}
+
+/// Accepts connections on a free port of loopback, and has each served on its own.
+class LoopbackServer {
+public:
+  using Serve = std::function<Task<>(Tcp::socket)>;
+
+  LoopbackServer(net::io_context &Loop, Serve OnConnection)
+      : m_Acceptor(Loop, Tcp::endpoint(net::ip::address_v4::loopback(), 0)),
+        m_Serve(std::move(OnConnection)) {
+    net::co_spawn(Loop, accept(), net::detached);
+  }
+
+  Endpoint address() const { return {"127.0.0.1", m_Acceptor.local_endpoint().port()}; }
+  void stopListening() { m_Acceptor.close(); }
+
+private:
+  Task<> accept() {
+    while (true) {
+      auto [Error, Socket] = co_await m_Acceptor.async_accept(AsTuple);
+      if (Error)
+        co_return;
+      net::co_spawn(m_Acceptor.get_executor(), m_Serve(std::move(Socket)), net::detached);
+    }
+  }
+
+  Tcp::acceptor m_Acceptor;
+  Serve m_Serve;
+};
+
+/// The answer to a request; nothing ends the connection without one.
+using AnswerRequest = std::function<Task<std::optional<HttpResponse>>(HttpRequest)>;
+
+/// Serves the requests of one connection until it ends.
+inline Task<> answerRequests(Tcp::socket Socket, AnswerRequest Answer) {
+  namespace http = boost::beast::http;
+  boost::beast::flat_buffer Buffer;
+  while (true) {
+    HttpRequest Request;
+    auto [Error, Size] = co_await http::async_read(Socket, Buffer, Request, AsTuple);
+    if (Error)
+      co_return;
+    std::optional<HttpResponse> Response = co_await Answer(std::move(Request));
+    if (!Response)
+      co_return;
+    Response->prepare_payload();
+    auto [WriteError, Written] = co_await http::async_write(Socket, *Response, AsTuple);
+    if (WriteError)
+      co_return;
+  }
+}
+
+} // namespace fescuegauge::test
+
+#endif // FESCUEGAUGE_LIBGATEWAY_LOOPBACKTEST_H
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "Fescuegauge/Invariant.h"
 #include "Fescuegauge/Log.h"
+#include "Fescuegauge/ParseNumber.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -9,7 +10,6 @@
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
-#include <charconv>
 #include <sstream>
 
 namespace fescuegauge {
@@ -30,14 +30,6 @@
   return Status == 408 || Status == StatusMisdirected || Status == 429 || Status == 503;
 }
 
-std::optional<std::uint64_t> parseNumber(std::string_view Text) {
-  std::uint64_t Value = 0;
-  auto [End, Error] = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  if (Error != std::errc() || End != Text.data() + Text.size())
-    return std::nullopt;
-  return Value;
-}
-
 /// Headers that concern one connection only.
 bool isHopByHop(http::field Name) {
   switch (Name) {
@@ -126,7 +118,7 @@
     return ErrorKind::MalformedRequest;
 
   Duration Allowed = m_Route->m_Timeout;
-  if (auto Wanted = parseNumber(std::string(m_Request[Names.m_Deadline]))) {
+  if (auto Wanted = parseNumber<std::uint64_t>(std::string(m_Request[Names.m_Deadline]))) {
     const Duration Asked = std::chrono::milliseconds(std::min<std::uint64_t>(*Wanted, 86'400'000));
     m_Returned = m_Core.returns().hasReturned(m_Route->m_Id, Asked);
     Allowed = std::min(Allowed, Asked);
@@ -386,7 +378,8 @@
 
 Task<RequestExchange::AttemptEnd> RequestExchange::relayEvents(UpstreamExchange &Sent,
                                                                const UpstreamRecord &From) {
-  if (auto Version = parseNumber(std::string(Sent.header()[m_Core.headers().m_WeightsVersion]))) {
+  if (auto Version = parseNumber<std::uint64_t>(
+          std::string(Sent.header()[m_Core.headers().m_WeightsVersion]))) {
     if (m_StreamVersion && *m_StreamVersion != WeightsVersion(*Version))
       co_return AttemptEnd::Failed;
     m_StreamVersion = WeightsVersion(*Version);
@@ -573,15 +566,13 @@
     m_Client->reset();
     co_return;
   }
-  http::response<http::string_body> Response(static_cast<http::status>(m_Status), 11);
-  Response.set(http::field::content_type, "application/json");
+  HttpResponse Response = errorResponse(Answer);
   if (!m_RequestId.empty())
     Response.set(m_Core.headers().m_RequestId, m_RequestId);
   if (RetryAfter)
     Response.set(http::field::retry_after, secondsText(*RetryAfter));
   Response.keep_alive(keepsConnection());
-  Response.body() = std::string("{\"error\":\"") + std::string(Answer.m_Name) + "\",\"run\":\"" +
-                    std::string(wasRunName(Answer.m_WasRun)) + "\"}";
+
   Response.prepare_payload();
   m_HeadSent = true;
   auto [Error, Size] = co_await http::async_write(m_Client->socket(), Response, AsTuple);
--- a/src/libgateway/UpstreamExchange.h
+++ b/src/libgateway/UpstreamExchange.h
@@ -62,7 +62,7 @@
   void finish();
   /// Ends the operation in progress with Broken.
   void cancel();
-  bool wasCancelled() const { return m_Cancelled; }
+
   /// Whether a byte of the request may have left this process.
   bool wasSent() const { return m_Sent; }
 
--- a/src/libweights/PieceExchange.cpp
+++ b/src/libweights/PieceExchange.cpp
@@ -135,13 +135,16 @@
   return Best;
 }
 
-std::uint32_t PieceExchange::localHolders(std::uint32_t Piece) const {
-  std::uint32_t Count = 0;
-  for (const PiecePeer &Each : m_Peers)
-    if (m_SelfPeer && Each.m_DataCentre == m_SelfPeer->m_DataCentre && Each.m_Id != m_Self &&
-        holds(Each, Piece))
-      ++Count;
-  return Count;
+std::vector<std::uint32_t> PieceExchange::localHolders() const {
+  std::vector<std::uint32_t> Result(m_Count);
+  for (const PiecePeer &Each : m_Peers) {
+    if (!m_SelfPeer || Each.m_DataCentre != m_SelfPeer->m_DataCentre || Each.m_Id == m_Self)
+      continue;
+    for (std::uint32_t Piece = 0; Piece < m_Count; ++Piece)
+      if (holds(Each, Piece))
+        ++Result[Piece];
+  }
+  return Result;
 }
 
 std::uint32_t PieceExchange::originAllowance() const {
@@ -152,7 +155,8 @@
          static_cast<std::uint32_t>(Spare);
 }
 
-std::optional<std::uint32_t> PieceExchange::originPiece(TimePoint Now) {
+std::optional<std::uint32_t> PieceExchange::originPiece(const std::vector<std::uint32_t> &Holders,
+                                                        TimePoint Now) {
   if (m_FromOrigin >= MaxFromOrigin || Now < m_OriginPausedUntil)
     return std::nullopt;
   if (m_OriginFetches >= originAllowance() && Now - m_OriginFetchedAt < BeyondAllowanceInterval)
@@ -169,8 +173,7 @@
   const auto Start = static_cast<std::uint32_t>(uniformBelow(m_Random, m_Count));
   for (std::uint32_t I = 0; I < m_Count; ++I) {
     const std::uint32_t Piece = (Start + I) % m_Count;
-    if (isMissing(Piece) &&
-        (Stalled || (m_RegionImports.contains(Piece) && localHolders(Piece) == 0)))
+    if (isMissing(Piece) && (Stalled || (m_RegionImports.contains(Piece) && Holders[Piece] == 0)))
       return Piece;
   }
   return std::nullopt;
@@ -179,8 +182,9 @@
 std::optional<PieceFetch> PieceExchange::next(TimePoint Now) {
   if (m_InFlight.size() >= MaxInFlight)
     return std::nullopt;
+  const std::vector<std::uint32_t> Holders = localHolders();
   std::optional<PieceFetch> Best;
-  if (auto FromOrigin = originPiece(Now)) {
+  if (auto FromOrigin = originPiece(Holders, Now)) {
     Best = PieceFetch{*FromOrigin, true, {}};
     ++m_FromOrigin;
     ++m_OriginFetches;
@@ -198,12 +202,11 @@
       for (std::uint32_t Piece = 0; Piece < m_Count; ++Piece) {
         if (!isMissing(Piece) || !holds(Peer, Piece) || !mayFetchFrom(Peer, Piece, Now))
           continue;
-        const std::uint32_t Holders = localHolders(Piece);
         // What a mate holds need not come from afar.
-        if (Remote && Holders > 0 && !isStalled(Now))
+        if (Remote && Holders[Piece] > 0 && !isStalled(Now))
           continue;
         constexpr std::uint64_t RandomBits = 1 << 16;
-        const std::uint64_t Rank = Holders * RandomBits + uniformBelow(m_Random, RandomBits);
+        const std::uint64_t Rank = Holders[Piece] * RandomBits + uniformBelow(m_Random, RandomBits);
         if (!Best || Rank < BestRank) {
           Best = PieceFetch{Piece, false, Peer.m_Id};
           BestRank = Rank;
