Import weights through few agents at the origin, in turns that are handed over when late

Cause: every agent of the origin's region fetched from the origin at once and took the slow first pieces of a shared link for a standstill; then all agents asked the origin for anything. Besides, each agent read the digests from the origin, and fetches queued at the one agent that had a piece first (uplink queues of 0.5 s beside idle links). Ruled out: the agents' links (idle for half of the time), processor time.

Change: twelve importers at most at the origin; a tree of regions for each piece; an order of importers for each piece, with handover by time since news instead of own progress; an agent with two uploads waiting refuses (Busy) and is asked again 50 ms later; digests pass down a tree with three roots. Digests that match no piece are read from the origin again.

--- a/src/include/Fescuegauge/WeightsAgent.h
+++ b/src/include/Fescuegauge/WeightsAgent.h
@@ -67,6 +67,8 @@
   std::optional<std::string> m_Bytes;
   /// The source was reached and may have sent bytes.
   bool m_WasAsked = false;
+  /// The source refused, because enough uploads wait there.
+  bool m_WasBusy = false;
 };
 
 /// Where new weights come from.
@@ -115,12 +117,17 @@
 /// newer announcement replaces the version at any step before the order.
 class WeightsAgent {
 public:
-  /// Requests of other agents for pieces that wait for their turn; further ones are refused.
-  static constexpr std::size_t MaxWaitingUploads = 32;
+  /// Requests of other agents for pieces that wait for their turn; further ones are refused, so
+  /// that they ask another holder instead of queueing at the one that had the piece first.
+  static constexpr std::size_t MaxWaitingUploads = 2;
   /// A question for what this agent holds is answered when that has changed, after this time at
   /// the latest, and not before HoldingsInterval, which bounds the number of answers.
   static constexpr Duration HoldingsWait = std::chrono::milliseconds(1000);
   static constexpr Duration HoldingsInterval = std::chrono::milliseconds(60);
+  /// A request for digests is answered when they are known, after this time at the latest; the
+  /// asking agent waits a little longer.
+  static constexpr Duration DigestsWait = std::chrono::milliseconds(600);
+  static constexpr Duration DigestsTimeout = std::chrono::milliseconds(900);
   /// A peer must deliver a piece within this time.
   static constexpr Duration PeerTimeout = std::chrono::milliseconds(2500);
   /// Interval at which the runner is asked what it holds, at rest and while it loads.
--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -3,6 +3,7 @@
 #include "Fescuegauge/EndpointText.h"
 #include "Fescuegauge/Invariant.h"
 #include "Fescuegauge/Log.h"
+#include "Fescuegauge/ManifestSources.h"
 #include "Fescuegauge/ParseNumber.h"
 #include "Fescuegauge/Rendezvous.h"
 #include "Fescuegauge/TransferPlanner.h"
@@ -24,6 +25,10 @@
 constexpr std::string_view KnownParameter = "?known=";
 constexpr Duration ProgressCheck = std::chrono::milliseconds(20);
 constexpr Duration UploadCheck = std::chrono::milliseconds(5);
+/// Answer to a request for a piece while enough uploads wait.
+constexpr unsigned StatusBusy = 503;
+/// Wrong bytes for one piece, from any sources, after which its digest is taken to be wrong.
+constexpr std::uint32_t MaxBadBytes = 3;
 
 Invariant LoadedWhatWasVerified("agent.load_only_after_read_back");
 
@@ -105,12 +110,17 @@
 
 using PieceBytes = std::shared_ptr<const std::string>;
 
+/// Names a version in the ranks that all agents compute.
+std::string versionKey(const ModelId &Model, WeightsVersion Version) {
+  return Model.str() + "/" + std::to_string(Version.value());
+}
+
 /// One version on its way to the runner.
 struct Transfer {
   Transfer(PieceManifest Of, const WeightsAgentOptions &Options)
       : m_Manifest(std::move(Of)), m_Pieces(m_Manifest.m_Digests.size()),
         m_Staged(m_Manifest.m_Digests.size()),
-        m_Exchange(m_Manifest.m_Model.str() + "/" + std::to_string(m_Manifest.m_Version.value()),
+        m_Exchange(versionKey(m_Manifest.m_Model, m_Manifest.m_Version),
                    static_cast<std::uint32_t>(m_Manifest.m_Digests.size()), Options.m_Self,
                    Options.m_OriginRegion, Options.m_Seed, m_StartedAt) {}
 
@@ -127,6 +137,8 @@
   std::set<InstanceId> m_Asked;
   std::optional<TimePoint> m_CompleteAt;
   std::uint32_t m_BadPieces = 0;
+  /// Bytes that did not have the digest of the piece, by piece.
+  std::map<std::uint32_t, std::uint32_t> m_BadBytes;
 };
 
 } // namespace
@@ -164,6 +176,8 @@
     return m_Current == Version && m_Target && Version->m_Manifest.m_Version == m_Target->m_Version;
   }
   void accept(Transfer &Version, std::uint32_t Piece, std::string Bytes);
+  /// Gives the transfer up, to begin anew with digests from the origin.
+  void doubtDigests();
 
   Task<StatusAnswer> serve(HttpRequest Request);
   Task<StatusAnswer> servePiece(PieceName Wanted, std::uint32_t Piece);
@@ -194,6 +208,11 @@
   /// The staging area may hold pieces that are not in memory.
   bool m_StagingUnread = true;
   std::map<ModelId, WeightsVersion> m_Loaded;
+  /// Times that the digests of the wanted version were asked for in vain.
+  unsigned m_DigestAttempts = 0;
+  /// The digests that a peer or the origin gave match no piece; they are read from the origin
+  /// again.
+  bool m_DigestsDoubted = false;
   std::optional<TimePoint> m_OrderedAt;
   Pace m_UploadPace;
   std::size_t m_WaitingUploads = 0;
@@ -354,7 +373,7 @@
 Task<std::optional<PieceManifest>> WeightsAgent::Implementation::askDigests(Target Wanted,
                                                                             Endpoint Address) {
   const CallResult Answer = co_await m_Caller.call(
-      Address, makeGet(piecePath(Wanted.m_Model, Wanted.m_Version, DigestsName)), PeerTimeout);
+      Address, makeGet(piecePath(Wanted.m_Model, Wanted.m_Version, DigestsName)), DigestsTimeout);
   if (Answer.status() != 200)
     co_return std::nullopt;
   PieceManifest Manifest{Wanted.m_Model, Wanted.m_Version, parseDigests(Answer.m_Response.body())};
@@ -366,20 +385,32 @@
 Task<bool> WeightsAgent::Implementation::learnDigests(Target Wanted) {
   co_await refreshPeers(Wanted);
   std::optional<PieceManifest> Found;
-  const std::vector<PiecePeer> Peers = m_Peers;
-  for (const PiecePeer &Each : Peers)
-    if (!Found && Each.m_HoldsAll && Each.m_Id != m_Options.m_Self)
-      Found = co_await askDigests(Wanted, Each.m_Address);
-  if (!Found)
+  std::string Source = "origin";
+  if (m_DigestsDoubted) {
     Found = co_await m_Origin.manifest(Wanted.m_Model, Wanted.m_Version);
-  for (const PiecePeer &Each : Peers)
-    if (!Found && Each.m_Id != m_Options.m_Self)
-      Found = co_await askDigests(Wanted, Each.m_Address);
+  } else {
+    const auto Sources =
+        ManifestSources::sources(versionKey(Wanted.m_Model, Wanted.m_Version), m_Peers,
+                                 m_Options.m_Self, m_Options.m_OriginRegion, m_DigestAttempts);
+    for (const ManifestSources::Source &Each : Sources) {
+      if (Each.m_Peer)
+        Found = co_await askDigests(Wanted, Each.m_Peer->m_Address);
+      else
+        Found = co_await m_Origin.manifest(Wanted.m_Model, Wanted.m_Version);
+      if (Found) {
+        Source = Each.m_Peer ? Each.m_Peer->m_Id.str() : "origin";
+        break;
+      }
+    }
+  }
+  ++m_DigestAttempts;
   if (!Found) {
     logEvent(Severity::Warning, "digests_unavailable",
              {{"model", Wanted.m_Model}, {"version", Wanted.m_Version}});
     co_return false;
   }
+  m_DigestAttempts = 0;
+  m_DigestsDoubted = false;
   if (!m_Target || m_Target->m_Version != Wanted.m_Version)
     co_return false;
   m_Current = std::make_shared<Transfer>(std::move(*Found), m_Options);
@@ -388,7 +419,9 @@
            {{"model", Wanted.m_Model},
             {"version", Wanted.m_Version},
             {"pieces", m_Current->count()},
-            {"peers", m_Peers.size()}});
+            {"peers", m_Peers.size()},
+            {"digestsFrom", Source},
+            {"sinceAnnouncementSeconds", monotonicNow() - Wanted.m_AnnouncedAt}});
   co_return true;
 }
 
@@ -455,7 +488,7 @@
     Answered = Held.has_value();
     if (Answered) {
       Known = *Held;
-      Version->m_Exchange.onHoldings(Peer.m_Id, Known);
+      Version->m_Exchange.onHoldings(Peer.m_Id, Known, monotonicNow());
       m_Wake.cancel();
     } else {
       co_await sleepFor(RetryInterval);
@@ -473,11 +506,18 @@
   PieceResult Result = Answer.m_WasAsked ? PieceResult::Bad : PieceResult::NotStarted;
   if (Good)
     Result = PieceResult::Good;
+  else if (Answer.m_WasBusy)
+    Result = PieceResult::Busy;
   Version->m_Exchange.onEnded(Fetch, Result, monotonicNow());
   m_Wake.cancel();
+  if (Result == PieceResult::Busy)
+    co_return;
   if (!Good) {
-    if (Bytes)
+    if (Bytes) {
       ++Version->m_BadPieces;
+      if (++Version->m_BadBytes[Fetch.m_Piece] >= MaxBadBytes && isCurrent(Version))
+        doubtDigests();
+    }
     logEvent(Severity::Warning, "piece_not_fetched",
              {{"piece", Fetch.m_Piece},
               {"from", Fetch.m_FromOrigin ? "origin" : Fetch.m_Peer.str()},
@@ -509,11 +549,20 @@
       PeerTimeout);
   FetchedPiece Result;
   Result.m_WasAsked = Answer.m_Kind != CallResult::Kind::NotSent;
+  Result.m_WasBusy = Answer.status() == StatusBusy;
   if (Answer.status() == 200)
     Result.m_Bytes = std::move(Answer.m_Response.body());
   co_return Result;
 }
 
+void WeightsAgent::Implementation::doubtDigests() {
+  logEvent(
+      Severity::Warning, "digests_doubted",
+      {{"model", m_Current->m_Manifest.m_Model}, {"version", m_Current->m_Manifest.m_Version}});
+  m_Current.reset();
+  m_DigestsDoubted = true;
+}
+
 Task<bool> WeightsAgent::Implementation::verifyStaging(std::shared_ptr<Transfer> Version) {
   const ModelId Model = Version->m_Manifest.m_Model;
   for (std::uint32_t Piece = 0; Piece < Version->count(); ++Piece) {
@@ -548,6 +597,9 @@
   if (!Name)
     co_return StatusAnswer{404, "text/plain", ""};
   if (Name->m_Name == DigestsName) {
+    const TimePoint End = monotonicNow() + DigestsWait;
+    while (!isCurrentVersion(*Name) && monotonicNow() < End)
+      co_await sleepFor(ProgressCheck);
     if (!isCurrentVersion(*Name))
       co_return StatusAnswer{404, "text/plain", ""};
     co_return StatusAnswer{200, "text/plain", digestsText(m_Current->m_Manifest)};
@@ -562,7 +614,7 @@
   if (!Piece)
     co_return StatusAnswer{404, "text/plain", ""};
   if (m_WaitingUploads >= MaxWaitingUploads)
-    co_return StatusAnswer{503, "text/plain", ""};
+    co_return StatusAnswer{StatusBusy, "text/plain", ""};
   ++m_WaitingUploads;
   while (!m_UploadPace.allows(monotonicNow(), Duration(0)))
     co_await sleepFor(UploadCheck);
--- a/src/libweights/PieceExchange.cpp
+++ b/src/libweights/PieceExchange.cpp
@@ -7,237 +7,373 @@
 
 namespace fescuegauge {
 
-namespace {
-
-/// The member with the highest weight for a key.
-template <typename Range, typename NameOf>
-auto firstRanked(const std::string &Key, const Range &Members, NameOf Name) {
-  return std::max_element(Members.begin(), Members.end(), [&](const auto &Left, const auto &Right) {
-    return rendezvousWeight(Key, Name(Left)) < rendezvousWeight(Key, Name(Right));
-  });
-}
-
-} // namespace
-
 PieceExchange::PieceExchange(std::string Key, std::uint32_t PieceCount, InstanceId Self,
                              RegionId OriginRegion, std::uint64_t Seed, TimePoint Now)
     : m_Key(std::move(Key)), m_Count(PieceCount), m_Self(std::move(Self)),
       m_OriginRegion(std::move(OriginRegion)), m_Random(Seed), m_Held(PieceCount),
-      m_Imports(PieceCount), m_RegionImports(PieceCount), m_StartedAt(Now), m_ProgressAt(Now) {
-  computeImports();
+      m_HeldLocally(PieceCount), m_StartedAt(Now), m_NewsAt(Now) {
+  setPeers({});
 }
 
 void PieceExchange::setPeers(std::vector<PiecePeer> Peers) {
+  std::map<InstanceId, PeerState> Known;
+  for (std::size_t I = 0; I < m_Peers.size(); ++I)
+    Known.emplace(m_Peers[I].m_Id, std::move(m_States[I]));
   m_Peers = std::move(Peers);
-  auto Found = std::find_if(m_Peers.begin(), m_Peers.end(),
-                            [&](const PiecePeer &Each) { return Each.m_Id == m_Self; });
-  m_SelfPeer = Found == m_Peers.end() ? nullptr : &*Found;
+  m_States.assign(m_Peers.size(), PeerState());
+  m_IndexOf.clear();
+  m_SelfPeer = nullptr;
+  m_NobodyAtOrigin = true;
+  for (std::size_t I = 0; I < m_Peers.size(); ++I) {
+    const PiecePeer &Each = m_Peers[I];
+    m_IndexOf.emplace(Each.m_Id, I);
+    if (Each.m_Id == m_Self)
+      m_SelfPeer = &Each;
+    if (Each.m_Region == m_OriginRegion)
+      m_NobodyAtOrigin = false;
+  }
+  m_LocalHolders.assign(m_Count, 0);
+  m_HeldLocally = m_Held;
+  for (std::size_t I = 0; I < m_Peers.size(); ++I) {
+    const PiecePeer &Each = m_Peers[I];
+    PeerState &State = m_States[I];
+    if (auto Found = Known.find(Each.m_Id); Found != Known.end())
+      State = std::move(Found->second);
+    if (State.m_Held.size() != m_Count)
+      State.m_Held = ChunkSet(m_Count);
+    State.m_IsLocal = !m_SelfPeer || Each.m_DataCentre == m_SelfPeer->m_DataCentre;
+    State.m_IsSameRegion = !m_SelfPeer || Each.m_Region == m_SelfPeer->m_Region;
+    for (std::uint32_t Piece = 0; Piece < m_Count; ++Piece) {
+      if (Each.m_HoldsAll)
+        State.m_Held.insert(Piece);
+      if (State.m_IsLocal && State.m_Held.contains(Piece) && Each.m_Id != m_Self) {
+        ++m_LocalHolders[Piece];
+        m_HeldLocally.insert(Piece);
+      }
+    }
+  }
   computeImports();
+  computeFollowed();
+}
+
+PieceExchange::ImportOrder PieceExchange::importOrder() const {
+  ImportOrder Result;
+  for (const PiecePeer &Each : m_Peers)
+    if (Each.m_DataCentre == m_SelfPeer->m_DataCentre)
+      Result.m_Importers.push_back(Each.m_Id);
+  const std::string Key = m_Key + "/" + m_SelfPeer->m_DataCentre.str();
+  if (isInOriginRegion())
+    Result.m_Importers = rendezvousRank(Key, Result.m_Importers, MaxOriginImporters);
+  std::sort(Result.m_Importers.begin(), Result.m_Importers.end());
+  Result.m_First = rendezvousWeight(m_Key, m_SelfPeer->m_DataCentre.str());
+  return Result;
+}
+
+std::uint32_t PieceExchange::ownRank(const ImportOrder &Order, std::uint32_t Piece) const {
+  // In turns, so that every importer is the first one for the same number of pieces. The pieces of
+  // one importer have different second ones, which share them if it fails.
+  const std::size_t Count = Order.m_Importers.size();
+  const std::size_t Turn = Order.m_First % Count + Piece;
+  for (std::uint32_t Rank = 0; Rank <= MaxBackups && Rank < Count; ++Rank) {
+    const std::size_t Shift = Rank == 0 ? 0 : Rank + Turn / Count % (Count - 1);
+    if (Order.m_Importers[(Turn + Shift) % Count] == m_Self)
+      return Rank;
+  }
+  return MaxBackups + 1;
 }
 
 void PieceExchange::computeImports() {
-  m_Imports = ChunkSet(m_Count);
-  m_RegionImports = ChunkSet(m_Count);
-  m_SourceRegions.assign(m_Count, RegionId());
+  std::vector<PieceImport> Before = std::move(m_Imports);
+  m_Imports.assign(m_Count, PieceImport());
+  m_IsOriginImporter = false;
+  m_OriginImporters = 1;
   if (!m_SelfPeer) {
-    for (std::uint32_t Piece = 0; Piece < m_Count; ++Piece)
-      m_RegionImports.insert(Piece);
+    for (PieceImport &Each : m_Imports) {
+      Each.m_Rank = 0;
+      Each.m_IsForRegion = true;
+    }
     return;
   }
-  std::vector<InstanceId> Mates;
+  std::set<RegionId> Regions;
   std::set<DataCentreId> DataCentres;
   for (const PiecePeer &Each : m_Peers) {
-    if (Each.m_DataCentre == m_SelfPeer->m_DataCentre)
-      Mates.push_back(Each.m_Id);
+    Regions.insert(Each.m_Region);
     if (Each.m_Region == m_SelfPeer->m_Region)
       DataCentres.insert(Each.m_DataCentre);
   }
-  auto Text = [](const auto &Id) -> std::string_view { return Id.str(); };
-  // In turns, so that every agent imports the same number of pieces.
-  std::sort(Mates.begin(), Mates.end());
-  const std::size_t First = rendezvousWeight(m_Key, m_SelfPeer->m_DataCentre.str()) % Mates.size();
+  const ImportOrder Order = importOrder();
+  m_OriginImporters = Order.m_Importers.size() * DataCentres.size();
+  m_IsOriginImporter = std::find(Order.m_Importers.begin(), Order.m_Importers.end(), m_Self) !=
+                       Order.m_Importers.end();
   for (std::uint32_t Piece = 0; Piece < m_Count; ++Piece) {
-    m_SourceRegions[Piece] = sourceRegion(Piece);
-    const std::string Key = m_Key + "/" + std::to_string(Piece);
-    if (Mates[(First + Piece) % Mates.size()] != m_Self)
-      continue;
-    m_Imports.insert(Piece);
-    if (*firstRanked(Key, DataCentres, Text) == m_SelfPeer->m_DataCentre)
-      m_RegionImports.insert(Piece);
+    PieceImport &Import = m_Imports[Piece];
+    Import.m_Source = sourceRegion(Piece, Regions);
+    Import.m_Rank = ownRank(Order, Piece);
+    auto First =
+        std::next(DataCentres.begin(), static_cast<std::ptrdiff_t>(Piece % DataCentres.size()));
+    Import.m_IsForRegion = *First == m_SelfPeer->m_DataCentre;
+    if (Piece < Before.size())
+      Import.m_AvailableAt = Before[Piece].m_AvailableAt;
   }
 }
 
+RegionId PieceExchange::sourceRegion(std::uint32_t Piece, const std::set<RegionId> &Regions) const {
+  if (m_SelfPeer->m_Region == m_OriginRegion)
+    return {};
+  const std::string Key = m_Key + "/region/" + std::to_string(Piece);
+  std::vector<std::pair<std::uint64_t, RegionId>> Ranked;
+  for (const RegionId &Each : Regions)
+    if (Each != m_OriginRegion)
+      Ranked.emplace_back(rendezvousWeight(Key, Each.str()), Each);
+  std::sort(Ranked.begin(), Ranked.end());
+  auto Own = std::find_if(Ranked.begin(), Ranked.end(),
+                          [&](const auto &Each) { return Each.second == m_SelfPeer->m_Region; });
+  // The origin's region has place 0 in the tree, the others follow.
+  const std::size_t Place = static_cast<std::size_t>(Own - Ranked.begin()) + 1;
+  const std::size_t FanOut =
+      std::min(1 + m_Peers.size() / Regions.size() / AgentsPerFanOut, MaxRegionFanOut);
+  const std::size_t Parent = (Place - 1) / FanOut;
+  return Parent == 0 ? m_OriginRegion : Ranked[Parent - 1].second;
+}
+
+bool PieceExchange::isSource(const PiecePeer &Peer) const {
+  return std::any_of(m_Imports.begin(), m_Imports.end(),
+                     [&](const PieceImport &Each) { return Each.m_Source == Peer.m_Region; });
+}
+
+void PieceExchange::computeFollowed() {
+  m_FollowedLocal.clear();
+  m_FollowedRemote.clear();
+  for (std::size_t I = 0; I < m_Peers.size(); ++I)
+    if (m_Peers[I].m_Id != m_Self && !m_Peers[I].m_HoldsAll)
+      (m_States[I].m_IsLocal ? m_FollowedLocal : m_FollowedRemote).push_back(I);
+  // Different agents follow different ones of many; those that cannot be a source come last, for
+  // the time of a standstill.
+  auto Rank = [&](std::vector<std::size_t> &Of) {
+    std::vector<std::pair<std::pair<bool, std::uint64_t>, std::size_t>> Keyed;
+    for (const std::size_t Each : Of) {
+      const bool Useful = m_States[Each].m_IsSameRegion || isSource(m_Peers[Each]);
+      Keyed.push_back({{!Useful, rendezvousWeight(m_Self.str(), m_Peers[Each].m_Id.str())}, Each});
+    }
+    std::sort(Keyed.begin(), Keyed.end());
+    Of.clear();
+    for (const auto &Each : Keyed)
+      Of.push_back(Each.second);
+  };
+  Rank(m_FollowedLocal);
+  Rank(m_FollowedRemote);
+}
+
 std::vector<PiecePeer> PieceExchange::followed(TimePoint Now) const {
-  std::vector<PiecePeer> Local;
-  std::vector<PiecePeer> Remote;
+  std::vector<PiecePeer> Result;
   const bool Stalled = isStalled(Now);
-  for (const PiecePeer &Each : m_Peers) {
-    if (Each.m_Id == m_Self || Each.m_HoldsAll)
+  for (std::size_t I = 0; I < std::min(MaxLocalFollowed, m_FollowedLocal.size()); ++I)
+    Result.push_back(m_Peers[m_FollowedLocal[I]]);
+  std::size_t Remote = 0;
+  for (const std::size_t Each : m_FollowedRemote) {
+    if (Remote == MaxRemoteFollowed)
+      break;
+    if (!Stalled && !m_States[Each].m_IsSameRegion && !isSource(m_Peers[Each]))
+      continue;
+    Result.push_back(m_Peers[Each]);
+    ++Remote;
+  }
+  return Result;
+}
+
+void PieceExchange::onHoldings(const InstanceId &Peer, const ChunkSet &Held, TimePoint Now) {
+  if (auto Found = m_IndexOf.find(Peer); Found != m_IndexOf.end() && Held.size() == m_Count)
+    notePieces(Found->second, Held, Now);
+}
+
+void PieceExchange::notePieces(std::size_t Peer, const ChunkSet &Held, TimePoint Now) {
+  PeerState &State = m_States[Peer];
+  if (State.m_Held == Held)
+    return;
+  for (std::uint32_t Piece = 0; Piece < m_Count; ++Piece) {
+    const bool Has = Held.contains(Piece);
+    if (Has == State.m_Held.contains(Piece))
+      continue;
+    if (State.m_IsLocal)
+      m_LocalHolders[Piece] += Has ? 1U : -1U;
+    if (!Has)
       continue;
-    const bool IsLocal = m_SelfPeer && Each.m_DataCentre == m_SelfPeer->m_DataCentre;
-    const bool SameRegion = m_SelfPeer && Each.m_Region == m_SelfPeer->m_Region;
-    const bool IsSource = SameRegion || Stalled ||
-                          std::find(m_SourceRegions.begin(), m_SourceRegions.end(),
-                                    Each.m_Region) != m_SourceRegions.end();
-    if (IsLocal)
-      Local.push_back(Each);
-    else if (IsSource)
-      Remote.push_back(Each);
+    PieceImport &Import = m_Imports[Piece];
+    if (!State.m_IsLocal && m_Peers[Peer].m_Region == Import.m_Source && !Import.m_AvailableAt)
+      Import.m_AvailableAt = Now;
+    if (State.m_IsLocal && m_HeldLocally.insert(Piece))
+      m_NewsAt = Now;
   }
-  // Different agents follow different ones of many.
-  auto Limit = [&](std::vector<PiecePeer> &Of, std::size_t Most) {
-    if (Of.size() <= Most)
+  State.m_Held = Held;
+  noteOwnShare(Now);
+}
+
+void PieceExchange::noteOwnShare(TimePoint Now) {
+  if (m_OwnShareAt || ownImportCount() == 0)
+    return;
+  for (std::uint32_t Piece = 0; Piece < m_Count; ++Piece)
+    if (m_Imports[Piece].m_Rank == 0 && !m_HeldLocally.contains(Piece))
       return;
-    std::sort(Of.begin(), Of.end(), [&](const PiecePeer &Left, const PiecePeer &Right) {
-      return rendezvousWeight(m_Self.str(), Left.m_Id.str()) >
-             rendezvousWeight(m_Self.str(), Right.m_Id.str());
-    });
-    Of.resize(Most);
-  };
-  Limit(Local, MaxLocalFollowed);
-  Limit(Remote, MaxRemoteFollowed);
-  Local.insert(Local.end(), Remote.begin(), Remote.end());
-  return Local;
+  m_OwnShareAt = Now;
 }
 
-bool PieceExchange::holds(const PiecePeer &Peer, std::uint32_t Piece) const {
-  if (Peer.m_HoldsAll)
-    return true;
-  auto Known = m_Holdings.find(Peer.m_Id);
-  return Known != m_Holdings.end() && Known->second.contains(Piece);
+bool PieceExchange::isOutOfTurn(std::uint32_t Piece, TimePoint Now) const {
+  if (!isStalled(Now))
+    return false;
+  const double Steps = toSeconds(Now - m_NewsAt - StallTime) / toSeconds(StallStep);
+  const double Share =
+      std::exp2(Steps) / static_cast<double>(std::max<std::size_t>(m_Peers.size(), 1));
+  constexpr int UsedBits = 53;
+  const std::uint64_t Weight =
+      rendezvousWeight(m_Key + "/turn/" + std::to_string(Piece), m_Self.str());
+  return static_cast<double>(Weight >> (64 - UsedBits)) * 0x1.0p-53 < Share;
+}
+
+bool PieceExchange::isOriginTurn(std::uint32_t Piece, TimePoint Now) const {
+  const PieceImport &Import = m_Imports[Piece];
+  if (!Import.m_IsForRegion || m_HeldLocally.contains(Piece))
+    return false;
+  const Duration Lead = HandoverTime * static_cast<Duration::rep>(Import.m_Rank);
+  return Lead == Duration(0) || Now - m_NewsAt >= Lead ||
+         (m_OwnShareAt && Import.m_Rank <= MaxBackups && Now - *m_OwnShareAt >= Lead);
+}
+
+bool PieceExchange::isRemoteTurn(const PieceImport &Import, TimePoint Now) const {
+  return Import.m_AvailableAt &&
+         Now - *Import.m_AvailableAt >= HandoverTime * static_cast<Duration::rep>(Import.m_Rank);
 }
 
-bool PieceExchange::mayFetchFrom(const PiecePeer &Peer, std::uint32_t Piece, TimePoint Now) const {
-  if (!m_SelfPeer || Peer.m_DataCentre == m_SelfPeer->m_DataCentre || isStalled(Now))
+bool PieceExchange::mayFetchFrom(std::size_t Peer, std::uint32_t Piece, TimePoint Now) const {
+  const PeerState &State = m_States[Peer];
+  if (State.m_IsLocal)
     return true;
-  if (Peer.m_Region == m_SelfPeer->m_Region)
-    return m_Imports.contains(Piece);
-  return m_RegionImports.contains(Piece) && Peer.m_Region == m_SourceRegions[Piece];
+  if (isStalled(Now) && isOutOfTurn(Piece, Now))
+    return true;
+  // What a mate holds need not come from afar.
+  if (m_HeldLocally.contains(Piece))
+    return false;
+  const PieceImport &Import = m_Imports[Piece];
+  if (State.m_IsSameRegion)
+    return Import.m_Rank == 0;
+  return Import.m_IsForRegion && m_Peers[Peer].m_Region == Import.m_Source &&
+         isRemoteTurn(Import, Now);
 }
 
-RegionId PieceExchange::sourceRegion(std::uint32_t Piece) const {
-  if (m_SelfPeer->m_Region == m_OriginRegion)
-    return {};
-  const std::string Key = m_Key + "/region/" + std::to_string(Piece);
-  const std::uint64_t Own = rendezvousWeight(Key, m_SelfPeer->m_Region.str());
-  // The region with the next higher weight; the origin's if there is none.
-  RegionId Best = m_OriginRegion;
-  std::uint64_t BestWeight = 0;
-  for (const PiecePeer &Each : m_Peers) {
-    if (Each.m_Region == m_OriginRegion || Each.m_Region == m_SelfPeer->m_Region)
-      continue;
-    const std::uint64_t Weight = rendezvousWeight(Key, Each.m_Region.str());
-    if (Weight > Own && (Best == m_OriginRegion || Weight < BestWeight)) {
-      Best = Each.m_Region;
-      BestWeight = Weight;
-    }
-  }
-  return Best;
+std::uint32_t PieceExchange::ownImportCount() const {
+  return static_cast<std::uint32_t>(
+      std::count_if(m_Imports.begin(), m_Imports.end(), [](const PieceImport &Each) {
+        return Each.m_IsForRegion && Each.m_Rank == 0;
+      }));
 }
 
-std::vector<std::uint32_t> PieceExchange::localHolders() const {
-  std::vector<std::uint32_t> Result(m_Count);
-  for (const PiecePeer &Each : m_Peers) {
-    if (!m_SelfPeer || Each.m_DataCentre != m_SelfPeer->m_DataCentre || Each.m_Id == m_Self)
-      continue;
-    for (std::uint32_t Piece = 0; Piece < m_Count; ++Piece)
-      if (holds(Each, Piece))
-        ++Result[Piece];
-  }
+std::uint32_t PieceExchange::originAllowance() const {
+  auto Part = [&](double Copies, std::size_t Among) {
+    return static_cast<std::uint32_t>(
+        std::ceil(Copies * m_Count / static_cast<double>(std::max<std::size_t>(Among, 1))));
+  };
+  std::uint32_t Result = Part(SpareCopies, m_Peers.size());
+  if (isInOriginRegion() && m_IsOriginImporter)
+    Result += ownImportCount() + Part(SpareImporterCopies, m_OriginImporters);
   return Result;
 }
 
-std::uint32_t PieceExchange::originAllowance() const {
-  const bool InOriginRegion = m_SelfPeer && m_SelfPeer->m_Region == m_OriginRegion;
-  const double Spare = std::ceil(SpareCopies * m_Count /
-                                 static_cast<double>(std::max<std::size_t>(m_Peers.size(), 1)));
-  return static_cast<std::uint32_t>(InOriginRegion ? m_RegionImports.count() : 0) +
-         static_cast<std::uint32_t>(Spare);
+std::uint32_t PieceExchange::maxFromOrigin() const {
+  const auto Share = static_cast<std::uint32_t>(OriginConcurrency / m_OriginImporters);
+  return std::clamp<std::uint32_t>(Share, 1, MaxFromOrigin);
 }
 
-std::optional<std::uint32_t> PieceExchange::originPiece(const std::vector<std::uint32_t> &Holders,
-                                                        TimePoint Now) {
-  if (m_FromOrigin >= MaxFromOrigin || Now < m_OriginPausedUntil)
+std::optional<std::uint32_t> PieceExchange::originPiece(TimePoint Now) {
+  if (m_FromOrigin >= maxFromOrigin() || Now < m_OriginPausedUntil)
     return std::nullopt;
   if (m_OriginFetches >= originAllowance() && Now - m_OriginFetchedAt < BeyondAllowanceInterval)
     return std::nullopt;
-  const bool NobodyAtOrigin =
-      std::none_of(m_Peers.begin(), m_Peers.end(),
-                   [&](const PiecePeer &Each) { return Each.m_Region == m_OriginRegion; });
   // An agent that the platform does not list asks its peers first, if there are any.
-  const bool Imports = m_SelfPeer ? m_SelfPeer->m_Region == m_OriginRegion || NobodyAtOrigin
+  const bool Imports = m_SelfPeer ? isInOriginRegion() || m_NobodyAtOrigin
                                   : m_Peers.empty() || Now - m_StartedAt > StallTime;
   const bool Stalled = isStalled(Now);
   if (!Imports && !Stalled)
     return std::nullopt;
   const auto Start = static_cast<std::uint32_t>(uniformBelow(m_Random, m_Count));
+  std::optional<std::uint32_t> Best;
   for (std::uint32_t I = 0; I < m_Count; ++I) {
     const std::uint32_t Piece = (Start + I) % m_Count;
-    if (isMissing(Piece) && (Stalled || (m_RegionImports.contains(Piece) && Holders[Piece] == 0)))
+    if (!isMissing(Piece))
+      continue;
+    const bool IsTurn = Imports && isOriginTurn(Piece, Now);
+    if (IsTurn && m_Imports[Piece].m_Rank == 0)
       return Piece;
+    if (!Best && (IsTurn || (Stalled && isOutOfTurn(Piece, Now))))
+      Best = Piece;
   }
-  return std::nullopt;
+  return Best;
 }
 
 std::optional<PieceFetch> PieceExchange::next(TimePoint Now) {
   if (m_InFlight.size() >= MaxInFlight)
     return std::nullopt;
-  const std::vector<std::uint32_t> Holders = localHolders();
-  std::optional<PieceFetch> Best;
-  if (auto FromOrigin = originPiece(Holders, Now)) {
-    Best = PieceFetch{*FromOrigin, true, {}};
+  if (auto FromOrigin = originPiece(Now)) {
     ++m_FromOrigin;
     ++m_OriginFetches;
     m_OriginFetchedAt = Now;
-  } else {
-    // Pieces that fewer agents of the data centre hold go first; imports have none.
-    std::uint64_t BestRank = 0;
-    for (const PiecePeer &Peer : m_Peers) {
-      auto Paused = m_PausedUntil.find(Peer.m_Id);
-      auto Busy = m_FromPeer.find(Peer.m_Id);
-      if (Peer.m_Id == m_Self || (Paused != m_PausedUntil.end() && Now < Paused->second) ||
-          (Busy != m_FromPeer.end() && Busy->second >= MaxFromPeer))
+    m_InFlight.insert(*FromOrigin);
+    return PieceFetch{*FromOrigin, true, {}};
+  }
+  // Pieces that fewer agents of the data centre hold go first; imports have none.
+  std::optional<std::size_t> BestPeer;
+  std::uint32_t BestPiece = 0;
+  std::uint64_t BestRank = 0;
+  for (std::size_t Peer = 0; Peer < m_Peers.size(); ++Peer) {
+    const PeerState &State = m_States[Peer];
+    if (&m_Peers[Peer] == m_SelfPeer || Now < State.m_PausedUntil ||
+        State.m_InFlight >= MaxFromPeer)
+      continue;
+    for (std::uint32_t Piece = 0; Piece < m_Count; ++Piece) {
+      if (!State.m_Held.contains(Piece) || !isMissing(Piece) || !mayFetchFrom(Peer, Piece, Now))
         continue;
-      const bool Remote = m_SelfPeer && Peer.m_DataCentre != m_SelfPeer->m_DataCentre;
-      for (std::uint32_t Piece = 0; Piece < m_Count; ++Piece) {
-        if (!isMissing(Piece) || !holds(Peer, Piece) || !mayFetchFrom(Peer, Piece, Now))
-          continue;
-        // What a mate holds need not come from afar.
-        if (Remote && Holders[Piece] > 0 && !isStalled(Now))
-          continue;
-        constexpr std::uint64_t RandomBits = 1 << 16;
-        const std::uint64_t Rank = Holders[Piece] * RandomBits + uniformBelow(m_Random, RandomBits);
-        if (!Best || Rank < BestRank) {
-          Best = PieceFetch{Piece, false, Peer.m_Id};
-          BestRank = Rank;
-        }
+      constexpr std::uint64_t RandomBits = 1 << 16;
+      const std::uint64_t Rank =
+          m_LocalHolders[Piece] * RandomBits + uniformBelow(m_Random, RandomBits);
+      if (!BestPeer || Rank < BestRank) {
+        BestPeer = Peer;
+        BestPiece = Piece;
+        BestRank = Rank;
       }
     }
-    if (Best)
-      ++m_FromPeer[Best->m_Peer];
   }
-  if (Best)
-    m_InFlight.insert(Best->m_Piece);
-  return Best;
+  if (!BestPeer)
+    return std::nullopt;
+  ++m_States[*BestPeer].m_InFlight;
+  m_InFlight.insert(BestPiece);
+  return PieceFetch{BestPiece, false, m_Peers[*BestPeer].m_Id};
 }
 
 void PieceExchange::onEnded(const PieceFetch &Fetch, PieceResult Result, TimePoint Now) {
   m_InFlight.erase(Fetch.m_Piece);
+  PeerState *From = nullptr;
+  if (auto Found = m_IndexOf.find(Fetch.m_Peer); Found != m_IndexOf.end())
+    From = &m_States[Found->second];
   if (Fetch.m_FromOrigin)
     --m_FromOrigin;
-  else
-    --m_FromPeer[Fetch.m_Peer];
+  else if (From && From->m_InFlight > 0)
+    --From->m_InFlight;
   if (Fetch.m_FromOrigin && Result == PieceResult::NotStarted)
     --m_OriginFetches;
   if (Result == PieceResult::Good) {
     m_Held.insert(Fetch.m_Piece);
-    m_ProgressAt = Now;
+    m_HeldLocally.insert(Fetch.m_Piece);
+    m_NewsAt = Now;
+    noteOwnShare(Now);
   } else if (Fetch.m_FromOrigin) {
     m_OriginPausedUntil = Now + FailurePause;
-  } else {
-    m_PausedUntil[Fetch.m_Peer] = Now + FailurePause;
-    if (auto Known = m_Holdings.find(Fetch.m_Peer); Known != m_Holdings.end())
-      Known->second.erase(Fetch.m_Piece);
+  } else if (From && Result == PieceResult::Busy) {
+    From->m_PausedUntil = Now + BusyPause;
+  } else if (From) {
+    From->m_PausedUntil = Now + FailurePause;
+    if (From->m_Held.contains(Fetch.m_Piece)) {
+      From->m_Held.erase(Fetch.m_Piece);
+      if (From->m_IsLocal)
+        --m_LocalHolders[Fetch.m_Piece];
+    }
   }
 }
 
--- a/src/libweights/PieceExchange_test.cpp
+++ b/src/libweights/PieceExchange_test.cpp
@@ -1,184 +1,134 @@
-#include "Fescuegauge/PieceExchange.h"
+#include "TransferModel.h"
+
+#include "Fescuegauge/ManifestSources.h"
 
 #include <catch2/catch.hpp>
-#include <memory>
-#include <queue>
 
 using namespace fescuegauge;
 using namespace std::chrono_literals;
 
 namespace {
 
-constexpr std::uint32_t Pieces = 96;
-const RegionId OriginRegion("r0");
-
-/// A transfer of one version between agents on virtual time. Every link, the origin's included,
-/// sends one piece in PieceTime, one after the other; agents learn what others hold after
-/// HoldingsDelay.
-class TransferModel {
-public:
-  static constexpr Duration PieceTime = 27ms;
-  static constexpr Duration HoldingsDelay = 80ms;
-  static constexpr Duration Step = 10ms;
+const RegionId OriginRegion = TransferModel::originRegion();
 
-  TransferModel(std::size_t Agents, std::size_t Regions, std::uint64_t Seed) : m_Random(Seed) {
-    std::vector<PiecePeer> Peers;
-    for (std::size_t I = 0; I < Agents; ++I) {
-      PiecePeer Each;
-      Each.m_Id = InstanceId("agent-" + std::to_string(I));
-      Each.m_Region = RegionId("r" + std::to_string(I % Regions));
-      Each.m_DataCentre = DataCentreId("dc" + std::to_string(I % Regions));
-      Peers.push_back(Each);
-    }
-    for (std::size_t I = 0; I < Agents; ++I) {
-      m_Agents.push_back(std::make_unique<Agent>(
-          PieceExchange("model/2", Pieces, Peers[I].m_Id, OriginRegion, m_Random(), TimePoint())));
-      m_Agents.back()->m_Exchange.setPeers(Peers);
-    }
-    m_Peers = Peers;
-  }
-
-  /// Agents that never do anything.
-  void kill(std::size_t Index) { m_Agents[Index]->m_Dead = true; }
-  /// The share of pieces that arrive spoilt.
-  void spoil(double Share) { m_Spoilt = Share; }
-  void stopOrigin(Duration From, Duration Until) {
-    m_OriginDownFrom = TimePoint(From);
-    m_OriginDownUntil = TimePoint(Until);
-  }
-
-  /// Returns the time at which the last living agent held everything; nothing if that took longer
-  /// than the limit.
-  std::optional<Duration> run(Duration Limit) {
-    for (TimePoint Now; Now < TimePoint(Limit); Now += Step) {
-      deliver(Now);
-      bool All = true;
-      for (std::size_t I = 0; I < m_Agents.size(); ++I) {
-        if (m_Agents[I]->m_Dead)
-          continue;
-        All = All && m_Agents[I]->m_Exchange.isComplete();
-        plan(I, Now);
-      }
-      if (All)
-        return Now.time_since_epoch();
-    }
-    return std::nullopt;
-  }
-
-  double originCopies() const { return static_cast<double>(m_OriginPieces) / Pieces; }
-  double regionCrossings() const { return static_cast<double>(m_Crossings) / Pieces; }
-
-private:
-  struct Agent {
-    explicit Agent(PieceExchange Exchange) : m_Exchange(std::move(Exchange)) {}
-    PieceExchange m_Exchange;
-    TimePoint m_UplinkFree;
-    bool m_Dead = false;
-    std::map<InstanceId, TimePoint> m_NextHoldings;
-  };
-  struct Arrival {
-    TimePoint m_At;
-    std::size_t m_Agent;
-    PieceFetch m_Fetch;
-    PieceResult m_Result;
-  };
-
-  std::size_t indexOf(const InstanceId &Id) const {
-    for (std::size_t I = 0; I < m_Peers.size(); ++I)
-      if (m_Peers[I].m_Id == Id)
-        return I;
-    return m_Peers.size();
-  }
-
-  void deliver(TimePoint Now) {
-    for (std::size_t I = 0; I < m_InFlight.size();) {
-      if (m_InFlight[I].m_At > Now) {
-        ++I;
-        continue;
-      }
-      const Arrival Done = m_InFlight[I];
-      m_InFlight[I] = m_InFlight.back();
-      m_InFlight.pop_back();
-      m_Agents[Done.m_Agent]->m_Exchange.onEnded(Done.m_Fetch, Done.m_Result, Now);
-    }
-  }
-
-  void plan(std::size_t Index, TimePoint Now) {
-    Agent &Self = *m_Agents[Index];
-    for (const PiecePeer &Peer : Self.m_Exchange.followed(Now)) {
-      TimePoint &Next = Self.m_NextHoldings[Peer.m_Id];
-      const std::size_t Other = indexOf(Peer.m_Id);
-      if (Now < Next || m_Agents[Other]->m_Dead)
-        continue;
-      Next = Now + HoldingsDelay;
-      Self.m_Exchange.onHoldings(Peer.m_Id, m_Agents[Other]->m_Exchange.held());
-    }
-    while (auto Fetch = Self.m_Exchange.next(Now))
-      send(Index, *Fetch, Now);
-  }
-
-  void send(std::size_t To, const PieceFetch &Fetch, TimePoint Now) {
-    PieceResult Result = chance(m_Random, m_Spoilt) ? PieceResult::Bad : PieceResult::Good;
-    if (Fetch.m_FromOrigin) {
-      if (Now >= m_OriginDownFrom && Now < m_OriginDownUntil) {
-        m_InFlight.push_back({Now + 5ms, To, Fetch, PieceResult::NotStarted});
-        return;
-      }
-      ++m_OriginPieces;
-      m_OriginFree = std::max(m_OriginFree, Now) + PieceTime;
-      m_InFlight.push_back({m_OriginFree, To, Fetch, Result});
-      return;
-    }
-    const std::size_t From = indexOf(Fetch.m_Peer);
-    Agent &Source = *m_Agents[From];
-    REQUIRE(Source.m_Exchange.held().contains(Fetch.m_Piece));
-    if (m_Peers[From].m_Region != m_Peers[To].m_Region)
-      ++m_Crossings;
-    Source.m_UplinkFree = std::max(Source.m_UplinkFree, Now) + PieceTime;
-    m_InFlight.push_back({Source.m_UplinkFree, To, Fetch, Result});
-  }
-
-  RandomGenerator m_Random;
-  std::vector<PiecePeer> m_Peers;
-  std::vector<std::unique_ptr<Agent>> m_Agents;
-  std::vector<Arrival> m_InFlight;
-  TimePoint m_OriginFree;
-  TimePoint m_OriginDownFrom;
-  TimePoint m_OriginDownUntil;
-  std::size_t m_OriginPieces = 0;
-  std::size_t m_Crossings = 0;
-  double m_Spoilt = 0;
-};
-
-/// The time in which one copy leaves the origin.
-/// The target of issue 10, as a multiple of LowerBound.
+/// Bounds of issue 17 on the time of the last agent: without faults, and with them, as multiples of
+/// the lower bound.
 constexpr double TimeTarget = 1.3;
+constexpr double FaultTimeTarget = 3;
+constexpr double FaultMedianTarget = 2;
+/// Copies that may leave the origin: without faults, and with any.
+constexpr double CopiesTarget = 1.1;
+constexpr double FaultCopiesTarget = 4;
+
+TransferModelOptions sized(std::size_t Agents, std::size_t Regions, std::uint64_t Seed) {
+  TransferModelOptions Result;
+  Result.m_Agents = Agents;
+  Result.m_Regions = Regions;
+  Result.m_Seed = Seed;
+  return Result;
+}
+
+/// An origin whose link is slower than an agent's.
+TransferModelOptions withSlowOrigin(TransferModelOptions Options) {
+  Options.m_OriginPieceTime = 45ms;
+  return Options;
+}
 
-constexpr Duration LowerBound = Pieces * TransferModel::PieceTime;
+double timesLowerBound(Duration Time, const TransferModel &Of) {
+  return toSeconds(Time) / toSeconds(Of.lowerBound());
+}
 
 } // namespace
 
 TEST_CASE("a version leaves the origin once and crosses each region link once", "[pieces]") {
   for (const std::size_t Agents : {9U, 15U, 34U}) {
-    TransferModel Model(Agents, 3, 11);
+    CAPTURE(Agents);
+    TransferModel Model(sized(Agents, 3, 11));
     const auto Time = Model.run(20s);
     REQUIRE(Time);
-    CHECK(Model.originCopies() == 1.0);
-    CHECK(Model.regionCrossings() == 2.0);
+    CHECK(Model.originCopies() <= CopiesTarget);
+    CHECK(Model.regionCrossings() <= 2 * CopiesTarget);
     if (Agents < 34U)
-      CHECK(toSeconds(*Time) <= TimeTarget * toSeconds(LowerBound));
+      CHECK(timesLowerBound(*Time, Model) <= TimeTarget);
   }
 }
 
 TEST_CASE("34 agents hold a version within 1.3 times the lower bound", "[pieces][known-red]") {
-  TransferModel Model(34, 3, 11);
+  TransferModel Model(sized(34, 3, 11));
   const auto Time = Model.run(20s);
   REQUIRE(Time);
-  CHECK(toSeconds(*Time) <= TimeTarget * toSeconds(LowerBound));
+  CHECK(timesLowerBound(*Time, Model) <= TimeTarget);
+}
+
+// Guards against importers that take the slow first pieces of a shared origin link for a standstill
+// and then fetch what others are fetching: 2.3 copies and 11.7 s at 90 agents.
+TEST_CASE("many agents in five regions fetch one copy over a slow origin link", "[pieces]") {
+  for (const std::size_t Agents : {34U, 90U, 153U}) {
+    CAPTURE(Agents);
+    TransferModel Model(withSlowOrigin(sized(Agents, 5, 11)));
+    const auto Time = Model.run(30s);
+    REQUIRE(Time);
+    CHECK(Model.originCopies() <= CopiesTarget);
+    if (Agents < 153U)
+      CHECK(timesLowerBound(*Time, Model) <= TimeTarget);
+  }
+}
+
+TEST_CASE("153 agents in five regions hold a version within 1.3 times the lower bound",
+          "[pieces][known-red]") {
+  TransferModel Model(withSlowOrigin(sized(153, 5, 11)));
+  const auto Time = Model.run(30s);
+  REQUIRE(Time);
+  CHECK(timesLowerBound(*Time, Model) <= TimeTarget);
+}
+
+TEST_CASE("one region of many agents fetches one copy", "[pieces]") {
+  for (const std::size_t Agents : {9U, 34U, 90U}) {
+    CAPTURE(Agents);
+    TransferModel Model(withSlowOrigin(sized(Agents, 1, 3)));
+    const auto Time = Model.run(30s);
+    REQUIRE(Time);
+    CHECK(Model.originCopies() <= CopiesTarget);
+    CHECK(timesLowerBound(*Time, Model) <= TimeTarget);
+  }
+}
+
+// Guards against importers on slow links that hold up all others.
+TEST_CASE("agents on squeezed links do not hold up the others", "[pieces]") {
+  for (std::uint64_t Seed = 1; Seed <= 4; ++Seed) {
+    CAPTURE(Seed);
+    constexpr std::size_t Agents = 90;
+    TransferModel Model(withSlowOrigin(sized(Agents, 5, Seed)));
+    RandomGenerator Random(Seed);
+    for (std::size_t I = 0; I < Agents; ++I)
+      if (chance(Random, 0.12))
+        Model.squeeze(I, 0.09);
+    REQUIRE(Model.run(60s));
+    CHECK(Model.originCopies() <= FaultCopiesTarget);
+    REQUIRE(Model.medianTime());
+    CHECK(timesLowerBound(*Model.medianTime(), Model) <= FaultMedianTarget);
+  }
+}
+
+TEST_CASE("killed agents do not hold up the others", "[pieces]") {
+  for (std::uint64_t Seed = 1; Seed <= 4; ++Seed) {
+    CAPTURE(Seed);
+    constexpr std::size_t Agents = 90;
+    TransferModel Model(withSlowOrigin(sized(Agents, 5, Seed)));
+    RandomGenerator Random(Seed);
+    for (std::size_t I = 0; I < Agents; ++I)
+      if (chance(Random, 0.23))
+        Model.kill(I);
+    const auto Time = Model.run(60s);
+    REQUIRE(Time);
+    CHECK(Model.originCopies() <= FaultCopiesTarget);
+    CHECK(timesLowerBound(*Time, Model) <= FaultTimeTarget);
+    CHECK(timesLowerBound(*Model.medianTime(), Model) <= FaultMedianTarget);
+  }
 }
 
 TEST_CASE("an agent alone fetches everything from the origin", "[pieces]") {
-  TransferModel Model(1, 1, 5);
+  TransferModel Model(sized(1, 1, 5));
   REQUIRE(Model.run(10s));
   CHECK(Model.originCopies() == 1.0);
 }
@@ -186,30 +136,30 @@
 // Guards against an allowance used up by refused connections, after which no version was ever
 // completed again.
 TEST_CASE("a transfer goes on when the origin returns", "[pieces]") {
-  TransferModel Model(15, 3, 7);
+  TransferModel Model(sized(15, 3, 7));
   Model.stopOrigin(500ms, 6500ms);
   const auto Time = Model.run(20s);
   REQUIRE(Time);
-  CHECK(Model.originCopies() <= 4.0);
-  CHECK(*Time <= 6500ms + LowerBound * 2);
+  CHECK(Model.originCopies() <= FaultCopiesTarget);
+  CHECK(*Time <= 6500ms + Model.lowerBound() * 2);
 }
 
 TEST_CASE("agents that died do not stop the others, within four copies", "[pieces]") {
   for (std::uint64_t Seed = 1; Seed <= 4; ++Seed) {
-    TransferModel Model(15, 3, Seed);
+    TransferModel Model(sized(15, 3, Seed));
     for (std::size_t I = 0; I < 15; I += 4)
       Model.kill(I);
     REQUIRE(Model.run(40s));
-    CHECK(Model.originCopies() <= 4.0);
+    CHECK(Model.originCopies() <= FaultCopiesTarget);
   }
 }
 
 TEST_CASE("random losses and spoilt pieces are made good within four copies", "[pieces][random]") {
-  for (std::uint64_t Seed = 1; Seed <= 12; ++Seed) {
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
     CAPTURE(Seed);
     RandomGenerator Random(Seed);
     const std::size_t Agents = 3 + uniformBelow(Random, 32);
-    TransferModel Model(Agents, 1 + uniformBelow(Random, 4), Seed);
+    TransferModel Model(sized(Agents, 1 + uniformBelow(Random, 4), Seed));
     for (std::size_t I = 0; I < Agents / 4; ++I)
       if (chance(Random, 0.5))
         Model.kill(1 + uniformBelow(Random, Agents - 1));
@@ -219,7 +169,7 @@
       Model.stopOrigin(From, From + 3s);
     }
     REQUIRE(Model.run(60s));
-    CHECK(Model.originCopies() <= 4.0);
+    CHECK(Model.originCopies() <= FaultCopiesTarget);
   }
 }
 
@@ -236,8 +186,8 @@
   Exchange.setPeers(Peers);
   ChunkSet Held(1);
   Held.insert(0);
-  Exchange.onHoldings(InstanceId("b"), Held);
-  Exchange.onHoldings(InstanceId("c"), Held);
+  Exchange.onHoldings(InstanceId("b"), Held, TimePoint(5ms));
+  Exchange.onHoldings(InstanceId("c"), Held, TimePoint(5ms));
   const auto First = Exchange.next(TimePoint(10ms));
   REQUIRE(First);
   CHECK_FALSE(Exchange.next(TimePoint(10ms)));
@@ -260,3 +210,41 @@
   CHECK(ConversionSchedule::orderAt(Announced, Announced + 9s, Deadline, 4, 5) == Announced + 9s);
   CHECK(ConversionSchedule::orderAt(Announced, Complete, Deadline, 0, 1) == Complete);
 }
+
+// Guards against a list of digests that every agent reads from the origin: 90 agents took a quarter
+// of a copy by that, and held up the origin's link for a second.
+TEST_CASE("few agents ask the origin for digests, and all others an agent before them",
+          "[pieces]") {
+  std::vector<PiecePeer> Peers;
+  for (int I = 0; I < 90; ++I) {
+    PiecePeer Each;
+    Each.m_Id = InstanceId("agent-" + std::to_string(I));
+    Each.m_Region = RegionId("r" + std::to_string(I % 5));
+    Peers.push_back(Each);
+  }
+  std::size_t AtOrigin = 0;
+  std::map<InstanceId, std::size_t> Asked;
+  for (const PiecePeer &Self : Peers) {
+    const auto Sources = ManifestSources::sources("model/2", Peers, Self.m_Id, OriginRegion, 0);
+    REQUIRE_FALSE(Sources.empty());
+    if (!Sources.front().m_Peer) {
+      ++AtOrigin;
+      CHECK(Self.m_Region == OriginRegion);
+    } else {
+      ++Asked[Sources.front().m_Peer->m_Id];
+      CHECK(Sources.front().m_Peer->m_Id != Self.m_Id);
+    }
+    const auto Later = ManifestSources::sources("model/2", Peers, Self.m_Id, OriginRegion,
+                                                ManifestSources::OriginAttempt);
+    CHECK(std::any_of(Later.begin(), Later.end(), [](const auto &Each) { return !Each.m_Peer; }));
+  }
+  CHECK(AtOrigin == ManifestSources::Roots);
+  for (const auto &[Id, Count] : Asked)
+    CHECK(Count <= ManifestSources::FanOut);
+}
+
+TEST_CASE("an agent that is not listed asks the origin for digests", "[pieces]") {
+  const auto Sources = ManifestSources::sources("model/2", {}, InstanceId("a"), OriginRegion, 0);
+  REQUIRE(Sources.size() == 1);
+  CHECK_FALSE(Sources.front().m_Peer);
+}
