Keep the new promises of runners, bound bytes without end, and keep counts of others as sums

Causes: an upstream that said it leaves got requests until the list said so; a stated pause was replaced by a doubled pause of our own; interim answers, bodies of failures and rejections, chunk extensions and trailers without end were read without bound; an event without end was passed on in parts; a placement added up the reports of all peers for each upstream; in a data centre of 30 instances only the first 16 by address were told of requests in flight.

Change: UpstreamStatements keeps what upstreams say in answers, apart from the list and by start; leaving is told to other instances for a second. Pauses are taken as named, at most an hour, and no crash check is made meanwhile. Buffers, interim answers, skipped bytes and failure bodies are bounded. Sums are kept as reports come and lapse; local peers take turns, so each hears within ceil(n / 16) * 50 ms.

Ruled out: telling others of a stated pause, because it is meant for one instance and would close the upstream for a whole data centre.

--- a/src/include/Fescuegauge/ConnectionPool.h
+++ b/src/include/Fescuegauge/ConnectionPool.h
@@ -22,8 +22,12 @@
   /// Data that the other side does not acknowledge for this long end the connection.
   static constexpr std::chrono::milliseconds UnacknowledgedLimit{2500};
 
+  /// Bytes received and not yet parsed. Bounds what a head, a chunk extension or a trailer without
+  /// end costs; such an answer ends with an error.
+  static constexpr std::size_t MaxBufferedBytes = 128 << 10;
+
   HttpConnection(const net::any_io_executor &Executor, Endpoint Address)
-      : m_Address(std::move(Address)), m_Socket(Executor) {}
+      : m_Address(std::move(Address)), m_Socket(Executor), m_Buffer(MaxBufferedBytes) {}
 
   Tcp::socket &socket() { return m_Socket; }
   boost::beast::flat_buffer &buffer() { return m_Buffer; }
--- a/src/include/Fescuegauge/EventSplitter.h
+++ b/src/include/Fescuegauge/EventSplitter.h
@@ -15,8 +15,7 @@
 /// are passed on unchanged.
 class EventSplitter {
 public:
-  /// An event that grows beyond this is handed on in parts, and the stream cannot be resumed any
-  /// more.
+  /// An event that grows beyond this is no event; see isOverlong().
   static constexpr std::size_t MaxEventBytes = 256 << 10;
 
   /// An event with its closing empty line.
@@ -26,15 +25,18 @@
     std::optional<std::uint64_t> m_Id;
   };
 
-  void append(std::string_view Bytes) { m_Pending += Bytes; }
+  void append(std::string_view Bytes);
   /// The next whole event; nothing if more bytes are needed.
   std::optional<Event> next();
+  /// Bytes that are no event came without end. Valid after append().
+  bool isOverlong() const { return m_IsOverlong; }
   /// Bytes after the last whole event.
   const std::string &pending() const { return m_Pending; }
   void clear() { m_Pending.clear(); }
 
 private:
   std::string m_Pending;
+  bool m_IsOverlong = false;
 };
 
 } // namespace fescuegauge
--- a/src/include/Fescuegauge/Gateway.h
+++ b/src/include/Fescuegauge/Gateway.h
@@ -44,7 +44,9 @@
   /// From now on, requests for `Model` go only to upstreams with at least this version.
   void setLeastVersion(const ModelId &Model, WeightsVersion Least);
   void onPeerReport(const InstanceId &Peer, InFlightByUpstream InFlight,
-                    std::span<const SuspectDelta> Suspects);
+                    std::span<const SuspectDelta> Suspects, std::span<const UpstreamStart> Leaving);
+  /// Upstreams that said that they leave, for the other entry instances.
+  std::vector<UpstreamStart> leavingToTell() const;
   /// See UpstreamBoard::onLoading().
   void onLoading(const LoadNotice &Notice);
   InFlightByUpstream ownInFlight() const;
--- a/src/include/Fescuegauge/PeerLink.h
+++ b/src/include/Fescuegauge/PeerLink.h
@@ -25,6 +25,8 @@
   std::vector<SuspectDelta> m_Suspects;
   std::vector<AnnouncedWeights> m_Weights;
   std::vector<LoadNotice> m_Loading;
+  /// Upstreams that said that they leave.
+  std::vector<UpstreamStart> m_Leaving;
 };
 
 std::string encodePeerReport(const PeerReport &Report);
@@ -49,6 +51,7 @@
   static constexpr Duration RemoteInterval = std::chrono::milliseconds(400);
   /// An unchanged report is repeated after this time, well within the time for which it counts.
   static constexpr Duration RefreshInterval = std::chrono::milliseconds(500);
+  /// With more peers than this, they take turns, so that each hears of this instance.
   static constexpr std::size_t MaxLocalPeers = 16;
   static constexpr std::size_t MaxRemotePeers = 8;
   /// A peer that was not heard and is not listed for this long is forgotten.
@@ -60,6 +63,7 @@
     std::function<InFlightByUpstream()> m_InFlight;
     std::function<std::vector<SuspectDelta>()> m_TakeSuspects;
     std::function<std::vector<AnnouncedWeights>()> m_Weights;
+    std::function<std::vector<UpstreamStart>()> m_Leaving;
     std::function<void(const LoadNotice &)> m_OnLoading;
     std::function<void(PeerReport)> m_OnReport;
   };
@@ -84,6 +88,9 @@
   void tick();
   void take(std::string_view Datagram);
   void sendTo(const Endpoint &Address, const std::string &Datagram);
+  /// Sends to `Most` of the peers, those whose turn it is; returns the start of the next turn.
+  std::size_t sendInTurn(const std::vector<Endpoint> &To, std::size_t Start, std::size_t Most,
+                         const std::string &Datagram);
 
   InstanceId m_Self;
   DataCentreId m_DataCentre;
@@ -91,7 +98,8 @@
   Udp::socket m_Socket;
   Alarm m_Tick;
   std::map<Endpoint, Peer> m_Peers;
-  std::array<char, 4096> m_Buffer{};
+  /// Room for a report on several hundred upstreams.
+  std::array<char, 16384> m_Buffer{};
   Udp::endpoint m_From;
   InFlightByUpstream m_LastSent;
   /// Notices from agents, with the time at which they end and the time at which they came.
@@ -103,7 +111,10 @@
   std::vector<TakenNotice> m_Notices;
   TimePoint m_LocalSentAt;
   TimePoint m_RemoteSentAt;
+  std::size_t m_LocalStart = 0;
   std::size_t m_RemoteStart = 0;
+  /// Local peers that have not yet been sent the newest report.
+  std::size_t m_LocalLeft = 0;
 };
 
 } // namespace fescuegauge
--- a/src/include/Fescuegauge/StatusServer.h
+++ b/src/include/Fescuegauge/StatusServer.h
@@ -26,6 +26,8 @@
   /// A connection without a request for this long is closed.
   static constexpr Duration IdleTimeout = std::chrono::seconds(30);
   static constexpr std::size_t MaxConnections = 256;
+  /// Bytes of a request received and not yet parsed.
+  static constexpr std::size_t MaxBufferedBytes = 128 << 10;
 
   explicit StatusServer(net::io_context &Loop);
   ~StatusServer();
--- a/src/include/Fescuegauge/UpstreamBoard.h
+++ b/src/include/Fescuegauge/UpstreamBoard.h
@@ -6,6 +6,7 @@
 #include "Fescuegauge/Random.h"
 #include "Fescuegauge/RoutingPlan.h"
 #include "Fescuegauge/Units.h"
+#include "Fescuegauge/UpstreamStatements.h"
 
 #include <cstdint>
 #include <map>
@@ -38,6 +39,7 @@
   bool m_Leaving = false;
   std::vector<HeldWeights> m_Weights;
 
+  UpstreamStart start() const { return {m_Id, m_Incarnation}; }
   auto operator<=>(const UpstreamRecord &) const = default;
 };
 
@@ -83,6 +85,8 @@
   Answered,
   /// The upstream said that it did not run the request.
   Rejected,
+  /// As Rejected, and the upstream said for how long it wants nothing; see onPauseAsked().
+  Deferred,
   /// No connection could be opened, or the connection ended without a complete answer.
   Failed,
   /// The caller left or its time was over; says nothing on the upstream.
@@ -146,9 +150,21 @@
   void onProgress(const InstanceId &Upstream, TimePoint Now);
   /// The pause between two events of a stream.
   void onEventGap(const InstanceId &Upstream, Duration Gap);
+  /// What another entry instance told. Counts of its earlier report are replaced.
   void onPeerReport(const InstanceId &Peer, InFlightByUpstream InFlight, TimePoint Now);
   /// The upstream at this address is about to load weights, and starts no request until then.
   void onLoading(const Endpoint &Address, TimePoint Until);
+  /// The upstream, or another entry instance to which it answered, says that it leaves.
+  void onLeaving(const UpstreamStart &Upstream, TimePoint Now);
+  /// The upstream wants nothing from this instance for that long.
+  void onPauseAsked(const UpstreamStart &Upstream, Duration Pause, TimePoint Now);
+  bool wantsPause(const UpstreamStart &Upstream, TimePoint Now) const {
+    return m_Statements.wantsPause(Upstream, Now);
+  }
+  /// For the other entry instances.
+  std::vector<UpstreamStart> leavingToTell(TimePoint Now) const {
+    return m_Statements.leavingToTell(Now);
+  }
 
   /// Own requests in flight, for the other entry instances.
   InFlightByUpstream ownInFlight() const;
@@ -167,6 +183,9 @@
     int m_RejectionsInRow = 0;
     /// Moving average of the pause between events, in microseconds; 0 while unknown.
     double m_EventGap = 0;
+    /// Requests in flight from the other entry instances, as last told.
+    std::uint32_t m_Others = 0;
+    TimePoint m_LoadingUntil;
   };
   struct PeerReport {
     InFlightByUpstream m_InFlight;
@@ -174,8 +193,12 @@
   };
 
   bool holdsWeights(const UpstreamRecord &Record, const PlacementRequest &Request) const;
-  bool isLoading(const State &Upstream, TimePoint Now) const;
-  double inFlight(const State &Upstream, TimePoint Now) const;
+  static bool isLoading(const State &Upstream, TimePoint Now);
+  static double inFlight(const State &Upstream) { return Upstream.m_Own + Upstream.m_Others; }
+  /// Adds what a peer told to the sums, or takes it away.
+  void addToSums(const InFlightByUpstream &Told);
+  void takeFromSums(const InFlightByUpstream &Told);
+  void forgetSilentPeers(TimePoint Now);
   double limit(const State &Upstream, double LeastGap) const;
   double leastGap(const ServiceId &Service) const;
   bool isEngine(const ServiceId &Service) const { return m_Engines.contains(Service); }
@@ -184,7 +207,11 @@
   UpstreamBoardOptions m_Options;
   RandomGenerator m_Random;
   std::map<InstanceId, State> m_Upstreams;
+  std::map<ServiceId, std::vector<const State *>> m_ByService;
+  UpstreamStatements m_Statements;
   std::map<InstanceId, PeerReport> m_Peers;
+  /// No peer's report lapses before this time.
+  TimePoint m_PeersValidUntil;
   std::map<Endpoint, TimePoint> m_Loading;
   std::map<ModelId, WeightsVersion> m_Least;
   std::map<ServiceId, EngineParameters> m_Engines;
--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -355,6 +355,64 @@
   CHECK(Events.pending() == "id: 9\nda");
 }
 
+TEST_CASE("an event without end is noticed within its bound", "[dispatch]") {
+  EventSplitter Events;
+  Events.append("id: 1\ndata: a\n\n");
+  const std::string Part(1024, 'x');
+  for (std::size_t Size = 0; Size < EventSplitter::MaxEventBytes; Size += Part.size())
+    Events.append(Part);
+  CHECK(Events.next());
+  CHECK_FALSE(Events.isOverlong());
+  Events.append(Part);
+  CHECK(Events.isOverlong());
+  CHECK_FALSE(Events.next());
+}
+
+TEST_CASE("pauses that upstreams ask for are taken as they are, absurd ones within bounds",
+          "[dispatch]") {
+  CHECK(parsePause("2") == Duration(2s));
+  CHECK(parsePause("0.25") == Duration(250ms));
+  CHECK(parsePause("0") == Duration(0));
+  CHECK(parsePause("31536000") == UpstreamStatements::LongestPause);
+  CHECK(parsePause("1e300") == UpstreamStatements::LongestPause);
+  for (const char *Text : {"", "soon", "-1", "nan", "inf", "2 s", "Fri, 04 Dec 2026 10:00:00 GMT"})
+    CHECK_FALSE(parsePause(Text));
+
+  EngineBoard Board({upstream("u1"), upstream("u2")});
+  const UpstreamStart First{InstanceId("u1"), Incarnation(1)};
+  Board->onPauseAsked(First, 2s, at(0s));
+  // An answer that was on its way names an earlier end.
+  Board->onPauseAsked(First, 500ms, at(100ms));
+  Board->onEnded(First.m_Id, DispatchResult::Deferred, at(100ms));
+  for (int I = 0; I < 2; ++I)
+    CHECK(Board.dispatch(at(1900ms)) == "u2");
+  CHECK(Board.place(at(1900ms)).m_Verdict == PlacementVerdict::AllFull);
+  CHECK(Board.dispatch(at(2001ms)) == "u1");
+}
+
+// Guards against work for each placement that grows with the number of instances, and against sums
+// that drift when reports are replaced, lapse, or name upstreams that come and go.
+TEST_CASE("counts of many instances are kept as sums", "[dispatch]") {
+  std::vector<UpstreamRecord> Listed{upstream("u1", 8), upstream("u2", 8)};
+  EngineBoard Board(Listed);
+  const auto InFlightAtFirst = [&](Duration Now) {
+    const Placement Found = Board.place(at(Now), {InstanceId("u2")});
+    return Found.m_Verdict == PlacementVerdict::Placed ? static_cast<int>(Found.m_InFlight) : -1;
+  };
+  for (int I = 0; I < 5; ++I)
+    Board->onPeerReport(InstanceId("entry-" + std::to_string(I)), {{InstanceId("u1"), 1}}, at(0s));
+  CHECK(InFlightAtFirst(10ms) == 5);
+  Board->onPeerReport(InstanceId("entry-0"), {{InstanceId("u1"), 3}}, at(1s));
+  CHECK(InFlightAtFirst(1s) == 7);
+  Board->setUpstreams({});
+  Board->onPeerReport(InstanceId("entry-1"), {}, at(1s));
+  Board->setUpstreams(Listed);
+  CHECK(InFlightAtFirst(1s) == 6);
+  // Three reports of the beginning lapse.
+  CHECK(InFlightAtFirst(UpstreamBoard::PeerReportLifetime + 10ms) == 3);
+  CHECK(InFlightAtFirst(1s + UpstreamBoard::PeerReportLifetime + 10ms) == 0);
+}
+
 // Guards against instances that wait for each other, and against all agents asking the same one.
 TEST_CASE("entry instances ask only those before them, agents spread over all", "[dispatch]") {
   std::vector<Endpoint> Entries;
--- a/src/libdispatch/EventSplitter.cpp
+++ b/src/libdispatch/EventSplitter.cpp
@@ -38,13 +38,16 @@
 
 } // namespace
 
+void EventSplitter::append(std::string_view Bytes) {
+  m_Pending += Bytes;
+  m_IsOverlong =
+      m_Pending.size() > MaxEventBytes && firstEventEnd(m_Pending) == std::string_view::npos;
+}
+
 std::optional<EventSplitter::Event> EventSplitter::next() {
-  std::size_t End = firstEventEnd(m_Pending);
-  if (End == std::string::npos) {
-    if (m_Pending.size() <= MaxEventBytes)
-      return std::nullopt;
-    End = m_Pending.size();
-  }
+  const std::size_t End = firstEventEnd(m_Pending);
+  if (End == std::string::npos)
+    return std::nullopt;
   Event Result;
   Result.m_Bytes = m_Pending.substr(0, End);
   Result.m_Id = idOf(Result.m_Bytes);
--- a/src/libdispatch/UpstreamBoard.cpp
+++ b/src/libdispatch/UpstreamBoard.cpp
@@ -26,9 +26,17 @@
     if (Known != m_Upstreams.end() && Known->second.m_Record.m_Incarnation == Record.m_Incarnation)
       Entry = Known->second;
     Entry.m_Record = Record;
+    Entry.m_Others = 0;
+    if (auto Loading = m_Loading.find(Record.m_Address); Loading != m_Loading.end())
+      Entry.m_LoadingUntil = Loading->second;
     Next.emplace(Record.m_Id, std::move(Entry));
   }
   m_Upstreams = std::move(Next);
+  m_ByService.clear();
+  for (const auto &[Id, Entry] : m_Upstreams)
+    m_ByService[Entry.m_Record.m_Service].push_back(&Entry);
+  for (const auto &[Peer, Report] : m_Peers)
+    addToSums(Report.m_InFlight);
 }
 
 void UpstreamBoard::setPlan(const RouteTable &Plan) {
@@ -52,24 +60,41 @@
   });
 }
 
-double UpstreamBoard::inFlight(const State &Upstream, TimePoint Now) const {
-  double Sum = Upstream.m_Own;
-  for (const auto &[Peer, Report] : m_Peers) {
-    if (Now - Report.m_At > PeerReportLifetime)
-      continue;
-    auto Found = Report.m_InFlight.find(Upstream.m_Record.m_Id);
-    if (Found != Report.m_InFlight.end())
-      Sum += Found->second;
-  }
-  return Sum;
+void UpstreamBoard::addToSums(const InFlightByUpstream &Told) {
+  for (const auto &[Upstream, Count] : Told)
+    if (auto Found = m_Upstreams.find(Upstream); Found != m_Upstreams.end())
+      Found->second.m_Others += Count;
+}
+
+void UpstreamBoard::takeFromSums(const InFlightByUpstream &Told) {
+  for (const auto &[Upstream, Count] : Told)
+    if (auto Found = m_Upstreams.find(Upstream); Found != m_Upstreams.end())
+      Found->second.m_Others -= Count;
+}
+
+void UpstreamBoard::forgetSilentPeers(TimePoint Now) {
+  if (Now <= m_PeersValidUntil)
+    return;
+  m_PeersValidUntil = Now + PeerReportLifetime;
+  std::erase_if(m_Peers, [&](const auto &Each) {
+    const TimePoint Until = Each.second.m_At + PeerReportLifetime;
+    if (Until >= Now) {
+      m_PeersValidUntil = std::min(m_PeersValidUntil, Until);
+      return false;
+    }
+    takeFromSums(Each.second.m_InFlight);
+    return true;
+  });
 }
 
 double UpstreamBoard::leastGap(const ServiceId &Service) const {
   double Least = 0;
-  for (const auto &[Id, Entry] : m_Upstreams)
-    if (Entry.m_Record.m_Service == Service && Entry.m_EventGap > 0 &&
-        (Least == 0 || Entry.m_EventGap < Least))
-      Least = Entry.m_EventGap;
+  auto Found = m_ByService.find(Service);
+  if (Found == m_ByService.end())
+    return Least;
+  for (const State *Entry : Found->second)
+    if (Entry->m_EventGap > 0 && (Least == 0 || Entry->m_EventGap < Least))
+      Least = Entry->m_EventGap;
   return Least;
 }
 
@@ -92,18 +117,28 @@
 }
 
 Placement UpstreamBoard::place(const PlacementRequest &Request, TimePoint Now) {
+  forgetSilentPeers(Now);
+  auto OfService = m_ByService.find(Request.m_Service);
+  if (OfService == m_ByService.end())
+    return {};
   const double LeastGap = leastGap(Request.m_Service);
   const State *Best = nullptr;
   const State *LastResort = nullptr;
   int BestTier = 0;
   double BestLoad = 0;
   bool AnyFull = false;
-  for (const auto &[Id, Entry] : m_Upstreams) {
+  for (const State *Each : OfService->second) {
+    const State &Entry = *Each;
     const UpstreamRecord &Record = Entry.m_Record;
-    if (Record.m_Service != Request.m_Service || Record.m_Leaving ||
+    if (Record.m_Leaving || m_Statements.isLeaving(Record.start(), Now) ||
         !holdsWeights(Record, Request) ||
-        std::find(Request.m_Tried.begin(), Request.m_Tried.end(), Id) != Request.m_Tried.end())
+        std::find(Request.m_Tried.begin(), Request.m_Tried.end(), Record.m_Id) !=
+            Request.m_Tried.end())
       continue;
+    if (m_Statements.wantsPause(Record.start(), Now)) {
+      AnyFull = true;
+      continue;
+    }
     if (Entry.m_PausedUntil > Now || isSilent(Entry, Now)) {
       if (!LastResort || Entry.m_PausedUntil < LastResort->m_PausedUntil)
         LastResort = &Entry;
@@ -116,7 +151,7 @@
     const bool Local = Record.m_DataCentre == m_Options.m_DataCentre;
     const int Tier = Local ? 0 : Record.m_Region == m_Options.m_Region ? 1 : 2;
     const double Limit = limit(Entry, LeastGap);
-    const double Taken = inFlight(Entry, Now) + (Local ? 0 : m_Options.m_RemoteReserve);
+    const double Taken = inFlight(Entry) + (Local ? 0 : m_Options.m_RemoteReserve);
     if (Taken + 1 > Limit) {
       AnyFull = true;
       continue;
@@ -132,13 +167,13 @@
   }
   Placement Result;
   if (!Best && !AnyFull && LastResort &&
-      inFlight(*LastResort, Now) + 1 <= limit(*LastResort, LeastGap) &&
+      inFlight(*LastResort) + 1 <= limit(*LastResort, LeastGap) &&
       LastResort->m_RejectionsInRow == 0)
     Best = LastResort;
   if (Best) {
     Result.m_Verdict = PlacementVerdict::Placed;
     Result.m_Upstream = Best->m_Record;
-    Result.m_InFlight = static_cast<std::uint32_t>(inFlight(*Best, Now));
+    Result.m_InFlight = static_cast<std::uint32_t>(inFlight(*Best));
   } else if (AnyFull || LastResort) {
     Result.m_Verdict = PlacementVerdict::AllFull;
   }
@@ -170,6 +205,8 @@
     Entry.m_PausedUntil =
         Now + doubled(RejectionPause, Entry.m_RejectionsInRow++, MaxRejectionPause);
     break;
+  case DispatchResult::Deferred:
+    break;
   case DispatchResult::Failed:
     Entry.m_PausedUntil = Now + doubled(FailurePause, Entry.m_FailuresInRow++, MaxFailurePause);
     break;
@@ -194,18 +231,31 @@
 
 void UpstreamBoard::onPeerReport(const InstanceId &Peer, InFlightByUpstream InFlight,
                                  TimePoint Now) {
-  m_Peers[Peer] = {std::move(InFlight), Now};
-  std::erase_if(m_Peers,
-                [&](const auto &Each) { return Now - Each.second.m_At > PeerReportLifetime; });
+  auto [Entry, IsNew] = m_Peers.try_emplace(Peer);
+  PeerReport &Report = Entry->second;
+  takeFromSums(Report.m_InFlight);
+  Report = {std::move(InFlight), Now};
+  addToSums(Report.m_InFlight);
+  forgetSilentPeers(Now);
 }
 
 void UpstreamBoard::onLoading(const Endpoint &Address, TimePoint Until) {
   m_Loading[Address] = Until;
+  for (auto &[Id, Entry] : m_Upstreams)
+    if (Entry.m_Record.m_Address == Address)
+      Entry.m_LoadingUntil = Until;
+}
+
+bool UpstreamBoard::isLoading(const State &Upstream, TimePoint Now) {
+  return Now < Upstream.m_LoadingUntil && Upstream.m_LoadingUntil - Now <= LongestLoad;
+}
+
+void UpstreamBoard::onLeaving(const UpstreamStart &Upstream, TimePoint Now) {
+  m_Statements.onLeaving(Upstream, Now);
 }
 
-bool UpstreamBoard::isLoading(const State &Upstream, TimePoint Now) const {
-  auto Found = m_Loading.find(Upstream.m_Record.m_Address);
-  return Found != m_Loading.end() && Now < Found->second && Found->second - Now <= LongestLoad;
+void UpstreamBoard::onPauseAsked(const UpstreamStart &Upstream, Duration Pause, TimePoint Now) {
+  m_Statements.onPauseAsked(Upstream, Pause, Now);
 }
 
 InFlightByUpstream UpstreamBoard::ownInFlight() const {
--- /dev/null
+++ b/src/libdispatch/UpstreamStatements.cpp
@@ -0,0 +1,69 @@
+#include "Fescuegauge/UpstreamStatements.h"
+
+#include "Fescuegauge/ParseNumber.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fescuegauge {
+
+void UpstreamStatements::insert(Times &Into, const UpstreamStart &Upstream, TimePoint Until,
+                                TimePoint Now) {
+  if (Into.size() >= MaxUpstreams && !Into.contains(Upstream)) {
+    std::erase_if(Into, [&](const auto &Each) { return Each.second <= Now; });
+    if (Into.size() >= MaxUpstreams)
+      Into.erase(
+          std::min_element(Into.begin(), Into.end(), [](const auto &Left, const auto &Right) {
+            return Left.second < Right.second;
+          }));
+  }
+  Into[Upstream] = Until;
+}
+
+bool UpstreamStatements::contains(const Times &In, const UpstreamStart &Upstream, TimePoint Now) {
+  auto Found = In.find(Upstream);
+  return Found != In.end() && Now < Found->second;
+}
+
+bool UpstreamStatements::onLeaving(const UpstreamStart &Upstream, TimePoint Now) {
+  if (contains(m_Leaving, Upstream, Now))
+    return false;
+  insert(m_Leaving, Upstream, Now + LeavingLifetime, Now);
+  return true;
+}
+
+void UpstreamStatements::onPauseAsked(const UpstreamStart &Upstream, Duration Pause,
+                                      TimePoint Now) {
+  TimePoint Until = Now + std::clamp(Pause, Duration(0), LongestPause);
+  // Each pause is owed in full, so an answer that names an earlier end changes nothing.
+  if (auto Found = m_Paused.find(Upstream); Found != m_Paused.end())
+    Until = std::max(Until, Found->second);
+  insert(m_Paused, Upstream, Until, Now);
+}
+
+bool UpstreamStatements::isLeaving(const UpstreamStart &Upstream, TimePoint Now) const {
+  return contains(m_Leaving, Upstream, Now);
+}
+
+bool UpstreamStatements::wantsPause(const UpstreamStart &Upstream, TimePoint Now) const {
+  return contains(m_Paused, Upstream, Now);
+}
+
+std::vector<UpstreamStart> UpstreamStatements::leavingToTell(TimePoint Now) const {
+  std::vector<UpstreamStart> Result;
+  for (const auto &[Upstream, Until] : m_Leaving)
+    if (Now < Until - LeavingLifetime + TellingTime)
+      Result.push_back(Upstream);
+  return Result;
+}
+
+std::optional<Duration> parsePause(std::string_view RetryAfter) {
+  const auto Seconds = parseNumber<double>(RetryAfter);
+  if (!Seconds || !std::isfinite(*Seconds) || *Seconds < 0)
+    return std::nullopt;
+  const double Longest = toSeconds(UpstreamStatements::LongestPause);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::min(*Seconds, Longest)));
+}
+
+} // namespace fescuegauge
--- a/src/libgateway/ClientConnection.h
+++ b/src/libgateway/ClientConnection.h
@@ -12,6 +12,10 @@
 /// The connection of a caller, with a watch for the caller leaving while its request is served.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
 public:
+  /// Bytes received and not yet parsed. Bounds what a chunk extension or a trailer without end
+  /// costs; limits of the plan bound heads and bodies.
+  static constexpr std::size_t MaxBufferedBytes = 1 << 20;
+
   explicit ClientConnection(Tcp::socket Socket) : m_Socket(std::move(Socket)) {}
 
   Tcp::socket &socket() { return m_Socket; }
@@ -30,7 +34,7 @@
   void waitReadable();
 
   Tcp::socket m_Socket;
-  boost::beast::flat_buffer m_Buffer;
+  boost::beast::flat_buffer m_Buffer{MaxBufferedBytes};
   std::function<void()> m_OnLeft;
   /// Number of the watch in progress; a completed wait of an earlier one is ignored.
   std::uint64_t m_Watch = 0;
--- a/src/libgateway/FakeUpstream.h
+++ b/src/libgateway/FakeUpstream.h
@@ -22,6 +22,8 @@
   struct Script {
     std::vector<Step> m_Steps;
     enum class End { KeepOpen, Close, Reset } m_End = End::KeepOpen;
+    /// Sent after the steps again and again, until the other side closes.
+    std::string m_Endless = {};
   };
   using Behaviour = std::function<Script(const HttpRequest &)>;
 
@@ -34,6 +36,8 @@
   /// Connections that the other side ended while a script was running.
   int abandoned() const { return m_Abandoned; }
   int connections() const { return m_Connections; }
+  /// Bytes of endless scripts that the other side, or the buffers between, took.
+  std::size_t endlessBytes() const { return m_EndlessBytes; }
   void stopListening() { m_Server.stopListening(); }
 
 private:
@@ -59,6 +63,15 @@
           co_return;
         }
       }
+      while (!Plan.m_Endless.empty()) {
+        auto [WriteError, Written] =
+            co_await net::async_write(Socket, net::buffer(Plan.m_Endless), AsTuple);
+        m_EndlessBytes += Written;
+        if (WriteError) {
+          ++m_Abandoned;
+          co_return;
+        }
+      }
       if (Plan.m_End == Script::End::Reset)
         Socket.set_option(net::socket_base::linger(true, 0));
       if (Plan.m_End != Script::End::KeepOpen) {
@@ -71,6 +84,7 @@
   Behaviour m_Answer;
   std::vector<HttpRequest> m_Requests;
   int m_Abandoned = 0;
+  std::size_t m_EndlessBytes = 0;
   int m_Connections = 0;
   LoopbackServer m_Server;
 };
--- a/src/libgateway/Gateway.cpp
+++ b/src/libgateway/Gateway.cpp
@@ -112,8 +112,11 @@
 }
 
 void Gateway::onPeerReport(const InstanceId &Peer, InFlightByUpstream InFlight,
-                           std::span<const SuspectDelta> Suspects) {
+                           std::span<const SuspectDelta> Suspects,
+                           std::span<const UpstreamStart> Leaving) {
   GatewayCore &Core = m_Implementation->core();
+  for (const UpstreamStart &Each : Leaving)
+    Core.board().onLeaving(Each, monotonicNow());
   Core.board().onPeerReport(Peer, std::move(InFlight), monotonicNow());
   if (!Suspects.empty())
     Core.suspects().merge(Suspects, monotonicNow());
@@ -127,6 +130,10 @@
     Core.pump();
 }
 
+std::vector<UpstreamStart> Gateway::leavingToTell() const {
+  return m_Implementation->core().board().leavingToTell(monotonicNow());
+}
+
 InFlightByUpstream Gateway::ownInFlight() const {
   return m_Implementation->core().board().ownInFlight();
 }
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -154,6 +154,9 @@
 
 void GatewayCore::checkCrash(const UpstreamRecord &Upstream) {
   const TimePoint Now = monotonicNow();
+  // The check opens a connection, which an upstream that asked for a pause does not want either.
+  if (m_Board.wantsPause(Upstream.start(), Now))
+    return;
   auto [Entry, IsNew] = m_CrashChecked.try_emplace(Upstream.m_Id, Now);
   if (!IsNew && Now - Entry->second < CrashCheckInterval)
     return;
--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -479,6 +479,7 @@
                                5s});
   Report.m_Weights.push_back({ModelId("m"), WeightsVersion(2), 3s});
   Report.m_Loading.push_back({{"10.0.0.1", 80}, 2s});
+  Report.m_Leaving.push_back({InstanceId("u3"), Incarnation(9)});
   const std::string Encoded = encodePeerReport(Report);
   const auto Decoded = decodePeerReport(Encoded);
   REQUIRE(Decoded);
@@ -486,6 +487,7 @@
   CHECK(Decoded->m_Suspects == Report.m_Suspects);
   CHECK(Decoded->m_Weights == Report.m_Weights);
   CHECK(Decoded->m_Loading == Report.m_Loading);
+  CHECK(Decoded->m_Leaving == Report.m_Leaving);
   for (std::size_t Size = 0; Size < Encoded.size(); ++Size)
     CHECK_FALSE(decodePeerReport(std::string_view(Encoded).substr(0, Size)));
   CHECK_FALSE(decodePeerReport(Encoded + "x"));
@@ -493,3 +495,119 @@
   CHECK(decodeLoadNotice(encodeLoadNotice(Notice)) == Notice);
   CHECK_FALSE(decodeLoadNotice(Encoded));
 }
+
+namespace {
+
+/// What an upstream sends before it goes on with the same bytes without end.
+struct EndlessCase {
+  const char *m_Name;
+  const char *m_Path;
+  std::string m_Head;
+  std::string m_Repeated;
+};
+
+std::string headWith(const std::string &Status, const std::string &Headers) {
+  return "HTTP/1.1 " + Status + " Any\r\nRequest-Id: r1\r\n" + Headers;
+}
+
+std::vector<EndlessCase> endlessCases() {
+  const std::string Line(2048, 'x');
+  const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string Events = "Content-Type: text/event-stream\r\n";
+  return {
+      {"head line", "/safe/x", "HTTP/1.1 200 OK\r\nX: ", Line},
+      {"headers", "/safe/x", "HTTP/1.1 200 OK\r\n", "X-Filler: y\r\n"},
+      {"no head", "/once/x", "", Line},
+      {"interim answers", "/safe/x", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+      {"failure body", "/once/x", headWith("500", Chunked), chunk(Line)},
+      {"failure body without length", "/once/x", headWith("500", "\r\n"), Line},
+      {"rejection body", "/safe/x", headWith("503", "Not-Run: 1\r\n" + Chunked), chunk(Line)},
+      {"chunk extension", "/once/x", headWith("500", Chunked) + "4;x=", Line},
+      {"trailer", "/once/x", headWith("500", Chunked) + "0\r\nX: ", Line},
+      {"event", "/stream/x", headWith("200", Events + Chunked), chunk(Line)},
+  };
+}
+
+} // namespace
+
+// Guards against bytes that are no answer and come without end: each such connection must be closed
+// within bounds, and the caller told before its time is over.
+TEST_CASE("bytes without end cost bounded memory and are no answer", "[gateway]") {
+  // What the gateway reads before it gives up, and what the buffers of the connection hold.
+  constexpr std::size_t MaxRead = 1 << 20;
+  constexpr std::size_t MaxBuffered = 8 << 20;
+  for (const EndlessCase &Case : endlessCases()) {
+    CAPTURE(Case.m_Name);
+    GatewayFixture Fixture;
+    Fixture.setPlan();
+    FakeUpstream &Upstream = Fixture.addUpstream([&](const HttpRequest &) {
+      return Script{{{Case.m_Head}}, Script::End::KeepOpen, Case.m_Repeated};
+    });
+    const TimePoint Start = monotonicNow();
+    const RawAnswer Answer = Fixture.exchange(GatewayFixture::request(Case.m_Path, "r1"));
+    CHECK(monotonicNow() - Start < 1000ms);
+    CHECK((Answer.status() >= 500 || Answer.m_ClosedByServer));
+    CHECK_FALSE(Answer.contains("xxxx"));
+    CHECK(Fixture.runUntil([&] { return Upstream.abandoned() == 1; }, 1s));
+    CHECK(Upstream.endlessBytes() <= MaxRead + MaxBuffered);
+  }
+}
+
+// Guards against DRAIN: the list of upstreams may be late or away when an upstream leaves.
+TEST_CASE("an upstream that says that it leaves gets no further request", "[gateway]") {
+  GatewayFixture Fixture;
+  Fixture.setPlan();
+  FakeUpstream &Leaving = Fixture.addUpstream([](const HttpRequest &Request) {
+    return Script{{{plainAnswer(Request, 200, "last", "Upstream-Leaving: 1\r\n")}}};
+  });
+  CHECK(Fixture.exchange(GatewayFixture::request("/safe/x", "r1")).contains("last"));
+  FakeUpstream &Other = Fixture.addUpstream(answerPlainly("other"));
+  for (int I = 2; I < 8; ++I)
+    CHECK(Fixture.exchange(GatewayFixture::request("/safe/x", "r" + std::to_string(I)))
+              .contains("other"));
+  CHECK(Leaving.requests().size() == 1);
+  CHECK(Other.requests().size() == 6);
+  const std::vector<UpstreamStart> Told = Fixture.gateway().leavingToTell();
+  REQUIRE(Told.size() == 1);
+  CHECK(Told.front().m_Id == InstanceId("upstream-1"));
+
+  // An entry that lapses and returns is the same upstream; one that started anew is another.
+  Fixture.gateway().setUpstreams({});
+  Fixture.gateway().setUpstreams(Fixture.records());
+  Fixture.exchange(GatewayFixture::request("/safe/x", "r8"));
+  CHECK(Leaving.requests().size() == 1);
+  Fixture.records()[0].m_Incarnation = Incarnation(7);
+  Fixture.records().pop_back();
+  Fixture.gateway().setUpstreams(Fixture.records());
+  Fixture.exchange(GatewayFixture::request("/safe/x", "r9"));
+  CHECK(Leaving.requests().size() == 2);
+}
+
+// Guards against BUDGET: requests, retries and crash checks all count as sends.
+TEST_CASE("an upstream that names a pause gets nothing until it is over", "[gateway]") {
+  GatewayFixture Fixture;
+  Fixture.setPlan();
+  bool IsFull = true;
+  FakeUpstream &Upstream = Fixture.addUpstream([&](const HttpRequest &Request) {
+    if (IsFull)
+      return Script{{{plainAnswer(Request, 503, "", "Not-Run: 1\r\nRetry-After: 0.6\r\n")}}};
+    return Script{{{plainAnswer(Request, 200, "served")}}};
+  });
+  CHECK(Fixture.exchange(GatewayFixture::request("/safe/x", "r1")).status() == 503);
+  IsFull = false;
+  const TimePoint Start = monotonicNow();
+  int Refused = 0;
+  for (int I = 2; monotonicNow() - Start < 500ms; ++I) {
+    const auto Answer =
+        Fixture.exchange(GatewayFixture::request("/once/x", "r" + std::to_string(I)));
+    CHECK(Answer.status() == 503);
+    CHECK(Answer.contains("Retry-After: "));
+    ++Refused;
+    Fixture.runUntil([] { return false; }, 50ms);
+  }
+  CHECK(Refused > 2);
+  CHECK(Upstream.requests().size() == 1);
+  CHECK(Upstream.connections() == 1);
+  Fixture.runUntil([] { return false; }, 200ms);
+  CHECK(Fixture.exchange(GatewayFixture::request("/safe/x", "last")).contains("served"));
+}
--- a/src/libgateway/PeerLink.cpp
+++ b/src/libgateway/PeerLink.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::uint64_t ReportVersion = 1;
+constexpr std::uint64_t ReportVersion = 3;
 constexpr std::uint64_t NoticeVersion = 2;
 
 void writeNotice(ByteWriter &Writer, const LoadNotice &Notice) {
@@ -57,6 +57,11 @@
   Writer.number(Report.m_Loading.size());
   for (const LoadNotice &Each : Report.m_Loading)
     writeNotice(Writer, Each);
+  Writer.number(Report.m_Leaving.size());
+  for (const UpstreamStart &Each : Report.m_Leaving) {
+    Writer.id(Each.m_Id);
+    Writer.id(Each.m_Incarnation);
+  }
   return Writer.take();
 }
 
@@ -94,6 +99,13 @@
   constexpr std::size_t LeastNotice = 3;
   for (std::size_t Left = Reader.count(LeastNotice); Left > 0; --Left)
     Report.m_Loading.push_back(readNotice(Reader));
+  constexpr std::size_t LeastLeaving = 2;
+  for (std::size_t Left = Reader.count(LeastLeaving); Left > 0; --Left) {
+    UpstreamStart Each;
+    Each.m_Id = Reader.id<InstanceId>();
+    Each.m_Incarnation = Reader.id<Incarnation>();
+    Report.m_Leaving.push_back(std::move(Each));
+  }
   if (Reader.failed() || !Reader.atEnd())
     return std::nullopt;
   return Report;
@@ -190,42 +202,51 @@
   m_Socket.send_to(net::buffer(Datagram), Udp::endpoint(To.address(), To.port()), 0, Ignored);
 }
 
+std::size_t PeerLink::sendInTurn(const std::vector<Endpoint> &To, std::size_t Start,
+                                 std::size_t Most, const std::string &Datagram) {
+  const std::size_t Count = std::min(To.size(), Most);
+  for (std::size_t I = 0; I < Count; ++I)
+    sendTo(To[(Start + I) % To.size()], Datagram);
+  return To.empty() ? 0 : (Start + Count) % To.size();
+}
+
 void PeerLink::tick() {
   const TimePoint Now = monotonicNow();
-  PeerReport Report{
-      m_Self, m_DataCentre, m_Calls.m_InFlight(), m_Calls.m_TakeSuspects(), m_Calls.m_Weights(),
-      {}};
+  PeerReport Report{m_Self,
+                    m_DataCentre,
+                    m_Calls.m_InFlight(),
+                    m_Calls.m_TakeSuspects(),
+                    m_Calls.m_Weights(),
+                    {},
+                    m_Calls.m_Leaving()};
   for (const TakenNotice &Each : m_Notices)
     if (Now - Each.m_TakenAt <= NoticeLifetime)
       Report.m_Loading.push_back({Each.m_Upstream, std::max(Each.m_Until - Now, Duration(0))});
-  const bool Urgent = !Report.m_Suspects.empty() || !Report.m_Loading.empty();
+  const bool Urgent =
+      !Report.m_Suspects.empty() || !Report.m_Loading.empty() || !Report.m_Leaving.empty();
   const bool Changed = Report.m_InFlight != m_LastSent;
-  const bool Local = Urgent || Changed || Now - m_LocalSentAt >= RefreshInterval;
+  const bool Local = Urgent || Changed || m_LocalLeft > 0 || Now - m_LocalSentAt >= RefreshInterval;
   const bool Remote =
       Urgent || Now - m_RemoteSentAt >= (Changed ? RemoteInterval : RefreshInterval);
   if (Local || Remote) {
     const std::string Datagram = encodePeerReport(Report);
     std::erase_if(m_Peers,
                   [&](const auto &Each) { return Now - Each.second.m_HeardAt > PeerLifetime; });
+    std::vector<Endpoint> Mates;
     std::vector<Endpoint> Others;
-    std::size_t LocalCount = 0;
-    for (const auto &[Address, Known] : m_Peers) {
-      if (Known.m_DataCentre != m_DataCentre)
-        Others.push_back(Address);
-      else if (Local && LocalCount++ < MaxLocalPeers)
-        sendTo(Address, Datagram);
-    }
+    for (const auto &[Address, Known] : m_Peers)
+      (Known.m_DataCentre == m_DataCentre ? Mates : Others).push_back(Address);
     if (Local) {
+      if (Urgent || Changed || m_LocalLeft == 0)
+        m_LocalLeft = Mates.size();
+      m_LocalStart = sendInTurn(Mates, m_LocalStart, MaxLocalPeers, Datagram);
+      m_LocalLeft -= std::min(m_LocalLeft, MaxLocalPeers);
       m_LocalSentAt = Now;
       m_LastSent = Report.m_InFlight;
     }
     if (Remote) {
       m_RemoteSentAt = Now;
-      // With more peers than are sent to at once, they take turns.
-      const std::size_t Count = std::min(Others.size(), MaxRemotePeers);
-      for (std::size_t I = 0; I < Count; ++I)
-        sendTo(Others[(m_RemoteStart + I) % Others.size()], Datagram);
-      m_RemoteStart += Count;
+      m_RemoteStart = sendInTurn(Others, m_RemoteStart, MaxRemotePeers, Datagram);
     }
   }
   m_Tick.set(LocalInterval, [this] { tick(); });
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -21,13 +21,15 @@
 
 constexpr std::string_view EventStreamType = "text/event-stream";
 constexpr unsigned StatusMisdirected = 421;
+constexpr unsigned StatusUnavailable = 503;
 
 Invariant NotRunIsTrue("gateway.not_run_is_true");
 Invariant AtMostOnceSentOnce("gateway.at_most_once_sent_once");
 
 /// Statuses by which callers learn that a request was not run and never will be.
 bool promisesNotRun(unsigned Status) {
-  return Status == 408 || Status == StatusMisdirected || Status == 429 || Status == 503;
+  return Status == 408 || Status == StatusMisdirected || Status == 429 ||
+         Status == StatusUnavailable;
 }
 
 /// Headers that concern one connection only.
@@ -241,6 +243,7 @@
   }
   m_Tried.push_back(To.m_Id);
   m_MoveTo.reset();
+  m_PauseAsked = false;
   auto Sent = std::make_shared<UpstreamExchange>(m_Core.pool(), m_Core.headers(),
                                                  upstreamRequest(To), m_RequestId);
   m_Current = Sent;
@@ -264,7 +267,7 @@
   else if (End == AttemptEnd::Delivered || End == AttemptEnd::AnsweredFailure)
     Result = DispatchResult::Answered;
   else if (End == AttemptEnd::Rejected)
-    Result = DispatchResult::Rejected;
+    Result = m_PauseAsked ? DispatchResult::Deferred : DispatchResult::Rejected;
   if (Result == DispatchResult::Answered)
     m_Core.suspects().completed(m_SuspectKey, monotonicNow());
   m_Core.release(To.m_Id, Result);
@@ -275,6 +278,22 @@
   co_return Moved ? AttemptEnd::Moved : End;
 }
 
+void RequestExchange::noteStatements(const UpstreamExchange::Header &Head,
+                                     const UpstreamRecord &From) {
+  const TimePoint Now = monotonicNow();
+  if (Head.count(m_Core.headers().m_UpstreamLeaving) != 0)
+    m_Core.board().onLeaving(From.start(), Now);
+  if (Head.result_int() != StatusUnavailable || Head.count(http::field::retry_after) == 0)
+    return;
+  if (auto Pause = parsePause(std::string(Head[http::field::retry_after]))) {
+    m_PauseAsked = true;
+    m_Core.board().onPauseAsked(From.start(), *Pause, Now);
+  } else {
+    logEvent(Severity::Warning, "upstream_pause_unreadable",
+             {{"upstream", From.m_Id}, {"value", std::string(Head[http::field::retry_after])}});
+  }
+}
+
 Task<RequestExchange::AttemptEnd> RequestExchange::receive(const Placement &Chosen,
                                                            UpstreamExchange &Sent) {
   const CallHeaders &Names = m_Core.headers();
@@ -304,14 +323,10 @@
   m_Core.board().onProgress(From.m_Id, m_LastByteAt);
   const UpstreamExchange::Header &Head = Sent.header();
   const unsigned Status = Head.result_int();
+  noteStatements(Head, From);
   if (Head.count(Names.m_NotRun) != 0 || Status == StatusMisdirected) {
     m_MayHaveRun = RanBefore;
-    std::string Ignored;
-    ExchangeError Unread = ExchangeError::None;
-    do {
-      Ignored.clear();
-      Unread = co_await Sent.read(Ignored);
-    } while (Unread == ExchangeError::None && !Ignored.empty());
+    co_await Sent.skipRest(LongestRejection);
     logAttempt(Chosen, "rejected", std::to_string(Status));
     co_return AttemptEnd::Rejected;
   }
@@ -353,6 +368,8 @@
     m_LastByteAt = monotonicNow();
     m_Core.board().onProgress(From.m_Id, m_LastByteAt);
     Done = Held.size() == Before;
+    if (IsFailure && Held.size() > MaxFailureBytes)
+      co_return AttemptEnd::Failed;
     if (IsFailure || (!Done && !m_HeadSent && Held.size() < HeldBytes))
       continue;
     m_StallAlarm.cancel();
@@ -404,6 +421,8 @@
     m_LastByteAt = Now;
     const bool Done = Bytes.empty();
     Events.append(Bytes);
+    if (Events.isOverlong())
+      co_return AttemptEnd::Failed;
     while (auto Event = Events.next()) {
       const bool Passed = co_await passEvent(Sent, *Event);
       if (!Passed)
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -32,6 +32,10 @@
   /// An answer without events is held back until it is complete or this long, so that one that
   /// breaks off can be asked for again.
   static constexpr std::size_t HeldBytes = 64 << 10;
+  /// A failure is passed on only as a whole; a longer one is taken for no answer.
+  static constexpr std::size_t MaxFailureBytes = 1 << 20;
+  /// The rest of a rejection must come within this time for its connection to be kept.
+  static constexpr Duration LongestRejection = std::chrono::milliseconds(100);
   /// Time without an event after which a stream looks for another upstream, if its own one is
   /// silent to all requests.
   static constexpr Duration StallLimit = std::chrono::milliseconds(900);
@@ -77,6 +81,8 @@
   Task<std::optional<Placement>> findPlace();
   Task<AttemptEnd> attempt(const Placement &Chosen);
   Task<AttemptEnd> receive(const Placement &Chosen, UpstreamExchange &Sent);
+  /// Notes what the upstream says of itself in the head of an answer.
+  void noteStatements(const UpstreamExchange::Header &Head, const UpstreamRecord &From);
   Task<AttemptEnd> relayEvents(UpstreamExchange &Sent, const UpstreamRecord &From);
   Task<AttemptEnd> relayPlain(UpstreamExchange &Sent, const UpstreamRecord &From);
   Task<bool> passEvent(UpstreamExchange &Sent, const EventSplitter::Event &Event);
@@ -141,6 +147,8 @@
   std::vector<InstanceId> m_Tried;
   std::optional<KeptAnswer> m_KeptAnswer;
   bool m_AnswerMalformed = false;
+  /// The upstream of the current attempt named a time for which it wants nothing.
+  bool m_PauseAsked = false;
   PlacementVerdict m_LastVerdict = PlacementVerdict::Placed;
 
   bool m_HeadSent = false;
--- a/src/libgateway/StatusServer.cpp
+++ b/src/libgateway/StatusServer.cpp
@@ -70,7 +70,7 @@
 Task<> StatusServer::serve(std::shared_ptr<State> Shared, Tcp::socket Socket) {
   setSocketOptions(Socket);
   ++Shared->m_Connections;
-  boost::beast::flat_buffer Buffer;
+  boost::beast::flat_buffer Buffer(MaxBufferedBytes);
   Alarm Limit(Socket.get_executor());
   bool Open = true;
   while (Open) {
--- a/src/libgateway/UpstreamExchange.cpp
+++ b/src/libgateway/UpstreamExchange.cpp
@@ -55,6 +55,7 @@
 }
 
 Task<ExchangeError> UpstreamExchange::readHead() {
+  int Interim = 0;
   for (int Stray = 0; Stray <= MaxStrayAnswers;) {
     m_Parser.emplace();
     m_Parser->header_limit(MaxHeaderBytes);
@@ -70,8 +71,11 @@
       co_return Unreadable ? ExchangeError::Malformed : ExchangeError::Broken;
     }
     const Header &Head = header();
-    if (http::to_status_class(Head.result_int()) == http::status_class::informational)
+    if (http::to_status_class(Head.result_int()) == http::status_class::informational) {
+      if (++Interim > MaxInterimAnswers)
+        co_return ExchangeError::Malformed;
       continue;
+    }
     const auto Id = Head[m_Names.m_RequestId];
     const bool IsSuccess =
         http::to_status_class(Head.result_int()) == http::status_class::successful;
@@ -83,22 +87,34 @@
     const bool Skipped = co_await skipBody();
     if (!Skipped)
       co_return ExchangeError::Broken;
+    m_Complete = false;
   }
   co_return ExchangeError::Malformed;
 }
 
 Task<bool> UpstreamExchange::skipBody() {
   std::string Ignored;
-  while (true) {
+  std::size_t Skipped = 0;
+  while (Skipped <= MaxSkippedBytes) {
     Ignored.clear();
     const ExchangeError Error = co_await read(Ignored);
     if (Error != ExchangeError::None)
       co_return false;
     if (Ignored.empty())
-      break;
+      co_return true;
+    Skipped += Ignored.size();
   }
-  m_Complete = false;
-  co_return true;
+  co_return false;
+}
+
+Task<> UpstreamExchange::skipRest(Duration Limit) {
+  auto Self = shared_from_this();
+  Alarm Late(m_Pool.executor());
+  Late.set(Limit, [this] { cancel(); });
+  const bool Skipped = co_await skipBody();
+  Late.cancel();
+  if (!Skipped)
+    cancel();
 }
 
 Task<ExchangeError> UpstreamExchange::read(std::string &Bytes) {
--- a/src/libgateway/UpstreamExchange.h
+++ b/src/libgateway/UpstreamExchange.h
@@ -38,6 +38,10 @@
   using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
   using Header = boost::beast::http::response_header<>;
 
+  /// Interim answers (1xx) that are skipped before the connection is given up.
+  static constexpr int MaxInterimAnswers = 8;
+  /// Bytes of a body of no interest that are read so that the connection can be kept.
+  static constexpr std::size_t MaxSkippedBytes = 64 << 10;
   /// Answers of earlier requests that are skipped before the connection is given up.
   static constexpr int MaxStrayAnswers = 4;
   /// Longest header of an answer, in bytes.
@@ -58,6 +62,9 @@
   std::optional<std::uint64_t> contentLength() const;
   /// Waits for more of the body. Empty with None when the body is complete.
   Task<ExchangeError> read(std::string &Bytes);
+  /// Reads the rest of an answer of no interest, so that the connection can be kept. Gives the
+  /// connection up if the rest is long or takes longer than `Limit`.
+  Task<> skipRest(Duration Limit);
   /// Gives the connection back, or closes it if the exchange is not complete.
   void finish();
   /// Ends the operation in progress with Broken.
