Do not wait for digests at agents that will not learn them

Cause: an agent whose runner held a version from its start never reads its digests, yet others waited 0.6 s at each of them; agents that started together asked each other in circles. Ruled out: the transfer itself (1.1 copies, staging whole).

Both new tests fail before.

--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -27,6 +27,7 @@
 constexpr Duration UploadCheck = std::chrono::milliseconds(5);
 /// Answer to a request for a piece while enough uploads wait.
 constexpr unsigned StatusBusy = 503;
+constexpr unsigned StatusNotFound = 404;
 /// Wrong bytes for one piece, from any sources, after which its digest is taken to be wrong.
 constexpr std::uint32_t MaxBadBytes = 3;
 
@@ -115,6 +116,13 @@
   return Model.str() + "/" + std::to_string(Version.value());
 }
 
+/// What another agent says of the digests of a version.
+struct DigestAnswer {
+  std::optional<PieceManifest> m_Manifest;
+  /// It neither knows them nor is about to.
+  bool m_IsNotExpected = false;
+};
+
 /// One version on its way to the runner.
 struct Transfer {
   Transfer(PieceManifest Of, const WeightsAgentOptions &Options)
@@ -168,7 +176,7 @@
   Task<> fetchPieces(std::shared_ptr<Transfer> Version);
   Task<> fetchOne(std::shared_ptr<Transfer> Version, PieceFetch Fetch);
   Task<> followHoldings(std::shared_ptr<Transfer> Version, PiecePeer Peer);
-  Task<std::optional<PieceManifest>> askDigests(Target Wanted, Endpoint Address);
+  Task<DigestAnswer> askDigests(Target Wanted, Endpoint Address);
   Task<bool> verifyStaging(std::shared_ptr<Transfer> Version);
   Task<FetchedPiece> fetchBytes(std::shared_ptr<Transfer> Version, PieceFetch Fetch);
   TimePoint orderTime(const Target &Wanted, bool ServesNothing) const;
@@ -182,6 +190,14 @@
   Task<StatusAnswer> serve(HttpRequest Request);
   Task<StatusAnswer> servePiece(PieceName Wanted, std::uint32_t Piece);
   Task<StatusAnswer> serveHoldings(PieceName Wanted, std::string Known);
+  /// Whether this agent is about to learn the digests of a version, because its runner needs it or
+  /// it was not told of it yet.
+  bool mayLearn(const PieceName &Wanted) const {
+    auto Loaded = m_Loaded.find(Wanted.m_Model);
+    if (Loaded != m_Loaded.end() && Loaded->second >= Wanted.m_Version)
+      return false;
+    return !m_Target || m_Target->m_Version <= Wanted.m_Version;
+  }
   bool isCurrentVersion(const PieceName &Wanted) const {
     return m_Current && m_Current->m_Manifest.m_Model == Wanted.m_Model &&
            m_Current->m_Manifest.m_Version == Wanted.m_Version;
@@ -370,16 +386,17 @@
   co_return true;
 }
 
-Task<std::optional<PieceManifest>> WeightsAgent::Implementation::askDigests(Target Wanted,
-                                                                            Endpoint Address) {
+Task<DigestAnswer> WeightsAgent::Implementation::askDigests(Target Wanted, Endpoint Address) {
   const CallResult Answer = co_await m_Caller.call(
       Address, makeGet(piecePath(Wanted.m_Model, Wanted.m_Version, DigestsName)), DigestsTimeout);
+  DigestAnswer Result;
+  Result.m_IsNotExpected = Answer.status() == StatusNotFound;
   if (Answer.status() != 200)
-    co_return std::nullopt;
+    co_return Result;
   PieceManifest Manifest{Wanted.m_Model, Wanted.m_Version, parseDigests(Answer.m_Response.body())};
-  if (Manifest.m_Digests.empty())
-    co_return std::nullopt;
-  co_return Manifest;
+  if (!Manifest.m_Digests.empty())
+    Result.m_Manifest = std::move(Manifest);
+  co_return Result;
 }
 
 Task<bool> WeightsAgent::Implementation::learnDigests(Target Wanted) {
@@ -392,16 +409,24 @@
     const auto Sources =
         ManifestSources::sources(versionKey(Wanted.m_Model, Wanted.m_Version), m_Peers,
                                  m_Options.m_Self, m_Options.m_OriginRegion, m_DigestAttempts);
+    bool NobodyLearns = true;
+    bool AskedOrigin = false;
     for (const ManifestSources::Source &Each : Sources) {
-      if (Each.m_Peer)
-        Found = co_await askDigests(Wanted, Each.m_Peer->m_Address);
-      else
+      if (Each.m_Peer) {
+        const DigestAnswer Answer = co_await askDigests(Wanted, Each.m_Peer->m_Address);
+        Found = Answer.m_Manifest;
+        NobodyLearns = NobodyLearns && Answer.m_IsNotExpected;
+      } else {
         Found = co_await m_Origin.manifest(Wanted.m_Model, Wanted.m_Version);
+        AskedOrigin = true;
+      }
       if (Found) {
         Source = Each.m_Peer ? Each.m_Peer->m_Id.str() : "origin";
         break;
       }
     }
+    if (!Found && NobodyLearns && !AskedOrigin)
+      Found = co_await m_Origin.manifest(Wanted.m_Model, Wanted.m_Version);
   }
   ++m_DigestAttempts;
   if (!Found) {
@@ -598,10 +623,10 @@
     co_return StatusAnswer{404, "text/plain", ""};
   if (Name->m_Name == DigestsName) {
     const TimePoint End = monotonicNow() + DigestsWait;
-    while (!isCurrentVersion(*Name) && monotonicNow() < End)
+    while (!isCurrentVersion(*Name) && mayLearn(*Name) && monotonicNow() < End)
       co_await sleepFor(ProgressCheck);
     if (!isCurrentVersion(*Name))
-      co_return StatusAnswer{404, "text/plain", ""};
+      co_return StatusAnswer{mayLearn(*Name) ? StatusBusy : StatusNotFound, "text/plain", ""};
     co_return StatusAnswer{200, "text/plain", digestsText(m_Current->m_Manifest)};
   }
   if (Name->m_Name == HoldingsName) {
--- a/src/libagent/WeightsAgent_test.cpp
+++ b/src/libagent/WeightsAgent_test.cpp
@@ -300,3 +300,64 @@
   checkLoadedWhole(A, First);
   checkLoadedWhole(B, First);
 }
+
+// Guards against agents that wait for digests from others that will not learn them: a runner that
+// held the version from its start has an agent that never read its digests, and an added runner
+// stayed empty for seconds.
+TEST_CASE("an agent whose mates know no digests asks the origin at once", "[agent]") {
+  net::io_context Loop;
+  std::vector<std::unique_ptr<AgentFixture>> Agents;
+  std::vector<PiecePeer> Peers;
+  constexpr int Count = 8;
+  for (int I = 0; I < Count; ++I) {
+    const std::string Name = "agent-" + std::to_string(I);
+    Agents.push_back(std::make_unique<AgentFixture>(Loop, Name));
+    Peers.push_back(Agents.back()->peer(Name, I + 1 < Count));
+  }
+  AgentFixture &Added = *Agents.back();
+  for (int I = 0; I + 1 < Count; ++I) {
+    AgentFixture &Holder = *Agents[static_cast<std::size_t>(I)];
+    Holder.m_Peers.m_Peers = Peers;
+    Holder.m_Runner.m_Report.m_Loaded[Model] = First;
+    for (std::uint32_t Piece = 0; Piece < FakeOrigin::Pieces; ++Piece)
+      Holder.m_Runner.m_Staged[Piece] = pieceBytes(First, Piece);
+    Holder.m_Agent->announce(Model, First, false);
+  }
+  Added.m_Peers.m_Peers = Peers;
+  Added.runUntil([] { return false; }, 50ms);
+  const TimePoint Start = monotonicNow();
+  Added.m_Agent->announce(Model, First, false);
+  REQUIRE(Added.runUntil([&] { return Added.m_Runner.holds(First); }));
+  CHECK(monotonicNow() - Start < 500ms);
+  CHECK(Added.m_Origin.m_Sent == 0);
+  checkLoadedWhole(Added, First);
+}
+
+// Guards against agents that start together, as after a loss of power, and wait for each other's
+// digests although each has the whole version in its staging area.
+TEST_CASE("agents that start together take what is staged without delay", "[agent]") {
+  net::io_context Loop;
+  std::vector<std::unique_ptr<AgentFixture>> Agents;
+  std::vector<PiecePeer> Peers;
+  constexpr int Count = 12;
+  for (int I = 0; I < Count; ++I) {
+    const std::string Name = "agent-" + std::to_string(I);
+    Agents.push_back(std::make_unique<AgentFixture>(Loop, Name));
+    // The list still shows what the runners held before.
+    Peers.push_back(Agents.back()->peer(Name, true));
+  }
+  for (const auto &Each : Agents) {
+    Each->m_Peers.m_Peers = Peers;
+    for (std::uint32_t Piece = 0; Piece < FakeOrigin::Pieces; ++Piece)
+      Each->m_Runner.m_Staged[Piece] = pieceBytes(First, Piece);
+  }
+  const TimePoint Start = monotonicNow();
+  for (const auto &Each : Agents)
+    Each->m_Agent->announce(Model, First, false);
+  const auto AllHold = [&] {
+    return std::all_of(Agents.begin(), Agents.end(),
+                       [](const auto &Each) { return Each->m_Runner.holds(First); });
+  };
+  REQUIRE(Agents.front()->runUntil(AllHold));
+  CHECK(monotonicNow() - Start < 800ms);
+}
--- a/src/libweights/ManifestSources.cpp
+++ b/src/libweights/ManifestSources.cpp
@@ -11,20 +11,11 @@
 ManifestSources::sources(const std::string &Key, const std::vector<PiecePeer> &Peers,
                          const InstanceId &Self, const RegionId &OriginRegion, unsigned Attempt) {
   std::vector<Source> Result;
-  // Those that hold the version know its digests for certain; different agents ask different ones.
-  std::vector<std::pair<std::uint64_t, const PiecePeer *>> Holders;
   std::vector<std::pair<std::pair<bool, std::uint64_t>, const PiecePeer *>> Ranked;
   for (const PiecePeer &Each : Peers) {
-    if (Each.m_HoldsAll && Each.m_Id != Self)
-      Holders.emplace_back(rendezvousWeight(Self.str(), Each.m_Id.str()), &Each);
     const bool IsFar = Each.m_Region != OriginRegion;
     Ranked.push_back({{IsFar, rendezvousWeight(Key, Each.m_Id.str())}, &Each});
   }
-  std::sort(Holders.begin(), Holders.end());
-  for (const auto &[Weight, Peer] : Holders)
-    if (Result.size() < MaxHoldersAsked)
-      Result.push_back({*Peer});
-
   std::sort(Ranked.begin(), Ranked.end());
   auto Own = std::find_if(Ranked.begin(), Ranked.end(),
                           [&](const auto &Each) { return Each.second->m_Id == Self; });
@@ -33,7 +24,7 @@
   if (IsRoot)
     Result.push_back({});
   std::size_t Above = Place;
-  while (Above >= Roots && Result.size() < MaxHoldersAsked + MaxPeersAsked && Own != Ranked.end()) {
+  while (Above >= Roots && Result.size() < MaxPeersAsked && Own != Ranked.end()) {
     Above = (Above - Roots) / FanOut;
     Result.push_back({*Ranked[Above].second});
   }
