--- a/src/include/Fescuegauge/UpstreamBoard.h
+++ b/src/include/Fescuegauge/UpstreamBoard.h
@@ -154,8 +154,9 @@
   void onPeerReport(const InstanceId &Peer, InFlightByUpstream InFlight, TimePoint Now);
   /// The upstream at this address is about to load weights, and starts no request until then.
   void onLoading(const Endpoint &Address, TimePoint Until);
-  /// The upstream, or another entry instance to which it answered, says that it leaves.
-  void onLeaving(const UpstreamStart &Upstream, TimePoint Now);
+  /// The upstream, or another entry instance to which it answered, says that it leaves. Returns
+  /// whether that is news.
+  bool onLeaving(const UpstreamStart &Upstream, TimePoint Now);
   /// The upstream wants nothing from this instance for that long.
   void onPauseAsked(const UpstreamStart &Upstream, Duration Pause, TimePoint Now);
   bool wantsPause(const UpstreamStart &Upstream, TimePoint Now) const {
--- a/src/libdispatch/UpstreamBoard.cpp
+++ b/src/libdispatch/UpstreamBoard.cpp
@@ -250,8 +250,8 @@
   return Now < Upstream.m_LoadingUntil && Upstream.m_LoadingUntil - Now <= LongestLoad;
 }
 
-void UpstreamBoard::onLeaving(const UpstreamStart &Upstream, TimePoint Now) {
-  m_Statements.onLeaving(Upstream, Now);
+bool UpstreamBoard::onLeaving(const UpstreamStart &Upstream, TimePoint Now) {
+  return m_Statements.onLeaving(Upstream, Now);
 }
 
 void UpstreamBoard::onPauseAsked(const UpstreamStart &Upstream, Duration Pause, TimePoint Now) {
--- a/src/libgateway/Gateway.cpp
+++ b/src/libgateway/Gateway.cpp
@@ -116,7 +116,8 @@
                            std::span<const UpstreamStart> Leaving) {
   GatewayCore &Core = m_Implementation->core();
   for (const UpstreamStart &Each : Leaving)
-    Core.board().onLeaving(Each, monotonicNow());
+    if (Core.board().onLeaving(Each, monotonicNow()))
+      logEvent(Severity::Info, "upstream_leaving", {{"upstream", Each.m_Id}, {"toldBy", Peer}});
   Core.board().onPeerReport(Peer, std::move(InFlight), monotonicNow());
   if (!Suspects.empty())
     Core.suspects().merge(Suspects, monotonicNow());
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -281,13 +281,18 @@
 void RequestExchange::noteStatements(const UpstreamExchange::Header &Head,
                                      const UpstreamRecord &From) {
   const TimePoint Now = monotonicNow();
-  if (Head.count(m_Core.headers().m_UpstreamLeaving) != 0)
-    m_Core.board().onLeaving(From.start(), Now);
+  if (Head.count(m_Core.headers().m_UpstreamLeaving) != 0 &&
+      m_Core.board().onLeaving(From.start(), Now))
+    logEvent(Severity::Info, "upstream_leaving",
+             {{"upstream", From.m_Id}, {"request", m_RequestId}});
   if (Head.result_int() != StatusUnavailable || Head.count(http::field::retry_after) == 0)
     return;
   if (auto Pause = parsePause(std::string(Head[http::field::retry_after]))) {
     m_PauseAsked = true;
     m_Core.board().onPauseAsked(From.start(), *Pause, Now);
+    if (m_Core.mayLog(true))
+      logEvent(Severity::Info, "upstream_pause_asked",
+               {{"upstream", From.m_Id}, {"seconds", *Pause}, {"request", m_RequestId}});
   } else {
     logEvent(Severity::Warning, "upstream_pause_unreadable",
              {{"upstream", From.m_Id}, {"value", std::string(Head[http::field::retry_after])}});
