Tell all local peers of suspects, which are taken once

With more than 16 local peers, which take turns, a report with suspects reached only those whose turn it was. The test also covers the turns for requests in flight: with the first 16 by address alone it cannot pass.

--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -3,6 +3,7 @@
 #include "Fescuegauge/PeerLink.h"
 
 #include <catch2/catch.hpp>
+#include <utility>
 
 using namespace fescuegauge;
 using namespace fescuegauge::test;
@@ -498,6 +499,80 @@
 
 namespace {
 
+/// An instance of the own data centre that keeps the last report with requests in flight, and the
+/// number of suspects that it was told.
+struct ListeningPeer {
+  explicit ListeningPeer(net::io_context &Loop)
+      : m_Socket(Loop, Udp::endpoint(net::ip::address_v4::loopback(), 0)) {
+    m_Socket.non_blocking(true);
+  }
+  Endpoint address() const { return {"127.0.0.1", m_Socket.local_endpoint().port()}; }
+  /// Takes what has arrived.
+  void read() {
+    std::array<char, 4096> Buffer;
+    SystemError Error;
+    while (true) {
+      const std::size_t Size = m_Socket.receive(net::buffer(Buffer), 0, Error);
+      if (Error)
+        return;
+      const auto Report = decodePeerReport({Buffer.data(), Size});
+      REQUIRE(Report);
+      m_Suspects += Report->m_Suspects.size();
+      if (!Report->m_InFlight.empty())
+        m_InFlight = Report->m_InFlight.begin()->second;
+    }
+  }
+
+  Udp::socket m_Socket;
+  std::uint32_t m_InFlight = 0;
+  std::size_t m_Suspects = 0;
+};
+
+} // namespace
+
+// Guards against instances of a large data centre that never hear of the requests that others have
+// in flight, nor of requests that crash upstreams.
+TEST_CASE("every instance of a large data centre is told within a bounded time", "[gateway]") {
+  net::io_context Loop;
+  constexpr std::size_t Count = 40;
+  std::uint32_t InFlight = 1;
+  std::vector<SuspectDelta> Suspects;
+  PeerLink Link(Loop, InstanceId("entry-0"), DataCentreId("a"),
+                {[&] {
+                   return InFlightByUpstream{{InstanceId("u1"), InFlight}};
+                 },
+                 [&] { return std::exchange(Suspects, {}); },
+                 [] { return std::vector<AnnouncedWeights>(); },
+                 [] { return std::vector<UpstreamStart>(); }, [](const LoadNotice &) {},
+                 [](const PeerReport &) {}});
+  std::vector<std::unique_ptr<ListeningPeer>> Peers;
+  for (std::size_t I = 0; I < Count; ++I) {
+    Peers.push_back(std::make_unique<ListeningPeer>(Loop));
+    Link.addPeer(Peers.back()->address(), DataCentreId("a"));
+  }
+  const auto AllSee = [&](auto Holds) {
+    for (const auto &Each : Peers)
+      Each->read();
+    return std::all_of(Peers.begin(), Peers.end(), [&](const auto &Each) { return Holds(*Each); });
+  };
+  Link.start({"127.0.0.1", freePort(Loop)});
+  constexpr auto Turns = (Count + PeerLink::MaxLocalPeers - 1) / PeerLink::MaxLocalPeers;
+  const Duration Bound = PeerLink::LocalInterval * static_cast<int>(Turns + 1);
+  for (InFlight = 1; InFlight <= 3; ++InFlight)
+    CHECK(runUntil(
+        Loop, [&] { return AllSee([&](const auto &Each) { return Each.m_InFlight == InFlight; }); },
+        Bound));
+  Suspects.push_back({{ClientAccountId("c"), sha256(std::string_view("x"))},
+                      InstanceId("u1"),
+                      Incarnation(4),
+                      false,
+                      1s});
+  CHECK(runUntil(
+      Loop, [&] { return AllSee([](const auto &Each) { return Each.m_Suspects == 1; }); }, Bound));
+}
+
+namespace {
+
 /// What an upstream sends before it goes on with the same bytes without end.
 struct EndlessCase {
   const char *m_Name;
--- a/src/libgateway/PeerLink.cpp
+++ b/src/libgateway/PeerLink.cpp
@@ -239,8 +239,10 @@
     if (Local) {
       if (Urgent || Changed || m_LocalLeft == 0)
         m_LocalLeft = Mates.size();
-      m_LocalStart = sendInTurn(Mates, m_LocalStart, MaxLocalPeers, Datagram);
-      m_LocalLeft -= std::min(m_LocalLeft, MaxLocalPeers);
+      // Suspects are taken once, so this report must reach all.
+      const std::size_t Most = Report.m_Suspects.empty() ? MaxLocalPeers : Mates.size();
+      m_LocalStart = sendInTurn(Mates, m_LocalStart, Most, Datagram);
+      m_LocalLeft -= std::min(m_LocalLeft, Most);
       m_LocalSentAt = Now;
       m_LastSent = Report.m_InFlight;
     }
