Count an agent once that is listed twice

Cause: after a loss of power the list shows a restarted runner under its old and its new id, at one address, for some seconds (306 entries for 153 agents). PieceExchange took over the state of the second entry from one that had been moved from, and agents crashed (exit code 139).

--- a/src/include/Fescuegauge/PieceExchange.h
+++ b/src/include/Fescuegauge/PieceExchange.h
@@ -110,7 +110,10 @@
                 std::uint64_t Seed, TimePoint Now);
 
   /// `Peers` contains this agent if the platform lists it.
-  void setPeers(std::vector<PiecePeer> Peers);
+  void setPeers(const std::vector<PiecePeer> &Peers);
+  /// One entry for each agent. An agent whose runner restarted may be listed under the old and the
+  /// new start of it for some seconds; it holds a version for certain only if all entries say so.
+  static std::vector<PiecePeer> withoutDuplicates(const std::vector<PiecePeer> &Peers);
   const std::vector<PiecePeer> &peers() const { return m_Peers; }
   /// Peers whose holdings should be known now.
   std::vector<PiecePeer> followed(TimePoint Now) const;
--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -380,7 +380,7 @@
   if (!Found)
     co_return false;
   m_PeersAt = Now;
-  m_Peers = std::move(*Found);
+  m_Peers = PieceExchange::withoutDuplicates(*Found);
   if (m_Current)
     m_Current->m_Exchange.setPeers(m_Peers);
   co_return true;
--- a/src/libweights/PieceExchange.cpp
+++ b/src/libweights/PieceExchange.cpp
@@ -15,11 +15,24 @@
   setPeers({});
 }
 
-void PieceExchange::setPeers(std::vector<PiecePeer> Peers) {
+std::vector<PiecePeer> PieceExchange::withoutDuplicates(const std::vector<PiecePeer> &Peers) {
+  std::vector<PiecePeer> Result;
+  std::map<InstanceId, std::size_t> Places;
+  for (const PiecePeer &Each : Peers) {
+    auto [Place, IsNew] = Places.try_emplace(Each.m_Id, Result.size());
+    if (IsNew)
+      Result.push_back(Each);
+    else
+      Result[Place->second].m_HoldsAll = Result[Place->second].m_HoldsAll && Each.m_HoldsAll;
+  }
+  return Result;
+}
+
+void PieceExchange::setPeers(const std::vector<PiecePeer> &Peers) {
   std::map<InstanceId, PeerState> Known;
   for (std::size_t I = 0; I < m_Peers.size(); ++I)
     Known.emplace(m_Peers[I].m_Id, std::move(m_States[I]));
-  m_Peers = std::move(Peers);
+  m_Peers = withoutDuplicates(Peers);
   m_States.assign(m_Peers.size(), PeerState());
   m_IndexOf.clear();
   m_SelfPeer = nullptr;
--- a/src/libweights/PieceExchange_test.cpp
+++ b/src/libweights/PieceExchange_test.cpp
@@ -248,3 +248,33 @@
   REQUIRE(Sources.size() == 1);
   CHECK_FALSE(Sources.front().m_Peer);
 }
+
+// Guards against a crash of agents after a loss of power: for some seconds the list shows a runner
+// that restarted twice, under its old id and its new one, at the same address.
+TEST_CASE("an agent that is listed twice counts once", "[pieces]") {
+  std::vector<PiecePeer> Peers;
+  for (const char *Id : {"a", "b", "c", "a", "b", "c"}) {
+    PiecePeer Each;
+    Each.m_Id = InstanceId(Id);
+    Each.m_Region = OriginRegion;
+    Each.m_DataCentre = DataCentreId("d");
+    Each.m_HoldsAll = Peers.size() == 1;
+    Peers.push_back(Each);
+  }
+  constexpr std::uint32_t Pieces = 96;
+  PieceExchange Exchange("k", Pieces, InstanceId("a"), OriginRegion, 3, TimePoint());
+  ChunkSet Held(Pieces);
+  Held.insert(7);
+  for (int I = 0; I < 3; ++I) {
+    Exchange.setPeers(Peers);
+    CHECK(Exchange.peers().size() == 3);
+    Exchange.onHoldings(InstanceId("c"), Held, TimePoint(10ms));
+    CHECK(Exchange.followed(TimePoint(10ms)).size() == 2);
+  }
+  // One of the two entries of "b" says that it holds everything; its runner may have restarted.
+  CHECK(std::none_of(Exchange.peers().begin(), Exchange.peers().end(),
+                     [](const PiecePeer &Each) { return Each.m_HoldsAll; }));
+  while (auto Fetch = Exchange.next(TimePoint(20ms)))
+    if (!Fetch->m_FromOrigin)
+      CHECK(Fetch->m_Peer == InstanceId("c"));
+}
