Work out once which remote peers are worth following

followed() compared the region of each remote peer with the source of all 96 pieces, every 20 ms at each agent, although computeFollowed() had sorted the peers by that already. It keeps their number instead. Two checks for a standstill that isOutOfTurn() makes itself are gone.

--- a/src/include/Fescuegauge/PieceExchange.h
+++ b/src/include/Fescuegauge/PieceExchange.h
@@ -162,7 +162,6 @@
     return !m_Held.contains(Piece) && !m_InFlight.contains(Piece);
   }
   bool isInOriginRegion() const { return m_SelfPeer && m_SelfPeer->m_Region == m_OriginRegion; }
-  bool isSource(const PiecePeer &Peer) const;
   /// Whether agents fetch this piece out of turn, and this one is among them.
   bool isOutOfTurn(std::uint32_t Piece, TimePoint Now) const;
   /// Whether it is this agent's turn to fetch the piece from the origin, or from its source region.
@@ -200,6 +199,8 @@
   /// Indices of peers that are worth following, in order of preference.
   std::vector<std::size_t> m_FollowedLocal;
   std::vector<std::size_t> m_FollowedRemote;
+  /// The first of m_FollowedRemote, which are in the own region or one that pieces come from.
+  std::size_t m_UsefulRemote = 0;
   ChunkSet m_Held;
   /// Pieces held in the data centre, as far as known.
   ChunkSet m_HeldLocally;
--- a/src/libweights/PieceExchange.cpp
+++ b/src/libweights/PieceExchange.cpp
@@ -149,12 +149,10 @@
   return Parent == 0 ? m_OriginRegion : Ranked[Parent - 1].second;
 }
 
-bool PieceExchange::isSource(const PiecePeer &Peer) const {
-  return std::any_of(m_Imports.begin(), m_Imports.end(),
-                     [&](const PieceImport &Each) { return Each.m_Source == Peer.m_Region; });
-}
-
 void PieceExchange::computeFollowed() {
+  std::set<RegionId> Sources;
+  for (const PieceImport &Each : m_Imports)
+    Sources.insert(Each.m_Source);
   m_FollowedLocal.clear();
   m_FollowedRemote.clear();
   for (std::size_t I = 0; I < m_Peers.size(); ++I)
@@ -165,32 +163,27 @@
   auto Rank = [&](std::vector<std::size_t> &Of) {
     std::vector<std::pair<std::pair<bool, std::uint64_t>, std::size_t>> Keyed;
     for (const std::size_t Each : Of) {
-      const bool Useful = m_States[Each].m_IsSameRegion || isSource(m_Peers[Each]);
+      const bool Useful = m_States[Each].m_IsSameRegion || Sources.contains(m_Peers[Each].m_Region);
       Keyed.push_back({{!Useful, rendezvousWeight(m_Self.str(), m_Peers[Each].m_Id.str())}, Each});
     }
     std::sort(Keyed.begin(), Keyed.end());
     Of.clear();
     for (const auto &Each : Keyed)
       Of.push_back(Each.second);
+    return static_cast<std::size_t>(std::count_if(
+        Keyed.begin(), Keyed.end(), [](const auto &Each) { return !Each.first.first; }));
   };
   Rank(m_FollowedLocal);
-  Rank(m_FollowedRemote);
+  m_UsefulRemote = Rank(m_FollowedRemote);
 }
 
 std::vector<PiecePeer> PieceExchange::followed(TimePoint Now) const {
   std::vector<PiecePeer> Result;
-  const bool Stalled = isStalled(Now);
+  const std::size_t Remote = isStalled(Now) ? m_FollowedRemote.size() : m_UsefulRemote;
   for (std::size_t I = 0; I < std::min(MaxLocalFollowed, m_FollowedLocal.size()); ++I)
     Result.push_back(m_Peers[m_FollowedLocal[I]]);
-  std::size_t Remote = 0;
-  for (const std::size_t Each : m_FollowedRemote) {
-    if (Remote == MaxRemoteFollowed)
-      break;
-    if (!Stalled && !m_States[Each].m_IsSameRegion && !isSource(m_Peers[Each]))
-      continue;
-    Result.push_back(m_Peers[Each]);
-    ++Remote;
-  }
+  for (std::size_t I = 0; I < std::min(MaxRemoteFollowed, Remote); ++I)
+    Result.push_back(m_Peers[m_FollowedRemote[I]]);
   return Result;
 }
 
@@ -260,7 +253,7 @@
   const PeerState &State = m_States[Peer];
   if (State.m_IsLocal)
     return true;
-  if (isStalled(Now) && isOutOfTurn(Piece, Now))
+  if (isOutOfTurn(Piece, Now))
     return true;
   // What a mate holds need not come from afar.
   if (m_HeldLocally.contains(Piece))
@@ -315,7 +308,7 @@
     const bool IsTurn = Imports && isOriginTurn(Piece, Now);
     if (IsTurn && m_Imports[Piece].m_Rank == 0)
       return Piece;
-    if (!Best && (IsTurn || (Stalled && isOutOfTurn(Piece, Now))))
+    if (!Best && (IsTurn || isOutOfTurn(Piece, Now)))
       Best = Piece;
   }
   return Best;
