Count the bound on old weights anew after an outage of the store

Change: the bound that the operators state counts only in time in which the store serves and is reached. An instance that saw an outage of the store itself counts the bound anew from its end. An outage is certain only when two calls that began after the first failure went unanswered too, so that a connection that has gone silent is none. A bound that had run out before stays.

--- a/src/include/Fescuegauge/WeightsDeadlines.h
+++ b/src/include/Fescuegauge/WeightsDeadlines.h
@@ -2,6 +2,7 @@
 #define FESCUEGAUGE_WEIGHTSDEADLINES_H
 
 #include "Fescuegauge/RoutingPlan.h"
+#include "Fescuegauge/StoreOutage.h"
 #include "Fescuegauge/Units.h"
 
 #include <map>
@@ -25,7 +26,8 @@
 /// entry instance that was restarted, or that could not read the announcement when it was made,
 /// does not know its age; it takes the greatest age that is possible, or that another instance
 /// tells. Only for a version of unknown age that no upstream holds yet it allows
-/// UnknownAgeAllowance, because a version that nobody holds was announced a short time ago.
+/// UnknownAgeAllowance, because a version that nobody holds was announced a short time ago. The
+/// bound counts anew after an outage of the platform's store; see StoreOutage.
 class WeightsDeadlines {
 public:
   /// Requests stop going to older weights this long before the bound, because one that waits at an
@@ -43,6 +45,8 @@
                    TimePoint Now);
   /// What another entry instance knows.
   void onTold(const AnnouncedWeights &Known, TimePoint Now);
+  /// The last outage of the platform's store that this instance saw.
+  void onOutage(const StoreOutage &Outage) { m_Outage = Outage; }
   /// An upstream holds this version.
   void onHolder(const ModelId &Model, WeightsVersion Version);
 
@@ -64,6 +68,7 @@
   TimePoint enforcedAt(const Announcement &Of) const;
 
   Duration m_Bound;
+  StoreOutage m_Outage;
   std::map<ModelId, std::map<WeightsVersion, Announcement>> m_Announced;
 };
 
--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -337,6 +337,46 @@
   CHECK(Told.leastVersions(at(99s) + 6800ms).at(Model) == Second);
 }
 
+// Guards against refusals for want of new weights while the store is away: nobody can tell then
+// whether a version was announced, and the weights that are there serve callers.
+TEST_CASE("the bound on old weights counts anew after an outage of the store", "[dispatch]") {
+  const Duration Bound = 8s;
+  const Duration Enforced = Bound - WeightsDeadlines::Margin;
+  WeightsDeadlines Weights(Bound);
+  Weights.onAnnounced(Model, WeightsVersion(2), at(0s), at(0s));
+  Weights.onOutage({at(4s), at(6s)});
+  CHECK(Weights.leastVersions(at(6s) + Enforced - 1ms).empty());
+  CHECK(Weights.leastVersions(at(6s) + Enforced).at(Model) == WeightsVersion(2));
+  CHECK(*Weights.nextChange(at(6s)) == at(6s) + Enforced);
+
+  // The bound had run out when the store went away.
+  Weights.onOutage({at(7s), at(9s)});
+  CHECK(Weights.leastVersions(at(8s)).at(Model) == WeightsVersion(2));
+}
+
+// Guards against a silent connection that is taken for an outage of the store.
+TEST_CASE("an outage is certain when new calls go unanswered too", "[dispatch]") {
+  const auto HasOutage = [](const OutageDetector &Each) {
+    return Each.last().m_Until > Each.last().m_From;
+  };
+  OutageDetector Detector;
+  Detector.onUnanswered(at(0s), at(1s));
+  // Began before the first failure was known, on a connection of the same age.
+  Detector.onUnanswered(at(500ms), at(1500ms));
+  Detector.onUnanswered(at(1600ms), at(2s));
+  CHECK_FALSE(HasOutage(Detector));
+  Detector.onAnswered();
+  Detector.onUnanswered(at(5s), at(6s));
+  Detector.onUnanswered(at(6s), at(7s));
+  CHECK_FALSE(HasOutage(Detector));
+  Detector.onUnanswered(at(7s), at(8s));
+  REQUIRE(HasOutage(Detector));
+  CHECK(Detector.last().m_From == at(5s));
+  CHECK(Detector.last().m_Until == at(8s));
+  Detector.onAnswered();
+  CHECK(Detector.last().m_Until == at(8s));
+}
+
 TEST_CASE("events are passed on whole and with their ids", "[dispatch]") {
   EventSplitter Events;
   Events.append("id: 7\ndata: a\n");
--- /dev/null
+++ b/src/libdispatch/StoreOutage.cpp
@@ -0,0 +1,17 @@
+#include "Fescuegauge/StoreOutage.h"
+
+namespace fescuegauge {
+
+void OutageDetector::onUnanswered(TimePoint BegunAt, TimePoint Now) {
+  if (!m_FirstFailureAt) {
+    m_FirstFailureAt = Now;
+    m_From = BegunAt;
+    m_Confirmed = 0;
+    return;
+  }
+  if (BegunAt < *m_FirstFailureAt || ++m_Confirmed < Confirmations)
+    return;
+  m_Last = {m_From, Now};
+}
+
+} // namespace fescuegauge
--- a/src/libdispatch/WeightsDeadlines.cpp
+++ b/src/libdispatch/WeightsDeadlines.cpp
@@ -39,7 +39,7 @@
 
 TimePoint WeightsDeadlines::enforcedAt(const Announcement &Of) const {
   if (!Of.m_AgeUnknown)
-    return Of.m_At + m_Bound - Margin;
+    return m_Outage.countedFrom(Of.m_At, m_Bound - Margin) + m_Bound - Margin;
   return Of.m_IsHeld ? Of.m_At : Of.m_At + UnknownAgeAllowance;
 }
 
