Finish a version that is nearly whole, and ask several sources for digests

Changes: a version in transfer is completed before a newer one if three quarters of its pieces are held by agents. A complete version that was superseded is kept, and loaded shortly before the runner's own version ceases to be of use, unless the newer one is expected in time. Sources of digests are asked 150 ms after each other, and an origin that is away is asked again while others are waited for. A transfer begins with the peers that are known while the list is read again.

--- a/src/include/Fescuegauge/ManifestSources.h
+++ b/src/include/Fescuegauge/ManifestSources.h
@@ -23,7 +23,7 @@
   static constexpr std::size_t Roots = 3;
   /// Agents that ask the same agent.
   static constexpr std::size_t FanOut = 4;
-  /// Agents asked in one attempt.
+  /// Sources asked in one attempt, without the origin that is asked later.
   static constexpr std::size_t MaxPeersAsked = 3;
 
   struct Source {
--- a/src/include/Fescuegauge/PieceExchange.h
+++ b/src/include/Fescuegauge/PieceExchange.h
@@ -127,6 +127,10 @@
 
   const ChunkSet &held() const { return m_Held; }
   bool isComplete() const { return m_Held.count() == m_Count; }
+  /// Pieces that this agent holds, or that a peer is known to hold.
+  std::size_t reachableCount() const;
+  /// No piece has arrived or become known for StallTime.
+  bool isStalled(TimePoint Now) const { return Now - m_NewsAt > StallTime; }
   std::uint32_t originFetches() const { return m_OriginFetches; }
   std::uint32_t originAllowance() const;
 
@@ -157,7 +161,6 @@
     std::size_t m_First = 0;
   };
 
-  bool isStalled(TimePoint Now) const { return Now - m_NewsAt > StallTime; }
   bool isMissing(std::uint32_t Piece) const {
     return !m_Held.contains(Piece) && !m_InFlight.contains(Piece);
   }
@@ -226,10 +229,19 @@
   /// with the old version from about then on, so a later order would only leave its runner idle.
   static constexpr Duration LastOrderMargin = std::chrono::milliseconds(1300);
 
-  /// The time at which the agent of rank `Rank` of `Count` orders the load, given when the version
-  /// was announced and when its pieces were complete here.
-  static TimePoint orderAt(TimePoint Announced, TimePoint Complete, Duration Deadline,
-                           std::size_t Rank, std::size_t Count);
+  /// A fallback is loaded in the last time before the bound, because the version that is wanted may
+  /// still come. The loads of all runners are spread over this time.
+  static constexpr Duration FallbackSpan = std::chrono::milliseconds(2500);
+
+  /// The time at which the agent of rank `Rank` of `Count` orders the load, given when the pieces
+  /// were complete here and the time after which the version that is served is of no use.
+  static TimePoint orderAt(TimePoint Complete, TimePoint Bound, std::size_t Rank,
+                           std::size_t Count);
+  /// The same for a version that is loaded only because a newer one is late.
+  static TimePoint fallbackAt(TimePoint Complete, TimePoint Bound, std::size_t Rank,
+                              std::size_t Count) {
+    return orderAt(std::max(Complete, Bound - LastOrderMargin - FallbackSpan), Bound, Rank, Count);
+  }
 };
 
 } // namespace fescuegauge
--- a/src/include/Fescuegauge/WeightsAgent.h
+++ b/src/include/Fescuegauge/WeightsAgent.h
@@ -8,6 +8,7 @@
 #include "Fescuegauge/Random.h"
 #include "Fescuegauge/RoutingPlan.h"
 #include "Fescuegauge/StatusServer.h"
+#include "Fescuegauge/StoreOutage.h"
 
 #include <boost/json/object.hpp>
 #include <map>
@@ -128,14 +129,17 @@
   /// asking agent waits a little longer.
   static constexpr Duration DigestsWait = std::chrono::milliseconds(600);
   static constexpr Duration DigestsTimeout = std::chrono::milliseconds(900);
+  /// The next source of digests is asked when the one before has not answered for this long.
+  static constexpr Duration DigestsStagger = std::chrono::milliseconds(150);
   /// A peer must deliver a piece within this time.
   static constexpr Duration PeerTimeout = std::chrono::milliseconds(2500);
   /// Interval at which the runner is asked what it holds, at rest and while it loads.
   static constexpr Duration RestInterval = std::chrono::milliseconds(500);
   static constexpr Duration LoadInterval = std::chrono::milliseconds(100);
   static constexpr Duration RetryInterval = std::chrono::milliseconds(200);
-  /// The list of peers is read again after this time during a transfer.
+  /// The list of peers is read again after this time during a transfer, and between transfers.
   static constexpr Duration PeersValidity = std::chrono::seconds(2);
+  static constexpr Duration PeersValidityAtRest = std::chrono::seconds(10);
   /// A staging area that was read back longer ago than this is read again before the order.
   static constexpr Duration ReadBackValidity = std::chrono::milliseconds(1500);
   /// Announcements whose times are remembered.
@@ -159,6 +163,8 @@
   void announce(const ModelId &Model, WeightsVersion Version, bool IsNews);
   /// See WeightsAgentOptions::m_Deadline.
   void setDeadline(Duration Deadline);
+  /// The last outage of the platform's store that this agent saw.
+  void onOutage(const StoreOutage &Outage);
   boost::json::object dumpState() const;
 
 private:
--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -7,6 +7,7 @@
 #include "Fescuegauge/ParseNumber.h"
 #include "Fescuegauge/Rendezvous.h"
 #include "Fescuegauge/TransferPlanner.h"
+#include "Fescuegauge/VersionChoice.h"
 
 #include <algorithm>
 #include <charconv>
@@ -123,6 +124,18 @@
   bool m_IsNotExpected = false;
 };
 
+/// Several sources are asked for the digests of one version at the same time.
+struct DigestSearch {
+  std::optional<PieceManifest> m_Found;
+  std::string m_Source;
+  /// Questions without an answer yet.
+  std::size_t m_Open = 0;
+  /// Every peer that answered said that it will not learn them.
+  bool m_NobodyLearns = true;
+  /// The digests are no longer waited for.
+  bool m_IsOver = false;
+};
+
 /// One version on its way to the runner.
 struct Transfer {
   Transfer(PieceManifest Of, const WeightsAgentOptions &Options)
@@ -134,6 +147,10 @@
 
   std::uint32_t count() const { return static_cast<std::uint32_t>(m_Pieces.size()); }
   bool isComplete() const { return m_Exchange.isComplete(); }
+  WeightsVersion version() const { return m_Manifest.m_Version; }
+  TransferProgress progress() const {
+    return {m_StartedAt, m_Exchange.held().count(), m_Exchange.reachableCount(), m_Pieces.size()};
+  }
 
   TimePoint m_StartedAt = monotonicNow();
   PieceManifest m_Manifest;
@@ -170,8 +187,15 @@
   Task<> drive();
   Task<> advance(const RunnerReport &Report, Target Wanted);
   Task<bool> prepare(Target Wanted);
+  /// Keeps the current transfer for the case that the wanted version comes too late.
+  void keepFallback(const Target &Wanted);
   Task<bool> learnDigests(Target Wanted);
-  Task<bool> refreshPeers(Target Wanted);
+  Task<> askSource(std::shared_ptr<DigestSearch> Search, Target Wanted,
+                   ManifestSources::Source From);
+  Task<> askOrigin(std::shared_ptr<DigestSearch> Search, Target Wanted);
+  /// Reads the list of peers if it is due. Waits for it only if no peer is known.
+  Task<> refreshPeers(Target Wanted, Duration Validity);
+  Task<> readPeers(Target Wanted);
   Task<> restoreFromStaging(std::shared_ptr<Transfer> Version);
   Task<> fetchPieces(std::shared_ptr<Transfer> Version);
   Task<> fetchOne(std::shared_ptr<Transfer> Version, PieceFetch Fetch);
@@ -179,9 +203,40 @@
   Task<DigestAnswer> askDigests(Target Wanted, Endpoint Address);
   Task<bool> verifyStaging(std::shared_ptr<Transfer> Version);
   Task<FetchedPiece> fetchBytes(std::shared_ptr<Transfer> Version, PieceFetch Fetch);
-  TimePoint orderTime(const Target &Wanted, bool ServesNothing) const;
-  bool isCurrent(const std::shared_ptr<Transfer> &Version) const {
-    return m_Current == Version && m_Target && Version->m_Manifest.m_Version == m_Target->m_Version;
+  Task<> load(RunnerReport Report, Target Wanted, std::shared_ptr<Transfer> Version);
+  TimePoint orderTime(const Target &Wanted, const Transfer &Version) const;
+  /// When the version that the runner serves ceases to be of use.
+  TimePoint boundOfLoaded(const Target &Wanted) const;
+  /// This agent's place in the order in which the agents convert their runners to a version, and
+  /// how many there are.
+  std::pair<std::size_t, std::size_t> turn(WeightsVersion Version) const;
+  bool servesNothing(const ModelId &Model) const;
+  /// Whether the fallback must be loaded now, because the wanted version comes too late.
+  bool isFallbackDue(const Target &Wanted) const;
+  bool isWanted(const Transfer &Version) const {
+    return m_Target && Version.version() == m_Target->m_Version;
+  }
+  /// Whether the version may still be loaded.
+  bool isLoadable(const std::shared_ptr<Transfer> &Version) const {
+    return (Version == m_Current && isWanted(*Version)) || Version == m_Fallback;
+  }
+  bool isCurrent(const std::shared_ptr<Transfer> &Version) const { return m_Current == Version; }
+  /// Whether the pieces of this version may be staged as they arrive.
+  bool ownsStaging(const std::shared_ptr<Transfer> &Version) const {
+    return isCurrent(Version) && !m_Fallback;
+  }
+  /// The staging area no longer holds what was written for any transfer but this one.
+  void forgetStaged(const std::shared_ptr<Transfer> &Except) {
+    for (const std::shared_ptr<Transfer> &Each : {m_Current, m_Fallback, m_Replaced})
+      if (Each && Each != Except)
+        std::fill(Each->m_Staged.begin(), Each->m_Staged.end(), false);
+  }
+  /// The transfer of a version whose pieces are in memory.
+  std::shared_ptr<Transfer> transferOf(const ModelId &Model, WeightsVersion Version) const {
+    for (const std::shared_ptr<Transfer> &Each : {m_Current, m_Fallback, m_Replaced})
+      if (Each && Each->m_Manifest.m_Model == Model && Each->version() == Version)
+        return Each;
+    return nullptr;
   }
   void accept(Transfer &Version, std::uint32_t Piece, std::string Bytes);
   /// Gives the transfer up, to begin anew with digests from the origin.
@@ -198,10 +253,6 @@
       return false;
     return !m_Target || m_Target->m_Version <= Wanted.m_Version;
   }
-  bool isCurrentVersion(const PieceName &Wanted) const {
-    return m_Current && m_Current->m_Manifest.m_Model == Wanted.m_Model &&
-           m_Current->m_Manifest.m_Version == Wanted.m_Version;
-  }
 
   Task<> pause(Duration Length);
 
@@ -218,8 +269,15 @@
   /// When versions were announced.
   std::map<WeightsVersion, TimePoint> m_AnnouncedAt;
   std::shared_ptr<Transfer> m_Current;
+  /// A version that is complete, newer than what the runner serves, and older than the wanted one.
+  std::shared_ptr<Transfer> m_Fallback;
+  /// The transfer that m_Current replaced before it was complete, for agents that go on with it.
+  std::shared_ptr<Transfer> m_Replaced;
   std::vector<PiecePeer> m_Peers;
+  /// The version for which m_Peers tells who holds it.
+  WeightsVersion m_PeersVersion;
   std::optional<TimePoint> m_PeersAt;
+  bool m_IsReadingPeers = false;
   std::optional<Incarnation> m_Incarnation;
   /// The staging area may hold pieces that are not in memory.
   bool m_StagingUnread = true;
@@ -230,6 +288,9 @@
   /// again.
   bool m_DigestsDoubted = false;
   std::optional<TimePoint> m_OrderedAt;
+  StoreOutage m_Outage;
+  /// Writes to the staging area by fetchOne() that are not answered yet.
+  std::size_t m_StageWrites = 0;
   Pace m_UploadPace;
   std::size_t m_WaitingUploads = 0;
   std::uint64_t m_UploadedPieces = 0;
@@ -253,8 +314,7 @@
                {{"incarnation", Report->m_Incarnation}, {"models", Report->m_Loaded.size()}});
       m_Incarnation = Report->m_Incarnation;
       m_StagingUnread = true;
-      if (m_Current)
-        std::fill(m_Current->m_Staged.begin(), m_Current->m_Staged.end(), false);
+      forgetStaged(nullptr);
     }
     if (m_Loaded != Report->m_Loaded) {
       m_Loaded = Report->m_Loaded;
@@ -277,18 +337,23 @@
 
 Task<> WeightsAgent::Implementation::advance(const RunnerReport &Report, Target Wanted) {
   auto Loaded = Report.m_Loaded.find(Wanted.m_Model);
-  const bool ServesNothing = Loaded == Report.m_Loaded.end() || Loaded->second == WeightsVersion();
+  const bool ServesNothing = servesNothing(Wanted.m_Model);
+  if (m_Fallback && !ServesNothing && Loaded->second >= m_Fallback->version())
+    m_Fallback.reset();
   if (!ServesNothing && Loaded->second >= Wanted.m_Version) {
+    m_Replaced.reset();
+    co_await refreshPeers(Wanted, PeersValidityAtRest);
     co_await pause(RestInterval);
     co_return;
   }
   const bool Prepared = co_await prepare(Wanted);
-  if (!Prepared) {
+  if (!Prepared && !isFallbackDue(Wanted)) {
     co_await pause(RetryInterval);
     co_return;
   }
-  const TimePoint Due = orderTime(Wanted, ServesNothing);
-  if (const TimePoint Now = monotonicNow(); Now < Due) {
+  const std::shared_ptr<Transfer> Version = Prepared ? m_Current : m_Fallback;
+  const TimePoint Due = orderTime(Wanted, *Version);
+  if (const TimePoint Now = monotonicNow(); Prepared && Now < Due) {
     co_await pause(std::min(Due - Now, RestInterval));
     co_return;
   }
@@ -296,13 +361,17 @@
     co_await pause(LoadInterval);
     co_return;
   }
-  const std::shared_ptr<Transfer> Version = m_Current;
-  if (!ServesNothing) {
+  co_await load(Report, Wanted, Version);
+}
+
+Task<> WeightsAgent::Implementation::load(RunnerReport Report, Target Wanted,
+                                          std::shared_ptr<Transfer> Version) {
+  if (!servesNothing(Wanted.m_Model)) {
     co_await m_Announcer.announce(LoadOutage);
     co_await sleepFor(NoticeLead);
   }
   const bool Verified = co_await verifyStaging(Version);
-  if (!Verified || !isCurrent(Version))
+  if (!Verified || !isLoadable(Version))
     co_return;
   const TimePoint VerifiedAt = monotonicNow();
   const std::optional<RunnerReport> Fresh = co_await m_Runner.report();
@@ -314,11 +383,12 @@
     co_return;
   m_OrderedAt = monotonicNow();
   const LoadOrderResult Result =
-      co_await m_Runner.load(Wanted.m_Model, Wanted.m_Version, Report.m_OrderCount);
+      co_await m_Runner.load(Wanted.m_Model, Version->version(), Report.m_OrderCount);
   constexpr std::string_view Names[] = {"accepted", "refused", "unknown"};
   logEvent(Severity::Info, "load_ordered",
            {{"model", Wanted.m_Model},
-            {"version", Wanted.m_Version},
+            {"version", Version->version()},
+            {"wanted", Wanted.m_Version},
             {"result", Names[static_cast<int>(Result)]},
             {"sinceAnnouncementSeconds", monotonicNow() - Wanted.m_AnnouncedAt},
             {"transferSeconds",
@@ -328,30 +398,64 @@
   co_await pause(LoadInterval);
 }
 
-TimePoint WeightsAgent::Implementation::orderTime(const Target &Wanted, bool ServesNothing) const {
-  const TimePoint Complete = m_Current->m_CompleteAt.value_or(monotonicNow());
-  if (ServesNothing || !Wanted.m_IsNews)
-    return Complete;
+bool WeightsAgent::Implementation::servesNothing(const ModelId &Model) const {
+  auto Loaded = m_Loaded.find(Model);
+  return Loaded == m_Loaded.end() || Loaded->second == WeightsVersion();
+}
+
+TimePoint WeightsAgent::Implementation::boundOfLoaded(const Target &Wanted) const {
   // The oldest announcement that the runner does not meet decides until when it is of use.
   TimePoint Announced = Wanted.m_AnnouncedAt;
   auto Loaded = m_Loaded.find(Wanted.m_Model);
   for (const auto &[Version, At] : m_AnnouncedAt)
     if (Loaded != m_Loaded.end() && Version > Loaded->second)
       Announced = std::min(Announced, At);
+  return m_Outage.countedFrom(Announced, m_Options.m_Deadline) + m_Options.m_Deadline;
+}
+
+std::pair<std::size_t, std::size_t>
+WeightsAgent::Implementation::turn(WeightsVersion Version) const {
   // All agents compute the same order of turns.
-  const std::string Key = "turn/" + std::to_string(Wanted.m_Version.value());
+  const std::string Key = "turn/" + std::to_string(Version.value());
   const std::uint64_t Own = rendezvousWeight(Key, m_Options.m_Self.str());
   const auto Before = std::count_if(m_Peers.begin(), m_Peers.end(), [&](const PiecePeer &Each) {
     return rendezvousWeight(Key, Each.m_Id.str()) > Own;
   });
-  return ConversionSchedule::orderAt(Announced, Complete, m_Options.m_Deadline,
-                                     static_cast<std::size_t>(Before), m_Peers.size());
+  return {static_cast<std::size_t>(Before), m_Peers.size()};
+}
+
+TimePoint WeightsAgent::Implementation::orderTime(const Target &Wanted,
+                                                  const Transfer &Version) const {
+  const TimePoint Complete = Version.m_CompleteAt.value_or(monotonicNow());
+  if (servesNothing(Wanted.m_Model) || !Wanted.m_IsNews)
+    return Complete;
+  const auto [Rank, Count] = turn(Version.version());
+  return ConversionSchedule::orderAt(Complete, boundOfLoaded(Wanted), Rank, Count);
+}
+
+bool WeightsAgent::Implementation::isFallbackDue(const Target &Wanted) const {
+  if (!m_Fallback)
+    return false;
+  const TimePoint Now = monotonicNow();
+  if (servesNothing(Wanted.m_Model) || !Wanted.m_IsNews)
+    return true;
+  const TimePoint Bound = boundOfLoaded(Wanted);
+  const auto [Rank, Count] = turn(m_Fallback->version());
+  const bool IsNext = m_Current && isWanted(*m_Current);
+  return Now >= ConversionSchedule::fallbackAt(m_Fallback->m_CompleteAt.value_or(Now), Bound, Rank,
+                                               Count) &&
+         !VersionChoice::isInTime(IsNext ? std::optional(m_Current->progress()) : std::nullopt,
+                                  Bound - ConversionSchedule::LastOrderMargin, Now);
 }
 
 Task<bool> WeightsAgent::Implementation::prepare(Target Wanted) {
-  const bool IsOther = !m_Current || m_Current->m_Manifest.m_Model != Wanted.m_Model ||
-                       m_Current->m_Manifest.m_Version != Wanted.m_Version;
-  if (IsOther) {
+  if (m_Current && m_Current->m_Manifest.m_Model == Wanted.m_Model && !isWanted(*m_Current) &&
+      !m_Current->isComplete())
+    co_await fetchPieces(m_Current);
+  if (!m_Current || m_Current->m_Manifest.m_Model != Wanted.m_Model || !isWanted(*m_Current)) {
+    keepFallback(Wanted);
+    if (isFallbackDue(Wanted))
+      co_return false;
     const bool Learnt = co_await learnDigests(Wanted);
     if (!Learnt)
       co_return false;
@@ -364,26 +468,54 @@
   }
   if (Version->isComplete())
     co_return true;
-  const bool Refreshed = co_await refreshPeers(Wanted);
-  if (!Refreshed && m_Peers.empty())
+  co_await refreshPeers(Wanted, PeersValidity);
+  if (m_Peers.empty())
     logEvent(Severity::Warning, "peers_unknown", {{"model", Wanted.m_Model}});
   co_await fetchPieces(Version);
-  co_return isCurrent(Version) && Version->isComplete();
+  co_return isCurrent(Version) && isWanted(*Version) && Version->isComplete();
 }
 
-Task<bool> WeightsAgent::Implementation::refreshPeers(Target Wanted) {
-  const TimePoint Now = monotonicNow();
-  if (m_PeersAt && Now - *m_PeersAt < PeersValidity)
-    co_return true;
+void WeightsAgent::Implementation::keepFallback(const Target &Wanted) {
+  const auto Loaded = m_Loaded.find(Wanted.m_Model);
+  const bool IsNewer = m_Current && m_Current->m_Manifest.m_Model == Wanted.m_Model &&
+                       (Loaded == m_Loaded.end() || m_Current->version() > Loaded->second);
+  if (!IsNewer || !m_Current->isComplete() || m_Fallback == m_Current)
+    return;
+  m_Fallback = m_Current;
+  logEvent(Severity::Info, "fallback_kept",
+           {{"model", Wanted.m_Model},
+            {"version", m_Fallback->version()},
+            {"wanted", Wanted.m_Version}});
+}
+
+Task<> WeightsAgent::Implementation::refreshPeers(Target Wanted, Duration Validity) {
+  if (m_PeersVersion != Wanted.m_Version) {
+    m_PeersVersion = Wanted.m_Version;
+    m_PeersAt.reset();
+    for (PiecePeer &Each : m_Peers)
+      Each.m_HoldsAll = false;
+  }
+  if (m_IsReadingPeers || (m_PeersAt && monotonicNow() - *m_PeersAt < Validity))
+    co_return;
+  // The list comes late while the store is away. Most of a list that is some seconds old is right.
+  if (m_Peers.empty())
+    co_await readPeers(Wanted);
+  else
+    spawnTask(m_Executor, "read_peers", readPeers(Wanted));
+}
+
+Task<> WeightsAgent::Implementation::readPeers(Target Wanted) {
+  auto Self = shared_from_this();
+  m_IsReadingPeers = true;
   std::optional<std::vector<PiecePeer>> Found =
       co_await m_PeerDirectory.peers(Wanted.m_Model, Wanted.m_Version);
-  if (!Found)
-    co_return false;
-  m_PeersAt = Now;
+  m_IsReadingPeers = false;
+  if (!Found || m_PeersVersion != Wanted.m_Version)
+    co_return;
+  m_PeersAt = monotonicNow();
   m_Peers = PieceExchange::withoutDuplicates(*Found);
-  if (m_Current)
+  if (m_Current && m_Current->m_Manifest.m_Version == Wanted.m_Version)
     m_Current->m_Exchange.setPeers(m_Peers);
-  co_return true;
 }
 
 Task<DigestAnswer> WeightsAgent::Implementation::askDigests(Target Wanted, Endpoint Address) {
@@ -399,35 +531,72 @@
   co_return Result;
 }
 
+Task<> WeightsAgent::Implementation::askSource(std::shared_ptr<DigestSearch> Search, Target Wanted,
+                                               ManifestSources::Source From) {
+  auto Self = shared_from_this();
+  const DigestAnswer Answer = co_await askDigests(Wanted, From.m_Peer->m_Address);
+  --Search->m_Open;
+  Search->m_NobodyLearns = Search->m_NobodyLearns && Answer.m_IsNotExpected;
+  if (Answer.m_Manifest && !Search->m_Found) {
+    Search->m_Found = Answer.m_Manifest;
+    Search->m_Source = From.m_Peer->m_Id.str();
+  }
+  m_Wake.cancel();
+}
+
+Task<> WeightsAgent::Implementation::askOrigin(std::shared_ptr<DigestSearch> Search,
+                                               Target Wanted) {
+  auto Self = shared_from_this();
+  while (!Search->m_Found && !Search->m_IsOver) {
+    std::optional<PieceManifest> Manifest =
+        co_await m_Origin.manifest(Wanted.m_Model, Wanted.m_Version);
+    if (Manifest && !Search->m_Found) {
+      Search->m_Found = std::move(Manifest);
+      Search->m_Source = "origin";
+    }
+    // An origin that was away may be back before the others answer.
+    if (!Search->m_Found)
+      co_await sleepFor(RetryInterval);
+  }
+  --Search->m_Open;
+  m_Wake.cancel();
+}
+
 Task<bool> WeightsAgent::Implementation::learnDigests(Target Wanted) {
-  co_await refreshPeers(Wanted);
-  std::optional<PieceManifest> Found;
-  std::string Source = "origin";
-  if (m_DigestsDoubted) {
-    Found = co_await m_Origin.manifest(Wanted.m_Model, Wanted.m_Version);
-  } else {
-    const auto Sources =
+  co_await refreshPeers(Wanted, PeersValidity);
+  std::vector<ManifestSources::Source> Sources{{}};
+  if (!m_DigestsDoubted)
+    Sources =
         ManifestSources::sources(versionKey(Wanted.m_Model, Wanted.m_Version), m_Peers,
                                  m_Options.m_Self, m_Options.m_OriginRegion, m_DigestAttempts);
-    bool NobodyLearns = true;
-    bool AskedOrigin = false;
-    for (const ManifestSources::Source &Each : Sources) {
-      if (Each.m_Peer) {
-        const DigestAnswer Answer = co_await askDigests(Wanted, Each.m_Peer->m_Address);
-        Found = Answer.m_Manifest;
-        NobodyLearns = NobodyLearns && Answer.m_IsNotExpected;
-      } else {
-        Found = co_await m_Origin.manifest(Wanted.m_Model, Wanted.m_Version);
-        AskedOrigin = true;
-      }
-      if (Found) {
-        Source = Each.m_Peer ? Each.m_Peer->m_Id.str() : "origin";
-        break;
-      }
+  auto Search = std::make_shared<DigestSearch>();
+  bool AskedOrigin = false;
+  std::size_t Asked = 0;
+  const TimePoint End = monotonicNow() + DigestsTimeout;
+  TimePoint NextAt = monotonicNow();
+  while (!Search->m_Found && monotonicNow() < End && !isFallbackDue(Wanted)) {
+    if (Asked < Sources.size() && (Search->m_Open == 0 || monotonicNow() >= NextAt)) {
+      const ManifestSources::Source &Next = Sources[Asked++];
+      ++Search->m_Open;
+      if (Next.m_Peer)
+        spawnTask(m_Executor, "ask_digests", askSource(Search, Wanted, Next));
+      else
+        spawnTask(m_Executor, "ask_origin", askOrigin(Search, Wanted));
+      AskedOrigin = AskedOrigin || !Next.m_Peer;
+      NextAt = monotonicNow() + DigestsStagger;
+    } else if (Search->m_Open > 0) {
+      co_await pause(std::min(End, std::max(NextAt, monotonicNow() + ProgressCheck)) -
+                     monotonicNow());
+    } else if (Search->m_NobodyLearns && !AskedOrigin) {
+      AskedOrigin = true;
+      Sources.push_back({});
+    } else {
+      break;
     }
-    if (!Found && NobodyLearns && !AskedOrigin)
-      Found = co_await m_Origin.manifest(Wanted.m_Model, Wanted.m_Version);
   }
+  Search->m_IsOver = true;
+  std::optional<PieceManifest> Found = std::move(Search->m_Found);
+  const std::string Source = Search->m_Source;
   ++m_DigestAttempts;
   if (!Found) {
     logEvent(Severity::Warning, "digests_unavailable",
@@ -438,6 +607,8 @@
   m_DigestsDoubted = false;
   if (!m_Target || m_Target->m_Version != Wanted.m_Version)
     co_return false;
+  if (m_Current && !m_Current->isComplete())
+    m_Replaced = m_Current;
   m_Current = std::make_shared<Transfer>(std::move(*Found), m_Options);
   m_Current->m_Exchange.setPeers(m_Peers);
   logEvent(Severity::Info, "transfer_started",
@@ -485,15 +656,19 @@
 }
 
 Task<> WeightsAgent::Implementation::fetchPieces(std::shared_ptr<Transfer> Version) {
-  while (isCurrent(Version) && !Version->isComplete()) {
+  while (isCurrent(Version) && !Version->isComplete() && !isFallbackDue(*m_Target)) {
     const TimePoint Now = monotonicNow();
+    if (!isWanted(*Version) &&
+        !VersionChoice::finishesFirst(Version->progress(), Version->m_Exchange.isStalled(Now)))
+      co_return;
     for (const PiecePeer &Each : Version->m_Exchange.followed(Now))
       if (Version->m_Asked.insert(Each.m_Id).second)
         spawnTask(m_Executor, "follow_holdings", followHoldings(Version, Each));
     while (auto Fetch = Version->m_Exchange.next(Now))
       spawnTask(m_Executor, "fetch_piece", fetchOne(Version, *Fetch));
     co_await pause(ProgressCheck);
-    co_await refreshPeers(*m_Target);
+    if (isWanted(*Version))
+      co_await refreshPeers(*m_Target, PeersValidity);
   }
 }
 
@@ -550,12 +725,13 @@
     co_return;
   }
   accept(*Version, Fetch.m_Piece, std::move(*Bytes));
-  if (!isCurrent(Version) || Version->m_Staged[Fetch.m_Piece])
+  if (!ownsStaging(Version) || Version->m_Staged[Fetch.m_Piece])
     co_return;
   const PieceBytes Kept = Version->m_Pieces[Fetch.m_Piece];
+  ++m_StageWrites;
   const bool Written = co_await m_Runner.stage(Version->m_Manifest.m_Model, Fetch.m_Piece, Kept);
-  if (isCurrent(Version))
-    Version->m_Staged[Fetch.m_Piece] = Written;
+  --m_StageWrites;
+  Version->m_Staged[Fetch.m_Piece] = Written;
 }
 
 Task<FetchedPiece> WeightsAgent::Implementation::fetchBytes(std::shared_ptr<Transfer> Version,
@@ -590,10 +766,14 @@
 
 Task<bool> WeightsAgent::Implementation::verifyStaging(std::shared_ptr<Transfer> Version) {
   const ModelId Model = Version->m_Manifest.m_Model;
+  // A write of another version that lands after the read-back would be loaded unchecked.
+  while (m_StageWrites > 0)
+    co_await sleepFor(ProgressCheck);
+  forgetStaged(Version);
   for (std::uint32_t Piece = 0; Piece < Version->count(); ++Piece) {
     if (Version->m_Staged[Piece])
       continue;
-    if (!isCurrent(Version))
+    if (!isLoadable(Version))
       co_return false;
     const PieceBytes Kept = Version->m_Pieces[Piece];
     const bool Written = co_await m_Runner.stage(Model, Piece, Kept);
@@ -602,7 +782,7 @@
     Version->m_Staged[Piece] = true;
   }
   bool AllGood = true;
-  for (std::uint32_t Piece = 0; Piece < Version->count() && isCurrent(Version); ++Piece) {
+  for (std::uint32_t Piece = 0; Piece < Version->count() && isLoadable(Version); ++Piece) {
     const std::optional<std::string> Bytes = co_await m_Runner.readStaged(Model, Piece);
     if (Bytes && sha256(*Bytes) == Version->m_Manifest.m_Digests[Piece])
       continue;
@@ -611,7 +791,7 @@
     Version->m_Staged[Piece] = false;
     AllGood = false;
   }
-  AllGood = AllGood && isCurrent(Version);
+  AllGood = AllGood && isLoadable(Version);
   co_return AllGood;
 }
 
@@ -623,11 +803,14 @@
     co_return StatusAnswer{404, "text/plain", ""};
   if (Name->m_Name == DigestsName) {
     const TimePoint End = monotonicNow() + DigestsWait;
-    while (!isCurrentVersion(*Name) && mayLearn(*Name) && monotonicNow() < End)
+    std::shared_ptr<Transfer> Known = transferOf(Name->m_Model, Name->m_Version);
+    while (!Known && mayLearn(*Name) && monotonicNow() < End) {
       co_await sleepFor(ProgressCheck);
-    if (!isCurrentVersion(*Name))
+      Known = transferOf(Name->m_Model, Name->m_Version);
+    }
+    if (!Known)
       co_return StatusAnswer{mayLearn(*Name) ? StatusBusy : StatusNotFound, "text/plain", ""};
-    co_return StatusAnswer{200, "text/plain", digestsText(m_Current->m_Manifest)};
+    co_return StatusAnswer{200, "text/plain", digestsText(Known->m_Manifest)};
   }
   if (Name->m_Name == HoldingsName) {
     std::string Known;
@@ -654,8 +837,8 @@
                                                                std::string Known) {
   const TimePoint Start = monotonicNow();
   co_await sleepFor(HoldingsInterval);
-  while (isCurrentVersion(Wanted)) {
-    std::string Held = holdingsText(m_Current->m_Exchange.held());
+  while (const auto Version = transferOf(Wanted.m_Model, Wanted.m_Version)) {
+    std::string Held = holdingsText(Version->m_Exchange.held());
     if (Held != Known || monotonicNow() - Start > HoldingsWait)
       co_return StatusAnswer{200, "text/plain", std::move(Held)};
     co_await sleepFor(ProgressCheck);
@@ -664,13 +847,13 @@
 }
 
 Task<StatusAnswer> WeightsAgent::Implementation::servePiece(PieceName Wanted, std::uint32_t Piece) {
-  const bool IsCurrent = isCurrentVersion(Wanted);
-  if (IsCurrent && Piece < m_Current->count() && m_Current->m_Pieces[Piece]) {
+  const auto Version = transferOf(Wanted.m_Model, Wanted.m_Version);
+  if (Version && Piece < Version->count() && Version->m_Pieces[Piece]) {
     ++m_UploadedPieces;
-    co_return StatusAnswer{200, "application/octet-stream", *m_Current->m_Pieces[Piece]};
+    co_return StatusAnswer{200, "application/octet-stream", *Version->m_Pieces[Piece]};
   }
   auto Loaded = m_Loaded.find(Wanted.m_Model);
-  if (!IsCurrent && Loaded != m_Loaded.end() && Loaded->second == Wanted.m_Version) {
+  if (!Version && Loaded != m_Loaded.end() && Loaded->second == Wanted.m_Version) {
     // This process started after the version was loaded; the receiver checks the digest.
     std::optional<std::string> Staged = co_await m_Runner.readStaged(Wanted.m_Model, Piece);
     if (Staged) {
@@ -711,6 +894,8 @@
   m_Implementation->m_Wake.cancel();
 }
 
+void WeightsAgent::onOutage(const StoreOutage &Outage) { m_Implementation->m_Outage = Outage; }
+
 void WeightsAgent::setDeadline(Duration Deadline) {
   m_Implementation->m_Options.m_Deadline = Deadline;
 }
--- a/src/libagent/WeightsAgent_test.cpp
+++ b/src/libagent/WeightsAgent_test.cpp
@@ -1,3 +1,4 @@
+#include "Fescuegauge/ManifestSources.h"
 #include "Fescuegauge/WeightsAgent.h"
 #include "LoopbackTest.h"
 
@@ -72,7 +73,7 @@
   static constexpr std::uint32_t Pieces = 12;
 
   Task<std::optional<PieceManifest>> manifest(ModelId Of, WeightsVersion Version) override {
-    if (m_Down)
+    if (m_Down || m_Unknown.contains(Version))
       co_return std::nullopt;
     PieceManifest Result{Of, Version, {}};
     for (std::uint32_t I = 0; I < Pieces; ++I)
@@ -95,15 +96,19 @@
   bool m_Down = false;
   Duration m_PieceTime = 2ms;
   std::set<std::uint32_t> m_Corrupt;
+  /// Versions that it does not give out yet.
+  std::set<WeightsVersion> m_Unknown;
   int m_Sent = 0;
 };
 
 class FakePeers : public PeerDirectory {
 public:
   Task<std::optional<std::vector<PiecePeer>>> peers(ModelId, WeightsVersion) override {
+    co_await sleepFor(m_Delay);
     co_return m_Peers;
   }
   std::optional<std::vector<PiecePeer>> m_Peers = std::vector<PiecePeer>();
+  Duration m_Delay{0};
 };
 
 class FakeAnnouncer : public LoadAnnouncer {
@@ -160,6 +165,7 @@
 
 const WeightsVersion First(1);
 const WeightsVersion Second(2);
+const WeightsVersion Third(3);
 
 } // namespace
 
@@ -229,6 +235,91 @@
   checkLoadedWhole(Fixture, Second);
 }
 
+// Guards against versions that are announced within seconds of each other and replace one another
+// until no runner holds one that may be used: on a day with the origin away, requests were refused
+// for eight seconds.
+TEST_CASE("a version that is nearly whole is loaded if the newer one does not come", "[agent]") {
+  net::io_context Loop;
+  AgentFixture Fixture(Loop);
+  Fixture.m_Runner.m_Report.m_Loaded[Model] = First;
+  Fixture.m_Origin.m_PieceTime = 20ms;
+  Fixture.m_Origin.m_Unknown = {Third};
+  Fixture.m_Agent->announce(Model, Second, true);
+  Fixture.runUntil([&] { return Fixture.m_Origin.m_Sent >= 10; });
+  Fixture.m_Agent->announce(Model, Third, true);
+  REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(Second); }));
+  checkLoadedWhole(Fixture, Second);
+  Fixture.m_Origin.m_Unknown.clear();
+  REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(Third); }));
+  checkLoadedWhole(Fixture, Third);
+}
+
+// Guards against pieces of two versions in the staging area: the wanted version arrives while the
+// older one is kept, and the older one is loaded.
+TEST_CASE("an older version is loaded whole while the wanted one arrives", "[agent]") {
+  net::io_context Loop;
+  AgentFixture Fixture(Loop);
+  Fixture.m_Runner.m_Report.m_Loaded[Model] = First;
+  Fixture.m_Agent->announce(Model, Second, true);
+  Fixture.runUntil([&] { return Fixture.m_Origin.m_Sent >= static_cast<int>(FakeOrigin::Pieces); });
+  Fixture.m_Origin.m_PieceTime = 150ms;
+  Fixture.m_Agent->announce(Model, Third, true);
+  REQUIRE(Fixture.runUntil([&] { return !Fixture.m_Runner.m_Loads.empty(); }));
+  if (Fixture.m_Runner.m_Loads.front() == Second)
+    checkLoadedWhole(Fixture, Second);
+  REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(Third); }));
+  checkLoadedWhole(Fixture, Third);
+}
+
+// Guards against agents that wait 0.9 s for one frozen agent before they ask another one.
+TEST_CASE("digests are asked from the next agent when one does not answer", "[agent]") {
+  net::io_context Loop;
+  // Connections to it are accepted by the system and never answered.
+  Tcp::acceptor Frozen(Loop, Tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
+  constexpr int Count = 16;
+  std::vector<std::unique_ptr<AgentFixture>> Agents;
+  std::vector<PiecePeer> Peers;
+  for (int I = 0; I < Count; ++I) {
+    const std::string Name = "agent-" + std::to_string(I);
+    Agents.push_back(std::make_unique<AgentFixture>(Loop, Name));
+    Peers.push_back(Agents.back()->peer(Name, false));
+  }
+  const auto Sources = ManifestSources::sources(Model.str() + "/1", Peers, InstanceId("agent-0"),
+                                                RegionId("r"), 0);
+  std::string Parent;
+  for (const ManifestSources::Source &Each : Sources)
+    if (Each.m_Peer && Parent.empty())
+      Parent = Each.m_Peer->m_Id.str();
+  REQUIRE_FALSE(Parent.empty());
+  for (PiecePeer &Each : Peers)
+    if (Each.m_Id.str() == Parent)
+      Each.m_Address.m_Port = Frozen.local_endpoint().port();
+  const TimePoint Start = monotonicNow();
+  for (int I = 0; I < Count; ++I) {
+    Agents[static_cast<std::size_t>(I)]->m_Peers.m_Peers = Peers;
+    if (Peers[static_cast<std::size_t>(I)].m_Id.str() != Parent)
+      Agents[static_cast<std::size_t>(I)]->m_Agent->announce(Model, First, false);
+  }
+  REQUIRE(Agents.front()->runUntil(
+      [&] { return Agents.front()->m_Agent->dumpState().contains("pieces"); }));
+  CHECK(monotonicNow() - Start < 2 * WeightsAgent::DigestsStagger + 200ms);
+}
+
+// Guards against agents that wait for the list of peers while the store is away, though they know
+// one that is some seconds old: the agents of a data centre began a transfer 4 s late.
+TEST_CASE("a transfer begins with the peers that are known", "[agent]") {
+  net::io_context Loop;
+  AgentFixture Fixture(Loop);
+  Fixture.m_Peers.m_Peers = {Fixture.peer("127.0.0.1", false)};
+  Fixture.m_Agent->announce(Model, First, false);
+  REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(First); }));
+  Fixture.m_Peers.m_Delay = 2s;
+  const TimePoint Start = monotonicNow();
+  Fixture.m_Agent->announce(Model, Second, false);
+  REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(Second); }));
+  CHECK(monotonicNow() - Start < 1s);
+}
+
 TEST_CASE("an origin that is down delays a version and does not lose it", "[agent]") {
   net::io_context Loop;
   AgentFixture Fixture(Loop);
--- a/src/libweights/ManifestSources.cpp
+++ b/src/libweights/ManifestSources.cpp
@@ -28,10 +28,16 @@
     Above = (Above - Roots) / FanOut;
     Result.push_back({*Ranked[Above].second});
   }
-  if (IsRoot)
-    for (std::size_t I = 0; I < std::min(Roots, Ranked.size()); ++I)
-      if (Ranked[I].second->m_Id != Self)
-        Result.push_back({*Ranked[I].second});
+  // The other roots, in case that the agents above do not answer.
+  const std::size_t RootCount = std::min(Roots, Ranked.size());
+  for (std::size_t I = 0; I < RootCount && Result.size() < MaxPeersAsked; ++I) {
+    const PiecePeer &Root = *Ranked[(Place + I) % RootCount].second;
+    const bool IsListed = std::any_of(Result.begin(), Result.end(), [&](const Source &Each) {
+      return Each.m_Peer && Each.m_Peer->m_Id == Root.m_Id;
+    });
+    if (Root.m_Id != Self && !IsListed)
+      Result.push_back({Root});
+  }
   if (!IsRoot && Attempt >= OriginAttempt)
     Result.push_back({});
   return Result;
--- a/src/libweights/PieceExchange.cpp
+++ b/src/libweights/PieceExchange.cpp
@@ -383,9 +383,19 @@
   }
 }
 
-TimePoint ConversionSchedule::orderAt(TimePoint Announced, TimePoint Complete, Duration Deadline,
-                                      std::size_t Rank, std::size_t Count) {
-  const TimePoint Last = Announced + Deadline - LastOrderMargin;
+std::size_t PieceExchange::reachableCount() const {
+  std::size_t Result = 0;
+  for (std::uint32_t Piece = 0; Piece < m_Count; ++Piece)
+    if (m_Held.contains(Piece) ||
+        std::any_of(m_States.begin(), m_States.end(),
+                    [&](const PeerState &Each) { return Each.m_Held.contains(Piece); }))
+      ++Result;
+  return Result;
+}
+
+TimePoint ConversionSchedule::orderAt(TimePoint Complete, TimePoint Bound, std::size_t Rank,
+                                      std::size_t Count) {
+  const TimePoint Last = Bound - LastOrderMargin;
   if (Complete >= Last || Count <= 1)
     return Complete;
   const Duration Span = Last - Complete;
--- a/src/libweights/PieceExchange_test.cpp
+++ b/src/libweights/PieceExchange_test.cpp
@@ -1,6 +1,7 @@
 #include "TransferModel.h"
 
 #include "Fescuegauge/ManifestSources.h"
+#include "Fescuegauge/VersionChoice.h"
 
 #include <catch2/catch.hpp>
 
@@ -203,12 +204,12 @@
           "[pieces]") {
   const TimePoint Announced(100s);
   const TimePoint Complete = Announced + 4s;
-  const Duration Deadline = 8s;
-  CHECK(ConversionSchedule::orderAt(Announced, Complete, Deadline, 0, 5) == Complete);
-  CHECK(ConversionSchedule::orderAt(Announced, Complete, Deadline, 4, 5) ==
-        Announced + Deadline - ConversionSchedule::LastOrderMargin);
-  CHECK(ConversionSchedule::orderAt(Announced, Announced + 9s, Deadline, 4, 5) == Announced + 9s);
-  CHECK(ConversionSchedule::orderAt(Announced, Complete, Deadline, 0, 1) == Complete);
+  const TimePoint Bound = Announced + 8s;
+  CHECK(ConversionSchedule::orderAt(Complete, Bound, 0, 5) == Complete);
+  CHECK(ConversionSchedule::orderAt(Complete, Bound, 4, 5) ==
+        Bound - ConversionSchedule::LastOrderMargin);
+  CHECK(ConversionSchedule::orderAt(Announced + 9s, Bound, 4, 5) == Announced + 9s);
+  CHECK(ConversionSchedule::orderAt(Complete, Bound, 0, 1) == Complete);
 }
 
 // Guards against a list of digests that every agent reads from the origin: 90 agents took a quarter
@@ -278,3 +279,25 @@
     if (!Fetch->m_FromOrigin)
       CHECK(Fetch->m_Peer == InstanceId("c"));
 }
+
+TEST_CASE("a version is finished before a newer one if most of it has left the origin", "[pieces]") {
+  const TimePoint Start(100s);
+  CHECK(VersionChoice::finishesFirst({Start, 10, 48, 64}, false));
+  CHECK_FALSE(VersionChoice::finishesFirst({Start, 10, 47, 64}, false));
+  CHECK_FALSE(VersionChoice::finishesFirst({Start, 10, 64, 64}, true));
+
+  const TransferProgress Half{Start, 32, 40, 64};
+  CHECK(VersionChoice::isInTime(Half, Start + 4s, Start + 2s));
+  CHECK_FALSE(VersionChoice::isInTime(Half, Start + 3s, Start + 2s));
+  CHECK_FALSE(VersionChoice::isInTime(std::nullopt, Start + 9s, Start));
+}
+
+TEST_CASE("a fallback is loaded in the last time before the bound", "[pieces]") {
+  const TimePoint Complete(100s);
+  const TimePoint Bound = Complete + 7s;
+  const TimePoint Last = Bound - ConversionSchedule::LastOrderMargin;
+  CHECK(ConversionSchedule::fallbackAt(Complete, Bound, 0, 5) ==
+        Last - ConversionSchedule::FallbackSpan);
+  CHECK(ConversionSchedule::fallbackAt(Complete, Bound, 4, 5) == Last);
+  CHECK(ConversionSchedule::fallbackAt(Last - 1s, Bound, 0, 5) == Last - 1s);
+}
