--- a/src/include/Fescuegauge/WeightsAgent.h
+++ b/src/include/Fescuegauge/WeightsAgent.h
@@ -158,9 +158,9 @@
 
   /// Starts to work. `Server` gets the handler for other agents; call before its listen().
   void start(StatusServer &Server);
-  /// A version was announced. Older ones than the one known are ignored. `IsNews` is false if it
-  /// may have been announced long ago.
-  void announce(const ModelId &Model, WeightsVersion Version, bool IsNews);
+  /// A version was announced after `NotBefore`; nothing if it may have been announced long ago. Older
+  /// ones than the one known are ignored.
+  void announce(const ModelId &Model, WeightsVersion Version, std::optional<TimePoint> NotBefore);
   /// See WeightsAgentOptions::m_Deadline.
   void setDeadline(Duration Deadline);
   /// The last outage of the platform's store that this agent saw.
--- a/src/include/Fescuegauge/WeightsDeadlines.h
+++ b/src/include/Fescuegauge/WeightsDeadlines.h
@@ -11,7 +11,8 @@
 
 namespace fescuegauge {
 
-/// A version of a model's weights that operators have announced, and how long ago at least.
+/// A version of a model's weights that operators have announced, and for how long the bound on older
+/// ones has counted.
 struct AnnouncedWeights {
   ModelId m_Model;
   WeightsVersion m_Version;
@@ -65,6 +66,10 @@
     bool m_IsHeld = false;
   };
 
+  /// The time from which the bound counts, if the age is known.
+  TimePoint countedFrom(const Announcement &Of) const {
+    return m_Outage.countedFrom(Of.m_At, m_Bound - Margin);
+  }
   TimePoint enforcedAt(const Announcement &Of) const;
 
   Duration m_Bound;
--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -172,7 +172,9 @@
   struct Target {
     ModelId m_Model;
     WeightsVersion m_Version;
+    /// The earliest time at which it can have been announced, if m_IsNews.
     TimePoint m_AnnouncedAt;
+    /// False if it may have been announced long ago.
     bool m_IsNews = false;
   };
 
@@ -880,17 +882,19 @@
   spawnTask(m_Implementation->m_Executor, "weights_agent", m_Implementation->drive());
 }
 
-void WeightsAgent::announce(const ModelId &Model, WeightsVersion Version, bool IsNews) {
+void WeightsAgent::announce(const ModelId &Model, WeightsVersion Version,
+                            std::optional<TimePoint> NotBefore) {
   auto &Known = m_Implementation->m_Target;
   if (Known && Version <= Known->m_Version)
     return;
-  Known = Implementation::Target{Model, Version, monotonicNow(), IsNews};
+  Known = Implementation::Target{Model, Version, NotBefore.value_or(monotonicNow()),
+                                 NotBefore.has_value()};
   auto &Announced = m_Implementation->m_AnnouncedAt;
   Announced[Version] = Known->m_AnnouncedAt;
   if (Announced.size() > MaxAnnouncements)
     Announced.erase(Announced.begin());
   logEvent(Severity::Info, "weights_announced",
-           {{"model", Model}, {"version", Version}, {"isNews", IsNews}});
+           {{"model", Model}, {"version", Version}, {"isNews", NotBefore.has_value()}});
   m_Implementation->m_Wake.cancel();
 }
 
--- a/src/libagent/WeightsAgent_test.cpp
+++ b/src/libagent/WeightsAgent_test.cpp
@@ -172,7 +172,7 @@
 TEST_CASE("an empty runner gets the announced version, whole", "[agent]") {
   net::io_context Loop;
   AgentFixture Fixture(Loop);
-  Fixture.m_Agent->announce(Model, First, false);
+  Fixture.m_Agent->announce(Model, First, std::nullopt);
   REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(First); }));
   checkLoadedWhole(Fixture, First);
   CHECK(Fixture.m_Origin.m_Sent == FakeOrigin::Pieces);
@@ -184,7 +184,7 @@
   net::io_context Loop;
   AgentFixture Fixture(Loop);
   Fixture.m_Origin.m_Corrupt = {3, 7};
-  Fixture.m_Agent->announce(Model, First, false);
+  Fixture.m_Agent->announce(Model, First, std::nullopt);
   REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(First); }));
   checkLoadedWhole(Fixture, First);
   CHECK(Fixture.m_Origin.m_Sent == FakeOrigin::Pieces + 2);
@@ -200,7 +200,7 @@
         Spoilt++ < 2)
       Fixture.m_Runner.m_Staged[5] = "rotten";
   };
-  Fixture.m_Agent->announce(Model, First, false);
+  Fixture.m_Agent->announce(Model, First, std::nullopt);
   REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(First); }));
   CHECK(Spoilt >= 2);
   checkLoadedWhole(Fixture, First);
@@ -216,7 +216,7 @@
       Fixture.m_Runner.restart();
     }
   };
-  Fixture.m_Agent->announce(Model, First, false);
+  Fixture.m_Agent->announce(Model, First, std::nullopt);
   REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(First); }));
   CHECK(Restarted);
   checkLoadedWhole(Fixture, First);
@@ -226,10 +226,10 @@
   net::io_context Loop;
   AgentFixture Fixture(Loop);
   Fixture.m_Origin.m_PieceTime = 30ms;
-  Fixture.m_Agent->announce(Model, First, true);
+  Fixture.m_Agent->announce(Model, First, monotonicNow());
   Fixture.runUntil([&] { return Fixture.m_Origin.m_Sent >= 4; });
-  Fixture.m_Agent->announce(Model, Second, true);
-  Fixture.m_Agent->announce(Model, First, true);
+  Fixture.m_Agent->announce(Model, Second, monotonicNow());
+  Fixture.m_Agent->announce(Model, First, monotonicNow());
   REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(Second); }));
   CHECK(Fixture.m_Runner.m_Loads == std::vector<WeightsVersion>{Second});
   checkLoadedWhole(Fixture, Second);
@@ -244,9 +244,9 @@
   Fixture.m_Runner.m_Report.m_Loaded[Model] = First;
   Fixture.m_Origin.m_PieceTime = 20ms;
   Fixture.m_Origin.m_Unknown = {Third};
-  Fixture.m_Agent->announce(Model, Second, true);
+  Fixture.m_Agent->announce(Model, Second, monotonicNow());
   Fixture.runUntil([&] { return Fixture.m_Origin.m_Sent >= 10; });
-  Fixture.m_Agent->announce(Model, Third, true);
+  Fixture.m_Agent->announce(Model, Third, monotonicNow());
   REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(Second); }));
   checkLoadedWhole(Fixture, Second);
   Fixture.m_Origin.m_Unknown.clear();
@@ -260,10 +260,10 @@
   net::io_context Loop;
   AgentFixture Fixture(Loop);
   Fixture.m_Runner.m_Report.m_Loaded[Model] = First;
-  Fixture.m_Agent->announce(Model, Second, true);
+  Fixture.m_Agent->announce(Model, Second, monotonicNow());
   Fixture.runUntil([&] { return Fixture.m_Origin.m_Sent >= static_cast<int>(FakeOrigin::Pieces); });
   Fixture.m_Origin.m_PieceTime = 150ms;
-  Fixture.m_Agent->announce(Model, Third, true);
+  Fixture.m_Agent->announce(Model, Third, monotonicNow());
   REQUIRE(Fixture.runUntil([&] { return !Fixture.m_Runner.m_Loads.empty(); }));
   if (Fixture.m_Runner.m_Loads.front() == Second)
     checkLoadedWhole(Fixture, Second);
@@ -298,7 +298,7 @@
   for (int I = 0; I < Count; ++I) {
     Agents[static_cast<std::size_t>(I)]->m_Peers.m_Peers = Peers;
     if (Peers[static_cast<std::size_t>(I)].m_Id.str() != Parent)
-      Agents[static_cast<std::size_t>(I)]->m_Agent->announce(Model, First, false);
+      Agents[static_cast<std::size_t>(I)]->m_Agent->announce(Model, First, std::nullopt);
   }
   REQUIRE(Agents.front()->runUntil(
       [&] { return Agents.front()->m_Agent->dumpState().contains("pieces"); }));
@@ -311,11 +311,11 @@
   net::io_context Loop;
   AgentFixture Fixture(Loop);
   Fixture.m_Peers.m_Peers = {Fixture.peer("127.0.0.1", false)};
-  Fixture.m_Agent->announce(Model, First, false);
+  Fixture.m_Agent->announce(Model, First, std::nullopt);
   REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(First); }));
   Fixture.m_Peers.m_Delay = 2s;
   const TimePoint Start = monotonicNow();
-  Fixture.m_Agent->announce(Model, Second, false);
+  Fixture.m_Agent->announce(Model, Second, std::nullopt);
   REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(Second); }));
   CHECK(monotonicNow() - Start < 1s);
 }
@@ -324,7 +324,7 @@
   net::io_context Loop;
   AgentFixture Fixture(Loop);
   Fixture.m_Origin.m_Down = true;
-  Fixture.m_Agent->announce(Model, First, false);
+  Fixture.m_Agent->announce(Model, First, std::nullopt);
   Fixture.runUntil([] { return false; }, 700ms);
   CHECK(Fixture.m_Runner.m_Loads.empty());
   Fixture.m_Origin.m_Down = false;
@@ -335,7 +335,7 @@
   net::io_context Loop;
   AgentFixture Fixture(Loop);
   Fixture.m_Runner.m_LoseAnswer = true;
-  Fixture.m_Agent->announce(Model, First, false);
+  Fixture.m_Agent->announce(Model, First, std::nullopt);
   REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(First); }));
   Fixture.runUntil([] { return false; }, 700ms);
   CHECK(Fixture.m_Runner.m_Loads.size() == 1);
@@ -345,7 +345,7 @@
   net::io_context Loop;
   AgentFixture Fixture(Loop);
   Fixture.m_Runner.m_Report.m_Loaded[Model] = First;
-  Fixture.m_Agent->announce(Model, Second, true);
+  Fixture.m_Agent->announce(Model, Second, monotonicNow());
   REQUIRE(Fixture.runUntil([&] { return Fixture.m_Announcer.m_Notices.size() >= 2; }));
   CHECK(Fixture.m_Announcer.m_Notices.front() == WeightsAgent::LoadOutage);
   CHECK(Fixture.m_Announcer.m_Notices.back() == 0s);
@@ -358,7 +358,7 @@
   for (std::uint32_t I = 0; I < FakeOrigin::Pieces; ++I)
     Fixture.m_Runner.m_Staged[I] = pieceBytes(First, I);
   Fixture.m_Runner.m_Staged[4] = "rotten";
-  Fixture.m_Agent->announce(Model, First, false);
+  Fixture.m_Agent->announce(Model, First, std::nullopt);
   REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(First); }));
   CHECK(Fixture.m_Origin.m_Sent == 1);
   checkLoadedWhole(Fixture, First);
@@ -367,11 +367,11 @@
 TEST_CASE("pieces come from an agent that holds them, not from the origin", "[agent]") {
   net::io_context Loop;
   AgentFixture Holder(Loop, "holder");
-  Holder.m_Agent->announce(Model, First, false);
+  Holder.m_Agent->announce(Model, First, std::nullopt);
   REQUIRE(Holder.runUntil([&] { return Holder.m_Runner.holds(First); }));
   AgentFixture Fixture(Loop, "empty");
   Fixture.m_Peers.m_Peers = {Holder.peer("holder", true), Fixture.peer("empty", false)};
-  Fixture.m_Agent->announce(Model, First, false);
+  Fixture.m_Agent->announce(Model, First, std::nullopt);
   REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(First); }));
   CHECK(Fixture.m_Origin.m_Sent == 0);
   checkLoadedWhole(Fixture, First);
@@ -384,8 +384,8 @@
   const std::vector<PiecePeer> Both{A.peer("a", false), B.peer("b", false)};
   A.m_Peers.m_Peers = Both;
   B.m_Peers.m_Peers = Both;
-  A.m_Agent->announce(Model, First, false);
-  B.m_Agent->announce(Model, First, false);
+  A.m_Agent->announce(Model, First, std::nullopt);
+  B.m_Agent->announce(Model, First, std::nullopt);
   REQUIRE(A.runUntil([&] { return A.m_Runner.holds(First) && B.m_Runner.holds(First); }));
   CHECK(A.m_Origin.m_Sent + B.m_Origin.m_Sent == FakeOrigin::Pieces);
   checkLoadedWhole(A, First);
@@ -412,12 +412,12 @@
     Holder.m_Runner.m_Report.m_Loaded[Model] = First;
     for (std::uint32_t Piece = 0; Piece < FakeOrigin::Pieces; ++Piece)
       Holder.m_Runner.m_Staged[Piece] = pieceBytes(First, Piece);
-    Holder.m_Agent->announce(Model, First, false);
+    Holder.m_Agent->announce(Model, First, std::nullopt);
   }
   Added.m_Peers.m_Peers = Peers;
   Added.runUntil([] { return false; }, 50ms);
   const TimePoint Start = monotonicNow();
-  Added.m_Agent->announce(Model, First, false);
+  Added.m_Agent->announce(Model, First, std::nullopt);
   REQUIRE(Added.runUntil([&] { return Added.m_Runner.holds(First); }));
   CHECK(monotonicNow() - Start < 500ms);
   CHECK(Added.m_Origin.m_Sent == 0);
@@ -444,7 +444,7 @@
   }
   const TimePoint Start = monotonicNow();
   for (const auto &Each : Agents)
-    Each->m_Agent->announce(Model, First, false);
+    Each->m_Agent->announce(Model, First, std::nullopt);
   const auto AllHold = [&] {
     return std::all_of(Agents.begin(), Agents.end(),
                        [](const auto &Each) { return Each->m_Runner.holds(First); });
--- a/src/libdispatch/WeightsDeadlines.cpp
+++ b/src/libdispatch/WeightsDeadlines.cpp
@@ -39,7 +39,7 @@
 
 TimePoint WeightsDeadlines::enforcedAt(const Announcement &Of) const {
   if (!Of.m_AgeUnknown)
-    return m_Outage.countedFrom(Of.m_At, m_Bound - Margin) + m_Bound - Margin;
+    return countedFrom(Of) + m_Bound - Margin;
   return Of.m_IsHeld ? Of.m_At : Of.m_At + UnknownAgeAllowance;
 }
 
@@ -66,7 +66,7 @@
   for (const auto &[Model, Versions] : m_Announced)
     for (const auto &[Version, Entry] : Versions)
       if (!Entry.m_AgeUnknown)
-        Result.push_back({Model, Version, Now - Entry.m_At});
+        Result.push_back({Model, Version, Now - countedFrom(Entry)});
   return Result;
 }
 
