Judge an engine's pace by its shortest pause between events

Cause: an upstream whose mean pause was above 1.6 times the least of its service was taken for a slow one and lost places in proportion. The mean tells how many prompts an upstream reads: at a full batch it is 86 ms, at an idle engine 48 ms, so when one engine came back empty, all full ones lost up to 7 of 16 places.

Change: the shortest pause of the last one to two seconds is compared, bounded below by the engine's own time for a pass. The bound on unread prompts follows the pace as well.

--- a/src/include/Fescuegauge/StoreOutage.h
+++ b/src/include/Fescuegauge/StoreOutage.h
@@ -11,8 +11,8 @@
 /// A time in which this process could not reach the platform's store.
 ///
 /// Operators are promised a bound on the age of weights only for time in which the store serves and
-/// is reached. During an outage nobody can tell whether a version was announced, so its bound counts
-/// anew from the end of the outage, and callers are served by the weights that are there.
+/// is reached. During an outage nobody can tell whether a version was announced, so its bound
+/// counts anew from the end of the outage, and callers are served by the weights that are there.
 struct StoreOutage {
   TimePoint m_From;
   /// The last time at which the store was found away; not after m_From if there was no outage.
--- a/src/include/Fescuegauge/UpstreamBoard.h
+++ b/src/include/Fescuegauge/UpstreamBoard.h
@@ -143,9 +143,12 @@
   static constexpr Duration SilenceLimit = std::chrono::milliseconds(700);
   /// What another entry instance told counts for this long after its last message.
   static constexpr Duration PeerReportLifetime = std::chrono::milliseconds(1500);
-  /// An upstream whose pause between events is above this many times the least of its service is
-  /// given fewer requests in proportion.
+  /// An upstream whose shortest pause between events is above this many times the least of its
+  /// service is given fewer requests in proportion.
   static constexpr double SlowFactor = 1.6;
+  /// The shortest pause is that of the last one to two windows of this length. Passes in which no
+  /// prompt is read come several times a second at a full batch, and show the engine's own pace.
+  static constexpr Duration GapWindow = std::chrono::seconds(1);
   /// The part of the target latency in which an engine is to finish the pass that runs when a
   /// request comes, and the one in which it reads the prompt. DispatchQueue may use the rest.
   static constexpr double ReadShare = 0.7;
@@ -173,7 +176,7 @@
   /// Bytes of an answer arrived.
   void onProgress(const InstanceId &Upstream, TimePoint Now);
   /// The pause between two events of a stream.
-  void onEventGap(const InstanceId &Upstream, Duration Gap);
+  void onEventGap(const InstanceId &Upstream, Duration Gap, TimePoint Now);
   /// What another entry instance told. Its earlier report is replaced.
   void onPeerReport(const InstanceId &Peer, UseByUpstream Use, TimePoint Now);
   /// The upstream at this address is about to load weights, and starts no request until then.
@@ -199,6 +202,19 @@
   std::size_t size() const { return m_Upstreams.size(); }
 
 private:
+  /// The shortest pause between the events of an upstream's streams. A mean would tell how many
+  /// prompts it reads rather than how fast it is.
+  class LeastGap {
+  public:
+    void add(Duration Gap, TimePoint Now);
+    /// Nothing while unknown.
+    std::optional<Duration> value() const;
+
+  private:
+    TimePoint m_WindowEnd;
+    std::optional<Duration> m_InWindow;
+    std::optional<Duration> m_Before;
+  };
   struct State {
     UpstreamRecord m_Record;
     UpstreamUse m_Own;
@@ -206,8 +222,7 @@
     TimePoint m_PausedUntil;
     int m_FailuresInRow = 0;
     int m_RejectionsInRow = 0;
-    /// Moving average of the pause between events, in microseconds; 0 while unknown.
-    double m_EventGap = 0;
+    LeastGap m_EventGap;
     /// What the other entry instances have there, as last told.
     UpstreamUse m_Others;
     TimePoint m_LoadingUntil;
@@ -235,10 +250,12 @@
   void addToSums(const UseByUpstream &Told);
   void takeFromSums(const UseByUpstream &Told);
   void forgetSilentPeers(TimePoint Now);
-  double limit(const State &Upstream, double LeastGap) const;
+  /// How many times slower the upstream is than the fastest of its service; 1 if not by much.
+  static double slowness(const State &Upstream, std::optional<Duration> LeastOfService);
+  double limit(const State &Upstream, double Slowness) const;
   /// The part of the read budget that is taken; FullLoad if there is no room for another prompt.
-  double readingLoad(const State &Upstream, const Engine *Of, bool IsLocal) const;
-  double leastGap(const ServiceId &Service) const;
+  static double readingLoad(const State &Upstream, const Engine *Of, double Slowness, bool IsLocal);
+  std::optional<Duration> leastGap(const ServiceId &Service) const;
   bool isEngine(const ServiceId &Service) const { return m_Engines.contains(Service); }
   static bool isSilent(const State &Upstream, TimePoint Now);
 
--- a/src/include/Fescuegauge/WeightsAgent.h
+++ b/src/include/Fescuegauge/WeightsAgent.h
@@ -158,8 +158,8 @@
 
   /// Starts to work. `Server` gets the handler for other agents; call before its listen().
   void start(StatusServer &Server);
-  /// A version was announced after `NotBefore`; nothing if it may have been announced long ago. Older
-  /// ones than the one known are ignored.
+  /// A version was announced after `NotBefore`; nothing if it may have been announced long ago.
+  /// Older ones than the one known are ignored.
   void announce(const ModelId &Model, WeightsVersion Version, std::optional<TimePoint> NotBefore);
   /// See WeightsAgentOptions::m_Deadline.
   void setDeadline(Duration Deadline);
--- a/src/include/Fescuegauge/WeightsDeadlines.h
+++ b/src/include/Fescuegauge/WeightsDeadlines.h
@@ -11,8 +11,8 @@
 
 namespace fescuegauge {
 
-/// A version of a model's weights that operators have announced, and for how long the bound on older
-/// ones has counted.
+/// A version of a model's weights that operators have announced, and for how long the bound on
+/// older ones has counted.
 struct AnnouncedWeights {
   ModelId m_Model;
   WeightsVersion m_Version;
--- a/src/libagent/WeightsAgent_test.cpp
+++ b/src/libagent/WeightsAgent_test.cpp
@@ -284,8 +284,8 @@
     Agents.push_back(std::make_unique<AgentFixture>(Loop, Name));
     Peers.push_back(Agents.back()->peer(Name, false));
   }
-  const auto Sources = ManifestSources::sources(Model.str() + "/1", Peers, InstanceId("agent-0"),
-                                                RegionId("r"), 0);
+  const auto Sources =
+      ManifestSources::sources(Model.str() + "/1", Peers, InstanceId("agent-0"), RegionId("r"), 0);
   std::string Parent;
   for (const ManifestSources::Source &Each : Sources)
     if (Each.m_Peer && Parent.empty())
--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -213,8 +213,8 @@
 TEST_CASE("a slow upstream gets fewer requests in proportion", "[dispatch]") {
   EngineBoard Board({upstream("u1", 8), upstream("u2", 8)});
   for (int I = 0; I < 200; ++I) {
-    Board->onEventGap(InstanceId("u1"), 50ms);
-    Board->onEventGap(InstanceId("u2"), 200ms);
+    Board->onEventGap(InstanceId("u1"), 50ms, at(I * 10ms));
+    Board->onEventGap(InstanceId("u2"), 200ms, at(I * 10ms));
   }
   std::multiset<std::string> Sent;
   for (int I = 0; I < 20; ++I)
@@ -223,6 +223,21 @@
   CHECK(Sent.count("u2") == 2);
 }
 
+// Load pattern: one upstream came back with an empty batch, the others read prompts in most of
+// their passes. Guards against full upstreams that are taken for slow ones and lose half of their
+// places.
+TEST_CASE("an upstream that reads many prompts is not taken for a slow one", "[dispatch]") {
+  EngineBoard Board({upstream("u1", 8), upstream("u2", 8)});
+  for (int I = 0; I < 200; ++I) {
+    Board->onEventGap(InstanceId("u1"), 50ms, at(I * 10ms));
+    Board->onEventGap(InstanceId("u2"), I % 20 == 0 ? 52ms : 140ms, at(I * 10ms));
+  }
+  std::multiset<std::string> Sent;
+  for (int I = 0; I < 20; ++I)
+    Sent.insert(Board.dispatch(at(2s)));
+  CHECK(Sent.count("u2") == 8);
+}
+
 // Load pattern: arrivals above capacity. Guards against queues in which every request is late.
 TEST_CASE("a request waits only while a place is likely to come in time", "[dispatch]") {
   DispatchQueue Queue;
@@ -441,7 +456,8 @@
     return Found.m_Verdict == PlacementVerdict::Placed ? static_cast<int>(Found.m_InFlight) : -1;
   };
   for (int I = 0; I < 5; ++I)
-    Board->onPeerReport(InstanceId("entry-" + std::to_string(I)), {{InstanceId("u1"), {1, 0}}}, at(0s));
+    Board->onPeerReport(InstanceId("entry-" + std::to_string(I)), {{InstanceId("u1"), {1, 0}}},
+                        at(0s));
   CHECK(InFlightAtFirst(10ms) == 5);
   Board->onPeerReport(InstanceId("entry-0"), {{InstanceId("u1"), {3, 0}}}, at(1s));
   CHECK(InFlightAtFirst(1s) == 7);
--- a/src/libdispatch/EngineModel.h
+++ b/src/libdispatch/EngineModel.h
@@ -61,9 +61,9 @@
     for (const Running &Each : m_Batch)
       if (!Each.m_IsRead)
         Unread += Each.m_Request.m_PromptTokens;
-    const double Step = toSeconds(m_Parameters.m_StepTime) +
-                        toSeconds(m_Parameters.m_StepTimePerRequest) *
-                            static_cast<double>(m_Batch.size());
+    const double Step =
+        toSeconds(m_Parameters.m_StepTime) +
+        toSeconds(m_Parameters.m_StepTimePerRequest) * static_cast<double>(m_Batch.size());
     const double Length =
         m_Parameters.m_StepsPerPass * Step + Unread / m_Parameters.m_PromptTokensPerSecond;
     m_PassEnd = Now + Duration(static_cast<Duration::rep>(Length * 1e6));
--- a/src/libdispatch/Overload_test.cpp
+++ b/src/libdispatch/Overload_test.cpp
@@ -81,8 +81,12 @@
 
   std::size_t arrived() const { return m_Calls.size(); }
   /// Requests with every event in time.
-  std::size_t onTime() const { return count([](const Call &Each) { return Each.m_IsOnTime; }); }
-  std::size_t placed() const { return count([](const Call &Each) { return Each.m_IsPlaced; }); }
+  std::size_t onTime() const {
+    return count([](const Call &Each) { return Each.m_IsOnTime; });
+  }
+  std::size_t placed() const {
+    return count([](const Call &Each) { return Each.m_IsPlaced; });
+  }
   Duration longestPause() const { return m_LongestPause; }
 
 private:
--- a/src/libdispatch/UpstreamBoard.cpp
+++ b/src/libdispatch/UpstreamBoard.cpp
@@ -9,9 +9,6 @@
 /// The reading load of an upstream that must not be given another prompt.
 constexpr double FullLoad = 1;
 
-/// Weight of a new sample in the moving average of event gaps.
-constexpr double GapWeight = 0.1;
-
 Duration doubled(Duration First, int Times, Duration Longest) {
   Duration Result = First;
   for (int I = 0; I < Times && Result < Longest; ++I)
@@ -52,9 +49,9 @@
     }
   for (const ServicePlan &Service : Plan.plan().m_Services)
     if (Service.m_Engine)
-      m_Engines.emplace(Service.m_Id, Engine{*Service.m_Engine,
-                                             readBudget(*Service.m_Engine,
-                                                        LeastTargets[Service.m_Id])});
+      m_Engines.emplace(
+          Service.m_Id,
+          Engine{*Service.m_Engine, readBudget(*Service.m_Engine, LeastTargets[Service.m_Id])});
 }
 
 std::optional<double> UpstreamBoard::readBudget(const EngineParameters &Engine,
@@ -112,34 +109,57 @@
   });
 }
 
-double UpstreamBoard::leastGap(const ServiceId &Service) const {
-  double Least = 0;
-  auto Found = m_ByService.find(Service);
-  if (Found == m_ByService.end())
-    return Least;
-  for (const State *Entry : Found->second)
-    if (Entry->m_EventGap > 0 && (Least == 0 || Entry->m_EventGap < Least))
-      Least = Entry->m_EventGap;
+void UpstreamBoard::LeastGap::add(Duration Gap, TimePoint Now) {
+  if (Now >= m_WindowEnd) {
+    m_Before = Now < m_WindowEnd + GapWindow ? m_InWindow : std::nullopt;
+    m_InWindow.reset();
+    m_WindowEnd = Now + GapWindow;
+  }
+  m_InWindow = std::min(m_InWindow.value_or(Gap), Gap);
+}
+
+std::optional<Duration> UpstreamBoard::LeastGap::value() const {
+  if (!m_InWindow || !m_Before)
+    return m_InWindow ? m_InWindow : m_Before;
+  return std::min(*m_InWindow, *m_Before);
+}
+
+std::optional<Duration> UpstreamBoard::leastGap(const ServiceId &Service) const {
+  std::optional<Duration> Least;
+  if (auto Found = m_ByService.find(Service); Found != m_ByService.end())
+    for (const State *Entry : Found->second)
+      if (const auto Gap = Entry->m_EventGap.value(); Gap && (!Least || *Gap < *Least))
+        Least = Gap;
   return Least;
 }
 
-double UpstreamBoard::limit(const State &Upstream, double LeastGap) const {
+double UpstreamBoard::slowness(const State &Upstream, std::optional<Duration> LeastOfService) {
+  const auto Gap = Upstream.m_EventGap.value();
+  if (!Gap || !LeastOfService || *LeastOfService <= Duration(0))
+    return 1;
+  const double Factor = toSeconds(*Gap) / toSeconds(*LeastOfService);
+  return Factor > SlowFactor ? Factor : 1;
+}
+
+double UpstreamBoard::limit(const State &Upstream, double Slowness) const {
   const double Slots = Upstream.m_Record.m_Slots;
   if (!isEngine(Upstream.m_Record.m_Service))
     return Slots + m_Options.m_PlainOvercommit;
-  if (LeastGap > 0 && Upstream.m_EventGap > SlowFactor * LeastGap)
-    return std::max(1.0, Slots * LeastGap / Upstream.m_EventGap);
+  if (Slowness > 1)
+    return std::max(1.0, Slots / Slowness);
   return Slots + m_Options.m_EngineOvercommit;
 }
 
-double UpstreamBoard::readingLoad(const State &Upstream, const Engine *Of, bool IsLocal) const {
+double UpstreamBoard::readingLoad(const State &Upstream, const Engine *Of, double Slowness,
+                                  bool IsLocal) {
   if (!Of || !Of->m_ReadBudget)
     return 0;
   // A mean prompt, so that long ones are not refused more often than short ones. What is known of
   // other data centres is older, so room for another one is left there.
   const double Mean = Of->m_Parameters.m_MeanPromptTokens;
   const double Taken = unreadTokens(Upstream) + (IsLocal ? 0 : Mean);
-  return Taken + Mean > *Of->m_ReadBudget ? FullLoad : Taken / *Of->m_ReadBudget;
+  const double Budget = std::max(*Of->m_ReadBudget / Slowness, Mean);
+  return Taken + Mean > Budget ? FullLoad : Taken / Budget;
 }
 
 bool UpstreamBoard::isSilent(const State &Upstream, TimePoint Now) {
@@ -156,7 +176,7 @@
   auto OfService = m_ByService.find(Request.m_Service);
   if (OfService == m_ByService.end())
     return {};
-  const double LeastGap = leastGap(Request.m_Service);
+  const std::optional<Duration> LeastOfService = leastGap(Request.m_Service);
   const auto Engines = m_Engines.find(Request.m_Service);
   const Engine *OfRequest = Engines == m_Engines.end() ? nullptr : &Engines->second;
   const State *Best = nullptr;
@@ -187,9 +207,10 @@
     }
     const bool Local = Record.m_DataCentre == m_Options.m_DataCentre;
     const int Tier = Local ? 0 : Record.m_Region == m_Options.m_Region ? 1 : 2;
-    const double Limit = limit(Entry, LeastGap);
+    const double Slowness = slowness(Entry, LeastOfService);
+    const double Limit = limit(Entry, Slowness);
     const double Taken = inFlight(Entry) + (Local ? 0 : m_Options.m_RemoteReserve);
-    const double Reading = readingLoad(Entry, OfRequest, Local);
+    const double Reading = readingLoad(Entry, OfRequest, Slowness, Local);
     if (Taken + 1 > Limit || Reading >= FullLoad) {
       AnyFull = true;
       continue;
@@ -205,7 +226,7 @@
   }
   Placement Result;
   if (!Best && !AnyFull && LastResort &&
-      inFlight(*LastResort) + 1 <= limit(*LastResort, LeastGap) &&
+      inFlight(*LastResort) + 1 <= limit(*LastResort, slowness(*LastResort, LeastOfService)) &&
       LastResort->m_RejectionsInRow == 0)
     Best = LastResort;
   if (Best) {
@@ -272,13 +293,16 @@
     Found->second.m_LastByte = Now;
 }
 
-void UpstreamBoard::onEventGap(const InstanceId &Upstream, Duration Gap) {
+void UpstreamBoard::onEventGap(const InstanceId &Upstream, Duration Gap, TimePoint Now) {
   auto Found = m_Upstreams.find(Upstream);
   if (Found == m_Upstreams.end())
     return;
-  double &Average = Found->second.m_EventGap;
-  const auto Sample = static_cast<double>(Gap.count());
-  Average = Average == 0 ? Sample : Average + GapWeight * (Sample - Average);
+  // Events that were held up on the way come closer together than an engine makes them.
+  Duration Least{1};
+  if (auto Of = m_Engines.find(Found->second.m_Record.m_Service); Of != m_Engines.end())
+    Least = std::max(Least,
+                     Of->second.m_Parameters.m_StepTime * Of->second.m_Parameters.m_StepsPerPass);
+  Found->second.m_EventGap.add(std::max(Gap, Least), Now);
 }
 
 void UpstreamBoard::onPeerReport(const InstanceId &Peer, UseByUpstream Use, TimePoint Now) {
--- a/src/libgateway/Gateway.cpp
+++ b/src/libgateway/Gateway.cpp
@@ -135,9 +135,7 @@
   return m_Implementation->core().board().leavingToTell(monotonicNow());
 }
 
-UseByUpstream Gateway::ownUse() const {
-  return m_Implementation->core().board().ownUse();
-}
+UseByUpstream Gateway::ownUse() const { return m_Implementation->core().board().ownUse(); }
 
 std::vector<SuspectDelta> Gateway::takeSuspects() {
   return m_Implementation->core().suspects().takeDeltas(monotonicNow());
--- a/src/libgateway/PeerLink.cpp
+++ b/src/libgateway/PeerLink.cpp
@@ -215,13 +215,9 @@
 
 void PeerLink::tick() {
   const TimePoint Now = monotonicNow();
-  PeerReport Report{m_Self,
-                    m_DataCentre,
-                    m_Calls.m_Use(),
-                    m_Calls.m_TakeSuspects(),
-                    m_Calls.m_Weights(),
-                    {},
-                    m_Calls.m_Leaving()};
+  PeerReport Report{
+      m_Self, m_DataCentre,       m_Calls.m_Use(), m_Calls.m_TakeSuspects(), m_Calls.m_Weights(),
+      {},     m_Calls.m_Leaving()};
   for (const TakenNotice &Each : m_Notices)
     if (Now - Each.m_TakenAt <= NoticeLifetime)
       Report.m_Loading.push_back({Each.m_Upstream, std::max(Each.m_Until - Now, Duration(0))});
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -432,7 +432,7 @@
     if (m_HeadSent && !Bytes.empty())
       m_LongestPause = std::max(m_LongestPause, Now - m_LastByteAt);
     if (!FirstRead && !Bytes.empty())
-      m_Core.board().onEventGap(From.m_Id, Now - m_LastByteAt);
+      m_Core.board().onEventGap(From.m_Id, Now - m_LastByteAt, Now);
     FirstRead = false;
     m_LastByteAt = Now;
     const bool Done = Bytes.empty();
--- a/src/libweights/PieceExchange_test.cpp
+++ b/src/libweights/PieceExchange_test.cpp
@@ -280,7 +280,8 @@
       CHECK(Fetch->m_Peer == InstanceId("c"));
 }
 
-TEST_CASE("a version is finished before a newer one if most of it has left the origin", "[pieces]") {
+TEST_CASE("a version is finished before a newer one if most of it has left the origin",
+          "[pieces]") {
   const TimePoint Start(100s);
   CHECK(VersionChoice::finishesFirst({Start, 10, 48, 64}, false));
   CHECK_FALSE(VersionChoice::finishesFirst({Start, 10, 47, 64}, false));
