--- a/src/include/Fescuegauge/PieceExchange.h
+++ b/src/include/Fescuegauge/PieceExchange.h
@@ -233,14 +233,20 @@
   /// still come. The loads of all runners are spread over this time.
   static constexpr Duration FallbackSpan = std::chrono::milliseconds(2500);
 
+  /// Loads after the bound are spread over this time as long as their runners have work: entry
+  /// instances that saw an outage of the platform's store count the bound anew, and go on to use
+  /// the old version. A runner that works would drain first in any case.
+  static constexpr Duration LateSpan = std::chrono::milliseconds(2500);
+
   /// The time at which the agent of rank `Rank` of `Count` orders the load, given when the pieces
   /// were complete here and the time after which the version that is served is of no use.
-  static TimePoint orderAt(TimePoint Complete, TimePoint Bound, std::size_t Rank,
-                           std::size_t Count);
+  static TimePoint orderAt(TimePoint Complete, TimePoint Bound, std::size_t Rank, std::size_t Count,
+                           bool IsIdle);
   /// The same for a version that is loaded only because a newer one is late.
   static TimePoint fallbackAt(TimePoint Complete, TimePoint Bound, std::size_t Rank,
                               std::size_t Count) {
-    return orderAt(std::max(Complete, Bound - LastOrderMargin - FallbackSpan), Bound, Rank, Count);
+    return orderAt(std::max(Complete, Bound - LastOrderMargin - FallbackSpan), Bound, Rank, Count,
+                   true);
   }
 };
 
--- a/src/include/Fescuegauge/WeightsAgent.h
+++ b/src/include/Fescuegauge/WeightsAgent.h
@@ -27,6 +27,8 @@
   std::uint64_t m_OrderCount = 0;
   /// An order is in progress.
   bool m_IsBusy = false;
+  /// Requests that it runs.
+  std::uint64_t m_Running = 0;
   /// The version of which all layers are loaded, by model.
   std::map<ModelId, WeightsVersion> m_Loaded;
 };
--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -206,7 +206,8 @@
   Task<bool> verifyStaging(std::shared_ptr<Transfer> Version);
   Task<FetchedPiece> fetchBytes(std::shared_ptr<Transfer> Version, PieceFetch Fetch);
   Task<> load(RunnerReport Report, Target Wanted, std::shared_ptr<Transfer> Version);
-  TimePoint orderTime(const Target &Wanted, const Transfer &Version) const;
+  /// When the load is ordered. `IsIdle` if the runner runs no request.
+  TimePoint orderTime(const Target &Wanted, const Transfer &Version, bool IsIdle) const;
   /// When the version that the runner serves ceases to be of use.
   TimePoint boundOfLoaded(const Target &Wanted) const;
   /// This agent's place in the order in which the agents convert their runners to a version, and
@@ -354,9 +355,9 @@
     co_return;
   }
   const std::shared_ptr<Transfer> Version = Prepared ? m_Current : m_Fallback;
-  const TimePoint Due = orderTime(Wanted, *Version);
+  const TimePoint Due = orderTime(Wanted, *Version, Report.m_Running == 0);
   if (const TimePoint Now = monotonicNow(); Prepared && Now < Due) {
-    co_await pause(std::min(Due - Now, RestInterval));
+    co_await pause(std::min(Due - Now, LoadInterval));
     co_return;
   }
   if (Report.m_IsBusy) {
@@ -426,13 +427,13 @@
   return {static_cast<std::size_t>(Before), m_Peers.size()};
 }
 
-TimePoint WeightsAgent::Implementation::orderTime(const Target &Wanted,
-                                                  const Transfer &Version) const {
+TimePoint WeightsAgent::Implementation::orderTime(const Target &Wanted, const Transfer &Version,
+                                                  bool IsIdle) const {
   const TimePoint Complete = Version.m_CompleteAt.value_or(monotonicNow());
   if (servesNothing(Wanted.m_Model) || !Wanted.m_IsNews)
     return Complete;
   const auto [Rank, Count] = turn(Version.version());
-  return ConversionSchedule::orderAt(Complete, boundOfLoaded(Wanted), Rank, Count);
+  return ConversionSchedule::orderAt(Complete, boundOfLoaded(Wanted), Rank, Count, IsIdle);
 }
 
 bool WeightsAgent::Implementation::isFallbackDue(const Target &Wanted) const {
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -40,6 +40,8 @@
 /// How a request may wait for a place.
 struct WaitTerms {
   Duration m_Longest{0};
+  /// Until the caller's deadline.
+  Duration m_TimeLeft{0};
   int m_Priority = 0;
   bool m_Returned = false;
 };
@@ -137,6 +139,7 @@
   std::multimap<InstanceId, SuspectKey> m_Running;
   std::map<InstanceId, TimePoint> m_CrashChecked;
   ReturnDetector m_Returns;
+  TimePoint m_StartedAt = monotonicNow();
   std::optional<TimePoint> m_DrainingSince;
   CounterMetric &m_Requests;
   CounterMetric &m_Attempts;
--- a/src/libweights/PieceExchange.cpp
+++ b/src/libweights/PieceExchange.cpp
@@ -394,11 +394,12 @@
 }
 
 TimePoint ConversionSchedule::orderAt(TimePoint Complete, TimePoint Bound, std::size_t Rank,
-                                      std::size_t Count) {
+                                      std::size_t Count, bool IsIdle) {
   const TimePoint Last = Bound - LastOrderMargin;
-  if (Complete >= Last || Count <= 1)
+  const bool IsLate = Complete >= Last;
+  if (Count <= 1 || (IsLate && IsIdle))
     return Complete;
-  const Duration Span = Last - Complete;
+  const Duration Span = IsLate ? LateSpan : Last - Complete;
   return Complete + Span * static_cast<Duration::rep>(Rank) / static_cast<Duration::rep>(Count - 1);
 }
 
--- a/src/libweights/PieceExchange_test.cpp
+++ b/src/libweights/PieceExchange_test.cpp
@@ -205,11 +205,11 @@
   const TimePoint Announced(100s);
   const TimePoint Complete = Announced + 4s;
   const TimePoint Bound = Announced + 8s;
-  CHECK(ConversionSchedule::orderAt(Complete, Bound, 0, 5) == Complete);
-  CHECK(ConversionSchedule::orderAt(Complete, Bound, 4, 5) ==
+  CHECK(ConversionSchedule::orderAt(Complete, Bound, 0, 5, true) == Complete);
+  CHECK(ConversionSchedule::orderAt(Complete, Bound, 4, 5, true) ==
         Bound - ConversionSchedule::LastOrderMargin);
-  CHECK(ConversionSchedule::orderAt(Announced + 9s, Bound, 4, 5) == Announced + 9s);
-  CHECK(ConversionSchedule::orderAt(Complete, Bound, 0, 1) == Complete);
+  CHECK(ConversionSchedule::orderAt(Announced + 9s, Bound, 4, 5, true) == Announced + 9s);
+  CHECK(ConversionSchedule::orderAt(Complete, Bound, 0, 1, true) == Complete);
 }
 
 // Guards against a list of digests that every agent reads from the origin: 90 agents took a quarter
@@ -293,6 +293,17 @@
   CHECK_FALSE(VersionChoice::isInTime(std::nullopt, Start + 9s, Start));
 }
 
+// Guards against runners that are all converted within a second, because their agents learnt of the
+// version late, while entry instances still use the old one.
+TEST_CASE("late conversions of runners with work are spread", "[pieces]") {
+  const TimePoint Complete(100s);
+  const TimePoint Bound = Complete - 3s;
+  CHECK(ConversionSchedule::orderAt(Complete, Bound, 4, 5, true) == Complete);
+  CHECK(ConversionSchedule::orderAt(Complete, Bound, 4, 5, false) ==
+        Complete + ConversionSchedule::LateSpan);
+  CHECK(ConversionSchedule::orderAt(Complete, Bound, 0, 5, false) == Complete);
+}
+
 TEST_CASE("a fallback is loaded in the last time before the bound", "[pieces]") {
   const TimePoint Complete(100s);
   const TimePoint Bound = Complete + 7s;
