--- a/src/include/Fescuegauge/RelayRanking.h
+++ b/src/include/Fescuegauge/RelayRanking.h
@@ -36,8 +36,6 @@
   void setInstances(std::vector<Endpoint> Known);
   /// Whom to ask, in this order; none if the store is to be asked.
   std::vector<Endpoint> candidates(TimePoint Now) const;
-  /// Entry instances that may be asked, whether they answer or not.
-  std::size_t instancesBefore() const { return m_Ranked.size(); }
   void onFailure(const Endpoint &Instance, TimePoint Now);
 
 private:
