--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -122,6 +122,8 @@
   std::optional<PieceManifest> m_Manifest;
   /// It neither knows them nor is about to.
   bool m_IsNotExpected = false;
+  /// It is about to learn them.
+  bool m_IsExpected = false;
 };
 
 /// Several sources are asked for the digests of one version at the same time.
@@ -132,6 +134,8 @@
   std::size_t m_Open = 0;
   /// Every peer that answered said that it will not learn them.
   bool m_NobodyLearns = true;
+  /// A peer answered that it is about to learn them.
+  bool m_SomePeerLearns = false;
   /// The digests are no longer waited for.
   bool m_IsOver = false;
 };
@@ -287,6 +291,8 @@
   std::map<ModelId, WeightsVersion> m_Loaded;
   /// Times that the digests of the wanted version were asked for in vain.
   unsigned m_DigestAttempts = 0;
+  /// At the last attempt a peer said that it is about to learn them.
+  bool m_SomePeerLearns = false;
   /// The digests that a peer or the origin gave match no piece; they are read from the origin
   /// again.
   bool m_DigestsDoubted = false;
@@ -526,6 +532,7 @@
       Address, makeGet(piecePath(Wanted.m_Model, Wanted.m_Version, DigestsName)), DigestsTimeout);
   DigestAnswer Result;
   Result.m_IsNotExpected = Answer.status() == StatusNotFound;
+  Result.m_IsExpected = Answer.status() == StatusBusy;
   if (Answer.status() != 200)
     co_return Result;
   PieceManifest Manifest{Wanted.m_Model, Wanted.m_Version, parseDigests(Answer.m_Response.body())};
@@ -540,6 +547,7 @@
   const DigestAnswer Answer = co_await askDigests(Wanted, From.m_Peer->m_Address);
   --Search->m_Open;
   Search->m_NobodyLearns = Search->m_NobodyLearns && Answer.m_IsNotExpected;
+  Search->m_SomePeerLearns = Search->m_SomePeerLearns || Answer.m_IsExpected;
   if (Answer.m_Manifest && !Search->m_Found) {
     Search->m_Found = Answer.m_Manifest;
     Search->m_Source = From.m_Peer->m_Id.str();
@@ -572,6 +580,10 @@
     Sources =
         ManifestSources::sources(versionKey(Wanted.m_Model, Wanted.m_Version), m_Peers,
                                  m_Options.m_Self, m_Options.m_OriginRegion, m_DigestAttempts);
+  // While the origin is away, an agent with a living one above it leaves the origin to that one:
+  // its connections are few, and those that wait for digests would take them from the importers.
+  if (m_SomePeerLearns && Sources.front().m_Peer && !Sources.back().m_Peer)
+    Sources.pop_back();
   auto Search = std::make_shared<DigestSearch>();
   bool AskedOrigin = false;
   std::size_t Asked = 0;
@@ -598,6 +610,7 @@
     }
   }
   Search->m_IsOver = true;
+  m_SomePeerLearns = Search->m_SomePeerLearns;
   std::optional<PieceManifest> Found = std::move(Search->m_Found);
   const std::string Source = Search->m_Source;
   ++m_DigestAttempts;
@@ -607,6 +620,7 @@
     co_return false;
   }
   m_DigestAttempts = 0;
+  m_SomePeerLearns = false;
   m_DigestsDoubted = false;
   if (!m_Target || m_Target->m_Version != Wanted.m_Version)
     co_return false;
--- a/src/libagent/WeightsAgent_test.cpp
+++ b/src/libagent/WeightsAgent_test.cpp
@@ -73,6 +73,7 @@
   static constexpr std::uint32_t Pieces = 12;
 
   Task<std::optional<PieceManifest>> manifest(ModelId Of, WeightsVersion Version) override {
+    ++m_ManifestCalls;
     if (m_Down || m_Unknown.contains(Version))
       co_return std::nullopt;
     PieceManifest Result{Of, Version, {}};
@@ -99,6 +100,7 @@
   /// Versions that it does not give out yet.
   std::set<WeightsVersion> m_Unknown;
   int m_Sent = 0;
+  int m_ManifestCalls = 0;
 };
 
 class FakePeers : public PeerDirectory {
@@ -305,6 +307,36 @@
   CHECK(monotonicNow() - Start < 2 * WeightsAgent::DigestsStagger + 200ms);
 }
 
+// Guards against all agents asking an origin that is away, and holding its few connections when it
+// is back: on a site with 88 agents the importers got no connection for 3.5 s.
+TEST_CASE("while the origin is away, few agents ask it for digests", "[agent]") {
+  net::io_context Loop;
+  constexpr int Count = 16;
+  std::vector<std::unique_ptr<AgentFixture>> Agents;
+  std::vector<PiecePeer> Peers;
+  for (int I = 0; I < Count; ++I) {
+    const std::string Name = "agent-" + std::to_string(I);
+    Agents.push_back(std::make_unique<AgentFixture>(Loop, Name));
+    Peers.push_back(Agents.back()->peer(Name, false));
+  }
+  for (const auto &Each : Agents) {
+    Each->m_Peers.m_Peers = Peers;
+    Each->m_Origin.m_Down = true;
+    Each->m_Agent->announce(Model, First, std::nullopt);
+  }
+  Agents.front()->runUntil([] { return false; }, 3s);
+  const auto Asking = std::count_if(Agents.begin(), Agents.end(), [](const auto &Each) {
+    return Each->m_Origin.m_ManifestCalls > 0;
+  });
+  CHECK(Asking == static_cast<std::ptrdiff_t>(ManifestSources::Roots));
+  for (const auto &Each : Agents)
+    Each->m_Origin.m_Down = false;
+  REQUIRE(Agents.front()->runUntil([&] {
+    return std::all_of(Agents.begin(), Agents.end(),
+                       [](const auto &Each) { return Each->m_Runner.holds(First); });
+  }));
+}
+
 // Guards against agents that wait for the list of peers while the store is away, though they know
 // one that is some seconds old: the agents of a data centre began a transfer 4 s late.
 TEST_CASE("a transfer begins with the peers that are known", "[agent]") {
