--- a/src/libdispatch/Overload_test.cpp
+++ b/src/libdispatch/Overload_test.cpp
@@ -110,7 +110,8 @@
   void arrive(TimePoint Now) {
     const WaitingNumber Number(m_Calls.size() + 1);
     Call &New = m_Calls[Number];
-    New.m_PromptTokens = static_cast<std::uint32_t>(uniformBelow(m_Random, 2 * MeanPrompt)) + 1;
+    New.m_PromptTokens =
+        static_cast<std::uint32_t>(uniformBelow(m_Random, std::uint64_t{2} * MeanPrompt)) + 1;
     New.m_ArrivedAt = Now;
     if (m_Queue.waiting(Service) == 0 && place(Number, Now))
       return;
