--- a/src/include/Fescuegauge/DispatchQueue.h
+++ b/src/include/Fescuegauge/DispatchQueue.h
@@ -11,7 +11,6 @@
 #include <deque>
 #include <list>
 #include <map>
-#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -44,14 +43,6 @@
   /// Time constant of the rate at which places come free.
   static constexpr Duration RateTime = std::chrono::seconds(1);
 
-  /// After its start an instance waits this long for upstreams that are listed and hold no weights:
-  /// after a loss of power, agents have their runners load what is staged within a second or two.
-  static constexpr Duration StartTime = std::chrono::milliseconds(3000);
-  /// The longest wait for the first upstream in that time, and its part of the caller's time. A
-  /// caller that is refused comes back after as long, if it may ask once more at all.
-  static constexpr Duration LongestStartWait = std::chrono::milliseconds(1200);
-  static constexpr int StartWaitPart = 4;
-
   /// The wait that a request of this target latency is given.
   static Duration longestWait(Duration TargetLatency) {
     return Duration(
@@ -61,10 +52,6 @@
   /// Whether a request that arrives now is likely to get a place within `Longest`.
   bool shouldWait(const ServiceId &Service, const WaitingRequest &Request, Duration Longest,
                   TimePoint Now) const;
-  /// The same while no upstream of the service can be used, `SinceStart` after this instance was
-  /// started; nothing if the request is to be refused.
-  std::optional<Duration> startWait(const ServiceId &Service, Duration TimeLeft,
-                                    Duration SinceStart) const;
   void push(const ServiceId &Service, const WaitingRequest &Request);
   /// The requests that wait, in the order in which they get places.
   std::vector<WaitingNumber> order(const ServiceId &Service) const;
--- a/src/libdispatch/DispatchQueue.cpp
+++ b/src/libdispatch/DispatchQueue.cpp
@@ -32,13 +32,6 @@
   return static_cast<double>(Ahead + 1) <= Rate * toSeconds(Longest);
 }
 
-std::optional<Duration> DispatchQueue::startWait(const ServiceId &Service, Duration TimeLeft,
-                                                 Duration SinceStart) const {
-  if (SinceStart >= StartTime || waiting(Service) >= MaxWaiting)
-    return std::nullopt;
-  return std::min(LongestStartWait, TimeLeft / StartWaitPart);
-}
-
 void DispatchQueue::push(const ServiceId &Service, const WaitingRequest &Request) {
   std::list<WaitingRequest> &Queue = m_Lines[Service].m_Requests;
   auto Place = std::find_if(Queue.begin(), Queue.end(),
--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -256,18 +256,6 @@
   CHECK(DispatchQueue::longestWait(400ms) == 120ms);
 }
 
-// Load pattern: all instances and runners lost their power; callers come while runners load what is
-// staged. Guards against refusals of callers that may not ask again.
-TEST_CASE("requests wait for the first upstream shortly after a start", "[dispatch]") {
-  DispatchQueue Queue;
-  CHECK(Queue.startWait(Service, 6s, 500ms) == DispatchQueue::LongestStartWait);
-  CHECK(Queue.startWait(Service, 2s, 500ms) == 500ms);
-  CHECK_FALSE(Queue.startWait(Service, 6s, DispatchQueue::StartTime));
-  for (std::uint64_t I = 0; I < DispatchQueue::MaxWaiting; ++I)
-    Queue.push(Service, {WaitingNumber(I + 1), 0, true});
-  CHECK_FALSE(Queue.startWait(Service, 6s, 500ms));
-}
-
 TEST_CASE("first requests go before returned ones, urgent ones before others", "[dispatch]") {
   DispatchQueue Queue;
   auto Push = [&](std::uint64_t Number, bool Returned, int Priority) {
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -80,24 +80,13 @@
 
   Placement Direct;
   Direct.m_Verdict = PlacementVerdict::AllFull;
-  const Duration SinceStart = Now - m_StartedAt;
   if (m_Queue.waiting(Request.m_Service) == 0) {
     Direct = placeNow(Request);
-    if (Direct.m_Verdict == PlacementVerdict::Placed)
+    if (Direct.m_Verdict != PlacementVerdict::AllFull)
       co_return Direct;
-  } else if (SinceStart < DispatchQueue::StartTime) {
-    Direct.m_Verdict = m_Board.place(Request, Now).m_Verdict;
   }
-  if (Direct.m_Verdict == PlacementVerdict::NoneUsable) {
-    const auto Wait = m_Queue.startWait(Request.m_Service, Terms.m_TimeLeft, SinceStart);
-    if (!Wait)
-      co_return Direct;
-    Terms.m_Longest = *Wait;
-    // It will be late, so those that come later and can be on time go before it.
-    Entry.m_Returned = true;
-  } else if (!m_Queue.shouldWait(Request.m_Service, Entry, Terms.m_Longest, Now)) {
+  if (!m_Queue.shouldWait(Request.m_Service, Entry, Terms.m_Longest, Now))
     co_return Direct;
-  }
 
   m_LastNumber = m_LastNumber.next();
   Entry.m_Number = m_LastNumber;
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -40,8 +40,6 @@
 /// How a request may wait for a place.
 struct WaitTerms {
   Duration m_Longest{0};
-  /// Until the caller's deadline.
-  Duration m_TimeLeft{0};
   int m_Priority = 0;
   bool m_Returned = false;
 };
@@ -139,7 +137,6 @@
   std::multimap<InstanceId, SuspectKey> m_Running;
   std::map<InstanceId, TimePoint> m_CrashChecked;
   ReturnDetector m_Returns;
-  TimePoint m_StartedAt = monotonicNow();
   std::optional<TimePoint> m_DrainingSince;
   CounterMetric &m_Requests;
   CounterMetric &m_Attempts;
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -203,7 +203,6 @@
   Terms.m_Longest = std::min(m_HeadSent ? LongestResumeWait
                                         : DispatchQueue::longestWait(m_Route->m_TargetLatency),
                              timeLeft());
-  Terms.m_TimeLeft = timeLeft();
   Terms.m_Priority = m_Priority;
   Terms.m_Returned = m_Returned && !m_HeadSent;
   const TimePoint Start = monotonicNow();
