--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -1,5 +1,8 @@
 #include "Fescuegauge/WeightsAgent.h"
 
+#include "DigestSearch.h"
+#include "PieceProtocol.h"
+
 #include "Fescuegauge/EndpointText.h"
 #include "Fescuegauge/Invariant.h"
 #include "Fescuegauge/Log.h"
@@ -10,106 +13,18 @@
 #include "Fescuegauge/VersionChoice.h"
 
 #include <algorithm>
-#include <charconv>
 #include <set>
-#include <sstream>
 
 namespace fescuegauge {
 
 namespace {
 
-constexpr std::string_view PiecePath = "/pieces/";
-/// In place of a piece's number: the digests of all pieces, and the set of pieces held.
-constexpr std::string_view DigestsName = "digests";
-constexpr std::string_view HoldingsName = "holdings";
-/// Follows HoldingsName: the set that the asking agent knows of.
-constexpr std::string_view KnownParameter = "?known=";
-constexpr Duration ProgressCheck = std::chrono::milliseconds(20);
 constexpr Duration UploadCheck = std::chrono::milliseconds(5);
-/// Answer to a request for a piece while enough uploads wait.
-constexpr unsigned StatusBusy = 503;
-constexpr unsigned StatusNotFound = 404;
 /// Wrong bytes for one piece, from any sources, after which its digest is taken to be wrong.
 constexpr std::uint32_t MaxBadBytes = 3;
 
 Invariant LoadedWhatWasVerified("agent.load_only_after_read_back");
 
-std::string piecePath(const ModelId &Model, WeightsVersion Version, std::string_view Name) {
-  return std::string(PiecePath) + Model.str() + "/" + std::to_string(Version.value()) + "/" +
-         std::string(Name);
-}
-
-struct PieceName {
-  ModelId m_Model;
-  WeightsVersion m_Version;
-  std::string m_Name;
-};
-
-std::optional<PieceName> parsePiecePath(std::string_view Path) {
-  if (!Path.starts_with(PiecePath))
-    return std::nullopt;
-  Path.remove_prefix(PiecePath.size());
-  const std::size_t First = Path.find('/');
-  const std::size_t Second = Path.find('/', First + 1);
-  if (First == std::string_view::npos || Second == std::string_view::npos)
-    return std::nullopt;
-  const auto Version = parseNumber<std::uint64_t>(Path.substr(First + 1, Second - First - 1));
-  if (!Version)
-    return std::nullopt;
-  return PieceName{ModelId(std::string(Path.substr(0, First))), WeightsVersion(*Version),
-                   std::string(Path.substr(Second + 1))};
-}
-
-std::string digestsText(const PieceManifest &Manifest) {
-  std::string Text;
-  for (const Digest &Each : Manifest.m_Digests)
-    Text += Each.hex() + "\n";
-  return Text;
-}
-
-std::vector<Digest> parseDigests(const std::string &Text) {
-  std::vector<Digest> Result;
-  std::istringstream Lines(Text);
-  std::string Line;
-  while (std::getline(Lines, Line)) {
-    auto Parsed = Digest::fromHex(Line);
-    if (!Parsed)
-      return {};
-    Result.push_back(*Parsed);
-  }
-  return Result;
-}
-
-/// The words of a set in hexadecimal, 16 digits each.
-std::string holdingsText(const ChunkSet &Held) {
-  std::string Text;
-  for (const std::uint64_t Word : Held.words()) {
-    char Digits[17];
-    std::snprintf(Digits, sizeof Digits, "%016llx", static_cast<unsigned long long>(Word));
-    Text += Digits;
-  }
-  return Text;
-}
-
-std::optional<ChunkSet> parseHoldings(std::string_view Text, std::size_t Size) {
-  constexpr std::size_t WordDigits = 16;
-  constexpr std::size_t WordBits = 64;
-  ChunkSet Result(Size);
-  if (Text.size() != Result.words().size() * WordDigits)
-    return std::nullopt;
-  for (std::size_t Word = 0; Word * WordDigits < Text.size(); ++Word) {
-    const std::string_view Digits = Text.substr(Word * WordDigits, WordDigits);
-    std::uint64_t Bits = 0;
-    auto [End, Error] = std::from_chars(Digits.data(), Digits.data() + Digits.size(), Bits, 16);
-    if (Error != std::errc() || End != Digits.data() + Digits.size())
-      return std::nullopt;
-    for (std::size_t Bit = 0; Bit < WordBits; ++Bit)
-      if ((Bits >> Bit & 1) != 0)
-        Result.insert(static_cast<std::uint32_t>(Word * WordBits + Bit));
-  }
-  return Result;
-}
-
 using PieceBytes = std::shared_ptr<const std::string>;
 
 /// Names a version in the ranks that all agents compute.
@@ -117,29 +32,6 @@
   return Model.str() + "/" + std::to_string(Version.value());
 }
 
-/// What another agent says of the digests of a version.
-struct DigestAnswer {
-  std::optional<PieceManifest> m_Manifest;
-  /// It neither knows them nor is about to.
-  bool m_IsNotExpected = false;
-  /// It is about to learn them.
-  bool m_IsExpected = false;
-};
-
-/// Several sources are asked for the digests of one version at the same time.
-struct DigestSearch {
-  std::optional<PieceManifest> m_Found;
-  std::string m_Source;
-  /// Questions without an answer yet.
-  std::size_t m_Open = 0;
-  /// Every peer that answered said that it will not learn them.
-  bool m_NobodyLearns = true;
-  /// A peer answered that it is about to learn them.
-  bool m_SomePeerLearns = false;
-  /// The digests are no longer waited for.
-  bool m_IsOver = false;
-};
-
 /// One version on its way to the runner.
 struct Transfer {
   Transfer(PieceManifest Of, const WeightsAgentOptions &Options)
@@ -196,9 +88,6 @@
   /// Keeps the current transfer for the case that the wanted version comes too late.
   void keepFallback(const Target &Wanted);
   Task<bool> learnDigests(Target Wanted);
-  Task<> askSource(std::shared_ptr<DigestSearch> Search, Target Wanted,
-                   ManifestSources::Source From);
-  Task<> askOrigin(std::shared_ptr<DigestSearch> Search, Target Wanted);
   /// Reads the list of peers if it is due. Waits for it only if no peer is known.
   Task<> refreshPeers(Target Wanted, Duration Validity);
   Task<> readPeers(Target Wanted);
@@ -206,7 +95,6 @@
   Task<> fetchPieces(std::shared_ptr<Transfer> Version);
   Task<> fetchOne(std::shared_ptr<Transfer> Version, PieceFetch Fetch);
   Task<> followHoldings(std::shared_ptr<Transfer> Version, PiecePeer Peer);
-  Task<DigestAnswer> askDigests(Target Wanted, Endpoint Address);
   Task<bool> verifyStaging(std::shared_ptr<Transfer> Version);
   Task<FetchedPiece> fetchBytes(std::shared_ptr<Transfer> Version, PieceFetch Fetch);
   Task<> load(RunnerReport Report, Target Wanted, std::shared_ptr<Transfer> Version);
@@ -527,52 +415,6 @@
     m_Current->m_Exchange.setPeers(m_Peers);
 }
 
-Task<DigestAnswer> WeightsAgent::Implementation::askDigests(Target Wanted, Endpoint Address) {
-  const CallResult Answer = co_await m_Caller.call(
-      Address, makeGet(piecePath(Wanted.m_Model, Wanted.m_Version, DigestsName)), DigestsTimeout);
-  DigestAnswer Result;
-  Result.m_IsNotExpected = Answer.status() == StatusNotFound;
-  Result.m_IsExpected = Answer.status() == StatusBusy;
-  if (Answer.status() != 200)
-    co_return Result;
-  PieceManifest Manifest{Wanted.m_Model, Wanted.m_Version, parseDigests(Answer.m_Response.body())};
-  if (!Manifest.m_Digests.empty())
-    Result.m_Manifest = std::move(Manifest);
-  co_return Result;
-}
-
-Task<> WeightsAgent::Implementation::askSource(std::shared_ptr<DigestSearch> Search, Target Wanted,
-                                               ManifestSources::Source From) {
-  auto Self = shared_from_this();
-  const DigestAnswer Answer = co_await askDigests(Wanted, From.m_Peer->m_Address);
-  --Search->m_Open;
-  Search->m_NobodyLearns = Search->m_NobodyLearns && Answer.m_IsNotExpected;
-  Search->m_SomePeerLearns = Search->m_SomePeerLearns || Answer.m_IsExpected;
-  if (Answer.m_Manifest && !Search->m_Found) {
-    Search->m_Found = Answer.m_Manifest;
-    Search->m_Source = From.m_Peer->m_Id.str();
-  }
-  m_Wake.cancel();
-}
-
-Task<> WeightsAgent::Implementation::askOrigin(std::shared_ptr<DigestSearch> Search,
-                                               Target Wanted) {
-  auto Self = shared_from_this();
-  while (!Search->m_Found && !Search->m_IsOver) {
-    std::optional<PieceManifest> Manifest =
-        co_await m_Origin.manifest(Wanted.m_Model, Wanted.m_Version);
-    if (Manifest && !Search->m_Found) {
-      Search->m_Found = std::move(Manifest);
-      Search->m_Source = "origin";
-    }
-    // An origin that was away may be back before the others answer.
-    if (!Search->m_Found)
-      co_await sleepFor(RetryInterval);
-  }
-  --Search->m_Open;
-  m_Wake.cancel();
-}
-
 Task<bool> WeightsAgent::Implementation::learnDigests(Target Wanted) {
   co_await refreshPeers(Wanted, PeersValidity);
   std::vector<ManifestSources::Source> Sources{{}};
@@ -584,35 +426,11 @@
   // its connections are few, and those that wait for digests would take them from the importers.
   if (m_SomePeerLearns && Sources.front().m_Peer && !Sources.back().m_Peer)
     Sources.pop_back();
-  auto Search = std::make_shared<DigestSearch>();
-  bool AskedOrigin = false;
-  std::size_t Asked = 0;
-  const TimePoint End = monotonicNow() + DigestsTimeout;
-  TimePoint NextAt = monotonicNow();
-  while (!Search->m_Found && monotonicNow() < End && !isFallbackDue(Wanted)) {
-    if (Asked < Sources.size() && (Search->m_Open == 0 || monotonicNow() >= NextAt)) {
-      const ManifestSources::Source &Next = Sources[Asked++];
-      ++Search->m_Open;
-      if (Next.m_Peer)
-        spawnTask(m_Executor, "ask_digests", askSource(Search, Wanted, Next));
-      else
-        spawnTask(m_Executor, "ask_origin", askOrigin(Search, Wanted));
-      AskedOrigin = AskedOrigin || !Next.m_Peer;
-      NextAt = monotonicNow() + DigestsStagger;
-    } else if (Search->m_Open > 0) {
-      co_await pause(std::min(End, std::max(NextAt, monotonicNow() + ProgressCheck)) -
-                     monotonicNow());
-    } else if (Search->m_NobodyLearns && !AskedOrigin) {
-      AskedOrigin = true;
-      Sources.push_back({});
-    } else {
-      break;
-    }
-  }
-  Search->m_IsOver = true;
-  m_SomePeerLearns = Search->m_SomePeerLearns;
-  std::optional<PieceManifest> Found = std::move(Search->m_Found);
-  const std::string Source = Search->m_Source;
+  auto Search = std::make_shared<DigestSearch>(m_Executor, m_Caller, m_Origin, Wanted.m_Model,
+                                               Wanted.m_Version);
+  const std::function<bool()> IsAborted = [this, Wanted] { return isFallbackDue(Wanted); };
+  std::optional<FoundDigests> Found = co_await Search->run(Sources, IsAborted);
+  m_SomePeerLearns = Search->doesSomePeerLearn();
   ++m_DigestAttempts;
   if (!Found) {
     logEvent(Severity::Warning, "digests_unavailable",
@@ -626,14 +444,14 @@
     co_return false;
   if (m_Current && !m_Current->isComplete())
     m_Replaced = m_Current;
-  m_Current = std::make_shared<Transfer>(std::move(*Found), m_Options);
+  m_Current = std::make_shared<Transfer>(std::move(Found->m_Manifest), m_Options);
   m_Current->m_Exchange.setPeers(m_Peers);
   logEvent(Severity::Info, "transfer_started",
            {{"model", Wanted.m_Model},
             {"version", Wanted.m_Version},
             {"pieces", m_Current->count()},
             {"peers", m_Peers.size()},
-            {"digestsFrom", Source},
+            {"digestsFrom", Found->m_Source},
             {"sinceAnnouncementSeconds", monotonicNow() - Wanted.m_AnnouncedAt}});
   co_return true;
 }
