Count only attempts at digests in which no agent above was learning them

An agent below the roots asks the origin after an attempt in vain. Whether an agent above it was about to learn the digests was a second state that took the origin back out of the list; the count of attempts now says both.

--- a/src/libagent/DigestSearch.cpp
+++ b/src/libagent/DigestSearch.cpp
@@ -2,8 +2,6 @@
 
 #include "PieceProtocol.h"
 
-#include <algorithm>
-
 namespace fescuegauge {
 
 Task<std::optional<FoundDigests>> DigestSearch::run(std::vector<ManifestSources::Source> Sources,
--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -177,10 +177,8 @@
   /// The staging area may hold pieces that are not in memory.
   bool m_StagingUnread = true;
   std::map<ModelId, WeightsVersion> m_Loaded;
-  /// Times that the digests of the wanted version were asked for in vain.
+  /// Attempts in a row to learn digests in which no agent that was asked was about to learn them.
   unsigned m_DigestAttempts = 0;
-  /// At the last attempt a peer said that it is about to learn them.
-  bool m_SomePeerLearns = false;
   /// The digests that a peer or the origin gave match no piece; they are read from the origin
   /// again.
   bool m_DigestsDoubted = false;
@@ -422,23 +420,19 @@
     Sources =
         ManifestSources::sources(versionKey(Wanted.m_Model, Wanted.m_Version), m_Peers,
                                  m_Options.m_Self, m_Options.m_OriginRegion, m_DigestAttempts);
-  // While the origin is away, an agent with a living one above it leaves the origin to that one:
-  // its connections are few, and those that wait for digests would take them from the importers.
-  if (m_SomePeerLearns && Sources.front().m_Peer && !Sources.back().m_Peer)
-    Sources.pop_back();
   auto Search = std::make_shared<DigestSearch>(m_Executor, m_Caller, m_Origin, Wanted.m_Model,
                                                Wanted.m_Version);
   const std::function<bool()> IsAborted = [this, Wanted] { return isFallbackDue(Wanted); };
   std::optional<FoundDigests> Found = co_await Search->run(Sources, IsAborted);
-  m_SomePeerLearns = Search->doesSomePeerLearn();
-  ++m_DigestAttempts;
+  // While the origin is away, an agent with a living one above it leaves the origin to that one:
+  // its connections are few, and those that wait for digests would take them from the importers.
+  m_DigestAttempts = Search->doesSomePeerLearn() ? 0 : m_DigestAttempts + 1;
   if (!Found) {
     logEvent(Severity::Warning, "digests_unavailable",
              {{"model", Wanted.m_Model}, {"version", Wanted.m_Version}});
     co_return false;
   }
   m_DigestAttempts = 0;
-  m_SomePeerLearns = false;
   m_DigestsDoubted = false;
   if (!m_Target || m_Target->m_Version != Wanted.m_Version)
     co_return false;
