Time from dispatch to start, and streams that begin late on older weights, in logs and metrics

The histogram fescuegauge_gateway_start_seconds and the fields startSeconds, placedWeights and answeredWeights of request_finished show the wait and the weights; attempt_ended has sinceDispatchSeconds. Plain answers are not judged, because their head comes when the run ends.

--- a/src/include/Fescuegauge/Gateway.h
+++ b/src/include/Fescuegauge/Gateway.h
@@ -7,11 +7,13 @@
 #include "Fescuegauge/Metrics.h"
 #include "Fescuegauge/RoutingPlan.h"
 #include "Fescuegauge/UpstreamBoard.h"
+#include "Fescuegauge/WeightsDeadlines.h"
 
 #include <boost/json/object.hpp>
 #include <memory>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace fescuegauge {
 
@@ -43,6 +45,8 @@
   void setUpstreams(std::span<const UpstreamRecord> Listed);
   /// From now on, requests for `Model` go only to upstreams with at least this version.
   void setLeastVersion(const ModelId &Model, WeightsVersion Least);
+  /// The bounds by which runs on older weights are found late.
+  void setWeightsBounds(const ModelId &Model, std::vector<WeightsBound> Bounds);
   void onPeerReport(const InstanceId &Peer, UseByUpstream Use,
                     std::span<const SuspectDelta> Suspects, std::span<const UpstreamStart> Leaving);
   /// Upstreams that said that they leave, for the other entry instances.
--- a/src/include/Fescuegauge/WeightsDeadlines.h
+++ b/src/include/Fescuegauge/WeightsDeadlines.h
@@ -21,6 +21,14 @@
   bool operator==(const AnnouncedWeights &) const = default;
 };
 
+/// From when on no run may begin on an older version.
+struct WeightsBound {
+  WeightsVersion m_Version;
+  TimePoint m_At;
+
+  bool operator==(const WeightsBound &) const = default;
+};
+
 /// Decides from when on requests may no longer go to upstreams with older weights.
 ///
 /// Requests must not begin on older weights later than a bound after a version was announced. An
@@ -55,6 +63,8 @@
   std::map<ModelId, WeightsVersion> leastVersions(TimePoint Now) const;
   /// When leastVersions() changes next.
   std::optional<TimePoint> nextChange(TimePoint Now) const;
+  /// The bounds of all versions that are remembered, as far as this instance knows them.
+  std::map<ModelId, std::vector<WeightsBound>> bounds() const;
   /// For the other entry instances.
   std::vector<AnnouncedWeights> known(TimePoint Now) const;
 
--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -1,5 +1,6 @@
 #include "Fescuegauge/DispatchQueue.h"
 #include "Fescuegauge/EventSplitter.h"
+#include "Fescuegauge/LateStarts.h"
 #include "Fescuegauge/RelayRanking.h"
 #include "Fescuegauge/RoutingPlan.h"
 #include "Fescuegauge/UpstreamBoard.h"
@@ -369,6 +370,51 @@
   CHECK(Weights.leastVersions(at(8s)).at(Model) == WeightsVersion(2));
 }
 
+// Guards against a run on older weights after the bound that no log line shows, and against lines
+// on runs that the bound allows.
+TEST_CASE("a run on older weights after the bound is late by the first bound it breaks",
+          "[dispatch]") {
+  const Duration Bound = 8s;
+  WeightsDeadlines Weights(Bound);
+  Weights.onAnnounced(Model, WeightsVersion(2), at(0s), at(0s));
+  Weights.onAnnounced(Model, WeightsVersion(3), at(2s), at(2s));
+  LateStarts Late;
+  CHECK_FALSE(Late.judge(Model, WeightsVersion(1), at(20s)));
+  for (const auto &[Each, Bounds] : Weights.bounds())
+    Late.setBounds(Each, Bounds);
+  CHECK_FALSE(Late.judge(ModelId("other"), WeightsVersion(1), at(20s)));
+  CHECK_FALSE(Late.judge(Model, WeightsVersion(1), at(8s)));
+  const auto AfterFirst = Late.judge(Model, WeightsVersion(1), at(9s));
+  REQUIRE(AfterFirst);
+  CHECK(AfterFirst->m_Least == WeightsVersion(2));
+  CHECK(AfterFirst->m_Late == Duration(1s));
+  CHECK_FALSE(Late.judge(Model, WeightsVersion(2), at(9s)));
+  const auto AfterBoth = Late.judge(Model, WeightsVersion(1), at(11s));
+  REQUIRE(AfterBoth);
+  CHECK(AfterBoth->m_Least == WeightsVersion(3));
+  CHECK(AfterBoth->m_Late == Duration(3s));
+  CHECK_FALSE(Late.judge(Model, WeightsVersion(3), at(30s)));
+
+  // An outage of the store moves the bounds that had not run out.
+  Weights.onOutage({at(4s), at(6s)});
+  CHECK(Weights.bounds().at(Model) ==
+        std::vector<WeightsBound>{{WeightsVersion(2), at(14s)}, {WeightsVersion(3), at(14s)}});
+}
+
+// Guards against logs that grow with the number of late runs.
+TEST_CASE("lines on late runs are bounded in each second", "[dispatch]") {
+  LateStarts Late;
+  const auto Lines = [&](TimePoint Now) {
+    std::uint32_t Count = 0;
+    for (int I = 0; I < 100; ++I)
+      Count += Late.mayLog(Now);
+    return Count;
+  };
+  CHECK(Lines(at(0s)) == LateStarts::MaxLinesPerSecond);
+  CHECK(Lines(at(999ms)) == 0);
+  CHECK(Lines(at(1s)) == LateStarts::MaxLinesPerSecond);
+}
+
 // Guards against a silent connection that is taken for an outage of the store.
 TEST_CASE("an outage is certain when new calls go unanswered too", "[dispatch]") {
   const auto HasOutage = [](const OutageDetector &Each) {
--- /dev/null
+++ b/src/libdispatch/LateStarts.cpp
@@ -0,0 +1,36 @@
+#include "Fescuegauge/LateStarts.h"
+
+#include <algorithm>
+
+namespace fescuegauge {
+
+void LateStarts::setBounds(const ModelId &Model, std::vector<WeightsBound> Bounds) {
+  m_Bounds[Model] = std::move(Bounds);
+}
+
+std::optional<LateStart> LateStarts::judge(const ModelId &Model, WeightsVersion Version,
+                                           TimePoint StartedAt) const {
+  auto Found = m_Bounds.find(Model);
+  if (Found == m_Bounds.end())
+    return std::nullopt;
+  std::optional<LateStart> Result;
+  for (const WeightsBound &Each : Found->second) {
+    if (Each.m_Version <= Version || StartedAt <= Each.m_At)
+      continue;
+    if (!Result)
+      Result.emplace();
+    Result->m_Least = std::max(Result->m_Least, Each.m_Version);
+    Result->m_Late = std::max(Result->m_Late, StartedAt - Each.m_At);
+  }
+  return Result;
+}
+
+bool LateStarts::mayLog(TimePoint Now) {
+  if (Now - m_LogSecond >= std::chrono::seconds(1)) {
+    m_LogSecond = Now;
+    m_Lines = 0;
+  }
+  return m_Lines++ < MaxLinesPerSecond;
+}
+
+} // namespace fescuegauge
--- a/src/libdispatch/WeightsDeadlines.cpp
+++ b/src/libdispatch/WeightsDeadlines.cpp
@@ -61,6 +61,14 @@
   return Next;
 }
 
+std::map<ModelId, std::vector<WeightsBound>> WeightsDeadlines::bounds() const {
+  std::map<ModelId, std::vector<WeightsBound>> Result;
+  for (const auto &[Model, Versions] : m_Announced)
+    for (const auto &[Version, Entry] : Versions)
+      Result[Model].push_back({Version, enforcedAt(Entry) + Margin});
+  return Result;
+}
+
 std::vector<AnnouncedWeights> WeightsDeadlines::known(TimePoint Now) const {
   std::vector<AnnouncedWeights> Result;
   for (const auto &[Model, Versions] : m_Announced)
--- a/src/libgateway/FakeUpstream.h
+++ b/src/libgateway/FakeUpstream.h
@@ -182,6 +182,7 @@
 
   net::io_context &loop() { return m_Loop; }
   Gateway &gateway() { return *m_Gateway; }
+  std::string metrics() { return m_Metrics.serialize(); }
   const Endpoint &address() const { return m_Address; }
   std::vector<UpstreamRecord> &records() { return m_Records; }
 
--- a/src/libgateway/Gateway.cpp
+++ b/src/libgateway/Gateway.cpp
@@ -111,6 +111,10 @@
   m_Implementation->core().board().setLeastVersion(Model, Least);
 }
 
+void Gateway::setWeightsBounds(const ModelId &Model, std::vector<WeightsBound> Bounds) {
+  m_Implementation->core().lateStarts().setBounds(Model, std::move(Bounds));
+}
+
 void Gateway::onPeerReport(const InstanceId &Peer, UseByUpstream Use,
                            std::span<const SuspectDelta> Suspects,
                            std::span<const UpstreamStart> Leaving) {
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -45,11 +45,20 @@
       m_DroppedLines(Metrics.counter({"fescuegauge_gateway_log_lines_dropped_total",
                                       "Lines on requests left out to bound the log's volume.",
                                       {}})),
+      m_LateOlderWeights(
+          Metrics.counter({"fescuegauge_gateway_late_older_weights_total",
+                           "Streams that began after the bound on weights older than it allows.",
+                           {}})),
       m_FirstByte(
           Metrics.histogram({"fescuegauge_gateway_first_byte_seconds",
                              "Time from a request's arrival to the first byte of its answer.",
                              {{"kind", 8}}},
                             {0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4})),
+      m_Start(Metrics.histogram({"fescuegauge_gateway_start_seconds",
+                                 "Time from a dispatch to the first event of the answer, or to "
+                                 "the head of a plain one.",
+                                 {{"kind", 8}}},
+                                {0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1, 1.5, 2, 3, 4, 6, 8})),
       m_Wait(Metrics.histogram({"fescuegauge_gateway_queue_seconds",
                                 "Time that dispatched requests waited for a place.",
                                 {}},
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -7,6 +7,7 @@
 #include "Fescuegauge/ErrorKind.h"
 #include "Fescuegauge/Gateway.h"
 #include "Fescuegauge/HttpCaller.h"
+#include "Fescuegauge/LateStarts.h"
 #include "Fescuegauge/RetryBudget.h"
 #include "Fescuegauge/UpstreamBoard.h"
 
@@ -96,6 +97,7 @@
   void checkCrash(const UpstreamRecord &Upstream);
 
   ReturnDetector &returns() { return m_Returns; }
+  LateStarts &lateStarts() { return m_LateStarts; }
 
   bool isDraining() const { return m_DrainingSince.has_value(); }
   /// Whether the grace time after the announcement is over.
@@ -109,6 +111,10 @@
   void observeFirstByte(std::string_view Kind, Duration Time) {
     m_FirstByte.observe({Kind}, toSeconds(Time));
   }
+  void observeStart(std::string_view Kind, Duration Time) {
+    m_Start.observe({Kind}, toSeconds(Time));
+  }
+  void countLateStart() { m_LateOlderWeights.add(); }
   void observeWait(Duration Time) { m_Wait.observe({}, toSeconds(Time)); }
   /// Log lines on requests that may still be written in this second. Failures and refusals have a
   /// share of their own.
@@ -137,11 +143,14 @@
   std::multimap<InstanceId, SuspectKey> m_Running;
   std::map<InstanceId, TimePoint> m_CrashChecked;
   ReturnDetector m_Returns;
+  LateStarts m_LateStarts;
   std::optional<TimePoint> m_DrainingSince;
   CounterMetric &m_Requests;
   CounterMetric &m_Attempts;
   CounterMetric &m_DroppedLines;
+  CounterMetric &m_LateOlderWeights;
   HistogramMetric &m_FirstByte;
+  HistogramMetric &m_Start;
   HistogramMetric &m_Wait;
   TimePoint m_LogSecond;
   std::uint32_t m_LogLines = 0;
--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -1,8 +1,10 @@
 #include "FakeUpstream.h"
 
+#include "Fescuegauge/Log.h"
 #include "Fescuegauge/PeerLink.h"
 
 #include <catch2/catch.hpp>
+#include <sstream>
 #include <utility>
 
 using namespace fescuegauge;
@@ -52,6 +54,48 @@
   CHECK(std::stoi(std::string(Sent["Deadline-Ms"])) <= 1200);
 }
 
+// Guards against a broken bound on old weights that only callers see: a stream that was sent in
+// time waits at its upstream and begins on older weights after the bound.
+TEST_CASE("a stream that begins late on older weights is counted and logged", "[gateway]") {
+  const ModelId Model("model");
+  const TimePoint Now = monotonicNow();
+  GatewayFixture Fixture;
+  Fixture.setPlan();
+  Fixture.addUpstream([](const HttpRequest &Request) {
+    return Script{{{streamHead(Request)}, {chunk(event(1)), 60ms}, {LastChunk}}};
+  });
+  Fixture.records()[0].m_Weights = {{Model, WeightsVersion(3)}};
+  Fixture.gateway().setUpstreams(Fixture.records());
+  std::ostringstream Lines;
+  LogService Logs({}, Lines);
+  Kernel Services;
+  Logs.start(Services);
+  const auto Ask = [&](const std::string &Id) {
+    CHECK(Fixture.exchange(GatewayFixture::request("/stream/x", Id, "Model: model\r\n")).status() ==
+          200);
+  };
+  Fixture.gateway().setWeightsBounds(
+      Model, {{WeightsVersion(3), Now - 1s}, {WeightsVersion(4), Now + 1h}});
+  Ask("in-time");
+  Fixture.gateway().setWeightsBounds(Model, {{WeightsVersion(4), Now}});
+  Ask("late");
+  Logs.stop();
+  const std::string Text = Lines.str();
+  INFO(Text);
+  CHECK(Text.find("event=older_weights_ran_late request=late upstream=upstream-1 attempt=1 "
+                  "model=model placedWeights=3 answeredWeights=3 leastWeights=4 lateSeconds=") !=
+        std::string::npos);
+  CHECK(Text.find("event=older_weights_ran_late request=in-time") == std::string::npos);
+  CHECK(Text.find("placedWeights=3 answeredWeights=3 startSeconds=0.0") != std::string::npos);
+  const std::string Metrics = Fixture.metrics();
+  INFO(Metrics);
+  CHECK(Metrics.find("fescuegauge_gateway_late_older_weights_total 1\n") != std::string::npos);
+  CHECK(Metrics.find("fescuegauge_gateway_start_seconds_count{kind=\"resumable-stream\"} 2\n") !=
+        std::string::npos);
+  CHECK(Metrics.find("start_seconds_bucket{kind=\"resumable-stream\",le=\"0.05\"} 0\n") !=
+        std::string::npos);
+}
+
 TEST_CASE("headers that the gateway sets are not taken from callers", "[gateway]") {
   GatewayFixture Fixture;
   Fixture.setPlan();
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -73,6 +73,13 @@
   return parseNumber<std::uint32_t>(std::string(Usage.substr(0, Usage.find(',')))).value_or(0);
 }
 
+WeightsVersion weightsOf(const UpstreamRecord &Record, const ModelId &Model) {
+  for (const HeldWeights &Each : Record.m_Weights)
+    if (Each.m_Model == Model)
+      return Each.m_Version;
+  return {};
+}
+
 std::string secondsText(Duration Length) {
   char Text[32];
   std::snprintf(Text, sizeof Text, "%.2f", toSeconds(Length));
@@ -259,7 +266,10 @@
   m_Current = Sent;
   m_CurrentUpstream = To.m_Id;
   m_UnreadTokens = m_PromptTokens;
-  m_LastByteAt = monotonicNow();
+  m_LastByteAt = m_DispatchedAt = monotonicNow();
+  m_StartAfter.reset();
+  m_PlacedWeights = weightsOf(To, m_Model);
+  m_AnsweredWeights.reset();
   checkStall();
   m_Core.addRunning(To.m_Id, m_SuspectKey);
   const AttemptEnd End = co_await receive(Chosen, *Sent);
@@ -340,6 +350,8 @@
   const UpstreamExchange::Header &Head = Sent.header();
   const unsigned Status = Head.result_int();
   noteStatements(Head, From);
+  if (auto Version = parseNumber<std::uint64_t>(std::string(Head[Names.m_WeightsVersion])))
+    m_AnsweredWeights = WeightsVersion(*Version);
   if (Head.count(Names.m_NotRun) != 0 || Status == StatusMisdirected) {
     m_MayHaveRun = RanBefore;
     co_await Sent.skipRest(LongestRejection);
@@ -360,6 +372,8 @@
     logAttempt(Chosen, "failed", "resumed-without-events");
     co_return AttemptEnd::Failed;
   }
+  if (!IsEvents)
+    noteStart();
   if (IsEvents)
     co_return co_await relayEvents(Sent, From);
   co_return co_await relayPlain(Sent, From);
@@ -411,11 +425,10 @@
 
 Task<RequestExchange::AttemptEnd> RequestExchange::relayEvents(UpstreamExchange &Sent,
                                                                const UpstreamRecord &From) {
-  if (auto Version = parseNumber<std::uint64_t>(
-          std::string(Sent.header()[m_Core.headers().m_WeightsVersion]))) {
-    if (m_StreamVersion && *m_StreamVersion != WeightsVersion(*Version))
+  if (m_AnsweredWeights) {
+    if (m_StreamVersion && m_StreamVersion != m_AnsweredWeights)
       co_return AttemptEnd::Failed;
-    m_StreamVersion = WeightsVersion(*Version);
+    m_StreamVersion = m_AnsweredWeights;
   }
   EventSplitter Events;
   std::string Bytes;
@@ -436,6 +449,10 @@
     FirstRead = false;
     m_LastByteAt = Now;
     const bool Done = Bytes.empty();
+    if (!Done && !m_StartAfter) {
+      noteStart();
+      checkWeightsBound(Sent);
+    }
     if (!Done && m_UnreadTokens > 0)
       m_Core.onPromptRead(From.m_Id, std::exchange(m_UnreadTokens, 0));
     Events.append(Bytes);
@@ -487,6 +504,32 @@
   m_Core.observeWait(m_Waited);
 }
 
+void RequestExchange::noteStart() {
+  m_StartAfter = m_LastByteAt - m_DispatchedAt;
+  m_Core.observeStart(kindName(), *m_StartAfter);
+}
+
+void RequestExchange::checkWeightsBound(const UpstreamExchange &Sent) {
+  if (!m_AnsweredWeights)
+    return;
+  const auto Late = m_Core.lateStarts().judge(m_Model, *m_AnsweredWeights, m_LastByteAt);
+  if (!Late)
+    return;
+  m_Core.countLateStart();
+  if (m_Core.lateStarts().mayLog(m_LastByteAt))
+    logEvent(Severity::Warning, "older_weights_ran_late",
+             {{"request", m_RequestId},
+              {"upstream", m_CurrentUpstream},
+              {"attempt", m_AttemptsSent},
+              {"model", m_Model},
+              {"placedWeights", m_PlacedWeights},
+              {"answeredWeights", *m_AnsweredWeights},
+              {"leastWeights", Late->m_Least},
+              {"lateSeconds", Late->m_Late},
+              {"startSeconds", *m_StartAfter},
+              {"sinceSentSeconds", m_LastByteAt - Sent.sentAt()}});
+}
+
 bool RequestExchange::mayRetry() const {
   if (m_AttemptsSent >= std::max<std::uint32_t>(m_Route->m_MaxAttempts, 1))
     return false;
@@ -671,7 +714,8 @@
               {"detail", Detail},
               {"inFlight", Chosen.m_InFlight},
               {"attempt", m_AttemptsSent},
-              {"mayHaveRun", m_MayHaveRun}});
+              {"mayHaveRun", m_MayHaveRun},
+              {"sinceDispatchSeconds", monotonicNow() - m_DispatchedAt}});
 }
 
 void RequestExchange::logEnd() {
@@ -693,6 +737,9 @@
             {"longestPauseSeconds", m_LongestPause},
             {"mayHaveRun", m_MayHaveRun},
             {"waitSeconds", m_Waited},
+            {"placedWeights", m_PlacedWeights},
+            {"answeredWeights", m_AnsweredWeights.value_or(WeightsVersion())},
+            {"startSeconds", m_StartAfter.value_or(Duration(0))},
             {"firstByteSeconds", m_FirstByteAfter.value_or(Duration(0))},
             {"totalSeconds", monotonicNow() - m_ArrivedAt}});
 }
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -100,6 +100,10 @@
   void interrupt();
   void checkStall();
   void noteFirstByte();
+  /// The first event of the current attempt came, or the head of a plain answer.
+  void noteStart();
+  /// Reports a stream that began on weights that the bound no longer allows.
+  void checkWeightsBound(const UpstreamExchange &Sent);
   bool isInterrupted() const { return m_TimedOut || m_CallerLeft; }
   Duration timeLeft() const { return m_Deadline - monotonicNow(); }
 
@@ -163,6 +167,12 @@
   bool m_EventsResumable = true;
   std::optional<std::uint64_t> m_LastEventId;
   std::optional<WeightsVersion> m_StreamVersion;
+  /// Of the current attempt, or of the last one: when it was dispatched, how long it took to start,
+  /// and the weights of the upstream by its record and by its answer.
+  TimePoint m_DispatchedAt;
+  std::optional<Duration> m_StartAfter;
+  WeightsVersion m_PlacedWeights;
+  std::optional<WeightsVersion> m_AnsweredWeights;
   TimePoint m_LastByteAt;
   std::optional<Duration> m_FirstByteAfter;
   Duration m_Waited{0};
--- a/src/libgateway/UpstreamExchange.cpp
+++ b/src/libgateway/UpstreamExchange.cpp
@@ -28,6 +28,7 @@
 
 void UpstreamExchange::write() {
   m_Sent = true;
+  m_SentAt = monotonicNow();
   http::async_write(m_Connection->socket(), m_Request,
                     [Self = shared_from_this()](SystemError Error, std::size_t) {
                       // A failed write also ends the read, which reports it.
--- a/src/libgateway/UpstreamExchange.h
+++ b/src/libgateway/UpstreamExchange.h
@@ -72,6 +72,8 @@
 
   /// Whether a byte of the request may have left this process.
   bool wasSent() const { return m_Sent; }
+  /// When the request was given to the connection, if it was.
+  TimePoint sentAt() const { return m_SentAt; }
 
 private:
   void write();
@@ -86,6 +88,7 @@
   std::optional<Parser> m_Parser;
   std::array<char, 8192> m_Chunk;
   bool m_Sent = false;
+  TimePoint m_SentAt;
   bool m_Written = false;
   bool m_Complete = false;
   bool m_Cancelled = false;
