--- a/src/include/Fescuegauge/WeightsDeadlines.h
+++ b/src/include/Fescuegauge/WeightsDeadlines.h
@@ -29,6 +29,25 @@
   bool operator==(const WeightsBound &) const = default;
 };
 
+/// What another instance told that this one did not know.
+struct AgeChange {
+  bool m_IsNewVersion = false;
+  /// The age as it was known here; nothing if it was not.
+  std::optional<Duration> m_Before;
+};
+
+/// How the exclusion of versions older than one came about, for the log.
+struct ExclusionFacts {
+  bool m_AgeKnown = false;
+  /// Since the earliest time at which the version can have been announced, or, if its age is not
+  /// known, since this instance knows it.
+  Duration m_SinceAnnouncement{};
+  /// Since the time at which it was due.
+  Duration m_Late{};
+  /// By how much an outage of the store deferred it.
+  Duration m_DeferredByOutage{};
+};
+
 /// Decides from when on requests may no longer go to upstreams with older weights.
 ///
 /// Requests must not begin on older weights later than a bound after a version was announced. An
@@ -52,8 +71,8 @@
   /// A version that is news if `NotBefore` is given: it was announced after that time.
   void onAnnounced(const ModelId &Model, WeightsVersion Version, std::optional<TimePoint> NotBefore,
                    TimePoint Now);
-  /// What another entry instance knows.
-  void onTold(const AnnouncedWeights &Known, TimePoint Now);
+  /// What another entry instance knows. Returns what changed.
+  std::optional<AgeChange> onTold(const AnnouncedWeights &Known, TimePoint Now);
   /// The last outage of the platform's store that this instance saw.
   void onOutage(const StoreOutage &Outage) { m_Outage = Outage; }
   /// An upstream holds this version.
@@ -63,6 +82,8 @@
   std::map<ModelId, WeightsVersion> leastVersions(TimePoint Now) const;
   /// When leastVersions() changes next.
   std::optional<TimePoint> nextChange(TimePoint Now) const;
+  /// For a version that is remembered.
+  ExclusionFacts factsOf(const ModelId &Model, WeightsVersion Version, TimePoint Now) const;
   /// The bounds of all versions that are remembered, as far as this instance knows them.
   std::map<ModelId, std::vector<WeightsBound>> bounds() const;
   /// For the other entry instances.
--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -353,6 +353,43 @@
   CHECK(Told.leastVersions(at(99s) + 6800ms).at(Model) == Second);
 }
 
+// Guards against an age that was taken too young, or a bound that an outage deferred, and no log
+// line that shows it.
+TEST_CASE("what changes the bound on old weights can be told apart", "[dispatch]") {
+  const WeightsVersion Second(2);
+  const Duration Bound = 8s;
+  WeightsDeadlines Weights(Bound);
+  const auto New = Weights.onTold({Model, Second, 1s}, at(10s));
+  REQUIRE(New);
+  CHECK(New->m_IsNewVersion);
+  CHECK_FALSE(Weights.onTold({Model, Second, 1s}, at(10100ms)));
+  const auto Older = Weights.onTold({Model, Second, 3s}, at(11s));
+  REQUIRE(Older);
+  CHECK_FALSE(Older->m_IsNewVersion);
+  CHECK(Older->m_Before == Duration(2s));
+  const ExclusionFacts Known = Weights.factsOf(Model, Second, at(15s));
+  CHECK(Known.m_AgeKnown);
+  CHECK(Known.m_SinceAnnouncement == Duration(7s));
+  CHECK(Known.m_Late == 7s - (Bound - WeightsDeadlines::Margin));
+  CHECK(Known.m_DeferredByOutage == Duration(0));
+  Weights.onOutage({at(9s), at(12s)});
+  CHECK(Weights.factsOf(Model, Second, at(15s)).m_DeferredByOutage == Duration(4s));
+
+  WeightsDeadlines Restarted(Bound);
+  Restarted.onAnnounced(Model, Second, std::nullopt, at(0s));
+  CHECK_FALSE(Restarted.factsOf(Model, Second, at(1s)).m_AgeKnown);
+  const auto Learnt = Restarted.onTold({Model, Second, 5s}, at(1s));
+  REQUIRE(Learnt);
+  CHECK_FALSE(Learnt->m_IsNewVersion);
+  CHECK_FALSE(Learnt->m_Before);
+  CHECK(Restarted.factsOf(Model, Second, at(1s)).m_SinceAnnouncement == Duration(5s));
+
+  // A version that is too old to be remembered is no news each time.
+  for (std::uint64_t I = 3; I < 3 + WeightsDeadlines::MaxVersions; ++I)
+    Weights.onAnnounced(Model, WeightsVersion(I), at(20s), at(20s));
+  CHECK_FALSE(Weights.onTold({Model, Second, 30s}, at(21s)));
+}
+
 // Guards against refusals for want of new weights while the store is away: nobody can tell then
 // whether a version was announced, and the weights that are there serve callers.
 TEST_CASE("the bound on old weights counts anew after an outage of the store", "[dispatch]") {
--- a/src/libdispatch/WeightsDeadlines.cpp
+++ b/src/libdispatch/WeightsDeadlines.cpp
@@ -16,16 +16,23 @@
     Versions.erase(Versions.begin());
 }
 
-void WeightsDeadlines::onTold(const AnnouncedWeights &Known, TimePoint Now) {
+std::optional<AgeChange> WeightsDeadlines::onTold(const AnnouncedWeights &Known, TimePoint Now) {
   auto &Versions = m_Announced[Known.m_Model];
   auto [Entry, IsNew] = Versions.try_emplace(Known.m_Version);
   Announcement &Own = Entry->second;
   const TimePoint At = Now - Known.m_Age;
-  if (IsNew || Own.m_AgeUnknown || At < Own.m_At)
+  std::optional<AgeChange> Change;
+  if (IsNew || Own.m_AgeUnknown || At < Own.m_At) {
+    Change.emplace();
+    Change->m_IsNewVersion = IsNew;
+    if (!IsNew && !Own.m_AgeUnknown)
+      Change->m_Before = Now - Own.m_At;
     Own.m_At = At;
+  }
   Own.m_AgeUnknown = false;
   while (Versions.size() > MaxVersions)
     Versions.erase(Versions.begin());
+  return Versions.contains(Known.m_Version) ? Change : std::nullopt;
 }
 
 void WeightsDeadlines::onHolder(const ModelId &Model, WeightsVersion Version) {
@@ -61,6 +68,18 @@
   return Next;
 }
 
+ExclusionFacts WeightsDeadlines::factsOf(const ModelId &Model, WeightsVersion Version,
+                                         TimePoint Now) const {
+  const Announcement &Entry = m_Announced.at(Model).at(Version);
+  ExclusionFacts Result;
+  Result.m_AgeKnown = !Entry.m_AgeUnknown;
+  Result.m_SinceAnnouncement = Now - Entry.m_At;
+  Result.m_Late = Now - enforcedAt(Entry);
+  if (Result.m_AgeKnown)
+    Result.m_DeferredByOutage = countedFrom(Entry) - Entry.m_At;
+  return Result;
+}
+
 std::map<ModelId, std::vector<WeightsBound>> WeightsDeadlines::bounds() const {
   std::map<ModelId, std::vector<WeightsBound>> Result;
   for (const auto &[Model, Versions] : m_Announced)
