Agents log the time to the bound at an order, and runners that return to older weights

Whether a runner was converted before the bound, and whether it came back with weights older than its entry named, could be seen only by comparing times across the logs of several processes.

--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -177,6 +177,8 @@
   /// The staging area may hold pieces that are not in memory.
   bool m_StagingUnread = true;
   std::map<ModelId, WeightsVersion> m_Loaded;
+  /// The newest version that the runner served while this agent ran.
+  std::map<ModelId, WeightsVersion> m_NewestServed;
   /// Attempts in a row to learn digests in which no agent that was asked was about to learn them.
   unsigned m_DigestAttempts = 0;
   /// The digests that a peer or the origin gave match no piece; they are read from the origin
@@ -215,12 +217,16 @@
       m_Loaded = Report->m_Loaded;
       if (m_OrderedAt)
         co_await m_Announcer.announce(Duration(0));
-      for (const auto &[Model, Version] : m_Loaded)
+      for (const auto &[Model, Version] : m_Loaded) {
+        WeightsVersion &Newest = m_NewestServed[Model];
         logEvent(
-            Severity::Info, "runner_serves",
+            Version < Newest ? Severity::Warning : Severity::Info, "runner_serves",
             {{"model", Model},
              {"version", Version},
+             {"newestBefore", Newest},
              {"sinceOrderSeconds", m_OrderedAt ? monotonicNow() - *m_OrderedAt : Duration(0)}});
+        Newest = std::max(Newest, Version);
+      }
     }
     if (!m_Target) {
       co_await pause(RestInterval);
@@ -285,7 +291,9 @@
             {"version", Version->version()},
             {"wanted", Wanted.m_Version},
             {"result", Names[static_cast<int>(Result)]},
+            {"ageKnown", Wanted.m_IsNews},
             {"sinceAnnouncementSeconds", monotonicNow() - Wanted.m_AnnouncedAt},
+            {"boundInSeconds", boundOfLoaded(Wanted) - monotonicNow()},
             {"transferSeconds",
              Version->m_CompleteAt.value_or(Version->m_StartedAt) - Version->m_StartedAt},
             {"fromOrigin", Version->m_Exchange.originFetches()},
--- a/src/libagent/WeightsAgent_test.cpp
+++ b/src/libagent/WeightsAgent_test.cpp
@@ -1,8 +1,10 @@
+#include "Fescuegauge/Log.h"
 #include "Fescuegauge/ManifestSources.h"
 #include "Fescuegauge/WeightsAgent.h"
 #include "LoopbackTest.h"
 
 #include <catch2/catch.hpp>
+#include <sstream>
 
 using namespace fescuegauge;
 using namespace std::chrono_literals;
@@ -237,6 +239,39 @@
   checkLoadedWhole(Fixture, Second);
 }
 
+// Guards against a runner that serves older weights than its entry says, and an order that comes
+// after the bound, which no log line shows.
+TEST_CASE("lines tell of a runner that returns to older weights", "[agent]") {
+  std::ostringstream Lines;
+  LogService Logs({}, Lines);
+  Kernel Services;
+  Logs.start(Services);
+  {
+    net::io_context Loop;
+    AgentFixture Fixture(Loop);
+    Fixture.m_Runner.m_Report.m_Loaded[Model] = First;
+    Fixture.m_Agent->announce(Model, Second, monotonicNow());
+    REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(Second); }));
+    test::runFor(Loop, 2 * WeightsAgent::LoadInterval);
+    Fixture.m_Runner.restart();
+    Fixture.m_Runner.m_Report.m_Loaded[Model] = First;
+    Fixture.m_Agent->announce(Model, Second, std::nullopt);
+    REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(Second); }));
+  }
+  Logs.stop();
+  const std::string Text = Lines.str();
+  INFO(Text);
+  CHECK(Text.find("severity=info event=runner_serves model=model version=1 newestBefore=0") !=
+        std::string::npos);
+  CHECK(Text.find("severity=info event=runner_serves model=model version=2 newestBefore=1") !=
+        std::string::npos);
+  CHECK(Text.find("severity=warning event=runner_serves model=model version=1 newestBefore=2") !=
+        std::string::npos);
+  CHECK(Text.find("event=load_ordered model=model version=2 wanted=2 result=accepted ageKnown=true "
+                  "sinceAnnouncementSeconds=0.") != std::string::npos);
+  CHECK(Text.find(" boundInSeconds=") != std::string::npos);
+}
+
 // Guards against versions that are announced within seconds of each other and replace one another
 // until no runner holds one that may be used: on a day with the origin away, requests were refused
 // for eight seconds.
