--- a/src/libgateway/FakeUpstream.h
+++ b/src/libgateway/FakeUpstream.h
@@ -5,8 +5,11 @@
 #include "Fescuegauge/Metrics.h"
 #include "LoopbackTest.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
+#include <cerrno>
 #include <string>
+#include <sys/socket.h>
 #include <vector>
 
 namespace fescuegauge::test {
@@ -34,13 +37,35 @@
   Endpoint address() const { return m_Server.address(); }
   const std::vector<HttpRequest> &requests() const { return m_Requests; }
   /// Connections that the other side ended while a script was running.
-  int abandoned() const { return m_Abandoned; }
+  int abandoned() const { return static_cast<int>(m_AbandonedAt.size()); }
+  /// When each of these ends was seen; pauses of a script see them as well.
+  const std::vector<TimePoint> &abandonedAt() const { return m_AbandonedAt; }
   int connections() const { return m_Connections; }
   /// Bytes of endless scripts that the other side, or the buffers between, took.
   std::size_t endlessBytes() const { return m_EndlessBytes; }
   void stopListening() { m_Server.stopListening(); }
 
 private:
+  /// How often a pause looks whether the other side has ended the connection.
+  static constexpr Duration EndCheckInterval = std::chrono::milliseconds(5);
+
+  /// False if the other side ended the connection meanwhile.
+  static Task<bool> pause(Tcp::socket &Socket, Duration Length) {
+    const TimePoint End = monotonicNow() + Length;
+    for (TimePoint Now = monotonicNow(); Now < End; Now = monotonicNow()) {
+      co_await sleepFor(std::min(EndCheckInterval, End - Now));
+      if (isEnded(Socket))
+        co_return false;
+    }
+    co_return true;
+  }
+
+  static bool isEnded(Tcp::socket &Socket) {
+    char Byte = 0;
+    const auto Got = ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return Got == 0 || (Got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
   Task<> serve(Tcp::socket Socket) {
     namespace http = boost::beast::http;
     ++m_Connections;
@@ -54,12 +79,15 @@
       m_Requests.push_back(Request);
       const Script Plan = m_Answer(Request);
       for (const Step &Each : Plan.m_Steps) {
-        if (Each.m_PauseBefore > Duration(0))
-          co_await sleepFor(Each.m_PauseBefore);
+        const bool StillOpen = co_await pause(Socket, Each.m_PauseBefore);
+        if (!StillOpen) {
+          m_AbandonedAt.push_back(monotonicNow());
+          co_return;
+        }
         auto [WriteError, Written] =
             co_await net::async_write(Socket, net::buffer(Each.m_Bytes), AsTuple);
         if (WriteError) {
-          ++m_Abandoned;
+          m_AbandonedAt.push_back(monotonicNow());
           co_return;
         }
       }
@@ -68,7 +96,7 @@
             co_await net::async_write(Socket, net::buffer(Plan.m_Endless), AsTuple);
         m_EndlessBytes += Written;
         if (WriteError) {
-          ++m_Abandoned;
+          m_AbandonedAt.push_back(monotonicNow());
           co_return;
         }
       }
@@ -83,7 +111,7 @@
 
   Behaviour m_Answer;
   std::vector<HttpRequest> m_Requests;
-  int m_Abandoned = 0;
+  std::vector<TimePoint> m_AbandonedAt;
   std::size_t m_EndlessBytes = 0;
   int m_Connections = 0;
   LoopbackServer m_Server;
@@ -101,8 +129,36 @@
   bool contains(std::string_view Text) const { return m_Bytes.find(Text) != std::string::npos; }
   /// A chunked answer that ended with its last chunk.
   bool isWholeChunked() const { return m_Bytes.ends_with("0\r\n\r\n"); }
+  /// An answer that is complete, in chunks or with a length.
+  bool isWhole() const {
+    const std::size_t Head = m_Bytes.find("\r\n\r\n");
+    if (Head == std::string::npos)
+      return false;
+    const std::size_t At = m_Bytes.find("Content-Length: ");
+    if (At != std::string::npos && At < Head)
+      return m_Bytes.size() >= Head + 4 + std::stoul(m_Bytes.substr(At + 16));
+    return m_Bytes.ends_with("\r\n0\r\n\r\n");
+  }
 };
 
+/// Sends raw bytes and reads until the server closes or the answer is whole.
+inline Task<> callRaw(Endpoint To, std::string Bytes, RawAnswer &Result, bool &Done) {
+  Tcp::socket Socket(co_await net::this_coro::executor);
+  co_await Socket.async_connect(tcpEndpoint(To), AsTuple);
+  co_await net::async_write(Socket, net::buffer(Bytes), AsTuple);
+  std::array<char, 4096> Chunk;
+  while (!Result.isWhole()) {
+    auto [Error, Size] = co_await Socket.async_read_some(net::buffer(Chunk), AsTuple);
+    Result.m_Bytes.append(Chunk.data(), Size);
+    if (Error) {
+      Result.m_ClosedByServer = true;
+      Result.m_Reset = Error != net::error::eof;
+      break;
+    }
+  }
+  Done = true;
+}
+
 /// A gateway with one stream route, one at-most-once route and one idempotent route, on loopback.
 class GatewayFixture {
 public:
@@ -170,7 +226,7 @@
   RawAnswer exchange(const std::string &Bytes, Duration Limit = std::chrono::milliseconds(2500)) {
     RawAnswer Result;
     bool Done = false;
-    net::co_spawn(m_Loop, call(Bytes, Result, Done), net::detached);
+    net::co_spawn(m_Loop, callRaw(m_Address, Bytes, Result, Done), net::detached);
     runUntil([&] { return Done; }, Limit);
     return Result;
   }
@@ -187,33 +243,6 @@
   std::vector<UpstreamRecord> &records() { return m_Records; }
 
 private:
-  static bool isWhole(const std::string &Bytes) {
-    const std::size_t Head = Bytes.find("\r\n\r\n");
-    if (Head == std::string::npos)
-      return false;
-    const std::size_t At = Bytes.find("Content-Length: ");
-    if (At != std::string::npos && At < Head)
-      return Bytes.size() >= Head + 4 + std::stoul(Bytes.substr(At + 16));
-    return Bytes.ends_with("\r\n0\r\n\r\n");
-  }
-
-  Task<> call(std::string Bytes, RawAnswer &Result, bool &Done) {
-    Tcp::socket Socket(m_Loop);
-    co_await Socket.async_connect(tcpEndpoint(m_Address), AsTuple);
-    co_await net::async_write(Socket, net::buffer(Bytes), AsTuple);
-    std::array<char, 4096> Chunk;
-    while (!isWhole(Result.m_Bytes)) {
-      auto [Error, Size] = co_await Socket.async_read_some(net::buffer(Chunk), AsTuple);
-      Result.m_Bytes.append(Chunk.data(), Size);
-      if (Error) {
-        Result.m_ClosedByServer = true;
-        Result.m_Reset = Error != net::error::eof;
-        break;
-      }
-    }
-    Done = true;
-  }
-
   net::io_context m_Loop;
   MetricsService m_Metrics;
   std::unique_ptr<Gateway> m_Gateway;
