Reproduce late begins on older weights with many entry instances

Callers saw streams begin on older weights after the bound (VERSION). The replay on virtual time has 40 entry instances, which hear of each other's use late and in part, before 16 engines that keep requests waiting beside a full batch. Sending stops at the bound less WeightsDeadlines::Margin, 1.2 s, but requests wait up to 4.1 s at an engine, so those sent last begin too late.

--- a/src/libdispatch/EngineModel.h
+++ b/src/libdispatch/EngineModel.h
@@ -13,7 +13,8 @@
 namespace fescuegauge {
 
 /// A model engine on virtual time, by the published constants of its service: a batch advances in
-/// passes, and a pass reads the prompts that wait and writes one event of each stream.
+/// passes, and a pass reads the prompts that wait and writes one event of each stream. Weights are
+/// loaded when what runs has ended; what waits begins on the new ones.
 class EngineModel {
 public:
   struct Request {
@@ -28,12 +29,36 @@
   };
   using Listener = std::function<void(const Event &, TimePoint)>;
 
-  explicit EngineModel(EngineParameters Parameters) : m_Parameters(std::move(Parameters)) {}
+  /// Requests that wait beside a full batch are refused above `MostWaiting`.
+  explicit EngineModel(EngineParameters Parameters,
+                       std::optional<std::size_t> MostWaiting = std::nullopt)
+      : m_Parameters(std::move(Parameters)), m_MostWaiting(MostWaiting) {}
 
-  void submit(const Request &New) { m_Waiting.push_back({New, false}); }
+  /// False if the request is refused.
+  bool submit(const Request &New) {
+    if (m_Next || (m_MostWaiting &&
+                   m_Batch.size() + m_Waiting.size() >= m_Parameters.m_BatchSize + *m_MostWaiting))
+      return false;
+    m_Waiting.push_back({New, false});
+    return true;
+  }
+  /// The request ends wherever it is; one that has ended before is not missed.
+  void withdraw(std::uint64_t Number) {
+    const auto Is = [&](const Running &Each) { return Each.m_Request.m_Number == Number; };
+    std::erase_if(m_Waiting, Is);
+    std::erase_if(m_Batch, Is);
+  }
+  /// Takes no further request, and loads this version once the batch is empty.
+  void load(WeightsVersion Version) { m_Next = Version; }
+  WeightsVersion version() const { return m_Version; }
 
   /// Ends the passes that are over by `Now`, and starts the next one.
   void advance(TimePoint Now, const Listener &OnEvent) {
+    if (m_LoadEnd && *m_LoadEnd <= Now) {
+      m_Version = *m_Next;
+      m_Next.reset();
+      m_LoadEnd.reset();
+    }
     while (m_PassEnd && *m_PassEnd <= Now) {
       const TimePoint End = *m_PassEnd;
       m_PassEnd.reset();
@@ -51,7 +76,13 @@
   };
 
   void startPass(TimePoint Now) {
-    while (!m_Waiting.empty() && m_Batch.size() < m_Parameters.m_BatchSize) {
+    if (m_LoadEnd)
+      return;
+    if (m_Next && m_Batch.empty()) {
+      m_LoadEnd = Now + m_Parameters.m_LoadTime;
+      return;
+    }
+    while (!m_Next && !m_Waiting.empty() && m_Batch.size() < m_Parameters.m_BatchSize) {
       m_Batch.push_back(m_Waiting.front());
       m_Waiting.erase(m_Waiting.begin());
     }
@@ -81,9 +112,14 @@
   }
 
   EngineParameters m_Parameters;
+  std::optional<std::size_t> m_MostWaiting;
   std::vector<Running> m_Batch;
   std::vector<Running> m_Waiting;
   std::optional<TimePoint> m_PassEnd;
+  WeightsVersion m_Version{1};
+  /// The version that is to be loaded, and when its load ends.
+  std::optional<WeightsVersion> m_Next;
+  std::optional<TimePoint> m_LoadEnd;
 };
 
 } // namespace fescuegauge
