Withdraw requests that have not begun by the bound on older weights

The cause: the bound is judged when a request begins and was enforced when it was sent, with a fixed margin of 1.2 s for the wait at the engine. Waits there reach 4.2 s.

Now a request that has not begun at an engine with older weights 0.3 s before the bound is withdrawn: its connection is closed, and it goes on elsewhere if it may be repeated, or ends as an unknown outcome. So that few requests come to that, an engine with older weights gets none that is expected to begin after the bound, by the mean and deviation of the waits observed. One that waits at an engine that has converted meanwhile begins on the newer weights and stays.

--- a/src/include/Fescuegauge/Gateway.h
+++ b/src/include/Fescuegauge/Gateway.h
@@ -45,7 +45,9 @@
   void setUpstreams(std::span<const UpstreamRecord> Listed);
   /// From now on, requests for `Model` go only to upstreams with at least this version.
   void setLeastVersion(const ModelId &Model, WeightsVersion Least);
-  /// The bounds by which runs on older weights are found late.
+  /// From when on no request may begin on older weights. Requests go to an upstream with older
+  /// weights only if they are expected to begin before, and those that still wait there shortly
+  /// before a bound are withdrawn.
   void setWeightsBounds(const ModelId &Model, std::vector<WeightsBound> Bounds);
   void onPeerReport(const InstanceId &Peer, UseByUpstream Use,
                     std::span<const SuspectDelta> Suspects, std::span<const UpstreamStart> Leaving);
--- /dev/null
+++ b/src/include/Fescuegauge/UnstartedRequests.h
@@ -0,0 +1,49 @@
+#ifndef FESCUEGAUGE_UNSTARTEDREQUESTS_H
+#define FESCUEGAUGE_UNSTARTEDREQUESTS_H
+
+#include "Fescuegauge/UpstreamBoard.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace fescuegauge {
+
+using UnstartedNumber = StrongNumber<struct UnstartedNumberTag>;
+
+/// The requests that were sent to engines and have not begun there.
+///
+/// Load pattern answered: engines with long queues when the bound on older weights ends. Whether a
+/// request begins in time is not certain when it is sent, so one that still waits shortly before
+/// the bound at an engine with older weights is withdrawn.
+class UnstartedRequests {
+public:
+  /// Requests are withdrawn this long before the bound, so that the close reaches the engine
+  /// before a pass that it starts ends after the bound. A pass takes about 200 ms.
+  static constexpr Duration WithdrawLead = std::chrono::milliseconds(300);
+
+  /// A request for `Model` is sent to `Upstream`.
+  UnstartedNumber add(const ModelId &Model, const UpstreamRecord &Upstream, TimePoint Now);
+  /// The request began, or will not begin any more. Returns how long it waited.
+  Duration remove(UnstartedNumber Number, TimePoint Now);
+
+  /// The requests that must be withdrawn by now. One whose upstream has newer weights by now, as
+  /// `Board` shows it, will begin on these.
+  std::vector<UnstartedNumber> overdue(const UpstreamBoard &Board, TimePoint Now) const;
+
+private:
+  struct Entry {
+    ModelId m_Model;
+    InstanceId m_Upstream;
+    /// The version that the upstream held when the request was sent.
+    WeightsVersion m_Version;
+    TimePoint m_SentAt;
+  };
+
+  UnstartedNumber m_Last;
+  std::map<UnstartedNumber, Entry> m_Entries;
+};
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_UNSTARTEDREQUESTS_H
--- a/src/include/Fescuegauge/UpstreamBoard.h
+++ b/src/include/Fescuegauge/UpstreamBoard.h
@@ -7,6 +7,7 @@
 #include "Fescuegauge/RoutingPlan.h"
 #include "Fescuegauge/Units.h"
 #include "Fescuegauge/UpstreamStatements.h"
+#include "Fescuegauge/WeightsDeadlines.h"
 
 #include <cstdint>
 #include <map>
@@ -40,6 +41,8 @@
   std::vector<HeldWeights> m_Weights;
 
   UpstreamStart start() const { return {m_Id, m_Incarnation}; }
+  /// 0 if it holds none of this model.
+  WeightsVersion heldVersion(const ModelId &Model) const;
   auto operator<=>(const UpstreamRecord &) const = default;
 };
 
@@ -149,6 +152,13 @@
   /// The shortest pause is that of the last one to two windows of this length. Passes in which no
   /// prompt is read come several times a second at a full batch, and show the engine's own pace.
   static constexpr Duration GapWindow = std::chrono::seconds(1);
+  /// The wait for an engine to begin a request is expected to be its mean and this many mean
+  /// deviations. The rest of the requests, about one in ten, is withdrawn if need be, and a higher
+  /// factor would refuse many that would have begun in time.
+  static constexpr int DeviationFactor = 2;
+  /// The share of a new wait in the mean and the mean deviation is 1 in this many.
+  static constexpr int MeanSamples = 8;
+  static constexpr int DeviationSamples = 4;
   /// The part of the target latency in which an engine is to finish the pass that runs when a
   /// request comes, and the one in which it reads the prompt. DispatchQueue may use the rest.
   static constexpr double ReadShare = 0.7;
@@ -162,6 +172,13 @@
   void setUpstreams(std::span<const UpstreamRecord> Listed);
   /// Requests for `Model` go only to upstreams that hold at least this version.
   void setLeastVersion(const ModelId &Model, WeightsVersion Least) { m_Least[Model] = Least; }
+  /// Requests for `Model` may not begin on weights older than these after their bounds. One that
+  /// is expected to begin later goes to no such upstream; see onStartWait().
+  void setWeightsBounds(const ModelId &Model, std::vector<WeightsBound> Bounds) {
+    m_Bounds[Model] = std::move(Bounds);
+  }
+  /// The least version on which a request for `Model` may begin at `At`; 0 if any will do.
+  WeightsVersion boundedVersion(const ModelId &Model, TimePoint At) const;
   /// Which services have engines, and their parameters.
   void setPlan(const RouteTable &Plan);
 
@@ -173,6 +190,9 @@
   /// `UnreadTokens` are those of its prompt if it had no event.
   void onEnded(const InstanceId &Upstream, DispatchResult Result, std::uint32_t UnreadTokens,
                TimePoint Now);
+  /// An engine of the service began a request this long after it was sent, or had not when the
+  /// request was given up.
+  void onStartWait(const ServiceId &Service, Duration Wait) { m_StartWaits[Service].add(Wait); }
   /// Bytes of an answer arrived.
   void onProgress(const InstanceId &Upstream, TimePoint Now);
   /// The pause between two events of a stream.
@@ -199,6 +219,9 @@
   /// Whether the upstream has requests in flight and sent nothing for SilenceLimit.
   bool isSilent(const InstanceId &Upstream, TimePoint Now) const;
 
+  /// Null if the upstream is not listed.
+  const UpstreamRecord *find(const InstanceId &Upstream) const;
+
   std::size_t size() const { return m_Upstreams.size(); }
 
 private:
@@ -215,6 +238,18 @@
     std::optional<Duration> m_InWindow;
     std::optional<Duration> m_Before;
   };
+  /// The wait for an engine to begin a request, estimated as TCP estimates round-trip times.
+  class StartWait {
+  public:
+    void add(Duration Wait);
+    /// Most waits are shorter than this; 0 if none was observed.
+    Duration expected() const { return m_Mean + DeviationFactor * m_Deviation; }
+
+  private:
+    Duration m_Mean{0};
+    Duration m_Deviation{0};
+    bool m_IsKnown = false;
+  };
   struct State {
     UpstreamRecord m_Record;
     UpstreamUse m_Own;
@@ -237,7 +272,11 @@
     std::optional<double> m_ReadBudget;
   };
 
-  bool holdsWeights(const UpstreamRecord &Record, const PlacementRequest &Request) const;
+  /// `Least` is the version that upstreams must hold for the request.
+  bool holdsWeights(const UpstreamRecord &Record, const PlacementRequest &Request,
+                    WeightsVersion Least) const;
+  /// The version that upstreams must hold for a request that is sent now.
+  WeightsVersion leastVersion(const PlacementRequest &Request, TimePoint Now) const;
   static bool isLoading(const State &Upstream, TimePoint Now);
   static double inFlight(const State &Upstream) {
     return Upstream.m_Own.m_Requests + Upstream.m_Others.m_Requests;
@@ -269,6 +308,8 @@
   TimePoint m_PeersValidUntil;
   std::map<Endpoint, TimePoint> m_Loading;
   std::map<ModelId, WeightsVersion> m_Least;
+  std::map<ModelId, std::vector<WeightsBound>> m_Bounds;
+  std::map<ServiceId, StartWait> m_StartWaits;
   std::map<ServiceId, Engine> m_Engines;
 };
 
--- a/src/include/Fescuegauge/WeightsDeadlines.h
+++ b/src/include/Fescuegauge/WeightsDeadlines.h
@@ -58,8 +58,9 @@
 /// bound counts anew after an outage of the platform's store; see StoreOutage.
 class WeightsDeadlines {
 public:
-  /// Requests stop going to older weights this long before the bound, because one that waits at an
-  /// upstream begins later than it was sent.
+  /// Requests stop going to older weights this long before the bound at the latest, because one
+  /// that waits at an upstream begins later than it was sent. Where longer waits are observed,
+  /// UpstreamBoard stops sooner.
   static constexpr Duration Margin = std::chrono::milliseconds(1200);
   static constexpr Duration UnknownAgeAllowance = std::chrono::seconds(2);
   /// Versions of one model that are remembered.
--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -3,6 +3,7 @@
 #include "Fescuegauge/LateStarts.h"
 #include "Fescuegauge/RelayRanking.h"
 #include "Fescuegauge/RoutingPlan.h"
+#include "Fescuegauge/UnstartedRequests.h"
 #include "Fescuegauge/UpstreamBoard.h"
 #include "Fescuegauge/UpstreamDirectory.h"
 #include "Fescuegauge/WeightsDeadlines.h"
@@ -51,6 +52,7 @@
   }
 
   UpstreamBoard *operator->() { return &m_Board; }
+  const UpstreamBoard &board() const { return m_Board; }
 
   Placement place(TimePoint Now, std::vector<InstanceId> Tried = {}) {
     return m_Board.place({Service, Model, std::nullopt, std::move(Tried), 0}, Now);
@@ -201,6 +203,48 @@
   CHECK(Exact.m_Verdict == PlacementVerdict::NoneUsable);
 }
 
+// Guards against requests that are sent in time and begin on older weights after the bound, because
+// they wait longer at the engine than any fixed margin.
+TEST_CASE("an engine with older weights gets nothing that is expected to begin after the bound",
+          "[dispatch]") {
+  EngineBoard Board({upstream("u1")});
+  Board->setWeightsBounds(Model, {{WeightsVersion(2), at(10s)}});
+  CHECK(Board.place(at(9s)).m_Verdict == PlacementVerdict::Placed);
+  for (int I = 0; I < 20; ++I)
+    Board->onStartWait(Service, 3s);
+  CHECK(Board.place(at(6500ms)).m_Verdict == PlacementVerdict::Placed);
+  CHECK(Board.place(at(7s)).m_Verdict == PlacementVerdict::NoneUsable);
+  Board->onStartWait(ServiceId("other"), 9s);
+  for (int I = 0; I < 40; ++I)
+    Board->onStartWait(Service, 200ms);
+  CHECK(Board.place(at(9s)).m_Verdict == PlacementVerdict::Placed);
+  CHECK(Board.place(at(10s)).m_Verdict == PlacementVerdict::NoneUsable);
+}
+
+// Guards against requests that still wait at an engine with older weights when the bound is over.
+TEST_CASE("requests that have not begun are withdrawn shortly before the bound", "[dispatch]") {
+  EngineBoard Board({upstream("u1"), upstream("u2")});
+  UnstartedRequests Unstarted;
+  const UnstartedNumber Waits = Unstarted.add(Model, upstream("u1"), at(0s));
+  const UnstartedNumber Begins = Unstarted.add(Model, upstream("u1"), at(1s));
+  const UnstartedNumber Converts = Unstarted.add(Model, upstream("u2"), at(2s));
+  const UnstartedNumber Unlisted = Unstarted.add(Model, upstream("u3"), at(3s));
+  Board->setWeightsBounds(Model, {{WeightsVersion(2), at(10s)}, {WeightsVersion(3), at(20s)}});
+  const TimePoint Due = at(10s) - UnstartedRequests::WithdrawLead;
+  CHECK(Unstarted.overdue(Board.board(), Due - 1ms).empty());
+  CHECK(Unstarted.remove(Begins, at(4s)) == 3s);
+  UpstreamRecord Converted = upstream("u2");
+  Converted.m_Weights = {{Model, WeightsVersion(2)}};
+  Board->setUpstreams(std::vector<UpstreamRecord>{upstream("u1"), Converted});
+  CHECK(Unstarted.overdue(Board.board(), Due) == std::vector<UnstartedNumber>{Waits, Unlisted});
+  CHECK(Unstarted.overdue(Board.board(), at(20s)) ==
+        std::vector<UnstartedNumber>{Waits, Converts, Unlisted});
+  // The cut-off for new requests comes earlier, and withdraws nothing.
+  Board->setWeightsBounds(Model, {});
+  Board->setLeastVersion(Model, WeightsVersion(2));
+  CHECK(Unstarted.overdue(Board.board(), at(20s)).empty());
+}
+
 TEST_CASE("an upstream that restarts under its id starts without history", "[dispatch]") {
   UpstreamRecord Again = upstream("u1", 1);
   EngineBoard Board({Again});
--- /dev/null
+++ b/src/libdispatch/UnstartedRequests.cpp
@@ -0,0 +1,33 @@
+#include "Fescuegauge/UnstartedRequests.h"
+
+namespace fescuegauge {
+
+UnstartedNumber UnstartedRequests::add(const ModelId &Model, const UpstreamRecord &Upstream,
+                                       TimePoint Now) {
+  m_Last = m_Last.next();
+  m_Entries[m_Last] = {Model, Upstream.m_Id, Upstream.heldVersion(Model), Now};
+  return m_Last;
+}
+
+Duration UnstartedRequests::remove(UnstartedNumber Number, TimePoint Now) {
+  const auto Found = m_Entries.find(Number);
+  if (Found == m_Entries.end())
+    return Duration(0);
+  const Duration Waited = Now - Found->second.m_SentAt;
+  m_Entries.erase(Found);
+  return Waited;
+}
+
+std::vector<UnstartedNumber> UnstartedRequests::overdue(const UpstreamBoard &Board,
+                                                        TimePoint Now) const {
+  std::vector<UnstartedNumber> Result;
+  for (const auto &[Number, Each] : m_Entries) {
+    const WeightsVersion Least = Board.boundedVersion(Each.m_Model, Now + WithdrawLead);
+    const UpstreamRecord *Listed = Board.find(Each.m_Upstream);
+    if ((Listed ? Listed->heldVersion(Each.m_Model) : Each.m_Version) < Least)
+      Result.push_back(Number);
+  }
+  return Result;
+}
+
+} // namespace fescuegauge
--- a/src/libdispatch/UpstreamBoard.cpp
+++ b/src/libdispatch/UpstreamBoard.cpp
@@ -18,6 +18,14 @@
 
 } // namespace
 
+WeightsVersion UpstreamRecord::heldVersion(const ModelId &Model) const {
+  WeightsVersion Result;
+  for (const HeldWeights &Each : m_Weights)
+    if (Each.m_Model == Model)
+      Result = std::max(Result, Each.m_Version);
+  return Result;
+}
+
 void UpstreamBoard::setUpstreams(std::span<const UpstreamRecord> Listed) {
   std::map<InstanceId, State> Next;
   for (const UpstreamRecord &Record : Listed) {
@@ -64,20 +72,34 @@
   return std::max(Reading * Engine.m_PromptTokensPerSecond, 2 * Engine.m_MeanPromptTokens);
 }
 
-bool UpstreamBoard::holdsWeights(const UpstreamRecord &Record,
-                                 const PlacementRequest &Request) const {
+bool UpstreamBoard::holdsWeights(const UpstreamRecord &Record, const PlacementRequest &Request,
+                                 WeightsVersion Least) const {
   if (Request.m_Model.empty() || !isEngine(Record.m_Service))
     return true;
-  auto Least = m_Least.find(Request.m_Model);
   return std::any_of(Record.m_Weights.begin(), Record.m_Weights.end(), [&](const HeldWeights &W) {
-    if (W.m_Model != Request.m_Model || W.m_Version == WeightsVersion())
-      return false;
-    if (Least != m_Least.end() && W.m_Version < Least->second)
+    if (W.m_Model != Request.m_Model || W.m_Version == WeightsVersion() || W.m_Version < Least)
       return false;
     return !Request.m_Version || W.m_Version == *Request.m_Version;
   });
 }
 
+WeightsVersion UpstreamBoard::boundedVersion(const ModelId &Model, TimePoint At) const {
+  WeightsVersion Result;
+  if (auto Bounds = m_Bounds.find(Model); Bounds != m_Bounds.end())
+    for (const WeightsBound &Each : Bounds->second)
+      if (Each.m_At <= At)
+        Result = std::max(Result, Each.m_Version);
+  return Result;
+}
+
+WeightsVersion UpstreamBoard::leastVersion(const PlacementRequest &Request, TimePoint Now) const {
+  const auto Wait = m_StartWaits.find(Request.m_Service);
+  const Duration Expected = Wait == m_StartWaits.end() ? Duration(0) : Wait->second.expected();
+  const WeightsVersion Bounded = boundedVersion(Request.m_Model, Now + Expected);
+  const auto Least = m_Least.find(Request.m_Model);
+  return Least == m_Least.end() ? Bounded : std::max(Bounded, Least->second);
+}
+
 void UpstreamBoard::addToSums(const UseByUpstream &Told) {
   for (const auto &[Upstream, Use] : Told)
     if (auto Found = m_Upstreams.find(Upstream); Found != m_Upstreams.end()) {
@@ -124,6 +146,18 @@
   return std::min(*m_InWindow, *m_Before);
 }
 
+void UpstreamBoard::StartWait::add(Duration Wait) {
+  if (!m_IsKnown) {
+    m_IsKnown = true;
+    m_Mean = Wait;
+    m_Deviation = Wait / 2;
+    return;
+  }
+  const Duration Difference = Wait - m_Mean;
+  m_Mean += Difference / MeanSamples;
+  m_Deviation += (std::chrono::abs(Difference) - m_Deviation) / DeviationSamples;
+}
+
 std::optional<Duration> UpstreamBoard::leastGap(const ServiceId &Service) const {
   std::optional<Duration> Least;
   if (auto Found = m_ByService.find(Service); Found != m_ByService.end())
@@ -179,6 +213,7 @@
   const std::optional<Duration> LeastOfService = leastGap(Request.m_Service);
   const auto Engines = m_Engines.find(Request.m_Service);
   const Engine *OfRequest = Engines == m_Engines.end() ? nullptr : &Engines->second;
+  const WeightsVersion Least = leastVersion(Request, Now);
   const State *Best = nullptr;
   const State *LastResort = nullptr;
   int BestTier = 0;
@@ -188,7 +223,7 @@
     const State &Entry = *Each;
     const UpstreamRecord &Record = Entry.m_Record;
     if (Record.m_Leaving || m_Statements.isLeaving(Record.start(), Now) ||
-        !holdsWeights(Record, Request) ||
+        !holdsWeights(Record, Request, Least) ||
         std::find(Request.m_Tried.begin(), Request.m_Tried.end(), Record.m_Id) !=
             Request.m_Tried.end())
       continue;
@@ -288,6 +323,11 @@
   }
 }
 
+const UpstreamRecord *UpstreamBoard::find(const InstanceId &Upstream) const {
+  auto Found = m_Upstreams.find(Upstream);
+  return Found == m_Upstreams.end() ? nullptr : &Found->second.m_Record;
+}
+
 void UpstreamBoard::onProgress(const InstanceId &Upstream, TimePoint Now) {
   if (auto Found = m_Upstreams.find(Upstream); Found != m_Upstreams.end())
     Found->second.m_LastByte = Now;
--- a/src/libdispatch/WeightsBound_test.cpp
+++ b/src/libdispatch/WeightsBound_test.cpp
@@ -1,6 +1,7 @@
 #include "EngineModel.h"
 #include "Fescuegauge/DispatchQueue.h"
 #include "Fescuegauge/Random.h"
+#include "Fescuegauge/UnstartedRequests.h"
 #include "Fescuegauge/UpstreamBoard.h"
 #include "Fescuegauge/WeightsDeadlines.h"
 
@@ -9,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -137,6 +139,8 @@
     InstanceId m_Id;
     UpstreamBoard m_Board;
     DispatchQueue m_Queue;
+    UnstartedRequests m_Unstarted;
+    std::map<UnstartedNumber, RunNumber> m_Runs;
     TimePoint m_BoundAt = TimePoint::max();
   };
   struct Call {
@@ -151,27 +155,41 @@
     TimePoint m_SentAt;
     bool m_HasBegun = false;
     bool m_HasEnded = false;
+    std::optional<UnstartedNumber> m_Unstarted = std::nullopt;
   };
 
   /// What enforces the bound at one entry instance: the runs that it takes back now.
   std::vector<RunNumber> enforceBound(Entry &Of) {
+    if (Of.m_BoundAt == TimePoint::max())
+      return {};
     if (m_Now >= Of.m_BoundAt - WeightsDeadlines::Margin)
       Of.m_Board.setLeastVersion(Model, Newer);
-    return {};
+    Of.m_Board.setWeightsBounds(Model, {{Newer, Of.m_BoundAt}});
+    std::vector<RunNumber> Result;
+    for (const UnstartedNumber Each : Of.m_Unstarted.overdue(Of.m_Board, m_Now))
+      Result.push_back(Of.m_Runs.at(Each));
+    return Result;
   }
-  static void onSent(Entry &Of, const InstanceId &Upstream, [[maybe_unused]] RunNumber Number,
-                     std::uint32_t PromptTokens, TimePoint Now) {
-    Of.m_Board.onDispatched(Upstream, PromptTokens, Now);
+  void onSent(Entry &Of, std::size_t Engine, RunNumber Number, std::uint32_t PromptTokens) {
+    const UpstreamRecord &Upstream = *Of.m_Board.find(m_Records[Engine].m_Id);
+    Of.m_Board.onDispatched(Upstream.m_Id, PromptTokens, m_Now);
+    const UnstartedNumber Unstarted = Of.m_Unstarted.add(Model, Upstream, m_Now);
+    Of.m_Runs[Unstarted] = Number;
+    m_Runs.at(Number).m_Unstarted = Unstarted;
   }
-  /// The first event of a run came `Waited` after the run was sent.
-  static void onStarted(Entry &Of, const InstanceId &Upstream, [[maybe_unused]] RunNumber Number,
-                        std::uint32_t PromptTokens, [[maybe_unused]] Duration Waited,
-                        [[maybe_unused]] TimePoint Now) {
-    Of.m_Board.onPromptRead(Upstream, PromptTokens);
+  /// The first event of a run came, or it ended without.
+  void endUnstarted(Entry &Of, Run &Ended) {
+    if (Ended.m_Unstarted)
+      Of.m_Board.onStartWait(
+          Service, Of.m_Unstarted.remove(*std::exchange(Ended.m_Unstarted, std::nullopt), m_Now));
   }
-  static void onEnded(Entry &Of, const InstanceId &Upstream, [[maybe_unused]] RunNumber Number,
-                      DispatchResult Result, std::uint32_t UnreadTokens, TimePoint Now) {
-    Of.m_Board.onEnded(Upstream, Result, UnreadTokens, Now);
+  void onStarted(Entry &Of, Run &Started, std::uint32_t PromptTokens) {
+    Of.m_Board.onPromptRead(m_Records[Started.m_Engine].m_Id, PromptTokens);
+    endUnstarted(Of, Started);
+  }
+  void onEnded(Entry &Of, Run &Ended, DispatchResult Result, std::uint32_t UnreadTokens) {
+    Of.m_Board.onEnded(m_Records[Ended.m_Engine].m_Id, Result, UnreadTokens, m_Now);
+    endUnstarted(Of, Ended);
   }
 
   static RouteTable plan() {
@@ -259,9 +277,9 @@
     const InstanceId &Id = Found.m_Upstream.m_Id;
     const std::size_t Index = std::stoul(Id.str().substr(1));
     const RunNumber Sent = ++m_LastRun;
-    onSent(*Of.m_Entry, Id, Sent, Of.m_PromptTokens, m_Now);
+    m_Runs[Sent] = {Number, Index, m_Now};
+    onSent(*Of.m_Entry, Index, Sent, Of.m_PromptTokens);
     Of.m_Entry->m_Queue.onPlaced(Service, m_Now);
-    m_Runs[Sent] = {Number, Index, m_Now, false, false};
     if (m_Now <= BoundAt)
       m_LastSentBeforeBound[Index] = m_Now;
     send([this, Sent, Request = EngineModel::Request{Sent, Of.m_PromptTokens, Of.m_AnswerTokens}] {
@@ -287,11 +305,9 @@
     if (Of.m_HasEnded)
       return;
     const Call &Served = m_Calls.at(Of.m_Call);
-    const InstanceId &Id = m_Records[Of.m_Engine].m_Id;
-    Served.m_Entry->m_Board.onProgress(Id, m_Now);
+    Served.m_Entry->m_Board.onProgress(m_Records[Of.m_Engine].m_Id, m_Now);
     if (!Of.m_HasBegun)
-      onStarted(*Served.m_Entry, Id, Each.m_Number, Served.m_PromptTokens, m_Now - Of.m_SentAt,
-                m_Now);
+      onStarted(*Served.m_Entry, Of, Served.m_PromptTokens);
     Of.m_HasBegun = true;
     if (Each.m_IsLast)
       finish(Each.m_Number, DispatchResult::Answered);
@@ -302,8 +318,7 @@
     if (std::exchange(Of.m_HasEnded, true))
       return;
     const Call &Served = m_Calls.at(Of.m_Call);
-    onEnded(*Served.m_Entry, m_Records[Of.m_Engine].m_Id, Number, Result,
-            Of.m_HasBegun ? 0 : Served.m_PromptTokens, m_Now);
+    onEnded(*Served.m_Entry, Of, Result, Of.m_HasBegun ? 0 : Served.m_PromptTokens);
   }
 
   void takeBack(RunNumber Number) {
@@ -336,7 +351,7 @@
 // Load pattern: demand above capacity from many entry instances that know little of each other,
 // while only a part of the engines holds the announced weights. Guards against requests that were
 // sent before the bound and begin on older weights after it.
-TEST_CASE("no request begins on older weights after the bound", "[dispatch][known-red]") {
+TEST_CASE("no request begins on older weights after the bound", "[dispatch]") {
   const std::uint64_t Seed = GENERATE(1, 2, 3);
   WeightsBoundReplay Replay(Seed);
   Replay.run();
--- a/src/libgateway/Gateway.cpp
+++ b/src/libgateway/Gateway.cpp
@@ -112,7 +112,7 @@
 }
 
 void Gateway::setWeightsBounds(const ModelId &Model, std::vector<WeightsBound> Bounds) {
-  m_Implementation->core().lateStarts().setBounds(Model, std::move(Bounds));
+  m_Implementation->core().setWeightsBounds(Model, std::move(Bounds));
 }
 
 void Gateway::onPeerReport(const InstanceId &Peer, UseByUpstream Use,
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -35,7 +35,7 @@
 GatewayCore::GatewayCore(net::io_context &Loop, GatewayOptions Options, MetricsService &Metrics)
     : m_Options(std::move(Options)), m_Pool(Loop.get_executor()), m_Random(m_Options.m_Seed),
       m_Board(boardOptions(m_Options), m_Random()), m_RetryTimes(m_Random()),
-      m_PumpAlarm(Loop.get_executor()),
+      m_PumpAlarm(Loop.get_executor()), m_WithdrawAlarm(Loop.get_executor()),
       m_Requests(Metrics.counter({"fescuegauge_gateway_requests_total",
                                   "Requests of callers by kind of route and outcome.",
                                   {{"kind", 8}, {"outcome", 40}}})),
@@ -156,6 +156,43 @@
   pump();
 }
 
+void GatewayCore::setWeightsBounds(const ModelId &Model, std::vector<WeightsBound> Bounds) {
+  std::vector<WeightsBound> &Known = m_WeightsBounds[Model];
+  if (Known == Bounds)
+    return;
+  Known = std::move(Bounds);
+  m_Board.setWeightsBounds(Model, Known);
+  m_LateStarts.setBounds(Model, Known);
+  withdrawOverdue();
+}
+
+UnstartedNumber GatewayCore::addUnstarted(const ModelId &Model, const UpstreamRecord &Upstream,
+                                          std::function<void()> OnWithdraw) {
+  const UnstartedNumber Number = m_Unstarted.add(Model, Upstream, monotonicNow());
+  m_OnWithdraw.emplace(Number, std::move(OnWithdraw));
+  return Number;
+}
+
+void GatewayCore::endUnstarted(UnstartedNumber Number, const ServiceId &Service) {
+  if (m_OnWithdraw.erase(Number) == 0)
+    return;
+  m_Board.onStartWait(Service, m_Unstarted.remove(Number, monotonicNow()));
+}
+
+void GatewayCore::withdrawOverdue() {
+  const TimePoint Now = monotonicNow();
+  for (const UnstartedNumber Number : m_Unstarted.overdue(m_Board, Now))
+    m_OnWithdraw.at(Number)();
+  std::optional<TimePoint> Next;
+  for (const auto &[Model, Bounds] : m_WeightsBounds)
+    for (const WeightsBound &Each : Bounds)
+      if (const TimePoint At = Each.m_At - UnstartedRequests::WithdrawLead;
+          At > Now && (!Next || At < *Next))
+        Next = At;
+  if (Next)
+    m_WithdrawAlarm.set(*Next - Now, [this] { withdrawOverdue(); });
+}
+
 void GatewayCore::addRunning(const InstanceId &Upstream, const SuspectKey &Key) {
   m_Running.emplace(Upstream, Key);
 }
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -9,8 +9,10 @@
 #include "Fescuegauge/HttpCaller.h"
 #include "Fescuegauge/LateStarts.h"
 #include "Fescuegauge/RetryBudget.h"
+#include "Fescuegauge/UnstartedRequests.h"
 #include "Fescuegauge/UpstreamBoard.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -89,6 +91,15 @@
   /// Gives free places to requests that wait.
   void pump();
 
+  /// See UpstreamBoard::setWeightsBounds().
+  void setWeightsBounds(const ModelId &Model, std::vector<WeightsBound> Bounds);
+  /// A request for `Model` is sent to an engine. `OnWithdraw` is called if it must not begin there
+  /// any more; the request counts as unstarted until endUnstarted().
+  UnstartedNumber addUnstarted(const ModelId &Model, const UpstreamRecord &Upstream,
+                               std::function<void()> OnWithdraw);
+  /// The request has begun, or ended without.
+  void endUnstarted(UnstartedNumber Number, const ServiceId &Service);
+
   /// Requests in flight at an upstream, for when it crashes.
   void addRunning(const InstanceId &Upstream, const SuspectKey &Key);
   void removeRunning(const InstanceId &Upstream, const SuspectKey &Key);
@@ -126,6 +137,7 @@
 private:
   Task<> confirmCrash(UpstreamRecord Upstream, std::vector<SuspectKey> Running);
   void schedulePump();
+  void withdrawOverdue();
 
   GatewayOptions m_Options;
   ConnectionPool m_Pool;
@@ -140,6 +152,10 @@
   WaitingNumber m_LastNumber;
   Alarm m_PumpAlarm;
   bool m_PumpScheduled = false;
+  std::map<ModelId, std::vector<WeightsBound>> m_WeightsBounds;
+  UnstartedRequests m_Unstarted;
+  std::map<UnstartedNumber, std::function<void()>> m_OnWithdraw;
+  Alarm m_WithdrawAlarm;
   std::multimap<InstanceId, SuspectKey> m_Running;
   std::map<InstanceId, TimePoint> m_CrashChecked;
   ReturnDetector m_Returns;
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -73,13 +73,6 @@
   return parseNumber<std::uint32_t>(std::string(Usage.substr(0, Usage.find(',')))).value_or(0);
 }
 
-WeightsVersion weightsOf(const UpstreamRecord &Record, const ModelId &Model) {
-  for (const HeldWeights &Each : Record.m_Weights)
-    if (Each.m_Model == Model)
-      return Each.m_Version;
-  return {};
-}
-
 std::string secondsText(Duration Length) {
   char Text[32];
   std::snprintf(Text, sizeof Text, "%.2f", toSeconds(Length));
@@ -261,6 +254,7 @@
   m_Tried.push_back(To.m_Id);
   m_MoveTo.reset();
   m_PauseAsked = false;
+  m_Withdrawn = false;
   auto Sent = std::make_shared<UpstreamExchange>(m_Core.pool(), m_Core.headers(),
                                                  upstreamRequest(To), m_RequestId);
   m_Current = Sent;
@@ -268,22 +262,26 @@
   m_UnreadTokens = m_PromptTokens;
   m_LastByteAt = m_DispatchedAt = monotonicNow();
   m_StartAfter.reset();
-  m_PlacedWeights = weightsOf(To, m_Model);
+  m_PlacedWeights = To.heldVersion(m_Model);
   m_AnsweredWeights.reset();
   checkStall();
   m_Core.addRunning(To.m_Id, m_SuspectKey);
+  const ServicePlan *Service = m_Plan->service(m_Service);
+  if (Service && Service->m_Engine && !m_Model.empty())
+    m_Unstarted = m_Core.addUnstarted(m_Model, To, [this] { withdraw(); });
   const AttemptEnd End = co_await receive(Chosen, *Sent);
+  endUnstarted();
   m_StallAlarm.cancel();
   m_Current.reset();
   const bool Moved = End == AttemptEnd::Failed && m_MoveTo.has_value();
   // The check takes note of what runs at the upstream, this request included.
-  if (End == AttemptEnd::Failed && !isInterrupted() && !Moved)
+  if (End == AttemptEnd::Failed && !isInterrupted() && !Moved && !m_Withdrawn)
     m_Core.checkCrash(To);
   m_Core.removeRunning(To.m_Id, m_SuspectKey);
   Sent->finish();
 
   DispatchResult Result = DispatchResult::Failed;
-  if (isInterrupted())
+  if (isInterrupted() || m_Withdrawn)
     Result = DispatchResult::Abandoned;
   else if (End == AttemptEnd::Delivered || End == AttemptEnd::AnsweredFailure)
     Result = DispatchResult::Answered;
@@ -342,7 +340,8 @@
     m_Core.retryBudget(m_Service).onFirstAttempt(m_Account);
   if (Error != ExchangeError::None) {
     m_AnswerMalformed = Error == ExchangeError::Malformed;
-    logAttempt(Chosen, "failed", exchangeErrorName(Error));
+    if (!m_Withdrawn)
+      logAttempt(Chosen, "failed", exchangeErrorName(Error));
     co_return isInterrupted() ? AttemptEnd::Interrupted : AttemptEnd::Failed;
   }
   m_LastByteAt = monotonicNow();
@@ -372,10 +371,9 @@
     logAttempt(Chosen, "failed", "resumed-without-events");
     co_return AttemptEnd::Failed;
   }
-  if (!IsEvents)
-    noteStart();
   if (IsEvents)
     co_return co_await relayEvents(Sent, From);
+  noteStart();
   co_return co_await relayPlain(Sent, From);
 }
 
@@ -507,6 +505,7 @@
 void RequestExchange::noteStart() {
   m_StartAfter = m_LastByteAt - m_DispatchedAt;
   m_Core.observeStart(kindName(), *m_StartAfter);
+  endUnstarted();
 }
 
 void RequestExchange::checkWeightsBound(const UpstreamExchange &Sent) {
@@ -563,6 +562,24 @@
     m_Client->reset();
 }
 
+void RequestExchange::withdraw() {
+  m_Withdrawn = true;
+  m_Current->cancel();
+  m_Core.countAttempt("withdrawn");
+  if (m_Core.mayLog(true))
+    logEvent(Severity::Info, "request_withdrawn",
+             {{"request", m_RequestId},
+              {"upstream", m_CurrentUpstream},
+              {"attempt", m_AttemptsSent},
+              {"placedWeights", m_PlacedWeights},
+              {"sinceDispatchSeconds", monotonicNow() - m_DispatchedAt}});
+}
+
+void RequestExchange::endUnstarted() {
+  if (m_Unstarted)
+    m_Core.endUnstarted(*std::exchange(m_Unstarted, std::nullopt), m_Service);
+}
+
 void RequestExchange::checkStall() {
   m_StallAlarm.set(StallCheckInterval, [this] {
     const TimePoint Now = monotonicNow();
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -99,6 +99,10 @@
   void onCallerLeft();
   void interrupt();
   void checkStall();
+  /// The request must not begin at its upstream any more, because the weights there are too old.
+  void withdraw();
+  /// The upstream has begun the request, or the attempt ended before.
+  void endUnstarted();
   void noteFirstByte();
   /// The first event of the current attempt came, or the head of a plain answer.
   void noteStart();
@@ -156,6 +160,10 @@
   std::uint32_t m_PromptTokens = 0;
   /// Those that the upstream of the current attempt has yet to read.
   std::uint32_t m_UnreadTokens = 0;
+  /// Set while the upstream of the current attempt, an engine, has not begun the request.
+  std::optional<UnstartedNumber> m_Unstarted;
+  /// The current attempt was ended by withdraw().
+  bool m_Withdrawn = false;
   /// The upstream of the current attempt named a time for which it wants nothing.
   bool m_PauseAsked = false;
   PlacementVerdict m_LastVerdict = PlacementVerdict::Placed;
