Order the load of a version that is complete before the bound before it

A runner begins nothing on the old version once it has the order.

The cause: loads after the cut-off were spread over LateSpan counted from completion, past the bound. The spread is meant for loads after the bound, while instances that saw an outage still use the old version. Before the bound it now ends 0.5 s before it.

The new test failed before for agents of the last rank with work, complete 1.3, 0.9, 0.5 and 0.1 s before the bound.

--- a/src/include/Fescuegauge/PieceExchange.h
+++ b/src/include/Fescuegauge/PieceExchange.h
@@ -238,6 +238,11 @@
   /// the old version. A runner that works would drain first in any case.
   static constexpr Duration LateSpan = std::chrono::milliseconds(2500);
 
+  /// A version that is complete before the bound is ordered this long before it at the latest. A
+  /// runner with an order begins no request on the old version, and until then it goes on to begin
+  /// those that wait there. The read-back before the order takes up to about 300 ms.
+  static constexpr Duration OrderLead = std::chrono::milliseconds(500);
+
   /// The time at which the agent of rank `Rank` of `Count` orders the load, given when the pieces
   /// were complete here and the time after which the version that is served is of no use.
   static TimePoint orderAt(TimePoint Complete, TimePoint Bound, std::size_t Rank, std::size_t Count,
--- a/src/libweights/PieceExchange.cpp
+++ b/src/libweights/PieceExchange.cpp
@@ -399,7 +399,11 @@
   const bool IsLate = Complete >= Last;
   if (Count <= 1 || (IsLate && IsIdle))
     return Complete;
-  const Duration Span = IsLate ? LateSpan : Last - Complete;
+  Duration Span = Last - Complete;
+  if (Complete >= Bound)
+    Span = LateSpan;
+  else if (IsLate)
+    Span = std::max(Bound - OrderLead - Complete, Duration(0));
   return Complete + Span * static_cast<Duration::rep>(Rank) / static_cast<Duration::rep>(Count - 1);
 }
 
--- a/src/libweights/PieceExchange_test.cpp
+++ b/src/libweights/PieceExchange_test.cpp
@@ -304,6 +304,21 @@
   CHECK(ConversionSchedule::orderAt(Complete, Bound, 0, 5, false) == Complete);
 }
 
+// Guards against runners that go on to begin requests on the old version after the bound, although
+// their agents had the new one complete before it.
+TEST_CASE("a version that is complete before the bound is ordered before it", "[pieces]") {
+  const TimePoint Bound(100s);
+  for (const Duration Before : {1300ms, 900ms, 500ms, 100ms})
+    for (const bool IsIdle : {false, true})
+      for (const std::size_t Rank : {0U, 4U}) {
+        const TimePoint Complete = Bound - Before;
+        const TimePoint Order = ConversionSchedule::orderAt(Complete, Bound, Rank, 5, IsIdle);
+        CAPTURE(toSeconds(Before), IsIdle, Rank);
+        CHECK(Order >= Complete);
+        CHECK(Order <= std::max(Complete, Bound - ConversionSchedule::OrderLead));
+      }
+}
+
 TEST_CASE("a fallback is loaded in the last time before the bound", "[pieces]") {
   const TimePoint Complete(100s);
   const TimePoint Bound = Complete + 7s;
