Withdraw requests before the bound by as long as they have waited

The cause: a fixed lead that allows for the engine's pass and not for the way to it. A close may be as late as the request was, so the lead is the time for which the request has waited, between 0.3 and 1 s.

--- a/src/include/Fescuegauge/UnstartedRequests.h
+++ b/src/include/Fescuegauge/UnstartedRequests.h
@@ -18,9 +18,12 @@
 /// the bound at an engine with older weights is withdrawn.
 class UnstartedRequests {
 public:
-  /// Requests are withdrawn this long before the bound, so that the close reaches the engine
-  /// before a pass that it starts ends after the bound. A pass takes about 200 ms.
-  static constexpr Duration WithdrawLead = std::chrono::milliseconds(300);
+  /// The close must reach the engine before the bound. It may be as long on the way as the request
+  /// was, which is not known, so a request is withdrawn before the bound by the time for which it
+  /// has waited, within these limits. An engine that gets the close in a pass of about 200 ms must
+  /// still end it in time; a longer lead would withdraw many that are about to begin.
+  static constexpr Duration LeastLead = std::chrono::milliseconds(300);
+  static constexpr Duration LongestLead = std::chrono::milliseconds(1000);
 
   /// A request for `Model` is sent to `Upstream`.
   UnstartedNumber add(const ModelId &Model, const UpstreamRecord &Upstream, TimePoint Now);
@@ -30,8 +33,13 @@
   /// The requests that must be withdrawn by now. One whose upstream has newer weights by now, as
   /// `Board` shows it, will begin on these.
   std::vector<UnstartedNumber> overdue(const UpstreamBoard &Board, TimePoint Now) const;
+  /// When overdue() must be asked for a bound: from LongestLead before it on, often enough.
+  static std::optional<TimePoint> nextCheck(TimePoint Bound, TimePoint Now);
 
 private:
+  /// Interval of checks while requests may become overdue.
+  static constexpr Duration CheckInterval = std::chrono::milliseconds(50);
+
   struct Entry {
     ModelId m_Model;
     InstanceId m_Upstream;
--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -221,28 +221,38 @@
   CHECK(Board.place(at(10s)).m_Verdict == PlacementVerdict::NoneUsable);
 }
 
-// Guards against requests that still wait at an engine with older weights when the bound is over.
+// Guards against requests that still wait at an engine with older weights when the bound is over,
+// and against a close that is as late on the way to the engine as the request was.
 TEST_CASE("requests that have not begun are withdrawn shortly before the bound", "[dispatch]") {
+  using Numbers = std::vector<UnstartedNumber>;
+  constexpr Duration LeastLead = UnstartedRequests::LeastLead;
+  constexpr Duration LongestLead = UnstartedRequests::LongestLead;
+  const TimePoint Bound = at(10s);
   EngineBoard Board({upstream("u1"), upstream("u2")});
   UnstartedRequests Unstarted;
   const UnstartedNumber Waits = Unstarted.add(Model, upstream("u1"), at(0s));
   const UnstartedNumber Begins = Unstarted.add(Model, upstream("u1"), at(1s));
   const UnstartedNumber Converts = Unstarted.add(Model, upstream("u2"), at(2s));
   const UnstartedNumber Unlisted = Unstarted.add(Model, upstream("u3"), at(3s));
-  Board->setWeightsBounds(Model, {{WeightsVersion(2), at(10s)}, {WeightsVersion(3), at(20s)}});
-  const TimePoint Due = at(10s) - UnstartedRequests::WithdrawLead;
-  CHECK(Unstarted.overdue(Board.board(), Due - 1ms).empty());
+  const UnstartedNumber Late = Unstarted.add(Model, upstream("u1"), Bound - 2 * LeastLead);
+  Board->setWeightsBounds(Model, {{WeightsVersion(2), Bound}, {WeightsVersion(3), at(20s)}});
+  CHECK(Unstarted.overdue(Board.board(), Bound - LongestLead - 1ms).empty());
   CHECK(Unstarted.remove(Begins, at(4s)) == 3s);
   UpstreamRecord Converted = upstream("u2");
   Converted.m_Weights = {{Model, WeightsVersion(2)}};
   Board->setUpstreams(std::vector<UpstreamRecord>{upstream("u1"), Converted});
-  CHECK(Unstarted.overdue(Board.board(), Due) == std::vector<UnstartedNumber>{Waits, Unlisted});
-  CHECK(Unstarted.overdue(Board.board(), at(20s)) ==
-        std::vector<UnstartedNumber>{Waits, Converts, Unlisted});
+  CHECK(Unstarted.overdue(Board.board(), Bound - LongestLead) == Numbers{Waits, Unlisted});
+  CHECK(Unstarted.overdue(Board.board(), Bound - LeastLead) == Numbers{Waits, Unlisted, Late});
+  CHECK(Unstarted.overdue(Board.board(), at(20s)) == Numbers{Waits, Converts, Unlisted, Late});
   // The cut-off for new requests comes earlier, and withdraws nothing.
   Board->setWeightsBounds(Model, {});
   Board->setLeastVersion(Model, WeightsVersion(2));
   CHECK(Unstarted.overdue(Board.board(), at(20s)).empty());
+
+  CHECK(UnstartedRequests::nextCheck(Bound, at(0s)) == Bound - LongestLead);
+  CHECK(UnstartedRequests::nextCheck(Bound, Bound - LongestLead) < Bound - LeastLead);
+  CHECK(UnstartedRequests::nextCheck(Bound, Bound - LeastLead - 1ms) == Bound - LeastLead);
+  CHECK_FALSE(UnstartedRequests::nextCheck(Bound, Bound - LeastLead));
 }
 
 TEST_CASE("an upstream that restarts under its id starts without history", "[dispatch]") {
--- a/src/libdispatch/UnstartedRequests.cpp
+++ b/src/libdispatch/UnstartedRequests.cpp
@@ -1,5 +1,7 @@
 #include "Fescuegauge/UnstartedRequests.h"
 
+#include <algorithm>
+
 namespace fescuegauge {
 
 UnstartedNumber UnstartedRequests::add(const ModelId &Model, const UpstreamRecord &Upstream,
@@ -22,7 +24,8 @@
                                                         TimePoint Now) const {
   std::vector<UnstartedNumber> Result;
   for (const auto &[Number, Each] : m_Entries) {
-    const WeightsVersion Least = Board.boundedVersion(Each.m_Model, Now + WithdrawLead);
+    const Duration Lead = std::clamp(Now - Each.m_SentAt, LeastLead, LongestLead);
+    const WeightsVersion Least = Board.boundedVersion(Each.m_Model, Now + Lead);
     const UpstreamRecord *Listed = Board.find(Each.m_Upstream);
     if ((Listed ? Listed->heldVersion(Each.m_Model) : Each.m_Version) < Least)
       Result.push_back(Number);
@@ -30,4 +33,10 @@
   return Result;
 }
 
+std::optional<TimePoint> UnstartedRequests::nextCheck(TimePoint Bound, TimePoint Now) {
+  if (Now >= Bound - LeastLead)
+    return std::nullopt;
+  return std::min(std::max(Bound - LongestLead, Now + CheckInterval), Bound - LeastLead);
+}
+
 } // namespace fescuegauge
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -186,8 +186,8 @@
   std::optional<TimePoint> Next;
   for (const auto &[Model, Bounds] : m_WeightsBounds)
     for (const WeightsBound &Each : Bounds)
-      if (const TimePoint At = Each.m_At - UnstartedRequests::WithdrawLead;
-          At > Now && (!Next || At < *Next))
+      if (const auto At = UnstartedRequests::nextCheck(Each.m_At, Now);
+          At && (!Next || *At < *Next))
         Next = At;
   if (Next)
     m_WithdrawAlarm.set(*Next - Now, [this] { withdrawOverdue(); });
