Check again right before a request is sent that its upstream may have it

Callers' requests reached upstreams that had been listed as leaving, removed, restarted or excluded for their weights after the request had been given a place there.

UpstreamExchange asks its owner before it opens a connection and again before the first byte. UpstreamBoard::mayStillSend() repeats the parts of place() that are promises; whether the upstream is full is not asked again. A request that is withdrawn looks for another place like one for which no connection could be opened, says nothing about the upstream, and keeps the connection.

--- a/src/include/Fescuegauge/UpstreamBoard.h
+++ b/src/include/Fescuegauge/UpstreamBoard.h
@@ -183,6 +183,10 @@
   void setPlan(const RouteTable &Plan);
 
   Placement place(const PlacementRequest &Request, TimePoint Now);
+  /// Whether a request that was placed at an upstream, but not sent yet, may still go there. The
+  /// list, the statements of upstreams and the least versions may have changed since.
+  bool mayStillSend(const UpstreamRecord &Placed, const PlacementRequest &Request,
+                    TimePoint Now) const;
 
   void onDispatched(const InstanceId &Upstream, std::uint32_t PromptTokens, TimePoint Now);
   /// The engine has read the prompt of a request: its first event came.
@@ -272,7 +276,10 @@
     std::optional<double> m_ReadBudget;
   };
 
-  /// `Least` is the version that upstreams must hold for the request.
+  /// Whether the upstream may be given requests of this kind, now or later. `Least` is the version
+  /// that it must hold for the request.
+  bool isEligible(const UpstreamRecord &Record, const PlacementRequest &Request,
+                  WeightsVersion Least, TimePoint Now) const;
   bool holdsWeights(const UpstreamRecord &Record, const PlacementRequest &Request,
                     WeightsVersion Least) const;
   /// The version that upstreams must hold for a request that is sent now.
--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -255,6 +255,41 @@
   CHECK_FALSE(UnstartedRequests::nextCheck(Bound, Bound - LeastLead));
 }
 
+// Guards against a send that relies on what was true when the place was given.
+TEST_CASE("a place is still good after its upstream paused, left or changed", "[dispatch]") {
+  const UpstreamRecord Placed = upstream("u1");
+  const PlacementRequest Wanted{Service, Model, std::nullopt, {Placed.m_Id}, 0};
+  EngineBoard Board({Placed});
+  CHECK(Board->mayStillSend(Placed, Wanted, at(0s)));
+  // A place that is full by now, this request included, is no reason to go elsewhere.
+  Board.dispatch(at(0s));
+  Board.dispatch(at(0s));
+  CHECK(Board->mayStillSend(Placed, Wanted, at(0s)));
+
+  Board->onPauseAsked(Placed.start(), 1s, at(1s));
+  CHECK_FALSE(Board->mayStillSend(Placed, Wanted, at(1500ms)));
+  CHECK(Board->mayStillSend(Placed, Wanted, at(2s)));
+
+  UpstreamRecord Changed = Placed;
+  Changed.m_Incarnation = Incarnation(2);
+  Board->setUpstreams(std::vector{Changed});
+  CHECK_FALSE(Board->mayStillSend(Placed, Wanted, at(3s)));
+  Changed = Placed;
+  Changed.m_Address.m_Port = 9;
+  Board->setUpstreams(std::vector{Changed});
+  CHECK_FALSE(Board->mayStillSend(Placed, Wanted, at(3s)));
+  Changed = Placed;
+  Changed.m_Weights.clear();
+  Board->setUpstreams(std::vector{Changed});
+  CHECK_FALSE(Board->mayStillSend(Placed, Wanted, at(3s)));
+
+  Board->setUpstreams(std::vector{Placed});
+  CHECK(Board->mayStillSend(Placed, Wanted, at(4s)));
+  Board->onLeaving(Placed.start(), at(4s));
+  CHECK_FALSE(Board->mayStillSend(Placed, Wanted, at(4s)));
+  CHECK_FALSE(Board->mayStillSend(upstream("u2"), Wanted, at(4s)));
+}
+
 TEST_CASE("an upstream that restarts under its id starts without history", "[dispatch]") {
   UpstreamRecord Again = upstream("u1", 1);
   EngineBoard Board({Again});
--- a/src/libdispatch/UpstreamBoard.cpp
+++ b/src/libdispatch/UpstreamBoard.cpp
@@ -205,6 +205,23 @@
   return Found == m_Upstreams.end() || isSilent(Found->second, Now);
 }
 
+bool UpstreamBoard::isEligible(const UpstreamRecord &Record, const PlacementRequest &Request,
+                               WeightsVersion Least, TimePoint Now) const {
+  return !Record.m_Leaving && !m_Statements.isLeaving(Record.start(), Now) &&
+         holdsWeights(Record, Request, Least);
+}
+
+bool UpstreamBoard::mayStillSend(const UpstreamRecord &Placed, const PlacementRequest &Request,
+                                 TimePoint Now) const {
+  auto Found = m_Upstreams.find(Placed.m_Id);
+  if (Found == m_Upstreams.end())
+    return false;
+  const UpstreamRecord &Record = Found->second.m_Record;
+  return Record.start() == Placed.start() && Record.m_Address == Placed.m_Address &&
+         Record.m_Service == Request.m_Service && isEligible(Record, Request, leastVersion(Request, Now), Now) &&
+         !m_Statements.wantsPause(Record.start(), Now);
+}
+
 Placement UpstreamBoard::place(const PlacementRequest &Request, TimePoint Now) {
   forgetSilentPeers(Now);
   auto OfService = m_ByService.find(Request.m_Service);
@@ -222,8 +239,7 @@
   for (const State *Each : OfService->second) {
     const State &Entry = *Each;
     const UpstreamRecord &Record = Entry.m_Record;
-    if (Record.m_Leaving || m_Statements.isLeaving(Record.start(), Now) ||
-        !holdsWeights(Record, Request, Least) ||
+    if (!isEligible(Record, Request, Least, Now) ||
         std::find(Request.m_Tried.begin(), Request.m_Tried.end(), Record.m_Id) !=
             Request.m_Tried.end())
       continue;
--- a/src/libgateway/FakeUpstream.h
+++ b/src/libgateway/FakeUpstream.h
@@ -226,16 +226,32 @@
   RawAnswer exchange(const std::string &Bytes, Duration Limit = std::chrono::milliseconds(2500)) {
     RawAnswer Result;
     bool Done = false;
-    net::co_spawn(m_Loop, callRaw(m_Address, Bytes, Result, Done), net::detached);
+    start(Bytes, Result, Done);
     runUntil([&] { return Done; }, Limit);
     return Result;
   }
 
+  /// The same without waiting; the arguments must live until `Done`.
+  void start(const std::string &Bytes, RawAnswer &Result, bool &Done) {
+    net::co_spawn(m_Loop, callRaw(m_Address, Bytes, Result, Done), net::detached);
+  }
+
   /// Runs the loop until a condition holds. Returns whether it did within the limit.
   bool runUntil(const std::function<bool()> &Holds, Duration Limit) {
     return test::runUntil(m_Loop, Holds, Limit);
   }
 
+  /// Runs single handlers until a request was given a place; its connection is not open by then
+  /// unless one was kept.
+  bool runUntilPlaced() {
+    const TimePoint End = monotonicNow() + std::chrono::seconds(1);
+    while (m_Gateway->ownUse().empty() && monotonicNow() < End) {
+      m_Loop.restart();
+      m_Loop.run_one_for(std::chrono::milliseconds(5));
+    }
+    return !m_Gateway->ownUse().empty();
+  }
+
   net::io_context &loop() { return m_Loop; }
   Gateway &gateway() { return *m_Gateway; }
   std::string metrics() { return m_Metrics.serialize(); }
--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -730,3 +730,62 @@
   Fixture.runUntil([] { return false; }, 200ms);
   CHECK(Fixture.exchange(GatewayFixture::request("/safe/x", "last")).contains("served"));
 }
+
+// Guards against DRAIN, VERSION and BUDGET: an upstream may become unusable while a connection to
+// it is being opened.
+TEST_CASE("a request is sent to an upstream that became unusable after it was placed",
+          "[gateway]") {
+  struct Case {
+    const char *m_Name;
+    std::function<void(GatewayFixture &)> m_Change;
+  };
+  const ModelId Model("m");
+  const auto SetFirst = [](GatewayFixture &Fixture, auto Change) {
+    Change(Fixture.records()[0]);
+    Fixture.gateway().setUpstreams(Fixture.records());
+  };
+  const std::vector<Case> Cases = {
+      {"listed as leaving",
+       [&](GatewayFixture &Fixture) {
+         SetFirst(Fixture, [](UpstreamRecord &First) { First.m_Leaving = true; });
+       }},
+      {"removed", [](GatewayFixture &Fixture) { Fixture.gateway().setUpstreams({}); }},
+      {"restarted",
+       [&](GatewayFixture &Fixture) {
+         SetFirst(Fixture, [](UpstreamRecord &First) { First.m_Incarnation = Incarnation(5); });
+       }},
+      {"moved to another service",
+       [&](GatewayFixture &Fixture) {
+         SetFirst(Fixture, [](UpstreamRecord &First) { First.m_Service = ServiceId("other"); });
+       }},
+      {"said that it leaves",
+       [](GatewayFixture &Fixture) {
+         Fixture.gateway().onPeerReport(InstanceId("entry-2"), {}, {},
+                                        std::vector{Fixture.records()[0].start()});
+       }},
+      {"weights too old",
+       [&](GatewayFixture &Fixture) {
+         Fixture.gateway().setLeastVersion(Model, WeightsVersion(2));
+       }},
+  };
+  for (const Case &Each : Cases) {
+    CAPTURE(Each.m_Name);
+    GatewayFixture Fixture;
+    Fixture.setPlan([](RoutingPlan &Plan) { Plan.m_Services[0].m_Engine = EngineParameters(); });
+    FakeUpstream &Upstream = Fixture.addUpstream(answerPlainly("x"));
+    SetFirst(Fixture, [&](UpstreamRecord &First) {
+      First.m_Weights = {{Model, WeightsVersion(1)}};
+    });
+    RawAnswer Answer;
+    bool Done = false;
+    Fixture.start(GatewayFixture::request("/once/x", "r1", "Model: m\r\n"), Answer, Done);
+    REQUIRE(Fixture.runUntilPlaced());
+    REQUIRE(Upstream.requests().empty());
+    Each.m_Change(Fixture);
+    CHECK(Fixture.runUntil([&] { return Done; }, 1s));
+    CHECK(Upstream.requests().empty());
+    CHECK(Answer.status() == 503);
+    CHECK(Answer.contains("Retry-After: "));
+    CHECK(Fixture.gateway().ownUse().empty());
+  }
+}
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -189,7 +189,8 @@
       m_MoveTo.reset();
       continue;
     }
-    const bool Unsent = End == AttemptEnd::NotSent && ++m_ConnectFailures <= MaxConnectFailures;
+    const bool Unsent = (End == AttemptEnd::NotSent || End == AttemptEnd::NoLongerUsable) &&
+                        ++m_ConnectFailures <= MaxConnectFailures;
     if (isInterrupted() || m_ClientBroken || (!Unsent && !takeRetry())) {
       co_await finishFailed();
       co_return;
@@ -244,6 +245,10 @@
   return Request;
 }
 
+bool RequestExchange::mayStillSend(const UpstreamRecord &To) {
+  return !isInterrupted() && m_Core.board().mayStillSend(To, wantedPlace(), monotonicNow());
+}
+
 Task<RequestExchange::AttemptEnd> RequestExchange::attempt(const Placement &Chosen) {
   const UpstreamRecord &To = Chosen.m_Upstream;
   const bool OnlyOnce = !isRepeatable(m_Route->m_Kind);
@@ -281,7 +286,7 @@
   Sent->finish();
 
   DispatchResult Result = DispatchResult::Failed;
-  if (isInterrupted() || m_Withdrawn)
+  if (isInterrupted() || m_Withdrawn || End == AttemptEnd::NoLongerUsable)
     Result = DispatchResult::Abandoned;
   else if (End == AttemptEnd::Delivered || End == AttemptEnd::AnsweredFailure)
     Result = DispatchResult::Answered;
@@ -329,12 +334,14 @@
   ++m_AttemptsSent;
   const Duration LongestIdle =
       isRepeatable(m_Route->m_Kind) ? Duration::max() : LongestIdleAtMostOnce;
-  const ExchangeError Error = co_await Sent.start(From.m_Address, LongestIdle, ConnectTimeout);
+  const ExchangeError Error =
+      co_await Sent.start(From.m_Address, LongestIdle, ConnectTimeout,
+                          [this, &From](HttpRequest &) { return mayStillSend(From); });
   if (!Sent.wasSent()) {
     m_MayHaveRun = RanBefore;
     --m_AttemptsSent;
     logAttempt(Chosen, "not-sent", exchangeErrorName(Error));
-    co_return AttemptEnd::NotSent;
+    co_return Error == ExchangeError::NotAllowed ? AttemptEnd::NoLongerUsable : AttemptEnd::NotSent;
   }
   if (m_AttemptsSent == 1)
     m_Core.retryBudget(m_Service).onFirstAttempt(m_Account);
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -60,6 +60,8 @@
     /// The answer, or all that there is of it, was passed on.
     Delivered,
     NotSent,
+    /// The upstream ceased to be usable before the request was sent.
+    NoLongerUsable,
     Rejected,
     /// The upstream may have run the request, and nothing usable came.
     Failed,
@@ -89,6 +91,8 @@
   Task<AttemptEnd> relayPlain(UpstreamExchange &Sent, const UpstreamRecord &From);
   Task<bool> passEvent(UpstreamExchange &Sent, const EventSplitter::Event &Event);
   HttpRequest upstreamRequest(const UpstreamRecord &To) const;
+  /// Whether what was decided when the place was given still holds.
+  bool mayStillSend(const UpstreamRecord &To);
 
   bool mayRetry() const;
   bool takeRetry();
--- a/src/libgateway/UpstreamExchange.cpp
+++ b/src/libgateway/UpstreamExchange.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <utility>
 
 namespace fescuegauge {
 
@@ -13,6 +14,8 @@
     return "none";
   case ExchangeError::NotSent:
     return "not-sent";
+  case ExchangeError::NotAllowed:
+    return "not-allowed";
   case ExchangeError::Broken:
     return "broken";
   case ExchangeError::Malformed:
@@ -37,9 +40,10 @@
 }
 
 Task<ExchangeError> UpstreamExchange::start(Endpoint Address, Duration LongestIdle,
-                                            Duration ConnectTimeout) {
+                                            Duration ConnectTimeout, BeforeSend Check) {
   auto Self = shared_from_this();
-  m_Request.prepare_payload();
+  if (!Check(m_Request))
+    co_return ExchangeError::NotAllowed;
   m_Connection = m_Pool.takeIdle(Address, LongestIdle);
   if (!m_Connection) {
     SystemError Error;
@@ -50,7 +54,12 @@
       m_Connection->close();
       co_return ExchangeError::NotSent;
     }
+    if (!Check(m_Request)) {
+      m_Pool.keep(std::exchange(m_Connection, nullptr), ConnectionPool::DefaultKeepAlive);
+      co_return ExchangeError::NotAllowed;
+    }
   }
+  m_Request.prepare_payload();
   write();
   co_return co_await readHead();
 }
--- a/src/libgateway/UpstreamExchange.h
+++ b/src/libgateway/UpstreamExchange.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -19,6 +20,8 @@
   None,
   /// No connection; nothing was sent.
   NotSent,
+  /// The owner's check before the first byte failed; nothing was sent.
+  NotAllowed,
   /// The connection ended before the answer was complete.
   Broken,
   /// Bytes arrived that are no answer to the request.
@@ -53,9 +56,14 @@
   UpstreamExchange(const UpstreamExchange &) = delete;
   UpstreamExchange &operator=(const UpstreamExchange &) = delete;
 
+  /// Completes the request right before its first byte is sent. False if it must not be sent.
+  using BeforeSend = std::function<bool(HttpRequest &)>;
+
   /// Sends the request and waits for the head of its answer. A connection that was idle for longer
-  /// than `LongestIdle` is not used.
-  Task<ExchangeError> start(Endpoint Address, Duration LongestIdle, Duration ConnectTimeout);
+  /// than `LongestIdle` is not used. `Check` is asked before a connection is opened and again when
+  /// it is open, because that takes up to `ConnectTimeout`.
+  Task<ExchangeError> start(Endpoint Address, Duration LongestIdle, Duration ConnectTimeout,
+                            BeforeSend Check);
   /// The head of the answer, after start() returned None.
   const Header &header() const { return m_Parser->get(); }
   /// The length of the body if the answer tells it.
