Compute the time that is left when a request is sent

Upstreams were handed more time than the caller had left, and got requests whose time was over: the time was computed when the place was given, and opening a connection (up to 400 ms), or a loop that is held up meanwhile, was not taken off.

Seen before the change, with the loop held up for 300 ms while the connection opens: 'the time to open a connection is handed to the upstream' found Deadline-Ms 1199 where 900 was due; 'a request is sent whose time is over when its connection is open' found it sent and answered 504.

The header is set in the check right before the first byte, which also ends a request whose time is over without waiting for its alarm.

--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 #include <sstream>
+#include <thread>
 #include <utility>
 
 using namespace fescuegauge;
@@ -789,3 +790,38 @@
     CHECK(Fixture.gateway().ownUse().empty());
   }
 }
+
+// Guards against BUDGET: an upstream must not be handed more time than is left when it gets a
+// request.
+TEST_CASE("the time to open a connection is handed to the upstream", "[gateway]") {
+  GatewayFixture Fixture;
+  Fixture.setPlan();
+  FakeUpstream &Upstream = Fixture.addUpstream(answerPlainly("x"));
+  RawAnswer Answer;
+  bool Done = false;
+  Fixture.start(GatewayFixture::request("/once/x", "r1"), Answer, Done);
+  REQUIRE(Fixture.runUntilPlaced());
+  std::this_thread::sleep_for(300ms);
+  REQUIRE(Fixture.runUntil([&] { return Done; }, 1s));
+  CHECK(Answer.status() == 200);
+  REQUIRE(Upstream.requests().size() == 1);
+  CHECK(std::stoi(std::string(Upstream.requests()[0]["Deadline-Ms"])) <= 900);
+}
+
+// Guards against work that begins when its caller has given up.
+TEST_CASE("a request is sent whose time is over when its connection is open", "[gateway]") {
+  GatewayFixture Fixture;
+  Fixture.setPlan([](RoutingPlan &Plan) {
+    for (Route &Each : Plan.m_Routes)
+      Each.m_Timeout = 200ms;
+  });
+  FakeUpstream &Upstream = Fixture.addUpstream(answerPlainly("x"));
+  RawAnswer Answer;
+  bool Done = false;
+  Fixture.start(GatewayFixture::request("/once/x", "r1"), Answer, Done);
+  REQUIRE(Fixture.runUntilPlaced());
+  std::this_thread::sleep_for(300ms);
+  REQUIRE(Fixture.runUntil([&] { return Done; }, 1s));
+  CHECK(Upstream.requests().empty());
+  CHECK(Answer.status() == 503);
+}
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -235,8 +235,6 @@
   if (!m_Account.empty())
     Request.set(Names.m_Account, m_Account.str());
   Request.set(Names.m_ExpectedUpstream, To.m_Id.str());
-  const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft());
-  Request.set(Names.m_Deadline, std::to_string(std::max<std::int64_t>(Left.count(), 1)));
   if (m_HeadSent && m_LastEventId)
     Request.set("Last-Event-ID", std::to_string(*m_LastEventId));
   if (m_StreamVersion)
@@ -245,8 +243,17 @@
   return Request;
 }
 
-bool RequestExchange::mayStillSend(const UpstreamRecord &To) {
-  return !isInterrupted() && m_Core.board().mayStillSend(To, wantedPlace(), monotonicNow());
+bool RequestExchange::prepareSend(const UpstreamRecord &To, HttpRequest &Request) {
+  const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft());
+  // In a loop that is held up, the alarm is late too.
+  if (Left.count() <= 0) {
+    m_TimedOut = true;
+    m_DeadlineAlarm.cancel();
+  }
+  if (isInterrupted() || !m_Core.board().mayStillSend(To, wantedPlace(), monotonicNow()))
+    return false;
+  Request.set(m_Core.headers().m_Deadline, std::to_string(Left.count()));
+  return true;
 }
 
 Task<RequestExchange::AttemptEnd> RequestExchange::attempt(const Placement &Chosen) {
@@ -334,9 +341,9 @@
   ++m_AttemptsSent;
   const Duration LongestIdle =
       isRepeatable(m_Route->m_Kind) ? Duration::max() : LongestIdleAtMostOnce;
-  const ExchangeError Error =
-      co_await Sent.start(From.m_Address, LongestIdle, ConnectTimeout,
-                          [this, &From](HttpRequest &) { return mayStillSend(From); });
+  const ExchangeError Error = co_await Sent.start(
+      From.m_Address, LongestIdle, ConnectTimeout,
+      [this, &From](HttpRequest &Request) { return prepareSend(From, Request); });
   if (!Sent.wasSent()) {
     m_MayHaveRun = RanBefore;
     --m_AttemptsSent;
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -91,8 +91,9 @@
   Task<AttemptEnd> relayPlain(UpstreamExchange &Sent, const UpstreamRecord &From);
   Task<bool> passEvent(UpstreamExchange &Sent, const EventSplitter::Event &Event);
   HttpRequest upstreamRequest(const UpstreamRecord &To) const;
-  /// Whether what was decided when the place was given still holds.
-  bool mayStillSend(const UpstreamRecord &To);
+  /// Adds the time that is left. False if the request must not be sent, because its time is over or
+  /// what was decided when the place was given holds no more.
+  bool prepareSend(const UpstreamRecord &To, HttpRequest &Request);
 
   bool mayRetry() const;
   bool takeRetry();
