Do not take a stream for stalled while its caller does not read

A stream whose caller read nothing for 0.9 to 1.6 s was given up at its sound upstream: a retry of the shared budget was spent and a place taken at another upstream, which stayed unused until the caller read again, up to the end of the route's time, and was then used on what had been known before. The silence counted the time of the write to the caller, in which the upstream is not read.

Seen before the change: 'a stream is moved because its caller does not read' found two upstreams in use for one request (2 == 1) after 2.5 s.

The silence counts from the last byte or from the end of the last write to the caller, whichever is later, and not during a write.

--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -825,3 +825,40 @@
   CHECK(Upstream.requests().empty());
   CHECK(Answer.status() == 503);
 }
+
+// Guards against BUDGET and DRAIN: a stream whose caller does not read has a sound upstream, and a
+// place that is taken for it elsewhere is used only when the caller reads again.
+TEST_CASE("a stream is moved because its caller does not read", "[gateway]") {
+  GatewayFixture Fixture;
+  Fixture.setPlan([](RoutingPlan &Plan) {
+    for (Route &Each : Plan.m_Routes)
+      Each.m_Timeout = 5s;
+  });
+  std::vector<FakeUpstream *> Upstreams;
+  const std::string Long = "data: " + std::string(32 << 10, 'x') + "\n\n";
+  for (int I = 0; I < 2; ++I)
+    Upstreams.push_back(&Fixture.addUpstream([&](const HttpRequest &Request) {
+      if (Request["Request-Id"] != "r1")
+        return Script{{{plainAnswer(Request, 200, "x")}}};
+      Script Plan{{{streamHead(Request)}}};
+      for (int Id = 1; Id <= 400; ++Id)
+        Plan.m_Steps.push_back({chunk("id: " + std::to_string(Id) + "\n" + Long)});
+      Plan.m_Steps.push_back({LastChunk});
+      return Plan;
+    }));
+  // The retry budget grows with requests.
+  for (int I = 0; I < 40; ++I)
+    Fixture.exchange(GatewayFixture::request("/safe/x", "warm-" + std::to_string(I)));
+  Tcp::socket Socket(Fixture.loop());
+  Socket.connect(tcpEndpoint(Fixture.address()));
+  std::string Bytes = GatewayFixture::request("/stream/x", "r1");
+  Bytes.replace(Bytes.find("1200"), 4, "4800");
+  net::write(Socket, net::buffer(Bytes));
+  Fixture.runUntil([] { return false; }, 2500ms);
+  CHECK(Fixture.gateway().ownUse().size() == 1);
+  std::size_t Arrivals = 0;
+  for (const FakeUpstream *Each : Upstreams)
+    for (const HttpRequest &Request : Each->requests())
+      Arrivals += Request["Request-Id"] == "r1" ? 1 : 0;
+  CHECK(Arrivals == 1);
+}
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -597,7 +597,7 @@
 void RequestExchange::checkStall() {
   m_StallAlarm.set(StallCheckInterval, [this] {
     const TimePoint Now = monotonicNow();
-    const Duration Silent = Now - m_LastByteAt;
+    const Duration Silent = m_IsWriting ? Duration(0) : Now - std::max(m_LastByteAt, m_LastWriteAt);
     const bool UpstreamSilent = m_Core.board().isSilent(m_CurrentUpstream, Now);
     const bool Stalled = isStream(m_Route->m_Kind)
                              ? Silent > (UpstreamSilent ? StallLimit : LongStallLimit)
@@ -728,7 +728,10 @@
 }
 
 Task<bool> RequestExchange::writeClient(std::string Bytes) {
+  m_IsWriting = true;
   auto [Error, Size] = co_await net::async_write(m_Client->socket(), net::buffer(Bytes), AsTuple);
+  m_IsWriting = false;
+  m_LastWriteAt = monotonicNow();
   if (Error)
     m_ClientBroken = true;
   co_return !Error;
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -187,6 +187,9 @@
   WeightsVersion m_PlacedWeights;
   std::optional<WeightsVersion> m_AnsweredWeights;
   TimePoint m_LastByteAt;
+  /// The upstream is not read while a write to the caller is in progress.
+  bool m_IsWriting = false;
+  TimePoint m_LastWriteAt;
   std::optional<Duration> m_FirstByteAfter;
   Duration m_Waited{0};
   std::uint64_t m_EventsPassed = 0;
