Take back the notice of a load that is not ordered

Entry instances passed a runner over for up to 4 s although it loaded nothing: an agent announces a load 40 ms before it orders it, and when a newer version was announced in between, the load was given up and its notice stood until it lapsed.

The agent remembers for which version the notice stands until the order is accepted, or may have been, and takes it back when that version is no longer to be loaded. A load that is still wanted is tried again at once and keeps its notice.

--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -185,6 +185,8 @@
   /// again.
   bool m_DigestsDoubted = false;
   std::optional<TimePoint> m_OrderedAt;
+  /// Entry instances were told of the load of this version, and it was not ordered yet.
+  std::shared_ptr<Transfer> m_NoticedFor;
   StoreOutage m_Outage;
   /// Writes to the staging area by fetchOne() that are not answered yet.
   std::size_t m_StageWrites = 0;
@@ -237,6 +239,11 @@
 }
 
 Task<> WeightsAgent::Implementation::advance(const RunnerReport &Report, Target Wanted) {
+  // A load that is still wanted is tried again at once.
+  if (m_NoticedFor && !isLoadable(m_NoticedFor)) {
+    m_NoticedFor.reset();
+    co_await m_Announcer.announce(Duration(0));
+  }
   auto Loaded = Report.m_Loaded.find(Wanted.m_Model);
   const bool ServesNothing = servesNothing(Wanted.m_Model);
   if (m_Fallback && !ServesNothing && Loaded->second >= m_Fallback->version())
@@ -268,6 +275,7 @@
 Task<> WeightsAgent::Implementation::load(RunnerReport Report, Target Wanted,
                                           std::shared_ptr<Transfer> Version) {
   if (!servesNothing(Wanted.m_Model)) {
+    m_NoticedFor = Version;
     co_await m_Announcer.announce(LoadOutage);
     co_await sleepFor(NoticeLead);
   }
@@ -285,6 +293,8 @@
   m_OrderedAt = monotonicNow();
   const LoadOrderResult Result =
       co_await m_Runner.load(Wanted.m_Model, Version->version(), Report.m_OrderCount);
+  if (Result != LoadOrderResult::Refused)
+    m_NoticedFor.reset();
   constexpr std::string_view Names[] = {"accepted", "refused", "unknown"};
   logEvent(Severity::Info, "load_ordered",
            {{"model", Wanted.m_Model},
--- a/src/libagent/WeightsAgent_test.cpp
+++ b/src/libagent/WeightsAgent_test.cpp
@@ -3,8 +3,10 @@
 #include "Fescuegauge/WeightsAgent.h"
 #include "LoopbackTest.h"
 
+#include <boost/asio/this_coro.hpp>
 #include <catch2/catch.hpp>
 #include <sstream>
+#include <utility>
 
 using namespace fescuegauge;
 using namespace std::chrono_literals;
@@ -45,7 +47,10 @@
     ++m_Report.m_OrderCount;
     m_Loads.push_back(Version);
     m_LoadedBytes = m_Staged;
-    m_Report.m_Loaded[Of] = Version;
+    if (m_LoadTime > Duration(0))
+      spawnTask(co_await net::this_coro::executor, "load", finishLoad(Of, Version));
+    else
+      m_Report.m_Loaded[Of] = Version;
     co_return m_LoseAnswer ? LoadOrderResult::Unknown : LoadOrderResult::Accepted;
   }
 
@@ -60,12 +65,20 @@
     return Found != m_Report.m_Loaded.end() && Found->second == Version;
   }
 
+  Task<> finishLoad(ModelId Of, WeightsVersion Version) {
+    m_Report.m_IsBusy = true;
+    co_await sleepFor(m_LoadTime);
+    m_Report.m_IsBusy = false;
+    m_Report.m_Loaded[Of] = Version;
+  }
+
   RunnerReport m_Report;
   std::map<std::uint32_t, std::string> m_Staged;
   std::map<std::uint32_t, std::string> m_LoadedBytes;
   std::vector<WeightsVersion> m_Loads;
   std::function<void(std::uint32_t)> m_OnRead;
   bool m_LoseAnswer = false;
+  Duration m_LoadTime{0};
   int m_Writes = 0;
   std::uint64_t m_Starts = 0;
 };
@@ -419,6 +432,46 @@
   CHECK(Fixture.m_Runner.holds(Second));
 }
 
+// Guards against entry instances that pass a runner over for seconds although nothing is loaded.
+TEST_CASE("a notice stands although the load was not ordered", "[agent]") {
+  net::io_context Loop;
+  AgentFixture Fixture(Loop);
+  Fixture.m_Runner.m_Report.m_Loaded[Model] = First;
+  // The older version is not loaded in place of the one that does not come.
+  Fixture.m_Agent->setDeadline(20s);
+  bool Replaced = false;
+  Fixture.m_Runner.m_OnRead = [&](std::uint32_t) {
+    const bool IsReadBack = Fixture.m_Runner.m_Writes >= static_cast<int>(FakeOrigin::Pieces);
+    if (!IsReadBack || std::exchange(Replaced, true))
+      return;
+    Fixture.m_Origin.m_Down = true;
+    Fixture.m_Agent->announce(Model, Third, monotonicNow());
+  };
+  Fixture.m_Agent->announce(Model, Second, monotonicNow());
+  REQUIRE(Fixture.runUntil([&] { return Replaced; }));
+  Fixture.runUntil([] { return false; }, 50ms);
+  CHECK(Fixture.m_Runner.m_Loads.empty());
+  REQUIRE_FALSE(Fixture.m_Announcer.m_Notices.empty());
+  CHECK(Fixture.m_Announcer.m_Notices.back() == 0s);
+}
+
+// Guards against a load of a runner that entry instances were told to use again.
+TEST_CASE("a notice is taken back although the order was accepted", "[agent]") {
+  net::io_context Loop;
+  AgentFixture Fixture(Loop);
+  Fixture.m_Runner.m_Report.m_Loaded[Model] = First;
+  Fixture.m_Runner.m_LoseAnswer = true;
+  Fixture.m_Runner.m_LoadTime = 300ms;
+  Fixture.m_Agent->announce(Model, Second, monotonicNow());
+  REQUIRE(Fixture.runUntil([&] { return !Fixture.m_Runner.m_Loads.empty(); }));
+  Fixture.runUntil([] { return false; }, 200ms);
+  CHECK(Fixture.m_Announcer.m_Notices.back() == WeightsAgent::LoadOutage);
+  REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(Second); }));
+  Fixture.runUntil([] { return false; }, 600ms);
+  CHECK(Fixture.m_Announcer.m_Notices.back() == 0s);
+  CHECK(Fixture.m_Runner.m_Loads.size() == 1);
+}
+
 TEST_CASE("an agent that starts again takes what is staged", "[agent]") {
   net::io_context Loop;
   AgentFixture Fixture(Loop);
