Take lost calls as an outage of the store only while it answers no other process

What callers saw: an instance whose own calls to the store were lost counted the bound on older weights anew, up to that bound too late (VERSION), although it was in touch through other instances all the time. The log has weights_bound_restarted then.

Cause: OutageDetector knew only the calls of its own process. Neither did a first failure expire while a process had no reason to ask the store, so that an outage could seem to have begun long before it did.

Fix: instances that pass tables on say until when they knew them, which is when the store answered them. Such a time after the first lost call shows that the store serves.

--- a/src/include/Fescuegauge/StoreOutage.h
+++ b/src/include/Fescuegauge/StoreOutage.h
@@ -29,7 +29,8 @@
 ///
 /// One call that is not answered may be due to its connection alone, which can go silent while new
 /// ones work. An outage is therefore taken as certain only when calls that began after the first
-/// failure went unanswered as well, with no answer in between.
+/// failure went unanswered as well, with no answer in between, and if no other process says that
+/// the store answered it meanwhile.
 class OutageDetector {
 public:
   /// Unanswered calls that began after the first failure.
@@ -37,6 +38,8 @@
 
   void onAnswered() { m_FirstFailureAt.reset(); }
   void onUnanswered(TimePoint BegunAt, TimePoint Now);
+  /// Another process was answered by the store at `At`, and passed on what it learnt.
+  void onOtherAnswered(TimePoint At);
   const StoreOutage &last() const { return m_Last; }
 
 private:
--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -564,6 +564,24 @@
   CHECK(Detector.last().m_Until == at(8s));
 }
 
+// Guards against VERSION: calls that one process lost, hours before an outage or while the store
+// answered others, were counted as part of an outage of the store.
+TEST_CASE("lost calls count towards an outage only while the store answers no one", "[dispatch]") {
+  OutageDetector Detector;
+  Detector.onUnanswered(at(0s), at(1s));
+  Detector.onUnanswered(at(1s), at(2s));
+  // This was known before the first call was lost.
+  Detector.onOtherAnswered(at(500ms));
+  Detector.onOtherAnswered(at(2500ms));
+  Detector.onUnanswered(at(2s), at(3s));
+  Detector.onUnanswered(at(3s), at(4s));
+  CHECK(Detector.last().m_Until == TimePoint());
+  Detector.onOtherAnswered(at(1s));
+  Detector.onUnanswered(at(4s), at(5s));
+  CHECK(Detector.last().m_From == at(2s));
+  CHECK(Detector.last().m_Until == at(5s));
+}
+
 TEST_CASE("events are passed on whole and with their ids", "[dispatch]") {
   EventSplitter Events;
   Events.append("id: 7\ndata: a\n");
