Order a complete version by the bound of its announcement, also after an outage that the agent saw

The cause: OutageDetector sees the calls of one process, and an agent whose link is choked reaches neither the store nor entry instances, so it counted the bound anew. What is gained by waiting after an outage is time for a version that is not complete; a complete one gains nothing. Only the fallback to an older version is still put off by an outage.

The new test failed before: the order came after the bound.

--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -100,8 +100,13 @@
   Task<> load(RunnerReport Report, Target Wanted, std::shared_ptr<Transfer> Version);
   /// When the load is ordered. `IsIdle` if the runner runs no request.
   TimePoint orderTime(const Target &Wanted, const Transfer &Version, bool IsIdle) const;
-  /// When the version that the runner serves ceases to be of use.
-  TimePoint boundOfLoaded(const Target &Wanted) const;
+  /// The oldest announcement that the runner does not meet; it decides until when the version that
+  /// is served is of use.
+  TimePoint oldestUnmet(const Target &Wanted) const;
+  /// When requests may no longer begin on the version that the runner serves.
+  TimePoint boundOfLoaded(const Target &Wanted) const {
+    return oldestUnmet(Wanted) + m_Options.m_Deadline;
+  }
   /// This agent's place in the order in which the agents convert their runners to a version, and
   /// how many there are.
   std::pair<std::size_t, std::size_t> turn(WeightsVersion Version) const;
@@ -316,14 +321,13 @@
   return Loaded == m_Loaded.end() || Loaded->second == WeightsVersion();
 }
 
-TimePoint WeightsAgent::Implementation::boundOfLoaded(const Target &Wanted) const {
-  // The oldest announcement that the runner does not meet decides until when it is of use.
+TimePoint WeightsAgent::Implementation::oldestUnmet(const Target &Wanted) const {
   TimePoint Announced = Wanted.m_AnnouncedAt;
   auto Loaded = m_Loaded.find(Wanted.m_Model);
   for (const auto &[Version, At] : m_AnnouncedAt)
     if (Loaded != m_Loaded.end() && Version > Loaded->second)
       Announced = std::min(Announced, At);
-  return m_Outage.countedFrom(Announced, m_Options.m_Deadline) + m_Options.m_Deadline;
+  return Announced;
 }
 
 std::pair<std::size_t, std::size_t>
@@ -352,7 +356,11 @@
   const TimePoint Now = monotonicNow();
   if (servesNothing(Wanted.m_Model) || !Wanted.m_IsNews)
     return true;
-  const TimePoint Bound = boundOfLoaded(Wanted);
+  // After an outage of the store entry instances use the loaded version for longer, so that the
+  // wanted one has more time. Whether the store or the own link was away is not known here, so a
+  // version that need not be waited for is ordered as if there had been no outage.
+  const TimePoint Bound =
+      m_Outage.countedFrom(oldestUnmet(Wanted), m_Options.m_Deadline) + m_Options.m_Deadline;
   const auto [Rank, Count] = turn(m_Fallback->version());
   const bool IsNext = m_Current && isWanted(*m_Current);
   return Now >= ConversionSchedule::fallbackAt(m_Fallback->m_CompleteAt.value_or(Now), Bound, Rank,
--- a/src/libagent/WeightsAgent_test.cpp
+++ b/src/libagent/WeightsAgent_test.cpp
@@ -1,5 +1,6 @@
 #include "Fescuegauge/Log.h"
 #include "Fescuegauge/ManifestSources.h"
+#include "Fescuegauge/Rendezvous.h"
 #include "Fescuegauge/WeightsAgent.h"
 #include "LoopbackTest.h"
 
@@ -432,6 +433,28 @@
   CHECK(Fixture.m_Runner.holds(Second));
 }
 
+// Guards against a runner that goes on to begin requests on older weights after the bound, because
+// its agent took a choked link for an outage of the store and counted the bound anew.
+TEST_CASE("an agent that lost the store orders a complete version before the bound", "[agent]") {
+  net::io_context Loop;
+  AgentFixture Fixture(Loop);
+  constexpr Duration Deadline = 2500ms;
+  Fixture.m_Agent->setDeadline(Deadline);
+  Fixture.m_Runner.m_Report.m_Loaded[Model] = First;
+  Fixture.m_Runner.m_Report.m_Running = 1;
+  // The own turn is the last one.
+  const std::string Turn = "turn/" + std::to_string(Second.value());
+  std::string Other = "other";
+  while (rendezvousWeight(Turn, Other) < rendezvousWeight(Turn, "127.0.0.1"))
+    Other += "-";
+  Fixture.m_Peers.m_Peers = {Fixture.peer("127.0.0.1", false), Fixture.peer(Other, false)};
+  const TimePoint Start = monotonicNow();
+  Fixture.m_Agent->announce(Model, Second, Start);
+  Fixture.m_Agent->onOutage({Start + 100ms, Start + 2000ms});
+  REQUIRE(Fixture.runUntil([&] { return !Fixture.m_Runner.m_Loads.empty(); }));
+  CHECK(monotonicNow() < Start + Deadline);
+}
+
 // Guards against entry instances that pass a runner over for seconds although nothing is loaded.
 TEST_CASE("a notice stands although the load was not ordered", "[agent]") {
   net::io_context Loop;
