Count the age of a read-back from its first piece

A runner could be ordered to load pieces that had turned bad in the staging area more than 3 s before. An agent orders a load only if the staging area was read back a short time ago, but counted from the end of the read-back: pieces that were read first could be older by the time of the read-back, which is long when the machine is slowed down or the process is stopped meanwhile.

Seen before the change: 'a load is ordered long after the first pieces were read back' loaded "rotten" as piece 0.

The age counts from the start of the read-back. ReadBackValidity is 2.5 s instead of 1.5 s, because it includes the read-back now, and is within the 3 s that are allowed. A load that is given up for this reason is logged.

--- a/src/include/Fescuegauge/WeightsAgent.h
+++ b/src/include/Fescuegauge/WeightsAgent.h
@@ -142,8 +142,10 @@
   /// The list of peers is read again after this time during a transfer, and between transfers.
   static constexpr Duration PeersValidity = std::chrono::seconds(2);
   static constexpr Duration PeersValidityAtRest = std::chrono::seconds(10);
-  /// A staging area that was read back longer ago than this is read again before the order.
-  static constexpr Duration ReadBackValidity = std::chrono::milliseconds(1500);
+  /// A staging area whose first piece was read back longer ago than this is read again before the
+  /// order. What turned bad less than 3 s before the load is not held against the agent; the rest
+  /// of that time is for the order.
+  static constexpr Duration ReadBackValidity = std::chrono::milliseconds(2500);
   /// Announcements whose times are remembered.
   static constexpr std::size_t MaxAnnouncements = 16;
   /// Entry instances are told for how long the runner is out: its running requests, and the load.
--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -95,7 +95,9 @@
   Task<> fetchPieces(std::shared_ptr<Transfer> Version);
   Task<> fetchOne(std::shared_ptr<Transfer> Version, PieceFetch Fetch);
   Task<> followHoldings(std::shared_ptr<Transfer> Version, PiecePeer Peer);
-  Task<bool> verifyStaging(std::shared_ptr<Transfer> Version);
+  /// Writes what is missing and reads the staging area back. Returns when the read-back began;
+  /// nothing unless every piece is good.
+  Task<std::optional<TimePoint>> verifyStaging(std::shared_ptr<Transfer> Version);
   Task<FetchedPiece> fetchBytes(std::shared_ptr<Transfer> Version, PieceFetch Fetch);
   Task<> load(RunnerReport Report, Target Wanted, std::shared_ptr<Transfer> Version);
   /// When the load is ordered. `IsIdle` if the runner runs no request.
@@ -284,15 +286,19 @@
     co_await m_Announcer.announce(LoadOutage);
     co_await sleepFor(NoticeLead);
   }
-  const bool Verified = co_await verifyStaging(Version);
-  if (!Verified || !isLoadable(Version))
+  const std::optional<TimePoint> ReadBackAt = co_await verifyStaging(Version);
+  if (!ReadBackAt || !isLoadable(Version))
     co_return;
-  const TimePoint VerifiedAt = monotonicNow();
   const std::optional<RunnerReport> Fresh = co_await m_Runner.report();
   const bool Unchanged = Fresh && Fresh->m_Incarnation == Report.m_Incarnation &&
                          Fresh->m_OrderCount == Report.m_OrderCount && !Fresh->m_IsBusy;
-  if (!Unchanged || monotonicNow() - VerifiedAt > ReadBackValidity)
+  if (!Unchanged)
     co_return;
+  if (const Duration Age = monotonicNow() - *ReadBackAt; Age > ReadBackValidity) {
+    logEvent(Severity::Warning, "read_back_too_old",
+             {{"model", Wanted.m_Model}, {"version", Version->version()}, {"ageSeconds", Age}});
+    co_return;
+  }
   if (!LoadedWhatWasVerified.check(Version->isComplete(), Wanted.m_Model.str()))
     co_return;
   m_OrderedAt = monotonicNow();
@@ -619,7 +625,8 @@
   m_DigestsDoubted = true;
 }
 
-Task<bool> WeightsAgent::Implementation::verifyStaging(std::shared_ptr<Transfer> Version) {
+Task<std::optional<TimePoint>>
+WeightsAgent::Implementation::verifyStaging(std::shared_ptr<Transfer> Version) {
   const ModelId Model = Version->m_Manifest.m_Model;
   // A write of another version that lands after the read-back would be loaded unchecked.
   while (m_StageWrites > 0)
@@ -629,13 +636,14 @@
     if (Version->m_Staged[Piece])
       continue;
     if (!isLoadable(Version))
-      co_return false;
+      co_return std::nullopt;
     const PieceBytes Kept = Version->m_Pieces[Piece];
     const bool Written = co_await m_Runner.stage(Model, Piece, Kept);
     if (!Written)
-      co_return false;
+      co_return std::nullopt;
     Version->m_Staged[Piece] = true;
   }
+  const TimePoint ReadBackAt = monotonicNow();
   bool AllGood = true;
   for (std::uint32_t Piece = 0; Piece < Version->count() && isLoadable(Version); ++Piece) {
     const std::optional<std::string> Bytes = co_await m_Runner.readStaged(Model, Piece);
@@ -646,8 +654,9 @@
     Version->m_Staged[Piece] = false;
     AllGood = false;
   }
-  AllGood = AllGood && isLoadable(Version);
-  co_return AllGood;
+  if (!AllGood || !isLoadable(Version))
+    co_return std::nullopt;
+  co_return ReadBackAt;
 }
 
 Task<StatusAnswer> WeightsAgent::Implementation::serve(HttpRequest Request) {
--- a/src/libagent/WeightsAgent_test.cpp
+++ b/src/libagent/WeightsAgent_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <catch2/catch.hpp>
 #include <sstream>
+#include <thread>
 #include <utility>
 
 using namespace fescuegauge;
@@ -224,6 +225,24 @@
   checkLoadedWhole(Fixture, First);
 }
 
+// Guards against WHOLE: the pieces that were read first may turn bad while the others are read.
+TEST_CASE("a load is ordered long after the first pieces were read back", "[agent]") {
+  net::io_context Loop;
+  AgentFixture Fixture(Loop);
+  bool HeldUp = false;
+  Fixture.m_Runner.m_OnRead = [&](std::uint32_t Piece) {
+    const bool IsReadBack = Fixture.m_Runner.m_Writes >= static_cast<int>(FakeOrigin::Pieces);
+    if (Piece != 5 || !IsReadBack || std::exchange(HeldUp, true))
+      return;
+    Fixture.m_Runner.m_Staged[0] = "rotten";
+    std::this_thread::sleep_for(WeightsAgent::ReadBackValidity + 100ms);
+  };
+  Fixture.m_Agent->announce(Model, First, std::nullopt);
+  REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(First); }));
+  CHECK(HeldUp);
+  checkLoadedWhole(Fixture, First);
+}
+
 TEST_CASE("a runner that restarts between check and order is loaded anew", "[agent]") {
   net::io_context Loop;
   AgentFixture Fixture(Loop);
