Keep a dropped service's engines subject to the weights bound

A request that arrived under an earlier plan, and waits, is retried or resumed, could go to an engine with weights that were excluded, if a later plan no longer listed the service: the service counted as a plain one from then on, whose upstreams hold no weights.

A service that a plan drops stays known as one of engines while its upstreams are listed.

--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -290,6 +290,15 @@
   CHECK_FALSE(Board->mayStillSend(upstream("u2"), Wanted, at(4s)));
 }
 
+// Guards against VERSION: a request keeps the service of the plan under which it arrived.
+TEST_CASE("older weights are allowed again when a plan drops the service", "[dispatch]") {
+  EngineBoard Board({upstream("u1")});
+  Board->setLeastVersion(Model, WeightsVersion(2));
+  CHECK(Board.place(at(0s)).m_Verdict == PlacementVerdict::NoneUsable);
+  Board->setPlan(RouteTable(RoutingPlan()));
+  CHECK(Board.place(at(0s)).m_Verdict == PlacementVerdict::NoneUsable);
+}
+
 TEST_CASE("an upstream that restarts under its id starts without history", "[dispatch]") {
   UpstreamRecord Again = upstream("u1", 1);
   EngineBoard Board({Again});
--- a/src/libdispatch/UpstreamBoard.cpp
+++ b/src/libdispatch/UpstreamBoard.cpp
@@ -48,7 +48,10 @@
 }
 
 void UpstreamBoard::setPlan(const RouteTable &Plan) {
-  m_Engines.clear();
+  // Requests of an earlier plan still go to a service that the plan drops.
+  std::erase_if(m_Engines, [&](const auto &Each) {
+    return Plan.service(Each.first) || !m_ByService.contains(Each.first);
+  });
   std::map<ServiceId, Duration> LeastTargets;
   for (const Route &Each : Plan.plan().m_Routes)
     for (const ServiceShare &Share : Each.m_Services) {
