Let a restarted instance take the age of a version from those that saw an outage

What another instance tells of a version that was announced before the start now replaces the own time; one that was in touch all the time still tells the older age, which wins. A new test covers both.

--- a/src/include/Fescuegauge/WeightsDeadlines.h
+++ b/src/include/Fescuegauge/WeightsDeadlines.h
@@ -69,6 +69,9 @@
   explicit WeightsDeadlines(Duration Bound) : m_Bound(Bound) {}
 
   void setBound(Duration Bound) { m_Bound = Bound; }
+  /// Of outages before this time only other instances can know. What they tell of a version that
+  /// was announced earlier replaces the time that came with the announcement.
+  void setStart(TimePoint Start) { m_Start = Start; }
   /// A version that is news if `NotBefore` is given: it was announced after that time.
   void onAnnounced(const ModelId &Model, WeightsVersion Version, std::optional<TimePoint> NotBefore,
                    TimePoint Now);
@@ -95,6 +98,8 @@
     TimePoint m_At;
     /// The true age is not known.
     bool m_AgeUnknown = false;
+    /// There may have been an outage since that this instance could not see.
+    bool m_OutagesUnknown = false;
     bool m_IsHeld = false;
   };
 
@@ -105,6 +110,7 @@
   TimePoint enforcedAt(const Announcement &Of) const;
 
   Duration m_Bound;
+  TimePoint m_Start;
   StoreOutage m_Outage;
   std::map<ModelId, std::map<WeightsVersion, Announcement>> m_Announced;
 };
--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -550,6 +550,35 @@
   CHECK(Lines(at(1s)) == LateStarts::MaxLinesPerSecond);
 }
 
+// Guards against refusals for want of new weights at instances that were restarted after an outage:
+// they learnt when the version was announced, and not that the bound counts anew.
+TEST_CASE("a restarted instance counts the bound from the end of an outage that others saw",
+          "[dispatch]") {
+  const WeightsVersion Second(2);
+  const Duration Bound = 12s;
+  const Duration Enforced = Bound - WeightsDeadlines::Margin;
+  WeightsDeadlines Witness(Bound);
+  Witness.onAnnounced(Model, Second, at(0s), at(0s));
+  Witness.onOutage({at(1s), at(8s)});
+
+  WeightsDeadlines Restarted(Bound);
+  Restarted.setStart(at(9s));
+  Restarted.onAnnounced(Model, Second, at(0s), at(9s));
+  CHECK((*Restarted.nextChange(at(9s)) - at(0s)).count() == Enforced.count());
+  // Others that were restarted must not take its age for that of a witness.
+  CHECK(Restarted.known(at(9s)).empty());
+  for (const AnnouncedWeights &Each : Witness.known(at(10s)))
+    Restarted.onTold(Each, at(10s));
+  CHECK((*Restarted.nextChange(at(10s)) - at(8s)).count() == Enforced.count());
+  CHECK(Restarted.known(at(10s)) == Witness.known(at(10s)));
+
+  // One that was in touch all the time knows better.
+  Restarted.onTold({Model, Second, 11s}, at(11s));
+  CHECK((*Restarted.nextChange(at(10s)) - at(0s)).count() == Enforced.count());
+  Restarted.onTold({Model, Second, 3s}, at(11s));
+  CHECK((*Restarted.nextChange(at(10s)) - at(0s)).count() == Enforced.count());
+}
+
 // Guards against a silent connection that is taken for an outage of the store.
 TEST_CASE("an outage is certain when new calls go unanswered too", "[dispatch]") {
   const auto HasOutage = [](const OutageDetector &Each) {
--- a/src/libdispatch/WeightsDeadlines.cpp
+++ b/src/libdispatch/WeightsDeadlines.cpp
@@ -11,6 +11,7 @@
   if (IsNew) {
     Entry->second.m_At = NotBefore.value_or(Now);
     Entry->second.m_AgeUnknown = !NotBefore;
+    Entry->second.m_OutagesUnknown = NotBefore && *NotBefore < m_Start;
   }
   while (Versions.size() > MaxVersions)
     Versions.erase(Versions.begin());
@@ -22,7 +23,7 @@
   Announcement &Own = Entry->second;
   const TimePoint At = Now - Known.m_Age;
   std::optional<AgeChange> Change;
-  if (IsNew || Own.m_AgeUnknown || At < Own.m_At) {
+  if (IsNew || Own.m_AgeUnknown || Own.m_OutagesUnknown || At < Own.m_At) {
     Change.emplace();
     Change->m_IsNewVersion = IsNew;
     if (!IsNew && !Own.m_AgeUnknown)
@@ -30,6 +31,7 @@
     Own.m_At = At;
   }
   Own.m_AgeUnknown = false;
+  Own.m_OutagesUnknown = false;
   while (Versions.size() > MaxVersions)
     Versions.erase(Versions.begin());
   return Versions.contains(Known.m_Version) ? Change : std::nullopt;
@@ -92,7 +94,7 @@
   std::vector<AnnouncedWeights> Result;
   for (const auto &[Model, Versions] : m_Announced)
     for (const auto &[Version, Entry] : Versions)
-      if (!Entry.m_AgeUnknown)
+      if (!Entry.m_AgeUnknown && !Entry.m_OutagesUnknown)
         Result.push_back({Model, Version, Now - countedFrom(Entry)});
   return Result;
 }
