--- a/src/libdispatch/UpstreamBoard.cpp
+++ b/src/libdispatch/UpstreamBoard.cpp
@@ -221,7 +221,8 @@
     return false;
   const UpstreamRecord &Record = Found->second.m_Record;
   return Record.start() == Placed.start() && Record.m_Address == Placed.m_Address &&
-         Record.m_Service == Request.m_Service && isEligible(Record, Request, leastVersion(Request, Now), Now) &&
+         Record.m_Service == Request.m_Service &&
+         isEligible(Record, Request, leastVersion(Request, Now), Now) &&
          !m_Statements.wantsPause(Record.start(), Now);
 }
 
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -577,7 +577,8 @@
 }
 
 void RequestExchange::withdraw() {
-  m_Withdrawn = true;
+  if (std::exchange(m_Withdrawn, true))
+    return;
   m_Current->cancel();
   m_Core.countAttempt("withdrawn");
   if (m_Core.mayLog(true))
