Expect the wait of a request by the engine that it goes to, and only from waits that were observed

The wait was expected from all engines of the service, where the slow one hardly counts. Now the waits at the engine itself count as well, for 5 s, and the longer estimate decides.

Only waits count now, up to 4 s, and those of the service grow shorter with the time since the last one, as queues drain. Plain answers are no longer withdrawn, since their head does not show when they began; a head without an event no longer binds a stream to its weights.

--- a/src/include/Fescuegauge/UnstartedRequests.h
+++ b/src/include/Fescuegauge/UnstartedRequests.h
@@ -27,8 +27,13 @@
 
   /// A request for `Model` is sent to `Upstream`.
   UnstartedNumber add(const ModelId &Model, const UpstreamRecord &Upstream, TimePoint Now);
-  /// The request began, or will not begin any more. Returns how long it waited.
-  Duration remove(UnstartedNumber Number, TimePoint Now);
+  /// Where a request waited, and for how long.
+  struct Wait {
+    InstanceId m_Upstream;
+    Duration m_Length{0};
+  };
+  /// The request began, or will not begin any more. Nothing if it is not known.
+  std::optional<Wait> remove(UnstartedNumber Number, TimePoint Now);
 
   /// The requests that must be withdrawn by now. One whose upstream has newer weights by now, as
   /// `Board` shows it, will begin on these.
--- a/src/include/Fescuegauge/UpstreamBoard.h
+++ b/src/include/Fescuegauge/UpstreamBoard.h
@@ -159,6 +159,11 @@
   /// The share of a new wait in the mean and the mean deviation is 1 in this many.
   static constexpr int MeanSamples = 8;
   static constexpr int DeviationSamples = 4;
+  /// What was observed at one upstream counts for this long after the last request there.
+  static constexpr Duration StartWaitLifetime = std::chrono::seconds(5);
+  /// Longer waits count as this one: a request that runs into its deadline at an engine that is cut
+  /// off says nothing of the queues of the others.
+  static constexpr Duration LongestStartWait = std::chrono::seconds(4);
   /// The part of the target latency in which an engine is to finish the pass that runs when a
   /// request comes, and the one in which it reads the prompt. DispatchQueue may use the rest.
   static constexpr double ReadShare = 0.7;
@@ -173,7 +178,7 @@
   /// Requests for `Model` go only to upstreams that hold at least this version.
   void setLeastVersion(const ModelId &Model, WeightsVersion Least) { m_Least[Model] = Least; }
   /// Requests for `Model` may not begin on weights older than these after their bounds. One that
-  /// is expected to begin later goes to no such upstream; see onStartWait().
+  /// is expected to begin later goes to no such upstream; see onStarted().
   void setWeightsBounds(const ModelId &Model, std::vector<WeightsBound> Bounds) {
     m_Bounds[Model] = std::move(Bounds);
   }
@@ -194,9 +199,12 @@
   /// `UnreadTokens` are those of its prompt if it had no event.
   void onEnded(const InstanceId &Upstream, DispatchResult Result, std::uint32_t UnreadTokens,
                TimePoint Now);
-  /// An engine of the service began a request this long after it was sent, or had not when the
-  /// request was given up.
-  void onStartWait(const ServiceId &Service, Duration Wait) { m_StartWaits[Service].add(Wait); }
+  /// An engine of the service began a request this long after it was sent.
+  void onStarted(const ServiceId &Service, const InstanceId &Upstream, Duration Wait,
+                 TimePoint Now);
+  /// A request was given up that an engine of the service had not begun for this long.
+  void onStartGivenUp(const ServiceId &Service, const InstanceId &Upstream, Duration Wait,
+                      TimePoint Now);
   /// Bytes of an answer arrived.
   void onProgress(const InstanceId &Upstream, TimePoint Now);
   /// The pause between two events of a stream.
@@ -245,14 +253,27 @@
   /// The wait for an engine to begin a request, estimated as TCP estimates round-trip times.
   class StartWait {
   public:
-    void add(Duration Wait);
-    /// Most waits are shorter than this; 0 if none was observed.
-    Duration expected() const { return m_Mean + DeviationFactor * m_Deviation; }
+    /// A request began after this wait.
+    void add(Duration Wait, TimePoint Now);
+    /// A request was given up after this wait; says something only if it was a long one.
+    void addGivenUp(Duration Wait, TimePoint Now) {
+      if (Wait > m_Mean)
+        add(Wait, Now);
+    }
+    /// Most waits in queues are shorter than this; 0 if none was observed. A queue that gets no
+    /// requests drains, so the wait grows shorter while none is observed.
+    Duration inQueue(TimePoint Now) const;
+    /// The same for what does not drain, as a slow link; 0 if none was observed lately.
+    Duration onTheWay(TimePoint Now) const;
 
   private:
+    Duration observed() const {
+      return std::min(m_Mean + DeviationFactor * m_Deviation, LongestStartWait);
+    }
+
     Duration m_Mean{0};
     Duration m_Deviation{0};
-    bool m_IsKnown = false;
+    std::optional<TimePoint> m_LastAt;
   };
   struct State {
     UpstreamRecord m_Record;
@@ -262,6 +283,7 @@
     int m_FailuresInRow = 0;
     int m_RejectionsInRow = 0;
     LeastGap m_EventGap;
+    StartWait m_StartWait;
     /// What the other entry instances have there, as last told.
     UpstreamUse m_Others;
     TimePoint m_LoadingUntil;
@@ -276,14 +298,16 @@
     std::optional<double> m_ReadBudget;
   };
 
-  /// Whether the upstream may be given requests of this kind, now or later. `Least` is the version
-  /// that it must hold for the request.
-  bool isEligible(const UpstreamRecord &Record, const PlacementRequest &Request,
-                  WeightsVersion Least, TimePoint Now) const;
+  /// Whether the upstream may be given requests of this kind, now or later.
+  bool isEligible(const State &Upstream, const PlacementRequest &Request, TimePoint Now) const;
+  /// `Least` is the version that the upstream must hold for the request.
   bool holdsWeights(const UpstreamRecord &Record, const PlacementRequest &Request,
                     WeightsVersion Least) const;
-  /// The version that upstreams must hold for a request that is sent now.
-  WeightsVersion leastVersion(const PlacementRequest &Request, TimePoint Now) const;
+  /// The version that this upstream must hold for a request that is sent now. The wait there is
+  /// expected from those at the service's engines, where queues are alike, and from those at this
+  /// one, whose link may be slow.
+  WeightsVersion leastVersion(const PlacementRequest &Request, const State &At,
+                              TimePoint Now) const;
   static bool isLoading(const State &Upstream, TimePoint Now);
   static double inFlight(const State &Upstream) {
     return Upstream.m_Own.m_Requests + Upstream.m_Others.m_Requests;
--- a/src/libdispatch/UnstartedRequests.cpp
+++ b/src/libdispatch/UnstartedRequests.cpp
@@ -11,13 +11,12 @@
   return m_Last;
 }
 
-Duration UnstartedRequests::remove(UnstartedNumber Number, TimePoint Now) {
-  const auto Found = m_Entries.find(Number);
-  if (Found == m_Entries.end())
-    return Duration(0);
-  const Duration Waited = Now - Found->second.m_SentAt;
-  m_Entries.erase(Found);
-  return Waited;
+std::optional<UnstartedRequests::Wait> UnstartedRequests::remove(UnstartedNumber Number,
+                                                                 TimePoint Now) {
+  const auto Removed = m_Entries.extract(Number);
+  if (Removed.empty())
+    return std::nullopt;
+  return Wait{Removed.mapped().m_Upstream, Now - Removed.mapped().m_SentAt};
 }
 
 std::vector<UnstartedNumber> UnstartedRequests::overdue(const UpstreamBoard &Board,
--- a/src/libdispatch/UpstreamBoard.cpp
+++ b/src/libdispatch/UpstreamBoard.cpp
@@ -95,10 +95,12 @@
   return Result;
 }
 
-WeightsVersion UpstreamBoard::leastVersion(const PlacementRequest &Request, TimePoint Now) const {
-  const auto Wait = m_StartWaits.find(Request.m_Service);
-  const Duration Expected = Wait == m_StartWaits.end() ? Duration(0) : Wait->second.expected();
-  const WeightsVersion Bounded = boundedVersion(Request.m_Model, Now + Expected);
+WeightsVersion UpstreamBoard::leastVersion(const PlacementRequest &Request, const State &At,
+                                           TimePoint Now) const {
+  Duration Wait = At.m_StartWait.onTheWay(Now);
+  if (const auto OfService = m_StartWaits.find(Request.m_Service); OfService != m_StartWaits.end())
+    Wait = std::max(Wait, OfService->second.inQueue(Now));
+  const WeightsVersion Bounded = boundedVersion(Request.m_Model, Now + Wait);
   const auto Least = m_Least.find(Request.m_Model);
   return Least == m_Least.end() ? Bounded : std::max(Bounded, Least->second);
 }
@@ -149,16 +151,25 @@
   return std::min(*m_InWindow, *m_Before);
 }
 
-void UpstreamBoard::StartWait::add(Duration Wait) {
-  if (!m_IsKnown) {
-    m_IsKnown = true;
+void UpstreamBoard::StartWait::add(Duration Wait, TimePoint Now) {
+  Wait = std::min(Wait, LongestStartWait);
+  if (m_LastAt) {
+    const Duration Difference = Wait - m_Mean;
+    m_Mean += Difference / MeanSamples;
+    m_Deviation += (std::chrono::abs(Difference) - m_Deviation) / DeviationSamples;
+  } else {
     m_Mean = Wait;
     m_Deviation = Wait / 2;
-    return;
   }
-  const Duration Difference = Wait - m_Mean;
-  m_Mean += Difference / MeanSamples;
-  m_Deviation += (std::chrono::abs(Difference) - m_Deviation) / DeviationSamples;
+  m_LastAt = Now;
+}
+
+Duration UpstreamBoard::StartWait::inQueue(TimePoint Now) const {
+  return m_LastAt ? std::max(observed() - (Now - *m_LastAt), Duration(0)) : Duration(0);
+}
+
+Duration UpstreamBoard::StartWait::onTheWay(TimePoint Now) const {
+  return m_LastAt && Now - *m_LastAt <= StartWaitLifetime ? observed() : Duration(0);
 }
 
 std::optional<Duration> UpstreamBoard::leastGap(const ServiceId &Service) const {
@@ -208,10 +219,11 @@
   return Found == m_Upstreams.end() || isSilent(Found->second, Now);
 }
 
-bool UpstreamBoard::isEligible(const UpstreamRecord &Record, const PlacementRequest &Request,
-                               WeightsVersion Least, TimePoint Now) const {
+bool UpstreamBoard::isEligible(const State &Upstream, const PlacementRequest &Request,
+                               TimePoint Now) const {
+  const UpstreamRecord &Record = Upstream.m_Record;
   return !Record.m_Leaving && !m_Statements.isLeaving(Record.start(), Now) &&
-         holdsWeights(Record, Request, Least);
+         holdsWeights(Record, Request, leastVersion(Request, Upstream, Now));
 }
 
 bool UpstreamBoard::mayStillSend(const UpstreamRecord &Placed, const PlacementRequest &Request,
@@ -221,8 +233,7 @@
     return false;
   const UpstreamRecord &Record = Found->second.m_Record;
   return Record.start() == Placed.start() && Record.m_Address == Placed.m_Address &&
-         Record.m_Service == Request.m_Service &&
-         isEligible(Record, Request, leastVersion(Request, Now), Now) &&
+         Record.m_Service == Request.m_Service && isEligible(Found->second, Request, Now) &&
          !m_Statements.wantsPause(Record.start(), Now);
 }
 
@@ -234,7 +245,6 @@
   const std::optional<Duration> LeastOfService = leastGap(Request.m_Service);
   const auto Engines = m_Engines.find(Request.m_Service);
   const Engine *OfRequest = Engines == m_Engines.end() ? nullptr : &Engines->second;
-  const WeightsVersion Least = leastVersion(Request, Now);
   const State *Best = nullptr;
   const State *LastResort = nullptr;
   int BestTier = 0;
@@ -243,7 +253,7 @@
   for (const State *Each : OfService->second) {
     const State &Entry = *Each;
     const UpstreamRecord &Record = Entry.m_Record;
-    if (!isEligible(Record, Request, Least, Now) ||
+    if (!isEligible(Entry, Request, Now) ||
         std::find(Request.m_Tried.begin(), Request.m_Tried.end(), Record.m_Id) !=
             Request.m_Tried.end())
       continue;
@@ -343,6 +353,20 @@
   }
 }
 
+void UpstreamBoard::onStarted(const ServiceId &Service, const InstanceId &Upstream, Duration Wait,
+                              TimePoint Now) {
+  m_StartWaits[Service].add(Wait, Now);
+  if (auto Found = m_Upstreams.find(Upstream); Found != m_Upstreams.end())
+    Found->second.m_StartWait.add(Wait, Now);
+}
+
+void UpstreamBoard::onStartGivenUp(const ServiceId &Service, const InstanceId &Upstream,
+                                   Duration Wait, TimePoint Now) {
+  m_StartWaits[Service].addGivenUp(Wait, Now);
+  if (auto Found = m_Upstreams.find(Upstream); Found != m_Upstreams.end())
+    Found->second.m_StartWait.addGivenUp(Wait, Now);
+}
+
 const UpstreamRecord *UpstreamBoard::find(const InstanceId &Upstream) const {
   auto Found = m_Upstreams.find(Upstream);
   return Found == m_Upstreams.end() ? nullptr : &Found->second.m_Record;
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -173,10 +173,16 @@
   return Number;
 }
 
-void GatewayCore::endUnstarted(UnstartedNumber Number, const ServiceId &Service) {
-  if (m_OnWithdraw.erase(Number) == 0)
+void GatewayCore::endUnstarted(UnstartedNumber Number, const ServiceId &Service, UnstartedEnd How) {
+  m_OnWithdraw.erase(Number);
+  const TimePoint Now = monotonicNow();
+  const auto Wait = m_Unstarted.remove(Number, Now);
+  if (!Wait)
     return;
-  m_Board.onStartWait(Service, m_Unstarted.remove(Number, monotonicNow()));
+  if (How == UnstartedEnd::Started)
+    m_Board.onStarted(Service, Wait->m_Upstream, Wait->m_Length, Now);
+  else if (How == UnstartedEnd::GivenUp)
+    m_Board.onStartGivenUp(Service, Wait->m_Upstream, Wait->m_Length, Now);
 }
 
 void GatewayCore::withdrawOverdue() {
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -97,8 +97,15 @@
   /// any more; the request counts as unstarted until endUnstarted().
   UnstartedNumber addUnstarted(const ModelId &Model, const UpstreamRecord &Upstream,
                                std::function<void()> OnWithdraw);
-  /// The request has begun, or ended without.
-  void endUnstarted(UnstartedNumber Number, const ServiceId &Service);
+  /// How an unstarted request ended.
+  enum class UnstartedEnd {
+    Started,
+    /// The upstream had the request and had not begun it.
+    GivenUp,
+    /// The request was not sent, or was rejected at once; says nothing of the wait.
+    NoWait,
+  };
+  void endUnstarted(UnstartedNumber Number, const ServiceId &Service, UnstartedEnd How);
 
   /// Requests in flight at an upstream, for when it crashes.
   void addRunning(const InstanceId &Upstream, const SuspectKey &Key);
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -267,6 +267,9 @@
   m_MoveTo.reset();
   m_PauseAsked = false;
   m_Withdrawn = false;
+  // A head without an event binds the caller to nothing.
+  if (!m_HeadSent)
+    m_StreamVersion.reset();
   auto Sent = std::make_shared<UpstreamExchange>(m_Core.pool(), m_Core.headers(),
                                                  upstreamRequest(To), m_RequestId);
   m_Current = Sent;
@@ -278,11 +281,13 @@
   m_AnsweredWeights.reset();
   checkStall();
   m_Core.addRunning(To.m_Id, m_SuspectKey);
+  // The head of a plain answer comes when the run ends, so only a stream shows that it has begun.
   const ServicePlan *Service = m_Plan->service(m_Service);
-  if (Service && Service->m_Engine && !m_Model.empty())
+  if (Service && Service->m_Engine && !m_Model.empty() && isStream(m_Route->m_Kind))
     m_Unstarted = m_Core.addUnstarted(m_Model, To, [this] { withdraw(); });
   const AttemptEnd End = co_await receive(Chosen, *Sent);
-  endUnstarted();
+  const bool WasGivenUp = End == AttemptEnd::Failed || End == AttemptEnd::Interrupted;
+  endUnstarted(WasGivenUp ? GatewayCore::UnstartedEnd::GivenUp : GatewayCore::UnstartedEnd::NoWait);
   m_StallAlarm.cancel();
   m_Current.reset();
   const bool Moved = End == AttemptEnd::Failed && m_MoveTo.has_value();
@@ -293,7 +298,8 @@
   Sent->finish();
 
   DispatchResult Result = DispatchResult::Failed;
-  if (isInterrupted() || m_Withdrawn || End == AttemptEnd::NoLongerUsable)
+  if (isInterrupted() || (m_Withdrawn && End == AttemptEnd::Failed) ||
+      End == AttemptEnd::NoLongerUsable)
     Result = DispatchResult::Abandoned;
   else if (End == AttemptEnd::Delivered || End == AttemptEnd::AnsweredFailure)
     Result = DispatchResult::Answered;
@@ -519,7 +525,7 @@
 void RequestExchange::noteStart() {
   m_StartAfter = m_LastByteAt - m_DispatchedAt;
   m_Core.observeStart(kindName(), *m_StartAfter);
-  endUnstarted();
+  endUnstarted(GatewayCore::UnstartedEnd::Started);
 }
 
 void RequestExchange::checkWeightsBound(const UpstreamExchange &Sent) {
@@ -590,9 +596,9 @@
               {"sinceDispatchSeconds", monotonicNow() - m_DispatchedAt}});
 }
 
-void RequestExchange::endUnstarted() {
+void RequestExchange::endUnstarted(GatewayCore::UnstartedEnd How) {
   if (m_Unstarted)
-    m_Core.endUnstarted(*std::exchange(m_Unstarted, std::nullopt), m_Service);
+    m_Core.endUnstarted(*std::exchange(m_Unstarted, std::nullopt), m_Service, How);
 }
 
 void RequestExchange::checkStall() {
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -107,7 +107,7 @@
   /// The request must not begin at its upstream any more, because the weights there are too old.
   void withdraw();
   /// The upstream has begun the request, or the attempt ended before.
-  void endUnstarted();
+  void endUnstarted(GatewayCore::UnstartedEnd How);
   void noteFirstByte();
   /// The first event of the current attempt came, or the head of a plain answer.
   void noteStart();
