Take the wait at an engine where none was observed for a long one

An engine with older weights where an instance has seen no start for 5 s now gets nothing from it in the last 2.5 s before the bound.

--- a/src/include/Fescuegauge/UpstreamBoard.h
+++ b/src/include/Fescuegauge/UpstreamBoard.h
@@ -161,6 +161,9 @@
   static constexpr int DeviationSamples = 4;
   /// What was observed at one upstream counts for this long after the last request there.
   static constexpr Duration StartWaitLifetime = std::chrono::seconds(5);
+  /// The wait at an upstream where none was observed: requests are up to 1.7 s on the way over a
+  /// squeezed link, and some more in a queue.
+  static constexpr Duration UnknownStartWait = std::chrono::milliseconds(2500);
   /// Longer waits count as this one: a request that runs into its deadline at an engine that is cut
   /// off says nothing of the queues of the others.
   static constexpr Duration LongestStartWait = std::chrono::seconds(4);
@@ -263,7 +266,8 @@
     /// Most waits in queues are shorter than this; 0 if none was observed. A queue that gets no
     /// requests drains, so the wait grows shorter while none is observed.
     Duration inQueue(TimePoint Now) const;
-    /// The same for what does not drain, as a slow link; 0 if none was observed lately.
+    /// The same for what does not drain, as a slow link; UnknownStartWait if none was observed
+    /// lately.
     Duration onTheWay(TimePoint Now) const;
 
   private:
--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -209,8 +209,9 @@
           "[dispatch]") {
   EngineBoard Board({upstream("u1")});
   Board->setWeightsBounds(Model, {{WeightsVersion(2), at(10s)}});
+  Board->onStarted(Service, InstanceId("u1"), 200ms, at(6s));
   CHECK(Board.place(at(9s)).m_Verdict == PlacementVerdict::Placed);
-  for (int I = 0; I < 20; ++I)
+  for (int I = 0; I < 80; ++I)
     Board->onStarted(Service, InstanceId("u9"), 3s, at(6500ms));
   CHECK(Board.place(at(6500ms)).m_Verdict == PlacementVerdict::Placed);
   Board->onStarted(Service, InstanceId("u9"), 3s, at(7s));
@@ -238,9 +239,11 @@
   }
   CHECK(Board.place(at(8500ms), {InstanceId("u2")}).m_Verdict == PlacementVerdict::NoneUsable);
   CHECK(Board.place(at(8500ms)).m_Upstream.m_Id.str() == "u2");
-  // What was seen there long ago says nothing any more.
-  Board->setWeightsBounds(Model, {{WeightsVersion(2), at(14s)}});
-  CHECK(Board.place(at(12500ms), {InstanceId("u2")}).m_Verdict == PlacementVerdict::Placed);
+  // What was seen long ago says nothing any more, and nothing is not taken for a short wait.
+  Board->setWeightsBounds(Model, {{WeightsVersion(2), at(20s)}});
+  const Duration Unknown = UpstreamBoard::UnknownStartWait;
+  CHECK(Board.place(at(20s) - Unknown - 1ms).m_Verdict == PlacementVerdict::Placed);
+  CHECK(Board.place(at(20s) - Unknown).m_Verdict == PlacementVerdict::NoneUsable);
 }
 
 // Guards against instances that refuse callers for long before the bound, because requests timed
@@ -249,6 +252,7 @@
           "[dispatch]") {
   EngineBoard Board({upstream("u1")});
   Board->setWeightsBounds(Model, {{WeightsVersion(2), at(13s)}});
+  Board->onStarted(Service, InstanceId("u1"), 200ms, at(5s));
   for (int I = 0; I < 5; ++I)
     Board->onStartGivenUp(Service, InstanceId("u9"), 30s, at(5s));
   CHECK(Board.place(at(13s) - UpstreamBoard::LongestStartWait - 1ms).m_Verdict ==
@@ -256,6 +260,7 @@
   // The queues that made requests wait until 12 s at 8 s have drained by then.
   for (int I = 0; I < 40; ++I)
     Board->onStarted(Service, InstanceId("u9"), 4s, at(8s));
+  Board->onStarted(ServiceId("other"), InstanceId("u1"), 200ms, at(8s));
   CHECK(Board.place(at(9s) + 1ms).m_Verdict == PlacementVerdict::Placed);
   CHECK(Board.place(at(12500ms)).m_Verdict == PlacementVerdict::Placed);
   Board->onStarted(Service, InstanceId("u9"), 4s, at(9500ms));
--- a/src/libdispatch/UpstreamBoard.cpp
+++ b/src/libdispatch/UpstreamBoard.cpp
@@ -169,7 +169,7 @@
 }
 
 Duration UpstreamBoard::StartWait::onTheWay(TimePoint Now) const {
-  return m_LastAt && Now - *m_LastAt <= StartWaitLifetime ? observed() : Duration(0);
+  return m_LastAt && Now - *m_LastAt <= StartWaitLifetime ? observed() : UnknownStartWait;
 }
 
 std::optional<Duration> UpstreamBoard::leastGap(const ServiceId &Service) const {
