--- a/src/libdispatch/WeightsBound_test.cpp
+++ b/src/libdispatch/WeightsBound_test.cpp
@@ -50,13 +50,21 @@
   static constexpr std::size_t Engines = 16;
   static constexpr std::size_t MostWaitingAtEngine = 16;
   /// The engines have capacity for about 100.
-  static constexpr double RequestsPerSecond = 300;
+  static constexpr double HeavyLoad = 300;
+  static constexpr double LightLoad = 80;
   static constexpr Duration Bound = 10s;
   static constexpr TimePoint AnnouncedAt = TimePoint(4s);
   static constexpr TimePoint BoundAt = AnnouncedAt + Bound;
   static constexpr TimePoint End = BoundAt + 5s;
 
-  explicit WeightsBoundReplay(std::uint64_t Seed) : m_Random(Seed), m_LastSentBeforeBound(Engines) {
+  /// With slow links, requests and closes are SlowDelay on the way to two engines that do not
+  /// convert, in the last seconds before the bound.
+  enum class Links { Fast, TwoSlow };
+
+  explicit WeightsBoundReplay(std::uint64_t Seed, double RequestsPerSecond = HeavyLoad,
+                              Links Kind = Links::Fast)
+      : m_Random(Seed), m_RequestsPerSecond(RequestsPerSecond), m_Links(Kind),
+        m_LastSentBeforeBound(Engines) {
     for (std::size_t I = 0; I < Engines; ++I) {
       UpstreamRecord Record;
       Record.m_Id = InstanceId("u" + std::to_string(I));
@@ -92,7 +100,7 @@
         m_Engines[I].advance(m_Now, [&](const EngineModel::Event &Each, TimePoint At) {
           onEngineEvent(I, Each, At);
         });
-      for (Due += RequestsPerSecond * toSeconds(Step); Due >= 1; --Due)
+      for (Due += m_RequestsPerSecond * toSeconds(Step); Due >= 1; --Due)
         arrive();
       for (Entry &Each : m_Entries) {
         for (const RunNumber Number : enforceBound(Each))
@@ -131,6 +139,8 @@
   /// The longest time that a message takes, and an announcement.
   static constexpr Duration LongestDelay = 60ms;
   static constexpr Duration LongestNotice = 30ms;
+  static constexpr Duration SlowDelay = 1600ms;
+  static constexpr Duration SlowFor = 2s;
 
   struct Entry {
     Entry(std::size_t Index, std::uint64_t Seed)
@@ -155,6 +165,8 @@
     TimePoint m_SentAt;
     bool m_HasBegun = false;
     bool m_HasEnded = false;
+    /// The close has reached the engine.
+    bool m_IsClosed = false;
     std::optional<UnstartedNumber> m_Unstarted = std::nullopt;
   };
 
@@ -218,6 +230,16 @@
   }
   void send(std::function<void()> Action) { later(randomUpTo(LongestDelay), std::move(Action)); }
 
+  /// The same for what goes to an engine. Nothing overtakes what was sent to it before.
+  void sendToEngine(std::size_t Engine, std::function<void()> Action) {
+    const bool IsSlow = m_Links == Links::TwoSlow && (Engine == 1 || Engine == 3) &&
+                        m_Now >= BoundAt - SlowFor && m_Now < BoundAt;
+    if (IsSlow)
+      later(SlowDelay, std::move(Action));
+    else
+      send(std::move(Action));
+  }
+
   void report(Entry &From) {
     for (Entry &Each : m_Entries)
       if (&Each != &From && chance(m_Random, ReportReach))
@@ -285,8 +307,9 @@
     Of.m_Entry->m_Queue.onPlaced(Service, m_Now);
     if (m_Now <= BoundAt)
       m_LastSentBeforeBound[Index] = m_Now;
-    send([this, Sent, Request = EngineModel::Request{Sent, Of.m_PromptTokens, Of.m_AnswerTokens}] {
-      if (!m_Runs.at(Sent).m_HasEnded && !m_Engines[m_Runs.at(Sent).m_Engine].submit(Request))
+    const EngineModel::Request Request{Sent, Of.m_PromptTokens, Of.m_AnswerTokens};
+    sendToEngine(Index, [this, Sent, Request] {
+      if (!m_Runs.at(Sent).m_IsClosed && !m_Engines[m_Runs.at(Sent).m_Engine].submit(Request))
         send([this, Sent] { finish(Sent, DispatchResult::Rejected); });
     });
     return true;
@@ -328,11 +351,16 @@
     const Run &Of = m_Runs.at(Number);
     ++m_TakenBack;
     finish(Number, DispatchResult::Abandoned);
-    send([this, Number, Index = Of.m_Engine] { m_Engines[Index].withdraw(Number); });
+    sendToEngine(Of.m_Engine, [this, Number, Index = Of.m_Engine] {
+      m_Runs.at(Number).m_IsClosed = true;
+      m_Engines[Index].withdraw(Number);
+    });
     findPlace(Of.m_Call);
   }
 
   RandomGenerator m_Random;
+  double m_RequestsPerSecond;
+  Links m_Links;
   TimePoint m_Now;
   std::multimap<TimePoint, std::function<void()>> m_Messages;
   std::vector<UpstreamRecord> m_Records;
@@ -363,6 +391,18 @@
   CHECK(Replay.begunLate() == 0);
 }
 
+// The same load. Guards against requests that reach an engine over a slow link after the bound,
+// with their close behind them.
+TEST_CASE("no request begins on older weights after the bound over a link that became slow",
+          "[dispatch][known-red]") {
+  const std::uint64_t Seed = GENERATE(1, 2, 3);
+  WeightsBoundReplay Replay(Seed, WeightsBoundReplay::LightLoad,
+                            WeightsBoundReplay::Links::TwoSlow);
+  Replay.run();
+  CAPTURE(Seed, Replay.takenBack());
+  CHECK(Replay.begunLate() == 0);
+}
+
 // The same load. Guards against engines that stand idle long before the bound.
 TEST_CASE("engines with older weights are given work until shortly before the bound",
           "[dispatch]") {
