--- a/src/include/Fescuegauge/HttpCaller.h
+++ b/src/include/Fescuegauge/HttpCaller.h
@@ -29,6 +29,8 @@
   HttpResponse m_Response;
   /// Why there is no answer.
   std::string m_Reason;
+  /// Bytes of the body that came, also if the answer did not come whole.
+  std::size_t m_BodyBytes = 0;
 
   bool isAnswered() const { return m_Kind == Kind::Answered; }
   /// 0 without an answer.
--- a/src/include/Fescuegauge/LateStarts.h
+++ b/src/include/Fescuegauge/LateStarts.h
@@ -1,6 +1,7 @@
 #ifndef FESCUEGAUGE_LATESTARTS_H
 #define FESCUEGAUGE_LATESTARTS_H
 
+#include "Fescuegauge/LineLimit.h"
 #include "Fescuegauge/WeightsDeadlines.h"
 
 #include <map>
@@ -29,12 +30,11 @@
   std::optional<LateStart> judge(const ModelId &Model, WeightsVersion Version,
                                  TimePoint StartedAt) const;
   /// Whether a line may be written now.
-  bool mayLog(TimePoint Now);
+  bool mayLog(TimePoint Now) { return m_Lines.take(Now); }
 
 private:
   std::map<ModelId, std::vector<WeightsBound>> m_Bounds;
-  TimePoint m_LogSecond;
-  std::uint32_t m_Lines = 0;
+  LineLimit m_Lines{MaxLinesPerSecond};
 };
 
 } // namespace fescuegauge
--- /dev/null
+++ b/src/include/Fescuegauge/LineLimit.h
@@ -0,0 +1,32 @@
+#ifndef FESCUEGAUGE_LINELIMIT_H
+#define FESCUEGAUGE_LINELIMIT_H
+
+#include "Fescuegauge/Units.h"
+
+#include <cstdint>
+
+namespace fescuegauge {
+
+/// Bounds the lines that are written to the log about one kind of event in each second.
+class LineLimit {
+public:
+  explicit LineLimit(std::uint32_t PerSecond) : m_PerSecond(PerSecond) {}
+
+  /// Whether a line may be written now.
+  bool take(TimePoint Now) {
+    if (Now - m_Second >= std::chrono::seconds(1)) {
+      m_Second = Now;
+      m_Lines = 0;
+    }
+    return m_Lines++ < m_PerSecond;
+  }
+
+private:
+  std::uint32_t m_PerSecond;
+  TimePoint m_Second;
+  std::uint32_t m_Lines = 0;
+};
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_LINELIMIT_H
--- a/src/libdispatch/LateStarts.cpp
+++ b/src/libdispatch/LateStarts.cpp
@@ -25,12 +25,4 @@
   return Result;
 }
 
-bool LateStarts::mayLog(TimePoint Now) {
-  if (Now - m_LogSecond >= std::chrono::seconds(1)) {
-    m_LogSecond = Now;
-    m_Lines = 0;
-  }
-  return m_Lines++ < MaxLinesPerSecond;
-}
-
 } // namespace fescuegauge
--- a/src/libgateway/HttpCaller.cpp
+++ b/src/libgateway/HttpCaller.cpp
@@ -65,6 +65,7 @@
     ReadError = BodyError;
   }
   Limit.cancel();
+  Result.m_BodyBytes = Parser.get().body().size();
   if (ReadError) {
     Result.m_Reason = TimedOut ? "timeout" : ReadError.message();
     Connection->close();
