Follow changes of the plan past sources that are cut off, silent or crowded

Cause: an instance waited at one source without knowing how stale it was, and read the whole table again after every loss, agents too, over the links whose crowding was the reason for the loss; the two tables shared one turn for calls while the store failed. Ruled out: processor, store. Instances now tell each other the newest change they know and since when it is confirmed; TableNews decides whom to ask.

--- a/src/include/Fescuegauge/AsioTypes.h
+++ b/src/include/Fescuegauge/AsioTypes.h
@@ -81,6 +81,14 @@
 /// that coroutine.
 void spawnTask(const net::any_io_executor &Executor, const char *Name, Task<> Body);
 
+/// Pause before a lasting task that threw is started again.
+inline constexpr Duration LastingTaskPause = std::chrono::milliseconds(500);
+
+/// Runs the coroutine that `Start` gives, and again after an exception, which is logged under
+/// `Name`; for work that must go on as long as the process.
+void spawnLastingTask(const net::any_io_executor &Executor, const char *Name,
+                      std::function<Task<>()> Start);
+
 } // namespace fescuegauge
 
 #endif // FESCUEGAUGE_ASIOTYPES_H
--- a/src/include/Fescuegauge/HttpCaller.h
+++ b/src/include/Fescuegauge/HttpCaller.h
@@ -15,6 +15,19 @@
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
+/// The times that one call may take.
+struct CallLimits {
+  static constexpr Duration UsualConnect = std::chrono::milliseconds(400);
+  /// A body that keeps coming is given up after this time all the same.
+  static constexpr Duration LongestBody = std::chrono::seconds(15);
+
+  /// For the answer; with m_BodyPause, for its header.
+  Duration m_Answer;
+  /// Longest pause between two parts of the body; 0 if the whole answer must come within m_Answer.
+  Duration m_BodyPause{0};
+  Duration m_Connect = UsualConnect;
+};
+
 /// The result of one call.
 struct CallResult {
   enum class Kind {
@@ -42,20 +55,21 @@
 public:
   /// Largest answer.
   static constexpr std::uint64_t MaxAnswerBytes = 8 << 20;
-  static constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 
   explicit HttpCaller(ConnectionPool &Pool) : m_Pool(Pool) {}
 
-  /// Sends `Request` and waits up to `Timeout` for the whole answer; with a `BodyTimeout`, up to
-  /// `Timeout` for its header and as long again as `BodyTimeout` for its body. A request that fails
-  /// on a kept connection before any byte of an answer is repeated once on a new one if
-  /// `Repeatable`.
+  /// Sends `Request` and waits for the whole answer within `Limits`. A request that fails on a kept
+  /// connection before any byte of an answer is repeated once on a new one if `Repeatable`.
+  Task<CallResult> call(Endpoint Address, HttpRequest Request, CallLimits Limits,
+                        bool Repeatable = true);
+  /// The whole answer must come within `Timeout`.
   Task<CallResult> call(Endpoint Address, HttpRequest Request, Duration Timeout,
-                        bool Repeatable = true, Duration BodyTimeout = Duration(0));
+                        bool Repeatable = true) {
+    return call(std::move(Address), std::move(Request), CallLimits{Timeout}, Repeatable);
+  }
 
 private:
-  Task<CallResult> callOn(ConnectionPtr Connection, HttpRequest &Request, Duration Timeout,
-                          Duration BodyTimeout);
+  Task<CallResult> callOn(ConnectionPtr Connection, HttpRequest &Request, CallLimits Limits);
 
   ConnectionPool &m_Pool;
 };
--- a/src/include/Fescuegauge/PeerLink.h
+++ b/src/include/Fescuegauge/PeerLink.h
@@ -4,6 +4,7 @@
 #include "Fescuegauge/AsioTypes.h"
 #include "Fescuegauge/CrashSuspects.h"
 #include "Fescuegauge/PeerRoster.h"
+#include "Fescuegauge/TableNews.h"
 #include "Fescuegauge/UpstreamBoard.h"
 #include "Fescuegauge/WeightsDeadlines.h"
 
@@ -33,6 +34,10 @@
   std::vector<UpstreamStart> m_Leaving;
   /// What upstreams said of their rates in answers to the sender.
   std::vector<RateStatement> m_Rates;
+  /// What the sender knows of the platform's tables.
+  std::vector<TableState> m_Tables;
+  /// Where the report came from; set by the receiver.
+  Endpoint m_From;
 };
 
 std::string encodePeerReport(const PeerReport &Report);
@@ -71,6 +76,7 @@
     std::function<std::vector<AnnouncedWeights>()> m_Weights;
     std::function<std::vector<UpstreamStart>()> m_Leaving;
     std::function<std::vector<RateStatement>()> m_Rates;
+    std::function<std::vector<TableState>()> m_Tables;
     std::function<void(const LoadNotice &)> m_OnLoading;
     std::function<void(PeerReport)> m_OnReport;
   };
@@ -106,6 +112,8 @@
   std::array<char, 16384> m_Buffer{};
   Udp::endpoint m_From;
   UseByUpstream m_LastSent;
+  /// As last told, with the time at which each was confirmed in place of its age.
+  std::vector<TableState> m_LastTables;
   bool m_ToldStopping = false;
   /// Notices from agents, with the time at which they end and the time at which they came.
   struct TakenNotice {
--- a/src/libgateway/ConnectionPool.cpp
+++ b/src/libgateway/ConnectionPool.cpp
@@ -35,6 +35,27 @@
   });
 }
 
+namespace {
+
+Task<> runLasting(const char *Name, std::function<Task<>()> Start) {
+  while (true) {
+    try {
+      co_await Start();
+      co_return;
+    } catch (const std::exception &Error) {
+      logEvent(Severity::Error, "task_failed", {{"task", Name}, {"reason", Error.what()}});
+    }
+    co_await sleepFor(LastingTaskPause);
+  }
+}
+
+} // namespace
+
+void spawnLastingTask(const net::any_io_executor &Executor, const char *Name,
+                      std::function<Task<>()> Start) {
+  spawnTask(Executor, Name, runLasting(Name, std::move(Start)));
+}
+
 void setSocketOptions(Tcp::socket &Socket) {
   const int Handle = Socket.native_handle();
   const auto Interval = static_cast<int>(HttpConnection::KeepAliveInterval.count());
--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -130,6 +130,22 @@
   CHECK(Fixture.exchange("BAD\r\n\r\n").status() == 400);
 }
 
+// Guards against a process that stops following a table because of one exception.
+TEST_CASE("a lasting task that throws is started again", "[gateway]") {
+  net::io_context Loop;
+  int Starts = 0;
+  spawnLastingTask(Loop.get_executor(), "test", [&Starts]() -> Task<> {
+    ++Starts;
+    co_await sleepFor(1ms);
+    if (Starts < 3)
+      throw std::runtime_error("unreadable");
+  });
+  CHECK(runUntil(
+      Loop, [&] { return Starts == 3; }, 3 * LastingTaskPause));
+  runFor(Loop, 2 * LastingTaskPause);
+  CHECK(Starts == 3);
+}
+
 TEST_CASE("an older plan never comes back", "[gateway]") {
   GatewayFixture Fixture;
   Fixture.setPlan([](RoutingPlan &Plan) { Plan.m_Version = PlanVersion(9); });
@@ -555,6 +571,7 @@
   Report.m_Leaving.push_back({InstanceId("u3"), Incarnation(9)});
   Report.m_Rates.push_back({{InstanceId("u4"), Incarnation(7)}, RequestRate(1.3), 40ms});
   Report.m_Rates.push_back({{InstanceId("u5"), Incarnation(8)}, std::nullopt, 2s});
+  Report.m_Tables.push_back({"op", RowVersion(41), 300ms, true, true, true});
   const std::string Encoded = encodePeerReport(Report);
   const auto Decoded = decodePeerReport(Encoded);
   REQUIRE(Decoded);
@@ -566,6 +583,7 @@
   CHECK(Decoded->m_Loading == Report.m_Loading);
   CHECK(Decoded->m_Leaving == Report.m_Leaving);
   CHECK(Decoded->m_Rates == Report.m_Rates);
+  CHECK(Decoded->m_Tables == Report.m_Tables);
   for (std::size_t Size = 0; Size < Encoded.size(); ++Size)
     CHECK_FALSE(decodePeerReport(std::string_view(Encoded).substr(0, Size)));
   CHECK_FALSE(decodePeerReport(Encoded + "x"));
@@ -622,7 +640,8 @@
        },
        [&] { return std::exchange(Suspects, {}); }, [] { return std::vector<AnnouncedWeights>(); },
        [] { return std::vector<UpstreamStart>(); }, [] { return std::vector<RateStatement>(); },
-       [](const LoadNotice &) {}, [](const PeerReport &) {}});
+       [] { return std::vector<TableState>(); }, [](const LoadNotice &) {},
+       [](const PeerReport &) {}});
   std::vector<std::unique_ptr<ListeningPeer>> Peers;
   for (std::size_t I = 0; I < Count; ++I) {
     Peers.push_back(std::make_unique<ListeningPeer>(Loop));
--- a/src/libgateway/HttpCaller.cpp
+++ b/src/libgateway/HttpCaller.cpp
@@ -37,7 +37,7 @@
 }
 
 Task<CallResult> HttpCaller::callOn(ConnectionPtr Connection, HttpRequest &Request,
-                                    Duration Timeout, Duration BodyTimeout) {
+                                    CallLimits Limits) {
   CallResult Result;
   Result.m_Kind = CallResult::Kind::NoAnswer;
   bool TimedOut = false;
@@ -46,7 +46,7 @@
     TimedOut = true;
     Connection->close();
   };
-  Limit.set(Timeout, GiveUp);
+  Limit.set(Limits.m_Answer, GiveUp);
   auto [WriteError, Written] = co_await http::async_write(Connection->socket(), Request, AsTuple);
   if (WriteError) {
     Result.m_Reason = TimedOut ? "timeout" : WriteError.message();
@@ -58,11 +58,14 @@
   auto [ReadError, Read] =
       co_await http::async_read_header(Connection->socket(), Connection->buffer(), Parser, AsTuple);
   if (!ReadError && !Parser.is_done()) {
-    if (BodyTimeout > Duration(0))
-      Limit.set(BodyTimeout, GiveUp);
-    auto [BodyError, BodyRead] =
-        co_await http::async_read(Connection->socket(), Connection->buffer(), Parser, AsTuple);
-    ReadError = BodyError;
+    const TimePoint BodyEnd = monotonicNow() + CallLimits::LongestBody;
+    while (!ReadError && !Parser.is_done()) {
+      if (Limits.m_BodyPause > Duration(0))
+        Limit.set(std::min(Limits.m_BodyPause, BodyEnd - monotonicNow()), GiveUp);
+      auto [BodyError, BodyRead] = co_await http::async_read_some(
+          Connection->socket(), Connection->buffer(), Parser, AsTuple);
+      ReadError = BodyError;
+    }
   }
   Limit.cancel();
   Result.m_BodyBytes = Parser.get().body().size();
@@ -82,26 +85,29 @@
   co_return Result;
 }
 
-Task<CallResult> HttpCaller::call(Endpoint Address, HttpRequest Request, Duration Timeout,
-                                  bool Repeatable, Duration BodyTimeout) {
+Task<CallResult> HttpCaller::call(Endpoint Address, HttpRequest Request, CallLimits Limits,
+                                  bool Repeatable) {
   Request.set(http::field::host, Address.m_Host + ":" + std::to_string(Address.m_Port));
   Request.prepare_payload();
   const TimePoint Start = monotonicNow();
   if (ConnectionPtr Kept =
           m_Pool.takeIdle(Address, Repeatable ? Duration::max() : Duration::zero())) {
-    CallResult Result = co_await callOn(Kept, Request, Timeout, BodyTimeout);
-    const bool Late = monotonicNow() - Start >= Timeout;
+    CallResult Result = co_await callOn(Kept, Request, Limits);
+    const bool Late = monotonicNow() - Start >= Limits.m_Answer;
     if (Result.isAnswered() || !Repeatable || Late)
       co_return Result;
   }
   SystemError Error;
-  ConnectionPtr Fresh = co_await m_Pool.open(Address, std::min(ConnectTimeout, Timeout), Error);
+  ConnectionPtr Fresh =
+      co_await m_Pool.open(Address, std::min(Limits.m_Connect, Limits.m_Answer), Error);
   if (!Fresh) {
     CallResult Result;
-    Result.m_Reason = Error.message();
+    Result.m_Reason =
+        Error == net::error::operation_aborted ? "no connection in time" : Error.message();
     co_return Result;
   }
-  co_return co_await callOn(Fresh, Request, Timeout - (monotonicNow() - Start), BodyTimeout);
+  Limits.m_Answer -= monotonicNow() - Start;
+  co_return co_await callOn(Fresh, Request, Limits);
 }
 
 } // namespace fescuegauge
--- a/src/libgateway/PeerLink.cpp
+++ b/src/libgateway/PeerLink.cpp
@@ -10,9 +10,12 @@
 
 namespace {
 
-constexpr std::uint64_t ReportVersion = 7;
+constexpr std::uint64_t ReportVersion = 8;
 constexpr std::uint64_t NoticeVersion = 2;
 
+/// Times at which tables were confirmed are told apart by this, so that rounding is no news.
+using ConfirmationStep = std::chrono::duration<std::int64_t, std::ratio<1, 20>>;
+
 void writeNotice(ByteWriter &Writer, const LoadNotice &Notice) {
   Writer.text(Notice.m_Upstream.m_Host);
   Writer.number(Notice.m_Upstream.m_Port);
@@ -39,6 +42,13 @@
   return {};
 }
 
+/// An age beyond every bound is cut, so that sums with it do not overflow.
+Duration readAge(ByteReader &Reader) {
+  constexpr Duration LongestAge = std::chrono::hours(24);
+  return Duration(
+      static_cast<Duration::rep>(std::min<std::uint64_t>(Reader.number(), LongestAge.count())));
+}
+
 void writeRate(ByteWriter &Writer, const RateStatement &Statement) {
   Writer.id(Statement.m_Upstream.m_Id);
   Writer.id(Statement.m_Upstream.m_Incarnation);
@@ -103,6 +113,15 @@
   Writer.number(Report.m_Rates.size());
   for (const RateStatement &Each : Report.m_Rates)
     writeRate(Writer, Each);
+  Writer.number(Report.m_Tables.size());
+  for (const TableState &Each : Report.m_Tables) {
+    Writer.text(Each.m_Table);
+    Writer.id(Each.m_NewestChange);
+    Writer.number(static_cast<std::uint64_t>(Each.m_Age.count()));
+    Writer.number(Each.m_IsInTouch ? 1 : 0);
+    Writer.number(Each.m_AsksStore ? 1 : 0);
+    Writer.number(Each.m_StoreFailed ? 1 : 0);
+  }
   return Writer.take();
 }
 
@@ -138,7 +157,7 @@
     AnnouncedWeights Each;
     Each.m_Model = Reader.id<ModelId>();
     Each.m_Version = Reader.id<WeightsVersion>();
-    Each.m_Age = Duration(static_cast<Duration::rep>(Reader.number()));
+    Each.m_Age = readAge(Reader);
     Each.m_Uncertainty = Duration(static_cast<Duration::rep>(Reader.number()));
     Report.m_Weights.push_back(std::move(Each));
   }
@@ -155,6 +174,17 @@
   constexpr std::size_t LeastRate = 12;
   for (std::size_t Left = Reader.count(LeastRate); Left > 0; --Left)
     Report.m_Rates.push_back(readRate(Reader));
+  constexpr std::size_t LeastTable = 6;
+  for (std::size_t Left = Reader.count(LeastTable); Left > 0; --Left) {
+    TableState Each;
+    Each.m_Table = Reader.text();
+    Each.m_NewestChange = Reader.id<RowVersion>();
+    Each.m_Age = readAge(Reader);
+    Each.m_IsInTouch = Reader.number() != 0;
+    Each.m_AsksStore = Reader.number() != 0;
+    Each.m_StoreFailed = Reader.number() != 0;
+    Report.m_Tables.push_back(std::move(Each));
+  }
   if (Reader.failed() || !Reader.atEnd())
     return std::nullopt;
   return Report;
@@ -239,8 +269,9 @@
   auto Report = decodePeerReport(Datagram);
   if (!Report || Report->m_Sender == m_Self)
     return;
-  m_Peers.onHeard({endpointOf(m_From), Report->m_DataCentre, Report->m_Demand},
-                  Report->m_IsStopping, Now);
+  Report->m_From = endpointOf(m_From);
+  m_Peers.onHeard({Report->m_From, Report->m_DataCentre, Report->m_Demand}, Report->m_IsStopping,
+                  Now);
   for (const LoadNotice &Each : Report->m_Loading)
     m_Calls.m_OnLoading(Each);
   m_Calls.m_OnReport(std::move(*Report));
@@ -273,12 +304,18 @@
   Report.m_Weights = m_Calls.m_Weights();
   Report.m_Leaving = m_Calls.m_Leaving();
   Report.m_Rates = m_Calls.m_Rates();
+  Report.m_Tables = m_Calls.m_Tables();
   for (const TakenNotice &Each : m_Notices)
     if (Now - Each.m_TakenAt <= NoticeLifetime)
       Report.m_Loading.push_back({Each.m_Upstream, std::max(Each.m_Until - Now, Duration(0))});
   const bool Urgent =
       !Report.m_Suspects.empty() || !Report.m_Loading.empty() || !Report.m_Leaving.empty();
-  const bool Changed = Report.m_Use != m_LastSent || Report.m_IsStopping != m_ToldStopping;
+  // Ages grow all the time; only one that was confirmed anew is news.
+  std::vector<TableState> Tables = Report.m_Tables;
+  for (TableState &Each : Tables)
+    Each.m_Age = std::chrono::round<ConfirmationStep>(Now.time_since_epoch() - Each.m_Age);
+  const bool Changed =
+      Report.m_Use != m_LastSent || Report.m_IsStopping != m_ToldStopping || Tables != m_LastTables;
   const bool Local = Urgent || Changed || m_LocalLeft > 0 || Now - m_LocalSentAt >= RefreshInterval;
   const bool Remote =
       Urgent || Now - m_RemoteSentAt >= (Changed ? RemoteInterval : RefreshInterval);
@@ -296,6 +333,7 @@
       m_LocalLeft -= std::min(m_LocalLeft, Most);
       m_LocalSentAt = Now;
       m_LastSent = Report.m_Use;
+      m_LastTables = std::move(Tables);
       m_ToldStopping = Report.m_IsStopping;
     }
     if (Remote) {
