Take a failure without a request id only on a new connection

Only a connection that carried nothing before proves that such an answer is the request's own; otherwise the outcome is unknown and the connection ends. A refusal with the request's own id cannot come back, because a refused request is not sent to the same upstream again (tested).

--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -267,6 +267,58 @@
   CHECK_FALSE(Answer.contains("stray"));
 }
 
+namespace {
+
+/// A refusal without the id of a request, as a faulty upstream repeats it.
+std::string refusalWithoutId(unsigned Status) {
+  return "HTTP/1.1 " + std::to_string(Status) + " Any\r\nContent-Length: 0\r\nNot-Run: 1\r\n\r\n";
+}
+
+} // namespace
+
+// Guards against REFUSED and TWICE: a refusal of an earlier request, repeated on a kept connection,
+// was taken as the answer to the next one, which the upstream ran.
+TEST_CASE("a repeated refusal without an id is taken for the next request's", "[gateway]") {
+  for (const unsigned Status : {408U, 421U, 429U, 503U})
+    for (const std::string Interim : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+      GatewayFixture Fixture;
+      Fixture.setPlan();
+      int Count = 0;
+      FakeUpstream &Upstream = Fixture.addUpstream([&](const HttpRequest &Request) {
+        const std::string Own = plainAnswer(Request, 200, "own");
+        if (++Count == 1)
+          return Script{{{Own}}};
+        return Script{{{Interim + refusalWithoutId(Status)}, {Own, 10ms}}};
+      });
+      Fixture.exchange(GatewayFixture::request("/once/x", "r1"));
+      const RawAnswer Answer = Fixture.exchange(GatewayFixture::request("/once/x", "r2"));
+      CHECK_FALSE(promisesNotRun(Answer.status()));
+      CHECK(Upstream.requests().size() == 2);
+    }
+}
+
+TEST_CASE("a refusal without an id on a new connection is the request's own", "[gateway]") {
+  GatewayFixture Fixture;
+  Fixture.setPlan();
+  Fixture.addUpstream([](const HttpRequest &) { return Script{{{refusalWithoutId(503)}}}; });
+  const RawAnswer Answer = Fixture.exchange(GatewayFixture::request("/once/x", "r1"));
+  CHECK(Answer.status() == 503);
+}
+
+// Guards against a refusal that is repeated with the id of a request that was sent there again.
+TEST_CASE("a refused request is not sent again to the upstream that refused it", "[gateway]") {
+  GatewayFixture Fixture;
+  Fixture.setPlan();
+  FakeUpstream &Upstream = Fixture.addUpstream([](const HttpRequest &Request) {
+    return Script{{{plainAnswer(Request, 503, "", "Not-Run: 1\r\n")}}};
+  });
+  for (const char *Path : {"/safe/x", "/stream/x"}) {
+    const std::size_t Before = Upstream.requests().size();
+    Fixture.exchange(GatewayFixture::request(Path, "r1"));
+    CHECK(Upstream.requests().size() <= Before + 1);
+  }
+}
+
 TEST_CASE("bytes after a complete answer end the connection to the upstream", "[gateway]") {
   GatewayFixture Fixture;
   Fixture.setPlan();
--- a/src/libgateway/UpstreamExchange.cpp
+++ b/src/libgateway/UpstreamExchange.cpp
@@ -45,6 +45,7 @@
   if (!Check(m_Request))
     co_return ExchangeError::NotAllowed;
   m_Connection = m_Pool.takeIdle(Address, LongestIdle);
+  m_IsKept = m_Connection != nullptr;
   if (!m_Connection) {
     SystemError Error;
     m_Connection = co_await m_Pool.open(Address, ConnectTimeout, Error);
@@ -89,7 +90,9 @@
     const auto Id = Head[m_Names.m_RequestId];
     const bool IsSuccess =
         http::to_status_class(Head.result_int()) == http::status_class::successful;
-    if (Id == m_RequestId || (Id.empty() && !IsSuccess))
+    // Only on a connection that carried nothing before, a failure without an id is this request's.
+    const bool IsFirst = !m_IsKept && Stray == 0;
+    if (Id == m_RequestId || (Id.empty() && !IsSuccess && IsFirst))
       co_return ExchangeError::None;
     if (Id.empty())
       co_return ExchangeError::Malformed;
--- a/src/libgateway/UpstreamExchange.h
+++ b/src/libgateway/UpstreamExchange.h
@@ -33,7 +33,7 @@
 /// One request sent to one upstream, and its answer as it arrives.
 ///
 /// Answers to earlier requests that arrive late on a kept connection are recognised by their
-/// request id and skipped. The connection is kept afterwards only if the answer was complete and
+/// request id and skipped; one without an id counts only on a new connection. The connection is kept afterwards only if the answer was complete and
 /// nothing follows it. Objects are held by shared_ptr, because the request may still be being
 /// written when the owner lets go.
 class UpstreamExchange : public std::enable_shared_from_this<UpstreamExchange> {
@@ -95,6 +95,8 @@
   ConnectionPtr m_Connection;
   std::optional<Parser> m_Parser;
   std::array<char, 8192> m_Chunk;
+  /// The connection carried other requests before.
+  bool m_IsKept = false;
   bool m_Sent = false;
   TimePoint m_SentAt;
   bool m_Written = false;
