End a broken stream visibly if nothing whole goes on with it

Error answers, other content and a kept failure could not get into the stream before either; the test shows it. Such a resumption now counts as failed: another upstream goes on, or the caller sees the break.

--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -412,6 +412,62 @@
   }
 }
 
+namespace {
+
+/// A stream that breaks off after its second event, and what an upstream answers that is to go on.
+RawAnswer resumeWith(const std::function<std::string(const HttpRequest &)> &GoOn) {
+  GatewayFixture Fixture;
+  Fixture.setPlan();
+  for (int I = 0; I < 2; ++I)
+    Fixture.addUpstream([&](const HttpRequest &Request) {
+      if (Request.count("Last-Event-ID") == 0)
+        return Script{{{streamHead(Request)}, {chunk(event(1) + event(2)), 10ms}, {"", 30ms}},
+                      Script::End::Reset};
+      // Whole requests earn the retry.
+      if (Request["Last-Event-ID"] == "90")
+        return Script{{{streamHead(Request)}, {chunk(event(91))}, {LastChunk}}};
+      return Script{{{GoOn(Request)}}, Script::End::Close};
+    });
+  for (int I = 0; I < 12; ++I)
+    Fixture.exchange(
+        GatewayFixture::request("/stream/x", "warm-" + std::to_string(I), "Last-Event-ID: 90\r\n"));
+  return Fixture.exchange(GatewayFixture::request("/stream/x", "r1"));
+}
+
+} // namespace
+
+// Guards against ORDER and MIXED: what the next upstream answers must not end a stream as if it
+// were whole, nor stand in it.
+TEST_CASE("a broken stream is completed by what does not go on with it", "[gateway]") {
+  const RawAnswer Whole = resumeWith([](const HttpRequest &Request) {
+    return streamHead(Request) + chunk(event(2) + event(3)) + LastChunk;
+  });
+  REQUIRE(Whole.isWholeChunked());
+  CHECK(Whole.contains("token-3"));
+  const std::string Head =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Type: text/event-stream\r\n";
+  for (const std::string &Answer : {
+           std::string("HTTP/1.1 500 Any\r\nRequest-Id: r1\r\nContent-Length: 5\r\n\r\nspoil"),
+           std::string(
+               "HTTP/1.1 503 Any\r\nRequest-Id: r1\r\nNot-Run: 1\r\nContent-Length: 5\r\n\r\n"
+               "spoil"),
+           std::string("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 5\r\n\r\nspoil"),
+           Head + "Content-Length: 0\r\n\r\n",
+           Head + "Transfer-Encoding: chunked\r\n\r\n" + LastChunk,
+           Head + "Transfer-Encoding: chunked\r\n\r\n" + chunk("data: spoil\n\n") + LastChunk,
+           // Without a length, an end in the middle of an event.
+           Head + "\r\n" + event(3) + "id: 4\ndata: spo",
+       }) {
+    const RawAnswer Got = resumeWith([&](const HttpRequest &) { return Answer; });
+    INFO(Answer);
+    CHECK(Got.contains("token-2"));
+    CHECK_FALSE(Got.contains("spo"));
+    CHECK_FALSE(Got.contains("HTTP/1.1 5"));
+    CHECK_FALSE(Got.isWholeChunked());
+    CHECK(Got.m_ClosedByServer);
+  }
+}
+
 TEST_CASE("a stream is not resumed on other weights", "[gateway]") {
   GatewayFixture Fixture;
   Fixture.setPlan();
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -486,6 +486,9 @@
       co_return AttemptEnd::Failed;
     m_StreamVersion = m_AnsweredWeights;
   }
+  // An earlier attempt began the stream, and this one is to go on with it.
+  const bool IsResumed = m_HeadSent;
+  const std::uint64_t PassedBefore = m_EventsPassed;
   EventSplitter Events;
   std::string Bytes;
   bool FirstRead = true;
@@ -515,18 +518,24 @@
     if (Events.isOverlong())
       co_return AttemptEnd::Failed;
     while (auto Event = Events.next()) {
+      // Without an id nobody can tell whether the caller has the event.
+      if (IsResumed && !Event->m_Id)
+        co_return AttemptEnd::Failed;
       const bool Passed = co_await passEvent(Sent, *Event);
       if (!Passed)
         co_return AttemptEnd::Interrupted;
     }
     if (!Done)
       continue;
-    // Only a resumed run that had nothing left to say ends before its first event.
+    // An upstream that stops in the middle of an event, or that has nothing of a stream that broke
+    // off, does not show that the stream is whole.
+    if (!Events.pending().empty() || (IsResumed && m_EventsPassed == PassedBefore))
+      co_return AttemptEnd::Failed;
     const std::optional<std::uint64_t> NoLength;
     const bool HeadWritten = co_await ensureHead(Sent.header(), NoLength);
     if (!HeadWritten)
       co_return AttemptEnd::Interrupted;
-    const bool Written = co_await sendBody(Events.pending(), true);
+    const bool Written = co_await sendBody({}, true);
     if (!Written)
       co_return AttemptEnd::Interrupted;
     m_Complete = true;
