--- a/src/libgateway/UpstreamExchange.h
+++ b/src/libgateway/UpstreamExchange.h
@@ -33,9 +33,9 @@
 /// One request sent to one upstream, and its answer as it arrives.
 ///
 /// Answers to earlier requests that arrive late on a kept connection are recognised by their
-/// request id and skipped; one without an id counts only on a new connection. The connection is kept afterwards only if the answer was complete and
-/// nothing follows it. Objects are held by shared_ptr, because the request may still be being
-/// written when the owner lets go.
+/// request id and skipped; one without an id counts only on a new connection. The connection is
+/// kept afterwards only if the answer was complete and nothing follows it. Objects are held by
+/// shared_ptr, because the request may still be being written when the owner lets go.
 class UpstreamExchange : public std::enable_shared_from_this<UpstreamExchange> {
 public:
   using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
