--- a/src/libbase/Base_test.cpp
+++ b/src/libbase/Base_test.cpp
@@ -1,3 +1,4 @@
+#include "Fescuegauge/Base64.h"
 #include "Fescuegauge/Digest.h"
 #include "Fescuegauge/ErrorKind.h"
 #include "Fescuegauge/Figure.h"
@@ -10,6 +11,21 @@
 using namespace fescuegauge;
 
 // Guards against a digest that differs from the published SHA-256 test vector.
+// Guards against an exception, or bytes that were never written, from text that is no base64.
+TEST_CASE("base64 is read only if it is whole", "[base]") {
+  for (const std::string Bytes : {"", "a", "ab", "abc", "abcd"})
+    CHECK(decodeBase64(encodeBase64(Bytes)) == Bytes);
+  const std::string All = [] {
+    std::string Result;
+    for (int Byte = 0; Byte < 256; ++Byte)
+      Result += static_cast<char>(Byte);
+    return Result;
+  }();
+  CHECK(decodeBase64(encodeBase64(All)) == All);
+  for (const char *Text : {"QQ", "QQ=", "Q===", "====", "QQ==QQ==", "Q Q=", "QUI!", "\n\n\n\n"})
+    CHECK_FALSE(decodeBase64(Text));
+}
+
 TEST_CASE("SHA-256 matches the published vector for \"abc\"") {
   const std::string Expected = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
   CHECK(sha256("abc").hex() == Expected);
--- a/src/libkernel/Kernel_test.cpp
+++ b/src/libkernel/Kernel_test.cpp
@@ -1,4 +1,5 @@
 #include "Fescuegauge/Kernel.h"
+#include "Fescuegauge/TextPacking.h"
 
 #include <catch2/catch.hpp>
 
@@ -24,6 +25,20 @@
 } // namespace
 
 // Guards against a service that is stopped while another that depends on it still runs.
+// Guards against memory without bound and against parts of texts from spoilt packed texts.
+TEST_CASE("packed texts are read whole, within a bound, or not at all", "[kernel]") {
+  std::string Text;
+  for (int I = 0; I < 20'000; ++I)
+    Text += "route-" + std::to_string(I);
+  const std::string Packed = packText(Text);
+  CHECK(Packed.size() < Text.size() / 2);
+  CHECK(unpackText(Packed, Text.size()) == Text);
+  CHECK_FALSE(unpackText(Packed, Text.size() - 1));
+  CHECK_FALSE(unpackText("", 100));
+  CHECK_FALSE(unpackText("no packed text", 100));
+  CHECK_FALSE(unpackText(Packed.substr(0, Packed.size() / 2), Text.size()));
+}
+
 TEST_CASE("services stop in the reverse of the order of start") {
   std::vector<std::string> Events;
   Kernel Services;
