--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -446,17 +446,24 @@
   CHECK(Whole.contains("token-3"));
   const std::string Head =
       "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Type: text/event-stream\r\n";
+  const auto Joined = [](std::initializer_list<std::string_view> Parts) {
+    std::string Result;
+    for (const std::string_view Each : Parts)
+      Result += Each;
+    return Result;
+  };
+  const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
   for (const std::string &Answer : {
            std::string("HTTP/1.1 500 Any\r\nRequest-Id: r1\r\nContent-Length: 5\r\n\r\nspoil"),
            std::string(
                "HTTP/1.1 503 Any\r\nRequest-Id: r1\r\nNot-Run: 1\r\nContent-Length: 5\r\n\r\n"
                "spoil"),
            std::string("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 5\r\n\r\nspoil"),
-           Head + "Content-Length: 0\r\n\r\n",
-           Head + "Transfer-Encoding: chunked\r\n\r\n" + LastChunk,
-           Head + "Transfer-Encoding: chunked\r\n\r\n" + chunk("data: spoil\n\n") + LastChunk,
+           Joined({Head, "Content-Length: 0\r\n\r\n"}),
+           Joined({Head, Chunked, LastChunk}),
+           Joined({Head, Chunked, chunk("data: spoil\n\n"), LastChunk}),
            // Without a length, an end in the middle of an event.
-           Head + "\r\n" + event(3) + "id: 4\ndata: spo",
+           Joined({Head, "\r\n", event(3), "id: 4\ndata: spo"}),
        }) {
     const RawAnswer Got = resumeWith([&](const HttpRequest &) { return Answer; });
     INFO(Answer);
