--- a/src/libbase/Base_test.cpp
+++ b/src/libbase/Base_test.cpp
@@ -10,7 +10,6 @@
 
 using namespace fescuegauge;
 
-// Guards against a digest that differs from the published SHA-256 test vector.
 // Guards against an exception, or bytes that were never written, from text that is no base64.
 TEST_CASE("base64 is read only if it is whole", "[base]") {
   for (const std::string Bytes : {"", "a", "ab", "abc", "abcd"})
@@ -26,6 +25,7 @@
     CHECK_FALSE(decodeBase64(Text));
 }
 
+// Guards against a digest that differs from the published SHA-256 test vector.
 TEST_CASE("SHA-256 matches the published vector for \"abc\"") {
   const std::string Expected = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
   CHECK(sha256("abc").hex() == Expected);
--- a/src/libkernel/Kernel_test.cpp
+++ b/src/libkernel/Kernel_test.cpp
@@ -24,7 +24,6 @@
 
 } // namespace
 
-// Guards against a service that is stopped while another that depends on it still runs.
 // Guards against memory without bound and against parts of texts from spoilt packed texts.
 TEST_CASE("packed texts are read whole, within a bound, or not at all", "[kernel]") {
   std::string Text;
@@ -39,6 +38,7 @@
   CHECK_FALSE(unpackText(Packed.substr(0, Packed.size() / 2), Text.size()));
 }
 
+// Guards against a service that is stopped while another that depends on it still runs.
 TEST_CASE("services stop in the reverse of the order of start") {
   std::vector<std::string> Events;
   Kernel Services;
