--- a/src/include/Fescuegauge/TableNews.h
+++ b/src/include/Fescuegauge/TableNews.h
@@ -64,6 +64,10 @@
   /// One that is not in touch and asks for longer than this share of the time in which a change
   /// must be in force no longer keeps others from asking.
   static constexpr double AskerShare = 0.6;
+  /// The store is taken to have served all the while if it answered somebody at least this often.
+  /// Entries lapse after three heartbeats of 1.2 s, so that two of them are lost at least, and an
+  /// instance in touch tells of an answer after 2.1 s at the latest with a bound of 4 s.
+  static constexpr Duration LongestPause = std::chrono::milliseconds(2300);
   /// Instances of which anything is remembered, and for how long.
   static constexpr std::size_t MaxInstances = 1024;
   static constexpr Duration Lifetime = std::chrono::seconds(5);
@@ -103,6 +107,9 @@
   bool isStale(TimePoint Now) const {
     return m_ConfirmedUntil && Now - *m_ConfirmedUntil >= share(StaleShare);
   }
+  /// Since when the store has answered this instance or another one until `AnsweredAt`, without a
+  /// pause of LongestPause.
+  TimePoint servedSince(TimePoint AnsweredAt) const;
   /// Whether this instance may ask the store, given how many others do.
   bool mayAskStore(TimePoint Now) const;
 
@@ -132,6 +139,7 @@
     return Told.m_IsInTouch && isHeard(Told, Now) && Now - Told.m_KnownUntil < share(StaleShare);
   }
   std::optional<Endpoint> choose(TimePoint Now);
+  void noteServed(TimePoint AnsweredAt);
   /// How long after the others this instance asks the store.
   Duration turn(TimePoint Now) const;
 
@@ -142,6 +150,8 @@
   RowVersion m_AsOf;
   /// Until when the own version was confirmed, by this instance or by another one.
   std::optional<TimePoint> m_ConfirmedUntil;
+  TimePoint m_ServedSince;
+  std::optional<TimePoint> m_ServedUntil;
   /// Since when another instance is known to have a change that this one lacks.
   std::optional<TimePoint> m_BehindSince;
   /// Since when no source in touch is known; nothing while there is one.
--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -441,31 +441,47 @@
   CHECK_FALSE(Detector.hasReturned(RouteId("other"), 4500ms));
 }
 
-// Guards against DRAIN: requests to an upstream that left while the list could not be read.
-TEST_CASE("entries that disappear while the list returns are kept for a bounded time",
+// Guards against DRAIN: requests to an upstream that left while the list could not be read, or
+// while this instance alone could not read it.
+TEST_CASE("entries that may have lapsed are kept for a bounded time, those that left are not",
           "[dispatch]") {
   UpstreamDirectory Directory;
-  Directory.replace({upstream("u1"), upstream("u2")}, at(0s));
-  Directory.remove(InstanceId("u2"), at(1s));
+  Directory.put(upstream("u1"));
+  Directory.put(upstream("u2"));
+  Directory.remove(InstanceId("u2"));
   CHECK(Directory.records().size() == 1);
 
-  Directory.onListLost(at(2s));
-  Directory.replace({}, at(10s));
+  Directory.removeLapsed(InstanceId("u1"), at(10s), at(10s));
   CHECK(Directory.records().size() == 1);
   REQUIRE(Directory.nextExpiry());
   CHECK(*Directory.nextExpiry() == at(10s) + UpstreamDirectory::ReturnGrace);
-  CHECK_FALSE(Directory.expire(at(10s) + UpstreamDirectory::ReturnGrace - 1ms));
-  CHECK(Directory.expire(at(10s) + UpstreamDirectory::ReturnGrace));
-  CHECK(Directory.records().empty());
+  SECTION("one that lives returns") {
+    Directory.put(upstream("u1"));
+    CHECK_FALSE(Directory.expire(at(10s) + UpstreamDirectory::ReturnGrace));
+    CHECK(Directory.records().size() == 1);
+  }
+  SECTION("one that does not return is gone") {
+    CHECK_FALSE(Directory.expire(at(10s) + UpstreamDirectory::ReturnGrace - 1ms));
+    CHECK(Directory.expire(at(10s) + UpstreamDirectory::ReturnGrace));
+    CHECK(Directory.records().empty());
+  }
+  SECTION("the time counts from when the first instance learnt of it") {
+    Directory.removeLapsed(InstanceId("u1"), at(9s), at(10500ms));
+    CHECK(*Directory.nextExpiry() == at(9s) + UpstreamDirectory::ReturnGrace);
+    Directory.removeLapsed(InstanceId("u1"), at(8s), at(10500ms));
+    CHECK(Directory.records().empty());
+  }
+  SECTION("another instance knows that it left") {
+    Directory.remove(InstanceId("u1"));
+    CHECK(Directory.records().empty());
+  }
 
-  Directory.replace({upstream("u3")}, at(20s));
-  Directory.onListLost(at(21s));
-  Directory.replace({upstream("u3")}, at(22s));
   UpstreamRecord Leaving = upstream("u3");
   Leaving.m_Leaving = true;
   Directory.put(Leaving);
-  Directory.remove(InstanceId("u3"), at(22s));
-  CHECK(Directory.records().empty());
+  Directory.removeLapsed(InstanceId("u3"), at(22s), at(22s));
+  for (const UpstreamRecord &Each : Directory.records())
+    CHECK(Each.m_Id != InstanceId("u3"));
 }
 
 // Guards against VERSION: a restarted entry instance counted the age of an announcement anew and
--- a/src/libdispatch/TableNews.cpp
+++ b/src/libdispatch/TableNews.cpp
@@ -27,9 +27,10 @@
     Told.m_AskingSince = Now;
   if (State.m_NewestChange > m_AsOf && !m_BehindSince)
     m_BehindSince = Now;
+  noteServed(Told.m_KnownUntil);
   // One that knows less, or more, does not confirm what is known here.
   if (State.m_NewestChange >= m_NewestChange && State.m_NewestChange <= m_AsOf)
-    m_ConfirmedUntil = std::max(m_ConfirmedUntil, std::optional(Now - State.m_Age));
+    m_ConfirmedUntil = std::max(m_ConfirmedUntil, std::optional(Told.m_KnownUntil));
 }
 
 void TableNews::onKnown(RowVersion NewestChange, RowVersion AsOf,
@@ -40,6 +41,17 @@
     m_BehindSince.reset();
   }
   m_ConfirmedUntil = std::max(m_ConfirmedUntil, KnownUntil);
+  if (KnownUntil)
+    noteServed(*KnownUntil);
+}
+
+TimePoint TableNews::servedSince(TimePoint AnsweredAt) const {
+  return m_ServedUntil && AnsweredAt - *m_ServedUntil < LongestPause ? m_ServedSince : AnsweredAt;
+}
+
+void TableNews::noteServed(TimePoint AnsweredAt) {
+  m_ServedSince = servedSince(AnsweredAt);
+  m_ServedUntil = std::max(m_ServedUntil, std::optional(AnsweredAt));
 }
 
 void TableNews::onFailure(const Endpoint &Failed, TimePoint Now) {
--- a/src/libdispatch/UpstreamDirectory.cpp
+++ b/src/libdispatch/UpstreamDirectory.cpp
@@ -1,35 +1,19 @@
 #include "Fescuegauge/UpstreamDirectory.h"
 
-namespace fescuegauge {
+#include <algorithm>
 
-void UpstreamDirectory::replace(std::vector<UpstreamRecord> Listed, TimePoint Now) {
-  if (m_LostAt) {
-    m_ReturnedAt = Now;
-    m_LostAt.reset();
-  }
-  std::map<InstanceId, Entry> Next;
-  for (UpstreamRecord &Record : Listed) {
-    const InstanceId Id = Record.m_Id;
-    Next[Id].m_Record = std::move(Record);
-  }
-  if (isInGrace(Now))
-    for (auto &[Id, Known] : m_Entries)
-      if (!Next.contains(Id)) {
-        Known.m_ForgetAt = Known.m_ForgetAt.value_or(*m_ReturnedAt + ReturnGrace);
-        Next.emplace(Id, std::move(Known));
-      }
-  m_Entries = std::move(Next);
-}
+namespace fescuegauge {
 
 void UpstreamDirectory::put(const UpstreamRecord &Record) { m_Entries[Record.m_Id] = {Record, {}}; }
 
-void UpstreamDirectory::remove(const InstanceId &Id, TimePoint Now) {
+void UpstreamDirectory::removeLapsed(const InstanceId &Id, TimePoint LearntAt, TimePoint Now) {
   auto Found = m_Entries.find(Id);
   if (Found == m_Entries.end())
     return;
-  if (isInGrace(Now) && !Found->second.m_Record.m_Leaving)
-    Found->second.m_ForgetAt = *m_ReturnedAt + ReturnGrace;
-  else
+  Entry &Known = Found->second;
+  Known.m_ForgetAt = std::min(Known.m_ForgetAt.value_or(TimePoint::max()), LearntAt + ReturnGrace);
+  // One that had said that it leaves does not return.
+  if (Known.m_Record.m_Leaving || Now >= *Known.m_ForgetAt)
     m_Entries.erase(Found);
 }
 
