--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -354,6 +354,87 @@
   CHECK(Answer.m_Bytes.size() - Head - 4 < 200U << 10);
 }
 
+// Guards against MIXED and ORDER: an upstream stopped in the middle of the head of its answer, and
+// callers got a success with an empty or short body.
+TEST_CASE("an answer that is cut in its head becomes a success", "[gateway]") {
+  struct Case {
+    const char *m_Path;
+    const char *m_Method;
+    /// Sent before the head, as a whole.
+    std::string m_Interim;
+    std::string m_Framing;
+    /// The connection carried an answer before.
+    bool m_IsKept = false;
+  };
+  const std::string Length = "Content-Length: 4\r\n";
+  const std::string Chunked = "Transfer-Encoding: chunked\r\n";
+  const std::string UntilClose = "Connection: close\r\n";
+  const std::string Interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  const Case Each = GENERATE_COPY(
+      Case{"/once/x", "POST", "", Length}, Case{"/once/x", "POST", "", UntilClose},
+      Case{"/once/x", "POST", Interim, Chunked}, Case{"/once/x", "POST", "", UntilClose, true},
+      Case{"/once/x", "HEAD", "", Length}, Case{"/once/x", "HEAD", "", UntilClose},
+      Case{"/safe/x", "POST", "", Length}, Case{"/safe/x", "POST", "", UntilClose},
+      Case{"/stream/x", "POST", "", Chunked}, Case{"/stream/x", "POST", Interim, UntilClose});
+  const Script::End End = GENERATE(Script::End::Close, Script::End::Reset);
+  const auto HeadOf = [&](const HttpRequest &To) {
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(To["Request-Id"]) +
+           "\r\nContent-Type: text/event-stream\r\nSignature: s\r\n" + Each.m_Framing + "\r\n";
+  };
+  HttpRequest Example;
+  Example.set("Request-Id", "r-0000");
+  const std::size_t Whole = HeadOf(Example).size();
+  GatewayFixture Fixture;
+  Fixture.setPlan();
+  std::size_t Cut = 0;
+  Fixture.addUpstream([&](const HttpRequest &Request) {
+    if (Request.target() == "/safe/first")
+      return Script{{{plainAnswer(Request, 200, "first")}}};
+    return Script{{{Each.m_Interim + HeadOf(Request).substr(0, Cut)}}, End};
+  });
+  INFO(Each.m_Path << ' ' << Each.m_Method << ' ' << Each.m_Framing);
+  for (Cut = 0; Cut < Whole; ++Cut) {
+    const std::string Id = "r-" + std::to_string(1000 + Cut);
+    if (Each.m_IsKept)
+      REQUIRE(Fixture.exchange(GatewayFixture::request("/safe/first", "f" + Id)).status() == 200);
+    const RawAnswer Answer =
+        Fixture.exchange(GatewayFixture::request(Each.m_Path, Id, "", Each.m_Method));
+    INFO("cut after " << Cut << " bytes");
+    CHECK((Answer.status() == 502 || Answer.status() == 503 || Answer.m_ClosedByServer));
+    CHECK_FALSE(Answer.status() == 200);
+  }
+}
+
+// Guards against a store or instance that stops in the middle of the head of its answer and is
+// taken to have answered.
+TEST_CASE("a call whose answer is cut in its head counts as answered", "[gateway]") {
+  const std::string Framing =
+      GENERATE(as<std::string>(), "Content-Length: 2\r\n", "Connection: close\r\n");
+  const Script::End End = GENERATE(Script::End::Close, Script::End::Reset);
+  const std::string Head =
+      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + Framing + "\r\n";
+  net::io_context Loop;
+  std::size_t Cut = 0;
+  FakeUpstream Called(Loop, [&](const HttpRequest &) {
+    return Script{{{Head.substr(0, Cut)}}, End};
+  });
+  ConnectionPool Pool(Loop.get_executor());
+  HttpCaller Caller(Pool);
+  for (Cut = 0; Cut < Head.size(); ++Cut) {
+    std::optional<CallResult> Result;
+    net::co_spawn(
+        Loop,
+        [&]() -> Task<> {
+          Result = co_await Caller.call(Called.address(), makeGet("/any"), CallLimits{1s});
+        },
+        net::detached);
+    REQUIRE(test::runUntil(
+        Loop, [&] { return Result.has_value(); }, 2s));
+    INFO(Framing << "cut after " << Cut << " bytes");
+    CHECK_FALSE(Result->isAnswered());
+  }
+}
+
 TEST_CASE("an answer without a length is complete when its connection ends", "[gateway]") {
   GatewayFixture Fixture;
   Fixture.setPlan();
