--- a/src/include/Fescuegauge/Gateway.h
+++ b/src/include/Fescuegauge/Gateway.h
@@ -22,6 +22,8 @@
   DataCentreId m_DataCentre;
   RegionId m_Region;
   CallHeaders m_Headers;
+  /// The process ends this long after beginDrain().
+  Duration m_StopTime = std::chrono::milliseconds(7600);
   std::uint64_t m_Seed = 0;
 };
 
@@ -66,8 +68,9 @@
 
   /// Whether a plan is in force and the instance is not about to stop.
   bool isReady() const;
-  /// Requests are still served for DrainGrace; each answer asks its caller to use another
-  /// connection.
+  /// Requests are still served for DrainGrace, but work that may run only once only if its time is
+  /// over before the process ends; each answer asks its caller to use another connection. Shortly
+  /// before that end, all requests in progress end as if their time were over.
   void beginDrain();
   bool isDraining() const;
   /// What callers ask of this instance.
--- a/src/libgateway/FakeUpstream.h
+++ b/src/libgateway/FakeUpstream.h
@@ -166,8 +166,9 @@
 /// A gateway with one stream route, one at-most-once route and one idempotent route, on loopback.
 class GatewayFixture {
 public:
-  GatewayFixture() {
+  explicit GatewayFixture(Duration StopTime = GatewayOptions().m_StopTime) {
     GatewayOptions Options;
+    Options.m_StopTime = StopTime;
     Options.m_Instance = InstanceId("entry-1");
     Options.m_DataCentre = DataCentreId("a");
     Options.m_Region = RegionId("r");
--- a/src/libgateway/Gateway.cpp
+++ b/src/libgateway/Gateway.cpp
@@ -38,7 +38,7 @@
     m_Core->beginDrain();
     m_Core->board().rates().giveUpParts();
     logEvent(Severity::Info, "drain_started",
-             {{"requests", m_Core->m_RequestsInProgress}, {"sessions", m_Core->m_Sessions}});
+             {{"requests", m_Core->requestsInProgress()}, {"sessions", m_Core->m_Sessions}});
   }
 
 private:
@@ -173,7 +173,7 @@
 
 bool Gateway::isDrained() const {
   GatewayCore &Core = m_Implementation->core();
-  return Core.refusesRequests() && Core.m_RequestsInProgress == 0;
+  return Core.refusesRequests() && Core.requestsInProgress() == 0;
 }
 
 boost::json::object Gateway::dumpState() const {
@@ -191,7 +191,7 @@
         {"perSecond", Rate.perSecond()}, {"ownPart", Shared.partAt(Upstream).perSecond()}};
   return {{"planVersion", Core.plan() ? Core.plan()->version().value() : 0},
           {"upstreams", Core.board().size()},
-          {"requests", Core.m_RequestsInProgress},
+          {"requests", Core.requestsInProgress()},
           {"sessions", Core.m_Sessions},
           {"draining", Core.isDraining()},
           {"connectionsOpened", Core.pool().opened()},
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -36,6 +36,7 @@
     : m_Options(std::move(Options)), m_Pool(Loop.get_executor()), m_Random(m_Options.m_Seed),
       m_Board(boardOptions(m_Options), m_Random()), m_RetryTimes(m_Random()),
       m_PumpAlarm(Loop.get_executor()), m_WithdrawAlarm(Loop.get_executor()),
+      m_StopAlarm(Loop.get_executor()),
       m_Requests(Metrics.counter({"fescuegauge_gateway_requests_total",
                                   "Requests of callers by kind of route and outcome.",
                                   {{"kind", 8}, {"outcome", 40}}})),
@@ -289,7 +290,25 @@
 }
 
 bool GatewayCore::refusesRequests() const {
-  return m_DrainingSince && monotonicNow() - *m_DrainingSince > DrainGrace;
+  const TimePoint Now = monotonicNow();
+  return m_DrainingSince && (Now - *m_DrainingSince > DrainGrace || Now >= m_RequestsEndAt);
+}
+
+void GatewayCore::addRequest(const RequestExchange &Request, std::function<void()> OnStop) {
+  m_InProgress.emplace(&Request, std::move(OnStop));
+}
+
+void GatewayCore::beginDrain() {
+  m_DrainingSince = monotonicNow();
+  const Duration Left = std::max(m_Options.m_StopTime - StopMargin, Duration(0));
+  m_RequestsEndAt = *m_DrainingSince + Left;
+  m_StopAlarm.set(Left, [this] {
+    // What is called may end requests, which are removed then.
+    const auto InProgress = m_InProgress;
+    for (const auto &[Request, OnStop] : InProgress)
+      if (m_InProgress.contains(Request))
+        OnStop();
+  });
 }
 
 bool GatewayCore::mayLog(bool IsFailure) {
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -24,6 +24,8 @@
 /// The answer of this process's own for an error, without the headers of one exchange.
 HttpResponse errorResponse(const ErrorAnswer &Answer);
 
+class RequestExchange;
+
 /// A request that waits in the DispatchQueue for a place at an upstream.
 class PlaceWaiter {
 public:
@@ -54,6 +56,9 @@
   /// Requests are served for this long after a stop was announced; callers are sent elsewhere once
   /// the balancer has noticed.
   static constexpr Duration DrainGrace = std::chrono::milliseconds(3000);
+  /// Requests in progress are ended this long before the process ends, so that their callers get an
+  /// answer: time to write it, and to run the loop at a quarter of a core.
+  static constexpr Duration StopMargin = std::chrono::milliseconds(300);
   /// While requests wait, places are looked for at this interval, because pauses of upstreams end
   /// without an event.
   static constexpr Duration PumpInterval = std::chrono::milliseconds(25);
@@ -127,7 +132,14 @@
   bool isDraining() const { return m_DrainingSince.has_value(); }
   /// Whether the grace time after the announcement is over.
   bool refusesRequests() const;
-  void beginDrain() { m_DrainingSince = monotonicNow(); }
+  void beginDrain();
+  /// When requests in progress end because the process is about to end; the greatest time unless it
+  /// stops.
+  TimePoint requestsEndAt() const { return m_RequestsEndAt; }
+  /// Counts a request as in progress until removeRequest(). `OnStop` is called at requestsEndAt().
+  void addRequest(const RequestExchange &Request, std::function<void()> OnStop);
+  void removeRequest(const RequestExchange &Request) { m_InProgress.erase(&Request); }
+  std::size_t requestsInProgress() const { return m_InProgress.size(); }
 
   void countRequest(std::string_view Kind, std::string_view Outcome) {
     m_Requests.add({Kind, Outcome});
@@ -147,7 +159,6 @@
   /// share of their own.
   bool mayLog(bool IsFailure);
 
-  std::size_t m_RequestsInProgress = 0;
   DemandMeter m_Demand;
   std::size_t m_Sessions = 0;
 
@@ -179,6 +190,9 @@
   ReturnDetector m_Returns;
   LateStarts m_LateStarts;
   std::optional<TimePoint> m_DrainingSince;
+  TimePoint m_RequestsEndAt = TimePoint::max();
+  Alarm m_StopAlarm;
+  std::map<const RequestExchange *, std::function<void()>> m_InProgress;
   CounterMetric &m_Requests;
   CounterMetric &m_Attempts;
   CounterMetric &m_DroppedLines;
--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -4,6 +4,7 @@
 #include "Fescuegauge/PeerLink.h"
 
 #include <catch2/catch.hpp>
+#include <functional>
 #include <sstream>
 #include <thread>
 #include <utility>
@@ -724,6 +725,87 @@
   CHECK(Fixture.exchange(GatewayFixture::request("/once/x", "r2")).status() == 503);
 }
 
+// Guards against LOST: requests that came late in the grace were passed on, and cut without an
+// answer when the process ended, among them some that may run only once.
+TEST_CASE("a stopping gateway cuts requests that it took too late", "[gateway]") {
+  constexpr Duration StopTime = 1s;
+  GatewayFixture Fixture(StopTime);
+  Fixture.setPlan();
+  FakeUpstream &Upstream = Fixture.addUpstream([](const HttpRequest &Request) {
+    if (Request.target() == "/stream/x")
+      return Script{{{streamHead(Request) + chunk(event(1))}, {chunk(event(2)), 10s}}};
+    return Script{{{plainAnswer(Request, 200, "late"), 10s}}};
+  });
+  RawAnswer Safe;
+  RawAnswer Before;
+  RawAnswer Stream;
+  std::array<bool, 3> Done{};
+  Fixture.start(GatewayFixture::request("/once/x", "before"), Before, Done[0]);
+  REQUIRE(Fixture.runUntil([&] { return Upstream.requests().size() == 1; }, 1s));
+  const TimePoint Begin = monotonicNow();
+  Fixture.gateway().beginDrain();
+  Fixture.start(GatewayFixture::request("/stream/x", "stream"), Stream, Done[1]);
+  Fixture.start(GatewayFixture::request("/safe/x", "safe"), Safe, Done[2]);
+  REQUIRE(Fixture.runUntil([&] { return Upstream.requests().size() == 3; }, 1s));
+  // Its time is over only after the process has ended.
+  const RawAnswer Once = Fixture.exchange(GatewayFixture::request("/once/x", "once"), 200ms);
+  CHECK(Once.status() == 503);
+  CHECK(Once.contains("Retry-After"));
+  CHECK(Upstream.requests().size() == 3);
+  for (const HttpRequest &Each : Upstream.requests())
+    if (Each["Request-Id"] != "before")
+      CHECK(std::stol(std::string(Each["Deadline-Ms"])) < 1000);
+  REQUIRE(Fixture.runUntil([&] { return Done[0] && Done[1] && Done[2]; },
+                           StopTime - (monotonicNow() - Begin)));
+  CHECK(Before.status() == 504);
+  CHECK(Safe.status() == 504);
+  CHECK(Stream.contains("token-1"));
+  CHECK(Stream.m_ClosedByServer);
+  CHECK_FALSE(Stream.isWholeChunked());
+  CHECK(Fixture.runUntil([&] { return Fixture.gateway().isDrained(); },
+                         StopTime - (monotonicNow() - Begin)));
+}
+
+// Guards against LOST: a request that waited for a place was passed on although the process would
+// end before its time was over.
+TEST_CASE("a stopping gateway passes on work that may run once after a wait", "[gateway]") {
+  constexpr Duration StopTime = 600ms;
+  constexpr std::size_t Places = 4;
+  GatewayFixture Fixture(StopTime);
+  Fixture.setPlan([](RoutingPlan &Plan) { Plan.m_Services[0].m_Engine = EngineParameters(); });
+  FakeUpstream &Upstream = Fixture.addUpstream([](const HttpRequest &Request) {
+    return Script{{{plainAnswer(Request, 200, "x"), 80ms}}};
+  });
+  std::array<RawAnswer, Places> Running;
+  std::array<bool, Places + 1> Done{};
+  const auto AllDone = [&] { return std::all_of(Done.begin(), Done.end(), std::identity()); };
+  const auto FillPlaces = [&](std::size_t Expected) {
+    Running = {};
+    Done = {};
+    for (std::size_t I = 0; I < Places; ++I)
+      Fixture.start(GatewayFixture::request("/safe/x", "r" + std::to_string(Expected + I)),
+                    Running[I], Done[I]);
+    REQUIRE(Fixture.runUntil([&] { return Upstream.requests().size() == Expected + Places; }, 1s));
+  };
+  // Shows how often a place comes free.
+  for (std::size_t Round = 0; Round < 3; ++Round) {
+    FillPlaces(Round * Places);
+    Done.back() = true;
+    REQUIRE(Fixture.runUntil(AllDone, 1s));
+  }
+  FillPlaces(3 * Places);
+  RawAnswer Waiting;
+  Fixture.start(GatewayFixture::request("/once/x", "waiting"), Waiting, Done.back());
+  Fixture.runUntil([] { return false; }, 20ms);
+  REQUIRE_FALSE(Done.back());
+  Fixture.gateway().beginDrain();
+  REQUIRE(Fixture.runUntil(AllDone, StopTime));
+  for (const RawAnswer &Each : Running)
+    CHECK(Each.status() == 200);
+  CHECK(Waiting.status() == 503);
+  CHECK(Upstream.requests().size() == 4 * Places);
+}
+
 // Guards against callers of a stopping gateway that get no answer because their connection, on
 // which a request is on its way, is closed as idle.
 TEST_CASE("a stopping gateway answers the first request of a new connection", "[gateway]") {
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -140,17 +140,21 @@
   m_SuspectKey = {m_Account, sha256(std::string(Target) + "\n" + m_Request.body())};
   if (m_Core.suspects().isBlamed(m_SuspectKey, monotonicNow()))
     return ErrorKind::RequestBlocked;
-  if (m_Core.refusesRequests())
+  if (m_Core.refusesRequests() || isTooLateToBegin())
     return ErrorKind::Draining;
   return std::nullopt;
 }
 
+bool RequestExchange::isTooLateToBegin() const {
+  return !isRepeatable(m_Route->m_Kind) && m_Deadline > m_Core.requestsEndAt();
+}
+
 Task<bool> RequestExchange::run() {
   auto Self = shared_from_this();
-  ++m_Core.m_RequestsInProgress;
+  m_Core.addRequest(*this, [this] { onDeadline(); });
   m_Core.m_Demand.onRequest(monotonicNow());
   std::optional<ErrorKind> Refused = classify();
-  if (!Refused && m_Core.m_RequestsInProgress > GatewayCore::MaxRequests)
+  if (!Refused && m_Core.requestsInProgress() > GatewayCore::MaxRequests)
     Refused = ErrorKind::Overloaded;
   if (Refused) {
     co_await refuse(*Refused);
@@ -162,7 +166,7 @@
     m_DeadlineAlarm.cancel();
     m_StallAlarm.cancel();
   }
-  --m_Core.m_RequestsInProgress;
+  m_Core.removeRequest(*this);
   m_Core.countRequest(kindName(), m_Outcome);
   logEnd();
   co_return m_Complete && !m_ClientBroken && keepsConnection() && m_Client->isOpen();
@@ -214,7 +218,7 @@
   m_NextPermit = Found.m_NextPermit;
   if (Found.m_Verdict != PlacementVerdict::Placed)
     co_return std::nullopt;
-  if (isInterrupted()) {
+  if (isInterrupted() || isTooLateToBegin()) {
     m_Core.giveBack(Found, m_PromptTokens);
     co_return std::nullopt;
   }
@@ -252,8 +256,8 @@
     m_TimedOut = true;
     m_DeadlineAlarm.cancel();
   }
-  if (isInterrupted() || !m_Core.board().mayStillSend(To, wantedPlace(), monotonicNow()) ||
-      !ensurePermit(To))
+  if (isInterrupted() || isTooLateToBegin() ||
+      !m_Core.board().mayStillSend(To, wantedPlace(), monotonicNow()) || !ensurePermit(To))
     return false;
   Request.set(m_Core.headers().m_Deadline, std::to_string(Left.count()));
   return true;
@@ -701,8 +705,10 @@
     co_return;
   }
   if (!m_MayHaveRun) {
-    const ErrorKind Kind = m_LastVerdict == PlacementVerdict::NoneUsable ? ErrorKind::NoUpstream
-                                                                         : ErrorKind::Overloaded;
+    ErrorKind Kind = m_LastVerdict == PlacementVerdict::NoneUsable ? ErrorKind::NoUpstream
+                                                                   : ErrorKind::Overloaded;
+    if (m_Core.refusesRequests() || isTooLateToBegin())
+      Kind = ErrorKind::Draining;
     co_await refuse(Kind);
     co_return;
   }
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -117,7 +117,11 @@
   /// Reports a stream that began on weights that the bound no longer allows.
   void checkWeightsBound(const UpstreamExchange &Sent);
   bool isInterrupted() const { return m_TimedOut || m_CallerLeft; }
-  Duration timeLeft() const { return m_Deadline - monotonicNow(); }
+  Duration timeLeft() const {
+    return std::min(m_Deadline, m_Core.requestsEndAt()) - monotonicNow();
+  }
+  /// The process is about to end, maybe before the request, which may run only once.
+  bool isTooLateToBegin() const;
 
   Task<> refuse(ErrorKind Kind);
   Task<> finishFailed();
