--- a/src/include/Fescuegauge/PeerLink.h
+++ b/src/include/Fescuegauge/PeerLink.h
@@ -65,7 +65,8 @@
   /// With more peers than this, they take turns, so that each hears of this instance.
   static constexpr std::size_t MaxLocalPeers = 16;
   static constexpr std::size_t MaxRemotePeers = 8;
-  /// A notice from an agent is told on for this long, in several reports, because any may be lost.
+  /// A notice from an agent, or a new statement that an upstream leaves, is told at once and for
+  /// this long in each report, because any may be lost.
   static constexpr Duration NoticeLifetime = std::chrono::milliseconds(1000);
 
   struct Handlers {
@@ -115,6 +116,9 @@
   /// As last told, with the time at which each was confirmed in place of its age.
   std::vector<TableState> m_LastTables;
   bool m_ToldStopping = false;
+  std::vector<UpstreamStart> m_LastLeaving;
+  /// Until when new statements that upstreams leave are told at once.
+  TimePoint m_LeavingUrgentUntil;
   /// Notices from agents, with the time at which they end and the time at which they came.
   struct TakenNotice {
     Endpoint m_Upstream;
--- a/src/include/Fescuegauge/UpstreamBoard.h
+++ b/src/include/Fescuegauge/UpstreamBoard.h
@@ -176,6 +176,8 @@
   /// The part of the target latency in which an engine is to finish the pass that runs when a
   /// request comes, and the one in which it reads the prompt. DispatchQueue may use the rest.
   static constexpr double ReadShare = 0.7;
+  /// Leaving upstreams in one message to another instance, so that it stays below 4 kB.
+  static constexpr std::size_t MaxLeavingTold = 128;
   /// A notice that an upstream loads counts for this long at most.
   static constexpr Duration LongestLoad = std::chrono::seconds(6);
 
@@ -231,10 +233,9 @@
   bool wantsPause(const UpstreamStart &Upstream, TimePoint Now) const {
     return m_Statements.wantsPause(Upstream, Now);
   }
-  /// For the other entry instances.
-  std::vector<UpstreamStart> leavingToTell(TimePoint Now) const {
-    return m_Statements.leavingToTell(Now);
-  }
+  /// For the other entry instances: upstreams that said that they leave, as long as they are
+  /// listed. An instance that was frozen, cut off or restarted meanwhile must hear of it too.
+  std::vector<UpstreamStart> leavingToTell(TimePoint Now) const;
 
   /// The rates that upstreams name. An upstream from which no permit can be had now gets no place.
   SharedRates &rates() { return m_Rates; }
--- a/src/include/Fescuegauge/UpstreamStatements.h
+++ b/src/include/Fescuegauge/UpstreamStatements.h
@@ -32,9 +32,6 @@
   static constexpr Duration LeavingLifetime = std::chrono::minutes(30);
   /// Upstreams remembered; beyond it the statements that end first are forgotten.
   static constexpr std::size_t MaxUpstreams = 4096;
-  /// A statement is told to the other instances for this long, in several datagrams, because any
-  /// may be lost.
-  static constexpr Duration TellingTime = std::chrono::milliseconds(1000);
 
   /// The upstream leaves: nothing more may be sent to it. Returns whether that is news.
   bool onLeaving(const UpstreamStart &Upstream, TimePoint Now);
@@ -43,8 +40,6 @@
 
   bool isLeaving(const UpstreamStart &Upstream, TimePoint Now) const;
   bool wantsPause(const UpstreamStart &Upstream, TimePoint Now) const;
-  /// Upstreams of which it was learned a short time ago that they leave.
-  std::vector<UpstreamStart> leavingToTell(TimePoint Now) const;
 
 private:
   using Times = std::map<UpstreamStart, TimePoint>;
--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -749,6 +749,22 @@
   CHECK_FALSE(Events.next());
 }
 
+// Guards against DRAIN: an upstream that leaves was told of for one second, so that an instance
+// that was frozen or cut off then, or was restarted, never heard of it.
+TEST_CASE("an upstream that leaves is told of as long as it is listed", "[dispatch]") {
+  UpstreamBoard Board({}, 1);
+  const std::vector<UpstreamRecord> Listed{upstream("u1"), upstream("u2")};
+  Board.setUpstreams(Listed);
+  CHECK(Board.onLeaving(Listed[0].start(), at(0s)));
+  CHECK(Board.leavingToTell(at(20s)) == std::vector{Listed[0].start()});
+  UpstreamRecord Restarted = Listed[0];
+  Restarted.m_Incarnation = Incarnation(99);
+  Board.setUpstreams(std::vector{Restarted, Listed[1]});
+  CHECK(Board.leavingToTell(at(20s)).empty());
+  Board.setUpstreams(std::vector{Listed[1]});
+  CHECK(Board.leavingToTell(at(20s)).empty());
+}
+
 TEST_CASE("pauses that upstreams ask for are taken as they are, absurd ones within bounds",
           "[dispatch]") {
   CHECK(parsePause("2") == Duration(2s));
--- a/src/libdispatch/UpstreamBoard.cpp
+++ b/src/libdispatch/UpstreamBoard.cpp
@@ -421,6 +421,14 @@
   return m_Statements.onLeaving(Upstream, Now);
 }
 
+std::vector<UpstreamStart> UpstreamBoard::leavingToTell(TimePoint Now) const {
+  std::vector<UpstreamStart> Result;
+  for (const auto &[Id, Entry] : m_Upstreams)
+    if (Result.size() < MaxLeavingTold && m_Statements.isLeaving(Entry.m_Record.start(), Now))
+      Result.push_back(Entry.m_Record.start());
+  return Result;
+}
+
 void UpstreamBoard::onPauseAsked(const UpstreamStart &Upstream, Duration Pause, TimePoint Now) {
   m_Statements.onPauseAsked(Upstream, Pause, Now);
 }
--- a/src/libdispatch/UpstreamStatements.cpp
+++ b/src/libdispatch/UpstreamStatements.cpp
@@ -48,14 +48,6 @@
   return contains(m_Paused, Upstream, Now);
 }
 
-std::vector<UpstreamStart> UpstreamStatements::leavingToTell(TimePoint Now) const {
-  std::vector<UpstreamStart> Result;
-  for (const auto &[Upstream, Until] : m_Leaving)
-    if (Now < Until - LeavingLifetime + TellingTime)
-      Result.push_back(Upstream);
-  return Result;
-}
-
 std::optional<Duration> parsePause(std::string_view RetryAfter) {
   const auto Seconds = parseNonNegative(RetryAfter);
   if (!Seconds)
--- a/src/libgateway/PeerLink.cpp
+++ b/src/libgateway/PeerLink.cpp
@@ -308,8 +308,15 @@
   for (const TakenNotice &Each : m_Notices)
     if (Now - Each.m_TakenAt <= NoticeLifetime)
       Report.m_Loading.push_back({Each.m_Upstream, std::max(Each.m_Until - Now, Duration(0))});
-  const bool Urgent =
-      !Report.m_Suspects.empty() || !Report.m_Loading.empty() || !Report.m_Leaving.empty();
+  const bool HasNewLeaving =
+      std::any_of(Report.m_Leaving.begin(), Report.m_Leaving.end(), [&](const UpstreamStart &Each) {
+        return std::find(m_LastLeaving.begin(), m_LastLeaving.end(), Each) == m_LastLeaving.end();
+      });
+  if (HasNewLeaving)
+    m_LeavingUrgentUntil = Now + NoticeLifetime;
+  m_LastLeaving = Report.m_Leaving;
+  const bool Urgent = !Report.m_Suspects.empty() || !Report.m_Loading.empty() ||
+                      (!Report.m_Leaving.empty() && Now < m_LeavingUrgentUntil);
   // Ages grow all the time; only one that was confirmed anew is news.
   std::vector<TableState> Tables = Report.m_Tables;
   for (TableState &Each : Tables)
