--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -406,6 +406,26 @@
   }
 }
 
+// Guards against MIXED: the body of an error answer to HEAD was taken for the beginning of the next
+// answer on the connection, and the length that an upstream told became 0.
+TEST_CASE("an answer to HEAD has a body, or another length than its upstream told", "[gateway]") {
+  GatewayFixture Fixture;
+  Fixture.setPlan();
+  Fixture.addUpstream([](const HttpRequest &Request) {
+    std::string Answer = plainAnswer(Request, 200, "body");
+    Answer.resize(Answer.size() - 4);
+    return Script{{{Answer}}};
+  });
+  for (const char *Path : {"/safe/x", "/nowhere/x"}) {
+    const RawAnswer Answer =
+        Fixture.exchange(GatewayFixture::request(Path, "r1", "", "HEAD"), 300ms);
+    INFO(Answer.m_Bytes);
+    CHECK(Answer.status() != 0);
+    CHECK(Answer.m_Bytes.ends_with("\r\n\r\n"));
+    CHECK_FALSE(Answer.contains("Content-Length: 0"));
+  }
+}
+
 // Guards against a store or instance that stops in the middle of the head of its answer and is
 // taken to have answered.
 TEST_CASE("a call whose answer is cut in its head counts as answered", "[gateway]") {
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -465,7 +465,7 @@
     m_StallAlarm.cancel();
     noteFirstByte();
     std::optional<std::uint64_t> Length = Sent.contentLength();
-    if (Done)
+    if (Done && !isHead())
       Length = Held.size();
     const bool HeadWritten = co_await ensureHead(Sent.header(), Length);
     if (!HeadWritten)
@@ -749,6 +749,8 @@
   Response.keep_alive(keepsConnection());
 
   Response.prepare_payload();
+  if (isHead())
+    Response.body().clear();
   m_HeadSent = true;
   auto [Error, Size] = co_await http::async_write(m_Client->socket(), Response, AsTuple);
   m_Complete = !Error;
@@ -779,6 +781,8 @@
 }
 
 Task<bool> RequestExchange::sendBody(std::string Bytes, bool IsLast) {
+  if (isHead())
+    co_return true;
   std::string Framed;
   if (!m_Chunked)
     Framed = std::move(Bytes);
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -116,6 +116,8 @@
   void noteStart();
   /// Reports a stream that began on weights that the bound no longer allows.
   void checkWeightsBound(const UpstreamExchange &Sent);
+  /// An answer has the head of one to GET, and no body.
+  bool isHead() const { return m_Request.method() == boost::beast::http::verb::head; }
   bool isInterrupted() const { return m_TimedOut || m_CallerLeft; }
   Duration timeLeft() const {
     return std::min(m_Deadline, m_Core.requestsEndAt()) - monotonicNow();
