--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -294,10 +294,6 @@
   return m_DrainingSince && (Now - *m_DrainingSince > DrainGrace || Now >= m_RequestsEndAt);
 }
 
-void GatewayCore::addRequest(const RequestExchange &Request, std::function<void()> OnStop) {
-  m_InProgress.emplace(&Request, std::move(OnStop));
-}
-
 void GatewayCore::beginDrain() {
   m_DrainingSince = monotonicNow();
   const Duration Left = std::max(m_Options.m_StopTime - StopMargin, Duration(0));
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -24,8 +24,6 @@
 /// The answer of this process's own for an error, without the headers of one exchange.
 HttpResponse errorResponse(const ErrorAnswer &Answer);
 
-class RequestExchange;
-
 /// A request that waits in the DispatchQueue for a place at an upstream.
 class PlaceWaiter {
 public:
@@ -136,9 +134,19 @@
   /// When requests in progress end because the process is about to end; the greatest time unless it
   /// stops.
   TimePoint requestsEndAt() const { return m_RequestsEndAt; }
-  /// Counts a request as in progress until removeRequest(). `OnStop` is called at requestsEndAt().
-  void addRequest(const RequestExchange &Request, std::function<void()> OnStop);
-  void removeRequest(const RequestExchange &Request) { m_InProgress.erase(&Request); }
+  /// Counts a request as in progress as long as it lives. `OnStop` is called at requestsEndAt().
+  class RequestInProgress {
+  public:
+    RequestInProgress(GatewayCore &Core, std::function<void()> OnStop) : m_Core(Core) {
+      m_Core.m_InProgress.emplace(this, std::move(OnStop));
+    }
+    RequestInProgress(const RequestInProgress &) = delete;
+    RequestInProgress &operator=(const RequestInProgress &) = delete;
+    ~RequestInProgress() { m_Core.m_InProgress.erase(this); }
+
+  private:
+    GatewayCore &m_Core;
+  };
   std::size_t requestsInProgress() const { return m_InProgress.size(); }
 
   void countRequest(std::string_view Kind, std::string_view Outcome) {
@@ -192,7 +200,7 @@
   std::optional<TimePoint> m_DrainingSince;
   TimePoint m_RequestsEndAt = TimePoint::max();
   Alarm m_StopAlarm;
-  std::map<const RequestExchange *, std::function<void()>> m_InProgress;
+  std::map<const RequestInProgress *, std::function<void()>> m_InProgress;
   CounterMetric &m_Requests;
   CounterMetric &m_Attempts;
   CounterMetric &m_DroppedLines;
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -151,7 +151,8 @@
 
 Task<bool> RequestExchange::run() {
   auto Self = shared_from_this();
-  m_Core.addRequest(*this, [this] { onDeadline(); });
+  std::optional<GatewayCore::RequestInProgress> InProgress;
+  InProgress.emplace(m_Core, [this] { onDeadline(); });
   m_Core.m_Demand.onRequest(monotonicNow());
   std::optional<ErrorKind> Refused = classify();
   if (!Refused && m_Core.requestsInProgress() > GatewayCore::MaxRequests)
@@ -166,7 +167,7 @@
     m_DeadlineAlarm.cancel();
     m_StallAlarm.cancel();
   }
-  m_Core.removeRequest(*this);
+  InProgress.reset();
   m_Core.countRequest(kindName(), m_Outcome);
   logEnd();
   co_return m_Complete && !m_ClientBroken && keepsConnection() && m_Client->isOpen();
