--- a/src/include/Fescuegauge/TableNews.h
+++ b/src/include/Fescuegauge/TableNews.h
@@ -65,8 +65,9 @@
   /// must be in force no longer keeps others from asking.
   static constexpr double AskerShare = 0.6;
   /// The store is taken to have served all the while if it answered somebody at least this often.
-  /// Entries lapse after three heartbeats of 1.2 s, so that two of them are lost at least, and an
-  /// instance in touch tells of an answer after 2.1 s at the latest with a bound of 4 s.
+  /// An entry lapses after three heartbeats of 1.2 s without an answer, the first of which may be
+  /// up to 1.2 s before an outage, so a shorter outage removes none. An instance in touch tells of
+  /// an answer after 2.1 s at the latest with a bound of 4 s.
   static constexpr Duration LongestPause = std::chrono::milliseconds(2300);
   /// Instances of which anything is remembered, and for how long.
   static constexpr std::size_t MaxInstances = 1024;
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -205,6 +205,8 @@
 }
 
 Task<std::optional<Placement>> RequestExchange::findPlace() {
+  if (isTooLateToBegin())
+    co_return std::nullopt;
   PlacementRequest Wanted = wantedPlace();
   WaitTerms Terms;
   Terms.m_Longest = std::min(m_HeadSent ? LongestResumeWait
@@ -387,7 +389,7 @@
   const Duration LongestIdle =
       isRepeatable(m_Route->m_Kind) ? Duration::max() : LongestIdleAtMostOnce;
   const ExchangeError Error = co_await Sent.start(
-      From.m_Address, LongestIdle, ConnectTimeout,
+      From.m_Address, LongestIdle, std::clamp(timeLeft(), Duration(0), ConnectTimeout),
       [this, &From](HttpRequest &Request) { return prepareSend(From, Request); });
   if (!Sent.wasSent()) {
     m_MayHaveRun = RanBefore;
@@ -728,7 +730,10 @@
     co_return;
   }
   m_Outcome = "upstream-failure";
-  const std::uint64_t Length = m_KeptAnswer->m_Body.size();
+  std::optional<std::uint64_t> Length = m_KeptAnswer->m_Body.size();
+  if (isHead())
+    Length = parseNumber<std::uint64_t>(
+        std::string(m_KeptAnswer->m_Header[http::field::content_length]));
   const bool HeadWritten = co_await ensureHead(m_KeptAnswer->m_Header, Length);
   if (HeadWritten)
     m_Complete = co_await sendBody(std::move(m_KeptAnswer->m_Body), true);
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -122,7 +122,7 @@
   Duration timeLeft() const {
     return std::min(m_Deadline, m_Core.requestsEndAt()) - monotonicNow();
   }
-  /// The process is about to end, maybe before the request, which may run only once.
+  /// The request may run only once, and its time ends after GatewayCore::requestsEndAt().
   bool isTooLateToBegin() const;
 
   Task<> refuse(ErrorKind Kind);
