--- a/src/libgateway/ClientSession.cpp
+++ b/src/libgateway/ClientSession.cpp
@@ -84,6 +84,7 @@
       co_return false;
   }
   m_IdleSince.reset();
+  const GatewayCore::ReadingScope Reading(*m_Core);
   m_Limit.set(Limits.m_HeaderTimeout, CloseLate);
   auto [HeadError, HeadSize] =
       co_await http::async_read_header(m_Client->socket(), m_Client->buffer(), Parser, AsTuple);
--- a/src/libgateway/FakeUpstream.h
+++ b/src/libgateway/FakeUpstream.h
@@ -141,17 +141,10 @@
   }
 };
 
-/// Sends raw bytes, `Wait` after it connected, and reads until the server closes or the answer is
-/// whole.
-inline Task<> callRaw(Endpoint To, std::string Bytes, RawAnswer &Result, bool &Done,
-                      Duration Wait = Duration(0)) {
-  Tcp::socket Socket(co_await net::this_coro::executor);
-  co_await Socket.async_connect(tcpEndpoint(To), AsTuple);
-  if (Wait > Duration(0))
-    co_await sleepFor(Wait);
-  co_await net::async_write(Socket, net::buffer(Bytes), AsTuple);
+/// Reads until the server closes or the answer is whole; with `ToTheEnd`, until the server closes.
+inline Task<> readRaw(Tcp::socket &Socket, RawAnswer &Result, bool &Done, bool ToTheEnd = false) {
   std::array<char, 4096> Chunk;
-  while (!Result.isWhole()) {
+  while (ToTheEnd || !Result.isWhole()) {
     auto [Error, Size] = co_await Socket.async_read_some(net::buffer(Chunk), AsTuple);
     Result.m_Bytes.append(Chunk.data(), Size);
     if (Error) {
@@ -163,6 +156,18 @@
   Done = true;
 }
 
+/// Sends raw bytes, `Wait` after it connected, and reads until the server closes or the answer is
+/// whole.
+inline Task<> callRaw(Endpoint To, std::string Bytes, RawAnswer &Result, bool &Done,
+                      Duration Wait = Duration(0)) {
+  Tcp::socket Socket(co_await net::this_coro::executor);
+  co_await Socket.async_connect(tcpEndpoint(To), AsTuple);
+  if (Wait > Duration(0))
+    co_await sleepFor(Wait);
+  co_await net::async_write(Socket, net::buffer(Bytes), AsTuple);
+  co_await readRaw(Socket, Result, Done);
+}
+
 /// A gateway with one stream route, one at-most-once route and one idempotent route, on loopback.
 class GatewayFixture {
 public:
--- a/src/libgateway/Gateway.cpp
+++ b/src/libgateway/Gateway.cpp
@@ -173,7 +173,7 @@
 
 bool Gateway::isDrained() const {
   GatewayCore &Core = m_Implementation->core();
-  return Core.refusesRequests() && Core.requestsInProgress() == 0;
+  return Core.refusesRequests() && Core.requestsInProgress() == 0 && Core.requestsBeingRead() == 0;
 }
 
 boost::json::object Gateway::dumpState() const {
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -159,6 +159,20 @@
   /// share of their own.
   bool mayLog(bool IsFailure);
 
+  /// Counts a request as being read, or served, while it lives. The process does not end by itself
+  /// before, so that a caller whose body is on its way gets an answer.
+  class ReadingScope {
+  public:
+    explicit ReadingScope(GatewayCore &Core) : m_Core(Core) { ++m_Core.m_RequestsBeingRead; }
+    ReadingScope(const ReadingScope &) = delete;
+    ReadingScope &operator=(const ReadingScope &) = delete;
+    ~ReadingScope() { --m_Core.m_RequestsBeingRead; }
+
+  private:
+    GatewayCore &m_Core;
+  };
+  std::size_t requestsBeingRead() const { return m_RequestsBeingRead; }
+
   DemandMeter m_Demand;
   std::size_t m_Sessions = 0;
 
@@ -192,6 +206,7 @@
   std::optional<TimePoint> m_DrainingSince;
   TimePoint m_RequestsEndAt = TimePoint::max();
   Alarm m_StopAlarm;
+  std::size_t m_RequestsBeingRead = 0;
   std::map<const RequestExchange *, std::function<void()>> m_InProgress;
   CounterMetric &m_Requests;
   CounterMetric &m_Attempts;
--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -2,6 +2,7 @@
 
 #include "Fescuegauge/Log.h"
 #include "Fescuegauge/PeerLink.h"
+#include "GatewayCore.h"
 
 #include <catch2/catch.hpp>
 #include <functional>
@@ -826,6 +827,87 @@
   CHECK(Upstream.requests().size() == 4 * Places);
 }
 
+// Guards against LOST: a request that is read near the end of a stopping process, or whose body is
+// still on its way then, gets no answer.
+TEST_CASE("a stopping gateway leaves requests of its last moment unanswered", "[gateway]") {
+  constexpr Duration StopTime = 1s;
+  constexpr Duration RequestsEnd = StopTime - GatewayCore::StopMargin;
+  GatewayFixture Fixture(StopTime);
+  Fixture.setPlan();
+  FakeUpstream &Upstream = Fixture.addUpstream([](const HttpRequest &Request) {
+    const bool IsFirst = Request["Request-Id"].starts_with("first");
+    return Script{{{plainAnswer(Request, 200, "x"), IsFirst ? 0s : 10s}}};
+  });
+  enum Caller : std::size_t { Safe, Once, Body, Idle, Callers };
+  std::vector<Tcp::socket> Sockets;
+  for (std::size_t I = 0; I < Callers; ++I) {
+    Sockets.emplace_back(Fixture.loop()).connect(tcpEndpoint(Fixture.address()));
+    net::write(Sockets[I],
+               net::buffer(GatewayFixture::request("/safe/x", "first" + std::to_string(I))));
+    RawAnswer First;
+    bool Done = false;
+    net::co_spawn(Fixture.loop(), readRaw(Sockets[I], First, Done), net::detached);
+    REQUIRE(Fixture.runUntil([&] { return Done; }, 1s));
+    REQUIRE(First.status() == 200);
+  }
+  std::array<RawAnswer, Callers> Answers;
+  std::array<bool, Callers> Done{};
+  for (std::size_t I = 0; I < Callers; ++I)
+    net::co_spawn(Fixture.loop(), readRaw(Sockets[I], Answers[I], Done[I], true), net::detached);
+  const TimePoint Begin = monotonicNow();
+  const auto RunUntilTime = [&](Duration SinceBegin) {
+    Fixture.runUntil([&] { return monotonicNow() >= Begin + SinceBegin; }, StopTime);
+  };
+  Fixture.gateway().beginDrain();
+  RunUntilTime(RequestsEnd - 10ms);
+  const std::string Whole = GatewayFixture::request("/once/x", "body");
+  net::write(Sockets[Safe], net::buffer(GatewayFixture::request("/safe/x", "safe")));
+  net::write(Sockets[Once], net::buffer(GatewayFixture::request("/once/x", "once")));
+  net::write(Sockets[Body], net::buffer(Whole.substr(0, Whole.size() - 2)));
+  REQUIRE(Fixture.runUntil([&] { return Done[Safe] && Done[Once]; },
+                           StopTime - (monotonicNow() - Begin)));
+  RunUntilTime(RequestsEnd + 10ms);
+  CHECK_FALSE(Fixture.gateway().isDrained());
+  CHECK_FALSE(Done[Body]);
+  net::write(Sockets[Body], net::buffer(Whole.substr(Whole.size() - 2)));
+  CHECK(Fixture.runUntil([&] { return Done[Body] && Fixture.gateway().isDrained(); },
+                         StopTime - (monotonicNow() - Begin)));
+  const bool SafeWasSent = Upstream.requests().size() == Callers + 1;
+  CHECK(Answers[Safe].status() == (SafeWasSent ? 504 : 503));
+  CHECK(Answers[Once].status() == 503);
+  CHECK(Answers[Body].status() == 503);
+  for (const Caller Each : {Safe, Once, Body}) {
+    CHECK(Answers[Each].isWhole());
+    CHECK_FALSE(Answers[Each].m_Reset);
+  }
+  CHECK(Answers[Idle].m_Bytes.empty());
+  CHECK(Upstream.requests().size() <= Callers + 1);
+}
+
+// Guards against LOST: an answer that was written just before the requests end is cut by a reset of
+// its connection.
+TEST_CASE("a stopping gateway resets connections with a whole answer", "[gateway]") {
+  constexpr Duration StopTime = 600ms;
+  GatewayFixture Fixture(StopTime);
+  Fixture.setPlan();
+  Tcp::socket Socket(Fixture.loop());
+  Socket.connect(tcpEndpoint(Fixture.address()));
+  const std::string Whole = GatewayFixture::request("/once/x", "body", "Expect: 100-continue\r\n");
+  RawAnswer Answer;
+  bool Done = false;
+  net::co_spawn(Fixture.loop(), readRaw(Socket, Answer, Done, true), net::detached);
+  const TimePoint Begin = monotonicNow();
+  Fixture.gateway().beginDrain();
+  net::write(Socket, net::buffer(Whole.substr(0, Whole.size() - 2)));
+  REQUIRE(Fixture.runUntil([&] { return Answer.contains("100 Continue"); }, 200ms));
+  // The loop finds the end of the body and the end of the requests at once, the body first.
+  net::write(Socket, net::buffer(Whole.substr(Whole.size() - 2)));
+  std::this_thread::sleep_for(Begin + StopTime - GatewayCore::StopMargin + 5ms - monotonicNow());
+  REQUIRE(Fixture.runUntil([&] { return Done; }, 1s));
+  CHECK(Answer.contains("HTTP/1.1 503"));
+  CHECK_FALSE(Answer.m_Reset);
+}
+
 // Guards against callers of a stopping gateway that get no answer because their connection, on
 // which a request is on its way, is closed as idle.
 TEST_CASE("a stopping gateway answers the first request of a new connection", "[gateway]") {
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -151,7 +151,7 @@
 
 Task<bool> RequestExchange::run() {
   auto Self = shared_from_this();
-  m_Core.addRequest(*this, [this] { onDeadline(); });
+  m_Core.addRequest(*this, [this] { onStop(); });
   m_Core.m_Demand.onRequest(monotonicNow());
   std::optional<ErrorKind> Refused = classify();
   if (!Refused && m_Core.requestsInProgress() > GatewayCore::MaxRequests)
@@ -159,7 +159,8 @@
   if (Refused) {
     co_await refuse(*Refused);
   } else {
-    m_DeadlineAlarm.set(std::max(timeLeft(), Duration(0)), [this] { onDeadline(); });
+    m_DeadlineAlarm.set(std::max(m_Deadline - monotonicNow(), Duration(0)),
+                        [this] { onDeadline(); });
     m_Client->beginWatch([this] { onCallerLeft(); });
     co_await dispatch();
     m_Client->endWatch();
@@ -623,11 +624,20 @@
   interrupt();
 }
 
-void RequestExchange::interrupt() {
+void RequestExchange::onStop() {
+  m_TimedOut = true;
+  cancelWork();
+}
+
+void RequestExchange::cancelWork() {
   if (m_Waiter)
     m_Waiter->cancel();
   if (m_Current)
     m_Current->cancel();
+}
+
+void RequestExchange::interrupt() {
+  cancelWork();
   // A write to a caller that does not read would otherwise go on.
   if (m_HeadSent)
     m_Client->reset();
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -104,7 +104,11 @@
     return m_HeadSent && m_Route->m_Kind == Repeatability::ResumableStream && m_EventsResumable;
   }
   void onDeadline();
+  /// The process is about to end. A write to the caller goes on, because the answer may be whole
+  /// then; the end of the process cuts one that does not end.
+  void onStop();
   void onCallerLeft();
+  void cancelWork();
   void interrupt();
   void checkStall();
   /// The request must not begin at its upstream any more, because the weights there are too old.
