--- a/src/include/Fescuegauge/CallHeaderNames.h
+++ b/src/include/Fescuegauge/CallHeaderNames.h
@@ -20,6 +20,9 @@
   std::string m_Model = "Model";
   /// Number of prompt tokens and maximum number of output tokens, separated by a comma.
   std::string m_TokenUsage = "Token-Usage";
+  /// Parts of the prompt in their order, as comma-separated pairs of an id and a number of tokens,
+  /// separated by a colon. Requests may share all parts but the last.
+  std::string m_PromptParts = "Prompt-Parts";
   /// Id of the upstream that the request is sent to. Any other upstream refuses it.
   std::string m_ExpectedUpstream = "Expected-Upstream";
   /// Required version of the weights. An upstream with another version refuses the request.
--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -1394,3 +1394,43 @@
       Arrivals += Request["Request-Id"] == "r1" ? 1 : 0;
   CHECK(Arrivals == 1);
 }
+
+// Guards against suspecting only whole requests: one prompt part crashes every upstream, and no two
+// requests with it are alike.
+TEST_CASE("requests that share a prompt part that crashes upstreams are blocked",
+          "[gateway][known-red]") {
+  GatewayFixture Fixture;
+  Fixture.setPlan();
+  constexpr int UpstreamCount = 9;
+  std::vector<FakeUpstream *> Upstreams(UpstreamCount);
+  int Crashes = 0;
+  for (int I = 0; I < UpstreamCount; ++I)
+    Upstreams[static_cast<std::size_t>(I)] =
+        &Fixture.addUpstream([&Upstreams, &Crashes, I](const HttpRequest &Request) {
+          if (Request["Prompt-Parts"].find("bad:") == std::string_view::npos)
+            return Script{{{streamHeader(Request)}, {chunk(event(1))}, {LastChunk}}};
+          ++Crashes;
+          Upstreams[static_cast<std::size_t>(I)]->stopListening();
+          return Script{{{"", 30ms}}, Script::End::Reset};
+        });
+  const auto Send = [&](int Number, const std::string &Parts) {
+    const std::string Id = std::to_string(Number);
+    return Fixture.exchange(GatewayFixture::request(
+        "/stream/" + Id, "r" + Id, "Prompt-Parts: " + Parts + ",own" + Id + ":90\r\n"));
+  };
+  int Number = 0;
+  for (; Number < 4; ++Number) {
+    Send(Number, "first:40,bad:160");
+    CHECK(Send(Number + 100, "first:40").isCompleteChunked());
+    Fixture.runUntil([] { return false; }, 400ms);
+  }
+  const int CrashesBefore = Crashes;
+  CHECK(CrashesBefore <= 5);
+  for (; Number < 8; ++Number) {
+    const RawResponse Blocked = Send(Number, "first:40,bad:160");
+    CHECK(Blocked.status() == 503);
+    CHECK(Blocked.contains("request-blocked"));
+    CHECK(Send(Number + 100, "first:40").isCompleteChunked());
+  }
+  CHECK(Crashes == CrashesBefore);
+}
