--- a/src/fescuegauged/AttemptService.cpp
+++ b/src/fescuegauged/AttemptService.cpp
@@ -161,6 +161,7 @@
     auto OnFragment = [this, &Started](std::uint64_t Offset, std::string Data,
                                        const Digest &ServedRoot) {
       m_Loop.post([Started, Offset, Data = std::move(Data), ServedRoot]() mutable {
+        Started->m_HasBegun = true;
         if (Started->m_Request.m_NonIdempotent)
           Started->m_Answer += Data;
         Started->m_Sink->onFragment(
@@ -284,7 +285,8 @@
   EngineLoss Loss;
   Loss.m_EngineIncarnation = m_EngineIncarnation;
   for (const auto &[Id, Running] : m_Running)
-    Loss.m_Running.push_back({Running->m_Request.m_Account, Running->m_Request.m_BodyDigest});
+    if (!Running->m_HasBegun)
+      Loss.m_Unstarted.push_back(Running->m_Request.m_Suspect);
   m_Losses.push_back(std::move(Loss));
   if (m_Losses.size() > MaxReportedLosses)
     m_Losses.erase(m_Losses.begin());
--- a/src/fescuegauged/RequestService.cpp
+++ b/src/fescuegauged/RequestService.cpp
@@ -145,8 +145,10 @@
     m_Rpc->setTopicHandler(Topic::Suspects, [this](const PeerIdentity &, const std::string &Payload,
                                                    const ReplyCallback &Reply) {
       Reply({});
-      if (auto Deltas = decodeSuspectDeltas(Payload))
-        m_Suspects.merge(*Deltas, EventLoop::now());
+      if (auto Update = decodeSuspectUpdate(Payload)) {
+        m_Suspects.merge(*Update, EventLoop::now());
+        logQuarantineChanges();
+      }
     });
     m_Membership->addChangeCallback(
         [this](const InstanceRecord &Record) { onMemberChanged(Record); });
@@ -533,7 +535,7 @@
   Request.m_Priority = Pending.m_Priority;
   Request.m_Timeout = std::max<Duration>(Pending.m_Constraints.m_Deadline - EventLoop::now(), 1s);
   Request.m_Body = Pending.m_Body;
-  Request.m_BodyDigest = Pending.m_Request.m_BodyDigest;
+  Request.m_Suspect = Action.m_Suspect;
   logEvent(Severity::Debug, "attempt_dispatched",
            {{"request", Action.m_Request},
             {"attempt", Action.m_Attempt},
@@ -716,18 +718,35 @@
   Crash &Collected = Entry->second;
   if (IsNew) {
     Collected.m_DetectedAt = EventLoop::now();
-    for (const RunningRequest &Lost : Loss.m_Running)
-      Collected.m_SuspectKeys.push_back({Lost.m_Account, Lost.m_BodyDigest});
+    Collected.m_Unstarted = Loss.m_Unstarted;
   }
   return Collected;
 }
 
 void RequestService::sendSuspects() {
-  auto Deltas = m_Suspects.takeDeltas(EventLoop::now());
-  if (Deltas.empty())
+  const SuspectUpdate Update = m_Suspects.takeUpdate(EventLoop::now());
+  if (Update.empty())
     return;
-  for (const InstanceId &Entry : m_Membership->view().entries(m_Settings.m_DataCentre))
-    m_Membership->send(Entry, Topic::Suspects, encodePayload(Deltas));
+  const std::string Payload = encodePayload(Update);
+  for (const DataCentreId &DataCentre : m_Membership->view().dataCentres()) {
+    const std::vector<InstanceId> Entries = m_Membership->view().entries(DataCentre);
+    // One instance of each other data centre passes the news on there.
+    const bool IsLocal = DataCentre == m_Settings.m_DataCentre;
+    for (std::size_t I = 0;
+         I < (IsLocal ? Entries.size() : std::min<std::size_t>(1, Entries.size())); ++I)
+      m_Membership->send(Entries[(m_SuspectRound + I) % Entries.size()], Topic::Suspects, Payload);
+  }
+  ++m_SuspectRound;
+}
+
+void RequestService::logQuarantineChanges() {
+  for (const QuarantineChange &Change : m_Suspects.takeChanges())
+    logEvent(Severity::Warning, "quarantine_changed",
+             {{"change", quarantineChangeName(Change.m_Kind)},
+              {"keys", joinKeys(Change.m_Quarantine.m_Keys)},
+              {"account", Change.m_Quarantine.m_Account.value_or(ClientAccountId())},
+              {"lastCrash", Change.m_Quarantine.m_LastCrash.m_Id},
+              {"crashes", Change.m_Crashes.size()}});
 }
 
 /// Reports each crash and its suspects once, after CrashCollectionTime; attempts that end later are
@@ -741,13 +760,14 @@
     if (IsDue && (!Collected.m_IsReported || !Collected.m_EndedAttempts.empty())) {
       logEvent(Severity::Warning, "upstream_engine_lost",
                {{"upstream", Upstream}, {"attempts", Collected.m_EndedAttempts.size()}});
-      std::vector<SuspectKey> Suspected;
+      std::vector<SuspectRequest> Unstarted;
       if (!Collected.m_IsReported)
-        Suspected = Collected.m_SuspectKeys;
+        Unstarted = Collected.m_Unstarted;
       Collected.m_IsReported = true;
       std::vector<AttemptStatement> Ended;
       Ended.swap(Collected.m_EndedAttempts);
-      perform(m_Lifecycle.engineCrashed(Upstream, EngineIncarnation, Suspected, Ended, Now));
+      perform(m_Lifecycle.engineCrashed(Upstream, EngineIncarnation, Unstarted, Ended, Now));
+      logQuarantineChanges();
       sendSuspects();
     }
     Next = Now - Collected.m_DetectedAt > CrashRetention ? m_Crashes.erase(Next) : std::next(Next);
@@ -870,6 +890,7 @@
   for (const ServiceId &Id : Services)
     m_Scheduler.onLoad(Id, m_Router.load(Id, Now), Entries);
   m_Suspects.onTimer(Now);
+  logQuarantineChanges();
 }
 
 bool RequestService::takeRetry(const RequestDescription &Request, TimePoint) {
@@ -900,6 +921,10 @@
     State["claimRows"] = m_Batcher.rowsCommitted();
     State["claims"] = m_Lifecycle.claims().claimCount();
     State["suspects"] = m_Suspects.size();
+    json::array Quarantines;
+    for (const Quarantine &Each : m_Suspects.quarantines(EventLoop::now()))
+      Quarantines.emplace_back(joinKeys(Each.m_Keys));
+    State["quarantines"] = std::move(Quarantines);
     State["ownersKnown"] = m_OwnerCache.size();
     json::array Upstreams;
     std::string Lines = m_Router.describe(EventLoop::now());
--- a/src/fescuegauged/RequestService.h
+++ b/src/fescuegauged/RequestService.h
@@ -106,6 +106,7 @@
   Crash &recordLoss(const InstanceId &Upstream, const EngineLoss &Loss);
   void reportCrashes(TimePoint Now);
   void sendSuspects();
+  void logQuarantineChanges();
   void onAgentReport(const InstanceId &Upstream, const std::string &Payload);
   void onMemberChanged(const InstanceRecord &Record);
   void updateEntries();
@@ -132,6 +133,8 @@
   Router m_Router;
   RequestScheduler m_Scheduler;
   CrashSuspects m_Suspects;
+  /// Selects the recipients of suspect updates in other data centres in turn.
+  std::size_t m_SuspectRound = 0;
   RequestLifecycle m_Lifecycle;
   ClaimBatcher m_Batcher;
   std::map<std::pair<InstanceId, ClaimTicket>, std::function<void(const ClaimWriteResult &)>>
@@ -147,7 +150,7 @@
   std::map<InstanceId, Incarnation> m_AgentIncarnations;
   struct Crash {
     TimePoint m_DetectedAt;
-    std::vector<SuspectKey> m_SuspectKeys;
+    std::vector<SuspectRequest> m_Unstarted;
     std::vector<AttemptStatement> m_EndedAttempts;
     bool m_IsReported = false;
   };
--- a/src/include/Fescuegauge/CrashSuspects.h
+++ b/src/include/Fescuegauge/CrashSuspects.h
@@ -4,105 +4,270 @@
 #include "Fescuegauge/Digest.h"
 #include "Fescuegauge/Ids.h"
 #include "Fescuegauge/Units.h"
+#include "Fescuegauge/UpstreamStatements.h"
 
 #include <chrono>
 #include <compare>
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace fescuegauge {
 
-/// Identifies a request that may crash upstreams. Repetitions of the request have the same key.
+/// A property of requests that may make upstreams crash.
 struct SuspectKey {
-  ClientAccountId m_Account;
-  Digest m_BodyDigest;
+  enum class Kind : std::uint8_t {
+    /// One request and its repetitions. The id is a digest of the body.
+    Request,
+    /// A part of the prompt, which different requests share.
+    PromptPart,
+  };
+
+  Kind m_Kind = Kind::Request;
+  std::string m_Id;
 
   auto operator<=>(const SuspectKey &) const = default;
+  /// For logs and dumps, for example "part:5c1e07a2".
+  std::string str() const;
+};
+
+/// A request with its keys, sorted and without duplicates.
+struct SuspectRequest {
+  ClientAccountId m_Account;
+  std::vector<SuspectKey> m_Keys;
+
+  bool operator==(const SuspectRequest &) const = default;
+  bool contains(const SuspectKey &Key) const;
 };
 
-/// A change to the record of one request, exchanged between the entry instances of a data centre.
-/// Deltas may be delivered out of order and more than once.
-struct SuspectDelta {
+/// Creates the keys of a request from the digest of its body and the ids of its shared prompt
+/// parts. Parts beyond CrashSuspects::MaxPartsPerRequest are ignored.
+SuspectRequest makeSuspectRequest(ClientAccountId Account, const Digest &Body,
+                                  std::span<const std::string> PromptParts);
+/// Parses a list of prompt parts, ID:TOKENS separated by commas. Returns the ids of all parts but
+/// the last, which belongs to a single request or session. Entries without an id are skipped.
+std::vector<std::string> parseSharedPromptParts(std::string_view Header);
+
+/// A request that had not begun to answer when its upstream crashed.
+struct CrashEvidence {
+  UpstreamStart m_Crash;
+  /// Time since the crash.
+  Duration m_Age{};
+  SuspectRequest m_Request;
+
+  bool operator==(const CrashEvidence &) const = default;
+};
+
+/// An answer to a request with the key has begun.
+struct BegunKey {
   SuspectKey m_Key;
-  /// The upstream that crashed while it ran the request.
-  InstanceId m_Upstream;
-  /// Distinguishes crashes of the same upstream.
-  Incarnation m_Incarnation;
-  /// The request has completed elsewhere, so it did not cause this crash.
-  bool m_Cleared = false;
-  /// Time since the crash was detected.
+  /// Time since the answer began.
   Duration m_Age{};
 
-  bool operator==(const SuspectDelta &) const = default;
+  bool operator==(const BegunKey &) const = default;
+};
+
+/// Blocks requests with all of the keys. Keys that always come together cannot be distinguished
+/// until one of them comes alone.
+struct Quarantine {
+  std::vector<SuspectKey> m_Keys;
+  /// Only requests of this account; not set if requests of several accounts caused the crashes.
+  std::optional<ClientAccountId> m_Account;
+  /// The last crash that it explains.
+  UpstreamStart m_LastCrash;
+  /// Time since that crash.
+  Duration m_Age{};
+
+  bool operator==(const Quarantine &) const = default;
+  bool matches(const SuspectRequest &Request) const;
+};
+
+/// Knowledge exchanged between entry instances. Updates may be lost, reordered and duplicated.
+struct SuspectUpdate {
+  std::vector<CrashEvidence> m_Evidence;
+  std::vector<BegunKey> m_Begun;
+  std::vector<Quarantine> m_Quarantines;
+
+  bool operator==(const SuspectUpdate &) const = default;
+  bool empty() const { return m_Evidence.empty() && m_Begun.empty() && m_Quarantines.empty(); }
 };
 
-/// Detects requests that crash every upstream that runs them.
+/// A quarantine that began or ended, for the log and for requests in progress.
+struct QuarantineChange {
+  enum class Kind {
+    Begun,
+    /// An answer to a request with one of its keys began.
+    Refuted,
+    Expired,
+  };
+
+  Kind m_Kind = Kind::Begun;
+  Quarantine m_Quarantine;
+  /// Crashes that explain it, as far as they are known here.
+  std::vector<UpstreamStart> m_Crashes;
+};
+
+std::string_view quarantineChangeName(QuarantineChange::Kind Kind);
+/// Keys separated by commas, for logs and dumps.
+std::string joinKeys(std::span<const SuspectKey> Keys);
+
+/// Finds what the requests that crash upstreams have in common, and blocks requests with it.
 ///
-/// Each crash of an upstream is recorded for the requests that ran on it. If some of them already
-/// have a recorded crash, the new one is recorded only for these, because they explain it. A
-/// request that completes is cleared of its crashes. A request is quarantined once it has two
-/// crashes and no other request has all of the same ones. While another request has them, both may
-/// be retried; the lifecycle dispatches suspects to different upstreams, so that the next crash or
-/// completion distinguishes them.
+/// A crash is evidence against the keys of requests that had not begun to answer at the upstream.
+/// The beginning of an answer with a key refutes all earlier evidence against it. A key with enough
+/// crashes since is quarantined, together with the keys that came with it each time. Crashes that a
+/// quarantine explains are no evidence against other keys.
+///
+/// Crashes are identified by the start of the upstream, so reports of several instances on one
+/// crash count once. Evidence, beginnings and quarantines are passed on by each instance that
+/// learns of them.
 class CrashSuspects {
 public:
-  /// Crashes of upstreams, or of incarnations of one, after which a request is quarantined.
+  /// Crashes after which a key is quarantined if no other key explains all of them. One more crash
+  /// is needed otherwise.
   static constexpr std::size_t CrashesToQuarantine = 2;
-  /// Period for which a crash counts and a quarantined request is refused.
+  /// Crashes within this time may have one common cause. They count once against a prompt part,
+  /// which may be in requests at several upstreams.
+  static constexpr Duration CommonCauseTime = std::chrono::milliseconds(250);
+  /// Time after a crash for which evidence counts, and for which a quarantine lasts that explains
+  /// the crash.
   static constexpr Duration Lifetime = std::chrono::minutes(10);
-  /// Suspects per account. Those with the fewest crashes are evicted first, then the oldest.
-  static constexpr std::size_t MaxPerAccount = 32;
-  /// Accounts with suspects. The one with the least recent crash is evicted first.
-  static constexpr std::size_t MaxAccounts = 256;
-  /// Recorded crashes per request. The oldest is evicted first.
-  static constexpr std::size_t MaxCrashesPerRequest = 4;
-  /// Queued outgoing deltas. The oldest is dropped first.
-  static constexpr std::size_t MaxOutgoing = 1024;
-  /// Deltas per message.
-  static constexpr std::size_t MaxDeltasPerMessage = 64;
-
-  /// Records a crash of `Upstream`. `Running` holds the requests that it was running.
-  void recordCrash(const InstanceId &Upstream, Incarnation CrashIncarnation,
-                   std::span<const SuspectKey> Running, TimePoint Now);
-  /// Records that the request completed, which clears it of its crashes.
-  void completed(const SuspectKey &Key, TimePoint Now);
-  /// Returns true if the request must be refused.
-  bool isQuarantined(const SuspectKey &Key, TimePoint Now) const;
-  /// Returns true if the request has at least one crash. Two suspects should not run on the same
-  /// upstream.
-  bool isSuspect(const SuspectKey &Key, TimePoint Now) const;
-
-  /// Returns up to MaxDeltasPerMessage deltas for the other entry instances of the data centre.
-  /// Each delta is returned once. A starting process gets allDeltas() from a peer.
-  std::vector<SuspectDelta> takeDeltas(TimePoint Now);
-  std::vector<SuspectDelta> allDeltas(TimePoint Now) const;
-  void merge(std::span<const SuspectDelta> Deltas, TimePoint Now);
+  /// Time for which news is passed on. Any update may be lost, and not each reaches all instances.
+  static constexpr Duration SpreadTime = std::chrono::seconds(2);
+  /// Time for which news is to be sent at once.
+  static constexpr Duration UrgentTime = std::chrono::milliseconds(120);
+  /// Time for which beginnings of keys without evidence are kept. Evidence from another instance
+  /// may arrive that much later.
+  static constexpr Duration BegunRetention = std::chrono::seconds(3);
+  /// Further prompt parts of a request are ignored.
+  static constexpr std::size_t MaxPartsPerRequest = 256;
+  /// Longer ids are replaced by a digest.
+  static constexpr std::size_t MaxPartIdBytes = 32;
+  /// Keys in the evidence on requests of one account. The oldest evidence is evicted first.
+  static constexpr std::size_t MaxKeysPerAccount = 1024;
+  /// Beginnings of keys without evidence, per account. The oldest is evicted first.
+  static constexpr std::size_t MaxBegunPerAccount = 1024;
+  /// Accounts with evidence. Evidence on requests of further accounts is dropped.
+  static constexpr std::size_t MaxAccounts = 128;
+  /// Quarantines of one account. The one with the oldest crash is evicted first.
+  static constexpr std::size_t MaxQuarantinesPerAccount = 16;
+  /// Keys in the evidence of one update, and beginnings and quarantines in it.
+  static constexpr std::size_t MaxKeysPerUpdate = 256;
+  static constexpr std::size_t MaxBegunPerUpdate = 64;
+  static constexpr std::size_t MaxQuarantinesPerUpdate = 16;
+
+  /// Evidence on a crash is considered after `CollectionTime`, when reports of all instances with
+  /// requests at the upstream have arrived.
+  explicit CrashSuspects(Duration CollectionTime = Duration(0))
+      : m_CollectionTime(CollectionTime) {}
+
+  /// Records a crash. `Unstarted` holds the requests at the upstream that had not begun to answer.
+  void recordCrash(const UpstreamStart &Upstream, std::span<const SuspectRequest> Unstarted,
+                   TimePoint CrashedAt, TimePoint Now);
+  /// Records that the answer to a request began.
+  void recordBegun(const SuspectRequest &Request, TimePoint Now);
+
+  /// Returns true if the request must not be sent to any upstream.
+  bool isQuarantined(const SuspectRequest &Request, TimePoint Now) const;
+  /// Returns true if there is evidence against one of its keys. Two suspects should not run on the
+  /// same upstream.
+  bool isSuspect(const SuspectRequest &Request, TimePoint Now) const;
+  std::vector<Quarantine> quarantines(TimePoint Now) const;
+
+  /// Returns news for other instances; the items that were sent the fewest times come first.
+  SuspectUpdate takeUpdate(TimePoint Now);
+  /// Whether the update contains news that this instance has just learned.
+  bool isUrgent(TimePoint Now) const { return Now < m_UrgentUntil; }
+  /// Everything that is known, for an instance that starts.
+  SuspectUpdate fullUpdate(TimePoint Now) const;
+  void merge(const SuspectUpdate &Update, TimePoint Now);
 
   void onTimer(TimePoint Now);
-  std::size_t size() const;
+  /// Next time at which onTimer() may change a quarantine because evidence is complete.
+  std::optional<TimePoint> nextEvaluation() const { return m_NextEvaluation; }
+  /// Returns the changes since the last call.
+  std::vector<QuarantineChange> takeChanges() { return std::exchange(m_Changes, {}); }
+
+  /// Number of keys with evidence.
+  std::size_t size() const { return m_CrashesByKey.size(); }
+  /// Number of keys in the evidence on requests of an account.
   std::size_t suspectCount(const ClientAccountId &Account) const;
 
 private:
+  struct UnstartedRequest {
+    SuspectRequest m_Request;
+    TimePoint m_LearnedAt;
+    std::uint32_t m_Sent = 0;
+  };
   struct Crash {
-    TimePoint m_DetectedAt;
-    bool m_Cleared = false;
+    TimePoint m_At;
+    TimePoint m_LearnedAt;
+    std::vector<UnstartedRequest> m_Unstarted;
+  };
+  struct Begun {
+    TimePoint m_At = TimePoint::min();
+    /// When it became news that refutes evidence.
+    std::optional<TimePoint> m_NewsAt;
+  };
+  struct Active {
+    Quarantine m_Quarantine;
+    TimePoint m_LastCrashAt;
+    std::uint32_t m_Sent = 0;
   };
-  using CrashId = std::pair<InstanceId, Incarnation>;
-  using CrashMap = std::map<CrashId, Crash>;
-  using SuspectMap = std::map<Digest, CrashMap>;
-
-  const CrashMap *find(const SuspectKey &Key) const;
-  std::vector<CrashId> activeCrashes(const CrashMap &Crashes, TimePoint Now) const;
-  bool apply(const SuspectDelta &Delta, TimePoint Now);
-  static TimePoint lastCrash(const CrashMap &Crashes);
-  void makeRoom(const SuspectKey &NewKey);
-  void queue(SuspectDelta Delta, TimePoint Now);
-
-  std::map<ClientAccountId, SuspectMap> m_SuspectsByAccount;
-  /// Queued deltas, each with the time of its crash; m_Age is set when the delta is taken.
-  std::vector<std::pair<TimePoint, SuspectDelta>> m_Outgoing;
+  using CrashSet = std::set<UpstreamStart>;
+
+  /// Returns whether the evidence is new.
+  bool addEvidence(const UpstreamStart &Upstream, const SuspectRequest &Request, TimePoint At,
+                   TimePoint Now);
+  /// Removes the oldest evidence of the request's account if it exceeds MaxKeysPerAccount. Returns
+  /// false if there are too many accounts.
+  bool makeRoom(const SuspectRequest &For);
+  void removeUnstarted(std::map<UpstreamStart, Crash>::iterator Of, std::size_t Index);
+  bool hasKey(const Crash &In, const SuspectKey &Key) const;
+  /// Returns whether this refutes evidence. `Key` must have evidence.
+  bool setBegun(const SuspectKey &Key, TimePoint At, TimePoint Now);
+  std::optional<TimePoint> begunAt(const SuspectKey &Key) const;
+  /// Removes the key from quarantines that its beginning refutes.
+  void refute(const SuspectKey &Key, TimePoint BegunAt);
+
+  /// Crashes that are evidence against a key.
+  CrashSet crashesOf(const SuspectKey &Key, TimePoint Now) const;
+  bool isExplained(const Crash &Explained, const SuspectKey &Except) const;
+  std::size_t weight(const SuspectKey &Key, const CrashSet &Crashes) const;
+  struct Proposal {
+    Active m_Active;
+    /// The crashes that it explains.
+    CrashSet m_Crashes;
+  };
+  /// The quarantine that follows from the evidence against a key. Not set if there is too little,
+  /// or if another key explains the same crashes.
+  std::optional<Proposal> evaluate(const SuspectKey &Key, TimePoint Now) const;
+  /// The quarantines that explain the most crashes. They are several if each explains the same.
+  std::vector<Proposal> bestProposals(TimePoint Now) const;
+  /// Whether a quarantine in force blocks all requests that another one would.
+  bool isCovered(const Quarantine &Other) const;
+  void evaluateAll(TimePoint Now);
+  void addQuarantine(Active Added, TimePoint Now);
+  void setUrgent(TimePoint Now) { m_UrgentUntil = Now + UrgentTime; }
+  void scheduleEvaluation(TimePoint At);
+
+  Duration m_CollectionTime;
+  std::map<UpstreamStart, Crash> m_Crashes;
+  std::map<SuspectKey, CrashSet> m_CrashesByKey;
+  std::map<ClientAccountId, std::size_t> m_KeysByAccount;
+  /// Beginnings of keys with evidence.
+  std::map<SuspectKey, Begun> m_Begun;
+  /// Recent beginnings of other keys.
+  std::map<ClientAccountId, std::map<SuspectKey, TimePoint>> m_RecentlyBegun;
+  std::vector<Active> m_Quarantines;
+  std::vector<QuarantineChange> m_Changes;
+  TimePoint m_UrgentUntil;
+  std::optional<TimePoint> m_NextEvaluation;
 };
 
 } // namespace fescuegauge
--- a/src/include/Fescuegauge/Gateway.h
+++ b/src/include/Fescuegauge/Gateway.h
@@ -51,9 +51,8 @@
   /// goes to an upstream with older weights only if it is expected to begin before the bound, and
   /// is withdrawn if it is still queued there shortly before the bound.
   void setWeightsBounds(const ModelId &Model, std::vector<WeightsBound> Bounds);
-  void onPeerReport(const InstanceId &Peer, UsageByUpstream Usage,
-                    std::span<const SuspectDelta> Suspects, std::span<const UpstreamStart> Leaving,
-                    std::span<const RateStatement> Rates);
+  void onPeerReport(const InstanceId &Peer, UsageByUpstream Usage, const SuspectUpdate &Suspects,
+                    std::span<const UpstreamStart> Leaving, std::span<const RateStatement> Rates);
   /// Sets the entry instances that share the rate limits named by upstreams. Until the first call,
   /// this instance has no share of them.
   void setInstances(KnownInstance Self, std::vector<KnownInstance> Others);
@@ -64,7 +63,9 @@
   /// See LoadBalancer::onLoading().
   void onLoading(const LoadNotice &Notice);
   UsageByUpstream ownUsage() const;
-  std::vector<SuspectDelta> takeSuspectDeltas();
+  /// News on crash suspects for the other entry instances, and whether it is to be sent at once.
+  SuspectUpdate takeSuspectUpdate();
+  bool isSuspectUpdateUrgent() const;
 
   /// Whether a plan is in force and the instance is not draining.
   bool isReady() const;
--- a/src/include/Fescuegauge/PeerReportExchange.h
+++ b/src/include/Fescuegauge/PeerReportExchange.h
@@ -27,7 +27,7 @@
   /// Rate of client requests to the sender.
   RequestRate m_Demand;
   UsageByUpstream m_Usage;
-  std::vector<SuspectDelta> m_Suspects;
+  SuspectUpdate m_Suspects;
   std::vector<AnnouncedWeights> m_Weights;
   std::vector<LoadNotice> m_Loading;
   /// Upstreams that announced that they are leaving.
@@ -55,8 +55,8 @@
 /// Exchanges PeerReport datagrams between the entry instances.
 ///
 /// Reports go at LocalInterval to a bounded number of instances of the own data centre, which share
-/// its upstreams, and at RemoteInterval to a bounded number of others. The next report makes up for
-/// a lost datagram.
+/// its upstreams, and at RemoteInterval to a bounded number of others. All news is repeated in
+/// later reports, which make up for a lost datagram.
 class PeerReportExchange {
 public:
   static constexpr Duration LocalInterval = std::chrono::milliseconds(50);
@@ -75,7 +75,8 @@
     std::function<bool()> m_IsStopping;
     std::function<RequestRate()> m_Demand;
     std::function<UsageByUpstream()> m_Usage;
-    std::function<std::vector<SuspectDelta>()> m_TakeSuspects;
+    std::function<SuspectUpdate()> m_TakeSuspects;
+    std::function<bool()> m_AreSuspectsUrgent;
     std::function<std::vector<AnnouncedWeights>()> m_Weights;
     std::function<std::vector<UpstreamStart>()> m_Leaving;
     std::function<std::vector<RateStatement>()> m_Rates;
@@ -133,8 +134,10 @@
   std::vector<ReceivedNotice> m_Notices;
   TimePoint m_LocalSentAt;
   TimePoint m_RemoteSentAt;
-  std::size_t m_NextLocalPeer = 0;
-  std::size_t m_NextRemotePeer = 0;
+  /// Index of the next recipients, modulo the number of peers. Instances start at different ones,
+  /// so that news from several instances of a data centre does not go to the same peers.
+  std::size_t m_NextLocalPeer;
+  std::size_t m_NextRemotePeer;
   /// Number of local peers that the latest report has not been sent to yet.
   std::size_t m_LocalPeersPending = 0;
 };
--- a/src/include/Fescuegauge/RequestLifecycle.h
+++ b/src/include/Fescuegauge/RequestLifecycle.h
@@ -53,8 +53,8 @@
   std::uint64_t m_ResumeOffset = 0;
   /// The agent refuses the attempt if its engine serves another version.
   std::optional<Digest> m_RequiredDigest;
-  /// The agent reports this key if its engine crashes during the attempt.
-  SuspectKey m_Suspect;
+  /// The agent reports this if its engine crashes before the answer begins.
+  SuspectRequest m_Suspect;
 };
 
 /// Send the agent a cancellation of the attempt.
@@ -191,10 +191,10 @@
   RequestActions attemptFailed(const AttemptId &Attempt, TimePoint Now);
   /// The agent reported an engine crash, as it does to every connected entry. `CrashIncarnation`
   /// identifies the crash among those of the upstream. Of the attempts that
-  /// AttemptLedger::engineLost() returned, `Running` holds the requests of all entries' failed ones
-  /// and `Ended` the attempts of this entry.
+  /// AttemptLedger::engineLost() returned, `Unstarted` holds the requests of all entries' failed
+  /// ones whose answers had not begun, and `Ended` the attempts of this entry.
   RequestActions engineCrashed(const InstanceId &Upstream, Incarnation CrashIncarnation,
-                               std::span<const SuspectKey> Running,
+                               std::span<const SuspectRequest> Unstarted,
                                std::span<const AttemptStatement> Ended, TimePoint Now);
   /// The connection was closed or its heartbeats timed out. No request becomes a crash suspect.
   RequestActions upstreamUnreachable(const InstanceId &Upstream, TimePoint Now);
@@ -241,6 +241,7 @@
   struct ActiveRequest {
     RequestDescription m_Request;
     RequestConstraints m_Constraints;
+    SuspectRequest m_Suspect;
     Phase m_Phase = Phase::Dispatched;
     bool m_IsFinished = false;
     bool m_CallerGone = false;
@@ -264,9 +265,6 @@
     RequestId m_Request;
   };
 
-  SuspectKey suspectKey(const ActiveRequest &Active) const {
-    return {Active.m_Request.m_Account, Active.m_Request.m_BodyDigest};
-  }
   /// Returns the request that the attempt belongs to, or nullptr if the attempt has ended.
   ActiveRequest *findAttempt(const AttemptId &Attempt);
   void appendClaimActions(ClaimActions FromClaims, TimePoint Now, RequestActions &Actions);
--- a/src/include/Fescuegauge/RpcNode.h
+++ b/src/include/Fescuegauge/RpcNode.h
@@ -1,6 +1,7 @@
 #ifndef FESCUEGAUGE_RPCNODE_H
 #define FESCUEGAUGE_RPCNODE_H
 
+#include "Fescuegauge/CrashSuspects.h"
 #include "Fescuegauge/Digest.h"
 #include "Fescuegauge/ErrorKind.h"
 #include "Fescuegauge/EventLoop.h"
@@ -46,22 +47,16 @@
   int m_Priority = 0;
   Duration m_Timeout{};
   std::string m_Body;
-  /// Computed by the entry instance; identifies requests that crash engines.
-  Digest m_BodyDigest;
-};
-
-/// Identifies a request that was running when its engine was lost and may have crashed it.
-struct RunningRequest {
-  ClientAccountId m_Account;
-  Digest m_BodyDigest;
+  /// Computed by the entry instance; see CrashSuspects.
+  SuspectRequest m_Suspect;
 };
 
 /// A loss of an agent's engine.
 struct EngineLoss {
   /// Identifies the loss among those of the agent's engine.
   Incarnation m_EngineIncarnation;
-  /// Requests of all entry instances that were running on the engine.
-  std::vector<RunningRequest> m_Running;
+  /// Requests of all entry instances that were running on the engine and had not begun to answer.
+  std::vector<SuspectRequest> m_Unstarted;
 };
 
 enum class AttemptStatus {
--- a/src/libgateway/Gateway.cpp
+++ b/src/libgateway/Gateway.cpp
@@ -64,7 +64,7 @@
       if (!Self)
         return;
       Self->m_Core->pool().closeExpired();
-      Self->m_Core->suspects().onTimer(monotonicNow());
+      Self->m_Core->checkSuspects();
       Self->m_Sessions.remove_if([](const auto &Each) { return Each.expired(); });
       if (Self->m_Core->isRefusingRequests())
         for (const auto &Each : Self->m_Sessions)
@@ -117,8 +117,7 @@
 }
 
 void Gateway::onPeerReport(const InstanceId &Peer, UsageByUpstream Usage,
-                           std::span<const SuspectDelta> Suspects,
-                           std::span<const UpstreamStart> Leaving,
+                           const SuspectUpdate &Suspects, std::span<const UpstreamStart> Leaving,
                            std::span<const RateStatement> Rates) {
   GatewayCore &Core = m_Implementation->core();
   for (const RateStatement &Each : Rates)
@@ -127,8 +126,7 @@
     if (Core.loadBalancer().onLeaving(Each, monotonicNow()))
       logEvent(Severity::Info, "upstream_leaving", {{"upstream", Each.m_Id}, {"toldBy", Peer}});
   Core.loadBalancer().onPeerReport(Peer, std::move(Usage), monotonicNow());
-  if (!Suspects.empty())
-    Core.suspects().merge(Suspects, monotonicNow());
+  Core.mergeSuspects(Suspects);
   Core.placeWaiting();
 }
 
@@ -158,8 +156,12 @@
   return m_Implementation->core().loadBalancer().ownUsage();
 }
 
-std::vector<SuspectDelta> Gateway::takeSuspectDeltas() {
-  return m_Implementation->core().suspects().takeDeltas(monotonicNow());
+SuspectUpdate Gateway::takeSuspectUpdate() {
+  return m_Implementation->core().suspects().takeUpdate(monotonicNow());
+}
+
+bool Gateway::isSuspectUpdateUrgent() const {
+  return m_Implementation->core().suspects().isUrgent(monotonicNow());
 }
 
 bool Gateway::isReady() const {
@@ -194,6 +196,17 @@
   for (const auto &[Upstream, Rate] : Shared.statements().rates(monotonicNow()))
     Rates[Upstream.m_Id.str()] = boost::json::object{
         {"perSecond", Rate.perSecond()}, {"ownPart", Shared.partAt(Upstream).perSecond()}};
+  boost::json::array Quarantines;
+  for (const Quarantine &Each : Core.suspects().quarantines(monotonicNow())) {
+    boost::json::array Keys;
+    for (const SuspectKey &Key : Each.m_Keys)
+      Keys.emplace_back(Key.str());
+    Quarantines.push_back(
+        boost::json::object{{"keys", std::move(Keys)},
+                            {"account", Each.m_Account.value_or(ClientAccountId()).str()},
+                            {"lastCrash", Each.m_LastCrash.m_Id.str()},
+                            {"sinceCrashSeconds", toSeconds(Each.m_Age)}});
+  }
   return {{"planVersion", Core.plan() ? Core.plan()->version().value() : 0},
           {"upstreams", Core.loadBalancer().size()},
           {"requests", Core.requestsInProgress()},
@@ -202,7 +215,9 @@
           {"connectionsOpened", Core.pool().opened()},
           {"inFlight", std::move(InFlight)},
           {"unreadTokens", std::move(UnreadTokens)},
-          {"namedRates", std::move(Rates)}};
+          {"namedRates", std::move(Rates)},
+          {"crashSuspects", Core.suspects().size()},
+          {"quarantines", std::move(Quarantines)}};
 }
 
 } // namespace fescuegauge
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -35,7 +35,8 @@
 GatewayCore::GatewayCore(net::io_context &Loop, GatewayOptions Options, MetricsService &Metrics)
     : m_Options(std::move(Options)), m_Pool(Loop.get_executor()), m_Random(m_Options.m_Seed),
       m_LoadBalancer(boardOptions(m_Options), m_Random()), m_RetryDelays(m_Random()),
-      m_PlacementTimer(Loop.get_executor()), m_WithdrawTimer(Loop.get_executor()),
+      m_Suspects(CrashCollectionTime), m_PlacementTimer(Loop.get_executor()),
+      m_WithdrawTimer(Loop.get_executor()), m_SuspectsTimer(Loop.get_executor()),
       m_StopTimer(Loop.get_executor()),
       m_Requests(Metrics.counter({"fescuegauge_gateway_requests_total",
                                   "Client requests by kind of route and outcome.",
@@ -49,6 +50,12 @@
       m_LateOlderWeights(Metrics.counter({"fescuegauge_gateway_late_older_weights_total",
                                           "Streams that began on older weights after the bound.",
                                           {}})),
+      m_UpstreamCrashes(Metrics.counter({"fescuegauge_gateway_upstream_crashes_total",
+                                         "Crashes of upstreams that this instance detected.",
+                                         {}})),
+      m_QuarantineChanges(Metrics.counter({"fescuegauge_gateway_quarantine_changes_total",
+                                           "Quarantines of request keys that begun or ended.",
+                                           {{"change", 4}}})),
       m_RateLimitedSends(Metrics.counter({"fescuegauge_gateway_rate_limited_sends_total",
                                           "Requests sent to upstreams that name a rate limit.",
                                           {}})),
@@ -242,52 +249,150 @@
              {{"upstream", Upstream.m_Id}, {"toldBy", From}});
 }
 
-void GatewayCore::addRunning(const InstanceId &Upstream, const SuspectKey &Key) {
-  m_Running.emplace(Upstream, Key);
+RunningAttempts::iterator GatewayCore::addRunning(RunningAttempt Attempt) {
+  return m_Running.insert(m_Running.end(), std::move(Attempt));
 }
 
-void GatewayCore::removeRunning(const InstanceId &Upstream, const SuspectKey &Key) {
-  auto [First, Last] = m_Running.equal_range(Upstream);
-  auto Found = std::find_if(First, Last, [&](const auto &Each) { return Each.second == Key; });
-  if (Found != Last)
-    m_Running.erase(Found);
+void GatewayCore::abandonRunning(RunningAttempts::iterator Attempt) {
+  const TimePoint Now = monotonicNow();
+  while (!m_Abandoned.empty() && (Now - m_Abandoned.front().m_At > AbandonedSuspectTime ||
+                                  m_Abandoned.size() >= MaxAbandonedSuspects))
+    m_Abandoned.pop_front();
+  if (!Attempt->m_HasBegun && Attempt->m_Exchange->wasSent())
+    m_Abandoned.push_back({*Attempt, Now});
+  removeRunning(Attempt);
 }
 
-void GatewayCore::checkCrash(const UpstreamRecord &Upstream) {
+void GatewayCore::checkCrash(const UpstreamRecord &Upstream, const RunningAttempt &Lost) {
   const TimePoint Now = monotonicNow();
   // The check opens a connection, which an upstream that asked for a pause must not get either.
   if (m_LoadBalancer.isPaused(Upstream.start(), Now))
     return;
-  auto [Entry, IsNew] = m_LastCrashChecks.try_emplace(Upstream.m_Id, Now);
-  if (!IsNew && Now - Entry->second < CrashCheckInterval)
+  std::erase_if(m_CrashChecks, [&](const auto &Each) {
+    return !Each.second.m_IsPending && Now - Each.second.m_At > CrashCheckInterval;
+  });
+  auto [Entry, IsNew] = m_CrashChecks.try_emplace(Upstream.start());
+  CrashCheck &Check = Entry->second;
+  if (Check.m_Lost.empty())
+    Check.m_FirstLossAt = Now;
+  if (!Lost.m_HasBegun)
+    Check.m_Lost.push_back(Lost);
+  if (Check.m_IsPending)
     return;
-  Entry->second = Now;
-  std::erase_if(m_LastCrashChecks,
-                [&](const auto &Each) { return Now - Each.second > CrashCheckInterval; });
-  std::vector<SuspectKey> Running;
-  auto [First, Last] = m_Running.equal_range(Upstream.m_Id);
-  for (auto Each = First; Each != Last; ++Each)
-    Running.push_back(Each->second);
-  spawnTask(executor(), "confirm_crash", confirmCrash(Upstream, std::move(Running)));
-}
-
-Task<> GatewayCore::confirmCrash(UpstreamRecord Upstream, std::vector<SuspectKey> Running) {
-  co_await sleepFor(CrashCheckDelay);
+  const Duration Delay =
+      IsNew ? CrashCheckDelay : std::max(CrashCheckDelay, CrashCheckInterval - (Now - Check.m_At));
+  Check.m_IsPending = true;
+  Check.m_At = Now + Delay;
+  spawnTask(executor(), "confirm_crash", confirmCrash(Upstream, Delay));
+}
+
+Task<bool> GatewayCore::hasCrashed(const UpstreamRecord &Upstream) {
   SystemError Error;
   ConnectionPtr Opened = co_await m_Pool.open(Upstream.m_Address, CrashCheckTimeout, Error);
-  if (Opened) {
+  if (Opened)
     m_Pool.putIdle(Opened, ConnectionPool::DefaultKeepAlive);
-    co_return;
+  co_return !Opened && Error == net::error::connection_refused;
+}
+
+Task<> GatewayCore::confirmCrash(UpstreamRecord Upstream, Duration Delay) {
+  co_await sleepFor(Delay);
+  const bool IsCrashed = co_await hasCrashed(Upstream);
+  CrashCheck &Check = m_CrashChecks.at(Upstream.start());
+  Check.m_IsPending = false;
+  const CrashCheck Confirmed = Check;
+  Check.m_Lost.clear();
+  if (IsCrashed)
+    recordCrash(Upstream, Confirmed);
+}
+
+void GatewayCore::recordCrash(const UpstreamRecord &Upstream, const CrashCheck &Confirmed) {
+  std::vector<RunningAttempt> Suspected = Confirmed.m_Lost;
+  std::size_t BegunCount = 0;
+  for (const RunningAttempt &Each : m_Running) {
+    if (Each.m_Upstream != Upstream.start() || !Each.m_Exchange->wasSent())
+      continue;
+    if (Each.m_HasBegun)
+      ++BegunCount;
+    else
+      Suspected.push_back(Each);
   }
-  if (Error != net::error::connection_refused)
-    co_return;
+  for (const AbandonedAttempt &Each : m_Abandoned)
+    if (Each.m_Attempt.m_Upstream == Upstream.start() &&
+        Confirmed.m_FirstLossAt - Each.m_At <= AbandonedSuspectTime)
+      Suspected.push_back(Each.m_Attempt);
+  std::vector<SuspectRequest> Unstarted;
+  for (const RunningAttempt &Each : Suspected)
+    Unstarted.push_back(Each.m_Request);
   const TimePoint Now = monotonicNow();
-  // A crash counts once per incarnation; the time in seconds serves as the incarnation.
-  const Incarnation Crash(static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::seconds>(Now.time_since_epoch()).count()));
-  m_Suspects.recordCrash(Upstream.m_Id, Crash, Running, Now);
+  m_Suspects.recordCrash(Upstream.start(), Unstarted, Confirmed.m_FirstLossAt, Now);
+  m_UpstreamCrashes.add();
   logEvent(Severity::Warning, "upstream_crashed",
-           {{"upstream", Upstream.m_Id}, {"requestsRunning", Running.size()}});
+           {{"upstream", Upstream.m_Id},
+            {"incarnation", Upstream.m_Incarnation},
+            {"sinceBreakSeconds", Now - Confirmed.m_FirstLossAt},
+            {"requestsUnstarted", Suspected.size()},
+            {"requestsBegun", BegunCount}});
+  std::size_t Logged = 0;
+  for (const RunningAttempt &Each : Suspected)
+    if (Logged++ < MaxLoggedSuspects && tryAcquireLogLine(true))
+      logEvent(Severity::Info, "crash_suspect",
+               {{"upstream", Upstream.m_Id},
+                {"request", Each.m_RequestId},
+                {"account", Each.m_Request.m_Account},
+                {"keys", joinKeys(Each.m_Request.m_Keys)}});
+  handleSuspectChanges();
+}
+
+void GatewayCore::recordBegun(const SuspectRequest &Request) {
+  m_Suspects.recordBegun(Request, monotonicNow());
+  handleSuspectChanges();
+}
+
+void GatewayCore::mergeSuspects(const SuspectUpdate &Update) {
+  if (Update.empty())
+    return;
+  m_Suspects.merge(Update, monotonicNow());
+  handleSuspectChanges();
+}
+
+void GatewayCore::checkSuspects() {
+  m_Suspects.onTimer(monotonicNow());
+  handleSuspectChanges();
+}
+
+void GatewayCore::handleSuspectChanges() {
+  bool HasBegun = false;
+  for (const QuarantineChange &Change : m_Suspects.takeChanges()) {
+    logQuarantine(Change);
+    HasBegun = HasBegun || Change.m_Kind == QuarantineChange::Kind::Begun;
+  }
+  if (const auto At = m_Suspects.nextEvaluation())
+    m_SuspectsTimer.set(std::max(*At - monotonicNow(), Duration(0)), [this] { checkSuspects(); });
+  if (HasBegun)
+    callInProgress(&Callbacks::m_OnQuarantine);
+}
+
+void GatewayCore::logQuarantine(const QuarantineChange &Change) {
+  const std::string_view Kind = quarantineChangeName(Change.m_Kind);
+  m_QuarantineChanges.add({Kind});
+  std::string Crashes;
+  for (const UpstreamStart &Each : Change.m_Crashes)
+    Crashes += (Crashes.empty() ? "" : ",") + Each.m_Id.str();
+  logEvent(Severity::Warning, "quarantine_changed",
+           {{"change", Kind},
+            {"keys", joinKeys(Change.m_Quarantine.m_Keys)},
+            {"account", Change.m_Quarantine.m_Account.value_or(ClientAccountId())},
+            {"lastCrash", Change.m_Quarantine.m_LastCrash.m_Id},
+            {"sinceCrashSeconds", Change.m_Quarantine.m_Age},
+            {"crashes", Crashes}});
+}
+
+void GatewayCore::callInProgress(std::function<void()> Callbacks::*Callback) {
+  // A callback may end other requests, which removes them from m_InProgress.
+  const auto InProgress = m_InProgress;
+  for (const auto &[Request, Registered] : InProgress)
+    if (m_InProgress.contains(Request))
+      (Registered.*Callback)();
 }
 
 bool GatewayCore::isRefusingRequests() const {
@@ -299,13 +404,7 @@
   m_DrainingSince = monotonicNow();
   const Duration Left = std::max(m_Options.m_StopTime - StopMargin, Duration(0));
   m_RequestCutoff = *m_DrainingSince + Left;
-  m_StopTimer.set(Left, [this] {
-    // OnStop may end other requests, which removes them from m_InProgress.
-    const auto InProgress = m_InProgress;
-    for (const auto &[Request, OnStop] : InProgress)
-      if (m_InProgress.contains(Request))
-        OnStop();
-  });
+  m_StopTimer.set(Left, [this] { callInProgress(&Callbacks::m_OnStop); });
 }
 
 bool GatewayCore::tryAcquireLogLine(bool IsFailure) {
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -12,8 +12,11 @@
 #include "Fescuegauge/LoadBalancer.h"
 #include "Fescuegauge/RetryBudget.h"
 #include "Fescuegauge/UnstartedRequests.h"
+#include "UpstreamExchange.h"
 
+#include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -48,6 +51,17 @@
   bool m_IsRetry = false;
 };
 
+/// An attempt in flight at an upstream.
+struct RunningAttempt {
+  UpstreamStart m_Upstream;
+  SuspectRequest m_Request;
+  std::string m_RequestId;
+  std::shared_ptr<const UpstreamExchange> m_Exchange;
+  /// Whether the first event of the response, or the header of a plain one, arrived.
+  bool m_HasBegun = false;
+};
+using RunningAttempts = std::list<RunningAttempt>;
+
 /// State shared by all requests of a gateway: the plan, the routing state and the connections.
 class GatewayCore {
 public:
@@ -60,6 +74,16 @@
   /// Interval of placement attempts while requests wait, because the end of an upstream's pause
   /// raises no event.
   static constexpr Duration PlacementInterval = std::chrono::milliseconds(25);
+  /// Evidence on a crash is considered after this time; see CrashSuspects. Other instances report
+  /// the crash within one interval of PeerReportExchange, and a transmission.
+  static constexpr Duration CrashCollectionTime = std::chrono::milliseconds(150);
+  /// Time for which an attempt that was given up before it began may still crash its upstream. An
+  /// engine notices the closed connection only after the pass that reads the prompt.
+  static constexpr Duration AbandonedSuspectTime = std::chrono::milliseconds(1000);
+  /// Maximum number of such attempts; the oldest is evicted first.
+  static constexpr std::size_t MaxAbandonedSuspects = 1024;
+  /// Maximum number of suspects of one crash that are logged.
+  static constexpr std::size_t MaxLoggedSuspects = 8;
   /// Minimum time between two crash checks of an upstream.
   static constexpr Duration CrashCheckInterval = std::chrono::milliseconds(500);
   /// Delay of a crash check after a connection broke. A crashed upstream refuses connections by
@@ -122,12 +146,24 @@
   /// Records a rate statement from another entry instance.
   void recordPeerRate(const InstanceId &Peer, const RateStatement &Statement);
 
-  /// Registers a request in flight at an upstream, as a suspect if the upstream crashes.
-  void addRunning(const InstanceId &Upstream, const SuspectKey &Key);
-  void removeRunning(const InstanceId &Upstream, const SuspectKey &Key);
-  /// Checks whether an upstream crashed after a connection to it broke. If it did, the requests
-  /// that ran there are recorded as crash suspects.
-  void checkCrash(const UpstreamRecord &Upstream);
+  /// Registers an attempt in flight at an upstream, as a suspect if the upstream crashes.
+  RunningAttempts::iterator addRunning(RunningAttempt Attempt);
+  void removeRunning(RunningAttempts::iterator Attempt) { m_Running.erase(Attempt); }
+  /// Removes an attempt that this instance gave up. It remains a suspect for a while.
+  void abandonRunning(RunningAttempts::iterator Attempt);
+  /// Checks whether an upstream crashed after the connection of an attempt broke. If it did, the
+  /// requests that had not begun there are recorded as crash suspects.
+  void checkCrash(const UpstreamRecord &Upstream, const RunningAttempt &Lost);
+  /// Returns true if the upstream refuses connections, as it does after a crash.
+  Task<bool> hasCrashed(const UpstreamRecord &Upstream);
+  /// The answer to a request began.
+  void recordBegun(const SuspectRequest &Request);
+  void mergeSuspects(const SuspectUpdate &Update);
+  /// Evaluates and expires evidence and quarantines.
+  void checkSuspects();
+  bool isQuarantined(const SuspectRequest &Request) const {
+    return m_Suspects.isQuarantined(Request, monotonicNow());
+  }
 
   RetryDetector &retryDetector() { return m_RetryDetector; }
   LateStartDetector &lateStartDetector() { return m_LateStartDetector; }
@@ -140,11 +176,13 @@
   /// TimePoint::max() unless the gateway is draining.
   TimePoint requestCutoff() const { return m_RequestCutoff; }
   /// Counts a request as in progress during the object's lifetime. `OnStop` is called at
-  /// requestCutoff().
+  /// requestCutoff(), and `OnQuarantine` when a quarantine began.
   class RequestInProgress {
   public:
-    RequestInProgress(GatewayCore &Core, std::function<void()> OnStop) : m_Core(Core) {
-      m_Core.m_InProgress.emplace(this, std::move(OnStop));
+    RequestInProgress(GatewayCore &Core, std::function<void()> OnStop,
+                      std::function<void()> OnQuarantine)
+        : m_Core(Core) {
+      m_Core.m_InProgress.emplace(this, Callbacks{std::move(OnStop), std::move(OnQuarantine)});
     }
     RequestInProgress(const RequestInProgress &) = delete;
     RequestInProgress &operator=(const RequestInProgress &) = delete;
@@ -191,7 +229,27 @@
   std::size_t m_Sessions = 0;
 
 private:
-  Task<> confirmCrash(UpstreamRecord Upstream, std::vector<SuspectKey> Running);
+  /// Callbacks of a request in progress.
+  struct Callbacks {
+    std::function<void()> m_OnStop;
+    std::function<void()> m_OnQuarantine;
+  };
+  /// The crash check of one start of an upstream.
+  struct CrashCheck {
+    /// When the latest check began.
+    TimePoint m_At;
+    bool m_IsPending = false;
+    /// When the first connection broke after the last check that found the upstream alive.
+    TimePoint m_FirstLossAt;
+    /// Attempts that ended since then without a beginning.
+    std::vector<RunningAttempt> m_Lost;
+  };
+
+  Task<> confirmCrash(UpstreamRecord Upstream, Duration Delay);
+  void recordCrash(const UpstreamRecord &Upstream, const CrashCheck &Confirmed);
+  void handleSuspectChanges();
+  void logQuarantine(const QuarantineChange &Change);
+  void callInProgress(std::function<void()> Callbacks::*Callback);
   void schedulePlacement();
   void withdrawOverdue();
   void logRate(const UpstreamStart &Upstream, RateStatements::RateChange Change,
@@ -214,19 +272,27 @@
   UnstartedRequests m_Unstarted;
   std::map<UnstartedNumber, std::function<void()>> m_WithdrawCallbacks;
   OneShotTimer m_WithdrawTimer;
-  std::multimap<InstanceId, SuspectKey> m_Running;
-  std::map<InstanceId, TimePoint> m_LastCrashChecks;
+  RunningAttempts m_Running;
+  struct AbandonedAttempt {
+    RunningAttempt m_Attempt;
+    TimePoint m_At;
+  };
+  std::deque<AbandonedAttempt> m_Abandoned;
+  std::map<UpstreamStart, CrashCheck> m_CrashChecks;
+  OneShotTimer m_SuspectsTimer;
   RetryDetector m_RetryDetector;
   LateStartDetector m_LateStartDetector;
   std::optional<TimePoint> m_DrainingSince;
   TimePoint m_RequestCutoff = TimePoint::max();
   OneShotTimer m_StopTimer;
   std::size_t m_RequestsBeingRead = 0;
-  std::map<const RequestInProgress *, std::function<void()>> m_InProgress;
+  std::map<const RequestInProgress *, Callbacks> m_InProgress;
   CounterMetric &m_Requests;
   CounterMetric &m_Attempts;
   CounterMetric &m_DroppedLogLinesTotal;
   CounterMetric &m_LateOlderWeights;
+  CounterMetric &m_UpstreamCrashes;
+  CounterMetric &m_QuarantineChanges;
   CounterMetric &m_RateLimitedSends;
   CounterMetric &m_RateRefusedSends;
   HistogramMetric &m_FirstByte;
--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -958,11 +958,14 @@
   Report.m_IsStopping = true;
   Report.m_Demand = RequestRate(12.5);
   Report.m_Usage = {{InstanceId("u1"), {3, 1900}}, {InstanceId("u2"), {16, 0}}};
-  Report.m_Suspects.push_back({{ClientAccountId("c"), sha256(std::string_view("x"))},
-                               InstanceId("u1"),
-                               Incarnation(4),
-                               true,
-                               5s});
+  const SuspectRequest Suspect =
+      makeSuspectRequest(ClientAccountId("c"), sha256(std::string_view("x")),
+                         std::vector<std::string>{"first", "bad"});
+  const UpstreamStart Crash{InstanceId("u1"), Incarnation(4)};
+  Report.m_Suspects.m_Evidence.push_back({Crash, 5s, Suspect});
+  Report.m_Suspects.m_Begun.push_back({Suspect.m_Keys[0], 2s});
+  Report.m_Suspects.m_Quarantines.push_back({Suspect.m_Keys, Suspect.m_Account, Crash, 5s});
+  Report.m_Suspects.m_Quarantines.push_back({{Suspect.m_Keys[1]}, std::nullopt, Crash, 5s});
   Report.m_Weights.push_back({ModelId("m"), WeightsVersion(2), 3s, 20ms});
   Report.m_Loading.push_back({{"10.0.0.1", 80}, 2s});
   Report.m_Leaving.push_back({InstanceId("u3"), Incarnation(9)});
@@ -1009,7 +1012,7 @@
         return;
       const auto Report = decodePeerReport({Buffer.data(), Size});
       REQUIRE(Report);
-      m_Suspects += Report->m_Suspects.size();
+      m_Suspects += Report->m_Suspects.m_Evidence.size();
       if (!Report->m_Usage.empty())
         m_InFlight = Report->m_Usage.begin()->second.m_Requests;
     }
@@ -1029,17 +1032,17 @@
   net::io_context Loop;
   constexpr std::size_t Count = 40;
   std::uint32_t InFlight = 1;
-  std::vector<SuspectDelta> Suspects;
+  SuspectUpdate Suspects;
   PeerReportExchange Link(
       Loop, InstanceId("entry-0"), DataCentreId("a"),
       {[] { return false; }, [] { return RequestRate(); },
        [&] {
          return UsageByUpstream{{InstanceId("u1"), {InFlight, 0}}};
        },
-       [&] { return std::exchange(Suspects, {}); }, [] { return std::vector<AnnouncedWeights>(); },
-       [] { return std::vector<UpstreamStart>(); }, [] { return std::vector<RateStatement>(); },
-       [] { return std::vector<TableState>(); }, [](const LoadNotice &) {},
-       [](const PeerReport &) {}});
+       [&] { return Suspects; }, [&] { return !Suspects.empty(); },
+       [] { return std::vector<AnnouncedWeights>(); }, [] { return std::vector<UpstreamStart>(); },
+       [] { return std::vector<RateStatement>(); }, [] { return std::vector<TableState>(); },
+       [](const LoadNotice &) {}, [](const PeerReport &) {}});
   std::vector<std::unique_ptr<ListeningPeer>> Peers;
   for (std::size_t I = 0; I < Count; ++I) {
     Peers.push_back(std::make_unique<ListeningPeer>(Loop));
@@ -1059,13 +1062,12 @@
         Loop,
         [&] { return AllReceived([&](const auto &Each) { return Each.m_InFlight == InFlight; }); },
         Bound));
-  Suspects.push_back({{ClientAccountId("c"), sha256(std::string_view("x"))},
-                      InstanceId("u1"),
-                      Incarnation(4),
-                      false,
-                      1s});
+  Suspects.m_Evidence.push_back(
+      {{InstanceId("u1"), Incarnation(4)},
+       1s,
+       makeSuspectRequest(ClientAccountId("c"), sha256(std::string_view("x")), {})});
   CHECK(runUntil(
-      Loop, [&] { return AllReceived([](const auto &Each) { return Each.m_Suspects == 1; }); },
+      Loop, [&] { return AllReceived([](const auto &Each) { return Each.m_Suspects >= 1; }); },
       Bound));
 }
 
@@ -1397,8 +1399,7 @@
 
 // Guards against suspecting only whole requests: one prompt part crashes every upstream, and no two
 // requests with it are alike.
-TEST_CASE("requests that share a prompt part that crashes upstreams are blocked",
-          "[gateway][known-red]") {
+TEST_CASE("requests that share a prompt part that crashes upstreams are blocked", "[gateway]") {
   GatewayFixture Fixture;
   Fixture.setPlan();
   constexpr int UpstreamCount = 9;
--- a/src/libgateway/PeerReportExchange.cpp
+++ b/src/libgateway/PeerReportExchange.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::uint64_t ReportVersion = 8;
+constexpr std::uint64_t ReportVersion = 9;
 constexpr std::uint64_t NoticeVersion = 2;
 
 /// Resolution at which confirmation times of tables are compared, so that rounding is not taken for
@@ -70,6 +70,107 @@
   return Statement;
 }
 
+void writeStart(ByteWriter &Writer, const UpstreamStart &Start) {
+  Writer.id(Start.m_Id);
+  Writer.id(Start.m_Incarnation);
+}
+
+UpstreamStart readStart(ByteReader &Reader) {
+  UpstreamStart Start;
+  Start.m_Id = Reader.id<InstanceId>();
+  Start.m_Incarnation = Reader.id<Incarnation>();
+  return Start;
+}
+
+void writeKey(ByteWriter &Writer, const SuspectKey &Key) {
+  Writer.number(static_cast<std::uint64_t>(Key.m_Kind));
+  Writer.text(Key.m_Id);
+}
+
+SuspectKey readKey(ByteReader &Reader) {
+  SuspectKey Key;
+  const std::uint64_t Kind = Reader.number();
+  if (Kind > static_cast<std::uint64_t>(SuspectKey::Kind::PromptPart))
+    Reader.fail();
+  Key.m_Kind = static_cast<SuspectKey::Kind>(Kind);
+  Key.m_Id = Reader.text();
+  return Key;
+}
+
+void writeKeys(ByteWriter &Writer, const std::vector<SuspectKey> &Keys) {
+  Writer.number(Keys.size());
+  for (const SuspectKey &Each : Keys)
+    writeKey(Writer, Each);
+}
+
+/// Fails unless the keys are sorted and unique.
+std::vector<SuspectKey> readKeys(ByteReader &Reader) {
+  constexpr std::size_t MinKeyBytes = 2;
+  std::vector<SuspectKey> Keys;
+  for (std::size_t Left = Reader.count(MinKeyBytes); Left > 0; --Left) {
+    Keys.push_back(readKey(Reader));
+    if (Keys.size() > 1 && !(Keys[Keys.size() - 2] < Keys.back()))
+      Reader.fail();
+  }
+  return Keys;
+}
+
+void writeSuspects(ByteWriter &Writer, const SuspectUpdate &Update) {
+  Writer.number(Update.m_Evidence.size());
+  for (const CrashEvidence &Each : Update.m_Evidence) {
+    writeStart(Writer, Each.m_Crash);
+    Writer.number(static_cast<std::uint64_t>(Each.m_Age.count()));
+    Writer.id(Each.m_Request.m_Account);
+    writeKeys(Writer, Each.m_Request.m_Keys);
+  }
+  Writer.number(Update.m_Begun.size());
+  for (const BegunKey &Each : Update.m_Begun) {
+    writeKey(Writer, Each.m_Key);
+    Writer.number(static_cast<std::uint64_t>(Each.m_Age.count()));
+  }
+  Writer.number(Update.m_Quarantines.size());
+  for (const Quarantine &Each : Update.m_Quarantines) {
+    writeKeys(Writer, Each.m_Keys);
+    Writer.number(Each.m_Account ? 1 : 0);
+    Writer.id(Each.m_Account.value_or(ClientAccountId()));
+    writeStart(Writer, Each.m_LastCrash);
+    Writer.number(static_cast<std::uint64_t>(Each.m_Age.count()));
+  }
+}
+
+SuspectUpdate readSuspects(ByteReader &Reader) {
+  SuspectUpdate Update;
+  constexpr std::size_t MinEvidenceBytes = 5;
+  for (std::size_t Left = Reader.count(MinEvidenceBytes); Left > 0; --Left) {
+    CrashEvidence Each;
+    Each.m_Crash = readStart(Reader);
+    Each.m_Age = readAge(Reader);
+    Each.m_Request.m_Account = Reader.id<ClientAccountId>();
+    Each.m_Request.m_Keys = readKeys(Reader);
+    Update.m_Evidence.push_back(std::move(Each));
+  }
+  constexpr std::size_t MinBegunBytes = 3;
+  for (std::size_t Left = Reader.count(MinBegunBytes); Left > 0; --Left) {
+    BegunKey Each;
+    Each.m_Key = readKey(Reader);
+    Each.m_Age = readAge(Reader);
+    Update.m_Begun.push_back(std::move(Each));
+  }
+  constexpr std::size_t MinQuarantineBytes = 6;
+  for (std::size_t Left = Reader.count(MinQuarantineBytes); Left > 0; --Left) {
+    Quarantine Each;
+    Each.m_Keys = readKeys(Reader);
+    const bool HasAccount = Reader.number() != 0;
+    ClientAccountId Account = Reader.id<ClientAccountId>();
+    if (HasAccount)
+      Each.m_Account = std::move(Account);
+    Each.m_LastCrash = readStart(Reader);
+    Each.m_Age = readAge(Reader);
+    Update.m_Quarantines.push_back(std::move(Each));
+  }
+  return Update;
+}
+
 Endpoint endpointOf(const Udp::endpoint &From) { return {From.address().to_string(), From.port()}; }
 
 } // namespace
@@ -87,15 +188,7 @@
     Writer.number(Use.m_Requests);
     Writer.number(Use.m_UnreadTokens);
   }
-  Writer.number(Report.m_Suspects.size());
-  for (const SuspectDelta &Each : Report.m_Suspects) {
-    Writer.id(Each.m_Key.m_Account);
-    Writer.digest(Each.m_Key.m_BodyDigest);
-    Writer.id(Each.m_Upstream);
-    Writer.id(Each.m_Incarnation);
-    Writer.number(Each.m_Cleared ? 1 : 0);
-    Writer.number(static_cast<std::uint64_t>(Each.m_Age.count()));
-  }
+  writeSuspects(Writer, Report.m_Suspects);
   Writer.number(Report.m_Weights.size());
   for (const AnnouncedWeights &Each : Report.m_Weights) {
     Writer.id(Each.m_Model);
@@ -142,17 +235,7 @@
     Use.m_Requests = static_cast<std::uint32_t>(Reader.number());
     Use.m_UnreadTokens = static_cast<std::uint32_t>(Reader.number());
   }
-  constexpr std::size_t MinSuspectBytes = Digest::Size + 5;
-  for (std::size_t Left = Reader.count(MinSuspectBytes); Left > 0; --Left) {
-    SuspectDelta Each;
-    Each.m_Key.m_Account = Reader.id<ClientAccountId>();
-    Each.m_Key.m_BodyDigest = Reader.digest();
-    Each.m_Upstream = Reader.id<InstanceId>();
-    Each.m_Incarnation = Reader.id<Incarnation>();
-    Each.m_Cleared = Reader.number() != 0;
-    Each.m_Age = Duration(static_cast<Duration::rep>(Reader.number()));
-    Report.m_Suspects.push_back(std::move(Each));
-  }
+  Report.m_Suspects = readSuspects(Reader);
   constexpr std::size_t MinWeightsBytes = 4;
   for (std::size_t Left = Reader.count(MinWeightsBytes); Left > 0; --Left) {
     AnnouncedWeights Each;
@@ -224,7 +307,8 @@
                                        DataCentreId DataCentre, Handlers Callbacks)
     : m_Self(std::move(Self)), m_DataCentre(std::move(DataCentre)),
       m_Handlers(std::move(Callbacks)), m_Socket(Loop), m_SendTimer(Loop.get_executor()),
-      m_Peers(m_DataCentre) {}
+      m_Peers(m_DataCentre), m_NextLocalPeer(std::hash<InstanceId>{}(m_Self)),
+      m_NextRemotePeer(m_NextLocalPeer) {}
 
 void PeerReportExchange::start(const Endpoint &Local) {
   const Tcp::endpoint Address = tcpEndpoint(Local);
@@ -303,7 +387,6 @@
   Report.m_IsStopping = m_Handlers.m_IsStopping();
   Report.m_Demand = m_Handlers.m_Demand();
   Report.m_Usage = m_Handlers.m_Usage();
-  Report.m_Suspects = m_Handlers.m_TakeSuspects();
   Report.m_Weights = m_Handlers.m_Weights();
   Report.m_Leaving = m_Handlers.m_Leaving();
   Report.m_Rates = m_Handlers.m_Rates();
@@ -318,7 +401,7 @@
   if (HasNewLeaving)
     m_LeavingUrgentUntil = Now + NoticeLifetime;
   m_LastLeaving = Report.m_Leaving;
-  const bool IsUrgent = !Report.m_Suspects.empty() || !Report.m_Loading.empty() ||
+  const bool IsUrgent = m_Handlers.m_AreSuspectsUrgent() || !Report.m_Loading.empty() ||
                         (!Report.m_Leaving.empty() && Now < m_LeavingUrgentUntil);
   // Ages always grow; only a new confirmation counts as a change.
   std::vector<TableState> Tables = Report.m_Tables;
@@ -331,6 +414,7 @@
   const bool SendsRemote =
       IsUrgent || Now - m_RemoteSentAt >= (HasChanged ? RemoteInterval : RefreshInterval);
   if (SendsLocal || SendsRemote) {
+    Report.m_Suspects = m_Handlers.m_TakeSuspects();
     const std::string Datagram = encodePeerReport(Report);
     m_Peers.removeExpired(Now);
     const std::vector<Endpoint> LocalPeers = m_Peers.local();
@@ -338,10 +422,8 @@
     if (SendsLocal) {
       if (IsUrgent || HasChanged || m_LocalPeersPending == 0)
         m_LocalPeersPending = LocalPeers.size();
-      // takeSuspectDeltas() returns each delta only once, so this report goes to all local peers.
-      const std::size_t MaxPeers = Report.m_Suspects.empty() ? MaxLocalPeers : LocalPeers.size();
-      m_NextLocalPeer = sendRoundRobin(LocalPeers, m_NextLocalPeer, MaxPeers, Datagram);
-      m_LocalPeersPending -= std::min(m_LocalPeersPending, MaxPeers);
+      m_NextLocalPeer = sendRoundRobin(LocalPeers, m_NextLocalPeer, MaxLocalPeers, Datagram);
+      m_LocalPeersPending -= std::min(m_LocalPeersPending, MaxLocalPeers);
       m_LocalSentAt = Now;
       m_LastUsage = Report.m_Usage;
       m_LastTables = std::move(Tables);
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -139,8 +139,10 @@
   m_Service = *Service;
   m_Model = ModelId(std::string(m_Request[Names.m_Model]));
   m_PromptTokens = parsePromptTokens(m_Request[Names.m_TokenUsage]);
-  m_SuspectKey = {m_Account, sha256(std::string(Target) + "\n" + m_Request.body())};
-  if (m_Core.suspects().isQuarantined(m_SuspectKey, monotonicNow()))
+  m_SuspectRequest =
+      makeSuspectRequest(m_Account, sha256(std::string(Target) + "\n" + m_Request.body()),
+                         parseSharedPromptParts(m_Request[Names.m_PromptParts]));
+  if (isQuarantined())
     return ErrorKind::RequestBlocked;
   if (m_Core.isRefusingRequests() || isTooLateToStart())
     return ErrorKind::Draining;
@@ -154,7 +156,8 @@
 Task<bool> RequestExchange::run() {
   auto Self = shared_from_this();
   std::optional<GatewayCore::RequestInProgress> InProgress;
-  InProgress.emplace(m_Core, [this] { onStop(); });
+  InProgress.emplace(
+      m_Core, [this] { onStop(); }, [this] { onQuarantine(); });
   m_Core.m_Demand.onRequest(monotonicNow());
   std::optional<ErrorKind> Refused = resolveRoute();
   if (!Refused && m_Core.requestsInProgress() > GatewayCore::MaxRequests)
@@ -200,7 +203,7 @@
     }
     const bool WasNotSent = (End == AttemptEnd::NotSent || End == AttemptEnd::NoLongerEligible) &&
                             ++m_ConnectFailures <= MaxConnectFailures;
-    if (isInterrupted() || m_IsClientLost || (!WasNotSent && !takeRetry())) {
+    if (isInterrupted() || m_IsClientLost || isQuarantined() || (!WasNotSent && !takeRetry())) {
       co_await finishWithFailure();
       co_return;
     }
@@ -225,7 +228,7 @@
   m_NextPermit = Found.m_NextPermit;
   if (Found.m_Verdict != PlacementVerdict::Placed)
     co_return std::nullopt;
-  if (isInterrupted() || isTooLateToStart()) {
+  if (isInterrupted() || isTooLateToStart() || isQuarantined()) {
     m_Core.undoPlacement(Found, m_PromptTokens);
     co_return std::nullopt;
   }
@@ -263,7 +266,7 @@
     m_TimedOut = true;
     m_DeadlineTimer.cancel();
   }
-  if (isInterrupted() || isTooLateToStart() ||
+  if (isInterrupted() || isTooLateToStart() || isQuarantined() ||
       !m_Core.loadBalancer().canStillSend(To, placementRequest(), monotonicNow()) ||
       !ensurePermit(To))
     return false;
@@ -307,7 +310,7 @@
   m_PlacedWeights = To.heldVersion(m_Model);
   m_AnsweredWeights.reset();
   scheduleStallCheck();
-  m_Core.addRunning(To.m_Id, m_SuspectKey);
+  m_Running = m_Core.addRunning({To.start(), m_SuspectRequest, m_RequestId, Sent});
   // Only a stream shows when the request has begun: a plain response comes at the end of the run.
   const ServicePlan *Service = m_Plan->service(m_Service);
   if (Service && Service->m_Engine && !m_Model.empty() && isStream(m_Route->m_Kind))
@@ -319,10 +322,14 @@
   m_StallTimer.cancel();
   m_CurrentExchange.reset();
   const bool Moved = End == AttemptEnd::Failed && m_NextPlacement.has_value();
-  // Before removeRunning(), because this request is one of the suspects.
-  if (End == AttemptEnd::Failed && !isInterrupted() && !Moved && !m_Withdrawn)
-    m_Core.checkCrash(To);
-  m_Core.removeRunning(To.m_Id, m_SuspectKey);
+  const bool IsAbandoned = isInterrupted() || Moved || m_Withdrawn;
+  if (End == AttemptEnd::Failed && !IsAbandoned)
+    m_Core.checkCrash(To, **m_Running);
+  const RunningAttempts::iterator Ended = *std::exchange(m_Running, std::nullopt);
+  if (IsAbandoned)
+    m_Core.abandonRunning(Ended);
+  else
+    m_Core.removeRunning(Ended);
   Sent->finish();
 
   DispatchResult Result = DispatchResult::Failed;
@@ -333,8 +340,6 @@
     Result = DispatchResult::Answered;
   else if (End == AttemptEnd::Rejected)
     Result = m_WasPauseRequested ? DispatchResult::Deferred : DispatchResult::Rejected;
-  if (Result == DispatchResult::Answered)
-    m_Core.suspects().completed(m_SuspectKey, monotonicNow());
   m_Core.release(To.m_Id, Result, std::exchange(m_UnreadTokens, 0));
   if (m_NextPlacement && !Moved) {
     m_Core.undoPlacement(*m_NextPlacement, m_PromptTokens);
@@ -591,6 +596,8 @@
 void RequestExchange::recordStart() {
   m_TimeToStart = m_LastUpstreamReadAt - m_DispatchedAt;
   m_Core.observeStart(kindName(), *m_TimeToStart);
+  (*m_Running)->m_HasBegun = true;
+  m_Core.recordBegun(m_SuspectRequest);
   endUnstarted(GatewayCore::UnstartedEnd::Started);
 }
 
@@ -672,6 +679,15 @@
               {"sinceDispatchSeconds", monotonicNow() - m_DispatchedAt}});
 }
 
+void RequestExchange::onQuarantine() {
+  if (!isQuarantined())
+    return;
+  if (m_PlacementWaiter)
+    m_PlacementWaiter->cancel();
+  if (m_CurrentExchange && m_Running && !(*m_Running)->m_HasBegun)
+    withdraw();
+}
+
 void RequestExchange::endUnstarted(GatewayCore::UnstartedEnd How) {
   if (m_UnstartedNumber)
     m_Core.endUnstarted(*std::exchange(m_UnstartedNumber, std::nullopt), m_Service, How);
@@ -735,6 +751,8 @@
                                                                    : ErrorKind::Overloaded;
     if (m_Core.isRefusingRequests() || isTooLateToStart())
       Kind = ErrorKind::Draining;
+    if (isQuarantined())
+      Kind = ErrorKind::RequestBlocked;
     co_await sendRefusal(Kind);
     co_return;
   }
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -115,6 +115,11 @@
   void scheduleStallCheck();
   /// Cancels the attempt because the request must no longer begin on the weights of its upstream.
   void withdraw();
+  /// Whether requests with the same keys crash upstreams.
+  bool isQuarantined() const { return m_Core.isQuarantined(m_SuspectRequest); }
+  /// Ends the wait for a placement, or an attempt that has not begun, if the request is
+  /// quarantined.
+  void onQuarantine();
   /// Ends the registration as an unstarted request.
   void endUnstarted(GatewayCore::UnstartedEnd How);
   void recordFirstByte();
@@ -161,7 +166,9 @@
   std::string m_RequestId;
   int m_Priority = 0;
   bool m_IsRetry = false;
-  SuspectKey m_SuspectKey;
+  SuspectRequest m_SuspectRequest;
+  /// The current attempt while it is in flight.
+  std::optional<RunningAttempts::iterator> m_Running;
 
   OneShotTimer m_DeadlineTimer;
   OneShotTimer m_StallTimer;
--- a/src/librequests/Attempts_test.cpp
+++ b/src/librequests/Attempts_test.cpp
@@ -13,8 +13,8 @@
 
 AttemptId attempt(std::uint64_t Number) { return AttemptNumber{Source, Number}.id(); }
 
-SuspectKey suspect(const std::string &Body, const std::string &Account = "a") {
-  return {ClientAccountId(Account), sha256(Body)};
+SuspectRequest suspect(const std::string &Body, const std::string &Account = "a") {
+  return makeSuspectRequest(ClientAccountId(Account), sha256(Body), {});
 }
 
 } // namespace
@@ -94,12 +94,12 @@
 // Guards against quarantining every request that was running on a crashed upstream.
 TEST_CASE("only the request that was running at both crashes is quarantined") {
   CrashSuspects Suspects;
-  std::vector<SuspectKey> AtFirstCrash{suspect("poison"), suspect("b"), suspect("c")};
-  Suspects.recordCrash(InstanceId("u1"), Incarnation(1), AtFirstCrash, Start);
-  for (const SuspectKey &Key : AtFirstCrash)
-    CHECK_FALSE(Suspects.isQuarantined(Key, Start));
-  std::vector<SuspectKey> AtSecondCrash{suspect("d"), suspect("poison")};
-  Suspects.recordCrash(InstanceId("u2"), Incarnation(1), AtSecondCrash, Start);
+  std::vector<SuspectRequest> AtFirstCrash{suspect("poison"), suspect("b"), suspect("c")};
+  Suspects.recordCrash({InstanceId("u1"), Incarnation(1)}, AtFirstCrash, Start, Start);
+  for (const SuspectRequest &Request : AtFirstCrash)
+    CHECK_FALSE(Suspects.isQuarantined(Request, Start));
+  std::vector<SuspectRequest> AtSecondCrash{suspect("d"), suspect("poison")};
+  Suspects.recordCrash({InstanceId("u2"), Incarnation(1)}, AtSecondCrash, Start, Start);
   CHECK(Suspects.isQuarantined(suspect("poison"), Start));
   CHECK_FALSE(Suspects.isSuspect(suspect("d"), Start));
   CHECK_FALSE(Suspects.isQuarantined(suspect("b"), Start));
@@ -111,15 +111,16 @@
 TEST_CASE("requests with the same crashes are distinguished by a completion or a third crash") {
   for (bool IsCompleted : {true, false}) {
     CrashSuspects Suspects;
-    std::vector<SuspectKey> Suspected{suspect("innocent"), suspect("poison")};
-    Suspects.recordCrash(InstanceId("u1"), Incarnation(1), Suspected, Start);
-    Suspects.recordCrash(InstanceId("u2"), Incarnation(1), Suspected, Start);
+    std::vector<SuspectRequest> Suspected{suspect("innocent"), suspect("poison")};
+    Suspects.recordCrash({InstanceId("u1"), Incarnation(1)}, Suspected, Start, Start);
+    Suspects.recordCrash({InstanceId("u2"), Incarnation(1)}, Suspected, Start, Start);
     CHECK_FALSE(Suspects.isQuarantined(Suspected[0], Start));
     CHECK_FALSE(Suspects.isQuarantined(Suspected[1], Start));
     if (IsCompleted)
-      Suspects.completed(Suspected[0], Start);
+      Suspects.recordBegun(Suspected[0], Start);
     else
-      Suspects.recordCrash(InstanceId("u3"), Incarnation(1), std::span(&Suspected[1], 1), Start);
+      Suspects.recordCrash({InstanceId("u3"), Incarnation(1)}, std::span(&Suspected[1], 1), Start,
+                           Start);
     CHECK_FALSE(Suspects.isQuarantined(Suspected[0], Start));
     CHECK(Suspects.isQuarantined(Suspected[1], Start));
   }
@@ -129,23 +130,24 @@
 // messages between entries.
 TEST_CASE("suspects are bounded per account, and deltas quarantine them on other entries") {
   CrashSuspects Suspects;
-  SuspectKey Poison = suspect("poison");
-  Suspects.recordCrash(InstanceId("u1"), Incarnation(1), std::span(&Poison, 1), Start);
-  Suspects.recordCrash(InstanceId("u2"), Incarnation(1), std::span(&Poison, 1), Start);
+  SuspectRequest Poison = suspect("poison");
+  Suspects.recordCrash({InstanceId("u1"), Incarnation(1)}, std::span(&Poison, 1), Start, Start);
+  Suspects.recordCrash({InstanceId("u2"), Incarnation(1)}, std::span(&Poison, 1), Start, Start);
   for (std::uint64_t I = 0; I < 5000; ++I) {
-    SuspectKey Flood = suspect(std::to_string(I), "flood");
-    Suspects.recordCrash(InstanceId("u3"), Incarnation(I), std::span(&Flood, 1), Start);
+    SuspectRequest Flood = suspect(std::to_string(I), "flood");
+    Suspects.recordCrash({InstanceId("u3"), Incarnation(I)}, std::span(&Flood, 1), Start, Start);
   }
-  CHECK(Suspects.suspectCount(ClientAccountId("flood")) == CrashSuspects::MaxPerAccount);
+  CHECK(Suspects.suspectCount(ClientAccountId("flood")) == CrashSuspects::MaxKeysPerAccount);
   CHECK(Suspects.isQuarantined(Poison, Start));
 
   CrashSuspects Other;
-  Other.merge(Suspects.allDeltas(Start), Start + 1s);
+  Other.merge(Suspects.fullUpdate(Start), Start + 1s);
   CHECK(Other.isQuarantined(Poison, Start + 1s));
-  CHECK(Other.takeDeltas(Start + 1s).empty());
-  CHECK(Suspects.takeDeltas(Start).size() == CrashSuspects::MaxDeltasPerMessage);
-  Suspects.completed(Poison, Start);
-  Other.merge(Suspects.allDeltas(Start), Start + 1s);
+  CHECK(Other.isQuarantined(Poison, Start + 1s));
+  CHECK(Suspects.takeUpdate(Start).m_Evidence.size() == CrashSuspects::MaxKeysPerUpdate);
+  CHECK(Suspects.takeUpdate(Start + CrashSuspects::SpreadTime).m_Evidence.empty());
+  Suspects.recordBegun(Poison, Start);
+  Other.merge(Suspects.fullUpdate(Start), Start + 1s);
   CHECK_FALSE(Other.isSuspect(Poison, Start + 1s));
   Suspects.onTimer(Start + CrashSuspects::Lifetime);
   CHECK(Suspects.size() == 0);
--- a/src/librequests/CrashSuspects.cpp
+++ b/src/librequests/CrashSuspects.cpp
@@ -1,188 +1,549 @@
 #include "Fescuegauge/CrashSuspects.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace fescuegauge {
 
-const CrashSuspects::CrashMap *CrashSuspects::find(const SuspectKey &Key) const {
-  auto Account = m_SuspectsByAccount.find(Key.m_Account);
-  if (Account == m_SuspectsByAccount.end())
-    return nullptr;
-  auto Found = Account->second.find(Key.m_BodyDigest);
-  return Found == Account->second.end() ? nullptr : &Found->second;
+namespace {
+
+/// Hexadecimal digits of a digest that identify a request or a long part id.
+constexpr std::size_t DigestDigits = 16;
+
+template <typename Set> bool includes(const Set &Whole, const Set &Part) {
+  return std::includes(Whole.begin(), Whole.end(), Part.begin(), Part.end());
+}
+
+/// Sorts by the number of times that items were sent, so that all of them are sent in turn.
+template <typename Item> void sortBySent(std::vector<Item *> &Items) {
+  std::stable_sort(Items.begin(), Items.end(), [](const Item *Left, const Item *Right) {
+    return Left->m_Sent < Right->m_Sent;
+  });
 }
 
-std::vector<CrashSuspects::CrashId> CrashSuspects::activeCrashes(const CrashMap &Crashes,
-                                                                 TimePoint Now) const {
-  std::vector<CrashId> Result;
-  for (const auto &[Id, Record] : Crashes)
-    if (!Record.m_Cleared && Now < Record.m_DetectedAt + Lifetime)
-      Result.push_back(Id);
+} // namespace
+
+std::string SuspectKey::str() const {
+  return (m_Kind == Kind::Request ? "request:" : "part:") + m_Id;
+}
+
+std::string joinKeys(std::span<const SuspectKey> Keys) {
+  std::string Result;
+  for (const SuspectKey &Each : Keys)
+    Result += (Result.empty() ? "" : ",") + Each.str();
   return Result;
 }
 
-void CrashSuspects::recordCrash(const InstanceId &Upstream, Incarnation CrashIncarnation,
-                                std::span<const SuspectKey> Running, TimePoint Now) {
-  std::vector<SuspectKey> Suspected;
-  for (const SuspectKey &Key : Running)
-    if (isSuspect(Key, Now))
-      Suspected.push_back(Key);
-  if (Suspected.empty())
-    Suspected.assign(Running.begin(), Running.end());
-  for (const SuspectKey &Key : Suspected) {
-    SuspectDelta Delta{Key, Upstream, CrashIncarnation, false, Duration()};
-    if (apply(Delta, Now))
-      queue(std::move(Delta), Now);
+std::string_view quarantineChangeName(QuarantineChange::Kind Kind) {
+  switch (Kind) {
+  case QuarantineChange::Kind::Begun:
+    return "begun";
+  case QuarantineChange::Kind::Refuted:
+    return "refuted";
+  case QuarantineChange::Kind::Expired:
+    return "expired";
   }
+  return "unknown";
+}
+
+bool SuspectRequest::contains(const SuspectKey &Key) const {
+  return std::binary_search(m_Keys.begin(), m_Keys.end(), Key);
+}
+
+bool Quarantine::matches(const SuspectRequest &Request) const {
+  return (!m_Account || *m_Account == Request.m_Account) && includes(Request.m_Keys, m_Keys);
 }
 
-void CrashSuspects::completed(const SuspectKey &Key, TimePoint Now) {
-  const CrashMap *Found = find(Key);
-  if (!Found)
-    return;
-  for (const CrashId &Id : activeCrashes(*Found, Now)) {
-    SuspectDelta Delta{Key, Id.first, Id.second, true, Now - Found->at(Id).m_DetectedAt};
-    if (apply(Delta, Now))
-      queue(std::move(Delta), Now);
+SuspectRequest makeSuspectRequest(ClientAccountId Account, const Digest &Body,
+                                  std::span<const std::string> PromptParts) {
+  SuspectRequest Result;
+  Result.m_Account = std::move(Account);
+  Result.m_Keys.push_back({SuspectKey::Kind::Request, Body.hex().substr(0, DigestDigits)});
+  for (const std::string &Part :
+       PromptParts.first(std::min(PromptParts.size(), CrashSuspects::MaxPartsPerRequest)))
+    Result.m_Keys.push_back(
+        {SuspectKey::Kind::PromptPart, Part.size() <= CrashSuspects::MaxPartIdBytes
+                                           ? Part
+                                           : "#" + sha256(Part).hex().substr(0, DigestDigits)});
+  std::sort(Result.m_Keys.begin(), Result.m_Keys.end());
+  Result.m_Keys.erase(std::unique(Result.m_Keys.begin(), Result.m_Keys.end()), Result.m_Keys.end());
+  return Result;
+}
+
+std::vector<std::string> parseSharedPromptParts(std::string_view Header) {
+  std::vector<std::string> Result;
+  for (std::size_t Comma = Header.find(','); Comma != std::string_view::npos;
+       Comma = Header.find(',')) {
+    std::string_view Id = Header.substr(0, std::min(Comma, Header.find(':')));
+    Header.remove_prefix(Comma + 1);
+    Id.remove_prefix(std::min(Id.find_first_not_of(" \t"), Id.size()));
+    Id = Id.substr(0, Id.find_last_not_of(" \t") + 1);
+    if (!Id.empty())
+      Result.emplace_back(Id);
   }
+  return Result;
 }
 
-bool CrashSuspects::isSuspect(const SuspectKey &Key, TimePoint Now) const {
-  const CrashMap *Found = find(Key);
-  return Found && !activeCrashes(*Found, Now).empty();
+bool CrashSuspects::hasKey(const Crash &In, const SuspectKey &Key) const {
+  return std::any_of(In.m_Unstarted.begin(), In.m_Unstarted.end(),
+                     [&](const UnstartedRequest &Each) { return Each.m_Request.contains(Key); });
 }
 
-bool CrashSuspects::isQuarantined(const SuspectKey &Key, TimePoint Now) const {
-  const CrashMap *Found = find(Key);
-  if (!Found)
-    return false;
-  std::vector<CrashId> OwnActive = activeCrashes(*Found, Now);
-  if (OwnActive.size() < CrashesToQuarantine)
+void CrashSuspects::removeUnstarted(std::map<UpstreamStart, Crash>::iterator Of,
+                                    std::size_t Index) {
+  auto &[Upstream, Recorded] = *Of;
+  const SuspectRequest Removed = std::move(Recorded.m_Unstarted[Index].m_Request);
+  Recorded.m_Unstarted.erase(Recorded.m_Unstarted.begin() + static_cast<std::ptrdiff_t>(Index));
+  for (const SuspectKey &Key : Removed.m_Keys) {
+    if (hasKey(Recorded, Key))
+      continue;
+    auto Known = m_CrashesByKey.find(Key);
+    Known->second.erase(Upstream);
+    if (Known->second.empty())
+      m_CrashesByKey.erase(Known);
+  }
+  auto Count = m_KeysByAccount.find(Removed.m_Account);
+  Count->second -= Removed.m_Keys.size();
+  if (Count->second == 0)
+    m_KeysByAccount.erase(Count);
+  if (Recorded.m_Unstarted.empty())
+    m_Crashes.erase(Of);
+}
+
+bool CrashSuspects::makeRoom(const SuspectRequest &For) {
+  auto Count = m_KeysByAccount.find(For.m_Account);
+  if (Count == m_KeysByAccount.end())
+    return m_KeysByAccount.size() < MaxAccounts;
+  while (Count->second + For.m_Keys.size() > MaxKeysPerAccount) {
+    auto Oldest = m_Crashes.end();
+    std::size_t OldestIndex = 0;
+    for (auto Each = m_Crashes.begin(); Each != m_Crashes.end(); ++Each)
+      for (std::size_t I = 0; I < Each->second.m_Unstarted.size(); ++I)
+        if (Each->second.m_Unstarted[I].m_Request.m_Account == For.m_Account &&
+            (Oldest == m_Crashes.end() || Each->second.m_At < Oldest->second.m_At)) {
+          Oldest = Each;
+          OldestIndex = I;
+        }
+    removeUnstarted(Oldest, OldestIndex);
+    Count = m_KeysByAccount.find(For.m_Account);
+    if (Count == m_KeysByAccount.end())
+      break;
+  }
+  return true;
+}
+
+bool CrashSuspects::addEvidence(const UpstreamStart &Upstream, const SuspectRequest &Request,
+                                TimePoint At, TimePoint Now) {
+  if (Now - At >= Lifetime || Request.m_Keys.empty())
     return false;
-  for (const auto &[Account, Requests] : m_SuspectsByAccount)
-    for (const auto &[Body, OtherCrashes] : Requests) {
-      if (Account == Key.m_Account && Body == Key.m_BodyDigest)
-        continue;
-      std::vector<CrashId> OtherActive = activeCrashes(OtherCrashes, Now);
-      if (std::includes(OtherActive.begin(), OtherActive.end(), OwnActive.begin(), OwnActive.end()))
+  auto Found = m_Crashes.find(Upstream);
+  if (Found != m_Crashes.end()) {
+    // Reports arrive after the crash, so the earliest time is the most accurate.
+    Found->second.m_At = std::min(Found->second.m_At, At);
+    for (const UnstartedRequest &Each : Found->second.m_Unstarted)
+      if (Each.m_Request == Request)
         return false;
-    }
+  }
+  if (!makeRoom(Request))
+    return false;
+  Crash &Recorded = m_Crashes.try_emplace(Upstream, Crash{At, Now, {}}).first->second;
+  Recorded.m_Unstarted.push_back({Request, Now});
+  m_KeysByAccount[Request.m_Account] += Request.m_Keys.size();
+  for (const SuspectKey &Key : Request.m_Keys) {
+    m_CrashesByKey[Key].insert(Upstream);
+    if (m_Begun.contains(Key))
+      continue;
+    for (const auto &[Account, Keys] : m_RecentlyBegun)
+      if (auto Recent = Keys.find(Key); Recent != Keys.end())
+        setBegun(Key, Recent->second, Now);
+  }
   return true;
 }
 
-TimePoint CrashSuspects::lastCrash(const CrashMap &Crashes) {
-  TimePoint Last = TimePoint::min();
-  for (const auto &[Id, Record] : Crashes)
-    Last = std::max(Last, Record.m_DetectedAt);
-  return Last;
-}
-
-void CrashSuspects::makeRoom(const SuspectKey &NewKey) {
-  if (!m_SuspectsByAccount.contains(NewKey.m_Account) &&
-      m_SuspectsByAccount.size() >= MaxAccounts) {
-    auto LastOf = [](const SuspectMap &Requests) {
-      TimePoint Last = TimePoint::min();
-      for (const auto &[Body, Crashes] : Requests)
-        Last = std::max(Last, lastCrash(Crashes));
-      return Last;
-    };
-    m_SuspectsByAccount.erase(std::min_element(m_SuspectsByAccount.begin(),
-                                               m_SuspectsByAccount.end(),
-                                               [&](const auto &Left, const auto &Right) {
-                                                 return LastOf(Left.second) < LastOf(Right.second);
-                                               }));
-  }
-  SuspectMap &Requests = m_SuspectsByAccount[NewKey.m_Account];
-  if (Requests.contains(NewKey.m_BodyDigest) || Requests.size() < MaxPerAccount)
-    return;
-  // Requests with fewer uncleared crashes are evicted first, so that requests that cause no crashes
-  // do not displace one that does.
-  Requests.erase(
-      std::min_element(Requests.begin(), Requests.end(), [](const auto &Left, const auto &Right) {
-        auto Rank = [](const CrashMap &Crashes) {
-          auto UnclearedCount =
-              std::count_if(Crashes.begin(), Crashes.end(),
-                            [](const auto &Record) { return !Record.second.m_Cleared; });
-          return std::pair(UnclearedCount, lastCrash(Crashes));
-        };
-        return Rank(Left.second) < Rank(Right.second);
-      }));
-}
-
-bool CrashSuspects::apply(const SuspectDelta &Delta, TimePoint Now) {
-  if (Delta.m_Age >= Lifetime)
+void CrashSuspects::scheduleEvaluation(TimePoint At) {
+  m_NextEvaluation = std::min(m_NextEvaluation.value_or(At), At);
+}
+
+void CrashSuspects::recordCrash(const UpstreamStart &Upstream,
+                                std::span<const SuspectRequest> Unstarted, TimePoint CrashedAt,
+                                TimePoint Now) {
+  for (const SuspectRequest &Request : Unstarted)
+    addEvidence(Upstream, Request, CrashedAt, Now);
+  if (!Unstarted.empty())
+    setUrgent(Now);
+  evaluateAll(Now);
+}
+
+void CrashSuspects::recordBegun(const SuspectRequest &Request, TimePoint Now) {
+  bool HasRefuted = false;
+  for (const SuspectKey &Key : Request.m_Keys) {
+    if (m_CrashesByKey.contains(Key)) {
+      HasRefuted = setBegun(Key, Now, Now) || HasRefuted;
+      continue;
+    }
+    refute(Key, Now);
+    auto &Keys = m_RecentlyBegun[Request.m_Account];
+    if (Keys.size() >= MaxBegunPerAccount && !Keys.contains(Key))
+      Keys.erase(
+          std::min_element(Keys.begin(), Keys.end(), [](const auto &Left, const auto &Right) {
+            return Left.second < Right.second;
+          }));
+    Keys[Key] = Now;
+  }
+  // Another key may be the only one left that explains some crashes.
+  if (HasRefuted)
+    evaluateAll(Now);
+}
+
+bool CrashSuspects::setBegun(const SuspectKey &Key, TimePoint At, TimePoint Now) {
+  Begun &Known = m_Begun.try_emplace(Key).first->second;
+  const TimePoint Before = Known.m_At;
+  if (At <= Before)
     return false;
-  makeRoom(Delta.m_Key);
-  CrashMap &KnownCrashes = m_SuspectsByAccount[Delta.m_Key.m_Account][Delta.m_Key.m_BodyDigest];
-  CrashId Id{Delta.m_Upstream, Delta.m_Incarnation};
-  if (auto Found = KnownCrashes.find(Id); Found != KnownCrashes.end()) {
-    bool IsChanged = Delta.m_Cleared && !Found->second.m_Cleared;
-    Found->second.m_Cleared = Found->second.m_Cleared || Delta.m_Cleared;
-    return IsChanged;
-  }
-  if (KnownCrashes.size() >= MaxCrashesPerRequest)
-    KnownCrashes.erase(std::min_element(
-        KnownCrashes.begin(), KnownCrashes.end(), [](const auto &Left, const auto &Right) {
-          return Left.second.m_DetectedAt < Right.second.m_DetectedAt;
-        }));
-  KnownCrashes.emplace(Id, Crash{Now - Delta.m_Age, Delta.m_Cleared});
-  return true;
+  Known.m_At = At;
+  bool HasRefuted = false;
+  for (const UpstreamStart &Each : m_CrashesByKey.at(Key))
+    if (const TimePoint CrashedAt = m_Crashes.at(Each).m_At; CrashedAt > Before && CrashedAt <= At)
+      HasRefuted = true;
+  if (HasRefuted)
+    Known.m_NewsAt = Now;
+  refute(Key, At);
+  return HasRefuted;
+}
+
+std::optional<TimePoint> CrashSuspects::begunAt(const SuspectKey &Key) const {
+  auto Found = m_Begun.find(Key);
+  return Found == m_Begun.end() ? std::nullopt : std::optional(Found->second.m_At);
 }
 
-void CrashSuspects::queue(SuspectDelta Delta, TimePoint Now) {
-  if (m_Outgoing.size() >= MaxOutgoing)
-    m_Outgoing.erase(m_Outgoing.begin());
-  TimePoint DetectedAt = Now - Delta.m_Age;
-  m_Outgoing.emplace_back(DetectedAt, std::move(Delta));
+void CrashSuspects::refute(const SuspectKey &Key, TimePoint BegunAt) {
+  for (Active &Each : m_Quarantines) {
+    if (BegunAt < Each.m_LastCrashAt)
+      continue;
+    std::vector<SuspectKey> &Keys = Each.m_Quarantine.m_Keys;
+    auto Found = std::find(Keys.begin(), Keys.end(), Key);
+    if (Found == Keys.end())
+      continue;
+    if (Keys.size() == 1)
+      m_Changes.push_back({QuarantineChange::Kind::Refuted, Each.m_Quarantine, {}});
+    Keys.erase(Found);
+  }
+  std::erase_if(m_Quarantines, [](const Active &Each) { return Each.m_Quarantine.m_Keys.empty(); });
 }
 
-std::vector<SuspectDelta> CrashSuspects::takeDeltas(TimePoint Now) {
-  std::vector<SuspectDelta> Result;
-  std::size_t Count = std::min(m_Outgoing.size(), MaxDeltasPerMessage);
-  for (std::size_t I = 0; I < Count; ++I) {
-    Result.push_back(std::move(m_Outgoing[I].second));
-    Result.back().m_Age = Now - m_Outgoing[I].first;
+bool CrashSuspects::isExplained(const Crash &Explained, const SuspectKey &Except) const {
+  return std::any_of(m_Quarantines.begin(), m_Quarantines.end(), [&](const Active &Each) {
+    const std::vector<SuspectKey> &Keys = Each.m_Quarantine.m_Keys;
+    return std::find(Keys.begin(), Keys.end(), Except) == Keys.end() &&
+           std::any_of(Explained.m_Unstarted.begin(), Explained.m_Unstarted.end(),
+                       [&](const UnstartedRequest &Request) {
+                         return Each.m_Quarantine.matches(Request.m_Request);
+                       });
+  });
+}
+
+CrashSuspects::CrashSet CrashSuspects::crashesOf(const SuspectKey &Key, TimePoint Now) const {
+  CrashSet Result;
+  auto Known = m_CrashesByKey.find(Key);
+  if (Known == m_CrashesByKey.end())
+    return Result;
+  const std::optional<TimePoint> LastBegun = begunAt(Key);
+  for (const UpstreamStart &Upstream : Known->second) {
+    const Crash &Each = m_Crashes.at(Upstream);
+    const bool IsRefuted = LastBegun && *LastBegun >= Each.m_At;
+    if (!IsRefuted && Now - Each.m_At < Lifetime && !isExplained(Each, Key))
+      Result.insert(Upstream);
   }
-  m_Outgoing.erase(m_Outgoing.begin(), m_Outgoing.begin() + static_cast<std::ptrdiff_t>(Count));
   return Result;
 }
 
-std::vector<SuspectDelta> CrashSuspects::allDeltas(TimePoint Now) const {
-  std::vector<SuspectDelta> Result;
-  for (const auto &[Account, Requests] : m_SuspectsByAccount)
-    for (const auto &[Body, KnownCrashes] : Requests)
-      for (const auto &[Id, Record] : KnownCrashes)
-        Result.push_back(
-            {{Account, Body}, Id.first, Id.second, Record.m_Cleared, Now - Record.m_DetectedAt});
+std::size_t CrashSuspects::weight(const SuspectKey &Key, const CrashSet &Crashes) const {
+  // A request runs on one upstream after the other, so its crashes have no common cause.
+  if (Key.m_Kind == SuspectKey::Kind::Request)
+    return Crashes.size();
+  std::vector<TimePoint> Times;
+  for (const UpstreamStart &Each : Crashes)
+    Times.push_back(m_Crashes.at(Each).m_At);
+  std::sort(Times.begin(), Times.end());
+  std::size_t Count = 0;
+  std::optional<TimePoint> LastCounted;
+  for (const TimePoint At : Times) {
+    if (LastCounted && At - *LastCounted < CommonCauseTime)
+      continue;
+    LastCounted = At;
+    ++Count;
+  }
+  return Count;
+}
+
+std::optional<CrashSuspects::Proposal> CrashSuspects::evaluate(const SuspectKey &Key,
+                                                               TimePoint Now) const {
+  Proposal Result;
+  CrashSet &Crashes = Result.m_Crashes;
+  Crashes = crashesOf(Key, Now);
+  std::erase_if(Crashes, [&](const UpstreamStart &Each) {
+    return Now < m_Crashes.at(Each).m_LearnedAt + m_CollectionTime;
+  });
+  const std::size_t Weight = weight(Key, Crashes);
+  if (Weight < CrashesToQuarantine)
+    return std::nullopt;
+  Active &Explaining = Result.m_Active;
+  Quarantine &Proposed = Explaining.m_Quarantine;
+  std::optional<std::vector<SuspectKey>> Common;
+  std::set<ClientAccountId> Accounts;
+  std::set<SuspectKey> Others;
+  for (const UpstreamStart &Upstream : Crashes) {
+    const Crash &Each = m_Crashes.at(Upstream);
+    if (Explaining.m_LastCrashAt <= Each.m_At) {
+      Explaining.m_LastCrashAt = Each.m_At;
+      Proposed.m_LastCrash = Upstream;
+    }
+    for (const UnstartedRequest &Running : Each.m_Unstarted) {
+      const std::vector<SuspectKey> &Keys = Running.m_Request.m_Keys;
+      Others.insert(Keys.begin(), Keys.end());
+      if (!Running.m_Request.contains(Key))
+        continue;
+      Accounts.insert(Running.m_Request.m_Account);
+      if (!Common) {
+        Common = Keys;
+        continue;
+      }
+      std::vector<SuspectKey> Shared;
+      std::set_intersection(Common->begin(), Common->end(), Keys.begin(), Keys.end(),
+                            std::back_inserter(Shared));
+      Common = std::move(Shared);
+    }
+  }
+  if (Accounts.size() == 1)
+    Proposed.m_Account = *Accounts.begin();
+  bool IsAmbiguous = false;
+  for (const SuspectKey &Other : Others) {
+    if (!includes(crashesOf(Other, Now), Crashes))
+      continue;
+    if (std::binary_search(Common->begin(), Common->end(), Other))
+      Proposed.m_Keys.push_back(Other);
+    else
+      IsAmbiguous = true;
+  }
+  if (IsAmbiguous && Weight <= CrashesToQuarantine)
+    return std::nullopt;
   return Result;
 }
 
-void CrashSuspects::merge(std::span<const SuspectDelta> Deltas, TimePoint Now) {
-  for (const SuspectDelta &Delta : Deltas)
-    apply(Delta, Now);
+bool CrashSuspects::isCovered(const Quarantine &Other) const {
+  return std::any_of(m_Quarantines.begin(), m_Quarantines.end(), [&](const Active &Each) {
+    const Quarantine &InForce = Each.m_Quarantine;
+    return includes(Other.m_Keys, InForce.m_Keys) &&
+           (!InForce.m_Account || InForce.m_Account == Other.m_Account);
+  });
 }
 
-void CrashSuspects::onTimer(TimePoint Now) {
-  for (auto &[Account, Requests] : m_SuspectsByAccount) {
-    for (auto &[Body, KnownCrashes] : Requests)
-      std::erase_if(KnownCrashes, [&](const auto &Record) {
-        return Now >= Record.second.m_DetectedAt + Lifetime;
-      });
-    std::erase_if(Requests, [](const auto &Request) { return Request.second.empty(); });
+void CrashSuspects::evaluateAll(TimePoint Now) {
+  m_NextEvaluation.reset();
+  for (const auto &[Upstream, Each] : m_Crashes)
+    if (const TimePoint At = Each.m_LearnedAt + m_CollectionTime; At > Now)
+      scheduleEvaluation(At);
+  // Each quarantine explains crashes, which changes the evidence against the other keys.
+  while (true) {
+    std::vector<Proposal> Best = bestProposals(Now);
+    if (Best.empty())
+      return;
+    for (Proposal &Each : Best)
+      if (!isCovered(Each.m_Active.m_Quarantine))
+        addQuarantine(std::move(Each.m_Active), Now);
   }
-  std::erase_if(m_SuspectsByAccount, [](const auto &Account) { return Account.second.empty(); });
 }
 
-std::size_t CrashSuspects::size() const {
-  std::size_t Count = 0;
-  for (const auto &[Account, Requests] : m_SuspectsByAccount)
-    Count += Requests.size();
-  return Count;
+std::vector<CrashSuspects::Proposal> CrashSuspects::bestProposals(TimePoint Now) const {
+  std::vector<Proposal> Best;
+  for (const auto &[Key, Recorded] : m_CrashesByKey) {
+    if (Recorded.size() < CrashesToQuarantine)
+      continue;
+    std::optional<Proposal> Proposed = evaluate(Key, Now);
+    if (!Proposed || isCovered(Proposed->m_Active.m_Quarantine))
+      continue;
+    if (!Best.empty() && Proposed->m_Crashes.size() > Best.front().m_Crashes.size())
+      Best.clear();
+    if (Best.empty() || Proposed->m_Crashes == Best.front().m_Crashes)
+      Best.push_back(std::move(*Proposed));
+  }
+  return Best;
+}
+
+void CrashSuspects::addQuarantine(Active Added, TimePoint Now) {
+  const Quarantine &New = Added.m_Quarantine;
+  QuarantineChange Change{QuarantineChange::Kind::Begun, New, {}};
+  Change.m_Quarantine.m_Age = Now - Added.m_LastCrashAt;
+  for (const auto &[Upstream, Each] : m_Crashes)
+    if (std::any_of(
+            Each.m_Unstarted.begin(), Each.m_Unstarted.end(),
+            [&](const UnstartedRequest &Running) { return New.matches(Running.m_Request); }))
+      Change.m_Crashes.push_back(Upstream);
+  // The new one blocks all requests that these block.
+  std::erase_if(m_Quarantines, [&](const Active &Each) {
+    return includes(Each.m_Quarantine.m_Keys, New.m_Keys) &&
+           (!New.m_Account || New.m_Account == Each.m_Quarantine.m_Account);
+  });
+  const auto IsSameAccount = [&](const Active &Each) {
+    return Each.m_Quarantine.m_Account == New.m_Account;
+  };
+  while (static_cast<std::size_t>(std::count_if(m_Quarantines.begin(), m_Quarantines.end(),
+                                                IsSameAccount)) >= MaxQuarantinesPerAccount) {
+    auto Oldest = std::find_if(m_Quarantines.begin(), m_Quarantines.end(), IsSameAccount);
+    for (auto Each = Oldest; Each != m_Quarantines.end(); ++Each)
+      if (IsSameAccount(*Each) && Each->m_LastCrashAt < Oldest->m_LastCrashAt)
+        Oldest = Each;
+    m_Quarantines.erase(Oldest);
+  }
+  m_Quarantines.push_back(std::move(Added));
+  m_Changes.push_back(std::move(Change));
+  setUrgent(Now);
+}
+
+bool CrashSuspects::isQuarantined(const SuspectRequest &Request, TimePoint Now) const {
+  return std::any_of(m_Quarantines.begin(), m_Quarantines.end(), [&](const Active &Each) {
+    return Now - Each.m_LastCrashAt < Lifetime && Each.m_Quarantine.matches(Request);
+  });
+}
+
+bool CrashSuspects::isSuspect(const SuspectRequest &Request, TimePoint Now) const {
+  return std::any_of(Request.m_Keys.begin(), Request.m_Keys.end(),
+                     [&](const SuspectKey &Key) { return !crashesOf(Key, Now).empty(); });
+}
+
+std::vector<Quarantine> CrashSuspects::quarantines(TimePoint Now) const {
+  std::vector<Quarantine> Result;
+  for (const Active &Each : m_Quarantines) {
+    Result.push_back(Each.m_Quarantine);
+    Result.back().m_Age = Now - Each.m_LastCrashAt;
+  }
+  return Result;
+}
+
+SuspectUpdate CrashSuspects::takeUpdate(TimePoint Now) {
+  SuspectUpdate Result;
+  struct Item {
+    std::uint32_t &m_Sent;
+    const UpstreamStart &m_Upstream;
+    TimePoint m_At;
+    const SuspectRequest &m_Request;
+  };
+  std::vector<Item> Items;
+  for (auto &[Upstream, Each] : m_Crashes)
+    for (UnstartedRequest &Running : Each.m_Unstarted)
+      if (Now - Running.m_LearnedAt < SpreadTime)
+        Items.push_back({Running.m_Sent, Upstream, Each.m_At, Running.m_Request});
+  std::vector<const Item *> BySent;
+  for (const Item &Each : Items)
+    BySent.push_back(&Each);
+  sortBySent(BySent);
+  std::size_t KeyCount = 0;
+  for (const Item *Each : BySent) {
+    KeyCount += Each->m_Request.m_Keys.size();
+    if (KeyCount > MaxKeysPerUpdate && !Result.m_Evidence.empty())
+      break;
+    ++Each->m_Sent;
+    Result.m_Evidence.push_back({Each->m_Upstream, Now - Each->m_At, Each->m_Request});
+  }
+  for (const auto &[Key, Each] : m_Begun)
+    if (Each.m_NewsAt && Now - *Each.m_NewsAt < SpreadTime &&
+        Result.m_Begun.size() < MaxBegunPerUpdate)
+      Result.m_Begun.push_back({Key, Now - Each.m_At});
+  std::vector<Active *> Quarantines;
+  for (Active &Each : m_Quarantines)
+    Quarantines.push_back(&Each);
+  sortBySent(Quarantines);
+  for (Active *Each : Quarantines) {
+    if (Result.m_Quarantines.size() >= MaxQuarantinesPerUpdate)
+      break;
+    ++Each->m_Sent;
+    Result.m_Quarantines.push_back(Each->m_Quarantine);
+    Result.m_Quarantines.back().m_Age = Now - Each->m_LastCrashAt;
+  }
+  return Result;
+}
+
+SuspectUpdate CrashSuspects::fullUpdate(TimePoint Now) const {
+  SuspectUpdate Result;
+  for (const auto &[Upstream, Each] : m_Crashes)
+    for (const UnstartedRequest &Running : Each.m_Unstarted)
+      Result.m_Evidence.push_back({Upstream, Now - Each.m_At, Running.m_Request});
+  for (const auto &[Key, Each] : m_Begun)
+    Result.m_Begun.push_back({Key, Now - Each.m_At});
+  Result.m_Quarantines = quarantines(Now);
+  return Result;
+}
+
+void CrashSuspects::merge(const SuspectUpdate &Update, TimePoint Now) {
+  bool HasNews = false;
+  for (const CrashEvidence &Each : Update.m_Evidence)
+    if (addEvidence(Each.m_Crash, Each.m_Request, Now - Each.m_Age, Now))
+      HasNews = true;
+  for (const BegunKey &Each : Update.m_Begun)
+    if (m_CrashesByKey.contains(Each.m_Key))
+      HasNews = setBegun(Each.m_Key, Now - Each.m_Age, Now) || HasNews;
+    else
+      refute(Each.m_Key, Now - Each.m_Age);
+  for (const Quarantine &Each : Update.m_Quarantines) {
+    const TimePoint CrashedAt = Now - Each.m_Age;
+    if (Each.m_Age >= Lifetime)
+      continue;
+    Active Received{Each, CrashedAt};
+    std::erase_if(Received.m_Quarantine.m_Keys, [&](const SuspectKey &Key) {
+      auto Known = m_Begun.find(Key);
+      if (Known == m_Begun.end() || Known->second.m_At < CrashedAt)
+        return false;
+      // The sender does not know of the beginning.
+      Known->second.m_NewsAt = Now;
+      return true;
+    });
+    if (Received.m_Quarantine.m_Keys.empty())
+      continue;
+    auto Same = std::find_if(m_Quarantines.begin(), m_Quarantines.end(), [&](const Active &Known) {
+      return Known.m_Quarantine.m_Keys == Received.m_Quarantine.m_Keys &&
+             Known.m_Quarantine.m_Account == Received.m_Quarantine.m_Account;
+    });
+    if (Same == m_Quarantines.end()) {
+      if (!isCovered(Received.m_Quarantine))
+        addQuarantine(std::move(Received), Now);
+    } else if (Same->m_Quarantine.m_LastCrash == Each.m_LastCrash) {
+      Same->m_LastCrashAt = std::min(Same->m_LastCrashAt, CrashedAt);
+    } else if (CrashedAt > Same->m_LastCrashAt) {
+      Same->m_LastCrashAt = CrashedAt;
+      Same->m_Quarantine.m_LastCrash = Each.m_LastCrash;
+    }
+  }
+  if (HasNews)
+    evaluateAll(Now);
+}
+
+void CrashSuspects::onTimer(TimePoint Now) {
+  for (auto Each = m_Crashes.begin(); Each != m_Crashes.end();) {
+    auto Next = std::next(Each);
+    if (Now - Each->second.m_At >= Lifetime)
+      for (std::size_t Left = Each->second.m_Unstarted.size(); Left > 0; --Left)
+        removeUnstarted(Each, Left - 1);
+    Each = Next;
+  }
+  std::erase_if(m_Begun, [&](const auto &Each) {
+    return !m_CrashesByKey.contains(Each.first) && Now - Each.second.m_At >= BegunRetention;
+  });
+  for (auto &[Account, Keys] : m_RecentlyBegun)
+    std::erase_if(Keys, [&](const auto &Each) { return Now - Each.second >= BegunRetention; });
+  std::erase_if(m_RecentlyBegun, [](const auto &Each) { return Each.second.empty(); });
+  std::erase_if(m_Quarantines, [&](const Active &Each) {
+    if (Now - Each.m_LastCrashAt < Lifetime)
+      return false;
+    m_Changes.push_back({QuarantineChange::Kind::Expired, Each.m_Quarantine, {}});
+    return true;
+  });
+  if (m_NextEvaluation && Now >= *m_NextEvaluation)
+    evaluateAll(Now);
 }
 
 std::size_t CrashSuspects::suspectCount(const ClientAccountId &Account) const {
-  auto Found = m_SuspectsByAccount.find(Account);
-  return Found == m_SuspectsByAccount.end() ? 0 : Found->second.size();
+  auto Found = m_KeysByAccount.find(Account);
+  return Found == m_KeysByAccount.end() ? 0 : Found->second;
 }
 
 } // namespace fescuegauge
--- /dev/null
+++ b/src/librequests/CrashSuspects_test.cpp
@@ -0,0 +1,223 @@
+#include "Fescuegauge/CrashSuspects.h"
+
+#include <catch2/catch.hpp>
+
+using namespace fescuegauge;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{1h};
+
+/// A request with a body of its own.
+SuspectRequest request(const std::string &Body, const std::vector<std::string> &Parts,
+                       const std::string &Account = "a") {
+  return makeSuspectRequest(ClientAccountId(Account), sha256(Body), Parts);
+}
+
+/// Records crashes of different upstreams, each at a time after Start.
+class Crashes {
+public:
+  explicit Crashes(CrashSuspects &Suspects) : m_Suspects(Suspects) {}
+
+  void record(Duration At, const std::vector<SuspectRequest> &Unstarted) {
+    m_Suspects.recordCrash({InstanceId("u" + std::to_string(++m_Count)), Incarnation(1)}, Unstarted,
+                           Start + At, Start + At);
+  }
+
+private:
+  CrashSuspects &m_Suspects;
+  int m_Count = 0;
+};
+
+SuspectKey part(const std::string &Id) { return {SuspectKey::Kind::PromptPart, Id}; }
+
+} // namespace
+
+// Guards against suspecting only whole requests: no two requests with the part are alike.
+TEST_CASE("a prompt part that is in two crashes is quarantined, whatever else the requests hold") {
+  CrashSuspects Suspects;
+  Crashes Log(Suspects);
+  Log.record(0s, {request("1", {"first", "bad"}), request("2", {"other"})});
+  CHECK_FALSE(Suspects.isQuarantined(request("3", {"first", "bad"}), Start));
+  Suspects.recordBegun(request("4", {"first"}), Start + 200ms);
+  Log.record(1s, {request("5", {"x", "bad"}), request("6", {"other2"})});
+  CHECK(Suspects.isQuarantined(request("7", {"y", "bad", "z"}), Start + 1s));
+  CHECK_FALSE(Suspects.isQuarantined(request("8", {"first"}), Start + 1s));
+  CHECK_FALSE(Suspects.isSuspect(request("9", {"other"}), Start + 1s));
+  CHECK_FALSE(Suspects.isQuarantined(request("7", {"bad"}), Start + 1s + CrashSuspects::Lifetime));
+}
+
+// Guards against blocking the part that begins every prompt of a route: it is in each crash too.
+TEST_CASE("a part with which answers begin between the crashes is not quarantined") {
+  CrashSuspects Suspects;
+  Crashes Log(Suspects);
+  for (int I = 0; I < 5; ++I) {
+    Log.record(I * 1s, {request("bad" + std::to_string(I), {"first", "bad"}),
+                        request("sound" + std::to_string(I), {"first"})});
+    Suspects.recordBegun(request("begun" + std::to_string(I), {"first"}), Start + I * 1s + 500ms);
+  }
+  CHECK(Suspects.isQuarantined(request("x", {"first", "bad"}), Start + 5s));
+  CHECK_FALSE(Suspects.isQuarantined(request("x", {"first"}), Start + 5s));
+}
+
+// Guards against convicting whatever was in flight when a rack or a data centre failed.
+TEST_CASE("crashes at one moment count once against a part") {
+  CrashSuspects Suspects;
+  Crashes Log(Suspects);
+  for (int I = 0; I < 10; ++I)
+    Log.record(I * 10ms, {request("r" + std::to_string(I), {"first", "p" + std::to_string(I)})});
+  CHECK_FALSE(Suspects.isQuarantined(request("x", {"first"}), Start + 1s));
+}
+
+// Guards against evidence that counts several times because several instances report one crash, or
+// because updates are repeated.
+TEST_CASE("reports of several instances on one crash count once") {
+  CrashSuspects Here;
+  CrashSuspects There;
+  const std::vector<SuspectRequest> Unstarted{request("1", {"p"})};
+  const std::vector<SuspectRequest> OtherUnstarted{request("2", {"p"})};
+  const UpstreamStart Crashed{InstanceId("u"), Incarnation(7)};
+  Here.recordCrash(Crashed, Unstarted, Start, Start);
+  There.recordCrash(Crashed, OtherUnstarted, Start + 400ms, Start + 400ms);
+  for (int I = 0; I < 3; ++I) {
+    Here.merge(There.takeUpdate(Start + 500ms), Start + 600ms);
+    There.merge(Here.takeUpdate(Start + 500ms), Start + 600ms);
+  }
+  CHECK(Here.isSuspect(request("3", {"p"}), Start + 1s));
+  CHECK_FALSE(Here.isQuarantined(request("3", {"p"}), Start + 1s));
+  CHECK_FALSE(There.isQuarantined(request("3", {"p"}), Start + 1s));
+}
+
+// Guards against blocking a sound part only because it has always come with the one that crashes.
+TEST_CASE("parts that always come together are quarantined together until one comes alone") {
+  CrashSuspects Suspects;
+  Crashes Log(Suspects);
+  Log.record(0s, {request("1", {"a", "b"})});
+  Log.record(1s, {request("2", {"a", "b"})});
+  CHECK(Suspects.isQuarantined(request("3", {"a", "b"}), Start + 1s));
+  CHECK_FALSE(Suspects.isQuarantined(request("3", {"a"}), Start + 1s));
+  CHECK_FALSE(Suspects.isQuarantined(request("3", {"b"}), Start + 1s));
+  SECTION("one begins") {
+    Suspects.recordBegun(request("4", {"a"}), Start + 2s);
+    CHECK(Suspects.isQuarantined(request("5", {"b"}), Start + 2s));
+  }
+  SECTION("one crashes an upstream") {
+    Log.record(2s, {request("4", {"a"})});
+    CHECK(Suspects.isQuarantined(request("5", {"a"}), Start + 2s));
+    CHECK_FALSE(Suspects.isQuarantined(request("5", {"b"}), Start + 2s));
+  }
+}
+
+// Guards against two faulty parts that hide each other, and against a crash that is explained and
+// still counts against a bystander.
+TEST_CASE("two parts are quarantined, and explained crashes are no evidence against others") {
+  CrashSuspects Suspects;
+  Crashes Log(Suspects);
+  for (int I = 0; I < 3; ++I) {
+    Log.record(I * 2s, {request("x" + std::to_string(I), {"one"}), request("s", {"sound"})});
+    Log.record(I * 2s + 1s, {request("y" + std::to_string(I), {"two"})});
+  }
+  const TimePoint Now = Start + 7s;
+  CHECK(Suspects.isQuarantined(request("z", {"one"}), Now));
+  CHECK(Suspects.isQuarantined(request("z", {"two"}), Now));
+  Log.record(8s, {request("late", {"one"}), request("s2", {"other"})});
+  Log.record(9s, {request("later", {"one"}), request("s3", {"other"})});
+  CHECK_FALSE(Suspects.isSuspect(request("z", {"other"}), Start + 9s));
+}
+
+// Guards against a caller that gets the prompts of another account blocked by crashing upstreams
+// with requests that name them.
+TEST_CASE("crashes by one account's requests block a part only for that account") {
+  CrashSuspects Suspects;
+  Crashes Log(Suspects);
+  Log.record(0s, {request("1", {"victim"}, "attacker")});
+  Log.record(1s, {request("2", {"victim"}, "attacker")});
+  CHECK(Suspects.isQuarantined(request("3", {"victim"}, "attacker"), Start + 1s));
+  CHECK_FALSE(Suspects.isQuarantined(request("3", {"victim"}, "owner"), Start + 1s));
+  Log.record(2s, {request("4", {"victim"}, "owner")});
+  CHECK(Suspects.isQuarantined(request("5", {"victim"}, "third"), Start + 2s));
+}
+
+// Guards against a caller whose many part ids displace the evidence on requests of others, and
+// against unbounded memory and messages.
+TEST_CASE("evidence is bounded per account") {
+  CrashSuspects Suspects;
+  Crashes Log(Suspects);
+  Log.record(0s, {request("1", {"bad"})});
+  for (int I = 0; I < 300; ++I) {
+    std::vector<std::string> Parts;
+    for (int J = 0; J < 400; ++J)
+      Parts.push_back("p" + std::to_string(400 * I + J));
+    const SuspectRequest Flood = request("f" + std::to_string(I), Parts, "flood");
+    CHECK(Flood.m_Keys.size() == CrashSuspects::MaxPartsPerRequest + 1);
+    Suspects.recordBegun(Flood, Start + 1ms);
+    Log.record(1ms * (I + 2), {Flood});
+  }
+  CHECK(Suspects.suspectCount(ClientAccountId("flood")) <= CrashSuspects::MaxKeysPerAccount);
+  Log.record(1s, {request("2", {"bad"})});
+  CHECK(Suspects.isQuarantined(request("3", {"bad"}), Start + 1s));
+  for (int I = 0; I < 1000; ++I)
+    Suspects.recordCrash({InstanceId("v"), Incarnation(static_cast<std::uint64_t>(I))},
+                         std::vector{request("b", {"q"}, "account" + std::to_string(I))}, Start,
+                         Start + 1s);
+  CHECK(Suspects.size() <= CrashSuspects::MaxKeysPerAccount + 4 * CrashSuspects::MaxAccounts);
+  Suspects.onTimer(Start + 1s + CrashSuspects::Lifetime);
+  CHECK(Suspects.size() == 0);
+}
+
+// Guards against a quarantine that a restarted or cut-off instance does not know, and against one
+// that returns from such an instance after it was refuted.
+TEST_CASE("quarantines and their ends reach instances that missed the evidence") {
+  CrashSuspects Here;
+  Crashes Log(Here);
+  Log.record(0s, {request("1", {"p"})});
+  Log.record(1s, {request("2", {"p"})});
+  CrashSuspects There;
+  const TimePoint Later = Start + 1min;
+  There.merge(Here.takeUpdate(Later), Later);
+  CHECK(There.isQuarantined(request("3", {"p"}), Later));
+  Here.recordBegun(request("sent-before", {"p"}), Later + 1s);
+  CHECK_FALSE(Here.isQuarantined(request("3", {"p"}), Later + 1s));
+  Here.merge(There.takeUpdate(Later + 2s), Later + 2s);
+  CHECK_FALSE(Here.isQuarantined(request("3", {"p"}), Later + 2s));
+  There.merge(Here.takeUpdate(Later + 3s), Later + 3s);
+  CHECK_FALSE(There.isQuarantined(request("3", {"p"}), Later + 3s));
+}
+
+// Guards against a quarantine on incomplete evidence: the report on the faulty request arrives
+// after those on the others.
+TEST_CASE("evidence on a crash is considered after the collection time") {
+  CrashSuspects Suspects(150ms);
+  const std::vector<SuspectRequest> Sound{request("s", {"sound"})};
+  for (std::uint64_t I = 1; I <= 2; ++I) {
+    const TimePoint At = Start + I * 1s;
+    const UpstreamStart Crashed{InstanceId("u"), Incarnation(I)};
+    Suspects.recordCrash(Crashed, Sound, At, At);
+    REQUIRE(Suspects.nextEvaluation() == At + 150ms);
+    SuspectUpdate Report;
+    Report.m_Evidence.push_back({Crashed, 60ms, request("b" + std::to_string(I), {"bad"})});
+    Suspects.merge(Report, At + 60ms);
+    Suspects.onTimer(At + 150ms);
+  }
+  // The sound request and the faulty part are in both crashes.
+  CHECK_FALSE(Suspects.isQuarantined(request("x", {"sound"}), Start + 3s));
+  Suspects.recordBegun(Sound[0], Start + 3s);
+  CHECK(Suspects.isQuarantined(request("x", {"bad"}), Start + 3s));
+}
+
+// Guards against suspecting the part that belongs to one request or session, and against malformed
+// headers that are taken for parts.
+TEST_CASE("the shared parts of a prompt are all but the last") {
+  using Parts = std::vector<std::string>;
+  CHECK(parseSharedPromptParts("").empty());
+  CHECK(parseSharedPromptParts("5c1e:800").empty());
+  CHECK(parseSharedPromptParts("5c1e:800,91bd:410,e440:250") == Parts{"5c1e", "91bd"});
+  CHECK(parseSharedPromptParts(" a : 1 , b,:5,,c:1") == Parts{"a", "b"});
+  const SuspectRequest Long = makeSuspectRequest(ClientAccountId("a"), sha256("x"),
+                                                 Parts{std::string(5000, 'x'), "y", "y"});
+  CHECK(Long.m_Keys.size() == 3);
+  for (const SuspectKey &Each : Long.m_Keys)
+    CHECK(Each.m_Id.size() <= CrashSuspects::MaxPartIdBytes);
+  CHECK(Long.contains(part("y")));
+}
--- a/src/librequests/RequestLifecycle.cpp
+++ b/src/librequests/RequestLifecycle.cpp
@@ -29,6 +29,16 @@
   return errorAnswer(Reason).m_WasRun == WasRun::No ? Reason : ErrorKind::NoUpstream;
 }
 
+/// The last prefix block contains the end of the prompt, which is seldom shared.
+SuspectRequest suspectRequest(const RequestDescription &Request) {
+  std::vector<std::string> Parts;
+  for (const std::uint64_t Block : Request.m_PrefixBlocks)
+    Parts.push_back(std::to_string(Block));
+  if (!Parts.empty())
+    Parts.pop_back();
+  return makeSuspectRequest(Request.m_Account, Request.m_BodyDigest, Parts);
+}
+
 } // namespace
 
 RequestLifecycle::RequestLifecycle(Options Settings, UpstreamSelector &Selector,
@@ -48,12 +58,13 @@
   ActiveRequest &Active = Position->second;
   Active.m_Request = Request;
   Active.m_Constraints = Constraints;
+  Active.m_Suspect = suspectRequest(Request);
   ++m_OpenCount;
   TimePoint ExpiresAt =
       std::min(Constraints.m_Deadline, Constraints.m_StaleAt.value_or(TimePoint::max()));
   if (IsFull) {
     finish(Active, RequestOutcome::NotRun, ErrorKind::Overloaded, Actions);
-  } else if (m_Suspects.isQuarantined(suspectKey(Active), Now)) {
+  } else if (m_Suspects.isQuarantined(Active.m_Suspect, Now)) {
     finish(Active, RequestOutcome::Refused, ErrorKind::RequestCrashesUpstreams, Actions);
   } else if (Now >= ExpiresAt) {
     finish(Active, RequestOutcome::NotRun, ErrorKind::TargetNotAttainable, Actions);
@@ -97,7 +108,7 @@
   case ClaimVerdict::Granted:
     Active.m_Claim = Decision.m_Claim;
     Active.m_Generation = Decision.m_Generation;
-    if (m_Suspects.isQuarantined(suspectKey(Active), Now)) {
+    if (m_Suspects.isQuarantined(Active.m_Suspect, Now)) {
       appendClaimActions(m_Claims.abandon(Decision.m_Request, Now), Now, Actions);
       finish(Active, RequestOutcome::Refused, ErrorKind::RequestCrashesUpstreams, Actions);
       return;
@@ -130,10 +141,10 @@
   Query.m_RequiredDigest =
       Active.m_ReceivedBytes > 0 ? Active.m_ServedDigest : Active.m_Constraints.m_RequiredDigest;
   Query.m_Excluded = Active.m_UsedUpstreams;
-  if (m_Suspects.isSuspect(suspectKey(Active), Now)) {
+  if (m_Suspects.isSuspect(Active.m_Suspect, Now)) {
     // If an upstream with two suspects crashed, it would be unknown which of them caused the crash.
     for (const auto &[Id, Other] : m_Requests)
-      if (&Other != &Active && Other.m_Attempt && m_Suspects.isSuspect(suspectKey(Other), Now))
+      if (&Other != &Active && Other.m_Attempt && m_Suspects.isSuspect(Other.m_Suspect, Now))
         Query.m_Excluded.push_back(Other.m_Attempt->m_Upstream);
     if (auto Chosen = m_Selector.select(Query, Now))
       return Chosen;
@@ -170,7 +181,7 @@
                          Active.m_ReceivedBytes,
                          Active.m_ReceivedBytes > 0 ? Active.m_ServedDigest
                                                     : Active.m_Constraints.m_RequiredDigest,
-                         suspectKey(Active)};
+                         Active.m_Suspect};
   Active.m_Phase = Phase::Dispatched;
   Active.m_UsedUpstreams.push_back(*Upstream);
   Active.m_Attempt = std::move(Next);
@@ -236,6 +247,8 @@
     Actions.push_back(DeliverFragment{Active->m_Request.m_Id, Fragment.m_Offset,
                                       std::string(Fragment.m_Data), Fragment.m_HttpStatus,
                                       Fragment.m_ContentType});
+  if (Active->m_ReceivedBytes == 0)
+    m_Suspects.recordBegun(Active->m_Suspect, Now);
   Active->m_ReceivedBytes += Fragment.m_Data.size();
   return flushRemovals(std::move(Actions));
 }
@@ -260,7 +273,7 @@
 void RequestLifecycle::complete(ActiveRequest &Active, const AnswerEnd &End, TimePoint Now,
                                 RequestActions &Actions) {
   releaseAttempt(Active, false, Now);
-  m_Suspects.completed(suspectKey(Active), Now);
+  m_Suspects.recordBegun(Active.m_Suspect, Now);
   if (Active.m_Request.m_NonIdempotent) {
     RecordedAnswer Answer{End.m_HttpStatus, End.m_ContentType, Active.m_Body, false};
     appendClaimActions(
@@ -349,7 +362,7 @@
     scheduleRemoval(Active);
     return;
   }
-  if (m_Suspects.isQuarantined(suspectKey(Active), Now)) {
+  if (m_Suspects.isQuarantined(Active.m_Suspect, Now)) {
     finish(Active, Active.m_ReceivedBytes > 0 ? RequestOutcome::Broken : RequestOutcome::Refused,
            ErrorKind::RequestCrashesUpstreams, Actions);
     return;
@@ -422,11 +435,11 @@
 
 RequestActions RequestLifecycle::engineCrashed(const InstanceId &Upstream,
                                                Incarnation CrashIncarnation,
-                                               std::span<const SuspectKey> Running,
+                                               std::span<const SuspectRequest> Unstarted,
                                                std::span<const AttemptStatement> Ended,
                                                TimePoint Now) {
   RequestActions Actions;
-  m_Suspects.recordCrash(Upstream, CrashIncarnation, Running, Now);
+  m_Suspects.recordCrash({Upstream, CrashIncarnation}, Unstarted, Now, Now);
   for (const AttemptStatement &Statement : Ended) {
     ActiveRequest *Active = findAttempt(Statement.m_Attempt);
     if (!Active)
--- a/src/librequests/RequestLifecycle_test.cpp
+++ b/src/librequests/RequestLifecycle_test.cpp
@@ -239,8 +239,8 @@
 // same upstream.
 TEST_CASE("a request is refused after the second crash, and suspects use different upstreams") {
   LifecycleFixture F;
-  std::vector<SuspectKey> Running{{ClientAccountId("a"), sha256("r1")},
-                                  {ClientAccountId("a"), sha256("r2")}};
+  std::vector<SuspectRequest> Running{makeSuspectRequest(ClientAccountId("a"), sha256("r1"), {}),
+                                      makeSuspectRequest(ClientAccountId("a"), sha256("r2"), {})};
   AttemptId First = F.get<DispatchAttempt>(F.arrive(false, "r1")).m_Attempt;
   AttemptId Second = F.get<DispatchAttempt>(F.arrive(false, "r2")).m_Attempt;
   std::vector<AttemptStatement> Ended{{First, AttemptState::Failed, Incarnation(1)},
--- a/src/librequests/model/SimulatedDeployment.cpp
+++ b/src/librequests/model/SimulatedDeployment.cpp
@@ -28,6 +28,8 @@
 const ClaimEpoch FirstEpoch(40);
 const ClaimEpoch NextEpoch(50);
 
+Digest bodyDigest(std::size_t Operation) { return sha256("body" + std::to_string(Operation)); }
+
 std::string accountName(std::size_t Index) { return "account" + std::to_string(Index); }
 GenerationId otherGeneration(const GenerationId &Generation) {
   return GenerationId(Generation.str() == "old" ? "new" : "old");
@@ -75,6 +77,7 @@
   std::uint64_t m_EntryIncarnation = 0;
   std::uint64_t m_Offset = 0;
   std::optional<Digest> m_RequiredDigest;
+  bool m_HasBegun = false;
 };
 
 struct SimulatedDeployment::Agent {
@@ -278,7 +281,7 @@
   Target.m_Lifecycle->setEntries(Peers);
   for (const auto &Other : m_Entries)
     if (Other->m_Index != Index && Other->m_IsAlive && Other->m_DataCentre == Target.m_DataCentre)
-      Target.m_Suspects->merge(Other->m_Suspects->allDeltas(m_Now), m_Now);
+      Target.m_Suspects->merge(Other->m_Suspects->fullUpdate(m_Now), m_Now);
   std::uint64_t ProcessIncarnation = Target.m_ProcessIncarnation;
   post(TickInterval, [this, Index, ProcessIncarnation] {
     if (m_Entries[Index]->m_ProcessIncarnation == ProcessIncarnation)
@@ -329,11 +332,11 @@
         Oldest = {Oldest.m_Key, encodeClaimEpoch(FirstEpoch), RowVersion(1)};
       Target.m_Lifecycle->setEpochRow(Oldest);
     }
-    for (const SuspectDelta &Delta : Target.m_Suspects->takeDeltas(m_Now))
+    if (const SuspectUpdate Update = Target.m_Suspects->takeUpdate(m_Now); !Update.empty())
       for (const auto &Other : m_Entries)
         if (Other->m_Index != Index && Other->m_DataCentre == Target.m_DataCentre)
-          postToEntry(Other->m_Index, latency(), [this, Delta](Entry &Receiver) {
-            Receiver.m_Suspects->merge(std::span(&Delta, 1), m_Now);
+          postToEntry(Other->m_Index, latency(), [this, Update](Entry &Receiver) {
+            Receiver.m_Suspects->merge(Update, m_Now);
           });
   }
   if (m_Now >= Target.m_NextHeartbeat) {
@@ -863,6 +866,7 @@
                   {Id, Request, DeliveredOffset, Data, Served, 200, "text/plain"}, m_Now));
     });
     Work.m_Offset += Data.size();
+    Work.m_HasBegun = true;
     postToAgent(Target.m_Index, 15ms, [this, Id, EngineIncarnation](Agent &Receiver) {
       streamAnswer(Receiver, Id, EngineIncarnation);
     });
@@ -889,11 +893,12 @@
   std::map<AttemptId, Job> Jobs = std::move(Target.m_Jobs);
   Target.m_Jobs.clear();
   std::vector<AttemptStatement> Ended = Target.m_Ledger->engineLost();
-  std::vector<SuspectKey> Running;
+  std::vector<SuspectRequest> Running;
   for (const AttemptStatement &Statement : Ended)
     if (auto Found = Jobs.find(Statement.m_Attempt);
-        Found != Jobs.end() && Statement.m_State == AttemptState::Failed)
-      Running.push_back(suspectKey(m_Operations[Found->second.m_Operation]));
+        Found != Jobs.end() && Statement.m_State == AttemptState::Failed &&
+        (!Found->second.m_HasBegun || m_Mutant == Mutant::QuarantineAll))
+      Running.push_back(suspectOf(m_Operations[Found->second.m_Operation]));
   for (std::size_t EntryNumber = 0; EntryNumber < EntryCount; ++EntryNumber) {
     std::vector<AttemptStatement> EndedHere;
     for (const AttemptStatement &Statement : Ended)
@@ -905,21 +910,21 @@
           for (std::size_t I = 0; I < Running.size(); ++I)
             for (std::uint64_t FakeCrash = 1; FakeCrash <= 2; ++FakeCrash)
               Receiver.m_Suspects->recordCrash(
-                  Id, Incarnation(Crash.value() * 1000 + 2 * I + FakeCrash),
-                  std::span(&Running[I], 1), m_Now);
+                  {Id, Incarnation(Crash.value() * 1000 + 2 * I + FakeCrash)},
+                  std::span(&Running[I], 1), m_Now, m_Now);
         bool IsQuarantineEnabled = m_Mutant != Mutant::QuarantineNone;
-        perform(Receiver, Receiver.m_Lifecycle->engineCrashed(Id, Crash,
-                                                              IsQuarantineEnabled
-                                                                  ? std::span(Running)
-                                                                  : std::span<const SuspectKey>(),
-                                                              EndedHere, m_Now));
+        perform(Receiver,
+                Receiver.m_Lifecycle->engineCrashed(
+                    Id, Crash,
+                    IsQuarantineEnabled ? std::span(Running) : std::span<const SuspectRequest>(),
+                    EndedHere, m_Now));
       });
     });
   }
 }
 
-SuspectKey SimulatedDeployment::suspectKey(const Operation &Op) const {
-  return {Op.m_Account, sha256("body" + std::to_string(Op.m_Index))};
+SuspectRequest SimulatedDeployment::suspectOf(const Operation &Op) const {
+  return makeSuspectRequest(Op.m_Account, bodyDigest(Op.m_Index), {});
 }
 
 std::string SimulatedDeployment::answerOf(const Operation &Op,
@@ -965,7 +970,7 @@
         Description.m_Service = TestService;
         Description.m_NonIdempotent = Wanted.m_NonIdempotent && m_Mutant != Mutant::NoClaim;
         Description.m_Key = Wanted.m_Key;
-        Description.m_BodyDigest = suspectKey(Wanted).m_BodyDigest;
+        Description.m_BodyDigest = bodyDigest(Wanted.m_Index);
         RequestConstraints Constraints;
         Constraints.m_Deadline = m_Now + RequestDeadline;
         Constraints.m_Owner = ownerView(Target.m_Owners[Wanted.m_Account]);
--- a/src/librequests/model/SimulatedDeployment.h
+++ b/src/librequests/model/SimulatedDeployment.h
@@ -161,7 +161,7 @@
   void startJob(Agent &Target, const AttemptId &Id);
   void streamAnswer(Agent &Target, const AttemptId &Id, std::uint64_t EngineIncarnation);
   void crashEngine(Agent &Target);
-  SuspectKey suspectKey(const Operation &Op) const;
+  SuspectRequest suspectOf(const Operation &Op) const;
 
   // Callers.
   void sendRequest(std::size_t OperationIndex);
--- a/src/librpc/ControlCodec.cpp
+++ b/src/librpc/ControlCodec.cpp
@@ -47,24 +47,25 @@
   return {stringOf(In.getKey()), RowVersion(In.getVersion())};
 }
 
-void encode(const SuspectDelta &Delta, rpc::SuspectDelta::Builder Out) {
-  Out.setAccount(Delta.m_Key.m_Account.str());
-  Out.setBodyDigest(dataOf(Delta.m_Key.m_BodyDigest));
-  Out.setUpstream(Delta.m_Upstream.str());
-  Out.setIncarnation(Delta.m_Incarnation.value());
-  Out.setCleared(Delta.m_Cleared);
-  Out.setAgeMs(static_cast<std::uint64_t>(Delta.m_Age.count() / 1000));
-}
-
-SuspectDelta decode(rpc::SuspectDelta::Reader In) {
-  SuspectDelta Delta;
-  Delta.m_Key = {ClientAccountId(stringOf(In.getAccount())), digestOf(In.getBodyDigest())};
-  Delta.m_Upstream = InstanceId(stringOf(In.getUpstream()));
-  Delta.m_Incarnation = Incarnation(In.getIncarnation());
-  Delta.m_Cleared = In.getCleared();
-  Delta.m_Age = std::chrono::milliseconds(
-      std::min<std::uint64_t>(In.getAgeMs(), CrashSuspects::Lifetime.count() / 1000));
-  return Delta;
+void encode(const UpstreamStart &Start, rpc::UpstreamStart::Builder Out) {
+  Out.setUpstream(Start.m_Id.str());
+  Out.setIncarnation(Start.m_Incarnation.value());
+}
+
+UpstreamStart decode(rpc::UpstreamStart::Reader In) {
+  return {InstanceId(stringOf(In.getUpstream())), Incarnation(In.getIncarnation())};
+}
+
+std::uint64_t encodeAge(Duration Age) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Age).count());
+}
+
+/// Limits the age to the time for which evidence counts, so that sums with it do not overflow.
+Duration decodeAge(std::uint64_t AgeMs) {
+  return std::min<Duration>(
+      CrashSuspects::Lifetime,
+      std::chrono::milliseconds(std::min<std::uint64_t>(AgeMs, CrashSuspects::Lifetime.count())));
 }
 
 } // namespace
@@ -110,12 +111,29 @@
   return serialized(Message);
 }
 
-std::string encodePayload(const std::vector<SuspectDelta> &Deltas) {
+std::string encodePayload(const SuspectUpdate &Update) {
   capnp::MallocMessageBuilder Message;
-  auto Out =
-      Message.initRoot<rpc::SuspectDeltas>().initDeltas(static_cast<unsigned>(Deltas.size()));
-  for (unsigned I = 0; I < Out.size(); ++I)
-    encode(Deltas[I], Out[I]);
+  auto Out = Message.initRoot<rpc::SuspectUpdate>();
+  auto Evidence = Out.initEvidence(static_cast<unsigned>(Update.m_Evidence.size()));
+  for (unsigned I = 0; I < Evidence.size(); ++I) {
+    encode(Update.m_Evidence[I].m_Crash, Evidence[I].initCrash());
+    Evidence[I].setAgeMs(encodeAge(Update.m_Evidence[I].m_Age));
+    encode(Update.m_Evidence[I].m_Request, Evidence[I].initRequest());
+  }
+  auto Begun = Out.initBegun(static_cast<unsigned>(Update.m_Begun.size()));
+  for (unsigned I = 0; I < Begun.size(); ++I) {
+    encode(Update.m_Begun[I].m_Key, Begun[I].initKey());
+    Begun[I].setAgeMs(encodeAge(Update.m_Begun[I].m_Age));
+  }
+  auto Quarantines = Out.initQuarantines(static_cast<unsigned>(Update.m_Quarantines.size()));
+  for (unsigned I = 0; I < Quarantines.size(); ++I) {
+    const Quarantine &Each = Update.m_Quarantines[I];
+    encodeKeys(Each.m_Keys, Quarantines[I]);
+    Quarantines[I].setHasAccount(Each.m_Account.has_value());
+    Quarantines[I].setAccount(Each.m_Account.value_or(ClientAccountId()).str());
+    encode(Each.m_LastCrash, Quarantines[I].initLastCrash());
+    Quarantines[I].setAgeMs(encodeAge(Each.m_Age));
+  }
   return serialized(Message);
 }
 
@@ -201,13 +219,22 @@
       });
 }
 
-std::optional<std::vector<SuspectDelta>> decodeSuspectDeltas(std::string_view Payload) {
-  return decoded<rpc::SuspectDeltas, std::vector<SuspectDelta>>(
-      Payload, [](auto In, std::vector<SuspectDelta> &Deltas) {
-        for (auto Delta : In.getDeltas())
-          Deltas.push_back(decode(Delta));
-        return Deltas.size() <= CrashSuspects::MaxOutgoing;
-      });
+std::optional<SuspectUpdate> decodeSuspectUpdate(std::string_view Payload) {
+  return decoded<rpc::SuspectUpdate, SuspectUpdate>(Payload, [](auto In, SuspectUpdate &Update) {
+    for (auto Each : In.getEvidence())
+      Update.m_Evidence.push_back({decode(Each.getCrash()), decodeAge(Each.getAgeMs()),
+                                   decodeSuspectRequest(Each.getRequest())});
+    for (auto Each : In.getBegun())
+      Update.m_Begun.push_back({decodeSuspectKey(Each.getKey()), decodeAge(Each.getAgeMs())});
+    for (auto Each : In.getQuarantines()) {
+      std::optional<ClientAccountId> Account;
+      if (Each.getHasAccount())
+        Account = ClientAccountId(stringOf(Each.getAccount()));
+      Update.m_Quarantines.push_back({decodeKeys(Each), std::move(Account),
+                                      decode(Each.getLastCrash()), decodeAge(Each.getAgeMs())});
+    }
+    return true;
+  });
 }
 
 std::optional<ChunkSummary> decodeChunkSummary(std::string_view Payload) {
--- a/src/librpc/EngineLossCodec.h
+++ b/src/librpc/EngineLossCodec.h
@@ -4,24 +4,22 @@
 #include "CapnpText.h"
 #include "Fescuegauge/RpcNode.h"
 #include "Peer.capnp.h"
+#include "SuspectCodec.h"
 
 namespace fescuegauge {
 
 inline void encodeLoss(const EngineLoss &Loss, rpc::EngineLoss::Builder Out) {
   Out.setEngineIncarnation(Loss.m_EngineIncarnation.value());
-  auto Running = Out.initRunning(static_cast<unsigned>(Loss.m_Running.size()));
-  for (unsigned I = 0; I < Running.size(); ++I) {
-    Running[I].setAccount(Loss.m_Running[I].m_Account.str());
-    Running[I].setBodyDigest(dataOf(Loss.m_Running[I].m_BodyDigest));
-  }
+  auto Unstarted = Out.initUnstarted(static_cast<unsigned>(Loss.m_Unstarted.size()));
+  for (unsigned I = 0; I < Unstarted.size(); ++I)
+    encode(Loss.m_Unstarted[I], Unstarted[I]);
 }
 
 inline EngineLoss decodeLoss(rpc::EngineLoss::Reader In) {
   EngineLoss Loss;
   Loss.m_EngineIncarnation = Incarnation(In.getEngineIncarnation());
-  for (auto Running : In.getRunning())
-    Loss.m_Running.push_back(
-        {ClientAccountId(stringOf(Running.getAccount())), digestOf(Running.getBodyDigest())});
+  for (auto Request : In.getUnstarted())
+    Loss.m_Unstarted.push_back(decodeSuspectRequest(Request));
   return Loss;
 }
 
--- a/src/librpc/Peer.capnp
+++ b/src/librpc/Peer.capnp
@@ -36,20 +36,26 @@
   priority @10 :Int32;
   timeoutMs @11 :UInt32;
   body @12 :Data;
-  bodyDigest @13 :Data;
-  # Computed by the entry instance; identifies requests that crash engines.
+  suspect @13 :SuspectRequest;
+  # Computed by the entry instance; identifies what requests that crash engines have in common.
 }
 
 struct SuspectKey {
+  kind @0 :UInt8;
+  # 0 request, 1 prompt part.
+  id @1 :Text;
+}
+
+struct SuspectRequest {
   account @0 :Text;
-  bodyDigest @1 :Data;
+  keys @1 :List(SuspectKey);
 }
 
 struct EngineLoss {
   # A loss of an agent's engine.
   engineIncarnation @0 :UInt64;
-  running @1 :List(SuspectKey);
-  # Requests of all entry instances that were running on the engine.
+  unstarted @1 :List(SuspectRequest);
+  # Requests of all entry instances that were running on the engine and had not begun to answer.
 }
 
 enum AttemptStatus {
@@ -130,17 +136,34 @@
   reason @5 :Text;
 }
 
-struct SuspectDelta {
-  account @0 :Text;
-  bodyDigest @1 :Data;
-  upstream @2 :Text;
-  incarnation @3 :UInt64;
-  cleared @4 :Bool;
-  ageMs @5 :UInt64;
+struct UpstreamStart {
+  upstream @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct CrashEvidence {
+  crash @0 :UpstreamStart;
+  ageMs @1 :UInt64;
+  request @2 :SuspectRequest;
+}
+
+struct BegunKey {
+  key @0 :SuspectKey;
+  ageMs @1 :UInt64;
+}
+
+struct Quarantine {
+  keys @0 :List(SuspectKey);
+  hasAccount @1 :Bool;
+  account @2 :Text;
+  lastCrash @3 :UpstreamStart;
+  ageMs @4 :UInt64;
 }
 
-struct SuspectDeltas {
-  deltas @0 :List(SuspectDelta);
+struct SuspectUpdate {
+  evidence @0 :List(CrashEvidence);
+  begun @1 :List(BegunKey);
+  quarantines @2 :List(Quarantine);
 }
 
 struct ChunkSummary {
