--- a/src/librpc/Peer.capnp.h
+++ b/src/librpc/Peer.capnp.h
@@ -22,6 +22,7 @@
 CAPNP_DECLARE_SCHEMA(c5de2695699f5c22);
 CAPNP_DECLARE_SCHEMA(dd86bd6a3ffa0caf);
 CAPNP_DECLARE_SCHEMA(f63a035c8de82c9e);
+CAPNP_DECLARE_SCHEMA(e4184250dc672039);
 CAPNP_DECLARE_SCHEMA(81b0441605199b36);
 CAPNP_DECLARE_SCHEMA(e125bc40a84d2e05);
 enum class AttemptStatus_e125bc40a84d2e05: uint16_t {
@@ -53,8 +54,11 @@
 CAPNP_DECLARE_SCHEMA(c7e6d0dc99e5a7de);
 CAPNP_DECLARE_SCHEMA(bdaada2758aed9c8);
 CAPNP_DECLARE_SCHEMA(960b7e96956c8b18);
-CAPNP_DECLARE_SCHEMA(851b826f231f58a9);
-CAPNP_DECLARE_SCHEMA(d7351eb693723df1);
+CAPNP_DECLARE_SCHEMA(eae0e42677ec6ed9);
+CAPNP_DECLARE_SCHEMA(b6f7799f5ad10093);
+CAPNP_DECLARE_SCHEMA(bdeff3b8c48a1216);
+CAPNP_DECLARE_SCHEMA(eb352b109212e072);
+CAPNP_DECLARE_SCHEMA(ecbcbab0322f5bf4);
 CAPNP_DECLARE_SCHEMA(f6e71a20517f2924);
 CAPNP_DECLARE_SCHEMA(df66fdb5fd512299);
 CAPNP_DECLARE_SCHEMA(e9e6c8e330d7321f);
@@ -116,7 +120,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f63a035c8de82c9e, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f63a035c8de82c9e, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SuspectRequest {
+  SuspectRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e4184250dc672039, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -298,30 +317,75 @@
   };
 };
 
-struct SuspectDelta {
-  SuspectDelta() = delete;
+struct UpstreamStart {
+  UpstreamStart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eae0e42677ec6ed9, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashEvidence {
+  CrashEvidence() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b6f7799f5ad10093, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct BegunKey {
+  BegunKey() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bdeff3b8c48a1216, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Quarantine {
+  Quarantine() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(851b826f231f58a9, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(eb352b109212e072, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct SuspectDeltas {
-  SuspectDeltas() = delete;
+struct SuspectUpdate {
+  SuspectUpdate() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d7351eb693723df1, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ecbcbab0322f5bf4, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -767,8 +831,8 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
-  inline bool hasBodyDigest() const;
-  inline  ::capnp::Data::Reader getBodyDigest() const;
+  inline bool hasSuspect() const;
+  inline  ::fescuegauge::rpc::SuspectRequest::Reader getSuspect() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -873,12 +937,12 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
-  inline bool hasBodyDigest();
-  inline  ::capnp::Data::Builder getBodyDigest();
-  inline void setBodyDigest( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBodyDigest(unsigned int size);
-  inline void adoptBodyDigest(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBodyDigest();
+  inline bool hasSuspect();
+  inline  ::fescuegauge::rpc::SuspectRequest::Builder getSuspect();
+  inline void setSuspect( ::fescuegauge::rpc::SuspectRequest::Reader value);
+  inline  ::fescuegauge::rpc::SuspectRequest::Builder initSuspect();
+  inline void adoptSuspect(::capnp::Orphan< ::fescuegauge::rpc::SuspectRequest>&& value);
+  inline ::capnp::Orphan< ::fescuegauge::rpc::SuspectRequest> disownSuspect();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -898,6 +962,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::fescuegauge::rpc::SuspectRequest::Pipeline getSuspect();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -923,11 +988,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAccount() const;
-  inline  ::capnp::Text::Reader getAccount() const;
+  inline  ::uint8_t getKind() const;
 
-  inline bool hasBodyDigest() const;
-  inline  ::capnp::Data::Reader getBodyDigest() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -952,6 +1016,93 @@
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SuspectKey::Pipeline {
+public:
+  typedef SuspectKey Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class SuspectRequest::Reader {
+public:
+  typedef SuspectRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
+
+  inline bool hasKeys() const;
+  inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Reader getKeys() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SuspectRequest::Builder {
+public:
+  typedef SuspectRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
@@ -964,12 +1115,12 @@
   inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownAccount();
 
-  inline bool hasBodyDigest();
-  inline  ::capnp::Data::Builder getBodyDigest();
-  inline void setBodyDigest( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBodyDigest(unsigned int size);
-  inline void adoptBodyDigest(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBodyDigest();
+  inline bool hasKeys();
+  inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Builder getKeys();
+  inline void setKeys( ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Builder initKeys(unsigned int size);
+  inline void adoptKeys(::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>> disownKeys();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -981,9 +1132,9 @@
 };
 
 #if !CAPNP_LITE
-class SuspectKey::Pipeline {
+class SuspectRequest::Pipeline {
 public:
-  typedef SuspectKey Pipelines;
+  typedef SuspectRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1016,8 +1167,8 @@
 
   inline  ::uint64_t getEngineIncarnation() const;
 
-  inline bool hasRunning() const;
-  inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Reader getRunning() const;
+  inline bool hasUnstarted() const;
+  inline  ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader getUnstarted() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1050,12 +1201,12 @@
   inline  ::uint64_t getEngineIncarnation();
   inline void setEngineIncarnation( ::uint64_t value);
 
-  inline bool hasRunning();
-  inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Builder getRunning();
-  inline void setRunning( ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Builder initRunning(unsigned int size);
-  inline void adoptRunning(::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>> disownRunning();
+  inline bool hasUnstarted();
+  inline  ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder getUnstarted();
+  inline void setUnstarted( ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder initUnstarted(unsigned int size);
+  inline void adoptUnstarted(::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>> disownUnstarted();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2054,9 +2205,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SuspectDelta::Reader {
+class UpstreamStart::Reader {
 public:
-  typedef SuspectDelta Reads;
+  typedef UpstreamStart Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2071,21 +2222,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAccount() const;
-  inline  ::capnp::Text::Reader getAccount() const;
-
-  inline bool hasBodyDigest() const;
-  inline  ::capnp::Data::Reader getBodyDigest() const;
-
   inline bool hasUpstream() const;
   inline  ::capnp::Text::Reader getUpstream() const;
 
   inline  ::uint64_t getIncarnation() const;
 
-  inline bool getCleared() const;
-
-  inline  ::uint64_t getAgeMs() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2098,9 +2239,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SuspectDelta::Builder {
+class UpstreamStart::Builder {
 public:
-  typedef SuspectDelta Builds;
+  typedef UpstreamStart Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2114,20 +2255,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAccount();
-  inline  ::capnp::Text::Builder getAccount();
-  inline void setAccount( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAccount(unsigned int size);
-  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
-
-  inline bool hasBodyDigest();
-  inline  ::capnp::Data::Builder getBodyDigest();
-  inline void setBodyDigest( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBodyDigest(unsigned int size);
-  inline void adoptBodyDigest(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBodyDigest();
-
   inline bool hasUpstream();
   inline  ::capnp::Text::Builder getUpstream();
   inline void setUpstream( ::capnp::Text::Reader value);
@@ -2138,12 +2265,6 @@
   inline  ::uint64_t getIncarnation();
   inline void setIncarnation( ::uint64_t value);
 
-  inline bool getCleared();
-  inline void setCleared(bool value);
-
-  inline  ::uint64_t getAgeMs();
-  inline void setAgeMs( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2154,9 +2275,9 @@
 };
 
 #if !CAPNP_LITE
-class SuspectDelta::Pipeline {
+class UpstreamStart::Pipeline {
 public:
-  typedef SuspectDelta Pipelines;
+  typedef UpstreamStart Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2170,9 +2291,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SuspectDeltas::Reader {
+class CrashEvidence::Reader {
 public:
-  typedef SuspectDeltas Reads;
+  typedef CrashEvidence Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2187,8 +2308,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDeltas() const;
-  inline  ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>::Reader getDeltas() const;
+  inline bool hasCrash() const;
+  inline  ::fescuegauge::rpc::UpstreamStart::Reader getCrash() const;
+
+  inline  ::uint64_t getAgeMs() const;
+
+  inline bool hasRequest() const;
+  inline  ::fescuegauge::rpc::SuspectRequest::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2202,9 +2328,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SuspectDeltas::Builder {
+class CrashEvidence::Builder {
 public:
-  typedef SuspectDeltas Builds;
+  typedef CrashEvidence Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2218,12 +2344,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDeltas();
-  inline  ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>::Builder getDeltas();
-  inline void setDeltas( ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>::Builder initDeltas(unsigned int size);
-  inline void adoptDeltas(::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>> disownDeltas();
+  inline bool hasCrash();
+  inline  ::fescuegauge::rpc::UpstreamStart::Builder getCrash();
+  inline void setCrash( ::fescuegauge::rpc::UpstreamStart::Reader value);
+  inline  ::fescuegauge::rpc::UpstreamStart::Builder initCrash();
+  inline void adoptCrash(::capnp::Orphan< ::fescuegauge::rpc::UpstreamStart>&& value);
+  inline ::capnp::Orphan< ::fescuegauge::rpc::UpstreamStart> disownCrash();
+
+  inline  ::uint64_t getAgeMs();
+  inline void setAgeMs( ::uint64_t value);
+
+  inline bool hasRequest();
+  inline  ::fescuegauge::rpc::SuspectRequest::Builder getRequest();
+  inline void setRequest( ::fescuegauge::rpc::SuspectRequest::Reader value);
+  inline  ::fescuegauge::rpc::SuspectRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::fescuegauge::rpc::SuspectRequest>&& value);
+  inline ::capnp::Orphan< ::fescuegauge::rpc::SuspectRequest> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2235,14 +2371,16 @@
 };
 
 #if !CAPNP_LITE
-class SuspectDeltas::Pipeline {
+class CrashEvidence::Pipeline {
 public:
-  typedef SuspectDeltas Pipelines;
+  typedef CrashEvidence Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::fescuegauge::rpc::UpstreamStart::Pipeline getCrash();
+  inline  ::fescuegauge::rpc::SuspectRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2251,9 +2389,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ChunkSummary::Reader {
+class BegunKey::Reader {
 public:
-  typedef ChunkSummary Reads;
+  typedef BegunKey Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2268,17 +2406,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRoot() const;
-  inline  ::capnp::Data::Reader getRoot() const;
-
-  inline  ::uint32_t getEpoch() const;
-
-  inline  ::uint32_t getFrom() const;
-
-  inline bool hasIndices() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getIndices() const;
+  inline bool hasKey() const;
+  inline  ::fescuegauge::rpc::SuspectKey::Reader getKey() const;
 
-  inline bool getWantsAll() const;
+  inline  ::uint64_t getAgeMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2292,9 +2423,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ChunkSummary::Builder {
+class BegunKey::Builder {
 public:
-  typedef ChunkSummary Builds;
+  typedef BegunKey Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2308,29 +2439,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRoot();
-  inline  ::capnp::Data::Builder getRoot();
-  inline void setRoot( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initRoot(unsigned int size);
-  inline void adoptRoot(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownRoot();
-
-  inline  ::uint32_t getEpoch();
-  inline void setEpoch( ::uint32_t value);
-
-  inline  ::uint32_t getFrom();
-  inline void setFrom( ::uint32_t value);
-
-  inline bool hasIndices();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getIndices();
-  inline void setIndices( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setIndices(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initIndices(unsigned int size);
-  inline void adoptIndices(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownIndices();
+  inline bool hasKey();
+  inline  ::fescuegauge::rpc::SuspectKey::Builder getKey();
+  inline void setKey( ::fescuegauge::rpc::SuspectKey::Reader value);
+  inline  ::fescuegauge::rpc::SuspectKey::Builder initKey();
+  inline void adoptKey(::capnp::Orphan< ::fescuegauge::rpc::SuspectKey>&& value);
+  inline ::capnp::Orphan< ::fescuegauge::rpc::SuspectKey> disownKey();
 
-  inline bool getWantsAll();
-  inline void setWantsAll(bool value);
+  inline  ::uint64_t getAgeMs();
+  inline void setAgeMs( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2342,14 +2459,15 @@
 };
 
 #if !CAPNP_LITE
-class ChunkSummary::Pipeline {
+class BegunKey::Pipeline {
 public:
-  typedef ChunkSummary Pipelines;
+  typedef BegunKey Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::fescuegauge::rpc::SuspectKey::Pipeline getKey();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2358,9 +2476,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Confirmation::Reader {
+class Quarantine::Reader {
 public:
-  typedef Confirmation Reads;
+  typedef Quarantine Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2375,9 +2493,18 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getChange() const;
+  inline bool hasKeys() const;
+  inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Reader getKeys() const;
 
-  inline  ::uint64_t getAgentIncarnation() const;
+  inline bool getHasAccount() const;
+
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
+
+  inline bool hasLastCrash() const;
+  inline  ::fescuegauge::rpc::UpstreamStart::Reader getLastCrash() const;
+
+  inline  ::uint64_t getAgeMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2391,9 +2518,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Confirmation::Builder {
+class Quarantine::Builder {
 public:
-  typedef Confirmation Builds;
+  typedef Quarantine Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2407,11 +2534,32 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getChange();
-  inline void setChange( ::uint64_t value);
+  inline bool hasKeys();
+  inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Builder getKeys();
+  inline void setKeys( ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Builder initKeys(unsigned int size);
+  inline void adoptKeys(::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>> disownKeys();
 
-  inline  ::uint64_t getAgentIncarnation();
-  inline void setAgentIncarnation( ::uint64_t value);
+  inline bool getHasAccount();
+  inline void setHasAccount(bool value);
+
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+
+  inline bool hasLastCrash();
+  inline  ::fescuegauge::rpc::UpstreamStart::Builder getLastCrash();
+  inline void setLastCrash( ::fescuegauge::rpc::UpstreamStart::Reader value);
+  inline  ::fescuegauge::rpc::UpstreamStart::Builder initLastCrash();
+  inline void adoptLastCrash(::capnp::Orphan< ::fescuegauge::rpc::UpstreamStart>&& value);
+  inline ::capnp::Orphan< ::fescuegauge::rpc::UpstreamStart> disownLastCrash();
+
+  inline  ::uint64_t getAgeMs();
+  inline void setAgeMs( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2423,14 +2571,15 @@
 };
 
 #if !CAPNP_LITE
-class Confirmation::Pipeline {
+class Quarantine::Pipeline {
 public:
-  typedef Confirmation Pipelines;
+  typedef Quarantine Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::fescuegauge::rpc::UpstreamStart::Pipeline getLastCrash();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2439,9 +2588,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class AttemptStatement::Reader {
+class SuspectUpdate::Reader {
 public:
-  typedef AttemptStatement Reads;
+  typedef SuspectUpdate Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2456,17 +2605,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAttempt() const;
-  inline  ::capnp::Text::Reader getAttempt() const;
-
-  inline  ::uint8_t getState() const;
-
-  inline  ::uint64_t getAgentIncarnation() const;
+  inline bool hasEvidence() const;
+  inline  ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>::Reader getEvidence() const;
 
-  inline bool getIsAnswerRecorded() const;
+  inline bool hasBegun() const;
+  inline  ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>::Reader getBegun() const;
 
-  inline bool hasAnswer() const;
-  inline  ::capnp::Data::Reader getAnswer() const;
+  inline bool hasQuarantines() const;
+  inline  ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>::Reader getQuarantines() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2480,9 +2626,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class AttemptStatement::Builder {
+class SuspectUpdate::Builder {
 public:
-  typedef AttemptStatement Builds;
+  typedef SuspectUpdate Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2496,18 +2642,310 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAttempt();
-  inline  ::capnp::Text::Builder getAttempt();
-  inline void setAttempt( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAttempt(unsigned int size);
-  inline void adoptAttempt(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAttempt();
+  inline bool hasEvidence();
+  inline  ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>::Builder getEvidence();
+  inline void setEvidence( ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>::Builder initEvidence(unsigned int size);
+  inline void adoptEvidence(::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>> disownEvidence();
+
+  inline bool hasBegun();
+  inline  ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>::Builder getBegun();
+  inline void setBegun( ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>::Builder initBegun(unsigned int size);
+  inline void adoptBegun(::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>> disownBegun();
+
+  inline bool hasQuarantines();
+  inline  ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>::Builder getQuarantines();
+  inline void setQuarantines( ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>::Builder initQuarantines(unsigned int size);
+  inline void adoptQuarantines(::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>> disownQuarantines();
 
-  inline  ::uint8_t getState();
-  inline void setState( ::uint8_t value);
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline  ::uint64_t getAgentIncarnation();
-  inline void setAgentIncarnation( ::uint64_t value);
+#if !CAPNP_LITE
+class SuspectUpdate::Pipeline {
+public:
+  typedef SuspectUpdate Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ChunkSummary::Reader {
+public:
+  typedef ChunkSummary Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRoot() const;
+  inline  ::capnp::Data::Reader getRoot() const;
+
+  inline  ::uint32_t getEpoch() const;
+
+  inline  ::uint32_t getFrom() const;
+
+  inline bool hasIndices() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getIndices() const;
+
+  inline bool getWantsAll() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ChunkSummary::Builder {
+public:
+  typedef ChunkSummary Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRoot();
+  inline  ::capnp::Data::Builder getRoot();
+  inline void setRoot( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRoot(unsigned int size);
+  inline void adoptRoot(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRoot();
+
+  inline  ::uint32_t getEpoch();
+  inline void setEpoch( ::uint32_t value);
+
+  inline  ::uint32_t getFrom();
+  inline void setFrom( ::uint32_t value);
+
+  inline bool hasIndices();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getIndices();
+  inline void setIndices( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setIndices(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initIndices(unsigned int size);
+  inline void adoptIndices(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownIndices();
+
+  inline bool getWantsAll();
+  inline void setWantsAll(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ChunkSummary::Pipeline {
+public:
+  typedef ChunkSummary Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Confirmation::Reader {
+public:
+  typedef Confirmation Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getChange() const;
+
+  inline  ::uint64_t getAgentIncarnation() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Confirmation::Builder {
+public:
+  typedef Confirmation Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getChange();
+  inline void setChange( ::uint64_t value);
+
+  inline  ::uint64_t getAgentIncarnation();
+  inline void setAgentIncarnation( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Confirmation::Pipeline {
+public:
+  typedef Confirmation Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class AttemptStatement::Reader {
+public:
+  typedef AttemptStatement Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAttempt() const;
+  inline  ::capnp::Text::Reader getAttempt() const;
+
+  inline  ::uint8_t getState() const;
+
+  inline  ::uint64_t getAgentIncarnation() const;
+
+  inline bool getIsAnswerRecorded() const;
+
+  inline bool hasAnswer() const;
+  inline  ::capnp::Data::Reader getAnswer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AttemptStatement::Builder {
+public:
+  typedef AttemptStatement Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAttempt();
+  inline  ::capnp::Text::Builder getAttempt();
+  inline void setAttempt( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAttempt(unsigned int size);
+  inline void adoptAttempt(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAttempt();
+
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
+
+  inline  ::uint64_t getAgentIncarnation();
+  inline void setAgentIncarnation( ::uint64_t value);
 
   inline bool getIsAnswerRecorded();
   inline void setIsAnswerRecorded(bool value);
@@ -4174,105 +4612,158 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline bool AttemptRequest::Reader::hasBodyDigest() const {
+inline bool AttemptRequest::Reader::hasSuspect() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptRequest::Builder::hasSuspect() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::fescuegauge::rpc::SuspectRequest::Reader AttemptRequest::Reader::getSuspect() const {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::fescuegauge::rpc::SuspectRequest::Builder AttemptRequest::Builder::getSuspect() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::fescuegauge::rpc::SuspectRequest::Pipeline AttemptRequest::Pipeline::getSuspect() {
+  return  ::fescuegauge::rpc::SuspectRequest::Pipeline(_typeless.getPointerField(9));
+}
+#endif  // !CAPNP_LITE
+inline void AttemptRequest::Builder::setSuspect( ::fescuegauge::rpc::SuspectRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::fescuegauge::rpc::SuspectRequest::Builder AttemptRequest::Builder::initSuspect() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void AttemptRequest::Builder::adoptSuspect(
+    ::capnp::Orphan< ::fescuegauge::rpc::SuspectRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fescuegauge::rpc::SuspectRequest> AttemptRequest::Builder::disownSuspect() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t SuspectKey::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t SuspectKey::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SuspectKey::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SuspectKey::Reader::hasId() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AttemptRequest::Builder::hasBodyDigest() {
+inline bool SuspectKey::Builder::hasId() {
   return !_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader AttemptRequest::Reader::getBodyDigest() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader SuspectKey::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder AttemptRequest::Builder::getBodyDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder SuspectKey::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AttemptRequest::Builder::setBodyDigest( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+inline void SuspectKey::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder AttemptRequest::Builder::initBodyDigest(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder SuspectKey::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AttemptRequest::Builder::adoptBodyDigest(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+inline void SuspectKey::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> AttemptRequest::Builder::disownBodyDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> SuspectKey::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SuspectKey::Reader::hasAccount() const {
+inline bool SuspectRequest::Reader::hasAccount() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SuspectKey::Builder::hasAccount() {
+inline bool SuspectRequest::Builder::hasAccount() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SuspectKey::Reader::getAccount() const {
+inline  ::capnp::Text::Reader SuspectRequest::Reader::getAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SuspectKey::Builder::getAccount() {
+inline  ::capnp::Text::Builder SuspectRequest::Builder::getAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SuspectKey::Builder::setAccount( ::capnp::Text::Reader value) {
+inline void SuspectRequest::Builder::setAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SuspectKey::Builder::initAccount(unsigned int size) {
+inline  ::capnp::Text::Builder SuspectRequest::Builder::initAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void SuspectKey::Builder::adoptAccount(
+inline void SuspectRequest::Builder::adoptAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SuspectKey::Builder::disownAccount() {
+inline ::capnp::Orphan< ::capnp::Text> SuspectRequest::Builder::disownAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SuspectKey::Reader::hasBodyDigest() const {
+inline bool SuspectRequest::Reader::hasKeys() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SuspectKey::Builder::hasBodyDigest() {
+inline bool SuspectRequest::Builder::hasKeys() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader SuspectKey::Reader::getBodyDigest() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Reader SuspectRequest::Reader::getKeys() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder SuspectKey::Builder::getBodyDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Builder SuspectRequest::Builder::getKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SuspectKey::Builder::setBodyDigest( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void SuspectRequest::Builder::setKeys( ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder SuspectKey::Builder::initBodyDigest(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Builder SuspectRequest::Builder::initKeys(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void SuspectKey::Builder::adoptBodyDigest(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void SuspectRequest::Builder::adoptKeys(
+    ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> SuspectKey::Builder::disownBodyDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>> SuspectRequest::Builder::disownKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -4290,37 +4781,37 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EngineLoss::Reader::hasRunning() const {
+inline bool EngineLoss::Reader::hasUnstarted() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EngineLoss::Builder::hasRunning() {
+inline bool EngineLoss::Builder::hasUnstarted() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Reader EngineLoss::Reader::getRunning() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader EngineLoss::Reader::getUnstarted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Builder EngineLoss::Builder::getRunning() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder EngineLoss::Builder::getUnstarted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EngineLoss::Builder::setRunning( ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void EngineLoss::Builder::setUnstarted( ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Builder EngineLoss::Builder::initRunning(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder EngineLoss::Builder::initUnstarted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void EngineLoss::Builder::adoptRunning(
-    ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void EngineLoss::Builder::adoptUnstarted(
+    ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>> EngineLoss::Builder::disownRunning() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>> EngineLoss::Builder::disownUnstarted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectRequest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -5239,184 +5730,436 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool SuspectDelta::Reader::hasAccount() const {
+inline bool UpstreamStart::Reader::hasUpstream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SuspectDelta::Builder::hasAccount() {
+inline bool UpstreamStart::Builder::hasUpstream() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SuspectDelta::Reader::getAccount() const {
+inline  ::capnp::Text::Reader UpstreamStart::Reader::getUpstream() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SuspectDelta::Builder::getAccount() {
+inline  ::capnp::Text::Builder UpstreamStart::Builder::getUpstream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SuspectDelta::Builder::setAccount( ::capnp::Text::Reader value) {
+inline void UpstreamStart::Builder::setUpstream( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SuspectDelta::Builder::initAccount(unsigned int size) {
+inline  ::capnp::Text::Builder UpstreamStart::Builder::initUpstream(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void SuspectDelta::Builder::adoptAccount(
+inline void UpstreamStart::Builder::adoptUpstream(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SuspectDelta::Builder::disownAccount() {
+inline ::capnp::Orphan< ::capnp::Text> UpstreamStart::Builder::disownUpstream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SuspectDelta::Reader::hasBodyDigest() const {
+inline  ::uint64_t UpstreamStart::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UpstreamStart::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamStart::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashEvidence::Reader::hasCrash() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashEvidence::Builder::hasCrash() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::fescuegauge::rpc::UpstreamStart::Reader CrashEvidence::Reader::getCrash() const {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::UpstreamStart>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::fescuegauge::rpc::UpstreamStart::Builder CrashEvidence::Builder::getCrash() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::UpstreamStart>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::fescuegauge::rpc::UpstreamStart::Pipeline CrashEvidence::Pipeline::getCrash() {
+  return  ::fescuegauge::rpc::UpstreamStart::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void CrashEvidence::Builder::setCrash( ::fescuegauge::rpc::UpstreamStart::Reader value) {
+  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::UpstreamStart>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::fescuegauge::rpc::UpstreamStart::Builder CrashEvidence::Builder::initCrash() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::UpstreamStart>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashEvidence::Builder::adoptCrash(
+    ::capnp::Orphan< ::fescuegauge::rpc::UpstreamStart>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::UpstreamStart>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fescuegauge::rpc::UpstreamStart> CrashEvidence::Builder::disownCrash() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::UpstreamStart>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CrashEvidence::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashEvidence::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Builder::setAgeMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashEvidence::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SuspectDelta::Builder::hasBodyDigest() {
+inline bool CrashEvidence::Builder::hasRequest() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader SuspectDelta::Reader::getBodyDigest() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::fescuegauge::rpc::SuspectRequest::Reader CrashEvidence::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectRequest>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder SuspectDelta::Builder::getBodyDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::fescuegauge::rpc::SuspectRequest::Builder CrashEvidence::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectRequest>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SuspectDelta::Builder::setBodyDigest( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::fescuegauge::rpc::SuspectRequest::Pipeline CrashEvidence::Pipeline::getRequest() {
+  return  ::fescuegauge::rpc::SuspectRequest::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void CrashEvidence::Builder::setRequest( ::fescuegauge::rpc::SuspectRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectRequest>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder SuspectDelta::Builder::initBodyDigest(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::fescuegauge::rpc::SuspectRequest::Builder CrashEvidence::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SuspectDelta::Builder::adoptBodyDigest(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void CrashEvidence::Builder::adoptRequest(
+    ::capnp::Orphan< ::fescuegauge::rpc::SuspectRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectRequest>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> SuspectDelta::Builder::disownBodyDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::fescuegauge::rpc::SuspectRequest> CrashEvidence::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectRequest>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool SuspectDelta::Reader::hasUpstream() const {
+inline bool BegunKey::Reader::hasKey() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SuspectDelta::Builder::hasUpstream() {
+inline bool BegunKey::Builder::hasKey() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SuspectDelta::Reader::getUpstream() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::fescuegauge::rpc::SuspectKey::Reader BegunKey::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SuspectDelta::Builder::getUpstream() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::fescuegauge::rpc::SuspectKey::Builder BegunKey::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SuspectDelta::Builder::setUpstream( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::fescuegauge::rpc::SuspectKey::Pipeline BegunKey::Pipeline::getKey() {
+  return  ::fescuegauge::rpc::SuspectKey::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::Text::Builder SuspectDelta::Builder::initUpstream(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void BegunKey::Builder::setKey( ::fescuegauge::rpc::SuspectKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void SuspectDelta::Builder::adoptUpstream(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::fescuegauge::rpc::SuspectKey::Builder BegunKey::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> SuspectDelta::Builder::disownUpstream() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void BegunKey::Builder::adoptKey(
+    ::capnp::Orphan< ::fescuegauge::rpc::SuspectKey>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fescuegauge::rpc::SuspectKey> BegunKey::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::SuspectKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t SuspectDelta::Reader::getIncarnation() const {
+inline  ::uint64_t BegunKey::Reader::getAgeMs() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SuspectDelta::Builder::getIncarnation() {
+inline  ::uint64_t BegunKey::Builder::getAgeMs() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SuspectDelta::Builder::setIncarnation( ::uint64_t value) {
+inline void BegunKey::Builder::setAgeMs( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SuspectDelta::Reader::getCleared() const {
+inline bool Quarantine::Reader::hasKeys() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Quarantine::Builder::hasKeys() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Reader Quarantine::Reader::getKeys() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Builder Quarantine::Builder::getKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Quarantine::Builder::setKeys( ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>::Builder Quarantine::Builder::initKeys(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Quarantine::Builder::adoptKeys(
+    ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>> Quarantine::Builder::disownKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectKey,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Quarantine::Reader::getHasAccount() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool SuspectDelta::Builder::getCleared() {
+inline bool Quarantine::Builder::getHasAccount() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SuspectDelta::Builder::setCleared(bool value) {
+inline void Quarantine::Builder::setHasAccount(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Quarantine::Reader::hasAccount() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Quarantine::Builder::hasAccount() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Quarantine::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Quarantine::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Quarantine::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Quarantine::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Quarantine::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Quarantine::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Quarantine::Reader::hasLastCrash() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Quarantine::Builder::hasLastCrash() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::fescuegauge::rpc::UpstreamStart::Reader Quarantine::Reader::getLastCrash() const {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::UpstreamStart>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::fescuegauge::rpc::UpstreamStart::Builder Quarantine::Builder::getLastCrash() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::UpstreamStart>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::fescuegauge::rpc::UpstreamStart::Pipeline Quarantine::Pipeline::getLastCrash() {
+  return  ::fescuegauge::rpc::UpstreamStart::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void Quarantine::Builder::setLastCrash( ::fescuegauge::rpc::UpstreamStart::Reader value) {
+  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::UpstreamStart>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::fescuegauge::rpc::UpstreamStart::Builder Quarantine::Builder::initLastCrash() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::UpstreamStart>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Quarantine::Builder::adoptLastCrash(
+    ::capnp::Orphan< ::fescuegauge::rpc::UpstreamStart>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuegauge::rpc::UpstreamStart>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fescuegauge::rpc::UpstreamStart> Quarantine::Builder::disownLastCrash() {
+  return ::capnp::_::PointerHelpers< ::fescuegauge::rpc::UpstreamStart>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t SuspectDelta::Reader::getAgeMs() const {
+inline  ::uint64_t Quarantine::Reader::getAgeMs() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SuspectDelta::Builder::getAgeMs() {
+inline  ::uint64_t Quarantine::Builder::getAgeMs() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void SuspectDelta::Builder::setAgeMs( ::uint64_t value) {
+inline void Quarantine::Builder::setAgeMs( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SuspectDeltas::Reader::hasDeltas() const {
+inline bool SuspectUpdate::Reader::hasEvidence() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SuspectDeltas::Builder::hasDeltas() {
+inline bool SuspectUpdate::Builder::hasEvidence() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>::Reader SuspectDeltas::Reader::getDeltas() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>::Reader SuspectUpdate::Reader::getEvidence() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>::Builder SuspectDeltas::Builder::getDeltas() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>::Builder SuspectUpdate::Builder::getEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SuspectDeltas::Builder::setDeltas( ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void SuspectUpdate::Builder::setEvidence( ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>::Builder SuspectDeltas::Builder::initDeltas(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>::Builder SuspectUpdate::Builder::initEvidence(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void SuspectDeltas::Builder::adoptDeltas(
-    ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void SuspectUpdate::Builder::adoptEvidence(
+    ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>> SuspectDeltas::Builder::disownDeltas() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::SuspectDelta,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>> SuspectUpdate::Builder::disownEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::CrashEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool SuspectUpdate::Reader::hasBegun() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SuspectUpdate::Builder::hasBegun() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>::Reader SuspectUpdate::Reader::getBegun() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>::Builder SuspectUpdate::Builder::getBegun() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SuspectUpdate::Builder::setBegun( ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>::Builder SuspectUpdate::Builder::initBegun(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SuspectUpdate::Builder::adoptBegun(
+    ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>> SuspectUpdate::Builder::disownBegun() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::BegunKey,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool SuspectUpdate::Reader::hasQuarantines() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SuspectUpdate::Builder::hasQuarantines() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>::Reader SuspectUpdate::Reader::getQuarantines() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>::Builder SuspectUpdate::Builder::getQuarantines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SuspectUpdate::Builder::setQuarantines( ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>::Builder SuspectUpdate::Builder::initQuarantines(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void SuspectUpdate::Builder::adoptQuarantines(
+    ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>> SuspectUpdate::Builder::disownQuarantines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuegauge::rpc::Quarantine,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool ChunkSummary::Reader::hasRoot() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/librpc/RpcNode.cpp
+++ b/src/librpc/RpcNode.cpp
@@ -53,7 +53,7 @@
   Out.setPriority(Request.m_Priority);
   Out.setTimeoutMs(static_cast<std::uint32_t>(Request.m_Timeout.count() / 1000));
   Out.setBody(dataOf(Request.m_Body));
-  Out.setBodyDigest(dataOf(Request.m_BodyDigest));
+  encode(Request.m_Suspect, Out.initSuspect());
 }
 
 AttemptRequest decode(rpc::AttemptRequest::Reader In) {
@@ -71,7 +71,7 @@
   Request.m_Priority = In.getPriority();
   Request.m_Timeout = std::chrono::milliseconds(In.getTimeoutMs());
   Request.m_Body = stringOf(In.getBody());
-  Request.m_BodyDigest = digestOf(In.getBodyDigest());
+  Request.m_Suspect = decodeSuspectRequest(In.getSuspect());
   return Request;
 }
 
