Gateway: a response that ends with its connection is whole only if its upstream is alive

A response without a length or chunks ends with the connection, and so does one whose upstream crashed. The gateway took the end of a process between two events for the end of the stream, and a stream without any event for a whole one. It now confirms that the upstream accepts connections before it completes such a response, except for an upstream that is leaving. Failure responses that are buffered for all requests together are bounded to 16 MiB; each was bounded to 1 MiB only, so 2048 requests in progress could hold 2 GiB.

--- a/src/include/Fescuegauge/LoadBalancer.h
+++ b/src/include/Fescuegauge/LoadBalancer.h
@@ -238,6 +238,10 @@
   bool onLeaving(const UpstreamStart &Upstream, TimePoint Now);
   /// The upstream accepts no requests from this instance for that time.
   void onPauseRequested(const UpstreamStart &Upstream, Duration Pause, TimePoint Now);
+  /// Whether the upstream stated that it is leaving.
+  bool isLeaving(const UpstreamStart &Upstream, TimePoint Now) const {
+    return m_Statements.isLeaving(Upstream, Now);
+  }
   bool isPaused(const UpstreamStart &Upstream, TimePoint Now) const {
     return m_Statements.isPaused(Upstream, Now);
   }
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -286,7 +286,8 @@
   spawnTask(executor(), "confirm_crash", confirmCrash(Upstream, Delay));
 }
 
-Task<bool> GatewayCore::hasCrashed(const UpstreamRecord &Upstream) {
+Task<bool> GatewayCore::hasCrashed(UpstreamRecord Upstream, Duration Delay) {
+  co_await sleepFor(Delay);
   SystemError Error;
   ConnectionPtr Opened = co_await m_Pool.open(Upstream.m_Address, CrashCheckTimeout, Error);
   if (Opened)
@@ -295,8 +296,7 @@
 }
 
 Task<> GatewayCore::confirmCrash(UpstreamRecord Upstream, Duration Delay) {
-  co_await sleepFor(Delay);
-  const bool IsCrashed = co_await hasCrashed(Upstream);
+  const bool IsCrashed = co_await hasCrashed(Upstream, Delay);
   CrashCheck &Check = m_CrashChecks.at(Upstream.start());
   Check.m_IsPending = false;
   const CrashCheck Confirmed = Check;
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -89,6 +89,9 @@
   /// Delay of a crash check after a connection broke. A crashed upstream refuses connections by
   /// then.
   static constexpr Duration CrashCheckDelay = std::chrono::milliseconds(40);
+  /// Limit on the failure responses of upstreams that are buffered for all requests. A response
+  /// that exceeds it counts as no response.
+  static constexpr std::size_t MaxFailureBufferBytes = 16 << 20;
   /// Maximum number of client requests in progress; further ones are refused.
   static constexpr std::size_t MaxRequests = 2048;
 
@@ -154,8 +157,8 @@
   /// Checks whether an upstream crashed after the connection of an attempt broke. If it did, the
   /// requests that had not begun there are recorded as crash suspects.
   void checkCrash(const UpstreamRecord &Upstream, const RunningAttempt &Lost);
-  /// Returns true if the upstream refuses connections, as it does after a crash.
-  Task<bool> hasCrashed(const UpstreamRecord &Upstream);
+  /// Returns true if the upstream refuses connections after `Delay`, as it does after a crash.
+  Task<bool> hasCrashed(UpstreamRecord Upstream, Duration Delay);
   /// The answer to a request began.
   void recordBegun(const SuspectRequest &Request);
   void mergeSuspects(const SuspectUpdate &Update);
@@ -192,6 +195,28 @@
     GatewayCore &m_Core;
   };
   std::size_t requestsInProgress() const { return m_InProgress.size(); }
+  /// Part of MaxFailureBufferBytes that a request uses during the object's lifetime.
+  class FailureBuffer {
+  public:
+    explicit FailureBuffer(GatewayCore &Core) : m_Core(Core) {}
+    FailureBuffer(const FailureBuffer &) = delete;
+    FailureBuffer &operator=(const FailureBuffer &) = delete;
+    ~FailureBuffer() { m_Core.m_FailureBufferBytes -= m_Size; }
+
+    /// Returns false, and uses nothing any more, if the limit would be exceeded.
+    bool resize(std::size_t Size) {
+      m_Core.m_FailureBufferBytes -= std::exchange(m_Size, 0);
+      if (m_Core.m_FailureBufferBytes + Size > MaxFailureBufferBytes)
+        return false;
+      m_Core.m_FailureBufferBytes += Size;
+      m_Size = Size;
+      return true;
+    }
+
+  private:
+    GatewayCore &m_Core;
+    std::size_t m_Size = 0;
+  };
 
   void countRequest(std::string_view Kind, std::string_view Outcome) {
     m_Requests.add({Kind, Outcome});
@@ -286,6 +311,7 @@
   TimePoint m_RequestCutoff = TimePoint::max();
   OneShotTimer m_StopTimer;
   std::size_t m_RequestsBeingRead = 0;
+  std::size_t m_FailureBufferBytes = 0;
   std::map<const RequestInProgress *, Callbacks> m_InProgress;
   CounterMetric &m_Requests;
   CounterMetric &m_Attempts;
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -477,8 +477,19 @@
     m_LastUpstreamReadAt = monotonicNow();
     m_Core.loadBalancer().onProgress(From.m_Id, m_LastUpstreamReadAt);
     IsDone = Buffered.size() == Before;
-    if (IsFailure && Buffered.size() > MaxFailureBytes)
+    if (IsFailure &&
+        (Buffered.size() > MaxFailureBytes || !m_FailureBuffer.resize(Buffered.size())))
       co_return AttemptEnd::Failed;
+    if (IsDone) {
+      const bool Whole = co_await isWhole(Sent, From);
+      if (isInterrupted())
+        co_return AttemptEnd::Interrupted;
+      if (!Whole) {
+        if (m_HeaderSent)
+          m_IsClientLost = true;
+        co_return AttemptEnd::Failed;
+      }
+    }
     if (IsFailure || (!IsDone && !m_HeaderSent && Buffered.size() < MaxBufferedBytes))
       continue;
     m_StallTimer.cancel();
@@ -551,8 +562,14 @@
     if (!IsDone)
       continue;
     // A response that ends within an event, or that resumes a stream without a new event, does not
-    // prove that the stream is complete.
-    if (!Events.pending().empty() || (IsResumed && m_ForwardedEvents == ForwardedBefore))
+    // prove that the stream is complete. Neither does the end of a connection without any event.
+    const bool HasNoEvent = m_ForwardedEvents == ForwardedBefore;
+    if (!Events.pending().empty() || (HasNoEvent && (IsResumed || Sent.endsWithConnection())))
+      co_return AttemptEnd::Failed;
+    const bool Whole = co_await isWhole(Sent, From);
+    if (isInterrupted())
+      co_return AttemptEnd::Interrupted;
+    if (!Whole)
       co_return AttemptEnd::Failed;
     const std::optional<std::uint64_t> NoLength;
     const bool IsHeaderWritten = co_await ensureHeaderSent(Sent.header(), NoLength);
@@ -566,6 +583,18 @@
   }
 }
 
+Task<bool> RequestExchange::isWhole(const UpstreamExchange &Sent, const UpstreamRecord &From) {
+  // An upstream that is leaving ends its process after its last response.
+  const UpstreamRecord *Listed = m_Core.loadBalancer().find(From.m_Id);
+  const bool IsLeaving = !Listed || Listed->m_IsLeaving ||
+                         m_Core.loadBalancer().isLeaving(From.start(), monotonicNow());
+  if (!Sent.endsWithConnection() || IsLeaving)
+    co_return true;
+  m_StallTimer.cancel();
+  const bool IsCrashed = co_await m_Core.hasCrashed(From, GatewayCore::CrashCheckDelay);
+  co_return !IsCrashed;
+}
+
 Task<bool> RequestExchange::forwardEvent(UpstreamExchange &Sent,
                                          const EventSplitter::Event &Event) {
   if (!Event.m_Id) {
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -91,6 +91,9 @@
   void recordRateLimit(const UpstreamExchange &Sent, const UpstreamRecord &From);
   Task<AttemptEnd> relayEvents(UpstreamExchange &Sent, const UpstreamRecord &From);
   Task<AttemptEnd> relayPlain(UpstreamExchange &Sent, const UpstreamRecord &From);
+  /// Whether a response that was read to its end is whole. Confirms that the upstream is alive if
+  /// only the end of the connection ended the response.
+  Task<bool> isWhole(const UpstreamExchange &Sent, const UpstreamRecord &From);
   Task<bool> forwardEvent(UpstreamExchange &Sent, const EventSplitter::Event &Event);
   HttpRequest upstreamRequest(const UpstreamRecord &To) const;
   /// Sets the remaining time in the request. Returns false if the request must not be sent, because
@@ -184,6 +187,8 @@
   int m_ConnectFailures = 0;
   std::vector<InstanceId> m_TriedUpstreams;
   std::optional<StoredResponse> m_FailureResponse;
+  /// Reserved for m_FailureResponse.
+  GatewayCore::FailureBuffer m_FailureBuffer{m_Core};
   bool m_IsResponseMalformed = false;
   std::uint32_t m_PromptTokens = 0;
   /// Prompt tokens that the upstream of the current attempt has not read yet.
--- a/src/libgateway/UpstreamExchange.h
+++ b/src/libgateway/UpstreamExchange.h
@@ -69,6 +69,9 @@
   const Header &header() const { return m_Parser->get(); }
   /// Length of the body, if the response states it.
   std::optional<std::uint64_t> contentLength() const;
+  /// Whether only the end of the connection ends the body. The death of the upstream's process
+  /// looks like that end too.
+  bool endsWithConnection() const { return m_Parser->need_eof(); }
   /// Appends the next part of the body to `Bytes`. Nothing is appended at the end of the body.
   Task<ExchangeError> read(std::string &Bytes);
   /// Discards the rest of the response, so that the connection can be kept. Closes the connection
