--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -54,7 +54,7 @@
                                          "Crashes of upstreams that this instance detected.",
                                          {}})),
       m_QuarantineChanges(Metrics.counter({"fescuegauge_gateway_quarantine_changes_total",
-                                           "Quarantines of request keys that begun or ended.",
+                                           "Quarantines of request keys that began or ended.",
                                            {{"change", 4}}})),
       m_RateLimitedSends(Metrics.counter({"fescuegauge_gateway_rate_limited_sends_total",
                                           "Requests sent to upstreams that name a rate limit.",
@@ -258,8 +258,10 @@
   while (!m_Abandoned.empty() && (Now - m_Abandoned.front().m_At > AbandonedSuspectTime ||
                                   m_Abandoned.size() >= MaxAbandonedSuspects))
     m_Abandoned.pop_front();
-  if (!Attempt->m_HasBegun && Attempt->m_Exchange->wasSent())
+  if (!Attempt->m_HasBegun && Attempt->m_Exchange->wasSent()) {
     m_Abandoned.push_back({*Attempt, Now});
+    m_Abandoned.back().m_Attempt.m_Exchange.reset();
+  }
   removeRunning(Attempt);
 }
 
@@ -275,8 +277,10 @@
   CrashCheck &Check = Entry->second;
   if (Check.m_Lost.empty())
     Check.m_FirstLossAt = Now;
-  if (!Lost.m_HasBegun)
+  if (!Lost.m_HasBegun) {
     Check.m_Lost.push_back(Lost);
+    Check.m_Lost.back().m_Exchange.reset();
+  }
   if (Check.m_IsPending)
     return;
   const Duration Delay =
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -56,6 +56,7 @@
   UpstreamStart m_Upstream;
   SuspectRequest m_Request;
   std::string m_RequestId;
+  /// Null after the end of the attempt.
   std::shared_ptr<const UpstreamExchange> m_Exchange;
   /// Whether the first event of the response, or the header of a plain one, arrived.
   bool m_HasBegun = false;
@@ -78,7 +79,7 @@
   /// the crash within one interval of PeerReportExchange and a transmission; the rest allows for
   /// two lost datagrams.
   static constexpr Duration CrashCollectionTime = std::chrono::milliseconds(300);
-  /// Time for which an attempt that was given up before it began may still crash its upstream. An
+  /// Time for which an attempt that was abandoned before it began may still crash its upstream. An
   /// engine notices the closed connection only after the pass that reads the prompt.
   static constexpr Duration AbandonedSuspectTime = std::chrono::milliseconds(1000);
   /// Maximum number of such attempts; the oldest is evicted first.
@@ -153,7 +154,7 @@
   /// Registers an attempt in flight at an upstream, as a suspect if the upstream crashes.
   RunningAttempts::iterator addRunning(RunningAttempt Attempt);
   void removeRunning(RunningAttempts::iterator Attempt) { m_Running.erase(Attempt); }
-  /// Removes an attempt that this instance gave up. It remains a suspect for a while.
+  /// Removes an attempt that this instance cancelled. It remains a suspect for a while.
   void abandonRunning(RunningAttempts::iterator Attempt);
   /// Checks whether an upstream crashed after the connection of an attempt broke. If it did, the
   /// requests that had not begun there are recorded as crash suspects.
@@ -265,7 +266,7 @@
     /// When the latest check began.
     TimePoint m_At;
     bool m_IsPending = false;
-    /// When the first connection broke after the last check that found the upstream alive.
+    /// When the first connection broke since the previous check.
     TimePoint m_FirstLossAt;
     /// Attempts that ended since then without a beginning.
     std::vector<RunningAttempt> m_Lost;
