Crash suspects: a part with which answers began lately is the less likely cause

The first part of the faulty requests is in each of their crashes, and in those that sound requests with it were in by chance, so it explained more crashes than the faulty part and was blocked in its place.

--- a/src/include/Fescuegauge/CrashSuspects.h
+++ b/src/include/Fescuegauge/CrashSuspects.h
@@ -251,7 +251,8 @@
   /// The quarantine that follows from the evidence against a key. Not set if there is too little,
   /// or if another key explains the same crashes.
   std::optional<Proposal> evaluate(const SuspectKey &Key, TimePoint Now) const;
-  /// The quarantines that explain the most crashes. They are several if each explains the same.
+  /// The quarantines that explain the most crashes, with preference for keys with which no answer
+  /// has begun lately. They are several if each explains the same crashes.
   std::vector<Proposal> bestProposals(TimePoint Now) const;
   /// Whether a quarantine in force blocks all requests that another one would.
   bool isCovered(const Quarantine &Other) const;
--- a/src/librequests/CrashSuspects.cpp
+++ b/src/librequests/CrashSuspects.cpp
@@ -328,6 +328,9 @@
   for (const SuspectKey &Other : Others) {
     if (!includes(crashesOf(Other, Now), Crashes))
       continue;
+    // An answer with the other key began before its crashes, so it is the less likely cause.
+    if (begunAt(Other) && !begunAt(Key))
+      continue;
     if (std::binary_search(Common->begin(), Common->end(), Other))
       Proposed.m_Keys.push_back(Other);
     else
@@ -383,15 +386,21 @@
 
 std::vector<CrashSuspects::Proposal> CrashSuspects::bestProposals(TimePoint Now) const {
   std::vector<Proposal> Best;
+  std::pair<bool, std::size_t> BestRank;
   for (const auto &[Key, Recorded] : m_CrashesByKey) {
     if (Recorded.size() < CrashesToQuarantine)
       continue;
     std::optional<Proposal> Proposed = evaluate(Key, Now);
     if (!Proposed || !canAdd(Proposed->m_Active.m_Quarantine))
       continue;
-    if (!Best.empty() && Proposed->m_Crashes.size() > Best.front().m_Crashes.size())
+    // The first part of faulty requests is in as many crashes as the faulty part, and in those that
+    // sound requests with it were in by chance.
+    const std::pair Rank(!begunAt(Key).has_value(), Proposed->m_Crashes.size());
+    if (Best.empty() || Rank > BestRank) {
       Best.clear();
-    if (Best.empty() || Proposed->m_Crashes == Best.front().m_Crashes)
+      BestRank = Rank;
+    }
+    if (Best.empty() || (Rank == BestRank && Proposed->m_Crashes == Best.front().m_Crashes))
       Best.push_back(std::move(*Proposed));
   }
   return Best;
--- a/src/librequests/CrashSuspects_test.cpp
+++ b/src/librequests/CrashSuspects_test.cpp
@@ -247,3 +247,17 @@
   CHECK(Suspects.isQuarantined(request("z", {"bad"}), Start + 122s));
   CHECK(Suspects.quarantines(Start + 2min).size() == CrashSuspects::MaxQuarantinesPerAccount);
 }
+
+// Guards against blocking the first part of faulty requests in place of the faulty one: sound
+// requests with it were in flight at one more crash.
+TEST_CASE("a part that has begun before is not blamed for crashes that another part explains") {
+  CrashSuspects Suspects(300ms);
+  Crashes Log(Suspects);
+  Suspects.recordBegun(request("s", {"first"}), Start - 1s);
+  Log.record(0s, {request("1", {"first", "bad"})});
+  Log.record(120ms, {request("2", {"first"})});
+  Log.record(240ms, {request("3", {"first", "bad"})});
+  Suspects.onTimer(Start + 540ms);
+  CHECK(Suspects.isQuarantined(request("4", {"bad"}), Start + 540ms));
+  CHECK_FALSE(Suspects.isQuarantined(request("4", {"first"}), Start + 540ms));
+}
