Crash suspects: a single request that crashed two upstreams is blocked at once

The collection time of 0.3 s delayed this, and the gateway's test that such a request is blocked within 0.2 s of the second crash failed. It now applies to prompt parts only.

--- a/src/librequests/CrashSuspects.cpp
+++ b/src/librequests/CrashSuspects.cpp
@@ -289,9 +289,11 @@
   Proposal Result;
   CrashSet &Crashes = Result.m_Crashes;
   Crashes = crashesOf(Key, Now);
-  std::erase_if(Crashes, [&](const UpstreamStart &Each) {
-    return Now < m_Crashes.at(Each).m_LearnedAt + m_CollectionTime;
-  });
+  // A single request that crashed two upstreams is blocked at once: its caller sends it again.
+  if (Key.m_Kind == SuspectKey::Kind::PromptPart)
+    std::erase_if(Crashes, [&](const UpstreamStart &Each) {
+      return Now < m_Crashes.at(Each).m_LearnedAt + m_CollectionTime;
+    });
   const std::size_t Weight = weight(Key, Crashes);
   if (Weight < CrashesToQuarantine)
     return std::nullopt;
