--- a/src/libgateway/PeerReportExchange.cpp
+++ b/src/libgateway/PeerReportExchange.cpp
@@ -50,9 +50,20 @@
       static_cast<Duration::rep>(std::min<std::uint64_t>(Reader.number(), MaxAge.count())));
 }
 
+void writeStart(ByteWriter &Writer, const UpstreamStart &Start) {
+  Writer.id(Start.m_Id);
+  Writer.id(Start.m_Incarnation);
+}
+
+UpstreamStart readStart(ByteReader &Reader) {
+  UpstreamStart Start;
+  Start.m_Id = Reader.id<InstanceId>();
+  Start.m_Incarnation = Reader.id<Incarnation>();
+  return Start;
+}
+
 void writeRate(ByteWriter &Writer, const RateStatement &Statement) {
-  Writer.id(Statement.m_Upstream.m_Id);
-  Writer.id(Statement.m_Upstream.m_Incarnation);
+  writeStart(Writer, Statement.m_Upstream);
   Writer.number(Statement.m_Rate ? 1 : 0);
   writePerSecond(Writer, Statement.m_Rate.value_or(RequestRate()));
   Writer.number(static_cast<std::uint64_t>(Statement.m_Age.count()));
@@ -60,8 +71,7 @@
 
 RateStatement readRate(ByteReader &Reader) {
   RateStatement Statement;
-  Statement.m_Upstream.m_Id = Reader.id<InstanceId>();
-  Statement.m_Upstream.m_Incarnation = Reader.id<Incarnation>();
+  Statement.m_Upstream = readStart(Reader);
   const bool IsNamed = Reader.number() != 0;
   const RequestRate Rate = readPerSecond(Reader);
   if (IsNamed)
@@ -70,18 +80,6 @@
   return Statement;
 }
 
-void writeStart(ByteWriter &Writer, const UpstreamStart &Start) {
-  Writer.id(Start.m_Id);
-  Writer.id(Start.m_Incarnation);
-}
-
-UpstreamStart readStart(ByteReader &Reader) {
-  UpstreamStart Start;
-  Start.m_Id = Reader.id<InstanceId>();
-  Start.m_Incarnation = Reader.id<Incarnation>();
-  return Start;
-}
-
 void writeKey(ByteWriter &Writer, const SuspectKey &Key) {
   Writer.number(static_cast<std::uint64_t>(Key.m_Kind));
   Writer.text(Key.m_Id);
@@ -200,10 +198,8 @@
   for (const LoadNotice &Each : Report.m_Loading)
     writeNotice(Writer, Each);
   Writer.number(Report.m_Leaving.size());
-  for (const UpstreamStart &Each : Report.m_Leaving) {
-    Writer.id(Each.m_Id);
-    Writer.id(Each.m_Incarnation);
-  }
+  for (const UpstreamStart &Each : Report.m_Leaving)
+    writeStart(Writer, Each);
   Writer.number(Report.m_Rates.size());
   for (const RateStatement &Each : Report.m_Rates)
     writeRate(Writer, Each);
@@ -249,12 +245,8 @@
   for (std::size_t Left = Reader.count(MinNoticeBytes); Left > 0; --Left)
     Report.m_Loading.push_back(readNotice(Reader));
   constexpr std::size_t MinLeavingBytes = 2;
-  for (std::size_t Left = Reader.count(MinLeavingBytes); Left > 0; --Left) {
-    UpstreamStart Each;
-    Each.m_Id = Reader.id<InstanceId>();
-    Each.m_Incarnation = Reader.id<Incarnation>();
-    Report.m_Leaving.push_back(std::move(Each));
-  }
+  for (std::size_t Left = Reader.count(MinLeavingBytes); Left > 0; --Left)
+    Report.m_Leaving.push_back(readStart(Reader));
   constexpr std::size_t MinRateBytes = 12;
   for (std::size_t Left = Reader.count(MinRateBytes); Left > 0; --Left)
     Report.m_Rates.push_back(readRate(Reader));
