RPC: an attempt whose sink was released does not end again with its connection

The dispatching process got two ends of one attempt if the agent released the sink without an answer and the connection ended while the caller still held the sink: the release and the end of the connection reported it separately. Both reports now go through one object that passes on the first.

--- a/src/librpc/RpcNode.cpp
+++ b/src/librpc/RpcNode.cpp
@@ -8,6 +8,7 @@
 #include <capnp/rpc-twoparty.h>
 #include <deque>
 #include <map>
+#include <utility>
 
 namespace fescuegauge {
 
@@ -103,33 +104,45 @@
   return End;
 }
 
+/// Passes on the answer to one attempt until its end. The end may be reported twice: when the peer
+/// releases its reference to the sink, and when the connection ends.
+class SingleEndSink final : public AttemptSink {
+public:
+  explicit SingleEndSink(std::shared_ptr<AttemptSink> Sink) : m_Sink(std::move(Sink)) {}
+
+  void onFragment(const AttemptFragment &Fragment) override {
+    if (m_Sink)
+      m_Sink->onFragment(Fragment);
+  }
+  void onEnd(const AttemptId &Attempt, const AttemptEnd &End) override {
+    if (auto Sink = std::exchange(m_Sink, nullptr))
+      Sink->onEnd(Attempt, End);
+  }
+
+private:
+  std::shared_ptr<AttemptSink> m_Sink;
+};
+
 /// Forwards answers that arrive over a connection to the sink of the dispatching process. Ends the
 /// attempt as lost if the last reference is released before an end has arrived.
 class SinkServer final : public rpc::AttemptSink::Server {
 public:
   SinkServer(AttemptId Attempt, std::shared_ptr<AttemptSink> Sink)
       : m_Attempt(std::move(Attempt)), m_Sink(std::move(Sink)) {}
-  ~SinkServer() noexcept(false) { end(AttemptEnd()); }
+  ~SinkServer() noexcept(false) { m_Sink->onEnd(m_Attempt, AttemptEnd()); }
 
   kj::Promise<void> fragment(FragmentContext Context) override {
     auto In = Context.getParams();
-    if (m_Sink)
-      m_Sink->onFragment({AttemptId(stringOf(In.getAttempt())), In.getOffset(),
-                          stringOf(In.getData()), digestOf(In.getServedDigest())});
+    m_Sink->onFragment({AttemptId(stringOf(In.getAttempt())), In.getOffset(),
+                        stringOf(In.getData()), digestOf(In.getServedDigest())});
     return kj::READY_NOW;
   }
 
   kj::Promise<void> end(EndContext Context) override {
-    end(decode(Context.getParams().getEnd()));
+    m_Sink->onEnd(m_Attempt, decode(Context.getParams().getEnd()));
     return kj::READY_NOW;
   }
 
-  void end(const AttemptEnd &End) {
-    if (auto Sink = std::move(m_Sink))
-      Sink->onEnd(m_Attempt, End);
-    m_Sink = nullptr;
-  }
-
 private:
   AttemptId m_Attempt;
   std::shared_ptr<AttemptSink> m_Sink;
@@ -657,9 +670,10 @@
   KJ_IF_MAYBE (Client, Link->m_Client) {
     auto Call = Client->runAttemptRequest();
     encode(Request, Call.initRequest());
-    Call.setSink(kj::heap<SinkServer>(Request.m_Attempt, Sink));
+    auto SingleEnd = std::make_shared<SingleEndSink>(std::move(Sink));
+    Call.setSink(kj::heap<SinkServer>(Request.m_Attempt, SingleEnd));
     std::erase_if(Link->m_Attempts, [](const auto &Entry) { return Entry.second.expired(); });
-    Link->m_Attempts[Request.m_Attempt] = Sink;
+    Link->m_Attempts[Request.m_Attempt] = SingleEnd;
     m_Impl->tasks().add(Call.send().ignoreResult().catch_(
         [Node = m_Impl.get(), Peer, Epoch = Link->m_Epoch](kj::Exception &&) {
           Node->scheduleDisconnect(Peer, Epoch);
--- a/src/librpc/RpcNode_test.cpp
+++ b/src/librpc/RpcNode_test.cpp
@@ -176,6 +176,31 @@
   CHECK(Sink->m_Ends == 1);
 }
 
+// Guards against a second end of an attempt: the agent releases the sink without an answer, and the
+// connection ends afterwards while the caller still holds the sink.
+TEST_CASE("an attempt whose sink was released does not end again with its connection") {
+  EventLoop Loop(2);
+  EventLoop ServerLoop(2);
+  FakeAgent Agent;
+  Agent.m_HoldsAttempts = true;
+  auto Server = std::make_unique<RpcNode>(ServerLoop, optionsFor("agent"), Agent);
+  FakeAgent Unused;
+  RpcNode Client(Loop, optionsFor("entry"), Unused);
+  InstanceId Peer("agent");
+  Loop.postAndWait([&] { Client.addPeer(Peer, {"127.0.0.1", Server->port()}, true); });
+  REQUIRE(waitFor(Loop, [&] { return Client.isConnected(Peer); }));
+  auto Sink = std::make_shared<RecordingSink>();
+  AttemptRequest Request;
+  Request.m_Attempt = AttemptId("a1");
+  Loop.post([&] { Client.runAttempt(Peer, Request, Sink); });
+  REQUIRE(Agent.m_Received.wait());
+  ServerLoop.postAndWait([&] { Agent.m_HeldSinks.clear(); });
+  REQUIRE(Sink->m_Ended.wait());
+  Server.reset();
+  REQUIRE(waitFor(Loop, [&] { return !Client.isConnected(Peer); }));
+  CHECK(Sink->m_Ends == 1);
+}
+
 // Guards against a connection that stays open but delivers nothing. A blocked server loop simulates
 // it.
 TEST_CASE("a connection that delivers nothing is closed at both ends") {
