Gateway tests: two tests no longer depend on the speed of the machine

Deadlines are now far away, so a request that ends was ended by the limit, and each must have status 502, which was not checked before. "an upstream that asks for a pause" counted requests in 0.5 s of real time; it now requires six refusals, three before, within a longer pause.

--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -1164,28 +1164,30 @@
           "[gateway]") {
   GatewayFixture Fixture;
   Fixture.setPlan();
+  constexpr Duration Pause = 2s;
+  constexpr int RefusedCount = 6;
   bool IsFull = true;
   FakeUpstream &Upstream = Fixture.addUpstream([&](const HttpRequest &Request) {
     if (IsFull)
-      return Script{{{plainResponse(Request, 503, "", "Not-Run: 1\r\nRetry-After: 0.6\r\n")}}};
+      return Script{{{plainResponse(Request, 503, "", "Not-Run: 1\r\nRetry-After: 2\r\n")}}};
     return Script{{{plainResponse(Request, 200, "served")}}};
   });
+  const TimePoint Start = monotonicNow();
   CHECK(Fixture.exchange(GatewayFixture::request("/safe/x", "r1")).status() == 503);
+  const TimePoint Answered = monotonicNow();
   IsFull = false;
-  const TimePoint Start = monotonicNow();
-  int Refused = 0;
-  for (int I = 2; monotonicNow() - Start < 500ms; ++I) {
+  for (int I = 0; I < RefusedCount; ++I) {
     const auto Response =
-        Fixture.exchange(GatewayFixture::request("/once/x", "r" + std::to_string(I)));
+        Fixture.exchange(GatewayFixture::request("/once/x", "refused" + std::to_string(I)));
     CHECK(Response.status() == 503);
     CHECK(Response.contains("Retry-After: "));
-    ++Refused;
     Fixture.runUntil([] { return false; }, 50ms);
   }
-  CHECK(Refused > 2);
   CHECK(Upstream.requests().size() == 1);
   CHECK(Upstream.connections() == 1);
-  Fixture.runUntil([] { return false; }, 200ms);
+  // Without CPU time for this long, the requests would not show whether the pause was kept.
+  REQUIRE(monotonicNow() - Start < Pause);
+  Fixture.runUntil([] { return false; }, Pause + 100ms - (monotonicNow() - Answered));
   CHECK(Fixture.exchange(GatewayFixture::request("/safe/x", "last")).contains("served"));
 }
 
--- a/src/libgateway/ResponseEnd_test.cpp
+++ b/src/libgateway/ResponseEnd_test.cpp
@@ -130,26 +130,40 @@
 // Guards against failure responses that together exceed the memory of the machine, although each of
 // them is bounded.
 TEST_CASE("the buffered failure responses of all requests are bounded", "[gateway]") {
-  GatewayFixture Fixture;
-  Fixture.setPlan();
+  constexpr Duration StopTime = 600ms;
+  constexpr std::size_t BodyBytes = 900 << 10;
+  constexpr std::size_t Count = 30;
+  constexpr std::size_t Fitting = GatewayCore::MaxFailureBufferBytes / BodyBytes;
+  GatewayFixture Fixture(StopTime);
+  // No request reaches its deadline, so one that ends early was ended by the limit.
+  Fixture.setPlan([](RoutingPlan &Plan) {
+    for (Route &Each : Plan.m_Routes)
+      Each.m_Timeout = 60s;
+  });
   Fixture.addUpstream([](const HttpRequest &Request) {
-    const std::string Part(900 << 10, 'x');
+    const std::string Part(BodyBytes, 'x');
     return Script{{{"HTTP/1.1 500 Any\r\nRequest-Id: " + std::string(Request["Request-Id"]) +
                     "\r\nContent-Length: " + std::to_string(Part.size() + 1) + "\r\n\r\n" + Part}}};
   });
-  constexpr std::size_t Count = 30;
   Fixture.records()[0].m_Slots = 2 * Count;
   Fixture.gateway().setUpstreams(Fixture.records());
   std::vector<RawResponse> Responses(Count);
   std::array<bool, Count> Done{};
+  for (std::size_t I = 0; I < Count; ++I) {
+    std::string Request = GatewayFixture::request("/once/x", "r" + std::to_string(I));
+    Request.replace(Request.find("Deadline-Ms: 1200"), 17, "Deadline-Ms: 50000");
+    Fixture.start(Request, Responses[I], Done[I]);
+  }
+  // The upstream never ends a response, so only those beyond the limit end.
+  const auto EndedCount = [&] {
+    return static_cast<std::size_t>(std::count(Done.begin(), Done.end(), true));
+  };
+  CHECK(Fixture.runUntil([&] { return EndedCount() >= Count - Fitting; }, 40s));
   for (std::size_t I = 0; I < Count; ++I)
-    Fixture.start(GatewayFixture::request("/once/x", "r" + std::to_string(I)), Responses[I],
-                  Done[I]);
-  const auto EndedCount = [&] { return std::count(Done.begin(), Done.end(), true); };
-  // The upstream never ends a response, so only those beyond the limit end before the deadline.
-  const auto Fitting = GatewayCore::MaxFailureBufferBytes / (900 << 10);
-  CHECK(Fixture.runUntil([&] { return EndedCount() >= static_cast<long>(Count - Fitting); }, 1s));
-  REQUIRE(Fixture.runUntil([&] { return EndedCount() == Count; }, 3s));
+    if (Done[I])
+      CHECK(Responses[I].status() == 502);
+  Fixture.gateway().beginDrain();
+  REQUIRE(Fixture.runUntil([&] { return EndedCount() == Count; }, 10s));
   for (const RawResponse &Each : Responses)
     CHECK(Each.status() >= 502);
 }
