Crash suspects: crashes with another likely cause weigh less, and the narrower explanation wins

A crash now counts against a part only if a further request with it was there, counts half if another upstream without the part crashed at the same moment or a request was there that is blocked because of other crashes, and of several explanations the one that blocks the fewest requests is in force. Ruled out: more crashes for parts that had begun before (no fewer of them).

--- a/src/include/Fescuegauge/CrashSuspects.h
+++ b/src/include/Fescuegauge/CrashSuspects.h
@@ -41,7 +41,7 @@
   ClientAccountId m_Account;
   std::vector<SuspectKey> m_Keys;
 
-  bool operator==(const SuspectRequest &) const = default;
+  auto operator<=>(const SuspectRequest &) const = default;
   bool contains(const SuspectKey &Key) const;
 };
 
@@ -133,6 +133,11 @@
   /// Crashes after which a key is quarantined if no other key explains all of them. One more crash
   /// is needed otherwise.
   static constexpr std::size_t CrashesToQuarantine = 2;
+  /// Weight of a crash as evidence against a key, and of one that may have another cause, such as a
+  /// loss of power or another faulty request.
+  static constexpr std::size_t CrashWeight = 2;
+  static constexpr std::size_t SharedCrashWeight = 1;
+  static constexpr std::size_t WeightToQuarantine = CrashesToQuarantine * CrashWeight;
   /// Crashes within this time may have one common cause. They count once against a prompt part,
   /// which may be in requests at several upstreams.
   static constexpr Duration CommonCauseTime = std::chrono::milliseconds(100);
@@ -240,13 +245,25 @@
 
   /// Crashes that are evidence against a key.
   CrashSet crashesOf(const SuspectKey &Key, TimePoint Now) const;
-  bool isExplained(const Crash &Explained, const SuspectKey &Except) const;
-  /// Number of crashes without a common cause.
+  enum class OwnQuarantines { Ignored, Counted };
+  /// Whether a quarantine explains a crash, so that the crash is no evidence against a key. `Own`
+  /// says whether quarantines with this key count.
+  bool isExplained(const Crash &Explained, const SuspectKey &Against, OwnQuarantines Own) const;
+  /// Whether another upstream without the key crashed at about the same time, or a request was at
+  /// this upstream that is blocked because of crashes which the key does not explain.
+  bool mayHaveOtherCause(const Crash &Of, const SuspectKey &Key) const;
+  CrashSet crashesOfRequest(const SuspectRequest &Request) const;
+  /// Whether a quarantine blocks this request and its repetitions only.
+  bool isBlockedAlone(const SuspectRequest &Request) const;
+  /// Sum of the weights of crashes without a common cause. Only crashes with a further request
+  /// count against a prompt part.
   std::size_t weight(const SuspectKey &Key, const CrashSet &Crashes) const;
   struct Proposal {
     Active m_Active;
     /// The crashes that it explains.
     CrashSet m_Crashes;
+
+    const std::vector<SuspectKey> &keys() const { return m_Active.m_Quarantine.m_Keys; }
   };
   /// The quarantine that follows from the evidence against a key. Not set if there is too little,
   /// or if another key explains the same crashes.
--- a/src/librequests/CrashSuspects.cpp
+++ b/src/librequests/CrashSuspects.cpp
@@ -236,14 +236,17 @@
   std::erase_if(m_Quarantines, [](const Active &Each) { return Each.m_Quarantine.m_Keys.empty(); });
 }
 
-bool CrashSuspects::isExplained(const Crash &Explained, const SuspectKey &Except) const {
+bool CrashSuspects::isExplained(const Crash &Explained, const SuspectKey &Against,
+                                OwnQuarantines Own) const {
   return std::any_of(m_Quarantines.begin(), m_Quarantines.end(), [&](const Active &Each) {
     // A part may hide behind a sound request that was in flight at the same crashes.
-    if (Except.m_Kind == SuspectKey::Kind::PromptPart && Each.m_Quarantine.isOfOneRequest())
+    if (Against.m_Kind == SuspectKey::Kind::PromptPart && Each.m_Quarantine.isOfOneRequest())
       return false;
     const std::vector<SuspectKey> &Keys = Each.m_Quarantine.m_Keys;
-    return std::find(Keys.begin(), Keys.end(), Except) == Keys.end() &&
-           std::any_of(Explained.m_Unstarted.begin(), Explained.m_Unstarted.end(),
+    if (Own == OwnQuarantines::Ignored &&
+        std::find(Keys.begin(), Keys.end(), Against) != Keys.end())
+      return false;
+    return std::any_of(Explained.m_Unstarted.begin(), Explained.m_Unstarted.end(),
                        [&](const UnstartedRequest &Request) {
                          return Each.m_Quarantine.matches(Request.m_Request);
                        });
@@ -259,29 +262,69 @@
   for (const UpstreamStart &Upstream : Known->second) {
     const Crash &Each = m_Crashes.at(Upstream);
     const bool IsRefuted = LastBegun && *LastBegun >= Each.m_At;
-    if (!IsRefuted && Now - Each.m_At < Lifetime && !isExplained(Each, Key))
+    if (!IsRefuted && Now - Each.m_At < Lifetime &&
+        !isExplained(Each, Key, OwnQuarantines::Ignored))
       Result.insert(Upstream);
   }
   return Result;
 }
 
+bool CrashSuspects::mayHaveOtherCause(const Crash &Of, const SuspectKey &Key) const {
+  const CrashSet &WithKey = m_CrashesByKey.at(Key);
+  if (std::any_of(m_Crashes.begin(), m_Crashes.end(), [&](const auto &Each) {
+        const auto &[Upstream, Other] = Each;
+        return std::chrono::abs(Other.m_At - Of.m_At) < CommonCauseTime &&
+               !WithKey.contains(Upstream);
+      }))
+    return true;
+  return std::any_of(Of.m_Unstarted.begin(), Of.m_Unstarted.end(),
+                     [&](const UnstartedRequest &Each) {
+                       return isBlockedAlone(Each.m_Request) &&
+                              !includes(WithKey, crashesOfRequest(Each.m_Request));
+                     });
+}
+
+CrashSuspects::CrashSet CrashSuspects::crashesOfRequest(const SuspectRequest &Request) const {
+  CrashSet Result;
+  for (const auto &[Upstream, Each] : m_Crashes)
+    if (std::any_of(Each.m_Unstarted.begin(), Each.m_Unstarted.end(),
+                    [&](const UnstartedRequest &Other) { return Other.m_Request == Request; }))
+      Result.insert(Upstream);
+  return Result;
+}
+
+bool CrashSuspects::isBlockedAlone(const SuspectRequest &Request) const {
+  return std::any_of(m_Quarantines.begin(), m_Quarantines.end(), [&](const Active &Each) {
+    return Each.m_Quarantine.isOfOneRequest() && Each.m_Quarantine.matches(Request);
+  });
+}
+
 std::size_t CrashSuspects::weight(const SuspectKey &Key, const CrashSet &Crashes) const {
   // A request runs on one upstream after the other, so its crashes have no common cause.
   if (Key.m_Kind == SuspectKey::Kind::Request)
-    return Crashes.size();
-  std::vector<TimePoint> Times;
+    return Crashes.size() * CrashWeight;
+  std::vector<const Crash *> ByTime;
   for (const UpstreamStart &Each : Crashes)
-    Times.push_back(m_Crashes.at(Each).m_At);
-  std::sort(Times.begin(), Times.end());
-  std::size_t Count = 0;
+    ByTime.push_back(&m_Crashes.at(Each));
+  std::sort(ByTime.begin(), ByTime.end(),
+            [](const Crash *Left, const Crash *Right) { return Left->m_At < Right->m_At; });
+  std::size_t Weight = 0;
   std::optional<TimePoint> LastCounted;
-  for (const TimePoint At : Times) {
-    if (LastCounted && At - *LastCounted < CommonCauseTime)
+  std::set<SuspectRequest> Counted;
+  for (const Crash *Each : ByTime) {
+    if (LastCounted && Each->m_At - *LastCounted < CommonCauseTime)
       continue;
-    LastCounted = At;
-    ++Count;
+    // A request that was sent again may itself be the cause of all its crashes.
+    bool IsNew = false;
+    for (const UnstartedRequest &Running : Each->m_Unstarted)
+      if (Running.m_Request.contains(Key) && Counted.insert(Running.m_Request).second)
+        IsNew = true;
+    if (!IsNew)
+      continue;
+    LastCounted = Each->m_At;
+    Weight += mayHaveOtherCause(*Each, Key) ? SharedCrashWeight : CrashWeight;
   }
-  return Count;
+  return Weight;
 }
 
 std::optional<CrashSuspects::Proposal> CrashSuspects::evaluate(const SuspectKey &Key,
@@ -295,7 +338,12 @@
       return Now < m_Crashes.at(Each).m_LearnedAt + m_CollectionTime;
     });
   const std::size_t Weight = weight(Key, Crashes);
-  if (Weight < CrashesToQuarantine)
+  if (Weight < WeightToQuarantine)
+    return std::nullopt;
+  // While a quarantine of several keys explains all crashes, nothing shows which key is the cause.
+  if (std::all_of(Crashes.begin(), Crashes.end(), [&](const UpstreamStart &Each) {
+        return isExplained(m_Crashes.at(Each), Key, OwnQuarantines::Counted);
+      }))
     return std::nullopt;
   Active &Explaining = Result.m_Active;
   Quarantine &Proposed = Explaining.m_Quarantine;
@@ -338,7 +386,7 @@
     else
       IsAmbiguous = true;
   }
-  if (IsAmbiguous && Weight <= CrashesToQuarantine)
+  if (IsAmbiguous && Weight <= WeightToQuarantine)
     return std::nullopt;
   return Result;
 }
@@ -405,7 +453,14 @@
     if (Best.empty() || (Rank == BestRank && Proposed->m_Crashes == Best.front().m_Crashes))
       Best.push_back(std::move(*Proposed));
   }
-  return Best;
+  // Of several explanations, the one with the most keys blocks the fewest requests.
+  std::vector<Proposal> Narrowest;
+  for (const Proposal &Each : Best)
+    if (std::none_of(Best.begin(), Best.end(), [&](const Proposal &Other) {
+          return Other.keys().size() > Each.keys().size() && includes(Other.keys(), Each.keys());
+        }))
+      Narrowest.push_back(Each);
+  return Narrowest;
 }
 
 void CrashSuspects::addQuarantine(Active Added, TimePoint Now) {
--- a/src/librequests/CrashSuspects_test.cpp
+++ b/src/librequests/CrashSuspects_test.cpp
@@ -261,3 +261,53 @@
   CHECK(Suspects.isQuarantined(request("4", {"bad"}), Start + 540ms));
   CHECK_FALSE(Suspects.isQuarantined(request("4", {"first"}), Start + 540ms));
 }
+
+// Guards against blocking a part because one request with it was sent again and crashed twice.
+TEST_CASE("the crashes of one request are no evidence against its parts") {
+  CrashSuspects Suspects;
+  Crashes Log(Suspects);
+  const SuspectRequest Repeated = request("1", {"first", "second"});
+  Log.record(0s, {Repeated});
+  Log.record(1s, {Repeated, request("2", {"first"})});
+  CHECK(Suspects.isQuarantined(Repeated, Start + 1s));
+  CHECK_FALSE(Suspects.isQuarantined(request("3", {"second"}), Start + 1s));
+  Log.record(2s, {request("4", {"x", "second"})});
+  CHECK(Suspects.isQuarantined(request("3", {"second"}), Start + 2s));
+}
+
+// Guards against blaming parts that were in flight when several upstreams lost power.
+TEST_CASE("a crash at the moment of another without the part weighs less") {
+  CrashSuspects Suspects;
+  Crashes Log(Suspects);
+  for (int I = 0; I < 3; ++I) {
+    const std::string Number = std::to_string(I);
+    Log.record(I * 1s, {request("without" + Number, {"other" + Number})});
+    Log.record(I * 1s + 20ms, {request("with" + Number, {"part"})});
+    CHECK_FALSE(Suspects.isQuarantined(request("x", {"part"}), Start + I * 1s + 20ms));
+  }
+  Log.record(3s, {request("alone", {"part"})});
+  CHECK(Suspects.isQuarantined(request("x", {"part"}), Start + 3s));
+}
+
+// Guards against blocking the first part of all requests beside the faulty part behind it.
+TEST_CASE("of two explanations, the one that blocks fewer requests is in force") {
+  CrashSuspects Suspects;
+  Crashes Log(Suspects);
+  Log.record(0s, {request("1", {"first", "bad"}), request("2", {"first"}, "b")});
+  Log.record(1s, {request("3", {"first", "bad"}), request("4", {"first"}, "b")});
+  Log.record(2s, {request("5", {"first", "bad"}), request("6", {"first"}, "b")});
+  CHECK(Suspects.isQuarantined(request("7", {"first", "bad"}), Start + 2s));
+  CHECK_FALSE(Suspects.isQuarantined(request("8", {"first"}, "b"), Start + 2s));
+}
+
+// Guards against blaming a part for a crash of a request that also crashed an upstream without it.
+TEST_CASE("a crash that a blocked request explains weighs less against parts of others") {
+  CrashSuspects Suspects;
+  Crashes Log(Suspects);
+  const SuspectRequest Faulty = request("1", {"bad"}, "b");
+  Log.record(0s, {request("2", {"part"})});
+  Log.record(1s, {Faulty});
+  Log.record(2s, {Faulty, request("3", {"part"})});
+  CHECK(Suspects.isQuarantined(Faulty, Start + 2s));
+  CHECK_FALSE(Suspects.isQuarantined(request("4", {"part"}), Start + 2s));
+}
--- a/src/librequests/model/CrashReplay.cpp
+++ b/src/librequests/model/CrashReplay.cpp
@@ -23,6 +23,8 @@
 constexpr Duration DownTime = 3s;
 constexpr double RequestsPerUpstream = 8;
 constexpr std::size_t Slots = 16;
+/// Start of the ids of parts that crash upstreams.
+const std::string FaultyPrefix = "bad";
 constexpr std::size_t AccountCount = 10;
 /// Share of the requests of the largest account, which sends the faulty ones.
 constexpr double LargestAccountShare = 0.4;
@@ -34,7 +36,7 @@
 
 CrashReplay::CrashReplay(const CrashReplayOptions &Given)
     : m_Options(Given), m_Random(Given.m_Seed), m_Instances(Given.m_Instances),
-      m_Upstreams(Given.m_Upstreams) {
+      m_Upstreams(Given.m_Upstreams), m_Faults(Given.m_FaultyParts) {
   for (Instance &Each : m_Instances) {
     Each.m_Suspects = std::make_unique<CrashSuspects>(CollectionTime);
     Each.m_Round = index(Given.m_Instances);
@@ -62,18 +64,22 @@
   Request New;
   New.m_ArrivedAt = m_Now;
   New.m_Instance = index(m_Options.m_Instances);
-  New.m_IsFaulty = m_Now >= FaultBegin && m_Now < FaultEnd && chance(m_Options.m_FaultyShare);
-  const std::size_t Account =
-      New.m_IsFaulty || chance(LargestAccountShare) ? 0 : 1 + index(AccountCount - 1);
-  const std::size_t First = New.m_IsFaulty ? 0 : index(FirstPartCount);
+  if (m_Now >= FaultBegin && m_Now < FaultEnd && chance(m_Options.m_FaultyShare))
+    New.m_FaultyPart = index(m_Options.m_FaultyParts);
+  // Each faulty part comes from an account and with a first part of its own.
+  const std::size_t Account = New.m_FaultyPart              ? *New.m_FaultyPart
+                              : chance(LargestAccountShare) ? 0
+                                                            : 1 + index(AccountCount - 1);
+  const std::size_t First = New.m_FaultyPart ? *New.m_FaultyPart : index(FirstPartCount);
   std::vector<std::string> Parts{"first" + std::to_string(First)};
-  if (New.m_IsFaulty)
-    Parts.push_back("bad");
+  if (New.m_FaultyPart)
+    Parts.push_back(FaultyPrefix + std::to_string(*New.m_FaultyPart));
   else if (chance(SecondPartShare))
     Parts.push_back("second" + std::to_string(index(SecondPartCount)));
   if (m_Options.m_Rule == SuspectRule::WholeRequests)
     Parts.clear();
-  New.m_IsRelated = !New.m_IsFaulty && (Account == 0 || First == 0);
+  New.m_IsRelated =
+      !New.m_FaultyPart && (Account < m_Options.m_FaultyParts || First < m_Options.m_FaultyParts);
   New.m_Suspect = makeSuspectRequest(ClientAccountId("account" + std::to_string(Account)),
                                      sha256(std::to_string(m_Requests.size())), Parts);
   m_Requests.push_back(std::move(New));
@@ -99,8 +105,8 @@
     return;
   ++Sent.m_Attempts;
   Sent.m_Upstream = Chosen;
-  if (Sent.m_IsFaulty)
-    m_FaultySends.push_back(m_Now);
+  if (Sent.m_FaultyPart)
+    m_Faults[*Sent.m_FaultyPart].m_Sends.push_back(m_Now);
   Upstream &To = m_Upstreams[Chosen];
   To.m_Running.insert(Number);
   post(m_Now + between(MinStartTime, MaxStartTime),
@@ -112,8 +118,8 @@
   Upstream &At = m_Upstreams[Begun.m_Upstream];
   if (At.m_Incarnation != StartNumber || !At.m_Running.contains(Number))
     return;
-  if (Begun.m_IsFaulty) {
-    m_Crashes.push_back(m_Now);
+  if (Begun.m_FaultyPart) {
+    m_Faults[*Begun.m_FaultyPart].m_Crashes.push_back(m_Now);
     crash(Begun.m_Upstream);
     return;
   }
@@ -169,11 +175,11 @@
     crash(Each);
 }
 
-void CrashReplay::send(std::size_t To, const SuspectUpdate &Update) {
+void CrashReplay::send(std::size_t To, std::shared_ptr<const SuspectUpdate> Update) {
   if (chance(m_Options.m_Loss))
     return;
-  post(m_Now + between(1ms, MaxDelay), [this, To, Update] {
-    m_Instances[To].m_Suspects->merge(Update, m_Now);
+  post(m_Now + between(1ms, MaxDelay), [this, To, Update = std::move(Update)] {
+    m_Instances[To].m_Suspects->merge(*Update, m_Now);
     collectChanges(To);
   });
 }
@@ -183,8 +189,8 @@
   Instance &Self = m_Instances[From];
   Self.m_Suspects->onTimer(m_Now);
   collectChanges(From);
-  const SuspectUpdate Update = Self.m_Suspects->takeUpdate(m_Now);
-  if (Update.empty())
+  const auto Update = std::make_shared<const SuspectUpdate>(Self.m_Suspects->takeUpdate(m_Now));
+  if (Update->empty())
     return;
   std::vector<std::size_t> Local;
   std::vector<std::size_t> Remote;
@@ -202,16 +208,18 @@
 }
 
 void CrashReplay::collectChanges(std::size_t Of) {
-  const SuspectKey Bad{SuspectKey::Kind::PromptPart, "bad"};
+  const auto IsFaultyPart = [](const SuspectKey &Key) {
+    return Key.m_Kind == SuspectKey::Kind::PromptPart && Key.m_Id.starts_with(FaultyPrefix);
+  };
   for (const QuarantineChange &Change : m_Instances[Of].m_Suspects->takeChanges()) {
     const std::vector<SuspectKey> &Keys = Change.m_Quarantine.m_Keys;
     if (Change.m_Kind != QuarantineChange::Kind::Begun ||
-        std::find(Keys.begin(), Keys.end(), Bad) != Keys.end())
+        std::any_of(Keys.begin(), Keys.end(), IsFaultyPart))
       continue;
     if (!Change.m_Quarantine.isOfOneRequest())
       m_FalseConvictions.insert(Keys);
     else if (std::none_of(m_Requests.begin(), m_Requests.end(), [&](const Request &Each) {
-               return Each.m_IsFaulty && Change.m_Quarantine.matches(Each.m_Suspect);
+               return Each.m_FaultyPart && Change.m_Quarantine.matches(Each.m_Suspect);
              }))
       m_BlockedRequests.insert(Keys);
   }
@@ -230,15 +238,23 @@
     Next.m_Run();
   }
   CrashReplayResult Result;
-  Result.m_Crashes = m_Crashes.size();
   Result.m_FalseConvictions = m_FalseConvictions.size();
   Result.m_BlockedRequests = m_BlockedRequests.size();
-  const TimePoint Fifth = m_Crashes.size() >= 5 ? m_Crashes[4]
-                          : m_Crashes.empty()   ? FaultEnd
-                                                : m_Crashes.back();
-  Result.m_SentAfterBound = static_cast<std::size_t>(
-      std::count_if(m_FaultySends.begin(), m_FaultySends.end(),
-                    [&](TimePoint At) { return m_Crashes.size() >= 5 && At > Fifth + BoundTime; }));
+  TimePoint LastBound = FaultBegin;
+  for (const Fault &Each : m_Faults) {
+    Result.m_Crashes += Each.m_Crashes.size();
+    if (Each.m_Crashes.empty())
+      continue;
+    const bool HasFive = Each.m_Crashes.size() >= CrashesToBound;
+    const TimePoint Bound =
+        (HasFive ? Each.m_Crashes[CrashesToBound - 1] : Each.m_Crashes.back()) + BoundTime;
+    LastBound = std::max(LastBound, Bound);
+    if (HasFive)
+      Result.m_SentAfterBound = std::max(
+          Result.m_SentAfterBound,
+          static_cast<std::size_t>(std::count_if(Each.m_Sends.begin(), Each.m_Sends.end(),
+                                                 [&](TimePoint At) { return At > Bound; })));
+  }
   double Before[2] = {0, 0};
   double Beside[2] = {0, 0};
   for (const Request &Each : m_Requests) {
@@ -246,7 +262,7 @@
       continue;
     const bool WasServed = Each.m_HasBegun && Each.m_Attempts == 1;
     double *Counts = Each.m_ArrivedAt < FaultBegin - 1s ? Before
-                     : Each.m_ArrivedAt > Fifth + 2 * BoundTime && Each.m_ArrivedAt < FaultEnd
+                     : Each.m_ArrivedAt > LastBound + BoundTime && Each.m_ArrivedAt < FaultEnd
                          ? Beside
                          : nullptr;
     if (!Counts)
--- a/src/librequests/model/CrashReplay.h
+++ b/src/librequests/model/CrashReplay.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -30,6 +31,8 @@
   std::size_t m_Upstreams = 11;
   /// Share of the requests with the part that crashes upstreams, from FaultBegin to FaultEnd.
   double m_FaultyShare = 0.02;
+  /// Number of parts that crash upstreams. Each faulty request has one of them.
+  std::size_t m_FaultyParts = 1;
   /// Share of the upstreams that crash for other reasons, at the same moment, every
   /// OrdinaryCrashInterval.
   double m_OrdinaryCrashShare = 0;
@@ -42,13 +45,14 @@
 };
 
 struct CrashReplayResult {
-  /// Crashes caused by the faulty part.
+  /// Crashes caused by faulty parts.
   std::size_t m_Crashes = 0;
-  /// Requests with the faulty part that were sent later than BoundTime after the fifth crash.
+  /// Requests with a faulty part that were sent later than BoundTime after its fifth crash; the
+  /// largest count of a part.
   std::size_t m_SentAfterBound = 0;
   /// Sound requests with the account or the first part of faulty ones: share that began at the
-  /// first attempt, from twice BoundTime after the fifth crash, relative to the time before the
-  /// fault.
+  /// first attempt, from twice BoundTime after the fifth crash of each part, relative to the time
+  /// before the fault.
   double m_SoundServedRatio = 0;
   /// Quarantines of sound parts.
   std::size_t m_FalseConvictions = 0;
@@ -57,12 +61,13 @@
 };
 
 /// Simulates entry instances, each with its own CrashSuspects, and engines that crash when they
-/// begin to answer a request with one prompt part, in virtual time.
+/// begin to answer a request with a faulty prompt part, in virtual time.
 class CrashReplay {
 public:
   static constexpr TimePoint FaultBegin{std::chrono::seconds(4)};
   static constexpr TimePoint FaultEnd{std::chrono::seconds(20)};
   static constexpr TimePoint End{std::chrono::seconds(22)};
+  static constexpr std::size_t CrashesToBound = 5;
   static constexpr Duration BoundTime = std::chrono::seconds(3);
   /// The bound on requests with the faulty part that are sent after BoundTime.
   static constexpr std::size_t MaxSentAfterBound = 3;
@@ -76,7 +81,8 @@
 private:
   struct Request {
     SuspectRequest m_Suspect;
-    bool m_IsFaulty = false;
+    /// The part that crashes upstreams, unless the request is sound.
+    std::optional<std::size_t> m_FaultyPart;
     /// A sound request with the account or the first part of faulty ones.
     bool m_IsRelated = false;
     std::size_t m_Instance = 0;
@@ -85,6 +91,11 @@
     bool m_HasBegun = false;
     TimePoint m_ArrivedAt;
   };
+  /// What the requests with one faulty part did.
+  struct Fault {
+    std::vector<TimePoint> m_Crashes;
+    std::vector<TimePoint> m_Sends;
+  };
   struct Upstream {
     std::uint64_t m_Incarnation = 1;
     TimePoint m_DownUntil;
@@ -112,7 +123,7 @@
   void crash(std::size_t Crashed);
   void crashSome();
   void sendUpdates(std::size_t From);
-  void send(std::size_t To, const SuspectUpdate &Update);
+  void send(std::size_t To, std::shared_ptr<const SuspectUpdate> Update);
   void collectChanges(std::size_t Of);
   UpstreamStart startOf(std::size_t Index) const;
   std::size_t dataCentreOf(std::size_t Index) const { return Index % m_Options.m_DataCentres; }
@@ -130,8 +141,7 @@
   std::vector<Instance> m_Instances;
   std::vector<Upstream> m_Upstreams;
   std::vector<Request> m_Requests;
-  std::vector<TimePoint> m_Crashes;
-  std::vector<TimePoint> m_FaultySends;
+  std::vector<Fault> m_Faults;
   std::set<std::vector<SuspectKey>> m_FalseConvictions;
   std::set<std::vector<SuspectKey>> m_BlockedRequests;
 };
