Gateway: events that have not ended are bounded for all streams together

An upstream that sends the beginning of an event without end is cut off after 256 KiB, but each stream in progress could hold that much: 512 MiB with 2048 requests, on machines with 160 MB. Such events now share the limit of 16 MiB with the bodies of failures.

The new test fails without the limit (no stream of 80 ends). Two more tests show what held before: a body without end is read as fast as its client reads, chunked or not, and ends with the client or at the deadline.

--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -91,9 +91,9 @@
   /// Delay of a crash check after a connection broke. A crashed upstream refuses connections by
   /// then.
   static constexpr Duration CrashCheckDelay = std::chrono::milliseconds(40);
-  /// Limit on the failure responses of upstreams that are buffered for all requests. A response
-  /// that exceeds it counts as no response.
-  static constexpr std::size_t MaxFailureBufferBytes = 16 << 20;
+  /// Limit on the parts of responses that are held back for all requests: bodies of failures, and
+  /// events that have not ended. A response that exceeds it counts as no response.
+  static constexpr std::size_t MaxResponseBufferBytes = 16 << 20;
   /// Maximum number of client requests in progress; further ones are refused.
   static constexpr std::size_t MaxRequests = 2048;
 
@@ -197,20 +197,20 @@
     GatewayCore &m_Core;
   };
   std::size_t requestsInProgress() const { return m_InProgress.size(); }
-  /// Part of MaxFailureBufferBytes that a request uses during the object's lifetime.
-  class FailureBuffer {
+  /// Part of MaxResponseBufferBytes that a request uses during the object's lifetime.
+  class ResponseBuffer {
   public:
-    explicit FailureBuffer(GatewayCore &Core) : m_Core(Core) {}
-    FailureBuffer(const FailureBuffer &) = delete;
-    FailureBuffer &operator=(const FailureBuffer &) = delete;
-    ~FailureBuffer() { m_Core.m_FailureBufferBytes -= m_Size; }
+    explicit ResponseBuffer(GatewayCore &Core) : m_Core(Core) {}
+    ResponseBuffer(const ResponseBuffer &) = delete;
+    ResponseBuffer &operator=(const ResponseBuffer &) = delete;
+    ~ResponseBuffer() { m_Core.m_ResponseBufferBytes -= m_Size; }
 
     /// Returns false, and uses nothing any more, if the limit would be exceeded.
     bool resize(std::size_t Size) {
-      m_Core.m_FailureBufferBytes -= std::exchange(m_Size, 0);
-      if (m_Core.m_FailureBufferBytes + Size > MaxFailureBufferBytes)
+      m_Core.m_ResponseBufferBytes -= std::exchange(m_Size, 0);
+      if (m_Core.m_ResponseBufferBytes + Size > MaxResponseBufferBytes)
         return false;
-      m_Core.m_FailureBufferBytes += Size;
+      m_Core.m_ResponseBufferBytes += Size;
       m_Size = Size;
       return true;
     }
@@ -313,7 +313,7 @@
   TimePoint m_RequestCutoff = TimePoint::max();
   OneShotTimer m_StopTimer;
   std::size_t m_RequestsBeingRead = 0;
-  std::size_t m_FailureBufferBytes = 0;
+  std::size_t m_ResponseBufferBytes = 0;
   std::map<const RequestInProgress *, Callbacks> m_InProgress;
   CounterMetric &m_Requests;
   CounterMetric &m_Attempts;
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -524,6 +524,7 @@
   const bool IsResumed = m_HeaderSent;
   const std::uint64_t ForwardedBefore = m_ForwardedEvents;
   EventSplitter Events;
+  GatewayCore::ResponseBuffer EventBuffer(m_Core);
   std::string Bytes;
   bool IsFirstRead = true;
   while (true) {
@@ -559,6 +560,8 @@
       if (!Forwarded)
         co_return AttemptEnd::Interrupted;
     }
+    if (!EventBuffer.resize(Events.pending().size()))
+      co_return AttemptEnd::Failed;
     if (!IsDone)
       continue;
     // A response that ends within an event, or that resumes a stream without a new event, does not
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -188,7 +188,7 @@
   std::vector<InstanceId> m_TriedUpstreams;
   std::optional<StoredResponse> m_FailureResponse;
   /// Reserved for m_FailureResponse.
-  GatewayCore::FailureBuffer m_FailureBuffer{m_Core};
+  GatewayCore::ResponseBuffer m_FailureBuffer{m_Core};
   bool m_IsResponseMalformed = false;
   std::uint32_t m_PromptTokens = 0;
   /// Prompt tokens that the upstream of the current attempt has not read yet.
--- a/src/libgateway/ResponseEnd_test.cpp
+++ b/src/libgateway/ResponseEnd_test.cpp
@@ -2,6 +2,8 @@
 #include "GatewayCore.h"
 
 #include <catch2/catch.hpp>
+#include <memory>
+#include <utility>
 
 using namespace fescuegauge;
 using namespace fescuegauge::test;
@@ -127,43 +129,130 @@
   CHECK_FALSE(Response.isCompleteChunked());
 }
 
+namespace {
+
+/// Requests whose responses never end, and whose deadlines are far away: one that ends was ended by
+/// a limit of the gateway.
+class EndlessResponses {
+public:
+  EndlessResponses(const std::string &Path, std::size_t Count, FakeUpstream::RequestHandler Handler)
+      : m_Responses(Count), m_Done(std::make_unique<bool[]>(Count)) {
+    m_Fixture.setPlan([](RoutingPlan &Plan) {
+      for (Route &Each : Plan.m_Routes)
+        Each.m_Timeout = 60s;
+    });
+    m_Fixture.addUpstream(std::move(Handler));
+    m_Fixture.records()[0].m_Slots = static_cast<std::uint32_t>(2 * Count);
+    m_Fixture.gateway().setUpstreams(m_Fixture.records());
+    for (std::size_t I = 0; I < Count; ++I) {
+      std::string Request = GatewayFixture::request(Path, "r" + std::to_string(I));
+      const std::string_view Deadline = "Deadline-Ms: 1200";
+      Request.replace(Request.find(Deadline), Deadline.size(), "Deadline-Ms: 50000");
+      m_Fixture.start(Request, m_Responses[I], m_Done[I]);
+    }
+  }
+
+  /// Waits until `Count` requests or more have ended, all of them with status 502.
+  void checkEnded(std::size_t Count) {
+    CHECK(m_Fixture.runUntil([&] { return endedCount() >= Count; }, 40s));
+    for (std::size_t I = 0; I < m_Responses.size(); ++I)
+      if (m_Done[I])
+        CHECK(m_Responses[I].status() == 502);
+  }
+
+  /// Ends the other requests.
+  void stop() {
+    m_Fixture.gateway().beginDrain();
+    REQUIRE(m_Fixture.runUntil([&] { return endedCount() == m_Responses.size(); }, 10s));
+    for (const RawResponse &Each : m_Responses)
+      CHECK(Each.status() >= 502);
+  }
+
+private:
+  std::size_t endedCount() const {
+    return static_cast<std::size_t>(
+        std::count(m_Done.get(), m_Done.get() + m_Responses.size(), true));
+  }
+
+  GatewayFixture m_Fixture{600ms};
+  std::vector<RawResponse> m_Responses;
+  std::unique_ptr<bool[]> m_Done;
+};
+
+} // namespace
+
 // Guards against failure responses that together exceed the memory of the machine, although each of
 // them is bounded.
 TEST_CASE("the buffered failure responses of all requests are bounded", "[gateway]") {
-  constexpr Duration StopTime = 600ms;
   constexpr std::size_t BodyBytes = 900 << 10;
   constexpr std::size_t Count = 30;
-  constexpr std::size_t Fitting = GatewayCore::MaxFailureBufferBytes / BodyBytes;
-  GatewayFixture Fixture(StopTime);
-  // No request reaches its deadline, so one that ends early was ended by the limit.
-  Fixture.setPlan([](RoutingPlan &Plan) {
-    for (Route &Each : Plan.m_Routes)
-      Each.m_Timeout = 60s;
-  });
-  Fixture.addUpstream([](const HttpRequest &Request) {
+  EndlessResponses Requests("/once/x", Count, [](const HttpRequest &Request) {
     const std::string Part(BodyBytes, 'x');
     return Script{{{"HTTP/1.1 500 Any\r\nRequest-Id: " + std::string(Request["Request-Id"]) +
                     "\r\nContent-Length: " + std::to_string(Part.size() + 1) + "\r\n\r\n" + Part}}};
   });
-  Fixture.records()[0].m_Slots = 2 * Count;
-  Fixture.gateway().setUpstreams(Fixture.records());
-  std::vector<RawResponse> Responses(Count);
-  std::array<bool, Count> Done{};
-  for (std::size_t I = 0; I < Count; ++I) {
-    std::string Request = GatewayFixture::request("/once/x", "r" + std::to_string(I));
-    Request.replace(Request.find("Deadline-Ms: 1200"), 17, "Deadline-Ms: 50000");
-    Fixture.start(Request, Responses[I], Done[I]);
+  Requests.checkEnded(Count - GatewayCore::MaxResponseBufferBytes / BodyBytes);
+  Requests.stop();
+}
+
+// Guards against unended events of many streams that together exceed the memory of the machine.
+TEST_CASE("the buffered events of all streams are bounded", "[gateway]") {
+  constexpr std::size_t EventBytes = 250 << 10;
+  constexpr std::size_t Count = 80;
+  EndlessResponses Requests("/stream/x", Count, [](const HttpRequest &Request) {
+    return Script{{{streamHeader(Request) + chunk(std::string(EventBytes, 'x'))}}};
+  });
+  Requests.checkEnded(Count - GatewayCore::MaxResponseBufferBytes / EventBytes);
+  Requests.stop();
+}
+
+// Guards against a body without end that is kept for a client that does not read, and that goes on
+// after the client has left.
+TEST_CASE("an endless body is read only as fast as its client reads, and ends with it",
+          "[gateway]") {
+  // What the gateway and the socket buffers on both sides hold.
+  constexpr std::size_t MaxHeld = 24 << 20;
+  for (const bool IsChunked : {true, false}) {
+    GatewayFixture Fixture;
+    Fixture.setPlan();
+    const std::string Body(64 << 10, 'x');
+    FakeUpstream &Upstream = Fixture.addUpstream([&](const HttpRequest &Request) {
+      return Script{{{"HTTP/1.1 200 Any\r\nRequest-Id: " + std::string(Request["Request-Id"]) +
+                      (IsChunked ? "\r\nTransfer-Encoding: chunked" : "") + "\r\n\r\n"}},
+                    Script::End::KeepOpen,
+                    IsChunked ? chunk(Body) : Body};
+    });
+    INFO("chunked " << IsChunked);
+    Tcp::socket Client(Fixture.loop());
+    Client.connect(tcpEndpoint(Fixture.address()));
+    net::write(Client, net::buffer(GatewayFixture::request("/once/x", "r1")));
+    std::size_t Sent = 0;
+    REQUIRE(Fixture.runUntil(
+        [&] {
+          const std::size_t Before = std::exchange(Sent, Upstream.repeatedBytes());
+          Fixture.runUntil([] { return false; }, 50ms);
+          return Before > 0 && Before == Upstream.repeatedBytes();
+        },
+        10s));
+    CHECK(Sent <= MaxHeld);
+    CHECK(Upstream.abandonedCount() == 0);
+    Client.close();
+    CHECK(Fixture.runUntil([&] { return Upstream.abandonedCount() == 1; }, 5s));
+    CHECK(Upstream.repeatedBytes() <= MaxHeld);
   }
-  // The upstream never ends a response, so only those beyond the limit end.
-  const auto EndedCount = [&] {
-    return static_cast<std::size_t>(std::count(Done.begin(), Done.end(), true));
-  };
-  CHECK(Fixture.runUntil([&] { return EndedCount() >= Count - Fitting; }, 40s));
-  for (std::size_t I = 0; I < Count; ++I)
-    if (Done[I])
-      CHECK(Responses[I].status() == 502);
-  Fixture.gateway().beginDrain();
-  REQUIRE(Fixture.runUntil([&] { return EndedCount() == Count; }, 10s));
-  for (const RawResponse &Each : Responses)
-    CHECK(Each.status() >= 502);
+}
+
+// Guards against an endless body that outlives the deadline, or that looks complete then.
+TEST_CASE("an endless body is cut at the deadline", "[gateway]") {
+  GatewayFixture Fixture;
+  Fixture.setPlan();
+  FakeUpstream &Upstream = Fixture.addUpstream([&](const HttpRequest &Request) {
+    return Script{{{"HTTP/1.1 200 Any\r\nRequest-Id: " + std::string(Request["Request-Id"]) +
+                    "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(std::string(128 << 10, 'x'))},
+                   {chunk("x"), 10s}}};
+  });
+  const RawResponse Response = Fixture.exchange(GatewayFixture::request("/once/x", "r1"));
+  CHECK(Response.m_ClosedByServer);
+  CHECK_FALSE(Response.isComplete());
+  CHECK(Fixture.runUntil([&] { return Upstream.abandonedCount() == 1; }, 1s));
 }
