--- a/src/librpc/RpcNode_test.cpp
+++ b/src/librpc/RpcNode_test.cpp
@@ -151,54 +151,58 @@
   CHECK(Answer == "echo hi");
 }
 
+namespace {
+
+/// An attempt that an agent has received and does not answer.
+struct UnansweredAttempt {
+  EventLoop m_Loop{2};
+  EventLoop m_ServerLoop{2};
+  FakeAgent m_Agent;
+  FakeAgent m_Unused;
+  std::unique_ptr<RpcNode> m_Server =
+      std::make_unique<RpcNode>(m_ServerLoop, optionsFor("agent"), m_Agent);
+  RpcNode m_Client{m_Loop, optionsFor("entry"), m_Unused};
+  InstanceId m_Peer{"agent"};
+  std::shared_ptr<RecordingSink> m_Sink = std::make_shared<RecordingSink>();
+
+  UnansweredAttempt() {
+    m_Agent.m_HoldsAttempts = true;
+    m_Loop.postAndWait([&] { m_Client.addPeer(m_Peer, {"127.0.0.1", m_Server->port()}, true); });
+    REQUIRE(waitFor(m_Loop, [&] { return m_Client.isConnected(m_Peer); }));
+    AttemptRequest Request;
+    Request.m_Attempt = AttemptId("a1");
+    m_Loop.post([this, Request] { m_Client.runAttempt(m_Peer, Request, m_Sink); });
+    REQUIRE(m_Agent.m_Received.wait());
+  }
+
+  /// The agent drops its reference to the sink.
+  void releaseSink() {
+    m_ServerLoop.postAndWait([&] { m_Agent.m_HeldSinks.clear(); });
+  }
+};
+
+} // namespace
+
 // Guards against an attempt that never ends because the process that runs it has exited.
 TEST_CASE("an attempt ends as lost when its connection ends") {
-  EventLoop Loop(2);
-  EventLoop ServerLoop(2);
-  FakeAgent Agent;
-  Agent.m_HoldsAttempts = true;
-  auto Server = std::make_unique<RpcNode>(ServerLoop, optionsFor("agent"), Agent);
-  FakeAgent Unused;
-  RpcNode Client(Loop, optionsFor("entry"), Unused);
-  InstanceId Peer("agent");
-  Loop.postAndWait([&] { Client.addPeer(Peer, {"127.0.0.1", Server->port()}, true); });
-  REQUIRE(waitFor(Loop, [&] { return Client.isConnected(Peer); }));
-  auto Sink = std::make_shared<RecordingSink>();
-  AttemptRequest Request;
-  Request.m_Attempt = AttemptId("a1");
-  Loop.post([&] { Client.runAttempt(Peer, Request, Sink); });
-  REQUIRE(Agent.m_Received.wait());
-  ServerLoop.postAndWait([&] { Agent.m_HeldSinks.clear(); });
-  Server.reset();
-  REQUIRE(Sink->m_Ended.wait());
-  CHECK(Sink->m_End.m_Status == AttemptStatus::ConnectionLost);
-  CHECK(Sink->m_End.m_WasRun == WasRun::Unknown);
-  CHECK(Sink->m_Ends == 1);
+  UnansweredAttempt Attempt;
+  Attempt.releaseSink();
+  Attempt.m_Server.reset();
+  REQUIRE(Attempt.m_Sink->m_Ended.wait());
+  CHECK(Attempt.m_Sink->m_End.m_Status == AttemptStatus::ConnectionLost);
+  CHECK(Attempt.m_Sink->m_End.m_WasRun == WasRun::Unknown);
+  CHECK(Attempt.m_Sink->m_Ends == 1);
 }
 
 // Guards against a second end of an attempt: the agent releases the sink without an answer, and the
 // connection ends afterwards while the caller still holds the sink.
 TEST_CASE("an attempt whose sink was released does not end again with its connection") {
-  EventLoop Loop(2);
-  EventLoop ServerLoop(2);
-  FakeAgent Agent;
-  Agent.m_HoldsAttempts = true;
-  auto Server = std::make_unique<RpcNode>(ServerLoop, optionsFor("agent"), Agent);
-  FakeAgent Unused;
-  RpcNode Client(Loop, optionsFor("entry"), Unused);
-  InstanceId Peer("agent");
-  Loop.postAndWait([&] { Client.addPeer(Peer, {"127.0.0.1", Server->port()}, true); });
-  REQUIRE(waitFor(Loop, [&] { return Client.isConnected(Peer); }));
-  auto Sink = std::make_shared<RecordingSink>();
-  AttemptRequest Request;
-  Request.m_Attempt = AttemptId("a1");
-  Loop.post([&] { Client.runAttempt(Peer, Request, Sink); });
-  REQUIRE(Agent.m_Received.wait());
-  ServerLoop.postAndWait([&] { Agent.m_HeldSinks.clear(); });
-  REQUIRE(Sink->m_Ended.wait());
-  Server.reset();
-  REQUIRE(waitFor(Loop, [&] { return !Client.isConnected(Peer); }));
-  CHECK(Sink->m_Ends == 1);
+  UnansweredAttempt Attempt;
+  Attempt.releaseSink();
+  REQUIRE(Attempt.m_Sink->m_Ended.wait());
+  Attempt.m_Server.reset();
+  REQUIRE(waitFor(Attempt.m_Loop, [&] { return !Attempt.m_Client.isConnected(Attempt.m_Peer); }));
+  CHECK(Attempt.m_Sink->m_Ends == 1);
 }
 
 // Guards against a connection that stays open but delivers nothing. A blocked server loop simulates
