Gateway test: calls to servers that send bytes without end fail after a bounded number of bytes

Reports of upstreams and pieces of weights are fetched by AsyncHttpClient, whose limits on heads (8 KiB), unparsed bytes (128 KiB) and bodies (8 MiB) had no test. The code did not change.

--- a/src/libgateway/ResponseEnd_test.cpp
+++ b/src/libgateway/ResponseEnd_test.cpp
@@ -256,3 +256,41 @@
   CHECK_FALSE(Response.isComplete());
   CHECK(Fixture.runUntil([&] { return Upstream.abandonedCount() == 1; }, 1s));
 }
+
+// Guards against reports and pieces of weights without end that fill the memory of the caller.
+TEST_CASE("a call whose response never ends fails after a bounded number of bytes", "[gateway]") {
+  // What the socket buffers hold beside the answer.
+  constexpr std::size_t MaxSocketBytes = 8 << 20;
+  const std::string Line(2048, 'x');
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  const std::vector<std::pair<std::string, std::string>> Cases = {
+      {"", Line},
+      {Ok + "X: ", Line},
+      {Ok, "X-Filler: y\r\n"},
+      {Ok + "Transfer-Encoding: chunked\r\n\r\n", chunk(Line)},
+      {Ok + "Transfer-Encoding: chunked\r\n\r\n4;x=", Line},
+      {Ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", Line},
+      {Ok + "\r\n", Line},
+  };
+  for (const auto &[Begin, Repeated] : Cases) {
+    INFO(Begin);
+    net::io_context Loop;
+    FakeUpstream Called(Loop, [&](const HttpRequest &) {
+      return Script{{{Begin}}, Script::End::KeepOpen, Repeated};
+    });
+    ConnectionPool Pool(Loop.get_executor());
+    AsyncHttpClient HttpClient(Pool);
+    std::optional<CallResult> Result;
+    net::co_spawn(
+        Loop,
+        [&]() -> Task<> {
+          Result = co_await HttpClient.call(Called.address(), makeGet("/any"), CallTimeouts{20s});
+        },
+        net::detached);
+    REQUIRE(test::runUntil(
+        Loop, [&] { return Result.has_value() && Called.abandonedCount() > 0; }, 30s));
+    CHECK_FALSE(Result->isAnswered());
+    CHECK(Result->m_Reason != "timeout");
+    CHECK(Called.repeatedBytes() <= AsyncHttpClient::MaxAnswerBytes + MaxSocketBytes);
+  }
+}
