--- a/src/libgateway/ResponseEnd_test.cpp
+++ b/src/libgateway/ResponseEnd_test.cpp
@@ -263,7 +263,11 @@
   constexpr std::size_t MaxSocketBytes = 8 << 20;
   const std::string Line(2048, 'x');
   const std::string Ok = "HTTP/1.1 200 OK\r\n";
-  const std::vector<std::pair<std::string, std::string>> Cases = {
+  struct EndlessResponse {
+    std::string m_Begin;
+    std::string m_Repeated;
+  };
+  const std::vector<EndlessResponse> Cases = {
       {"", Line},
       {Ok + "X: ", Line},
       {Ok, "X-Filler: y\r\n"},
@@ -272,11 +276,11 @@
       {Ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", Line},
       {Ok + "\r\n", Line},
   };
-  for (const auto &[Begin, Repeated] : Cases) {
-    INFO(Begin);
+  for (const EndlessResponse &Case : Cases) {
+    INFO(Case.m_Begin);
     net::io_context Loop;
     FakeUpstream Called(Loop, [&](const HttpRequest &) {
-      return Script{{{Begin}}, Script::End::KeepOpen, Repeated};
+      return Script{{{Case.m_Begin}}, Script::End::KeepOpen, Case.m_Repeated};
     });
     ConnectionPool Pool(Loop.get_executor());
     AsyncHttpClient HttpClient(Pool);
