Tests: servers of a test process listen on a loopback address of their own

Its servers listened on 127.0.0.1, where tests run at the same time: another process could take a port that a test had chosen and not yet opened ("bind: Address already in use"), or one that a fake upstream had closed to look crashed (probes of it succeeded, so no crash was recorded). Each process now uses an address of 127.64.0.0/10 derived from its id, and freePort() returns a port that is free for UDP, too.

--- a/src/libagent/WeightsAgent_test.cpp
+++ b/src/libagent/WeightsAgent_test.cpp
@@ -144,7 +144,7 @@
 public:
   explicit AgentFixture(net::io_context &Loop, const std::string &Name = "127.0.0.1")
       : m_Loop(Loop), m_Pool(Loop.get_executor()), m_HttpClient(m_Pool), m_Server(Loop) {
-    m_Address = {"127.0.0.1", test::freePort(Loop)};
+    m_Address = test::loopbackEndpoint(test::freePort(Loop));
     WeightsAgentOptions Options;
     Options.m_Self = InstanceId(Name);
     Options.m_OriginRegion = RegionId("r");
@@ -345,7 +345,7 @@
 TEST_CASE("digests are requested from the next agent when one does not answer", "[agent]") {
   net::io_context Loop;
   // Connections are accepted by the kernel and never answered.
-  Tcp::acceptor Unresponsive(Loop, Tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
+  Tcp::acceptor Unresponsive(Loop, Tcp::endpoint(test::loopbackAddress(), 0));
   constexpr int Count = 16;
   std::vector<std::unique_ptr<AgentFixture>> Agents;
   std::vector<PiecePeer> Peers;
--- a/src/libgateway/FakeUpstream.h
+++ b/src/libgateway/FakeUpstream.h
@@ -182,7 +182,7 @@
     Options.m_Region = RegionId("r");
     Options.m_Seed = 7;
     m_Gateway = std::make_unique<Gateway>(m_Loop, Options, m_Metrics);
-    m_Address = {"127.0.0.1", freePort(m_Loop)};
+    m_Address = loopbackEndpoint(freePort(m_Loop));
     m_Gateway->listen(m_Address);
   }
 
--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -998,10 +998,10 @@
 /// counts the received suspects.
 struct ListeningPeer {
   explicit ListeningPeer(net::io_context &Loop)
-      : m_Socket(Loop, Udp::endpoint(net::ip::address_v4::loopback(), 0)) {
+      : m_Socket(Loop, Udp::endpoint(loopbackAddress(), 0)) {
     m_Socket.non_blocking(true);
   }
-  Endpoint address() const { return {"127.0.0.1", m_Socket.local_endpoint().port()}; }
+  Endpoint address() const { return loopbackEndpoint(m_Socket.local_endpoint().port()); }
   /// Reads all received datagrams.
   void read() {
     std::array<char, 4096> Buffer;
@@ -1053,7 +1053,7 @@
       Each->read();
     return std::all_of(Peers.begin(), Peers.end(), [&](const auto &Each) { return Holds(*Each); });
   };
-  Link.start({"127.0.0.1", freePort(Loop)});
+  Link.start(loopbackEndpoint(freePort(Loop)));
   constexpr auto Turns =
       (Count + PeerReportExchange::MaxLocalPeers - 1) / PeerReportExchange::MaxLocalPeers;
   const Duration Bound = PeerReportExchange::LocalInterval * static_cast<int>(Turns + 1);
--- a/src/libgateway/LoopbackTestUtils.h
+++ b/src/libgateway/LoopbackTestUtils.h
@@ -11,6 +11,7 @@
 #include <boost/beast/http/write.hpp>
 #include <functional>
 #include <optional>
+#include <unistd.h>
 
 namespace fescuegauge::test {
 
@@ -36,9 +37,30 @@
       Loop, [] { return false; }, Length);
 }
 
+/// Loopback address of this process. On an address of its own, no test that runs at the same time
+/// takes over a port that a test has closed or chosen and not yet opened.
+inline net::ip::address_v4 loopbackAddress() {
+  // 127.64.0.0/10 holds as many addresses as Linux has process ids.
+  constexpr std::uint32_t Network = 0x7F400000;
+  constexpr std::uint32_t HostBits = 0x003FFFFF;
+  return net::ip::address_v4(Network | (static_cast<std::uint32_t>(::getpid()) & HostBits));
+}
+
+inline Endpoint loopbackEndpoint(std::uint16_t Port) {
+  return {loopbackAddress().to_string(), Port};
+}
+
+/// Returns a port of the loopback address that is free for TCP and for UDP.
 inline std::uint16_t freePort(net::io_context &Loop) {
-  Tcp::acceptor Probe(Loop, Tcp::endpoint(net::ip::address_v4::loopback(), 0));
-  return Probe.local_endpoint().port();
+  while (true) {
+    Tcp::acceptor Probe(Loop, Tcp::endpoint(loopbackAddress(), 0));
+    const std::uint16_t Port = Probe.local_endpoint().port();
+    Udp::socket UdpProbe(Loop, Udp::v4());
+    SystemError Error;
+    UdpProbe.bind(Udp::endpoint(loopbackAddress(), Port), Error);
+    if (!Error)
+      return Port;
+  }
 }
 
 /// Accepts connections on a free port of the loopback address and serves each in its own coroutine.
@@ -47,12 +69,11 @@
   using ConnectionHandler = std::function<Task<>(Tcp::socket)>;
 
   LoopbackServer(net::io_context &Loop, ConnectionHandler OnConnection)
-      : m_Acceptor(Loop, Tcp::endpoint(net::ip::address_v4::loopback(), 0)),
-        m_Handler(std::move(OnConnection)) {
+      : m_Acceptor(Loop, Tcp::endpoint(loopbackAddress(), 0)), m_Handler(std::move(OnConnection)) {
     net::co_spawn(Loop, accept(), net::detached);
   }
 
-  Endpoint address() const { return {"127.0.0.1", m_Acceptor.local_endpoint().port()}; }
+  Endpoint address() const { return loopbackEndpoint(m_Acceptor.local_endpoint().port()); }
   void stopListening() { m_Acceptor.close(); }
 
 private:
