--- a/src/include/Fescuegauge/CrashSuspects.h
+++ b/src/include/Fescuegauge/CrashSuspects.h
@@ -6,6 +6,7 @@
 #include "Fescuegauge/Units.h"
 #include "Fescuegauge/UpstreamStatements.h"
 
+#include <algorithm>
 #include <chrono>
 #include <compare>
 #include <cstdint>
@@ -216,6 +217,12 @@
     TimePoint m_At;
     TimePoint m_LearnedAt;
     std::vector<UnstartedRequest> m_Unstarted;
+
+    /// Whether a request meets a condition.
+    template <typename Condition> bool hasUnstarted(Condition Holds) const {
+      return std::any_of(m_Unstarted.begin(), m_Unstarted.end(),
+                         [&](const UnstartedRequest &Each) { return Holds(Each.m_Request); });
+    }
   };
   struct Begun {
     TimePoint m_At = TimePoint::min();
@@ -236,7 +243,6 @@
   /// false if there are too many accounts.
   bool makeRoom(const SuspectRequest &For);
   void removeUnstarted(std::map<UpstreamStart, Crash>::iterator Of, std::size_t Index);
-  bool hasKey(const Crash &In, const SuspectKey &Key) const;
   /// Returns whether this refutes evidence. `Key` must have evidence.
   bool setBegun(const SuspectKey &Key, TimePoint At, TimePoint Now);
   std::optional<TimePoint> begunAt(const SuspectKey &Key) const;
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -116,7 +116,8 @@
   void cancelPendingOperations();
   void interrupt();
   void scheduleStallCheck();
-  /// Cancels the attempt because the request must no longer begin on the weights of its upstream.
+  /// Cancels the attempt because the request must no longer begin: on the weights of its upstream,
+  /// or anywhere, if it is quarantined.
   void withdraw();
   /// Whether requests with the same keys crash upstreams.
   bool isQuarantined() const { return m_Core.isQuarantined(m_SuspectRequest); }
--- a/src/librequests/CrashSuspects.cpp
+++ b/src/librequests/CrashSuspects.cpp
@@ -89,18 +89,13 @@
   return Result;
 }
 
-bool CrashSuspects::hasKey(const Crash &In, const SuspectKey &Key) const {
-  return std::any_of(In.m_Unstarted.begin(), In.m_Unstarted.end(),
-                     [&](const UnstartedRequest &Each) { return Each.m_Request.contains(Key); });
-}
-
 void CrashSuspects::removeUnstarted(std::map<UpstreamStart, Crash>::iterator Of,
                                     std::size_t Index) {
   auto &[Upstream, Recorded] = *Of;
   const SuspectRequest Removed = std::move(Recorded.m_Unstarted[Index].m_Request);
   Recorded.m_Unstarted.erase(Recorded.m_Unstarted.begin() + static_cast<std::ptrdiff_t>(Index));
   for (const SuspectKey &Key : Removed.m_Keys) {
-    if (hasKey(Recorded, Key))
+    if (Recorded.hasUnstarted([&](const SuspectRequest &Each) { return Each.contains(Key); }))
       continue;
     auto Known = m_CrashesByKey.find(Key);
     Known->second.erase(Upstream);
@@ -246,10 +241,8 @@
     if (Own == OwnQuarantines::Ignored &&
         std::find(Keys.begin(), Keys.end(), Against) != Keys.end())
       return false;
-    return std::any_of(Explained.m_Unstarted.begin(), Explained.m_Unstarted.end(),
-                       [&](const UnstartedRequest &Request) {
-                         return Each.m_Quarantine.matches(Request.m_Request);
-                       });
+    return Explained.hasUnstarted(
+        [&](const SuspectRequest &Request) { return Each.m_Quarantine.matches(Request); });
   });
 }
 
@@ -277,18 +270,15 @@
                !WithKey.contains(Upstream);
       }))
     return true;
-  return std::any_of(Of.m_Unstarted.begin(), Of.m_Unstarted.end(),
-                     [&](const UnstartedRequest &Each) {
-                       return isBlockedAlone(Each.m_Request) &&
-                              !includes(WithKey, crashesOfRequest(Each.m_Request));
-                     });
+  return Of.hasUnstarted([&](const SuspectRequest &Request) {
+    return isBlockedAlone(Request) && !includes(WithKey, crashesOfRequest(Request));
+  });
 }
 
 CrashSuspects::CrashSet CrashSuspects::crashesOfRequest(const SuspectRequest &Request) const {
   CrashSet Result;
   for (const auto &[Upstream, Each] : m_Crashes)
-    if (std::any_of(Each.m_Unstarted.begin(), Each.m_Unstarted.end(),
-                    [&](const UnstartedRequest &Other) { return Other.m_Request == Request; }))
+    if (Each.hasUnstarted([&](const SuspectRequest &Other) { return Other == Request; }))
       Result.insert(Upstream);
   return Result;
 }
@@ -468,9 +458,7 @@
   QuarantineChange Change{QuarantineChange::Kind::Begun, New, {}};
   Change.m_Quarantine.m_Age = Now - Added.m_LastCrashAt;
   for (const auto &[Upstream, Each] : m_Crashes)
-    if (std::any_of(
-            Each.m_Unstarted.begin(), Each.m_Unstarted.end(),
-            [&](const UnstartedRequest &Running) { return New.matches(Running.m_Request); }))
+    if (Each.hasUnstarted([&](const SuspectRequest &Request) { return New.matches(Request); }))
       Change.m_Crashes.push_back(Upstream);
   // The new one blocks all requests that these block.
   std::erase_if(m_Quarantines, [&](const Active &Each) {
