Activator: changes of other declarations do not keep a version from loading

An engine that restarted after its agent, or an agent that was paused, is confirmed against the highest change that the entry instances know. This is the number of the whole configuration, but it was compared with the change that set the rollout. After any later change of another declaration the upstream waited for a newer configuration for ever, and never served again.

The number of the newest configuration that contains the target is compared instead. A configuration whose rollout has no manifest yet does not count, so the older target is not loaded in its place.

Test first: failed before for configurations 3 and 4.

--- a/src/fescuegauged/WeightsService.cpp
+++ b/src/fescuegauged/WeightsService.cpp
@@ -63,6 +63,7 @@
 }
 
 void WeightsService::onConfigurationChanged(const Configuration &InForce) {
+  m_Configuration = InForce.number();
   for (const auto &[Name, Entry] : InForce.entries()) {
     if (!Entry.m_Stored)
       continue;
@@ -94,7 +95,8 @@
   Order.m_Preference = m_Rollout->m_Prefer == RolloutPreference::Time
                            ? TransferPreference::Time
                            : TransferPreference::OriginBytes;
-  m_Agent->setTarget(Order, EventLoop::now());
+  if (m_Agent->setTarget(Order, EventLoop::now()))
+    m_Agent->activator().setConfiguration(m_Configuration);
 }
 
 void WeightsService::requestManifest(const Digest &Root) {
--- a/src/fescuegauged/WeightsService.h
+++ b/src/fescuegauged/WeightsService.h
@@ -63,6 +63,8 @@
   std::unordered_set<Digest> m_ManifestRequests;
   std::optional<RolloutDeclaration> m_Rollout;
   ChangeNumber m_RolloutChange;
+  /// Number of the configuration in force.
+  ChangeNumber m_Configuration;
   /// Bytes of chunks that were received but are not staged yet. At the configured limit, requests
   /// of peers for chunks are answered with Busy.
   Bytes m_UnstagedBytes;
--- a/src/include/Fescuegauge/Activator.h
+++ b/src/include/Fescuegauge/Activator.h
@@ -104,6 +104,9 @@
   /// The version in force. The change number is the fencing token of its load command. Returns
   /// false and changes nothing if `Change` is older than the one known.
   bool setTarget(const Digest &Root, ChangeNumber Change);
+  /// The number of the newest configuration known to contain the target. Without a call it is the
+  /// change of the target.
+  void setConfiguration(ChangeNumber Number) { m_Configuration = Number; }
   /// Whether the staging area holds every chunk of the target.
   void setStaged(bool Complete) { m_Staged = Complete; }
   /// Whether the replacement rule lets this upstream stop serving now.
@@ -144,6 +147,8 @@
 
 private:
   bool wantsLoad() const;
+  /// Whether a newer configuration may contain another target.
+  bool isOutdated() const;
   bool isReportFresh(TimePoint Now) const;
   bool completeCommand(std::uint64_t Number, ActivationCommand::Kind Kind);
   ActivationCommand issue(ActivationCommand::Kind Kind, TimePoint Now);
@@ -153,7 +158,8 @@
   Rules m_Rules;
   Digest m_Target;
   ChangeNumber m_Change;
-  /// No load is issued until the target is at least this change.
+  ChangeNumber m_Configuration;
+  /// No load is issued until the target is known to be in force at this change.
   ChangeNumber m_RequiredChange;
   bool m_Staged = false;
   bool m_MayReplace = false;
--- a/src/libweights/Activator.cpp
+++ b/src/libweights/Activator.cpp
@@ -30,8 +30,12 @@
   return true;
 }
 
+bool Activator::isOutdated() const {
+  return std::max(m_Change, m_Configuration) < m_RequiredChange;
+}
+
 bool Activator::wantsLoad() const {
-  if (m_Target.isZero() || !m_Staged || m_Change < m_RequiredChange)
+  if (m_Target.isZero() || !m_Staged || isOutdated())
     return false;
   if (m_Report && !m_LoadSent && m_Report->m_Served == m_Target)
     return false;
@@ -255,7 +259,7 @@
     return "serving-target";
   if (m_Target.isZero())
     return "no-target";
-  if (m_Change < m_RequiredChange)
+  if (isOutdated())
     return "waiting-for-newer-configuration";
   if (!m_Staged)
     return "waiting-for-chunks";
--- a/src/libweights/Weights_test.cpp
+++ b/src/libweights/Weights_test.cpp
@@ -424,6 +424,26 @@
   }
 }
 
+// Guards against an upstream that never serves again after its engine restarted, because a later
+// change of another declaration was taken for one that the process does not know.
+TEST_CASE("a change of another declaration does not prevent a load") {
+  using Kind = ActivationCommand::Kind;
+  const Digest Target = sha256("target");
+  TimePoint Now = Start;
+  // Whether the policy loads change 2 after the entry instances have confirmed change 3.
+  auto Loads = [&](ChangeNumber Configuration) {
+    Activator Policy = readyToLoad(Digest(), Target);
+    Policy.setConfiguration(Configuration);
+    const auto Confirm = advanceTo(Policy, Kind::ConfirmConfiguration, {}, Now);
+    REQUIRE(Confirm);
+    Policy.onConfirmed(Confirm->m_Number, Confirmation{ChangeNumber(3), false}, Now);
+    return advanceTo(Policy, Kind::Load, {}, Now).has_value();
+  };
+  CHECK(Loads(ChangeNumber(3)));
+  CHECK(Loads(ChangeNumber(4)));
+  CHECK_FALSE(Loads(ChangeNumber(2)));
+}
+
 // Guards against too many upstreams being replaced at once, with equal and with differing views.
 TEST_CASE("the replacement rule keeps the minimum capacity of each class") {
   const Digest Old = sha256("old");
