Soak: programs on loopback under seeded, overlapping faults

Actors kill, pause, terminate and restart entry instances, agents and engines, disturb the table and make changes, several at the same time. Callers keep open connections until the process is gone. Checked: whole and right answers, "not run" is true, at most once, nothing cut by a drain, no request lost to a process that was not killed, and a rollout after the faults reaches every upstream.

--- a/scripts/loopback_cluster.py
+++ b/scripts/loopback_cluster.py
@@ -133,7 +133,10 @@
 
     def _start(self, name, command):
         program = str(self.build / "bin" / command[0])
-        process = Process(name, [program] + command[1:], self.folder / f"{name}.log")
+        # A restarted process has a log of its own.
+        earlier = sum(1 for process in self.processes if process.name == name)
+        suffix = f".{earlier + 1}" if earlier else ""
+        process = Process(name, [program] + command[1:], self.folder / f"{name}{suffix}.log")
         self.processes.append(process)
         return process
 
--- /dev/null
+++ b/scripts/soak.py
@@ -0,0 +1,402 @@
+"""Soak: runs the programs on loopback under load while processes are killed, paused and restarted
+and configuration changes, all at the same time, and checks what callers and engines see.
+
+Usage: scripts/soak.py [--seed N] [--runs N] [--seconds S] [--actors N] [--callers N]
+
+A run is repeated with its seed, which determines the series of actions; their timing also depends
+on the machine. Callers keep using open connections until the process behind them is gone. The exit
+code is 1 if a check fails, and the command that repeats the run is printed.
+"""
+
+import argparse
+import collections
+import contextlib
+import http.client
+import json
+import pathlib
+import random
+import signal
+import sys
+import threading
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+from loopback_cluster import (WAIT_LIMIT_SECONDS, Cluster, call, call_json,  # noqa: E402
+                              expected_answer, rollout, target, wait_until)
+
+ANSWER_WITHIN_MS = 20000
+# What a response may take beyond its deadline, because the caller and the instance share the
+# machine with all others and the instance may be paused meanwhile.
+LATE_SECONDS = 10
+TOKENS = 20
+
+
+class Caller(threading.Thread):
+    """Sends requests one after the other over connections that it keeps open."""
+
+    def __init__(self, soak, number):
+        super().__init__(daemon=True)
+        self.soak = soak
+        self.number = number
+        self.random = random.Random(f"{soak.seed}/caller/{number}")
+        self.connections = {}
+        self.results = []
+
+    def run(self):
+        sent = 0
+        while not self.soak.stopped.is_set():
+            sent += 1
+            self.results.append(self.send(f"{self.number}-{sent}"))
+            time.sleep(self.random.uniform(0, 0.02))
+
+    def connection(self, name):
+        """Returns the open connection to an entry instance and its process, which may be an earlier
+        one of the same name, or opens a connection to the current process."""
+        known = self.connections.get(name)
+        if known and known[0].sock:
+            return known
+        process = self.soak.cluster.entries[name]
+        opened = http.client.HTTPConnection("127.0.0.1", process.ports["http"],
+                                            timeout=ANSWER_WITHIN_MS / 1000 + LATE_SECONDS)
+        opened.connect()
+        self.connections[name] = (opened, process)
+        return opened, process
+
+    def send(self, request):
+        name = self.random.choice(self.soak.entry_names)
+        is_keyed = self.random.random() < 0.5
+        account = f"account-{self.random.randrange(5)}"
+        path, headers = "/v1/asistente/quotation", {"Client-Account": account}
+        result = {"request": request, "entry": name, "execution": None, "begin": time.monotonic()}
+        if is_keyed:
+            path = "/v1/pedidos/confirmation"
+            headers["Idempotency-Key"] = f"soak-{request}"
+            result["execution"] = f"{account}/soak-{request}"
+        try:
+            connection, result["process"] = self.connection(name)
+        except OSError:
+            time.sleep(0.02)
+            return {**result, "outcome": "unsent"}
+        result["outcome"] = "broken"
+        try:
+            connection.request("POST", path,
+                               json.dumps({"prompt": request, "maxTokens": TOKENS}), headers)
+            response = connection.getresponse()
+            result["outcome"] = "truncated"
+            body = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            connection.close()
+            return {**result, "detail": repr(error), "end": time.monotonic()}
+        result["end"] = time.monotonic()
+        if response.status == 200:
+            expected = expected_answer(response.getheader("Served-Digest"), request, TOKENS)
+            return {**result, "outcome": "complete" if body == expected else "wrong",
+                    "detail": body[:200]}
+        answer = json.loads(body)
+        outcomes = {"no": "not-run", "yes": "refused", "unknown": "unknown"}
+        return {**result, "outcome": outcomes[answer["run"]], "detail": answer["error"]}
+
+
+class Actor(threading.Thread):
+    """Takes one action after the other. Actions of several actors overlap, but only one at a time
+    applies to a process."""
+
+    def __init__(self, soak, number):
+        super().__init__(daemon=True)
+        self.soak = soak
+        self.random = random.Random(f"{soak.seed}/actor/{number}")
+        self.actions = [self.kill_engine, self.stall_engine, self.kill_agent, self.pause_agent,
+                        self.terminate_agent, self.kill_entry, self.pause_entry,
+                        self.terminate_entry, self.terminate_entry, self.disturb_table,
+                        self.change_target, self.roll_out]
+
+    def run(self):
+        try:
+            while not self.soak.stopped.is_set():
+                self.random.choice(self.actions)()
+                self.soak.stopped.wait(self.random.uniform(0.1, 1.0))
+        except Exception as error:
+            self.soak.violate("action failed", repr(error))
+
+    def pause(self, longest):
+        time.sleep(self.random.uniform(0, longest))
+
+    def kill_engine(self):
+        with self.soak.victim(self.random, "engine") as name:
+            if name:
+                upstream = self.soak.cluster.upstreams[name]
+                upstream.engine.kill()
+                self.pause(2)
+                self.soak.cluster.start_engine(upstream, port=upstream.engine.ports["port"])
+
+    def stall_engine(self):
+        with self.soak.victim(self.random, "engine") as name:
+            if name:
+                upstream = self.soak.cluster.upstreams[name]
+                self.soak.cluster.engine_faults(upstream, stalled=True)
+                self.pause(3)
+                self.soak.cluster.engine_faults(upstream, stalled=False)
+
+    def with_agent(self, action):
+        with self.soak.victim(self.random, "agent") as name:
+            if name:
+                action(self.soak.cluster.upstreams[name])
+
+    def kill_agent(self):
+        def action(upstream):
+            upstream.agent.kill()
+            self.pause(2)
+            self.soak.cluster.start_agent(upstream)
+        self.with_agent(action)
+
+    def terminate_agent(self):
+        def action(upstream):
+            if upstream.agent.stop() != 0:
+                self.soak.violate("exit code", upstream.name)
+            self.pause(1)
+            self.soak.cluster.start_agent(upstream)
+        self.with_agent(action)
+
+    def pause_agent(self):
+        self.with_agent(lambda upstream: self.stop_and_continue(upstream.agent, 4))
+
+    def stop_and_continue(self, process, longest):
+        process.signal(signal.SIGSTOP)
+        self.pause(longest)
+        process.signal(signal.SIGCONT)
+
+    def with_entry(self, action):
+        with self.soak.victim(self.random, "entry") as name:
+            if name:
+                action(self.soak.cluster.entries[name])
+
+    def restart_entry(self, entry):
+        self.pause(1)
+        self.soak.cluster.add_entry(entry.name, entry.data_centre)
+
+    def kill_entry(self):
+        def action(entry):
+            self.soak.killed.add(entry)
+            entry.kill()
+            self.restart_entry(entry)
+        self.with_entry(action)
+
+    def pause_entry(self):
+        self.with_entry(lambda entry: self.stop_and_continue(entry, 2))
+
+    def terminate_entry(self):
+        def action(entry):
+            kind = self.random.choice(["plain", "paused", "second signal"])
+            if kind == "second signal":
+                # It ends the drain at once.
+                self.soak.killed.add(entry)
+            self.soak.terminated.add(entry)
+            entry.signal(signal.SIGTERM)
+            if kind == "paused":
+                self.stop_and_continue(entry, 1)
+            elif kind == "second signal":
+                self.pause(0.5)
+                entry.signal(signal.SIGTERM)
+            exit_code = entry.handle.wait(timeout=WAIT_LIMIT_SECONDS)
+            if kind != "second signal" and exit_code != 0:
+                self.soak.violate("exit code", f"{entry.name} {exit_code}")
+            if kind != "second signal" and "request_interrupted" in entry.log():
+                self.soak.violate("interrupted by a drain", entry.log_path)
+            self.restart_entry(entry)
+        self.with_entry(action)
+
+    def disturb_table(self):
+        fault = self.random.choice(["tableDown", "tableLosesAnswers", "tableStaleReads"])
+        with self.soak.victim(self.random, "table") as name:
+            if name:
+                self.soak.cluster.faults(**{fault: True})
+                self.pause(2)
+                self.soak.cluster.faults(**{fault: False})
+
+    def apply(self, puts):
+        entry = self.random.choice(list(self.soak.cluster.entries.values()))
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            self.soak.cluster.apply(entry, puts)
+
+    def change_target(self):
+        self.apply([target("bodega", "stock-check",
+                           answerWithinMs=self.random.randrange(5000, 10000))])
+
+    def roll_out(self):
+        self.apply([rollout("asistente", self.random.choice(["v1", "v2"]))])
+
+
+class Soak:
+    """One seeded run."""
+
+    def __init__(self, seed, seconds, actors, callers):
+        self.seed = seed
+        self.seconds = seconds
+        self.stopped = threading.Event()
+        self.killed = set()
+        self.terminated = set()
+        self.violations = []
+        self.entry_names = []
+        self._lock = threading.Lock()
+        self._free = {}
+        # Processes of a group that no action applies to at any time.
+        self._least_free = {"engine": 2, "agent": 2, "entry": 1, "table": 0}
+        self.cluster = Cluster()
+        self.actors = [Actor(self, number) for number in range(actors)]
+        self.callers = [Caller(self, number) for number in range(callers)]
+
+    def violate(self, rule, detail):
+        with self._lock:
+            self.violations.append(f"{rule}: {detail}")
+
+    @contextlib.contextmanager
+    def victim(self, chooser, group):
+        """Reserves a process of a group for one action, or yields None if too few are free."""
+        with self._lock:
+            free = self._free[group]
+            name = chooser.choice(sorted(free)) if len(free) > self._least_free[group] else None
+            free.discard(name)
+        try:
+            yield name
+        finally:
+            if name:
+                with self._lock:
+                    free.add(name)
+
+    def start(self):
+        cluster = self.cluster
+        for index in range(4):
+            cluster.add_upstream(f"asistente-{index}", f"dc-{index % 2 + 1}", "asistente")
+        for index in range(2):
+            cluster.add_upstream(f"pedidos-{index}", f"dc-{index + 1}", "pedidos")
+            cluster.add_entry(f"entry-{index}-a", f"dc-{index + 1}")
+            cluster.add_entry(f"entry-{index}-b", f"dc-{index + 1}")
+        cluster.add_upstream("bodega-0", "dc-1", "bodega", kind="plain")
+        cluster.wait_ready()
+        cluster.wait_membership()
+        for version, seed in (("v1", 21), ("v2", 22)):
+            cluster.create_model("asistente", version, 4 << 20, seed)
+        cluster.create_model("pedidos", "v1", 2 << 20, 23)
+        self.entry_names = list(cluster.entries)
+        # Engines of keyed work are not killed, because the counts of its executions would be lost.
+        engines = [name for name in cluster.upstreams if name.startswith("asistente")]
+        self._free = {"engine": set(engines), "agent": set(cluster.upstreams) - {"bodega-0"},
+                      "entry": set(self.entry_names), "table": {"table"}}
+        status, answer = cluster.apply(cluster.entries[self.entry_names[0]], [
+            target("asistente", "quotation", answerWithinMs=ANSWER_WITHIN_MS),
+            target("pedidos", "confirmation", answerWithinMs=ANSWER_WITHIN_MS,
+                   nonIdempotent=True, neverLost=True),
+            target("bodega", "stock-check", answerWithinMs=10000),
+            rollout("asistente", "v1"), rollout("pedidos", "v1")])
+        assert status == 200, answer
+        self.wait_until_serving()
+
+    def wait_until_serving(self):
+        for upstream in self.cluster.upstreams.values():
+            wait_until(lambda u=upstream: call(u.agent.ports["http"], "GET", "/readyz")[0] == 200,
+                       f"{upstream.name} is ready")
+        for entry in self.cluster.entries.values():
+            wait_until(lambda e=entry: call(
+                e.ports["http"], "POST", "/v1/asistente/quotation",
+                {"prompt": "warm-up", "maxTokens": TOKENS},
+                {"Client-Account": "account-0"})[0] == 200, f"{entry.name} answers")
+
+    def check_recovery(self):
+        """Checks that a rollout ordered after the faults is carried out by every upstream."""
+        def is_accepted():
+            status, _ = self.cluster.apply(self.cluster.entries[self.entry_names[0]],
+                                           [rollout("asistente", "v2")])
+            return status == 200
+        try:
+            wait_until(is_accepted, "a change is accepted after the faults")
+            self.wait_until_serving()
+            wait_until(lambda: self.loaded_versions("asistente") == {"v2"},
+                       "all engines have loaded the last version")
+        except (AssertionError, OSError, http.client.HTTPException) as error:
+            self.violate("recovery", error)
+            self.save_dumps()
+
+    def save_dumps(self):
+        processes = [upstream.agent for upstream in self.cluster.upstreams.values()]
+        for process in processes + list(self.cluster.entries.values()):
+            path = self.cluster.folder / f"{process.name}.dump.json"
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                path.write_text(json.dumps(self.cluster.dump(process), indent=1))
+
+    def loaded_versions(self, service):
+        return {call_json(upstream.engine.ports["port"], "GET", "/status")[1]["version"]
+                for upstream in self.cluster.upstreams.values() if upstream.service == service}
+
+    def check_results(self, results):
+        executions = self.cluster.executions()
+        for name, count in executions.items():
+            if count > 1:
+                self.violate("executed twice", f"{name} {count}")
+        for result in results:
+            outcome, process = result["outcome"], result.get("process")
+            has_run = bool(executions.get(result["execution"]))
+            shown = {key: value for key, value in result.items() if key != "process"}
+            if outcome == "wrong":
+                self.violate("wrong answer", shown)
+            if outcome == "not-run" and has_run:
+                self.violate("executed, but reported as not run", shown)
+            if outcome == "complete" and result["execution"] and not has_run:
+                self.violate("reported as complete, but not executed", shown)
+            # A response that an upstream began and lost is cut visibly if the retry budget is empty.
+            # A request that a terminated process has not read is lost with its connection.
+            if outcome == "broken" and process not in self.killed and (
+                    process not in self.terminated or has_run):
+                self.violate("connection lost", shown)
+            limit = ANSWER_WITHIN_MS / 1000 + LATE_SECONDS
+            if outcome not in ("unsent", "broken") and result["end"] - result["begin"] > limit:
+                self.violate("late", shown)
+
+    def run(self):
+        """Returns whether all checks hold."""
+        with self.cluster:
+            self.start()
+            for thread in self.callers + self.actors:
+                thread.start()
+            self.stopped.wait(self.seconds)
+            self.stopped.set()
+            for thread in self.actors + self.callers:
+                thread.join(3 * WAIT_LIMIT_SECONDS)
+                if thread.is_alive():
+                    self.violate("hang", thread.name)
+            self.check_recovery()
+            results = [result for caller in self.callers for result in caller.results]
+            self.check_results(results)
+            outcomes = collections.Counter(result["outcome"] for result in results)
+            print(f"seed={self.seed} result={'failed' if self.violations else 'passed'} "
+                  f"terminated={len(self.terminated)} killed={len(self.killed)} "
+                  + " ".join(f"{name}={count}" for name, count in sorted(outcomes.items())),
+                  flush=True)
+            for violation in self.violations[:20]:
+                print(f"  {violation}")
+            if self.violations:
+                print(f"  logs: {self.cluster.folder}\n  repeat: scripts/soak.py "
+                      f"--seed {self.seed} --seconds {self.seconds} --actors {len(self.actors)} "
+                      f"--callers {len(self.callers)}", flush=True)
+        return not self.violations
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n\n")[0])
+    parser.add_argument("--seed", type=int, default=1, help="seed of the first run")
+    parser.add_argument("--runs", type=int, default=1, help="runs, with one seed after the other")
+    parser.add_argument("--seconds", type=float, default=30, help="length of the faults of a run")
+    parser.add_argument("--actors", type=int, default=4, help="series of actions that overlap")
+    parser.add_argument("--callers", type=int, default=8, help="callers with open connections")
+    chosen = parser.parse_args()
+    # Ends the programs that were started, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    failed = [seed for seed in range(chosen.seed, chosen.seed + chosen.runs)
+              if not Soak(seed, chosen.seconds, chosen.actors, chosen.callers).run()]
+    if failed:
+        print(f"failed seeds: {failed}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
