Rollout agent: a failed listing of the staging area is repeated after a second

An agent lists the staging area of its engine at its start and after a restart of the engine. If the engine did not answer, nothing reported the failure, and the listing was repeated after its time limit of ten minutes only; until then the upstream loaded nothing.

A failure is reported, as the header of RolloutAgent asks for. A restart of the engine also replaces a listing that was requested before it, whose result could show the area as it was.

The soak's idempotency keys had the wrong form, so that no keyed request ran; a request refused as malformed is a failed check now, and the reasons of refusals are printed.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -30,6 +30,8 @@
 # machine with all others and the instance may be paused meanwhile.
 LATE_SECONDS = 10
 TOKENS = 20
+# Day of the epoch that idempotency keys begin with.
+DAY = 20426
 
 
 class Caller(threading.Thread):
@@ -71,8 +73,8 @@
         result = {"request": request, "entry": name, "execution": None, "begin": time.monotonic()}
         if is_keyed:
             path = "/v1/pedidos/confirmation"
-            headers["Idempotency-Key"] = f"soak-{request}"
-            result["execution"] = f"{account}/soak-{request}"
+            headers["Idempotency-Key"] = f"{DAY}-{request}"
+            result["execution"] = f"{account}/{DAY}-{request}"
         try:
             connection, result["process"] = self.connection(name)
         except OSError:
@@ -339,12 +341,14 @@
             shown = {key: value for key, value in result.items() if key != "process"}
             if outcome == "wrong":
                 self.violate("wrong answer", shown)
+            if result.get("detail") == "malformed-request":
+                self.violate("sound request refused as malformed", shown)
             if outcome == "not-run" and has_run:
                 self.violate("executed, but reported as not run", shown)
             if outcome == "complete" and result["execution"] and not has_run:
                 self.violate("reported as complete, but not executed", shown)
-            # A response that an upstream began and lost is cut visibly if the retry budget is empty.
-            # A request that a terminated process has not read is lost with its connection.
+            # A request that a terminated process has not read is lost with its connection. A response
+            # that an upstream began and lost is truncated visibly if the retry budget is empty.
             if outcome == "broken" and process not in self.killed and (
                     process not in self.terminated or has_run):
                 self.violate("connection lost", shown)
@@ -368,9 +372,13 @@
             results = [result for caller in self.callers for result in caller.results]
             self.check_results(results)
             outcomes = collections.Counter(result["outcome"] for result in results)
+            reasons = collections.Counter(result["detail"] for result in results
+                                          if result["outcome"] in ("not-run", "unknown"))
             print(f"seed={self.seed} result={'failed' if self.violations else 'passed'} "
                   f"terminated={len(self.terminated)} killed={len(self.killed)} "
-                  + " ".join(f"{name}={count}" for name, count in sorted(outcomes.items())),
+                  + " ".join(f"{name}={count}" for name, count in sorted(outcomes.items()))
+                  + " reasons="
+                  + ",".join(f"{name}:{count}" for name, count in reasons.most_common()),
                   flush=True)
             for violation in self.violations[:20]:
                 print(f"  {violation}")
--- a/src/fescuegauged/WeightsService.cpp
+++ b/src/fescuegauged/WeightsService.cpp
@@ -341,6 +341,8 @@
       [this, Verified, Answered, Number = Listing.m_Number] {
         if (*Answered)
           m_Agent->onStagingListed(Number, *Verified, EventLoop::now());
+        else
+          m_Agent->onListingFailed(Number, EventLoop::now());
       });
 }
 
--- a/src/include/Fescuegauge/RolloutAgent.h
+++ b/src/include/Fescuegauge/RolloutAgent.h
@@ -23,7 +23,7 @@
   Digest m_Chunk;
 };
 
-/// List the staging area, hashing each chunk; answer with onStagingListed().
+/// List the staging area, hashing each chunk; answer with onStagingListed() or onListingFailed().
 struct ListStaging {
   std::uint64_t m_Number = 0;
 };
@@ -83,6 +83,8 @@
   static constexpr Duration RelistInterval = std::chrono::seconds(30);
   /// A listing that is not answered within this time is requested again.
   static constexpr Duration ListTimeout = std::chrono::minutes(10);
+  /// Delay before a failed listing is repeated.
+  static constexpr Duration ListRetryInterval = std::chrono::seconds(1);
   static constexpr Duration ManifestInterval = std::chrono::seconds(5);
 
   explicit RolloutAgent(const RolloutAgentSettings &Settings);
@@ -98,6 +100,8 @@
 
   /// Chunks whose content was found to match their digest.
   void onStagingListed(std::uint64_t Number, std::span<const ChunkRef> Chunks, TimePoint Now);
+  /// The engine did not answer.
+  void onListingFailed(std::uint64_t Number, TimePoint Now);
   void addManifest(const Manifest &Version);
   void onSummary(const InstanceId &From, const ChunkSummary &Summary, TimePoint Now) {
     m_Planner.onSummary(From, Summary, Now);
@@ -163,7 +167,9 @@
   std::optional<TimePoint> m_ManifestRequestedAt;
   bool m_IsStagingListed = false;
   std::uint64_t m_ListingNumber = 0;
-  std::optional<TimePoint> m_ListingRequestedAt;
+  bool m_IsListingPending = false;
+  /// Earliest time of the next listing, if staging is not listed.
+  TimePoint m_NextListingAt;
   TimePoint m_StagingListedAt;
   std::optional<TimePoint> m_RuleEvaluatedAt;
   ReplacementRule::Verdict m_Verdict = ReplacementRule::Verdict::Waiting;
--- a/src/libweights/RolloutAgent.cpp
+++ b/src/libweights/RolloutAgent.cpp
@@ -49,9 +49,10 @@
 
 void RolloutAgent::onStagingListed(std::uint64_t Number, std::span<const ChunkRef> Chunks,
                                    TimePoint Now) {
-  if (Number != m_ListingNumber || !m_ListingRequestedAt)
+  if (Number != m_ListingNumber || !m_IsListingPending)
     return;
-  m_ListingRequestedAt.reset();
+  m_IsListingPending = false;
+  m_NextListingAt = Now;
   m_StagingListedAt = Now;
   m_IsStagingListed = true;
   m_Staging.clear();
@@ -60,6 +61,13 @@
   m_OrderPending = m_Target.has_value();
 }
 
+void RolloutAgent::onListingFailed(std::uint64_t Number, TimePoint Now) {
+  if (Number != m_ListingNumber || !m_IsListingPending)
+    return;
+  m_IsListingPending = false;
+  m_NextListingAt = Now + ListRetryInterval;
+}
+
 void RolloutAgent::onStaged(const ChunkRef &Chunk, bool Written, TimePoint Now) {
   bool Kept = Written && m_Staging.addChunk(Chunk);
   if (Written && !Kept)
@@ -119,12 +127,16 @@
 
 std::vector<AgentAction> RolloutAgent::poll(TimePoint Now) {
   std::vector<AgentAction> Actions;
-  if (m_Activator.takeEngineRestart())
+  if (m_Activator.takeEngineRestart()) {
     m_IsStagingListed = false;
+    // A pending listing may show the area from before the restart.
+    m_NextListingAt = Now;
+  }
   if (m_Activator.takeStagingFault())
     m_IsStagingListed = false;
-  if (!m_IsStagingListed && (!m_ListingRequestedAt || Now - *m_ListingRequestedAt >= ListTimeout)) {
-    m_ListingRequestedAt = Now;
+  if (!m_IsStagingListed && Now >= m_NextListingAt) {
+    m_IsListingPending = true;
+    m_NextListingAt = Now + ListTimeout;
     Actions.emplace_back(ListStaging{++m_ListingNumber});
   }
   for (const Digest &Chunk : m_UnneededChunks)
--- a/src/libweights/Weights_test.cpp
+++ b/src/libweights/Weights_test.cpp
@@ -444,6 +444,64 @@
   CHECK_FALSE(Loads(ChangeNumber(2)));
 }
 
+namespace {
+
+/// Returns the number of the listing that a poll requests, if it requests one. Answers a read-back
+/// like an engine that serves `Served`.
+std::optional<std::uint64_t> requestedListing(RolloutAgent &Agent, const Digest &Served,
+                                              TimePoint Now) {
+  std::optional<std::uint64_t> Result;
+  for (const AgentAction &Action : Agent.poll(Now)) {
+    if (const auto *Listing = std::get_if<ListStaging>(&Action))
+      Result = Listing->m_Number;
+    const auto *Command = std::get_if<ActivationCommand>(&Action);
+    if (Command && Command->m_Kind == ActivationCommand::Kind::ReadServed)
+      Agent.activator().onServed(Command->m_Number, ServedReport{Served, {}}, Now);
+  }
+  return Result;
+}
+
+} // namespace
+
+// Guards against an upstream that serves nothing for ten minutes, because its engine was down when
+// the agent listed its staging area.
+TEST_CASE("a failed listing of the staging area is repeated") {
+  RolloutAgentSettings Settings;
+  Settings.m_Self = agentRecord("a");
+  RolloutAgent Agent(Settings);
+  const auto First = requestedListing(Agent, Digest(), Start);
+  REQUIRE(First);
+  CHECK_FALSE(requestedListing(Agent, Digest(), Start + 1ms));
+  Agent.onListingFailed(*First, Start + 2ms);
+  CHECK_FALSE(requestedListing(Agent, Digest(), Start + 3ms));
+  const auto Second =
+      requestedListing(Agent, Digest(), Start + 2ms + RolloutAgent::ListRetryInterval);
+  REQUIRE(Second);
+  // A late result of the first listing does not end the second one.
+  Agent.onListingFailed(*First, Start + 2s);
+  CHECK_FALSE(requestedListing(Agent, Digest(), Start + 4s));
+}
+
+// Guards against taking the staging area of an engine before its restart for the one after it.
+TEST_CASE("a listing that was requested before a restart of the engine is not used") {
+  const Digest Live = sha256("live");
+  RolloutAgentSettings Settings;
+  Settings.m_Self = agentRecord("a", Live);
+  Settings.m_LastServed = Live;
+  RolloutAgent Agent(Settings);
+  const auto First = requestedListing(Agent, Live, Start);
+  REQUIRE(First);
+  TimePoint Now = Start;
+  for (; Now < Start + 2s; Now += 500ms)
+    CHECK_FALSE(requestedListing(Agent, Live, Now));
+  REQUIRE(Agent.routableRoot() == Live);
+  std::optional<std::uint64_t> Second;
+  for (; Now < Start + 8s && !Second; Now += 500ms)
+    Second = requestedListing(Agent, Digest(), Now);
+  REQUIRE(Second);
+  CHECK(*Second != *First);
+}
+
 // Guards against too many upstreams being replaced at once, with equal and with differing views.
 TEST_CASE("the replacement rule keeps the minimum capacity of each class") {
   const Digest Old = sha256("old");
