Tests: each call of freePort() returns another port

One of 16 runs of platform_test failed with "bind: Address already in use": an instance needs three ports, which were chosen one after the other from those that the kernel assigns, so that two could be the same, or one be assigned to a server of the test in between. Ports are now counted up above that range.

--- a/src/libgateway/LoopbackTestUtils.h
+++ b/src/libgateway/LoopbackTestUtils.h
@@ -50,15 +50,24 @@
   return {loopbackAddress().to_string(), Port};
 }
 
-/// Returns a port of the loopback address that is free for TCP and for UDP.
+/// Returns a port of the loopback address that is free for TCP and for UDP. It is above the range
+/// from which Linux assigns ports by default, and a different one in each call, so that no other
+/// server of the process takes it before it is opened.
 inline std::uint16_t freePort(net::io_context &Loop) {
+  constexpr std::uint16_t FirstPort = 61000;
+  constexpr std::uint16_t LastPort = 65535;
+  static std::uint16_t Next = FirstPort;
   while (true) {
-    Tcp::acceptor Probe(Loop, Tcp::endpoint(loopbackAddress(), 0));
-    const std::uint16_t Port = Probe.local_endpoint().port();
+    const std::uint16_t Port = Next;
+    Next = Port == LastPort ? FirstPort : static_cast<std::uint16_t>(Port + 1);
+    SystemError TcpError;
+    SystemError UdpError;
+    Tcp::acceptor TcpProbe(Loop, Tcp::v4());
+    TcpProbe.set_option(net::socket_base::reuse_address(true));
+    TcpProbe.bind(Tcp::endpoint(loopbackAddress(), Port), TcpError);
     Udp::socket UdpProbe(Loop, Udp::v4());
-    SystemError Error;
-    UdpProbe.bind(Udp::endpoint(loopbackAddress(), Port), Error);
-    if (!Error)
+    UdpProbe.bind(Udp::endpoint(loopbackAddress(), Port), UdpError);
+    if (!TcpError && !UdpError)
       return Port;
   }
 }
