--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -242,7 +242,7 @@
         self.entry_names = []
         self._lock = threading.Lock()
         self._free = {}
-        # Processes of a group that no action applies to at any time.
+        # Number of processes of a group that stay free of actions at any time.
         self._least_free = {"engine": 2, "agent": 2, "entry": 1, "table": 0}
         self.cluster = Cluster()
         self.actors = [Actor(self, number) for number in range(actors)]
