Process test and soak: one set-up of the deployment

The soak had a copy of the deployment of process_test, of its wait until all serve, and of the outcomes of requests. They are part of the loopback cluster now.

--- a/scripts/loopback_cluster.py
+++ b/scripts/loopback_cluster.py
@@ -18,6 +18,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 # Timeout of every wait. It only ends a failed run: no check passes because time has elapsed.
 WAIT_LIMIT_SECONDS = 60
+# Tokens of the requests that tests send.
+TOKENS = 20
+ANSWER_WITHIN_MS = 20000
 
 
 def wait_until(condition, what, limit=WAIT_LIMIT_SECONDS):
@@ -195,6 +198,50 @@
         self._register(name, "entry", data_centre, entry.ports["rpc"])
         return entry
 
+    def start_services(self):
+        """Starts two services with models, a plain one and four entry instances in two data
+        centres, and puts targets and the first versions in force."""
+        for index, data_centre in enumerate(["dc-1", "dc-2", "dc-1", "dc-2"]):
+            self.add_upstream(f"asistente-{index}", data_centre, "asistente")
+        for index, data_centre in enumerate(["dc-1", "dc-2"]):
+            self.add_upstream(f"pedidos-{index}", data_centre, "pedidos")
+            self.add_entry(f"entry-{index}-a", data_centre)
+            self.add_entry(f"entry-{index}-b", data_centre)
+        self.add_upstream("bodega-0", "dc-1", "bodega", kind="plain")
+        self.wait_ready()
+        self.wait_membership()
+        self.create_model("asistente", "v1", 4 << 20, 21)
+        self.create_model("pedidos", "v1", 2 << 20, 22)
+        status, answer = self.apply(list(self.entries.values())[0], [
+            target("asistente", "quotation", answerWithinMs=ANSWER_WITHIN_MS),
+            target("pedidos", "confirmation", answerWithinMs=ANSWER_WITHIN_MS, nonIdempotent=True,
+                   neverLost=True),
+            target("bodega", "stock-check", answerWithinMs=10000),
+            rollout("asistente", "v1"), rollout("pedidos", "v1")])
+        assert status == 200, answer
+        self.wait_until_serving()
+
+    def wait_until_serving(self):
+        """Waits until every upstream is routable and every entry instance answers each class."""
+        for upstream in self.upstreams.values():
+            wait_until(lambda u=upstream: call(u.agent.ports["http"], "GET", "/readyz")[0] == 200,
+                       f"{upstream.name} is ready")
+        for entry in self.entries.values():
+            for service, work_class in (("asistente", "quotation"), ("bodega", "stock-check")):
+                wait_until(lambda e=entry, s=service, w=work_class:
+                           self.ask(e, s, w, "warm-up")[0] == 200,
+                           f"{entry.name} answers {work_class}")
+
+    def ask(self, entry, service, work_class, prompt, key=None, account="account-0",
+            tokens=TOKENS):
+        """Sends a request and returns (status, body bytes)."""
+        headers = {"Client-Account": account}
+        if key:
+            headers["Idempotency-Key"] = key
+        status, _, body = call(entry.ports["http"], "POST", f"/v1/{service}/{work_class}",
+                               {"prompt": prompt, "maxTokens": tokens}, headers)
+        return status, body
+
     def faults(self, **changes):
         call_json(self.platform_port, "POST", "/faults", changes)
 
@@ -251,6 +298,14 @@
         return call_json(process.ports["http"], "GET", "/dump")[1]
 
 
+def outcome_of(status, body, expected):
+    """Returns the outcome of a request and its detail: the error kind, or an answer's first bytes."""
+    if status == 200:
+        return "complete" if body == expected else "wrong", body[:200]
+    answer = json.loads(body)
+    return {"no": "not-run", "yes": "refused", "unknown": "unknown"}[answer["run"]], answer["error"]
+
+
 def target(service, work_class, **spec):
     return {"kind": "target", "spec": {"service": service, "class": work_class, **spec}}
 
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -22,14 +22,12 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
-from loopback_cluster import (WAIT_LIMIT_SECONDS, Cluster, call, call_json,  # noqa: E402
-                              expected_answer, rollout, target, wait_until)
+from loopback_cluster import (ANSWER_WITHIN_MS, TOKENS, WAIT_LIMIT_SECONDS, Cluster,  # noqa: E402
+                              call_json, expected_answer, outcome_of, rollout, target, wait_until)
 
-ANSWER_WITHIN_MS = 20000
 # What a response may take beyond its deadline, because the caller and the instance share the
 # machine with all others and the instance may be paused meanwhile.
 LATE_SECONDS = 10
-TOKENS = 20
 # Day of the epoch that idempotency keys begin with.
 DAY = 20426
 
@@ -91,13 +89,9 @@
             connection.close()
             return {**result, "detail": repr(error), "end": time.monotonic()}
         result["end"] = time.monotonic()
-        if response.status == 200:
-            expected = expected_answer(response.getheader("Served-Digest"), request, TOKENS)
-            return {**result, "outcome": "complete" if body == expected else "wrong",
-                    "detail": body[:200]}
-        answer = json.loads(body)
-        outcomes = {"no": "not-run", "yes": "refused", "unknown": "unknown"}
-        return {**result, "outcome": outcomes[answer["run"]], "detail": answer["error"]}
+        expected = expected_answer(response.getheader("Served-Digest"), request, TOKENS)
+        outcome, detail = outcome_of(response.status, body, expected)
+        return {**result, "outcome": outcome, "detail": detail}
 
 
 class Actor(threading.Thread):
@@ -268,41 +262,13 @@
 
     def start(self):
         cluster = self.cluster
-        for index in range(4):
-            cluster.add_upstream(f"asistente-{index}", f"dc-{index % 2 + 1}", "asistente")
-        for index in range(2):
-            cluster.add_upstream(f"pedidos-{index}", f"dc-{index + 1}", "pedidos")
-            cluster.add_entry(f"entry-{index}-a", f"dc-{index + 1}")
-            cluster.add_entry(f"entry-{index}-b", f"dc-{index + 1}")
-        cluster.add_upstream("bodega-0", "dc-1", "bodega", kind="plain")
-        cluster.wait_ready()
-        cluster.wait_membership()
-        for version, seed in (("v1", 21), ("v2", 22)):
-            cluster.create_model("asistente", version, 4 << 20, seed)
-        cluster.create_model("pedidos", "v1", 2 << 20, 23)
+        cluster.start_services()
+        cluster.create_model("asistente", "v2", 4 << 20, 23)
         self.entry_names = list(cluster.entries)
         # Engines of keyed work are not killed, because the counts of its executions would be lost.
         engines = [name for name in cluster.upstreams if name.startswith("asistente")]
         self._free = {"engine": set(engines), "agent": set(cluster.upstreams) - {"bodega-0"},
                       "entry": set(self.entry_names), "table": {"table"}}
-        status, answer = cluster.apply(cluster.entries[self.entry_names[0]], [
-            target("asistente", "quotation", answerWithinMs=ANSWER_WITHIN_MS),
-            target("pedidos", "confirmation", answerWithinMs=ANSWER_WITHIN_MS,
-                   nonIdempotent=True, neverLost=True),
-            target("bodega", "stock-check", answerWithinMs=10000),
-            rollout("asistente", "v1"), rollout("pedidos", "v1")])
-        assert status == 200, answer
-        self.wait_until_serving()
-
-    def wait_until_serving(self):
-        for upstream in self.cluster.upstreams.values():
-            wait_until(lambda u=upstream: call(u.agent.ports["http"], "GET", "/readyz")[0] == 200,
-                       f"{upstream.name} is ready")
-        for entry in self.cluster.entries.values():
-            wait_until(lambda e=entry: call(
-                e.ports["http"], "POST", "/v1/asistente/quotation",
-                {"prompt": "warm-up", "maxTokens": TOKENS},
-                {"Client-Account": "account-0"})[0] == 200, f"{entry.name} answers")
 
     def check_recovery(self):
         """Checks that a rollout ordered after the faults is carried out by every upstream."""
@@ -312,7 +278,7 @@
             return status == 200
         try:
             wait_until(is_accepted, "a change is accepted after the faults")
-            self.wait_until_serving()
+            self.cluster.wait_until_serving()
             wait_until(lambda: self.loaded_versions("asistente") == {"v2"},
                        "all engines have loaded the last version")
         except (AssertionError, OSError, http.client.HTTPException) as error:
@@ -347,8 +313,9 @@
                 self.violate("executed, but reported as not run", shown)
             if outcome == "complete" and result["execution"] and not has_run:
                 self.violate("reported as complete, but not executed", shown)
-            # A request that a terminated process has not read is lost with its connection. A response
-            # that an upstream began and lost is truncated visibly if the retry budget is empty.
+            # A request that a terminated process has not read is lost with its connection. A
+            # response that an upstream began and lost is truncated visibly if the retry budget is
+            # empty.
             if outcome == "broken" and process not in self.killed and (
                     process not in self.terminated or has_run):
                 self.violate("connection lost", shown)
--- a/src/fescuegauged/process_test.py
+++ b/src/fescuegauged/process_test.py
@@ -16,18 +16,12 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent.parent / "scripts"))
 
-from loopback_cluster import (Cluster, call, call_json, expected_answer,  # noqa: E402
-                              expected_plain_answer, rollout, target, wait_until)
+from loopback_cluster import (TOKENS, Cluster, call, call_json, expected_answer,  # noqa: E402
+                              expected_plain_answer, outcome_of, rollout, target, wait_until)
 
-TOKENS = 20
 # The retry budget of an entry instance is a tenth of its traffic and is initially empty. After this
 # number of requests over four entry instances, each can retry all requests running at one time.
 REQUESTS_TO_FILL_RETRY_BUDGET = 500
-TARGETS = [
-    target("asistente", "quotation", answerWithinMs=20000),
-    target("pedidos", "confirmation", answerWithinMs=20000, nonIdempotent=True, neverLost=True),
-    target("bodega", "stock-check", answerWithinMs=10000),
-]
 
 
 class LoadGenerator:
@@ -77,13 +71,9 @@
                                    {"prompt": prompt, "maxTokens": TOKENS}, headers)
         except (OSError, http.client.HTTPException) as error:
             return {**result, "outcome": "broken", "detail": repr(error)}
-        if status == 200:
-            is_correct = body == expected_answer(self.roots[service], prompt, TOKENS)
-            return {**result, "outcome": "complete" if is_correct else "wrong",
-                    "detail": body[:200]}
-        outcomes = {"no": "not-run", "yes": "refused", "unknown": "unknown"}
-        answer = json.loads(body)
-        return {**result, "outcome": outcomes[answer["run"]], "detail": answer["error"]}
+        outcome, detail = outcome_of(
+            status, body, expected_answer(self.roots[service], prompt, TOKENS))
+        return {**result, "outcome": outcome, "detail": detail}
 
     def count(self, outcome=None):
         with self._lock:
@@ -108,21 +98,7 @@
     def setUpClass(cls):
         cls.cluster = Cluster()
         cluster = cls.cluster
-        for index, data_centre in enumerate(["dc-1", "dc-2", "dc-1", "dc-2"]):
-            cluster.add_upstream(f"asistente-{index}", data_centre, "asistente")
-        for index, data_centre in enumerate(["dc-1", "dc-2"]):
-            cluster.add_upstream(f"pedidos-{index}", data_centre, "pedidos")
-            cluster.add_entry(f"entry-{index}-a", data_centre)
-            cluster.add_entry(f"entry-{index}-b", data_centre)
-        cluster.add_upstream("bodega-0", "dc-1", "bodega", kind="plain")
-        cluster.wait_ready()
-        cluster.wait_membership()
-        cluster.create_model("asistente", "v1", 4 << 20, 21)
-        cluster.create_model("pedidos", "v1", 2 << 20, 22)
-        status, answer = cluster.apply(cls.entry(0), TARGETS + [rollout("asistente", "v1"),
-                                                                rollout("pedidos", "v1")])
-        assert status == 200, answer
-        cls.wait_until_serving()
+        cluster.start_services()
         cls.roots = {"asistente": cluster.served(cluster.upstreams["asistente-0"]),
                      "pedidos": cluster.served(cluster.upstreams["pedidos-0"])}
 
@@ -136,24 +112,11 @@
 
     @classmethod
     def wait_until_serving(cls):
-        """Waits until every upstream is routable and every entry instance answers each class."""
-        for upstream in cls.cluster.upstreams.values():
-            wait_until(lambda u=upstream: call(u.agent.ports["http"], "GET", "/readyz")[0] == 200,
-                       f"{upstream.name} is ready")
-        for entry in cls.cluster.entries.values():
-            for service, work_class in (("asistente", "quotation"), ("bodega", "stock-check")):
-                wait_until(lambda e=entry, s=service, w=work_class:
-                           cls.ask(e, s, w, "warm-up")[0] == 200,
-                           f"{entry.name} answers {work_class}")
+        cls.cluster.wait_until_serving()
 
     @classmethod
-    def ask(cls, entry, service, work_class, prompt, key=None, account="account-0", tokens=TOKENS):
-        headers = {"Client-Account": account}
-        if key:
-            headers["Idempotency-Key"] = key
-        status, _, body = call(entry.ports["http"], "POST", f"/v1/{service}/{work_class}",
-                               {"prompt": prompt, "maxTokens": tokens}, headers)
-        return status, body
+    def ask(cls, *arguments, **options):
+        return cls.cluster.ask(*arguments, **options)
 
     def check_results(self, results):
         """Checks that no answer is wrong, no execution is repeated and no "not-run" request ran."""
