--- a/scripts/loopback_cluster.py
+++ b/scripts/loopback_cluster.py
@@ -303,7 +303,8 @@
     if status == 200:
         return "complete" if body == expected else "wrong", body[:200]
     answer = json.loads(body)
-    return {"no": "not-run", "yes": "refused", "unknown": "unknown"}[answer["run"]], answer["error"]
+    outcomes = {"no": "not-run", "yes": "refused", "unknown": "unknown"}
+    return outcomes[answer["run"]], answer["error"]
 
 
 def target(service, work_class, **spec):
