--- a/review/1/case.py
+++ b/review/1/case.py
@@ -26,7 +26,7 @@
                                    "models": [{"name": MODEL, "warmUpS": 0.3}],
                                    "usual": {"prompt": 650, "answer": 100}}}])
 for i in range(1, RUNNERS + 1):
-    d.start_runner(f"r{i}", "asistente", 30 + i, identity=f"i-{i}", model=MODEL, event_ms=EVENT_MS,
+    d.start_runner(f"r{i}", "asistente", 30 + i, identity=f"i-{i}", model=MODEL, event_ms=EVENT_MS, engine=1,
                    unframed_every=2)
     d.start_agent(f"side-{i}", 30 + i, "asistente")
 entries = [d.start_entry(f"frontend-{i}", 40 + i) for i in (1, 2)]
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -299,7 +299,7 @@
         return [int(line[3:]) for each in events for line in each.split(b"\n") if line.startswith(b"id:")]
 
 
-def call(address, method, target, host, headers, body=b"", patience=8.0, sock=None):
+def call(address, method, target, host, headers, body=b"", patience=8.0, sock=None, keep=False):
     """Sends one request on a new channel, or on `sock`, and reads its answer to the end."""
     answer = Answer()
     try:
@@ -346,6 +346,6 @@
     except (OSError, ValueError) as error:
         answer.error = type(error).__name__ + " " + str(error)
     finally:
-        if sock is not None:
+        if sock is not None and not (keep and answer.complete):
             sock.close()
     return answer
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -16,6 +16,7 @@
 parser.add_argument("--address", required=True)
 parser.add_argument("--id", required=True)
 parser.add_argument("--model", default="")
+parser.add_argument("--engine", type=int, default=0, help="1: needs a model to run requests")
 parser.add_argument("--slots", type=int, default=16)
 parser.add_argument("--unframed-every", type=int, default=0, help="each n-th answer has no length")
 parser.add_argument("--event-ms", type=int, default=100)
@@ -104,7 +105,7 @@
                              % len(text) + text)
                 continue
             attempt = headers.get("attempt-id", "")
-            if headers.get("expected-instance", options.id) != options.id:
+            if headers.get("expected-instance", options.id) != options.id or options.engine and not options.model:
                 sock.sendall(f"HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\n"
                              f"Instance-Id: {options.id}\r\nContent-Length: 0\r\n\r\n".encode())
                 continue
@@ -161,7 +162,6 @@
 listener.bind((host, int(port)))
 listener.listen(256)
 log(what="started", pid=os.getpid(), born=BORN)
-print_ready = True
 while True:
     connection, _ = listener.accept()
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
