--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,6 @@
 import pathlib
+import signal
+import socket
 import sys
 import threading
 import time
@@ -7,75 +9,95 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins"))
 from deployment import Deployment, call
 
-HOST = "jepu9.example"
-MODEL = "daka510000"
-PIECES = 40
-EVENT_MS = 100
-RUNNERS = 7
-RECLAIMED = ["r1"]
-NOTICE_S = 2.0
+HOST = "hulo84.example"
+CHANNELS = 24
+WORK_MS = 100
+LENGTH_S = 8
+FAULT_AT_S = 3
 
 d = Deployment(pathlib.Path(__file__).parent)
 d.write_config(
-    routes=[{"name": "letters", "host": HOST, "prefix": "/lepu270/", "service": "asistente",
-             "routeKind": "streaming", "streamResumption": False, "timeoutMs": 6000, "targetLatencyMs": 500,
-             "targetGapMs": 400, "maxAttempts": 2, "priority": 1, "public": True}],
-    services=[{"name": "asistente", "connectionLimit": 364, "healthPath": "/health",
-               "inferenceEngine": {"slots": 16, "layers": 16, "chunks": 96, "chunkBytes": 24576, "step_ms": 8.87,
-                                   "per_seq_ms": 0.1, "read_per_s": 19100, "stride": 1,
-                                   "models": [{"name": MODEL, "warmUpS": 0.3}],
-                                   "usual": {"prompt": 650, "answer": 100}}}])
-for i in range(1, RUNNERS + 1):
-    d.start_runner(f"r{i}", "asistente", 30 + i, identity=f"i-{i}", model=MODEL, event_ms=EVENT_MS, engine=1,
-                   unframed_every=2)
-    d.start_agent(f"side-{i}", 30 + i, "asistente")
-entries = [d.start_entry(f"frontend-{i}", 40 + i) for i in (1, 2)]
+    routes=[{"name": "check", "host": HOST, "prefix": "/boye614/", "service": "pedidos", "routeKind": "idempotent",
+             "timeoutMs": 1500, "targetLatencyMs": 300, "maxAttempts": 2, "priority": 1, "public": True}],
+    services=[{"name": "pedidos", "connectionLimit": 110, "healthPath": "/health"}])
+for i in range(1, 8):
+    d.start_runner(f"r{i}", "pedidos", 30 + i, identity=f"i-{i}", slots=6, work_ms=WORK_MS)
+FAULTY = "r1"
+entries = {name: d.start_entry(name, host) for name, host in (("frontend-1", 41), ("frontend-2", 42))}
 d.wait_ready([41, 42])
-time.sleep(1.5)
+time.sleep(1)
 
-bad = []
-counts = {"complete": 0, "broken off": 0, "refused": 0}
+ends = []
+stop = threading.Event()
+
+
+def platform():
+    """Starts a process that ended again after a short delay."""
+    while not stop.is_set():
+        for name, process in list(entries.items()):
+            if process.poll() is not None and not stop.is_set():
+                d.note(f"{name} ended by itself with code {process.returncode}")
+                ends.append(name)
+                time.sleep(0.5)
+                entries[name] = d.start_entry(name, {"frontend-1": 41, "frontend-2": 42}[name])
+        time.sleep(0.02)
+
+
+threading.Thread(target=platform, daemon=True).start()
+end = time.monotonic() + LENGTH_S
+unanswered = []
+served = [0]
 lock = threading.Lock()
 
 
 def client(number):
-    attempt = f"{number:016x}"
-    d.note(f"client sends {attempt}, {PIECES} pieces due")
-    a = call((f"{d.net}.{41 + number % 2}", 8005), "POST", f"/lepu270/stream-{PIECES}", HOST,
-             {"Attempt-Id": attempt, "Model": MODEL, "Token-Usage": f"600,{PIECES * 5}",
-              "Prompt-Prefix": f"5c1e07a2:40,{number:08x}:560", "Deadline-Ms": "6000"}, b"x" * 500)
-    ids = a.event_ids()
-    ok = a.status == 200 and a.complete
-    d.note(f"client gets {attempt}: status {a.status}, {'complete' if a.complete else 'not complete'}, "
-           f"signature {a.headers.get('response-signature')}, {len(ids)} of {PIECES} pieces {a.error}")
-    with lock:
-        if ok:
-            counts["complete"] += 1
-            if ids != list(range(1, PIECES + 1)):
-                bad.append(attempt)
-        else:
-            counts["refused" if a.status != 200 else "broken off"] += 1
+    """Keeps one channel; sends the next request when the answer is there."""
+    address = (f"{d.net}.{41 + number % 2}", 8005)
+    sock = None
+    count = 0
+    while time.monotonic() < end:
+        try:
+            if sock is None:
+                sock, count = socket.create_connection(address, 1), 0
+        except OSError:
+            time.sleep(0.2)
+            continue
+        count += 1
+        attempt = f"{number:04x}{time.monotonic_ns() & 0xffffffffffff:012x}"
+        a = call(None, "GET", "/boye614/bo77/2f", HOST, {"Attempt-Id": attempt, "Deadline-Ms": "1500"}, b"", 3, sock,
+                 keep=True)
+        if a.complete:
+            with lock:
+                served[0] += a.status == 200
+            if a.status != 200:
+                time.sleep(0.1)
+            if a.headers.get("connection") == "close":
+                sock.close()
+                sock = None
+            continue
+        d.note(f"channel {number} ends without an answer to {attempt}, its request {count}: {a.error}")
+        if count > 1:
+            with lock:
+                unanswered.append(attempt)
+        sock = None
 
 
-threads = []
-for number in range(1, 201):
-    thread = threading.Thread(target=client, args=(number,))
+threads = [threading.Thread(target=client, args=(n,)) for n in range(CHANNELS)]
+for thread in threads:
     thread.start()
-    threads.append(thread)
-    time.sleep(0.05)
-    if d.trouble and number == 90:
-        for name in RECLAIMED:
-            d.set_state(name, "draining")
-
-        def gone():
-            time.sleep(NOTICE_S)
-            for each in RECLAIMED:
-                d.kill_runner(each)
-
-        threading.Thread(target=gone).start()
+time.sleep(FAULT_AT_S)
+if d.trouble:
+    d.runners[FAULTY]["process"].send_signal(signal.SIGUSR2)
+    d.note(f"runner {FAULTY} ends its next answer with a trailer of 70,000 bytes")
 for thread in threads:
     thread.join()
-d.note(f"{counts}; complete answers without their last piece: {len(bad)} {bad}")
-if counts["complete"] < 100:
-    d.finish(2, f"too few requests were served: {counts}")
-d.finish(1 if bad else 0, f"{len(bad)} of {counts['complete']} streams ended as complete before their last piece")
+stop.set()
+ran = {fields["attempt"]: fields["runner"] for fields in d.runs() if fields["what"] == "runs"}
+sound = [each for each in unanswered if ran.get(each, "i-1") != "i-1"]
+d.note(f"{served[0]} served; processes ended {len(ends)} times; {len(sound)} requests of kept channels were passed on to "
+       f"sound runners and got no answer: {sound}")
+if served[0] < 200:
+    d.finish(2, f"too few requests were served: {served[0]}")
+d.finish(1 if len(sound) > 3 else 0,
+         f"{len(ends)} ends of entry instances; {len(sound)} requests of kept channels were passed on to sound runners "
+         "and got no answer")
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# A runner leaves as a spot machine does: it reports `draining` and is gone two seconds later.
+# A faulty runner ends one answer with a long trailer.
 cd "$(dirname "$0")" && exec python3 case.py
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -19,6 +19,7 @@
 parser.add_argument("--engine", type=int, default=0, help="1: needs a model to run requests")
 parser.add_argument("--slots", type=int, default=16)
 parser.add_argument("--unframed-every", type=int, default=0, help="each n-th answer has no length")
+parser.add_argument("--spoil-bytes", type=int, default=70000)
 parser.add_argument("--event-ms", type=int, default=100)
 parser.add_argument("--work-ms", type=int, default=15)
 options = parser.parse_args()
@@ -41,7 +42,16 @@
     leaving = True
 
 
+spoil_next = False
+
+
+def on_spoil(*_):
+    global spoil_next
+    spoil_next = True
+
+
 signal.signal(signal.SIGUSR1, on_leaving)
+signal.signal(signal.SIGUSR2, on_spoil)
 
 
 class Reader:
@@ -82,7 +92,7 @@
 
 
 def serve(sock):
-    global answers, active
+    global answers, active, spoil_next
     reader = Reader(sock)
     try:
         while True:
@@ -142,6 +152,15 @@
                 else:
                     time.sleep(options.work_ms / 1000)
                     body = plain_body(attempt, 800)
+                    with lock:
+                        spoiled, spoil_next = spoil_next, False
+                    if spoiled:
+                        # A chunked body whose trailer has one long field.
+                        log(what="spoils", attempt=attempt)
+                        sock.sendall((common + "Transfer-Encoding: chunked\r\n\r\n").encode()
+                                     + b"%x\r\n" % len(body) + body + b"\r\n0\r\nX-Trace: "
+                                     + b"q" * options.spoil_bytes + b"\r\n\r\n")
+                        continue
                     frame = "Connection: close\r\n" if unframed else f"Content-Length: {len(body)}\r\n"
                     sock.sendall((common + frame + "\r\n").encode() + body)
                 log(what="ended", attempt=attempt)
