--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,7 +18,7 @@
 d = Deployment(pathlib.Path(__file__).parent)
 d.write_config(
     routes=[{"name": "letters", "host": HOST, "prefix": "/lepu270/", "service": "asistente",
-             "routeKind": "streaming", "streamResumption": False, "timeoutMs": 6000, "targetLatencyMs": 500,
+             "routeKind": "streaming", "streamResumption": True, "timeoutMs": 6000, "targetLatencyMs": 500,
              "targetGapMs": 400, "maxAttempts": 2, "priority": 1, "public": True}],
     services=[{"name": "asistente", "connectionLimit": 364, "healthPath": "/health",
                "inferenceEngine": {"slots": 16, "layers": 16, "chunks": 96, "chunkBytes": 24576, "step_ms": 8.87,
