--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# A runner leaves as a spot machine does: it reports `draining` and is gone two seconds later.
+# New weights are named; the origin spoils its first answer to a request for their digests.
 cd "$(dirname "$0")" && exec python3 case.py
