--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -21,6 +21,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 NODE = "target/platform/fescuegauge-node"
+LIMIT_S = 110
 
 
 class Store:
@@ -132,6 +133,12 @@
         self.runners = {}
         self.store = Store((f"{self.net}.7", 8007))
         self.version = 0
+        # Whatever happens, the processes end, after LIMIT_S at the latest.
+        sys.excepthook = lambda kind, error, _: self.finish(2, f"the case could not run: {kind.__name__} {error}")
+        signal.signal(signal.SIGTERM, lambda *_: self.finish(2, "the case was ended"))
+        watchdog = threading.Timer(LIMIT_S, self.finish, (2, f"the case took longer than {LIMIT_S} s"))
+        watchdog.daemon = True
+        watchdog.start()
 
     def note(self, text):
         with self.lock:
