Agents: accept a list of digests only if it matches the plan

Cause: the number of pieces was taken from the list that it was to check. The transfer, the read-back and the invariant before a load counted by it. The plan's number was decoded and not used, and the model and version in the origin's answer were not compared with the request. Agents passed the list on.

Ruled out: verification of pieces and overwritten staging (transfer_started showed pieces=48 at the agent in question, and there was no staged_piece_bad).

Change: PieceManifest can only be created from a list that names the declared model and version and has one digest for each piece in the plan. Lists of the origin and of agents pass through it; refused ones are logged and counted. No transfer begins before the number of pieces is known, and one with another number is discarded.

Before, "a list of digests that does not match the plan is not used" failed: lists cut to half, by one digest and to none loaded 6, 1 and 12 foreign pieces of 12. All cases of agent_test pass after the change.

--- a/src/include/Fescuegauge/WeightsAgent.h
+++ b/src/include/Fescuegauge/WeightsAgent.h
@@ -3,9 +3,10 @@
 
 #include "Fescuegauge/AsioTypes.h"
 #include "Fescuegauge/AsyncHttpClient.h"
-#include "Fescuegauge/Digest.h"
 #include "Fescuegauge/EmbeddedHttpServer.h"
+#include "Fescuegauge/Metrics.h"
 #include "Fescuegauge/PieceExchange.h"
+#include "Fescuegauge/PieceManifest.h"
 #include "Fescuegauge/Random.h"
 #include "Fescuegauge/RoutingPlan.h"
 #include "Fescuegauge/StoreOutage.h"
@@ -57,13 +58,6 @@
                                      std::uint64_t ExpectedOrders) = 0;
 };
 
-/// The digests of the pieces of one version.
-struct PieceManifest {
-  ModelId m_Model;
-  WeightsVersion m_Version;
-  std::vector<Digest> m_Digests;
-};
-
 /// The answer of the origin or of another agent to the request for a piece.
 struct FetchedPiece {
   /// Nothing if the piece did not arrive.
@@ -78,7 +72,8 @@
 class WeightsOriginClient {
 public:
   virtual ~WeightsOriginClient() = default;
-  virtual Task<std::optional<PieceManifest>> manifest(ModelId Model, WeightsVersion Version) = 0;
+  /// Returns the answer as received; PieceManifest checks it.
+  virtual Task<std::optional<DigestList>> digests(ModelId Model, WeightsVersion Version) = 0;
   virtual Task<FetchedPiece> piece(ModelId Model, WeightsVersion Version, std::uint32_t Piece) = 0;
 };
 
@@ -139,6 +134,9 @@
   static constexpr Duration IdleInterval = std::chrono::milliseconds(500);
   static constexpr Duration LoadInterval = std::chrono::milliseconds(100);
   static constexpr Duration RetryInterval = std::chrono::milliseconds(200);
+  /// Maximum delay between searches for digests while the origin's lists are refused. It bounds the
+  /// load on the origin if the plan states a wrong number of pieces.
+  static constexpr Duration MaxSearchDelay = std::chrono::seconds(2);
   /// Maximum age of the list of peers during a transfer, and between transfers.
   static constexpr Duration PeersValidity = std::chrono::seconds(2);
   static constexpr Duration IdlePeersValidity = std::chrono::seconds(10);
@@ -155,7 +153,7 @@
 
   WeightsAgent(net::io_context &Loop, AsyncHttpClient &HttpClient, RunnerControl &Runner,
                WeightsOriginClient &Origin, PeerDirectory &Peers, LoadNotifier &Notifier,
-               WeightsAgentOptions Options);
+               MetricsService &Metrics, WeightsAgentOptions Options);
   ~WeightsAgent();
   WeightsAgent(const WeightsAgent &) = delete;
   WeightsAgent &operator=(const WeightsAgent &) = delete;
@@ -166,6 +164,9 @@
   /// A version was announced, at `NotBefore` at the earliest; `NotBefore` is empty if that may have
   /// been long ago. Versions not newer than the known one are ignored.
   void announce(const ModelId &Model, WeightsVersion Version, std::optional<TimePoint> NotBefore);
+  /// Sets the number of pieces of the weights, from the plan in force; 0 is ignored. No transfer
+  /// begins before it is known, and transfers with another number are discarded.
+  void setPieceCount(std::uint32_t Count);
   /// See WeightsAgentOptions::m_Deadline.
   void setDeadline(Duration Deadline);
   /// Sets the last outage of the platform's store that this agent observed.
--- a/src/libagent/DigestSearch.cpp
+++ b/src/libagent/DigestSearch.cpp
@@ -2,6 +2,8 @@
 
 #include "PieceProtocol.h"
 
+#include "Fescuegauge/Log.h"
+
 namespace fescuegauge {
 
 Task<std::optional<FoundDigests>> DigestSearch::run(std::vector<ManifestSources::Source> Sources,
@@ -39,14 +41,15 @@
 Task<> DigestSearch::askPeer(PiecePeer Peer) {
   auto Self = shared_from_this();
   const CallResult Answer = co_await m_HttpClient.call(
-      Peer.m_Address, makeGet(piecePath(m_Model, m_Version, DigestsName)),
+      Peer.m_Address, makeGet(piecePath(m_Wanted.m_Model, m_Wanted.m_Version, DigestsName)),
       WeightsAgent::DigestsTimeout);
   m_HaveAllPeersDeclined = m_HaveAllPeersDeclined && Answer.status() == StatusNotFound;
   m_IsPeerObtainingDigests = m_IsPeerObtainingDigests || Answer.status() == StatusUnavailable;
   if (Answer.status() == 200 && !m_Found) {
-    PieceManifest Manifest{m_Model, m_Version, parseDigests(Answer.m_Response.body())};
-    if (!Manifest.m_Digests.empty())
-      m_Found = FoundDigests{std::move(Manifest), Peer.m_Id.str()};
+    if (auto Received = parseDigests(Answer.m_Response.body()))
+      accept(std::move(*Received), Peer.m_Id.str());
+    else
+      refuse("the list is malformed", Peer.m_Id.str());
   }
   finishRequest();
 }
@@ -54,15 +57,36 @@
 Task<> DigestSearch::askOrigin() {
   auto Self = shared_from_this();
   while (!m_Found && !m_IsFinished) {
-    std::optional<PieceManifest> Manifest = co_await m_Origin.manifest(m_Model, m_Version);
-    if (Manifest && !m_Found)
-      m_Found = FoundDigests{std::move(*Manifest), "origin"};
+    std::optional<DigestList> Received =
+        co_await m_Origin.digests(m_Wanted.m_Model, m_Wanted.m_Version);
+    if (Received && !m_Found)
+      m_WasOriginRefused = !accept(std::move(*Received), "origin");
     if (!m_Found)
       co_await sleepFor(WeightsAgent::RetryInterval);
   }
   finishRequest();
 }
 
+bool DigestSearch::accept(DigestList Received, std::string Source) {
+  std::string Error;
+  auto Manifest = PieceManifest::create(m_Wanted, std::move(Received), Error);
+  if (!Manifest) {
+    refuse(Error, Source);
+    return false;
+  }
+  m_Found = FoundDigests{std::move(*Manifest), std::move(Source)};
+  return true;
+}
+
+void DigestSearch::refuse(std::string_view Reason, std::string_view Source) {
+  m_RefusedLists.add();
+  logEvent(Severity::Warning, "digests_refused",
+           {{"model", m_Wanted.m_Model},
+            {"version", m_Wanted.m_Version},
+            {"from", Source},
+            {"reason", Reason}});
+}
+
 void DigestSearch::finishRequest() {
   --m_RequestsInProgress;
   m_Progress.cancel();
--- a/src/libagent/DigestSearch.h
+++ b/src/libagent/DigestSearch.h
@@ -23,13 +23,14 @@
 ///
 /// Sources are asked one after the other without waiting for each one to fail, since a hung agent
 /// does not answer. Requests to the origin are repeated while the attempt lasts, since the origin
-/// may have been unreachable.
+/// may have been unreachable. A list that does not match the declared pieces counts as no answer,
+/// whichever source it comes from.
 class DigestSearch : public std::enable_shared_from_this<DigestSearch> {
 public:
   DigestSearch(net::any_io_executor Executor, AsyncHttpClient &HttpClient,
-               WeightsOriginClient &Origin, ModelId Model, WeightsVersion Version)
+               WeightsOriginClient &Origin, CounterMetric &RefusedLists, DeclaredPieces Wanted)
       : m_Executor(std::move(Executor)), m_HttpClient(HttpClient), m_Origin(Origin),
-        m_Model(std::move(Model)), m_Version(Version), m_Progress(m_Executor) {}
+        m_RefusedLists(RefusedLists), m_Wanted(std::move(Wanted)), m_Progress(m_Executor) {}
 
   /// Returns the first answer; nothing after WeightsAgent::DigestsTimeout, when all sources failed,
   /// or when `IsAborted` returns true. To be called once.
@@ -37,18 +38,24 @@
                                         std::function<bool()> IsAborted);
   /// Whether an agent answered that it is about to obtain the digests.
   bool isPeerObtainingDigests() const { return m_IsPeerObtainingDigests; }
+  /// Whether a list of the origin was refused.
+  bool wasOriginRefused() const { return m_WasOriginRefused; }
 
 private:
   void ask(const ManifestSources::Source &From);
   Task<> askPeer(PiecePeer Peer);
   Task<> askOrigin();
+  /// Ends the search with `Received`, unless it does not match the declared pieces. Returns whether
+  /// it matches.
+  bool accept(DigestList Received, std::string Source);
+  void refuse(std::string_view Reason, std::string_view Source);
   void finishRequest();
 
   net::any_io_executor m_Executor;
   AsyncHttpClient &m_HttpClient;
   WeightsOriginClient &m_Origin;
-  ModelId m_Model;
-  WeightsVersion m_Version;
+  CounterMetric &m_RefusedLists;
+  DeclaredPieces m_Wanted;
   /// Cancelled when a request ends.
   net::steady_timer m_Progress;
   std::optional<FoundDigests> m_Found;
@@ -58,6 +65,7 @@
   /// True while every agent that answered reported that it will not obtain the digests.
   bool m_HaveAllPeersDeclined = true;
   bool m_IsPeerObtainingDigests = false;
+  bool m_WasOriginRefused = false;
   bool m_IsFinished = false;
 };
 
--- a/src/libagent/PieceProtocol.cpp
+++ b/src/libagent/PieceProtocol.cpp
@@ -28,22 +28,29 @@
                    std::string(Path.substr(Second + 1))};
 }
 
-std::string encodeDigests(const PieceManifest &Manifest) {
-  std::string Text;
-  for (const Digest &Each : Manifest.m_Digests)
+std::string encodeDigests(const DigestList &List) {
+  std::string Text = List.m_Model.str() + " " + std::to_string(List.m_Version.value()) + "\n";
+  for (const Digest &Each : List.m_Digests)
     Text += Each.hex() + "\n";
   return Text;
 }
 
-std::vector<Digest> parseDigests(const std::string &Text) {
-  std::vector<Digest> Result;
+std::optional<DigestList> parseDigests(const std::string &Text) {
   std::istringstream Lines(Text);
   std::string Line;
+  std::getline(Lines, Line);
+  const std::size_t Space = Line.rfind(' ');
+  if (Space == std::string::npos)
+    return std::nullopt;
+  const auto Version = parseNumber<std::uint64_t>(Line.substr(Space + 1));
+  if (!Version)
+    return std::nullopt;
+  DigestList Result{ModelId(Line.substr(0, Space)), WeightsVersion(*Version), {}};
   while (std::getline(Lines, Line)) {
     auto Parsed = Digest::fromHex(Line);
     if (!Parsed)
-      return {};
-    Result.push_back(*Parsed);
+      return std::nullopt;
+    Result.m_Digests.push_back(*Parsed);
   }
   return Result;
 }
--- a/src/libagent/PieceProtocol.h
+++ b/src/libagent/PieceProtocol.h
@@ -33,9 +33,10 @@
 std::string piecePath(const ModelId &Model, WeightsVersion Version, std::string_view Name);
 std::optional<PieceName> parsePiecePath(std::string_view Path);
 
-std::string encodeDigests(const PieceManifest &Manifest);
-/// Returns an empty list if the text is malformed.
-std::vector<Digest> parseDigests(const std::string &Text);
+/// Encodes a line "MODEL VERSION" and one line for each digest.
+std::string encodeDigests(const DigestList &List);
+/// Returns nothing if the text is malformed.
+std::optional<DigestList> parseDigests(const std::string &Text);
 
 /// Encodes the words of a set in hexadecimal, 16 digits each.
 std::string encodeHoldings(const ChunkSet &Held);
--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -36,15 +36,15 @@
 /// The transfer of one version.
 struct Transfer {
   Transfer(PieceManifest Of, const WeightsAgentOptions &Options)
-      : m_Manifest(std::move(Of)), m_Pieces(m_Manifest.m_Digests.size()),
-        m_Staged(m_Manifest.m_Digests.size()),
-        m_Exchange(versionKey(m_Manifest.m_Model, m_Manifest.m_Version),
-                   static_cast<std::uint32_t>(m_Manifest.m_Digests.size()), Options.m_Self,
-                   Options.m_OriginRegion, Options.m_Seed, m_StartedAt) {}
+      : m_Manifest(std::move(Of)), m_Pieces(m_Manifest.pieceCount()),
+        m_Staged(m_Manifest.pieceCount()),
+        m_Exchange(versionKey(m_Manifest.model(), m_Manifest.version()), m_Manifest.pieceCount(),
+                   Options.m_Self, Options.m_OriginRegion, Options.m_Seed, m_StartedAt) {}
 
-  std::uint32_t count() const { return static_cast<std::uint32_t>(m_Pieces.size()); }
+  std::uint32_t count() const { return m_Manifest.pieceCount(); }
   bool isComplete() const { return m_Exchange.isComplete(); }
-  WeightsVersion version() const { return m_Manifest.m_Version; }
+  const ModelId &model() const { return m_Manifest.model(); }
+  WeightsVersion version() const { return m_Manifest.version(); }
   TransferProgress progress() const {
     return {m_StartedAt, m_Exchange.held().count(), m_Exchange.reachableCount(), m_Pieces.size()};
   }
@@ -77,10 +77,14 @@
 
   Implementation(net::io_context &Loop, AsyncHttpClient &HttpClient, RunnerControl &Runner,
                  WeightsOriginClient &Origin, PeerDirectory &Peers, LoadNotifier &Notifier,
-                 WeightsAgentOptions Options)
+                 MetricsService &Metrics, WeightsAgentOptions Options)
       : m_Executor(Loop.get_executor()), m_HttpClient(HttpClient), m_Runner(Runner),
         m_Origin(Origin), m_PeerDirectory(Peers), m_Notifier(Notifier),
-        m_Options(std::move(Options)), m_WakeTimer(Loop) {}
+        m_Options(std::move(Options)),
+        m_RefusedLists(Metrics.counter({"fescuegauge_agent_refused_digest_lists_total",
+                                        "Lists of piece digests that did not match the plan.",
+                                        {}})),
+        m_WakeTimer(Loop) {}
 
   // Steps of the transfer and load of a version.
   Task<> runLoop();
@@ -137,13 +141,16 @@
   /// The transfer of a version, or null if there is none in memory.
   std::shared_ptr<Transfer> findTransfer(const ModelId &Model, WeightsVersion Version) const {
     for (const std::shared_ptr<Transfer> &Each : {m_Current, m_Fallback, m_Replaced})
-      if (Each && Each->m_Manifest.m_Model == Model && Each->version() == Version)
+      if (Each && Each->model() == Model && Each->version() == Version)
         return Each;
     return nullptr;
   }
   void storePiece(Transfer &Version, std::uint32_t Piece, std::string Bytes);
   /// Discards the current transfer, to restart it with digests from the origin.
   void discardDigests();
+  void setPieceCount(std::uint32_t Count);
+  /// Delays the next search for digests after the origin's list was refused.
+  void delayNextSearch();
 
   Task<HandlerResponse> serve(HttpRequest Request);
   Task<HandlerResponse> servePiece(PieceName Wanted, std::uint32_t Piece);
@@ -166,8 +173,11 @@
   PeerDirectory &m_PeerDirectory;
   LoadNotifier &m_Notifier;
   WeightsAgentOptions m_Options;
+  CounterMetric &m_RefusedLists;
 
   net::steady_timer m_WakeTimer;
+  /// 0 until it is known.
+  std::uint32_t m_PieceCount = 0;
   std::optional<Target> m_Target;
   /// Times of announcements.
   std::map<WeightsVersion, TimePoint> m_AnnouncedAt;
@@ -191,6 +201,10 @@
   unsigned m_DigestAttempts = 0;
   /// The digests obtained before did not match the pieces; they are read from the origin next.
   bool m_NeedsOriginDigests = false;
+  /// Delay of the next search for digests, doubled each time the origin's list is refused; 0 after
+  /// a search that found digests.
+  Duration m_SearchDelay{0};
+  TimePoint m_NextSearchAt;
   std::optional<TimePoint> m_OrderedAt;
   /// The version whose load entry instances were notified of, and which is not ordered yet.
   std::shared_ptr<Transfer> m_NotifiedLoad;
@@ -237,7 +251,7 @@
         Newest = std::max(Newest, Version);
       }
     }
-    if (!m_Target) {
+    if (!m_Target || m_PieceCount == 0) {
       co_await waitForWake(IdleInterval);
       continue;
     }
@@ -287,9 +301,11 @@
     co_await sleepFor(NoticeDelay);
   }
   const std::optional<TimePoint> ReadBackAt = co_await verifyStaging(Version);
-  if (!ReadBackAt || !isLoadable(Version))
+  if (!ReadBackAt)
     co_return;
   const std::optional<RunnerReport> Fresh = co_await m_Runner.report();
+  if (!isLoadable(Version))
+    co_return;
   const bool Unchanged = Fresh && Fresh->m_Incarnation == Report.m_Incarnation &&
                          Fresh->m_OrderCount == Report.m_OrderCount && !Fresh->m_IsBusy;
   if (!Unchanged)
@@ -299,7 +315,8 @@
              {{"model", Wanted.m_Model}, {"version", Version->version()}, {"ageSeconds", Age}});
     co_return;
   }
-  if (!LoadAfterReadBack.check(Version->isComplete(), Wanted.m_Model.str()))
+  const bool IsWhole = Version->isComplete() && Version->count() == m_PieceCount;
+  if (!LoadAfterReadBack.check(IsWhole, Wanted.m_Model.str()))
     co_return;
   m_OrderedAt = monotonicNow();
   const LoadOrderResult Result =
@@ -378,10 +395,10 @@
 }
 
 Task<bool> WeightsAgent::Implementation::prepare(Target Wanted) {
-  if (m_Current && m_Current->m_Manifest.m_Model == Wanted.m_Model && !isWanted(*m_Current) &&
+  if (m_Current && m_Current->model() == Wanted.m_Model && !isWanted(*m_Current) &&
       !m_Current->isComplete())
     co_await fetchPieces(m_Current);
-  if (!m_Current || m_Current->m_Manifest.m_Model != Wanted.m_Model || !isWanted(*m_Current)) {
+  if (!m_Current || m_Current->model() != Wanted.m_Model || !isWanted(*m_Current)) {
     keepFallback(Wanted);
     if (isFallbackDue(Wanted))
       co_return false;
@@ -406,7 +423,7 @@
 
 void WeightsAgent::Implementation::keepFallback(const Target &Wanted) {
   const auto Loaded = m_Loaded.find(Wanted.m_Model);
-  const bool IsNewer = m_Current && m_Current->m_Manifest.m_Model == Wanted.m_Model &&
+  const bool IsNewer = m_Current && m_Current->model() == Wanted.m_Model &&
                        (Loaded == m_Loaded.end() || m_Current->version() > Loaded->second);
   if (!IsNewer || !m_Current->isComplete() || m_Fallback == m_Current)
     return;
@@ -443,19 +460,22 @@
     co_return;
   m_PeersReadAt = monotonicNow();
   m_Peers = PieceExchange::withoutDuplicates(*Found);
-  if (m_Current && m_Current->m_Manifest.m_Version == Wanted.m_Version)
+  if (m_Current && m_Current->version() == Wanted.m_Version)
     m_Current->m_Exchange.setPeers(m_Peers);
 }
 
 Task<bool> WeightsAgent::Implementation::fetchDigests(Target Wanted) {
+  if (monotonicNow() < m_NextSearchAt)
+    co_return false;
   co_await refreshPeers(Wanted, PeersValidity);
   std::vector<ManifestSources::Source> Sources{{}};
   if (!m_NeedsOriginDigests)
     Sources =
         ManifestSources::sources(versionKey(Wanted.m_Model, Wanted.m_Version), m_Peers,
                                  m_Options.m_Self, m_Options.m_OriginRegion, m_DigestAttempts);
-  auto Search = std::make_shared<DigestSearch>(m_Executor, m_HttpClient, m_Origin, Wanted.m_Model,
-                                               Wanted.m_Version);
+  const DeclaredPieces Declared{Wanted.m_Model, Wanted.m_Version, m_PieceCount};
+  auto Search =
+      std::make_shared<DigestSearch>(m_Executor, m_HttpClient, m_Origin, m_RefusedLists, Declared);
   const std::function<bool()> IsAborted = [this, Wanted] { return isFallbackDue(Wanted); };
   std::optional<FoundDigests> Found = co_await Search->run(Sources, IsAborted);
   // While the origin is unreachable, an agent with a live ancestor does not ask it: the origin has
@@ -464,11 +484,14 @@
   if (!Found) {
     logEvent(Severity::Warning, "digests_unavailable",
              {{"model", Wanted.m_Model}, {"version", Wanted.m_Version}});
+    if (Search->wasOriginRefused())
+      delayNextSearch();
     co_return false;
   }
   m_DigestAttempts = 0;
+  m_SearchDelay = Duration(0);
   m_NeedsOriginDigests = false;
-  if (!m_Target || m_Target->m_Version != Wanted.m_Version)
+  if (!m_Target || m_Target->m_Version != Wanted.m_Version || Declared.m_PieceCount != m_PieceCount)
     co_return false;
   if (m_Current && !m_Current->isComplete())
     m_Replaced = m_Current;
@@ -484,6 +507,25 @@
   co_return true;
 }
 
+void WeightsAgent::Implementation::delayNextSearch() {
+  m_SearchDelay = std::clamp(2 * m_SearchDelay, RetryInterval, MaxSearchDelay);
+  m_NextSearchAt = monotonicNow() + m_SearchDelay;
+}
+
+void WeightsAgent::Implementation::setPieceCount(std::uint32_t Count) {
+  if (Count == 0 || Count == m_PieceCount)
+    return;
+  logEvent(Severity::Info, "piece_count_set", {{"pieces", Count}, {"before", m_PieceCount}});
+  m_PieceCount = Count;
+  for (std::shared_ptr<Transfer> *Each : {&m_Current, &m_Fallback, &m_Replaced})
+    Each->reset();
+  // The staging area may hold pieces that are no longer in memory.
+  m_IsStagingUnread = true;
+  m_SearchDelay = Duration(0);
+  m_NextSearchAt = TimePoint();
+  m_WakeTimer.cancel();
+}
+
 void WeightsAgent::Implementation::storePiece(Transfer &Version, std::uint32_t Piece,
                                               std::string Bytes) {
   if (Version.m_Pieces[Piece])
@@ -494,8 +536,8 @@
     return;
   Version.m_CompleteAt = monotonicNow();
   logEvent(Severity::Info, "transfer_complete",
-           {{"model", Version.m_Manifest.m_Model},
-            {"version", Version.m_Manifest.m_Version},
+           {{"model", Version.model()},
+            {"version", Version.version()},
             {"seconds", *Version.m_CompleteAt - Version.m_StartedAt},
             {"fromOrigin", Version.m_Exchange.originFetches()},
             {"badPieces", Version.m_BadPieces}});
@@ -505,10 +547,9 @@
   for (std::uint32_t Piece = 0; Piece < Version->count() && isCurrent(Version); ++Piece) {
     if (Version->m_Pieces[Piece])
       continue;
-    std::optional<std::string> Bytes =
-        co_await m_Runner.readStaged(Version->m_Manifest.m_Model, Piece);
+    std::optional<std::string> Bytes = co_await m_Runner.readStaged(Version->model(), Piece);
     // Without the first piece the staging area most likely holds no piece of this version.
-    const bool IsMatch = Bytes && sha256(*Bytes) == Version->m_Manifest.m_Digests[Piece];
+    const bool IsMatch = Bytes && sha256(*Bytes) == Version->m_Manifest.digest(Piece);
     if (!IsMatch && Piece == 0)
       co_return;
     if (!IsMatch)
@@ -542,7 +583,7 @@
   ChunkSet Known(Version->count());
   bool Answered = true;
   while (Answered && isCurrent(Version) && !Version->isComplete()) {
-    const std::string Path = piecePath(Manifest.m_Model, Manifest.m_Version, HoldingsName) +
+    const std::string Path = piecePath(Manifest.model(), Manifest.version(), HoldingsName) +
                              std::string(KnownParameter) + encodeHoldings(Known);
     const CallResult Answer =
         co_await m_HttpClient.call(Peer.m_Address, makeGet(Path), PeerTimeout);
@@ -567,7 +608,7 @@
   auto Self = shared_from_this();
   FetchedPiece Answer = co_await fetchBytes(Version, Fetch);
   std::optional<std::string> &Bytes = Answer.m_Bytes;
-  const bool IsGood = Bytes && sha256(*Bytes) == Version->m_Manifest.m_Digests[Fetch.m_Piece];
+  const bool IsGood = Bytes && sha256(*Bytes) == Version->m_Manifest.digest(Fetch.m_Piece);
   PieceResult Result = Answer.m_WasAsked ? PieceResult::Bad : PieceResult::NotStarted;
   if (IsGood)
     Result = PieceResult::Good;
@@ -594,7 +635,7 @@
     co_return;
   const PieceBytes Kept = Version->m_Pieces[Fetch.m_Piece];
   ++m_StageWritesInProgress;
-  const bool Written = co_await m_Runner.stage(Version->m_Manifest.m_Model, Fetch.m_Piece, Kept);
+  const bool Written = co_await m_Runner.stage(Version->model(), Fetch.m_Piece, Kept);
   --m_StageWritesInProgress;
   Version->m_Staged[Fetch.m_Piece] = Written;
 }
@@ -603,7 +644,7 @@
                                                             PieceFetch Fetch) {
   const PieceManifest &Manifest = Version->m_Manifest;
   if (Fetch.m_FromOrigin)
-    co_return co_await m_Origin.piece(Manifest.m_Model, Manifest.m_Version, Fetch.m_Piece);
+    co_return co_await m_Origin.piece(Manifest.model(), Manifest.version(), Fetch.m_Piece);
   const std::vector<PiecePeer> &Peers = Version->m_Exchange.peers();
   auto Peer = std::find_if(Peers.begin(), Peers.end(),
                            [&](const PiecePeer &Each) { return Each.m_Id == Fetch.m_Peer; });
@@ -611,7 +652,7 @@
     co_return FetchedPiece();
   CallResult Answer = co_await m_HttpClient.call(
       Peer->m_Address,
-      makeGet(piecePath(Manifest.m_Model, Manifest.m_Version, std::to_string(Fetch.m_Piece))),
+      makeGet(piecePath(Manifest.model(), Manifest.version(), std::to_string(Fetch.m_Piece))),
       PeerTimeout);
   FetchedPiece Result;
   Result.m_WasAsked = Answer.m_Kind != CallResult::Kind::NotSent;
@@ -622,16 +663,15 @@
 }
 
 void WeightsAgent::Implementation::discardDigests() {
-  logEvent(
-      Severity::Warning, "digests_doubted",
-      {{"model", m_Current->m_Manifest.m_Model}, {"version", m_Current->m_Manifest.m_Version}});
+  logEvent(Severity::Warning, "digests_doubted",
+           {{"model", m_Current->model()}, {"version", m_Current->version()}});
   m_Current.reset();
   m_NeedsOriginDigests = true;
 }
 
 Task<std::optional<TimePoint>>
 WeightsAgent::Implementation::verifyStaging(std::shared_ptr<Transfer> Version) {
-  const ModelId Model = Version->m_Manifest.m_Model;
+  const ModelId Model = Version->model();
   // A write for another version that completes after the read-back would be loaded unverified.
   while (m_StageWritesInProgress > 0)
     co_await sleepFor(ProgressPollInterval);
@@ -651,7 +691,7 @@
   bool IsAllGood = true;
   for (std::uint32_t Piece = 0; Piece < Version->count() && isLoadable(Version); ++Piece) {
     const std::optional<std::string> Bytes = co_await m_Runner.readStaged(Model, Piece);
-    if (Bytes && sha256(*Bytes) == Version->m_Manifest.m_Digests[Piece])
+    if (Bytes && sha256(*Bytes) == Version->m_Manifest.digest(Piece))
       continue;
     logEvent(Severity::Warning, "staged_piece_bad",
              {{"model", Model}, {"piece", Piece}, {"missing", !Bytes}});
@@ -679,7 +719,7 @@
     if (!Known)
       co_return HandlerResponse{willObtainDigests(*Name) ? StatusUnavailable : StatusNotFound,
                                 "text/plain", ""};
-    co_return HandlerResponse{200, "text/plain", encodeDigests(Known->m_Manifest)};
+    co_return HandlerResponse{200, "text/plain", encodeDigests(Known->m_Manifest.list())};
   }
   if (Name->m_Name == HoldingsName) {
     std::string Known;
@@ -738,9 +778,10 @@
 
 WeightsAgent::WeightsAgent(net::io_context &Loop, AsyncHttpClient &HttpClient,
                            RunnerControl &Runner, WeightsOriginClient &Origin, PeerDirectory &Peers,
-                           LoadNotifier &Notifier, WeightsAgentOptions Options)
+                           LoadNotifier &Notifier, MetricsService &Metrics,
+                           WeightsAgentOptions Options)
     : m_Implementation(std::make_shared<Implementation>(Loop, HttpClient, Runner, Origin, Peers,
-                                                        Notifier, std::move(Options))) {}
+                                                        Notifier, Metrics, std::move(Options))) {}
 
 WeightsAgent::~WeightsAgent() = default;
 
@@ -768,6 +809,8 @@
   m_Implementation->m_WakeTimer.cancel();
 }
 
+void WeightsAgent::setPieceCount(std::uint32_t Count) { m_Implementation->setPieceCount(Count); }
+
 void WeightsAgent::onOutage(const StoreOutage &Outage) { m_Implementation->m_Outage = Outage; }
 
 void WeightsAgent::setDeadline(Duration Deadline) {
--- a/src/libagent/WeightsAgent_test.cpp
+++ b/src/libagent/WeightsAgent_test.cpp
@@ -89,13 +89,15 @@
 public:
   static constexpr std::uint32_t Pieces = 12;
 
-  Task<std::optional<PieceManifest>> manifest(ModelId Of, WeightsVersion Version) override {
-    ++m_ManifestCalls;
+  Task<std::optional<DigestList>> digests(ModelId Of, WeightsVersion Version) override {
+    ++m_DigestCalls;
     if (m_IsDown || m_UnknownVersions.contains(Version))
       co_return std::nullopt;
-    PieceManifest Result{Of, Version, {}};
+    DigestList Result{Of, Version, {}};
     for (std::uint32_t I = 0; I < Pieces; ++I)
       Result.m_Digests.push_back(sha256(pieceBytes(Version, I)));
+    if (m_OnDigests)
+      m_OnDigests(Result);
     co_return Result;
   }
   Task<FetchedPiece> piece(ModelId, WeightsVersion Version, std::uint32_t Piece) override {
@@ -111,13 +113,15 @@
     co_return Result;
   }
 
+  /// May alter an answer before it is sent.
+  std::function<void(DigestList &)> m_OnDigests;
   bool m_IsDown = false;
   Duration m_PieceTime = 2ms;
   std::set<std::uint32_t> m_CorruptPieces;
   /// Versions that the origin does not have yet.
   std::set<WeightsVersion> m_UnknownVersions;
   int m_Sent = 0;
-  int m_ManifestCalls = 0;
+  int m_DigestCalls = 0;
 };
 
 class FakePeers : public PeerDirectory {
@@ -142,7 +146,8 @@
 /// One agent with its runner, on an event loop that the test runs.
 class AgentFixture {
 public:
-  explicit AgentFixture(net::io_context &Loop, const std::string &Name = "127.0.0.1")
+  explicit AgentFixture(net::io_context &Loop, const std::string &Name = "127.0.0.1",
+                        std::uint32_t PieceCount = FakeOrigin::Pieces)
       : m_Loop(Loop), m_Pool(Loop.get_executor()), m_HttpClient(m_Pool), m_Server(Loop) {
     m_Address = test::loopbackEndpoint(test::freePort(Loop));
     WeightsAgentOptions Options;
@@ -151,7 +156,8 @@
     Options.m_Deadline = 400ms;
     Options.m_Seed = 5;
     m_Agent = std::make_unique<WeightsAgent>(Loop, m_HttpClient, m_Runner, m_Origin, m_Peers,
-                                             m_Notifier, Options);
+                                             m_Notifier, m_Metrics, Options);
+    m_Agent->setPieceCount(PieceCount);
     m_Agent->start(m_Server);
     m_Server.listen(m_Address);
   }
@@ -173,6 +179,7 @@
   FakeOrigin m_Origin;
   FakePeers m_Peers;
   FakeNotifier m_Notifier;
+  MetricsService m_Metrics;
   std::unique_ptr<WeightsAgent> m_Agent;
 };
 
@@ -209,6 +216,129 @@
   CHECK(Fixture.m_Origin.m_Sent == FakeOrigin::Pieces + 2);
 }
 
+// Guards against a load of a mixture of two versions: a list of digests that is shorter than the
+// version made the transfer complete with the pieces of the older version in the staging area.
+TEST_CASE("a list of digests that does not match the plan is not used", "[agent]") {
+  const auto Alter = GENERATE(values<std::function<void(DigestList &)>>({
+      [](DigestList &List) { List.m_Digests.resize(FakeOrigin::Pieces / 2); },
+      [](DigestList &List) { List.m_Digests.pop_back(); },
+      [](DigestList &List) { List.m_Digests.clear(); },
+      [](DigestList &List) { List.m_Digests.push_back(sha256("further")); },
+      [](DigestList &List) { List.m_Version = First; },
+      [](DigestList &List) { List.m_Model = ModelId("other"); },
+  }));
+  net::io_context Loop;
+  AgentFixture Fixture(Loop);
+  Fixture.m_Runner.m_Report.m_Loaded[Model] = First;
+  for (std::uint32_t I = 0; I < FakeOrigin::Pieces; ++I)
+    Fixture.m_Runner.m_Staged[I] = pieceBytes(First, I);
+  Fixture.m_Origin.m_OnDigests = [&](DigestList &List) {
+    if (Fixture.m_Origin.m_DigestCalls == 1)
+      Alter(List);
+  };
+  Fixture.m_Agent->announce(Model, Second, monotonicNow());
+  REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(Second); }));
+  CHECK(Fixture.m_Runner.m_Loads == std::vector<WeightsVersion>{Second});
+  checkLoadedCompletely(Fixture, Second);
+  CHECK(Fixture.m_Origin.m_DigestCalls == 2);
+}
+
+// Guards against an agent that takes incomplete or foreign digests from another agent: one bad list
+// of the origin reached four of six runners.
+TEST_CASE("a list of another agent that does not match the plan is not used", "[agent]") {
+  std::string Digests;
+  for (std::uint32_t I = 0; I < FakeOrigin::Pieces; ++I)
+    Digests += sha256(pieceBytes(Second, I)).hex() + "\n";
+  const std::string Half = Digests.substr(0, Digests.size() / 2);
+  const std::string Answer = GENERATE_COPY(
+      values<std::string>({"model 2\n" + Half, Digests, Half, "model 1\n" + Digests,
+                           "other 2\n" + Digests, "model 2\n", "", "model x\n" + Digests}));
+  net::io_context Loop;
+  test::LoopbackServer Peer(Loop, [&](Tcp::socket Socket) {
+    return test::serveRequests(
+        std::move(Socket), [&](HttpRequest Request) -> Task<std::optional<HttpResponse>> {
+          HttpResponse Response;
+          const std::string Path(Request.target());
+          const std::string Name = Path.substr(Path.rfind('/') + 1);
+          Response.body() = Name == "digests"
+                                ? Answer
+                                : pieceBytes(Second, static_cast<std::uint32_t>(std::stoul(Name)));
+          co_return Response;
+        });
+  });
+  // The agent is below the roots of the tree, so it asks other agents first.
+  std::vector<PiecePeer> Peers;
+  for (int I = 0; I < 5; ++I)
+    Peers.push_back({InstanceId("agent-" + std::to_string(I)), Peer.address(), DataCentreId("d"),
+                     RegionId("r"), true});
+  const auto IsBelowRoots = [&](const PiecePeer &Each) {
+    const auto Sources = ManifestSources::sources("model/2", Peers, Each.m_Id, RegionId("r"), 0);
+    return Sources.front().m_Peer.has_value();
+  };
+  const auto Own = std::find_if(Peers.begin(), Peers.end(), IsBelowRoots);
+  REQUIRE(Own != Peers.end());
+  AgentFixture Fixture(Loop, Own->m_Id.str());
+  Own->m_Address = Fixture.m_Address;
+  Own->m_HoldsAll = false;
+  Fixture.m_Runner.m_Report.m_Loaded[Model] = First;
+  for (std::uint32_t I = 0; I < FakeOrigin::Pieces; ++I)
+    Fixture.m_Runner.m_Staged[I] = pieceBytes(First, I);
+  Fixture.m_Peers.m_Peers = Peers;
+  Fixture.m_Agent->announce(Model, Second, monotonicNow());
+  REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(Second); }));
+  CHECK(Fixture.m_Runner.m_Loads == std::vector<WeightsVersion>{Second});
+  checkLoadedCompletely(Fixture, Second);
+  CHECK(Fixture.m_Metrics.serialize().find("fescuegauge_agent_refused_digest_lists_total 0") ==
+        std::string::npos);
+}
+
+// Guards against a load, and against a flood of requests at the origin, if the plan and the origin
+// disagree about the number of pieces.
+TEST_CASE("an agent whose plan states another number of pieces waits for the next plan",
+          "[agent]") {
+  net::io_context Loop;
+  AgentFixture Fixture(Loop);
+  Fixture.m_Agent->setPieceCount(FakeOrigin::Pieces + 1);
+  Fixture.m_Agent->announce(Model, First, std::nullopt);
+  Fixture.runUntil([] { return false; }, 4s);
+  CHECK(Fixture.m_Runner.m_Loads.empty());
+  CHECK(Fixture.m_Origin.m_DigestCalls > 0);
+  // Three searches of at most five requests each, as the delay between them doubles.
+  CHECK(Fixture.m_Origin.m_DigestCalls <= 15);
+  CHECK(Fixture.m_Metrics.serialize().find("fescuegauge_agent_refused_digest_lists_total " +
+                                           std::to_string(Fixture.m_Origin.m_DigestCalls)) !=
+        std::string::npos);
+  Fixture.m_Agent->setPieceCount(FakeOrigin::Pieces);
+  REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(First); }, 2s));
+  checkLoadedCompletely(Fixture, First);
+}
+
+// Guards against a load of weights whose number of pieces is no longer the declared one.
+TEST_CASE("a transfer is discarded when the plan changes the number of pieces", "[agent]") {
+  net::io_context Loop;
+  AgentFixture Fixture(Loop);
+  Fixture.m_Origin.m_PieceTime = 30ms;
+  Fixture.m_Agent->announce(Model, First, std::nullopt);
+  REQUIRE(Fixture.runUntil([&] { return Fixture.m_Origin.m_Sent >= 4; }));
+  Fixture.m_Agent->setPieceCount(FakeOrigin::Pieces - 1);
+  Fixture.m_Origin.m_OnDigests = [](DigestList &List) { List.m_Digests.pop_back(); };
+  REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(First); }));
+  CHECK(Fixture.m_Runner.m_Loads.size() == 1);
+  CHECK(Fixture.m_Agent->dumpState()["pieces"].to_number<std::uint32_t>() ==
+        FakeOrigin::Pieces - 1);
+}
+
+TEST_CASE("no transfer begins before the number of pieces is known", "[agent]") {
+  net::io_context Loop;
+  AgentFixture Fixture(Loop, "127.0.0.1", 0);
+  Fixture.m_Agent->announce(Model, First, std::nullopt);
+  Fixture.runUntil([] { return false; }, 300ms);
+  CHECK(Fixture.m_Origin.m_DigestCalls == 0);
+  Fixture.m_Agent->setPieceCount(FakeOrigin::Pieces);
+  REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(First); }));
+  checkLoadedCompletely(Fixture, First);
+}
+
 // Guards against a load of a staging area that was corrupted after the pieces were written.
 TEST_CASE("no load is ordered for a corrupted staging area", "[agent]") {
   net::io_context Loop;
@@ -394,7 +524,7 @@
   }
   Agents.front()->runUntil([] { return false; }, 3s);
   const auto Asking = std::count_if(Agents.begin(), Agents.end(), [](const auto &Each) {
-    return Each->m_Origin.m_ManifestCalls > 0;
+    return Each->m_Origin.m_DigestCalls > 0;
   });
   CHECK(Asking == static_cast<std::ptrdiff_t>(ManifestSources::MaxRoots));
   for (const auto &Each : Agents)
