Agents: keep verified pieces when a list of digests is doubted

Seen: after a list of the right length with one wrong digest, an agent fetched every piece a second time, which delays the version and loads the origin.

Cause: discardDigests() dropped the transfer with all pieces. The pieces whose digests are the same in the origin's next list are now adopted.

Before, "a wrong digest costs only the fetches of its piece" failed: 26 fetches from the origin, 15 allowed (12 pieces and three mismatches). It passes after the change.

--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -134,7 +134,7 @@
   }
   /// Records that the staging area no longer holds pieces of any transfer except `Except`.
   void clearStaged(const std::shared_ptr<Transfer> &Except) {
-    for (const std::shared_ptr<Transfer> &Each : {m_Current, m_Fallback, m_Replaced})
+    for (const std::shared_ptr<Transfer> &Each : {m_Current, m_Fallback, m_Replaced, m_Doubted})
       if (Each && Each != Except)
         std::fill(Each->m_Staged.begin(), Each->m_Staged.end(), false);
   }
@@ -145,9 +145,11 @@
         return Each;
     return nullptr;
   }
-  void storePiece(Transfer &Version, std::uint32_t Piece, std::string Bytes);
-  /// Discards the current transfer, to restart it with digests from the origin.
+  void storePiece(Transfer &Version, std::uint32_t Piece, PieceBytes Bytes);
+  /// Ends the current transfer, to continue it with digests from the origin.
   void discardDigests();
+  /// Takes the pieces of the ended transfer whose digests are the same in the current one.
+  void adoptPieces();
   void setPieceCount(std::uint32_t Count);
   /// Delays the next search for digests after the origin's list was refused.
   void delayNextSearch();
@@ -201,6 +203,8 @@
   unsigned m_DigestAttempts = 0;
   /// The digests obtained before did not match the pieces; they are read from the origin next.
   bool m_NeedsOriginDigests = false;
+  /// The transfer that discardDigests() ended, until its pieces are adopted.
+  std::shared_ptr<Transfer> m_Doubted;
   /// Delay of the next search for digests, doubled each time the origin's list is refused; 0 after
   /// a search that found digests.
   Duration m_SearchDelay{0};
@@ -497,10 +501,12 @@
     m_Replaced = m_Current;
   m_Current = std::make_shared<Transfer>(std::move(Found->m_Manifest), m_Options);
   m_Current->m_Exchange.setPeers(m_Peers);
+  adoptPieces();
   logEvent(Severity::Info, "transfer_started",
            {{"model", Wanted.m_Model},
             {"version", Wanted.m_Version},
             {"pieces", m_Current->count()},
+            {"piecesHeld", m_Current->m_Exchange.held().count()},
             {"peers", m_Peers.size()},
             {"digestsFrom", Found->m_Source},
             {"sinceAnnouncementSeconds", monotonicNow() - Wanted.m_AnnouncedAt}});
@@ -517,7 +523,7 @@
     return;
   logEvent(Severity::Info, "piece_count_set", {{"pieces", Count}, {"before", m_PieceCount}});
   m_PieceCount = Count;
-  for (std::shared_ptr<Transfer> *Each : {&m_Current, &m_Fallback, &m_Replaced})
+  for (std::shared_ptr<Transfer> *Each : {&m_Current, &m_Fallback, &m_Replaced, &m_Doubted})
     Each->reset();
   // The staging area may hold pieces that are no longer in memory.
   m_IsStagingUnread = true;
@@ -527,10 +533,10 @@
 }
 
 void WeightsAgent::Implementation::storePiece(Transfer &Version, std::uint32_t Piece,
-                                              std::string Bytes) {
+                                              PieceBytes Bytes) {
   if (Version.m_Pieces[Piece])
     return;
-  Version.m_Pieces[Piece] = std::make_shared<const std::string>(std::move(Bytes));
+  Version.m_Pieces[Piece] = std::move(Bytes);
   Version.m_Exchange.addHeldPiece(Piece);
   if (!Version.isComplete())
     return;
@@ -555,7 +561,7 @@
     if (!IsMatch)
       continue;
     Version->m_Staged[Piece] = true;
-    storePiece(*Version, Piece, std::move(*Bytes));
+    storePiece(*Version, Piece, std::make_shared<const std::string>(std::move(*Bytes)));
   }
 }
 
@@ -630,7 +636,7 @@
               {"corrupt", Bytes.has_value()}});
     co_return;
   }
-  storePiece(*Version, Fetch.m_Piece, std::move(*Bytes));
+  storePiece(*Version, Fetch.m_Piece, std::make_shared<const std::string>(std::move(*Bytes)));
   if (!isStagingAllowed(Version) || Version->m_Staged[Fetch.m_Piece])
     co_return;
   const PieceBytes Kept = Version->m_Pieces[Fetch.m_Piece];
@@ -665,10 +671,23 @@
 void WeightsAgent::Implementation::discardDigests() {
   logEvent(Severity::Warning, "digests_doubted",
            {{"model", m_Current->model()}, {"version", m_Current->version()}});
-  m_Current.reset();
+  m_Doubted = std::exchange(m_Current, nullptr);
   m_NeedsOriginDigests = true;
 }
 
+void WeightsAgent::Implementation::adoptPieces() {
+  const std::shared_ptr<Transfer> From = std::exchange(m_Doubted, nullptr);
+  if (!From || From->model() != m_Current->model() || From->version() != m_Current->version())
+    return;
+  for (std::uint32_t Piece = 0; Piece < From->count(); ++Piece) {
+    const PieceBytes &Bytes = From->m_Pieces[Piece];
+    if (!Bytes || From->m_Manifest.digest(Piece) != m_Current->m_Manifest.digest(Piece))
+      continue;
+    m_Current->m_Staged[Piece] = From->m_Staged[Piece];
+    storePiece(*m_Current, Piece, Bytes);
+  }
+}
+
 Task<std::optional<TimePoint>>
 WeightsAgent::Implementation::verifyStaging(std::shared_ptr<Transfer> Version) {
   const ModelId Model = Version->model();
--- a/src/libagent/WeightsAgent_test.cpp
+++ b/src/libagent/WeightsAgent_test.cpp
@@ -243,6 +243,25 @@
   CHECK(Fixture.m_Origin.m_DigestCalls == 2);
 }
 
+// Guards against a list of the right length with a wrong digest: it must not hold the version back,
+// and the pieces that match both lists must not be fetched again.
+TEST_CASE("a wrong digest costs only the fetches of its piece", "[agent]") {
+  constexpr int Mismatches = 3;
+  const std::size_t Wrong = GENERATE(0, 5, FakeOrigin::Pieces - 1);
+  net::io_context Loop;
+  AgentFixture Fixture(Loop);
+  Fixture.m_Runner.m_Report.m_Loaded[Model] = First;
+  Fixture.m_Origin.m_OnDigests = [&](DigestList &List) {
+    if (Fixture.m_Origin.m_DigestCalls == 1)
+      List.m_Digests[Wrong] = sha256("other");
+  };
+  Fixture.m_Agent->announce(Model, Second, monotonicNow());
+  REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(Second); }));
+  checkLoadedCompletely(Fixture, Second);
+  CHECK(Fixture.m_Origin.m_DigestCalls == 2);
+  CHECK(Fixture.m_Origin.m_Sent <= static_cast<int>(FakeOrigin::Pieces) + Mismatches);
+}
+
 // Guards against an agent that takes incomplete or foreign digests from another agent: one bad list
 // of the origin reached four of six runners.
 TEST_CASE("a list of another agent that does not match the plan is not used", "[agent]") {
