Gateway: one parser with limits for all received HTTP messages

The same bytes from a client ended an entry instance, from the origin an agent.

Cause: the containers of Boost.Beast throw std::length_error for a field name or value of more than 65,533 bytes, and its header limit does not apply to trailers. The parser runs inside the composed read operation, so no coroutine can catch the exception; it leaves the event loop.

Ruled out: copying of the fields and the limit of the buffer. Parts of 1 byte to 1 MiB at each place of a message, through each reader, show the exception only for names and values of trailer fields, from 65,534 bytes on.

Change: HttpParser checks fields and trailers, reports an error code, and discards trailer fields, which were merged into the header before. All readers use it. The embedded server reports malformed requests to their sender, counts its connections by a destructor, and answers 500 if a handler throws. Malformed bodies of upstreams are logged and counted.

--- a/src/include/Fescuegauge/EmbeddedHttpServer.h
+++ b/src/include/Fescuegauge/EmbeddedHttpServer.h
@@ -42,6 +42,10 @@
   struct State;
   static Task<> accept(std::shared_ptr<State> Shared);
   static Task<> serve(std::shared_ptr<State> Shared, Tcp::socket Socket);
+  /// Responds with status 500 if the handler throws.
+  static Task<HandlerResponse> callHandler(const Handler &Called, const HttpRequest &Request);
+  /// Returns whether the connection can be used for another request.
+  static Task<bool> write(Tcp::socket &Socket, HandlerResponse Reply, bool KeepAlive);
 
   std::shared_ptr<State> m_State;
 };
--- /dev/null
+++ b/src/include/Fescuegauge/HttpParser.h
@@ -0,0 +1,70 @@
+#ifndef FESCUEGAUGE_HTTPPARSER_H
+#define FESCUEGAUGE_HTTPPARSER_H
+
+#include "Fescuegauge/AsioTypes.h"
+#include "Fescuegauge/ErrorKind.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <cstddef>
+
+namespace fescuegauge {
+
+/// Limits on the fields of an HTTP message, for all readers; a reader may set a lower limit on the
+/// header with header_limit(). A message that exceeds one fails with http::error::header_limit.
+struct HttpFieldLimits {
+  /// Maximum size of a field's name, and of its value. For longer ones the containers of
+  /// Boost.Beast throw instead of returning an error.
+  static constexpr std::size_t MaxPartBytes = 65'533;
+  /// Maximum total size of the trailer fields. The header limit of Boost.Beast excludes them.
+  static constexpr std::size_t MaxTrailerBytes = 64 << 10;
+};
+
+/// Parser for all HTTP messages that this process receives.
+///
+/// An exception thrown by a parser leaves the composed read operation, where no coroutine can catch
+/// it. Therefore every limit is checked here and reported as an error code. Trailer fields are
+/// discarded: they must not be merged into the header (RFC 9110, section 6.5.1).
+template <bool IsRequest, class Body>
+class HttpParser : public boost::beast::http::parser<IsRequest, Body> {
+private:
+  void on_field_impl(boost::beast::http::field Name, boost::beast::string_view NameText,
+                     boost::beast::string_view Value, boost::beast::error_code &Error) override {
+    constexpr std::size_t MaxPartBytes = HttpFieldLimits::MaxPartBytes;
+    if (this->is_header_done())
+      m_TrailerBytes += NameText.size() + Value.size();
+    if (NameText.size() > MaxPartBytes || Value.size() > MaxPartBytes ||
+        m_TrailerBytes > HttpFieldLimits::MaxTrailerBytes) {
+      Error = boost::beast::http::error::header_limit;
+      return;
+    }
+    if (!this->is_header_done())
+      this->get().insert(Name, NameText, Value);
+  }
+
+  std::size_t m_TrailerBytes = 0;
+};
+
+template <class Body> using HttpRequestParser = HttpParser<true, Body>;
+template <class Body> using HttpResponseParser = HttpParser<false, Body>;
+
+/// Whether a read failed because the received bytes are not a valid message within the limits, and
+/// not because the connection ended.
+inline bool isMalformedMessage(SystemError Error) {
+  namespace http = boost::beast::http;
+  return Error.category() == http::make_error_code(http::error::bad_value).category() &&
+         Error != http::error::end_of_stream && Error != http::error::partial_message;
+}
+
+/// The error to report to the sender of a message for which isMalformedMessage() is true.
+inline ErrorKind malformedMessageKind(SystemError Error) {
+  namespace http = boost::beast::http;
+  if (Error == http::error::header_limit || Error == http::error::buffer_overflow)
+    return ErrorKind::HeaderTooLarge;
+  if (Error == http::error::body_limit)
+    return ErrorKind::RequestTooLarge;
+  return ErrorKind::MalformedRequest;
+}
+
+} // namespace fescuegauge
+
+#endif // FESCUEGAUGE_HTTPPARSER_H
--- a/src/libgateway/AsyncHttpClient.cpp
+++ b/src/libgateway/AsyncHttpClient.cpp
@@ -1,7 +1,8 @@
 #include "Fescuegauge/AsyncHttpClient.h"
 
+#include "Fescuegauge/HttpParser.h"
+
 #include <Poco/URI.h>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
@@ -53,7 +54,7 @@
     Connection->close();
     co_return Result;
   }
-  http::response_parser<http::string_body> Parser;
+  HttpResponseParser<http::string_body> Parser;
   Parser.body_limit(MaxAnswerBytes);
   auto [ReadError, Read] =
       co_await http::async_read_header(Connection->socket(), Connection->buffer(), Parser, AsTuple);
--- a/src/libgateway/ClientSession.cpp
+++ b/src/libgateway/ClientSession.cpp
@@ -1,12 +1,13 @@
 #include "ClientSession.h"
 
+#include "Fescuegauge/HttpParser.h"
 #include "Fescuegauge/Log.h"
+#include "Fescuegauge/ScopeExit.h"
 #include "RequestExchange.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -14,23 +15,6 @@
 
 namespace http = boost::beast::http;
 
-namespace {
-
-ErrorKind parseErrorKind(SystemError Error) {
-  if (Error == http::error::header_limit || Error == http::error::buffer_overflow)
-    return ErrorKind::HeaderTooLarge;
-  if (Error == http::error::body_limit)
-    return ErrorKind::RequestTooLarge;
-  return ErrorKind::MalformedRequest;
-}
-
-bool isProtocolError(SystemError Error) {
-  return Error.category() == make_error_code(http::error::bad_value).category() &&
-         Error != http::error::end_of_stream && Error != http::error::partial_message;
-}
-
-} // namespace
-
 ClientSession::ClientSession(std::shared_ptr<GatewayCore> Core, Tcp::socket Socket)
     : m_Core(std::move(Core)), m_Client(std::make_shared<ClientConnection>(std::move(Socket))),
       m_ReadTimer(m_Core->executor()) {
@@ -51,10 +35,10 @@
 Task<> ClientSession::run() {
   auto Self = shared_from_this();
   setSocketOptions(m_Client->socket());
+  const ScopeExit Close([this] { m_Client->close(); });
   bool KeepOpen = true;
   while (KeepOpen && m_Client->isOpen())
     KeepOpen = co_await serveNext();
-  m_Client->close();
 }
 
 Task<> ClientSession::rejectUnreadable(ErrorKind Kind) {
@@ -70,7 +54,7 @@
 
 Task<bool> ClientSession::serveNext() {
   const ClientLimits Limits = limits();
-  http::request_parser<http::string_body> Parser;
+  HttpRequestParser<http::string_body> Parser;
   Parser.header_limit(Limits.m_MaxHeaderBytes);
   Parser.body_limit(Limits.m_MaxBodyBytes);
 
@@ -89,8 +73,8 @@
       co_await http::async_read_header(m_Client->socket(), m_Client->buffer(), Parser, AsTuple);
   if (HeaderError) {
     m_ReadTimer.cancel();
-    if (isProtocolError(HeaderError))
-      co_await rejectUnreadable(parseErrorKind(HeaderError));
+    if (isMalformedMessage(HeaderError))
+      co_await rejectUnreadable(malformedMessageKind(HeaderError));
     co_return false;
   }
   const TimePoint ArrivedAt = monotonicNow();
@@ -104,8 +88,8 @@
         co_await http::async_read(m_Client->socket(), m_Client->buffer(), Parser, AsTuple);
     if (BodyError) {
       m_ReadTimer.cancel();
-      if (isProtocolError(BodyError))
-        co_await rejectUnreadable(parseErrorKind(BodyError));
+      if (isMalformedMessage(BodyError))
+        co_await rejectUnreadable(malformedMessageKind(BodyError));
       co_return false;
     }
   }
--- a/src/libgateway/EmbeddedHttpServer.cpp
+++ b/src/libgateway/EmbeddedHttpServer.cpp
@@ -1,9 +1,10 @@
 #include "Fescuegauge/EmbeddedHttpServer.h"
 
+#include "Fescuegauge/HttpParser.h"
 #include "Fescuegauge/Log.h"
+#include "Fescuegauge/ScopeExit.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -49,7 +50,8 @@
   Acceptor.set_option(net::socket_base::reuse_address(true));
   Acceptor.bind(Local);
   Acceptor.listen();
-  spawnTask(Acceptor.get_executor(), "status_accept", accept(m_State));
+  spawnPersistentTask(Acceptor.get_executor(), "status_accept",
+                      [Shared = m_State] { return accept(Shared); });
 }
 
 Task<> EmbeddedHttpServer::accept(std::shared_ptr<State> Shared) {
@@ -68,37 +70,58 @@
   }
 }
 
+Task<HandlerResponse> EmbeddedHttpServer::callHandler(const Handler &Called,
+                                                      const HttpRequest &Request) {
+  try {
+    co_return co_await Called(Request);
+  } catch (const std::exception &Error) {
+    logEvent(Severity::Error, "handler_failed",
+             {{"path", std::string(Request.target())}, {"reason", Error.what()}});
+  }
+  co_return HandlerResponse{500, "text/plain", ""};
+}
+
+Task<bool> EmbeddedHttpServer::write(Tcp::socket &Socket, HandlerResponse Reply, bool KeepAlive) {
+  HttpResponse Response(static_cast<http::status>(Reply.m_Status), 11);
+  Response.set(http::field::content_type, Reply.m_ContentType);
+  Response.body() = std::move(Reply.m_Body);
+  Response.keep_alive(KeepAlive);
+  Response.prepare_payload();
+  auto [Error, Written] = co_await http::async_write(Socket, Response, AsTuple);
+  co_return !Error && KeepAlive;
+}
+
 Task<> EmbeddedHttpServer::serve(std::shared_ptr<State> Shared, Tcp::socket Socket) {
   setSocketOptions(Socket);
   ++Shared->m_Connections;
+  const ScopeExit CountEnd([&Shared] { --Shared->m_Connections; });
   boost::beast::flat_buffer Buffer(MaxBufferedBytes);
   OneShotTimer IdleTimer(Socket.get_executor());
   bool KeepOpen = true;
   while (KeepOpen) {
-    http::request_parser<http::string_body> Parser;
+    HttpRequestParser<http::string_body> Parser;
     IdleTimer.set(IdleTimeout, [&Socket] {
       SystemError Ignored;
       Socket.close(Ignored);
     });
     auto [ReadError, Size] = co_await http::async_read(Socket, Buffer, Parser, AsTuple);
-    if (ReadError)
+    if (ReadError) {
+      if (isMalformedMessage(ReadError)) {
+        const ErrorAnswer &Answer = errorAnswer(malformedMessageKind(ReadError));
+        // Named, because GCC 12 destroys a temporary argument of a co_await twice.
+        HandlerResponse Refusal{static_cast<unsigned>(Answer.m_HttpStatus), "text/plain", ""};
+        co_await write(Socket, std::move(Refusal), false);
+      }
       break;
+    }
     const HttpRequest Request = Parser.release();
     const std::string Target(Request.target());
     const Handler *Found = Shared->find(Target.substr(0, Target.find('?')));
     HandlerResponse Reply{404, "text/plain", ""};
     if (Found)
-      Reply = co_await (*Found)(Request);
-    HttpResponse Response(static_cast<http::status>(Reply.m_Status), 11);
-    Response.set(http::field::content_type, Reply.m_ContentType);
-    Response.body() = std::move(Reply.m_Body);
-    Response.keep_alive(Request.keep_alive());
-    Response.prepare_payload();
-    auto [WriteError, Written] = co_await http::async_write(Socket, Response, AsTuple);
-    KeepOpen = !WriteError && Response.keep_alive();
+      Reply = co_await callHandler(*Found, Request);
+    KeepOpen = co_await write(Socket, std::move(Reply), Request.keep_alive());
   }
-  IdleTimer.cancel();
-  --Shared->m_Connections;
 }
 
 } // namespace fescuegauge
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -480,6 +480,16 @@
     if (IsFailure &&
         (Buffered.size() > MaxFailureBytes || !m_FailureBuffer.resize(Buffered.size())))
       co_return AttemptEnd::Failed;
+void RequestExchange::recordReadError(ExchangeError Error, const UpstreamRecord &From) {
+  m_IsResponseMalformed = Error == ExchangeError::Malformed;
+  if (!m_IsResponseMalformed)
+    return;
+  m_Core.countAttempt("malformed-body");
+  if (m_Core.tryAcquireLogLine(true))
+    logEvent(Severity::Warning, "upstream_response_malformed",
+             {{"request", m_RequestId}, {"upstream", From.m_Id}, {"attempt", m_AttemptsSent}});
+}
+
     if (IsDone) {
       const bool Whole = co_await isWhole(Sent, From);
       if (isInterrupted())
@@ -492,6 +502,7 @@
     }
     if (IsFailure || (!IsDone && !m_HeaderSent && Buffered.size() < MaxBufferedBytes))
       continue;
+      recordReadError(Error, From);
     m_StallTimer.cancel();
     recordFirstByte();
     std::optional<std::uint64_t> Length = Sent.contentLength();
@@ -532,7 +543,8 @@
     const ExchangeError Error = co_await Sent.read(Bytes);
     if (isInterrupted())
       co_return AttemptEnd::Interrupted;
-    if (Error != ExchangeError::None)
+    if (Error != ExchangeError::None) {
+      recordReadError(Error, From);
       co_return AttemptEnd::Failed;
     const TimePoint Now = monotonicNow();
     m_Core.loadBalancer().onProgress(From.m_Id, Now);
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -94,6 +94,8 @@
   /// Whether a response that was read to its end is whole. Confirms that the upstream is alive if
   /// only the end of the connection ended the response.
   Task<bool> isWhole(const UpstreamExchange &Sent, const UpstreamRecord &From);
+  /// Records that reading the body of a response failed.
+  void recordReadError(ExchangeError Error, const UpstreamRecord &From);
   Task<bool> forwardEvent(UpstreamExchange &Sent, const EventSplitter::Event &Event);
   HttpRequest upstreamRequest(const UpstreamRecord &To) const;
   /// Sets the remaining time in the request. Returns false if the request must not be sent, because
--- a/src/libgateway/UpstreamExchange.cpp
+++ b/src/libgateway/UpstreamExchange.cpp
@@ -8,6 +8,14 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+ExchangeError readError(SystemError Error) {
+  return isMalformedMessage(Error) ? ExchangeError::Malformed : ExchangeError::Broken;
+}
+
+} // namespace
+
 std::string_view exchangeErrorName(ExchangeError Error) {
   switch (Error) {
   case ExchangeError::None:
@@ -75,12 +83,8 @@
       m_Parser->skip(true);
     auto [Error, Size] = co_await http::async_read_header(
         m_Connection->socket(), m_Connection->buffer(), *m_Parser, AsTuple);
-    if (Error) {
-      const bool IsMalformed =
-          Error.category() == http::make_error_code(http::error::bad_value).category() &&
-          Error != http::error::end_of_stream && Error != http::error::partial_message;
-      co_return IsMalformed ? ExchangeError::Malformed : ExchangeError::Broken;
-    }
+    if (Error)
+      co_return readError(Error);
     const Header &Response = header();
     if (http::to_status_class(Response.result_int()) == http::status_class::informational) {
       if (++InterimCount > MaxInterimResponses)
@@ -141,7 +145,7 @@
     const std::size_t Received = m_ReadBuffer.size() - Body.size;
     Bytes.append(m_ReadBuffer.data(), Received);
     if (Error && Error != http::error::need_buffer)
-      co_return ExchangeError::Broken;
+      co_return readError(Error);
     if (Received > 0)
       co_return ExchangeError::None;
   }
--- a/src/libgateway/UpstreamExchange.h
+++ b/src/libgateway/UpstreamExchange.h
@@ -4,10 +4,10 @@
 #include "Fescuegauge/AsyncHttpClient.h"
 #include "Fescuegauge/CallHeaderNames.h"
 #include "Fescuegauge/ConnectionPool.h"
+#include "Fescuegauge/HttpParser.h"
 
 #include <array>
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -38,7 +38,7 @@
 /// shared_ptr, because the request may still be being written when the owner drops its reference.
 class UpstreamExchange : public std::enable_shared_from_this<UpstreamExchange> {
 public:
-  using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+  using Parser = HttpResponseParser<boost::beast::http::buffer_body>;
   using Header = boost::beast::http::response_header<>;
 
   /// Maximum number of interim responses (1xx) to skip; with more, the connection is closed.
