Gateway: an exception in a request releases what the request holds

Cause: the request cannot be sent on with content, and prepare_payload() throws. The exception ended the coroutine, but not the disconnect watch, whose callback then ran on a destroyed object. The slot of the upstream and the registration as a crash suspect were left behind too.

Change: TRACE with content is refused with 400. The end of an attempt, the wait for a placement, the watch and the client connection are released at the end of their scope. A request that ends by an exception is answered with 500.

Before, "a TRACE request with content is refused" failed (status 0, slot still in use). "an exception in a request costs only this request" causes the exception by an upstream id that fits into no field. Both pass after the change.

--- a/src/libgateway/ClientSession.cpp
+++ b/src/libgateway/ClientSession.cpp
@@ -94,6 +94,11 @@
     }
   }
   m_ReadTimer.cancel();
+  // A TRACE request must not have content (RFC 9110, section 9.3.8), and cannot be sent on with it.
+  if (Parser.get().method() == http::verb::trace && !Parser.get().body().empty()) {
+    co_await rejectUnreadable(ErrorKind::MalformedRequest);
+    co_return false;
+  }
   auto Exchange = std::make_shared<RequestExchange>(*m_Core, m_Client, Parser.release(), ArrivedAt);
   co_return co_await Exchange->run();
 }
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -1,6 +1,7 @@
 #include "GatewayCore.h"
 
 #include "Fescuegauge/Log.h"
+#include "Fescuegauge/ScopeExit.h"
 
 #include <algorithm>
 
@@ -132,14 +133,16 @@
   Waiter = Waiting;
   m_Waiters.emplace(Entry.m_Number, Waiting);
   m_Queue.push(Service, Entry);
+  const ScopeExit EndWait([&] {
+    Waiter.reset();
+    m_Waiters.erase(Entry.m_Number);
+    m_Queue.remove(Service, Entry.m_Number);
+  });
   placeWaiting();
   if (!Waiting->m_Placement) {
     Waiting->m_Timer.expires_after(Queueing.m_MaxWait);
     co_await Waiting->m_Timer.async_wait(AsTuple);
   }
-  Waiter.reset();
-  m_Waiters.erase(Entry.m_Number);
-  m_Queue.remove(Service, Entry.m_Number);
   co_return Waiting->m_Placement.value_or(Immediate);
 }
 
--- a/src/libgateway/InputLimits_test.cpp
+++ b/src/libgateway/InputLimits_test.cpp
@@ -356,3 +356,53 @@
         500);
   }
 }
+
+// Guards against the end of the process when the client of a TRACE request
+// disconnects: the request could not be sent on with content, and its exception
+// left the disconnect watch behind.
+TEST_CASE("a TRACE request with content is refused", "[gateway]") {
+  for (const std::string &Framing :
+       {std::string("Content-Length: 4\r\n\r\nbody"),
+        std::string(
+            "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")}) {
+    GatewayFixture Fixture;
+    Fixture.setPlan();
+    FakeUpstream &Upstream =
+        Fixture.addUpstream([](const HttpRequest &Request) {
+          return Script{{{plainResponse(Request, 200, "x")}}};
+        });
+    const std::string Head =
+        "TRACE /safe/x HTTP/1.1\r\nHost: host.example\r\nRequest-Id: "
+        "r1\r\nAccount-Key: key\r\n";
+    CHECK(Fixture.exchange(Head + Framing).status() == 400);
+    CHECK(Upstream.requests().empty());
+    CHECK(Fixture.exchange(Head + "Content-Length: 0\r\n\r\n").status() == 200);
+    CHECK(Fixture.gateway().ownUsage().empty());
+  }
+}
+
+// Guards against an exception that leaves behind what a request holds: its slot
+// at the upstream, its registrations, and the disconnect watch, which ended the
+// process when the client disconnected.
+TEST_CASE("an exception in a request costs only this request", "[gateway]") {
+  GatewayFixture Fixture;
+  Fixture.setPlan();
+  Fixture.addUpstream([](const HttpRequest &Request) {
+    return Script{{{plainResponse(Request, 200, "x")}}};
+  });
+  const InstanceId Valid = Fixture.records()[0].m_Id;
+  // Does not fit into a field of the request to the upstream.
+  Fixture.records()[0].m_Id = InstanceId(std::string(70'000, 'x'));
+  Fixture.gateway().setUpstreams(Fixture.records());
+  for (const char *Path : {"/stream/x", "/once/x", "/safe/x"}) {
+    const RawResponse Response =
+        Fixture.exchange(GatewayFixture::request(Path, "r1"));
+    CHECK(Response.status() == 500);
+    CHECK(Response.isComplete());
+    CHECK(Fixture.gateway().ownUsage().empty());
+  }
+  Fixture.records()[0].m_Id = Valid;
+  Fixture.gateway().setUpstreams(Fixture.records());
+  CHECK(Fixture.exchange(GatewayFixture::request("/safe/x", "r2")).status() ==
+        200);
+}
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -3,6 +3,7 @@
 #include "Fescuegauge/Invariant.h"
 #include "Fescuegauge/Log.h"
 #include "Fescuegauge/ParseNumber.h"
+#include "Fescuegauge/ScopeExit.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -168,10 +169,20 @@
     m_DeadlineTimer.set(std::max(m_Deadline - monotonicNow(), Duration(0)),
                         [this] { onDeadline(); });
     m_Client->startDisconnectWatch([this] { onClientDisconnected(); });
-    co_await dispatch();
-    m_Client->stopDisconnectWatch();
-    m_DeadlineTimer.cancel();
-    m_StallTimer.cancel();
+    const ScopeExit EndCallbacks([this] {
+      m_Client->stopDisconnectWatch();
+      m_DeadlineTimer.cancel();
+      m_StallTimer.cancel();
+    });
+    try {
+      co_await dispatch();
+    } catch (const std::exception &Error) {
+      m_HasThrown = true;
+      logEvent(Severity::Error, "request_failed",
+               {{"request", m_RequestId}, {"reason", Error.what()}});
+    }
+    if (m_HasThrown)
+      co_await finishWithFailure();
   }
   InProgress.reset();
   m_Core.countRequest(kindName(), m_Outcome);
@@ -297,6 +308,7 @@
   m_WasPauseRequested = false;
   m_HasPermit = Chosen.m_HasPermit;
   m_Withdrawn = false;
+  ScopeExit Abort([&] { endAttempt(Chosen, AttemptEnd::Aborted); });
   // A version is binding only once the client has received a part of the stream.
   if (!m_HeaderSent)
     m_StreamVersion.reset();
@@ -316,25 +328,35 @@
   if (Service && Service->m_Engine && !m_Model.empty() && isStream(m_Route->m_Kind))
     m_UnstartedNumber = m_Core.addUnstarted(m_Model, To, [this] { withdraw(); });
   const AttemptEnd End = co_await sendAndRelay(Chosen, *Sent);
-  const bool HasFailed = End == AttemptEnd::Failed || End == AttemptEnd::Interrupted;
+  Abort.dismiss();
+  co_return endAttempt(Chosen, End);
+}
+
+RequestExchange::AttemptEnd RequestExchange::endAttempt(const Placement &Chosen, AttemptEnd End) {
+  const UpstreamRecord &To = Chosen.m_Upstream;
+  const bool HasFailed =
+      End == AttemptEnd::Failed || End == AttemptEnd::Interrupted || End == AttemptEnd::Aborted;
   endUnstarted(HasFailed ? GatewayCore::UnstartedEnd::NotBegun
                          : GatewayCore::UnstartedEnd::NoSample);
   m_StallTimer.cancel();
-  m_CurrentExchange.reset();
+  const std::shared_ptr<UpstreamExchange> Sent = std::exchange(m_CurrentExchange, nullptr);
   const bool Moved = End == AttemptEnd::Failed && m_NextPlacement.has_value();
-  const bool IsAbandoned = isInterrupted() || Moved || m_Withdrawn;
-  if (End == AttemptEnd::Failed && !IsAbandoned)
-    m_Core.checkCrash(To, **m_Running);
-  const RunningAttempts::iterator Ended = *std::exchange(m_Running, std::nullopt);
-  if (IsAbandoned)
-    m_Core.abandonRunning(Ended);
-  else
-    m_Core.removeRunning(Ended);
-  Sent->finish();
+  const bool IsAbandoned = isInterrupted() || Moved || m_Withdrawn || End == AttemptEnd::Aborted;
+  // Absent if an exception ended the attempt before it was registered.
+  if (const auto Running = std::exchange(m_Running, std::nullopt)) {
+    if (End == AttemptEnd::Failed && !IsAbandoned)
+      m_Core.checkCrash(To, **Running);
+    if (IsAbandoned)
+      m_Core.abandonRunning(*Running);
+    else
+      m_Core.removeRunning(*Running);
+  }
+  if (Sent)
+    Sent->finish();
 
   DispatchResult Result = DispatchResult::Failed;
   if (isInterrupted() || (m_Withdrawn && End == AttemptEnd::Failed) ||
-      End == AttemptEnd::NoLongerEligible)
+      End == AttemptEnd::NoLongerEligible || End == AttemptEnd::Aborted)
     Result = DispatchResult::Abandoned;
   else if (End == AttemptEnd::Delivered || End == AttemptEnd::FailureResponse)
     Result = DispatchResult::Answered;
@@ -345,7 +367,7 @@
     m_Core.undoPlacement(*m_NextPlacement, m_PromptTokens);
     m_NextPlacement.reset();
   }
-  co_return Moved ? AttemptEnd::Moved : End;
+  return Moved ? AttemptEnd::Moved : End;
 }
 
 void RequestExchange::recordRateLimit(const UpstreamExchange &Sent, const UpstreamRecord &From) {
@@ -458,6 +480,16 @@
   co_return co_await relayPlain(Sent, From);
 }
 
+void RequestExchange::recordReadError(ExchangeError Error, const UpstreamRecord &From) {
+  m_IsResponseMalformed = Error == ExchangeError::Malformed;
+  if (!m_IsResponseMalformed)
+    return;
+  m_Core.countAttempt("malformed-body");
+  if (m_Core.tryAcquireLogLine(true))
+    logEvent(Severity::Warning, "upstream_response_malformed",
+             {{"request", m_RequestId}, {"upstream", From.m_Id}, {"attempt", m_AttemptsSent}});
+}
+
 Task<RequestExchange::AttemptEnd> RequestExchange::relayPlain(UpstreamExchange &Sent,
                                                               const UpstreamRecord &From) {
   const unsigned Status = Sent.header().result_int();
@@ -470,6 +502,7 @@
     if (isInterrupted())
       co_return AttemptEnd::Interrupted;
     if (Error != ExchangeError::None) {
+      recordReadError(Error, From);
       if (m_HeaderSent)
         m_IsClientLost = true;
       co_return AttemptEnd::Failed;
@@ -480,16 +513,6 @@
     if (IsFailure &&
         (Buffered.size() > MaxFailureBytes || !m_FailureBuffer.resize(Buffered.size())))
       co_return AttemptEnd::Failed;
-void RequestExchange::recordReadError(ExchangeError Error, const UpstreamRecord &From) {
-  m_IsResponseMalformed = Error == ExchangeError::Malformed;
-  if (!m_IsResponseMalformed)
-    return;
-  m_Core.countAttempt("malformed-body");
-  if (m_Core.tryAcquireLogLine(true))
-    logEvent(Severity::Warning, "upstream_response_malformed",
-             {{"request", m_RequestId}, {"upstream", From.m_Id}, {"attempt", m_AttemptsSent}});
-}
-
     if (IsDone) {
       const bool Whole = co_await isWhole(Sent, From);
       if (isInterrupted())
@@ -502,7 +525,6 @@
     }
     if (IsFailure || (!IsDone && !m_HeaderSent && Buffered.size() < MaxBufferedBytes))
       continue;
-      recordReadError(Error, From);
     m_StallTimer.cancel();
     recordFirstByte();
     std::optional<std::uint64_t> Length = Sent.contentLength();
@@ -546,6 +568,7 @@
     if (Error != ExchangeError::None) {
       recordReadError(Error, From);
       co_return AttemptEnd::Failed;
+    }
     const TimePoint Now = monotonicNow();
     m_Core.loadBalancer().onProgress(From.m_Id, Now);
     if (m_HeaderSent && !Bytes.empty())
@@ -790,6 +813,10 @@
     co_await sendFailureResponse();
     co_return;
   }
+  if (m_HasThrown) {
+    co_await sendErrorResponse(ErrorKind::Internal, std::nullopt);
+    co_return;
+  }
   if (!m_MayHaveRun) {
     ErrorKind Kind = m_LastVerdict == PlacementVerdict::NoneUsable ? ErrorKind::NoUpstream
                                                                    : ErrorKind::Overloaded;
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -71,6 +71,8 @@
     Moved,
     /// The deadline passed, or the client disconnected.
     Interrupted,
+    /// An exception ended the attempt.
+    Aborted,
   };
 
   struct StoredResponse {
@@ -84,18 +86,21 @@
   /// Requirements on the upstream of the next attempt.
   PlacementRequest placementRequest() const;
   Task<AttemptEnd> performAttempt(const Placement &Chosen);
+  /// Releases the slot, the registrations and the connection of the current attempt. Returns Moved
+  /// if the request moves to m_NextPlacement, and `End` otherwise.
+  AttemptEnd endAttempt(const Placement &Chosen, AttemptEnd End);
   Task<AttemptEnd> sendAndRelay(const Placement &Chosen, UpstreamExchange &Sent);
   /// Processes the headers in which an upstream states that it is leaving, its rate limit or a
   /// pause.
   void processUpstreamStatements(const UpstreamExchange &Sent, const UpstreamRecord &From);
   void recordRateLimit(const UpstreamExchange &Sent, const UpstreamRecord &From);
+  /// Records that reading the body of a response failed.
+  void recordReadError(ExchangeError Error, const UpstreamRecord &From);
   Task<AttemptEnd> relayEvents(UpstreamExchange &Sent, const UpstreamRecord &From);
   Task<AttemptEnd> relayPlain(UpstreamExchange &Sent, const UpstreamRecord &From);
   /// Whether a response that was read to its end is whole. Confirms that the upstream is alive if
   /// only the end of the connection ended the response.
   Task<bool> isWhole(const UpstreamExchange &Sent, const UpstreamRecord &From);
-  /// Records that reading the body of a response failed.
-  void recordReadError(ExchangeError Error, const UpstreamRecord &From);
   Task<bool> forwardEvent(UpstreamExchange &Sent, const EventSplitter::Event &Event);
   HttpRequest upstreamRequest(const UpstreamRecord &To) const;
   /// Sets the remaining time in the request. Returns false if the request must not be sent, because
@@ -193,6 +198,7 @@
   /// Reserved for m_FailureResponse.
   GatewayCore::ResponseBuffer m_FailureBuffer{m_Core};
   bool m_IsResponseMalformed = false;
+  bool m_HasThrown = false;
   std::uint32_t m_PromptTokens = 0;
   /// Prompt tokens that the upstream of the current attempt has not read yet.
   std::uint32_t m_UnreadTokens = 0;
