Event loop: continue after an exception that leaves a handler

Exceptions of any type that end a task are counted as well.

Related paths: the accept loops and the agent's main loop are restarted, timers that repeat themselves are set before their work, and flags and counters of the agent are reset at the end of their scope. Before, one exception ended such work for the life of the process.

Before, "an exception that leaves a handler ends neither the loop nor other tasks" failed at the first exception. It passes after the change.

--- a/src/include/Fescuegauge/AsioTypes.h
+++ b/src/include/Fescuegauge/AsioTypes.h
@@ -88,6 +88,14 @@
 void spawnPersistentTask(const net::any_io_executor &Executor, const char *Name,
                          std::function<Task<>()> Start);
 
+/// Runs the loop until it is stopped or has no work left.
+///
+/// An exception that escapes a handler is logged, and the loop continues. All handlers run on this
+/// thread, and each one releases what it holds by destructors, so the exception ends only the
+/// connection or task to which the handler belongs. Ending the process instead would end the
+/// requests of all clients.
+void runEventLoop(net::io_context &Loop);
+
 } // namespace fescuegauge
 
 #endif // FESCUEGAUGE_ASIOTYPES_H
--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -9,6 +9,7 @@
 #include "Fescuegauge/ManifestSources.h"
 #include "Fescuegauge/ParseNumber.h"
 #include "Fescuegauge/Rendezvous.h"
+#include "Fescuegauge/ScopeExit.h"
 #include "Fescuegauge/TransferPlanner.h"
 #include "Fescuegauge/VersionChoice.h"
 
@@ -457,9 +458,11 @@
 Task<> WeightsAgent::Implementation::readPeers(Target Wanted) {
   auto Self = shared_from_this();
   m_IsReadingPeers = true;
-  std::optional<std::vector<PiecePeer>> Found =
-      co_await m_PeerDirectory.peers(Wanted.m_Model, Wanted.m_Version);
-  m_IsReadingPeers = false;
+  std::optional<std::vector<PiecePeer>> Found;
+  {
+    const ScopeExit EndRead([this] { m_IsReadingPeers = false; });
+    Found = co_await m_PeerDirectory.peers(Wanted.m_Model, Wanted.m_Version);
+  }
   if (!Found || m_PeersVersion != Wanted.m_Version)
     co_return;
   m_PeersReadAt = monotonicNow();
@@ -641,8 +644,8 @@
     co_return;
   const PieceBytes Kept = Version->m_Pieces[Fetch.m_Piece];
   ++m_StageWritesInProgress;
+  const ScopeExit EndWrite([this] { --m_StageWritesInProgress; });
   const bool Written = co_await m_Runner.stage(Version->model(), Fetch.m_Piece, Kept);
-  --m_StageWritesInProgress;
   Version->m_Staged[Fetch.m_Piece] = Written;
 }
 
@@ -809,7 +812,8 @@
                 [Shared = m_Implementation](const HttpRequest &Request) -> Task<HandlerResponse> {
                   return Shared->serve(Request);
                 });
-  spawnTask(m_Implementation->m_Executor, "weights_agent", m_Implementation->runLoop());
+  spawnPersistentTask(m_Implementation->m_Executor, "weights_agent",
+                      [Shared = m_Implementation] { return Shared->runLoop(); });
 }
 
 void WeightsAgent::announce(const ModelId &Model, WeightsVersion Version,
--- a/src/libgateway/ConnectionPool.cpp
+++ b/src/libgateway/ConnectionPool.cpp
@@ -1,5 +1,6 @@
 #include "Fescuegauge/ConnectionPool.h"
 
+#include "Fescuegauge/Invariant.h"
 #include "Fescuegauge/Log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -23,15 +24,43 @@
   co_await Timer.async_wait(AsTuple);
 }
 
+namespace {
+
+Invariant TaskEndsNormally("loop.task_ends_without_exception");
+Invariant HandlerEndsNormally("loop.handler_ends_without_exception");
+
+std::string describeException(const std::exception_ptr &Thrown) {
+  try {
+    std::rethrow_exception(Thrown);
+  } catch (const std::exception &Error) {
+    return Error.what();
+  } catch (...) {
+    return "not a standard exception";
+  }
+}
+
+} // namespace
+
+void runEventLoop(net::io_context &Loop) {
+  while (true) {
+    std::exception_ptr Thrown;
+    try {
+      Loop.run();
+    } catch (...) {
+      Thrown = std::current_exception();
+    }
+    if (!Thrown)
+      return;
+    HandlerEndsNormally.check(false, describeException(Thrown));
+  }
+}
+
 void spawnTask(const net::any_io_executor &Executor, const char *Name, Task<> Coroutine) {
   net::co_spawn(Executor, std::move(Coroutine), [Name](const std::exception_ptr &Thrown) {
-    if (!Thrown)
+    if (TaskEndsNormally.check(!Thrown, Name))
       return;
-    try {
-      std::rethrow_exception(Thrown);
-    } catch (const std::exception &Error) {
-      logEvent(Severity::Error, "task_failed", {{"task", Name}, {"reason", Error.what()}});
-    }
+    logEvent(Severity::Error, "task_failed",
+             {{"task", Name}, {"reason", describeException(Thrown)}});
   });
 }
 
--- a/src/libgateway/Gateway.cpp
+++ b/src/libgateway/Gateway.cpp
@@ -28,7 +28,8 @@
     m_Acceptor.set_option(net::socket_base::reuse_address(true));
     m_Acceptor.bind(Local);
     m_Acceptor.listen(net::socket_base::max_listen_connections);
-    spawnTask(m_Core->executor(), "accept", accept(shared_from_this()));
+    spawnPersistentTask(m_Core->executor(), "accept",
+                        [Self = shared_from_this()] { return accept(Self); });
     scheduleHousekeeping();
   }
 
@@ -63,6 +64,7 @@
       auto Self = Weak.lock();
       if (!Self)
         return;
+      Self->scheduleHousekeeping();
       Self->m_Core->pool().closeExpired();
       Self->m_Core->checkSuspects();
       Self->m_Sessions.remove_if([](const auto &Each) { return Each.expired(); });
@@ -70,7 +72,6 @@
         for (const auto &Each : Self->m_Sessions)
           if (auto Session = Each.lock())
             Session->closeIfIdle();
-      Self->scheduleHousekeeping();
     });
   }
 
--- a/src/libgateway/PeerReportExchange.cpp
+++ b/src/libgateway/PeerReportExchange.cpp
@@ -1,6 +1,7 @@
 #include "Fescuegauge/PeerReportExchange.h"
 
 #include "Fescuegauge/ByteCodec.h"
+#include "Fescuegauge/ScopeExit.h"
 
 #include <algorithm>
 #include <bit>
@@ -329,9 +330,9 @@
                               [this](SystemError Error, std::size_t Size) {
                                 if (Error == net::error::operation_aborted)
                                   return;
+                                const ScopeExit ReceiveNext([this] { receive(); });
                                 if (!Error)
                                   handleDatagram({m_ReceiveBuffer.data(), Size});
-                                receive();
                               });
 }
 
@@ -372,6 +373,7 @@
 }
 
 void PeerReportExchange::sendDueReports() {
+  m_SendTimer.set(LocalInterval, [this] { sendDueReports(); });
   const TimePoint Now = monotonicNow();
   PeerReport Report;
   Report.m_Sender = m_Self;
@@ -426,7 +428,6 @@
       m_NextRemotePeer = sendRoundRobin(RemotePeers, m_NextRemotePeer, MaxRemotePeers, Datagram);
     }
   }
-  m_SendTimer.set(LocalInterval, [this] { sendDueReports(); });
 }
 
 } // namespace fescuegauge
