--- a/src/libagent/WeightsAgent_test.cpp
+++ b/src/libagent/WeightsAgent_test.cpp
@@ -704,6 +704,32 @@
   checkLoadedCompletely(B, First);
 }
 
+// Guards against a version that arrives after the bound because the agents that are listed as its
+// holders no longer have the pieces.
+TEST_CASE("listed holders without pieces do not delay a version beyond the bound",
+          "[agent][known-red]") {
+  const int Holders = GENERATE(1, 3);
+  net::io_context Loop;
+  test::LoopbackServer Holder(Loop, [](Tcp::socket Socket) {
+    return test::serveRequests(std::move(Socket),
+                               [](HttpRequest) -> Task<std::optional<HttpResponse>> {
+                                 HttpResponse Response;
+                                 Response.result(404);
+                                 co_return Response;
+                               });
+  });
+  AgentFixture Fixture(Loop);
+  Fixture.m_Runner.m_Report.m_Loaded[Model] = First;
+  Fixture.m_Agent->setDeadline(WeightsAgentOptions().m_Deadline);
+  Fixture.m_Peers.m_Peers = {Fixture.peer("127.0.0.1", false)};
+  for (int I = 0; I < Holders; ++I)
+    Fixture.m_Peers.m_Peers->push_back({InstanceId("holder-" + std::to_string(I)), Holder.address(),
+                                        DataCentreId("d"), RegionId("r"), true});
+  Fixture.m_Agent->announce(Model, Second, monotonicNow());
+  CHECK(Fixture.runUntil([&] { return Fixture.m_Runner.holds(Second); },
+                         WeightsAgentOptions().m_Deadline));
+}
+
 // Guards against agents that wait for digests from peers that will not obtain them: the agent of a
 // runner that held the version from its start never reads the digests, so an added runner stayed
 // empty for seconds.
