Upstream exchange: keep the connection until the request is written

Cause: the handler of the write kept the exchange, but finish() drops the exchange's only reference to the connection. If the upstream ends its response before a large request is written, the write goes on over freed memory, which may end the process. The fault is older than this change; no test had sent requests that large to an upstream that ends early.

The handler keeps the connection now.

--- a/src/libgateway/UpstreamExchange.cpp
+++ b/src/libgateway/UpstreamExchange.cpp
@@ -40,11 +40,14 @@
 void UpstreamExchange::write() {
   m_WasSent = true;
   m_SentAt = monotonicNow();
-  http::async_write(m_Connection->socket(), m_Request,
-                    [Self = shared_from_this()](SystemError Error, std::size_t) {
-                      // A failed write also fails the read, which reports the error.
-                      Self->m_IsWritten = !Error;
-                    });
+  // The write refers to the connection after finish() has released it, if the exchange ends before
+  // the request is written.
+  http::async_write(
+      m_Connection->socket(), m_Request,
+      [Self = shared_from_this(), Kept = m_Connection](SystemError Error, std::size_t) {
+        // A failed write also fails the read, which reports the error.
+        Self->m_IsWritten = !Error;
+      });
 }
 
 Task<ExchangeError> UpstreamExchange::start(Endpoint Address, Duration MaxIdleTime,
