Routing: permitted regions of routes and accounts; evacuated data centres

Cause: the plan's allowed regions were not decoded, so a restricted request went to the preferred upstream of its own data centre, and orders to evacuate a data centre were ignored. A request without a permitted upstream is refused at once with no-upstream-in-region.

--- a/src/include/Fescuegauge/ErrorKind.h
+++ b/src/include/Fescuegauge/ErrorKind.h
@@ -27,6 +27,7 @@
   AccountOverShare,
   TargetNotAttainable,
   NoUpstream,
+  NoUpstreamInRegion,
   RequestCrashesUpstreams,
   RequestBlocked,
   TableUnreachable,
--- a/src/include/Fescuegauge/Gateway.h
+++ b/src/include/Fescuegauge/Gateway.h
@@ -53,6 +53,8 @@
   void setWeightsBounds(const ModelId &Model, std::vector<WeightsBound> Bounds);
   void onPeerReport(const InstanceId &Peer, UsageByUpstream Usage, const SuspectUpdate &Suspects,
                     std::span<const UpstreamStart> Leaving, std::span<const RateStatement> Rates);
+  /// An operator evacuated a data centre, or took it back. Its upstreams get no requests meanwhile.
+  void setEvacuated(const DataCentreId &DataCentre, bool IsEvacuated);
   /// Sets the entry instances that share the rate limits named by upstreams. Until the first call,
   /// this instance has no share of them.
   void setInstances(KnownInstance Self, std::vector<KnownInstance> Others);
--- a/src/include/Fescuegauge/LoadBalancer.h
+++ b/src/include/Fescuegauge/LoadBalancer.h
@@ -1,6 +1,7 @@
 #ifndef FESCUEGAUGE_LOADBALANCER_H
 #define FESCUEGAUGE_LOADBALANCER_H
 
+#include "Fescuegauge/Evacuations.h"
 #include "Fescuegauge/Ids.h"
 #include "Fescuegauge/InstanceRecord.h"
 #include "Fescuegauge/Random.h"
@@ -79,6 +80,8 @@
   std::vector<InstanceId> m_Tried;
   /// Tokens that an engine reads before the first event; 0 if unknown, or for a plain service.
   std::uint32_t m_PromptTokens = 0;
+  /// Only upstreams in these regions.
+  RegionRestriction m_Regions{};
 };
 
 enum class PlacementVerdict {
@@ -87,6 +90,8 @@
   AllFull,
   /// No upstream is known that is usable now.
   NoneUsable,
+  /// The service has upstreams, but none in the regions where the request may be served.
+  NoneInRegions,
 };
 
 struct Placement {
@@ -250,6 +255,13 @@
   /// meanwhile must learn of it too.
   std::vector<UpstreamStart> leavingForPeers(TimePoint Now) const;
 
+  /// Whether the upstreams of a data centre get requests; see Evacuations. Returns whether this
+  /// changed.
+  bool setEvacuated(const DataCentreId &DataCentre, bool IsEvacuated, TimePoint Now);
+  const Evacuations &evacuations() const { return m_Evacuations; }
+  /// Requests that this instance has in flight at the upstreams of a data centre.
+  std::uint32_t requestsInFlight(const DataCentreId &DataCentre) const;
+
   /// The rates that upstreams name. A request is not placed at an upstream from which no permit is
   /// available.
   SharedRates &rates() { return m_Rates; }
@@ -364,6 +376,7 @@
   RandomGenerator m_Random;
   std::map<InstanceId, State> m_Upstreams;
   std::map<ServiceId, std::vector<const State *>> m_ByService;
+  Evacuations m_Evacuations;
   UpstreamStatements m_Statements;
   SharedRates m_Rates;
   std::map<InstanceId, PeerUsageReport> m_PeerReports;
--- a/src/include/Fescuegauge/RoutingPlan.h
+++ b/src/include/Fescuegauge/RoutingPlan.h
@@ -3,6 +3,7 @@
 
 #include "Fescuegauge/Ids.h"
 #include "Fescuegauge/InstanceRecord.h"
+#include "Fescuegauge/RegionRestriction.h"
 #include "Fescuegauge/Units.h"
 
 #include <cstdint>
@@ -68,6 +69,8 @@
   std::uint32_t m_MaxAttempts = 1;
   /// Requires no key of a client account.
   bool m_Public = false;
+  /// Where its requests may be served.
+  RegionRestriction m_Regions{};
 };
 
 /// Published parameters of the model engines of a service.
@@ -114,6 +117,8 @@
   std::vector<std::string> m_Keys;
   /// Takes precedence over the priority of the route.
   std::optional<int> m_Priority;
+  /// Where its requests may be served, in addition to the restriction of the route.
+  RegionRestriction m_Regions{};
 };
 
 /// Limits on what a client may send.
--- a/src/libbase/ErrorKind.cpp
+++ b/src/libbase/ErrorKind.cpp
@@ -32,6 +32,7 @@
     {ErrorKind::AccountOverShare, "account-over-share", 429, 4, WasRun::No, 1s},
     {ErrorKind::TargetNotAttainable, "target-not-attainable", 503, 4, WasRun::No, 1s},
     {ErrorKind::NoUpstream, "no-upstream", 503, 4, WasRun::No, 2s},
+    {ErrorKind::NoUpstreamInRegion, "no-upstream-in-region", 503, 4, WasRun::No, 2s},
     {ErrorKind::RequestCrashesUpstreams, "request-crashes-upstreams", 422, 3, WasRun::Unknown,
      std::nullopt},
     {ErrorKind::RequestBlocked, "request-blocked", 503, 3, WasRun::No, std::nullopt},
--- a/src/libdispatch/LoadBalancer.cpp
+++ b/src/libdispatch/LoadBalancer.cpp
@@ -226,6 +226,8 @@
                               TimePoint Now) const {
   const UpstreamRecord &Record = Upstream.m_Record;
   return !Record.m_IsLeaving && !m_Statements.isLeaving(Record.start(), Now) &&
+         !m_Evacuations.contains(Record.m_DataCentre) &&
+         Request.m_Regions.allows(Record.m_Region) &&
          holdsWeights(Record, Request, requiredVersion(Request, Upstream, Now));
 }
 
@@ -253,10 +255,12 @@
   int BestTier = 0;
   double BestLoad = 0;
   bool IsAnyFull = false;
+  bool IsAnyInRegions = false;
   std::optional<TimePoint> NextPermit;
   for (const State *Each : ServiceEntry->second) {
     const State &Entry = *Each;
     const UpstreamRecord &Record = Entry.m_Record;
+    IsAnyInRegions = IsAnyInRegions || Request.m_Regions.allows(Record.m_Region);
     if (!isEligible(Entry, Request, Now) ||
         std::find(Request.m_Tried.begin(), Request.m_Tried.end(), Record.m_Id) !=
             Request.m_Tried.end())
@@ -312,6 +316,8 @@
     Result.m_Verdict = PlacementVerdict::AllFull;
     if (!IsAnyFull && !LastResort)
       Result.m_NextPermit = NextPermit;
+  } else if (!IsAnyInRegions) {
+    Result.m_Verdict = PlacementVerdict::NoneInRegions;
   }
   return Result;
 }
@@ -438,6 +444,18 @@
   m_Statements.onPauseRequested(Upstream, Pause, Now);
 }
 
+bool LoadBalancer::setEvacuated(const DataCentreId &DataCentre, bool IsEvacuated, TimePoint Now) {
+  return IsEvacuated ? m_Evacuations.begin(DataCentre, Now) : m_Evacuations.end(DataCentre);
+}
+
+std::uint32_t LoadBalancer::requestsInFlight(const DataCentreId &DataCentre) const {
+  std::uint32_t Result = 0;
+  for (const auto &[Id, Entry] : m_Upstreams)
+    if (Entry.m_Record.m_DataCentre == DataCentre)
+      Result += Entry.m_OwnUsage.m_Requests;
+  return Result;
+}
+
 UsageByUpstream LoadBalancer::ownUsage() const {
   UsageByUpstream Result;
   for (const auto &[Id, Entry] : m_Upstreams)
--- a/src/libgateway/Gateway.cpp
+++ b/src/libgateway/Gateway.cpp
@@ -138,6 +138,16 @@
     Core.placeWaiting();
 }
 
+void Gateway::setEvacuated(const DataCentreId &DataCentre, bool IsEvacuated) {
+  GatewayCore &Core = m_Implementation->core();
+  if (!Core.loadBalancer().setEvacuated(DataCentre, IsEvacuated, monotonicNow()))
+    return;
+  logEvent(
+      Severity::Warning, IsEvacuated ? "evacuation_begun" : "evacuation_ended",
+      {{"dataCentre", DataCentre}, {"inFlight", Core.loadBalancer().requestsInFlight(DataCentre)}});
+  Core.placeWaiting();
+}
+
 void Gateway::setInstances(KnownInstance Self, std::vector<KnownInstance> Others) {
   if (!isDraining())
     m_Implementation->core().loadBalancer().rates().setInstances(std::move(Self),
@@ -197,6 +207,11 @@
   for (const auto &[Upstream, Rate] : Shared.statements().rates(monotonicNow()))
     Rates[Upstream.m_Id.str()] = boost::json::object{
         {"perSecond", Rate.perSecond()}, {"ownPart", Shared.partAt(Upstream).perSecond()}};
+  boost::json::object Evacuated;
+  for (const auto &[DataCentre, Since] : Core.loadBalancer().evacuations().all())
+    Evacuated[DataCentre.str()] =
+        boost::json::object{{"sinceSeconds", toSeconds(monotonicNow() - Since)},
+                            {"inFlight", Core.loadBalancer().requestsInFlight(DataCentre)}};
   boost::json::array Quarantines;
   for (const Quarantine &Each : Core.suspects().quarantines(monotonicNow())) {
     boost::json::array Keys;
@@ -217,6 +232,7 @@
           {"inFlight", std::move(InFlight)},
           {"unreadTokens", std::move(UnreadTokens)},
           {"namedRates", std::move(Rates)},
+          {"evacuatedDataCentres", std::move(Evacuated)},
           {"crashSuspects", Core.suspects().size()},
           {"quarantines", std::move(Quarantines)}};
 }
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -114,7 +114,7 @@
 
   Placement Immediate;
   Immediate.m_Verdict = PlacementVerdict::AllFull;
-  if (m_Queue.waiting(Request.m_Service) == 0) {
+  if (!hasWaitingRival(Request)) {
     Immediate = tryPlace(Request);
     if (Immediate.m_Verdict != PlacementVerdict::AllFull)
       co_return Immediate;
@@ -146,6 +146,15 @@
   co_return Waiting->m_Placement.value_or(Immediate);
 }
 
+bool GatewayCore::hasWaitingRival(const PlacementRequest &Request) const {
+  if (m_Queue.waiting(Request.m_Service) == 0)
+    return false;
+  return std::any_of(m_Waiters.begin(), m_Waiters.end(), [&](const auto &Each) {
+    const PlacementRequest &Waiting = Each.second->m_Request;
+    return Waiting.m_Service == Request.m_Service && Waiting.m_Regions == Request.m_Regions;
+  });
+}
+
 void GatewayCore::placeWaiting() {
   const auto Services = m_Queue.waitingServices();
   for (const auto &[Service, Count] : Services) {
@@ -154,7 +163,7 @@
       Placement NewPlacement = tryPlace(Waiting.m_Request);
       if (NewPlacement.m_Verdict != PlacementVerdict::Placed) {
         // If this request excludes no upstream, no slot is free for the others either.
-        if (Waiting.m_Request.m_Tried.empty())
+        if (Waiting.m_Request.m_Tried.empty() && !Waiting.m_Request.m_Regions.isRestricted())
           break;
         continue;
       }
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -272,6 +272,9 @@
     std::vector<RunningAttempt> m_Lost;
   };
 
+  /// Whether a request waits for the same upstreams. One that is restricted to other regions may
+  /// wait while upstreams of these have free slots.
+  bool hasWaitingRival(const PlacementRequest &Request) const;
   Task<> confirmCrash(UpstreamRecord Upstream, Duration Delay);
   void recordCrash(const UpstreamRecord &Upstream, const CrashCheck &Confirmed);
   void handleSuspectChanges();
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -116,12 +116,14 @@
   if (!m_Route)
     return ErrorKind::UnknownRoute;
   m_Priority = m_Route->m_Priority;
+  m_Regions = m_Route->m_Regions;
   if (m_Plan->requiresKeys() && !m_Route->m_Public) {
     const AccountPlan *Account = m_Plan->accountOf(std::string(m_Request[Names.m_AccountKey]));
     if (!Account)
       return ErrorKind::UnknownAccountKey;
     m_Account = Account->m_Id;
     m_Priority = Account->m_Priority.value_or(m_Priority);
+    m_Regions = m_Regions.intersect(Account->m_Regions);
   }
   if (m_RequestId.empty())
     return ErrorKind::MalformedRequest;
@@ -247,7 +249,7 @@
 }
 
 PlacementRequest RequestExchange::placementRequest() const {
-  return {m_Service, m_Model, m_StreamVersion, m_TriedUpstreams, m_PromptTokens};
+  return {m_Service, m_Model, m_StreamVersion, m_TriedUpstreams, m_PromptTokens, m_Regions};
 }
 
 HttpRequest RequestExchange::upstreamRequest(const UpstreamRecord &To) const {
@@ -818,8 +820,11 @@
     co_return;
   }
   if (!m_MayHaveRun) {
-    ErrorKind Kind = m_LastVerdict == PlacementVerdict::NoneUsable ? ErrorKind::NoUpstream
-                                                                   : ErrorKind::Overloaded;
+    ErrorKind Kind = ErrorKind::Overloaded;
+    if (m_LastVerdict == PlacementVerdict::NoneUsable)
+      Kind = ErrorKind::NoUpstream;
+    else if (m_LastVerdict == PlacementVerdict::NoneInRegions)
+      Kind = ErrorKind::NoUpstreamInRegion;
     if (m_Core.isRefusingRequests() || isTooLateToStart())
       Kind = ErrorKind::Draining;
     if (isQuarantined())
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -174,6 +174,8 @@
   ClientAccountId m_Account;
   ServiceId m_Service;
   ModelId m_Model;
+  /// Where the route and the client account permit the request to be served.
+  RegionRestriction m_Regions;
   std::string m_RequestId;
   int m_Priority = 0;
   bool m_IsRetry = false;
