Cold upstreams: bound the requests of all instances to an upstream that is cold

A service may state that its upstreams bear only some requests a second for a while after their start (coldPerS, coldStartS), and the settings how far that may be exceeded in any second. Nothing read these, so instances filled an upstream that had just started as soon as it looked idle.

ColdUpstreams decides which upstreams are cold: by their entry, by an answer, or by signs of a restart that is not listed yet, which instances tell each other. SharedRates paces requests to them by parts of the rate, with the same pacers and the same division as the rates that upstreams name. For cold upstreams the parts allow no burst, and an instance has none without a current list of instances and the majority of those that it knows in the upstream's data centre. Version 10 of the peer reports carries the notices.

Without the bound in the settings, or coldPerS in the plan, nothing is limited.

--- a/src/include/Fescuegauge/CallHeaderNames.h
+++ b/src/include/Fescuegauge/CallHeaderNames.h
@@ -35,6 +35,8 @@
   std::string m_UpstreamLeaving = "Upstream-Leaving";
   /// In an upstream's response: its rate limit in requests per second, over all instances together.
   std::string m_UpstreamRate = "Upstream-Rate";
+  /// In an upstream's response: for how many milliseconds it stays cold.
+  std::string m_UpstreamCold = "Upstream-Cold-Ms";
   /// In an upstream's response: the version of the weights that produced it.
   std::string m_WeightsVersion = "Weights-Version";
   /// Selects a path through several runners. Never forwarded.
--- a/src/include/Fescuegauge/Gateway.h
+++ b/src/include/Fescuegauge/Gateway.h
@@ -25,6 +25,8 @@
   /// Time from beginDrain() to the end of the process.
   Duration m_StopTime = std::chrono::milliseconds(7600);
   std::uint64_t m_Seed = 0;
+  /// See LoadBalancerOptions.
+  std::optional<ColdBounds> m_ColdBounds;
 };
 
 /// HTTP reverse proxy of an entry instance on one event loop. Accepts client requests, selects an
@@ -52,14 +54,19 @@
   /// is withdrawn if it is still queued there shortly before the bound.
   void setWeightsBounds(const ModelId &Model, std::vector<WeightsBound> Bounds);
   void onPeerReport(const InstanceId &Peer, UsageByUpstream Usage, const SuspectUpdate &Suspects,
-                    std::span<const UpstreamStart> Leaving, std::span<const RateStatement> Rates);
+                    std::span<const UpstreamStart> Leaving, std::span<const RateStatement> Rates,
+                    std::span<const ColdNotice> Cold = {});
   /// An operator evacuated a data centre, or took it back. Its upstreams get no requests meanwhile.
   void setEvacuated(const DataCentreId &DataCentre, bool IsEvacuated);
-  /// Sets the entry instances that share the rate limits named by upstreams. Until the first call,
-  /// this instance has no share of them.
-  void setInstances(KnownInstance Self, std::vector<KnownInstance> Others);
+  /// Sets the entry instances that share the rate limits of upstreams. Until the first call, this
+  /// instance has no share of them. `IsComplete` tells whether the platform's list of instances has
+  /// been read; before, this instance has no share of the limits of cold upstreams.
+  void setInstances(KnownInstance Self, std::vector<KnownInstance> Others, bool IsComplete = true);
   /// Rate limits that upstreams stated in responses to this instance, for the other instances.
   std::vector<RateStatement> ratesForPeers() const;
+  /// Upstreams that may be cold by what this instance saw, for the other instances.
+  std::vector<ColdNotice> coldForPeers() const;
+  void setColdBounds(std::optional<ColdBounds> Bounds);
   /// Upstreams that announced that they are leaving, for the other entry instances.
   std::vector<UpstreamStart> leavingForPeers() const;
   /// See LoadBalancer::onLoading().
--- a/src/include/Fescuegauge/LoadBalancer.h
+++ b/src/include/Fescuegauge/LoadBalancer.h
@@ -41,6 +41,8 @@
   std::uint32_t m_Slots = 1;
   bool m_IsLeaving = false;
   std::vector<HeldWeights> m_Weights;
+  /// Nothing if its entry does not state whether it is cold.
+  std::optional<ColdStatement> m_Cold;
 
   UpstreamStart start() const { return {m_Id, m_Incarnation}; }
   /// 0 if it holds no weights of this model.
@@ -99,8 +101,8 @@
   UpstreamRecord m_Upstream;
   /// Requests known to be in flight there before this one; for the log.
   std::uint32_t m_InFlight = 0;
-  /// A permit was taken for the request; see SharedRates.
-  bool m_HasPermit = false;
+  /// The permits that were taken for the request; see SharedRates.
+  HeldPermits m_Permits;
   /// With AllFull: if upstreams lack only permits, when the next one is due, or TimePoint::max() if
   /// none will be. Not set if another slot may become free at any time.
   std::optional<TimePoint> m_NextPermit;
@@ -130,6 +132,8 @@
   double m_PlainOvercommit = 4;
   /// Slots left free at upstreams of other data centres, because reports on their usage are older.
   double m_RemoteReserve = 2;
+  /// Without them, requests to cold upstreams are not limited.
+  std::optional<ColdBounds> m_ColdBounds;
 };
 
 /// Tracks the state of the upstreams at one entry instance and selects an upstream for each
@@ -192,7 +196,7 @@
   static constexpr Duration MaxLoadDuration = std::chrono::seconds(6);
 
   LoadBalancer(LoadBalancerOptions Options, std::uint64_t Seed)
-      : m_Options(std::move(Options)), m_Random(Seed) {}
+      : m_Options(std::move(Options)), m_Random(Seed), m_Rates(m_Options.m_ColdBounds) {}
 
   /// Replaces the list. An upstream that restarted under its id counts as a new one.
   void setUpstreams(std::span<const UpstreamRecord> Listed);
@@ -255,15 +259,15 @@
   /// meanwhile must learn of it too.
   std::vector<UpstreamStart> leavingForPeers(TimePoint Now) const;
 
-  /// Whether the upstreams of a data centre get requests; see Evacuations. Returns whether this
-  /// changed.
+  /// Whether the upstreams of a data centre get requests; see Evacuations. They are treated as cold
+  /// when they get requests again. Returns whether this changed.
   bool setEvacuated(const DataCentreId &DataCentre, bool IsEvacuated, TimePoint Now);
   const Evacuations &evacuations() const { return m_Evacuations; }
   /// Requests that this instance has in flight at the upstreams of a data centre.
   std::uint32_t requestsInFlight(const DataCentreId &DataCentre) const;
 
-  /// The rates that upstreams name. A request is not placed at an upstream from which no permit is
-  /// available.
+  /// The rates that upstreams name, and those of cold upstreams. A request is not placed at an
+  /// upstream from which no permit is available.
   SharedRates &rates() { return m_Rates; }
   const SharedRates &rates() const { return m_Rates; }
 
--- a/src/include/Fescuegauge/PeerReportExchange.h
+++ b/src/include/Fescuegauge/PeerReportExchange.h
@@ -34,6 +34,8 @@
   std::vector<UpstreamStart> m_Leaving;
   /// Rate limits that upstreams stated in responses to the sender.
   std::vector<RateStatement> m_Rates;
+  /// Upstreams that may be cold by what the sender saw.
+  std::vector<ColdNotice> m_Cold;
   /// The sender's knowledge of the platform's tables.
   std::vector<TableState> m_Tables;
   /// Address of the sender; set by the receiver.
@@ -80,6 +82,7 @@
     std::function<std::vector<AnnouncedWeights>()> m_Weights;
     std::function<std::vector<UpstreamStart>()> m_Leaving;
     std::function<std::vector<RateStatement>()> m_Rates;
+    std::function<std::vector<ColdNotice>()> m_Cold;
     std::function<std::vector<TableState>()> m_Tables;
     std::function<void(const LoadNotice &)> m_OnLoading;
     std::function<void(PeerReport)> m_OnReport;
@@ -95,8 +98,9 @@
   std::size_t peerCount() const { return m_Peers.size(); }
   /// Known instances of the own data centre.
   std::vector<Endpoint> localPeers() const { return m_Peers.local(); }
-  /// Known instances whose reports arrive on schedule and that are not stopping.
-  std::vector<KnownInstance> livePeers() const;
+  /// Known instances that are not stopping. Those whose reports do not arrive on schedule are
+  /// marked.
+  std::vector<KnownInstance> knownPeers() const;
 
 private:
   void receive();
--- a/src/include/Fescuegauge/PeerTable.h
+++ b/src/include/Fescuegauge/PeerTable.h
@@ -37,6 +37,8 @@
   /// All peers that have not expired.
   std::vector<Endpoint> local() const { return select(true); }
   std::vector<Endpoint> remote() const { return select(false); }
+  /// All peers that are not stopping. Those that are considered dead are marked.
+  std::vector<KnownInstance> known(const MessageIntervals &MaxIntervals, TimePoint Now) const;
   /// Peers that are neither considered dead nor stopping.
   std::vector<KnownInstance> live(const MessageIntervals &MaxIntervals, TimePoint Now) const;
 
--- a/src/include/Fescuegauge/RateDivision.h
+++ b/src/include/Fescuegauge/RateDivision.h
@@ -16,10 +16,23 @@
   DataCentreId m_DataCentre;
   /// Rate of client requests to it; nothing while unknown.
   std::optional<RequestRate> m_Demand{};
+  /// Whether its messages arrive on schedule.
+  bool m_IsLive = true;
 
   bool operator==(const KnownInstance &) const = default;
 };
 
+/// How a rate is divided.
+struct DivisionRule {
+  /// Largest number of instances that have a part.
+  double m_MaxParts = 1;
+  /// For a bound that must hold also while instances cannot reach each other. No instance has a
+  /// part unless it hears from the majority of those that it knows in the upstream's data centre,
+  /// so that two groups that are cut off from each other never both divide the rate. Instances of
+  /// other data centres have a part only if none is known in the upstream's data centre.
+  bool m_NeedsMajority = false;
+};
+
 /// Divides a rate that holds for all entry instances together, without a coordinator.
 ///
 /// Meant for rates that are small in relation to the number of instances. If each instance had a
@@ -45,11 +58,19 @@
 
   /// The part of `Rate` that this instance may use at an upstream; 0 if it has none. `Key`
   /// identifies the upstream.
-  RequestRate partOf(std::string_view Key, const DataCentreId &DataCentre, RequestRate Rate) const;
+  RequestRate partOf(std::string_view Key, const DataCentreId &DataCentre, RequestRate Rate,
+                     const DivisionRule &Rule) const;
+  /// The same with as many parts as are needed to use a rate that an upstream names.
+  RequestRate partOf(std::string_view Key, const DataCentreId &DataCentre, RequestRate Rate) const {
+    return partOf(Key, DataCentre, Rate, ruleForNamedRate(Rate));
+  }
+  static DivisionRule ruleForNamedRate(RequestRate Rate);
 
 private:
   /// The instances among which the rates of upstreams in a data centre are divided.
-  std::vector<const KnownInstance *> candidates(const DataCentreId &DataCentre) const;
+  std::vector<const KnownInstance *> candidates(const DataCentreId &DataCentre,
+                                                bool NeedsMajority) const;
+  static bool isMajorityLive(const std::vector<const KnownInstance *> &Group);
 
   /// This instance is the first element.
   std::vector<KnownInstance> m_Instances;
--- a/src/include/Fescuegauge/RoutingPlan.h
+++ b/src/include/Fescuegauge/RoutingPlan.h
@@ -103,6 +103,13 @@
   BytesPerSecond m_LinkRate;
 };
 
+/// The upstreams of a service are cold for a while after their start.
+struct ColdStartParameters {
+  Duration m_Length{0};
+  /// Requests that a cold upstream accepts from all entry instances together.
+  RequestRate m_Rate;
+};
+
 struct ServicePlan {
   ServiceId m_Id;
   /// Connections that one upstream accepts from all entry instances together; 0 if unlimited.
@@ -110,6 +117,8 @@
   /// Nothing for a plain service.
   std::optional<EngineParameters> m_Engine;
   std::optional<WeightsOrigin> m_Origin;
+  /// Nothing if its upstreams accept as much after their start as later.
+  std::optional<ColdStartParameters> m_ColdStart;
 };
 
 struct AccountPlan {
--- a/src/libdispatch/LoadBalancer.cpp
+++ b/src/libdispatch/LoadBalancer.cpp
@@ -49,6 +49,7 @@
 }
 
 void LoadBalancer::setPlan(const RouteTable &Plan) {
+  m_Rates.cold().setPlan(Plan);
   // Requests of an earlier plan may still be under way to a service that the new plan drops.
   std::erase_if(m_Engines, [&](const auto &Each) {
     return Plan.service(Each.first) || !m_ByService.contains(Each.first);
@@ -445,7 +446,12 @@
 }
 
 bool LoadBalancer::setEvacuated(const DataCentreId &DataCentre, bool IsEvacuated, TimePoint Now) {
-  return IsEvacuated ? m_Evacuations.begin(DataCentre, Now) : m_Evacuations.end(DataCentre);
+  if (IsEvacuated)
+    return m_Evacuations.begin(DataCentre, Now);
+  const bool HasEnded = m_Evacuations.end(DataCentre);
+  if (HasEnded)
+    m_Rates.cold().markCold(DataCentre, Now);
+  return HasEnded;
 }
 
 std::uint32_t LoadBalancer::requestsInFlight(const DataCentreId &DataCentre) const {
--- a/src/libdispatch/PeerTable.cpp
+++ b/src/libdispatch/PeerTable.cpp
@@ -25,16 +25,24 @@
   return Result;
 }
 
-std::vector<KnownInstance> PeerTable::live(const MessageIntervals &MaxIntervals,
-                                           TimePoint Now) const {
+std::vector<KnownInstance> PeerTable::known(const MessageIntervals &MaxIntervals,
+                                            TimePoint Now) const {
   std::vector<KnownInstance> Result;
   for (const auto &[Address, Known] : m_Peers) {
     const Duration Interval =
         Known.m_DataCentre == m_LocalDataCentre ? MaxIntervals.m_Local : MaxIntervals.m_Remote;
-    if (!Known.m_IsStopping && Now - Known.m_LastSeenAt <= MaxMissedMessages * Interval)
-      Result.push_back({Address, Known.m_DataCentre, Known.m_Demand});
+    if (!Known.m_IsStopping)
+      Result.push_back({Address, Known.m_DataCentre, Known.m_Demand,
+                        Now - Known.m_LastSeenAt <= MaxMissedMessages * Interval});
   }
   return Result;
 }
 
+std::vector<KnownInstance> PeerTable::live(const MessageIntervals &MaxIntervals,
+                                           TimePoint Now) const {
+  std::vector<KnownInstance> Result = known(MaxIntervals, Now);
+  std::erase_if(Result, [](const KnownInstance &Each) { return !Each.m_IsLive; });
+  return Result;
+}
+
 } // namespace fescuegauge
--- a/src/libdispatch/SharedRates.cpp
+++ b/src/libdispatch/SharedRates.cpp
@@ -14,7 +14,11 @@
   return m_Statements.onPeerUpdate(Reported, Now);
 }
 
-void SharedRates::setInstances(KnownInstance Self, std::vector<KnownInstance> Others) {
+void SharedRates::setInstances(KnownInstance Self, std::vector<KnownInstance> Others,
+                               std::optional<TimePoint> Now) {
+  if (Now && (!m_ListedAt || *Now - *m_ListedAt > MaxListAge))
+    m_SettledAt = *Now + SettleTime;
+  m_ListedAt = Now;
   m_Division.setInstances(std::move(Self), std::move(Others));
   invalidateParts();
 }
@@ -25,64 +29,90 @@
 }
 
 void SharedRates::invalidateParts() {
-  for (auto &[Upstream, Each] : m_Pacers)
-    Each.m_IsPartCurrent = false;
+  m_NamedPacers.invalidateParts();
+  m_ColdPacers.invalidateParts();
 }
 
-SharedRates::Pacer *SharedRates::pacerFor(const UpstreamStart &Upstream,
-                                          const DataCentreId &DataCentre, TimePoint Now) {
+PartPacer *SharedRates::namedPacer(const UpstreamStart &Upstream, const DataCentreId &DataCentre,
+                                   TimePoint Now) {
   if (m_Statements.empty())
     return nullptr;
   const std::optional<RequestRate> Named = m_Statements.rateOf(Upstream, Now);
   if (!Named) {
-    m_Pacers.erase(Upstream);
+    m_NamedPacers.erase(Upstream);
     return nullptr;
   }
-  if (m_Pacers.size() >= RateStatements::MaxUpstreams && !m_Pacers.contains(Upstream))
-    std::erase_if(m_Pacers,
-                  [&](const auto &Each) { return !m_Statements.rateOf(Each.first, Now); });
+  if (m_NamedPacers.size() >= RateStatements::MaxUpstreams && !m_NamedPacers.find(Upstream))
+    m_NamedPacers.eraseIf(
+        [&](const UpstreamStart &Each) { return !m_Statements.rateOf(Each, Now); });
   const RequestRate Rate = std::max(*Named, ProbeRate);
-  Pacer &Result = m_Pacers[Upstream];
-  if (Result.m_IsPartCurrent && Result.m_Rate == Rate)
-    return &Result;
-  const bool HadPart = Result.hasPart();
-  Result.m_Rate = Rate;
-  Result.m_Part = m_Division.partOf(Upstream.m_Id.str(), DataCentre, Rate);
-  Result.m_IsPartCurrent = true;
-  // The instance that had the part before may have used it just now. On average it is due after
-  // half an interval.
-  if (Result.hasPart() && !HadPart)
-    Result.m_NextDueAt =
-        std::max(Result.m_NextDueAt, Now + Result.m_Part.interval() / 2 + Result.tolerance());
-  return &Result;
+  return &m_NamedPacers.pacer(
+      Upstream, DataCentre,
+      {Rate, RateDivision::ruleForNamedRate(Rate), BurstTolerance + Rate.interval()}, m_Division,
+      Now);
+}
+
+PartPacer *SharedRates::coldPacer(const UpstreamStart &Upstream, const DataCentreId &DataCentre,
+                                  TimePoint Now) {
+  const SharedLimit *Limit = m_Cold.limitOf(Upstream, Now);
+  if (!Limit) {
+    if (m_ColdPacers.size() > 0)
+      m_ColdPacers.erase(Upstream);
+    return nullptr;
+  }
+  if (m_ColdPacers.size() >= RateStatements::MaxUpstreams && !m_ColdPacers.find(Upstream))
+    m_ColdPacers.eraseIf([&](const UpstreamStart &Each) { return !m_Cold.limitOf(Each, Now); });
+  return &m_ColdPacers.pacer(Upstream, DataCentre, *Limit, m_Division, Now);
 }
 
 TimePoint SharedRates::nextPermit(const UpstreamStart &Upstream, const DataCentreId &DataCentre,
                                   TimePoint Now) {
-  const Pacer *Found = pacerFor(Upstream, DataCentre, Now);
-  return Found ? Found->nextPermit() : Now;
+  const PartPacer *Named = namedPacer(Upstream, DataCentre, Now);
+  TimePoint Next = Named ? Named->nextPermit() : Now;
+  if (const PartPacer *Cold = coldPacer(Upstream, DataCentre, Now))
+    Next = std::max(
+        Next, std::min(nextColdPermit(*Cold, Now), m_Cold.coldUntil(Upstream, Now).value_or(Now)));
+  return Next;
 }
 
 SharedRates::Permit SharedRates::takePermit(const UpstreamStart &Upstream,
-                                            const DataCentreId &DataCentre, TimePoint Now) {
-  Pacer *Found = pacerFor(Upstream, DataCentre, Now);
-  if (!Found)
-    return Permit::NotNeeded;
-  if (Found->nextPermit() > Now)
+                                            const DataCentreId &DataCentre, HeldPermits &Held,
+                                            TimePoint Now) {
+  PartPacer *Named = Held.m_ForNamedRate ? nullptr : namedPacer(Upstream, DataCentre, Now);
+  PartPacer *Cold = Held.m_ForColdRate ? nullptr : coldPacer(Upstream, DataCentre, Now);
+  if ((Named && Named->nextPermit() > Now) || (Cold && nextColdPermit(*Cold, Now) > Now))
     return Permit::Refused;
-  Found->m_NextDueAt = std::max(Found->m_NextDueAt, Now) + Found->m_Part.interval();
-  return Permit::Taken;
+  if (Named) {
+    Named->take(Now);
+    Held.m_ForNamedRate = true;
+  }
+  if (Cold) {
+    Cold->take(Now);
+    Held.m_ForColdRate = true;
+  }
+  return Held.any() ? Permit::Taken : Permit::NotNeeded;
+}
+
+void SharedRates::onSending(const UpstreamStart &Upstream, const HeldPermits &Held, TimePoint Now) {
+  if (PartPacer *Cold = Held.m_ForColdRate ? m_ColdPacers.find(Upstream) : nullptr)
+    Cold->spaceFrom(Now);
 }
 
-void SharedRates::returnPermit(const UpstreamStart &Upstream) {
-  auto Found = m_Pacers.find(Upstream);
-  if (Found != m_Pacers.end() && Found->second.hasPart())
-    Found->second.m_NextDueAt -= Found->second.m_Part.interval();
+void SharedRates::returnPermit(const UpstreamStart &Upstream, HeldPermits Held) {
+  if (PartPacer *Named = Held.m_ForNamedRate ? m_NamedPacers.find(Upstream) : nullptr)
+    Named->giveBack();
+  if (PartPacer *Cold = Held.m_ForColdRate ? m_ColdPacers.find(Upstream) : nullptr)
+    Cold->giveBack();
 }
 
 RequestRate SharedRates::partAt(const UpstreamStart &Upstream) const {
-  auto Found = m_Pacers.find(Upstream);
-  return Found == m_Pacers.end() ? RequestRate(0) : Found->second.m_Part;
+  const PartPacer *Found = m_NamedPacers.find(Upstream);
+  return Found ? Found->part() : RequestRate(0);
+}
+
+RequestRate SharedRates::coldPartAt(const UpstreamStart &Upstream) const {
+  const PartPacer *Found = m_ColdPacers.find(Upstream);
+  return Found ? Found->part() : RequestRate(0);
 }
 
 } // namespace fescuegauge
--- a/src/libgateway/Gateway.cpp
+++ b/src/libgateway/Gateway.cpp
@@ -67,6 +67,7 @@
       Self->scheduleHousekeeping();
       Self->m_Core->pool().closeExpired();
       Self->m_Core->checkSuspects();
+      Self->m_Core->logColdChanges();
       Self->m_Sessions.remove_if([](const auto &Each) { return Each.expired(); });
       if (Self->m_Core->isRefusingRequests())
         for (const auto &Each : Self->m_Sessions)
@@ -105,8 +106,15 @@
 }
 
 void Gateway::setUpstreams(std::span<const UpstreamRecord> Listed) {
-  m_Implementation->core().loadBalancer().setUpstreams(Listed);
-  m_Implementation->core().placeWaiting();
+  GatewayCore &Core = m_Implementation->core();
+  Core.loadBalancer().rates().cold().onListed(Listed, monotonicNow());
+  Core.loadBalancer().setUpstreams(Listed);
+  Core.logColdChanges();
+  Core.placeWaiting();
+}
+
+void Gateway::setColdBounds(std::optional<ColdBounds> Bounds) {
+  m_Implementation->core().loadBalancer().rates().cold().setBounds(Bounds);
 }
 
 void Gateway::setMinVersion(const ModelId &Model, WeightsVersion Version) {
@@ -119,8 +127,11 @@
 
 void Gateway::onPeerReport(const InstanceId &Peer, UsageByUpstream Usage,
                            const SuspectUpdate &Suspects, std::span<const UpstreamStart> Leaving,
-                           std::span<const RateStatement> Rates) {
+                           std::span<const RateStatement> Rates, std::span<const ColdNotice> Cold) {
   GatewayCore &Core = m_Implementation->core();
+  for (const ColdNotice &Each : Cold)
+    Core.loadBalancer().rates().cold().onPeerNotice(Each, monotonicNow());
+  Core.logColdChanges();
   for (const RateStatement &Each : Rates)
     Core.recordPeerRate(Peer, Each);
   for (const UpstreamStart &Each : Leaving)
@@ -145,13 +156,19 @@
   logEvent(
       Severity::Warning, IsEvacuated ? "evacuation_begun" : "evacuation_ended",
       {{"dataCentre", DataCentre}, {"inFlight", Core.loadBalancer().requestsInFlight(DataCentre)}});
+  Core.logColdChanges();
   Core.placeWaiting();
 }
 
-void Gateway::setInstances(KnownInstance Self, std::vector<KnownInstance> Others) {
+void Gateway::setInstances(KnownInstance Self, std::vector<KnownInstance> Others, bool IsComplete) {
   if (!isDraining())
-    m_Implementation->core().loadBalancer().rates().setInstances(std::move(Self),
-                                                                 std::move(Others));
+    m_Implementation->core().loadBalancer().rates().setInstances(
+        std::move(Self), std::move(Others),
+        IsComplete ? std::optional(monotonicNow()) : std::nullopt);
+}
+
+std::vector<ColdNotice> Gateway::coldForPeers() const {
+  return m_Implementation->core().loadBalancer().rates().cold().noticesForPeers(monotonicNow());
 }
 
 std::vector<RateStatement> Gateway::ratesForPeers() const {
@@ -212,6 +229,11 @@
     Evacuated[DataCentre.str()] =
         boost::json::object{{"sinceSeconds", toSeconds(monotonicNow() - Since)},
                             {"inFlight", Core.loadBalancer().requestsInFlight(DataCentre)}};
+  boost::json::object Cold;
+  for (const auto &[Upstream, Remaining] : Shared.cold().cold(monotonicNow()))
+    Cold[Upstream.m_Id.str()] =
+        boost::json::object{{"remainingSeconds", toSeconds(Remaining)},
+                            {"ownPart", Shared.coldPartAt(Upstream).perSecond()}};
   boost::json::array Quarantines;
   for (const Quarantine &Each : Core.suspects().quarantines(monotonicNow())) {
     boost::json::array Keys;
@@ -233,6 +255,7 @@
           {"unreadTokens", std::move(UnreadTokens)},
           {"namedRates", std::move(Rates)},
           {"evacuatedDataCentres", std::move(Evacuated)},
+          {"coldUpstreams", std::move(Cold)},
           {"crashSuspects", Core.suspects().size()},
           {"quarantines", std::move(Quarantines)}};
 }
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -19,6 +19,7 @@
   LoadBalancerOptions Result;
   Result.m_DataCentre = Options.m_DataCentre;
   Result.m_Region = Options.m_Region;
+  Result.m_ColdBounds = Options.m_ColdBounds;
   return Result;
 }
 
@@ -65,6 +66,14 @@
                            "Requests not sent because their upstream named a rate limit after they "
                            "were placed.",
                            {}})),
+      m_ColdSends(Metrics.counter({"fescuegauge_gateway_cold_sends_total",
+                                   "Requests sent to upstreams that are treated as cold.",
+                                   {}})),
+      m_ColdWithheldSends(
+          Metrics.counter({"fescuegauge_gateway_cold_withheld_sends_total",
+                           "Requests not sent because their upstream turned cold after they were "
+                           "placed and this instance had no permit.",
+                           {}})),
       m_FirstByte(
           Metrics.histogram({"fescuegauge_gateway_first_byte_seconds",
                              "Time from a request's arrival to the first byte of its response.",
@@ -90,9 +99,8 @@
   const TimePoint Now = monotonicNow();
   Placement Result = m_LoadBalancer.place(Request, Now);
   if (Result.m_Verdict == PlacementVerdict::Placed) {
-    Result.m_HasPermit =
-        m_LoadBalancer.rates().takePermit(Result.m_Upstream.start(), Result.m_Upstream.m_DataCentre,
-                                          Now) == SharedRates::Permit::Taken;
+    m_LoadBalancer.rates().takePermit(Result.m_Upstream.start(), Result.m_Upstream.m_DataCentre,
+                                      Result.m_Permits, Now);
     m_LoadBalancer.onDispatched(Result.m_Upstream.m_Id, Request.m_PromptTokens, Now);
     m_Queue.onPlaced(Request.m_Service, Now);
   }
@@ -100,8 +108,7 @@
 }
 
 void GatewayCore::undoPlacement(const Placement &Unsent, std::uint32_t PromptTokens) {
-  if (Unsent.m_HasPermit)
-    m_LoadBalancer.rates().returnPermit(Unsent.m_Upstream.start());
+  m_LoadBalancer.rates().returnPermit(Unsent.m_Upstream.start(), Unsent.m_Permits);
   release(Unsent.m_Upstream.m_Id, DispatchResult::Abandoned, PromptTokens);
 }
 
@@ -261,6 +268,34 @@
              {{"upstream", Upstream.m_Id}, {"toldBy", From}});
 }
 
+void GatewayCore::recordCold(const UpstreamStart &Upstream, Duration Remaining) {
+  m_LoadBalancer.rates().cold().onAnswer(Upstream, Remaining, monotonicNow());
+  logColdChanges();
+}
+
+void GatewayCore::recordUnreachable(const UpstreamStart &Upstream) {
+  m_LoadBalancer.rates().cold().onUnreachable(Upstream, monotonicNow());
+  logColdChanges();
+}
+
+void GatewayCore::logColdChanges() {
+  for (const ColdUpstreams::Change &Each :
+       m_LoadBalancer.rates().cold().takeChanges(monotonicNow())) {
+    if (!tryAcquireLogLine(true))
+      continue;
+    if (Each.m_IsCold)
+      logEvent(Severity::Info, "upstream_cold",
+               {{"upstream", Each.m_Upstream.m_Id},
+                {"incarnation", Each.m_Upstream.m_Incarnation},
+                {"seconds", Each.m_Remaining},
+                {"stated", Each.m_IsStated}});
+    else
+      logEvent(
+          Severity::Info, "upstream_cold_ended",
+          {{"upstream", Each.m_Upstream.m_Id}, {"incarnation", Each.m_Upstream.m_Incarnation}});
+  }
+}
+
 RunningAttempts::iterator GatewayCore::addRunning(RunningAttempt Attempt) {
   return m_Running.insert(m_Running.end(), std::move(Attempt));
 }
@@ -342,6 +377,7 @@
   const TimePoint Now = monotonicNow();
   m_Suspects.recordCrash(Upstream.start(), Unstarted, Confirmed.m_FirstLossAt, Now);
   m_UpstreamCrashes.add();
+  recordUnreachable(Upstream.start());
   logEvent(Severity::Warning, "upstream_crashed",
            {{"upstream", Upstream.m_Id},
             {"incarnation", Upstream.m_Incarnation},
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -151,6 +151,13 @@
   /// Records a rate statement from another entry instance.
   void recordPeerRate(const InstanceId &Peer, const RateStatement &Statement);
 
+  /// An upstream stated in a response for how long it stays cold.
+  void recordCold(const UpstreamStart &Upstream, Duration Remaining);
+  /// No connection to an upstream could be opened, or it crashed.
+  void recordUnreachable(const UpstreamStart &Upstream);
+  /// Logs upstreams that are treated as cold from now on, or no longer.
+  void logColdChanges();
+
   /// Registers an attempt in flight at an upstream, as a suspect if the upstream crashes.
   RunningAttempts::iterator addRunning(RunningAttempt Attempt);
   void removeRunning(RunningAttempts::iterator Attempt) { m_Running.erase(Attempt); }
@@ -232,6 +239,8 @@
   }
   void countRateLimitedSend() { m_RateLimitedSends.add(); }
   void countRateRefusedSend() { m_RateRefusedSends.add(); }
+  void countColdSend() { m_ColdSends.add(); }
+  void countColdWithheldSend() { m_ColdWithheldSends.add(); }
   void countLateStart() { m_LateOlderWeights.add(); }
   void observeWait(Duration Time) { m_Wait.observe({}, toSeconds(Time)); }
   /// Returns whether a log line on a request may be written, and counts it against the limit of the
@@ -326,6 +335,8 @@
   CounterMetric &m_QuarantineChanges;
   CounterMetric &m_RateLimitedSends;
   CounterMetric &m_RateRefusedSends;
+  CounterMetric &m_ColdSends;
+  CounterMetric &m_ColdWithheldSends;
   HistogramMetric &m_FirstByte;
   HistogramMetric &m_Start;
   HistogramMetric &m_Wait;
--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -971,6 +971,7 @@
   Report.m_Leaving.push_back({InstanceId("u3"), Incarnation(9)});
   Report.m_Rates.push_back({{InstanceId("u4"), Incarnation(7)}, RequestRate(1.3), 40ms});
   Report.m_Rates.push_back({{InstanceId("u5"), Incarnation(8)}, std::nullopt, 2s});
+  Report.m_Cold.push_back({{InstanceId("u6"), Incarnation(3)}, 1700ms});
   Report.m_Tables.push_back({"op", RowVersion(41), 300ms, true, true, true});
   const std::string Encoded = encodePeerReport(Report);
   const auto Decoded = decodePeerReport(Encoded);
@@ -983,6 +984,7 @@
   CHECK(Decoded->m_Loading == Report.m_Loading);
   CHECK(Decoded->m_Leaving == Report.m_Leaving);
   CHECK(Decoded->m_Rates == Report.m_Rates);
+  CHECK(Decoded->m_Cold == Report.m_Cold);
   CHECK(Decoded->m_Tables == Report.m_Tables);
   for (std::size_t Size = 0; Size < Encoded.size(); ++Size)
     CHECK_FALSE(decodePeerReport(std::string_view(Encoded).substr(0, Size)));
@@ -1041,8 +1043,9 @@
        },
        [&] { return Suspects; }, [&] { return !Suspects.empty(); },
        [] { return std::vector<AnnouncedWeights>(); }, [] { return std::vector<UpstreamStart>(); },
-       [] { return std::vector<RateStatement>(); }, [] { return std::vector<TableState>(); },
-       [](const LoadNotice &) {}, [](const PeerReport &) {}});
+       [] { return std::vector<RateStatement>(); }, [] { return std::vector<ColdNotice>(); },
+       [] { return std::vector<TableState>(); }, [](const LoadNotice &) {},
+       [](const PeerReport &) {}});
   std::vector<std::unique_ptr<ListeningPeer>> Peers;
   for (std::size_t I = 0; I < Count; ++I) {
     Peers.push_back(std::make_unique<ListeningPeer>(Loop));
--- a/src/libgateway/PeerReportExchange.cpp
+++ b/src/libgateway/PeerReportExchange.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::uint64_t ReportVersion = 9;
+constexpr std::uint64_t ReportVersion = 10;
 constexpr std::uint64_t NoticeVersion = 2;
 
 /// Resolution at which confirmation times of tables are compared, so that rounding is not taken for
@@ -204,6 +204,11 @@
   Writer.number(Report.m_Rates.size());
   for (const RateStatement &Each : Report.m_Rates)
     writeRate(Writer, Each);
+  Writer.number(Report.m_Cold.size());
+  for (const ColdNotice &Each : Report.m_Cold) {
+    writeStart(Writer, Each.m_Upstream);
+    Writer.number(static_cast<std::uint64_t>(Each.m_Remaining.count()));
+  }
   Writer.number(Report.m_Tables.size());
   for (const TableState &Each : Report.m_Tables) {
     Writer.text(Each.m_Table);
@@ -251,6 +256,13 @@
   constexpr std::size_t MinRateBytes = 12;
   for (std::size_t Left = Reader.count(MinRateBytes); Left > 0; --Left)
     Report.m_Rates.push_back(readRate(Reader));
+  constexpr std::size_t MinColdBytes = 3;
+  for (std::size_t Left = Reader.count(MinColdBytes); Left > 0; --Left) {
+    ColdNotice Each;
+    Each.m_Upstream = readStart(Reader);
+    Each.m_Remaining = readAge(Reader);
+    Report.m_Cold.push_back(std::move(Each));
+  }
   constexpr std::size_t MinTableBytes = 6;
   for (std::size_t Left = Reader.count(MinTableBytes); Left > 0; --Left) {
     TableState Each;
@@ -316,13 +328,13 @@
   m_Peers.onListed(Address, DataCentre, monotonicNow());
 }
 
-std::vector<KnownInstance> PeerReportExchange::livePeers() const {
+std::vector<KnownInstance> PeerReportExchange::knownPeers() const {
   const auto RoundsFor = [&](std::size_t MaxPeers) {
     return static_cast<int>((m_Peers.size() + MaxPeers - 1) / MaxPeers);
   };
-  return m_Peers.live({RefreshInterval + RoundsFor(MaxLocalPeers) * LocalInterval,
-                       RoundsFor(MaxRemotePeers) * RefreshInterval},
-                      monotonicNow());
+  return m_Peers.known({RefreshInterval + RoundsFor(MaxLocalPeers) * LocalInterval,
+                        RoundsFor(MaxRemotePeers) * RefreshInterval},
+                       monotonicNow());
 }
 
 void PeerReportExchange::receive() {
@@ -384,6 +396,7 @@
   Report.m_Weights = m_Handlers.m_Weights();
   Report.m_Leaving = m_Handlers.m_Leaving();
   Report.m_Rates = m_Handlers.m_Rates();
+  Report.m_Cold = m_Handlers.m_Cold();
   Report.m_Tables = m_Handlers.m_Tables();
   for (const ReceivedNotice &Each : m_Notices)
     if (Now - Each.m_ReceivedAt <= NoticeLifetime)
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -288,14 +288,18 @@
 }
 
 bool RequestExchange::ensurePermit(const UpstreamRecord &To) {
-  if (m_HasPermit)
-    return true;
-  const SharedRates::Permit PermitResult =
-      m_Core.loadBalancer().rates().takePermit(To.start(), To.m_DataCentre, monotonicNow());
-  m_HasPermit = PermitResult == SharedRates::Permit::Taken;
-  if (PermitResult == SharedRates::Permit::Refused)
-    m_Core.countRateRefusedSend();
-  return PermitResult != SharedRates::Permit::Refused;
+  const TimePoint Now = monotonicNow();
+  SharedRates &Rates = m_Core.loadBalancer().rates();
+  if (Rates.takePermit(To.start(), To.m_DataCentre, m_Permits, Now) ==
+      SharedRates::Permit::Refused) {
+    if (Rates.cold().coldUntil(To.start(), Now))
+      m_Core.countColdWithheldSend();
+    else
+      m_Core.countRateRefusedSend();
+    return false;
+  }
+  Rates.onSending(To.start(), m_Permits, Now);
+  return true;
 }
 
 Task<RequestExchange::AttemptEnd> RequestExchange::performAttempt(const Placement &Chosen) {
@@ -308,7 +312,7 @@
   m_TriedUpstreams.push_back(To.m_Id);
   m_NextPlacement.reset();
   m_WasPauseRequested = false;
-  m_HasPermit = Chosen.m_HasPermit;
+  m_Permits = Chosen.m_Permits;
   m_Withdrawn = false;
   ScopeExit Abort([&] { endAttempt(Chosen, AttemptEnd::Aborted); });
   // A version is binding only once the client has received a part of the stream.
@@ -391,11 +395,24 @@
   m_Core.recordRateLimit(From.start(), Named, Sent.sentAt());
 }
 
+void RequestExchange::recordCold(const UpstreamExchange &Sent, const UpstreamRecord &From) {
+  const UpstreamExchange::Header &ResponseHeader = Sent.header();
+  const auto Field = ResponseHeader.find(m_Core.headerNames().m_UpstreamCold);
+  if (Field == ResponseHeader.end() || ResponseHeader.result_int() == StatusMisdirected)
+    return;
+  if (const auto Remaining = parseColdRemaining(Field->value()))
+    m_Core.recordCold(From.start(), *Remaining);
+  else if (m_Core.tryAcquireLogLine(true))
+    logEvent(Severity::Warning, "upstream_cold_unreadable",
+             {{"upstream", From.m_Id}, {"value", std::string(Field->value())}});
+}
+
 void RequestExchange::processUpstreamStatements(const UpstreamExchange &Sent,
                                                 const UpstreamRecord &From) {
   const TimePoint Now = monotonicNow();
   const UpstreamExchange::Header &ResponseHeader = Sent.header();
   recordRateLimit(Sent, From);
+  recordCold(Sent, From);
   if (ResponseHeader.count(m_Core.headerNames().m_UpstreamLeaving) != 0 &&
       m_Core.loadBalancer().onLeaving(From.start(), Now))
     logEvent(Severity::Info, "upstream_leaving",
@@ -433,14 +450,17 @@
   if (!Sent.wasSent()) {
     m_MayHaveRun = MayHaveRunBefore;
     --m_AttemptsSent;
-    if (std::exchange(m_HasPermit, false))
-      m_Core.loadBalancer().rates().returnPermit(From.start());
+    m_Core.loadBalancer().rates().returnPermit(From.start(), std::exchange(m_Permits, {}));
+    if (Error == ExchangeError::NotSent)
+      m_Core.recordUnreachable(From.start());
     logAttempt(Chosen, "not-sent", exchangeErrorName(Error));
     co_return Error == ExchangeError::NotAllowed ? AttemptEnd::NoLongerEligible
                                                  : AttemptEnd::NotSent;
   }
-  if (m_HasPermit)
+  if (m_Permits.m_ForNamedRate)
     m_Core.countRateLimitedSend();
+  if (m_Permits.m_ForColdRate)
+    m_Core.countColdSend();
   if (m_AttemptsSent == 1)
     m_Core.retryBudget(m_Service).onFirstAttempt(m_Account);
   if (Error != ExchangeError::None) {
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -94,6 +94,7 @@
   /// pause.
   void processUpstreamStatements(const UpstreamExchange &Sent, const UpstreamRecord &From);
   void recordRateLimit(const UpstreamExchange &Sent, const UpstreamRecord &From);
+  void recordCold(const UpstreamExchange &Sent, const UpstreamRecord &From);
   /// Records that reading the body of a response failed.
   void recordReadError(ExchangeError Error, const UpstreamRecord &From);
   Task<AttemptEnd> relayEvents(UpstreamExchange &Sent, const UpstreamRecord &From);
@@ -106,8 +107,8 @@
   /// Sets the remaining time in the request. Returns false if the request must not be sent, because
   /// its deadline has passed or its placement is no longer valid.
   bool prepareSend(const UpstreamRecord &To, HttpRequest &Request);
-  /// Takes a permit if the upstream named a rate limit after the request was placed. Returns false
-  /// if no permit is available.
+  /// Takes a permit if the upstream named a rate limit, or turned cold, after the request was
+  /// placed. Returns false if no permit is available.
   bool ensurePermit(const UpstreamRecord &To);
 
   bool canRetry() const;
@@ -208,8 +209,8 @@
   std::optional<UnstartedNumber> m_UnstartedNumber;
   /// Whether withdraw() ended the current attempt.
   bool m_Withdrawn = false;
-  /// Whether a permit was taken for the current attempt; see SharedRates.
-  bool m_HasPermit = false;
+  /// The permits that were taken for the current attempt; see SharedRates.
+  HeldPermits m_Permits;
   /// Whether the upstream of the current attempt asked for a pause.
   bool m_WasPauseRequested = false;
   PlacementVerdict m_LastVerdict = PlacementVerdict::Placed;
