Gateway: one budget for the memory that clients make an entry instance hold

Bodies were read whole into memory up to maxBodyBytes, by any number of clients at once, and copied for the digest and for each attempt. Nothing but the memory of the machine stopped them, and no limit followed from the settings' memoryMb and fileDescriptors.

ClientMemoryBudget decides, without I/O, which connections are read, wait, are refused or are closed; ClientAdmission delivers its decisions; a session reads the socket only after room was granted. A request of more than 96 KiB reserves its maximum size first. Requests without progress give up their room while others wait; a wait ends after 800 ms with 503. A body is stored in segments and shared by all attempts (SharedBody). Connections are bounded by the descriptors. BodyProgress ends a body that pauses for 5 s or trickles, with 408.

--- a/src/include/Fescuegauge/Gateway.h
+++ b/src/include/Fescuegauge/Gateway.h
@@ -25,6 +25,9 @@
   /// Time from beginDrain() to the end of the process.
   Duration m_StopTime = std::chrono::milliseconds(7600);
   std::uint64_t m_Seed = 0;
+  /// Limits on the memory and the descriptors of the process; 0 if unknown. See ClientMemoryLimits.
+  std::size_t m_MemoryBytes = 0;
+  std::size_t m_Descriptors = 0;
 };
 
 /// HTTP reverse proxy of an entry instance on one event loop. Accepts client requests, selects an
--- a/src/libgateway/ClientSession.cpp
+++ b/src/libgateway/ClientSession.cpp
@@ -1,30 +1,76 @@
 #include "ClientSession.h"
 
-#include "Fescuegauge/HttpParser.h"
 #include "Fescuegauge/Log.h"
 #include "Fescuegauge/ScopeExit.h"
 #include "RequestExchange.h"
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <sys/socket.h>
 
 namespace fescuegauge {
 
 namespace http = boost::beast::http;
 
+namespace {
+
+/// Memory of a header. Each field is an allocation of its own, and each attempt copies the header.
+std::size_t headerMemory(const http::request_header<> &Header) {
+  constexpr std::size_t FieldBytes = 96;
+  std::size_t Result = Header.target().size();
+  for (const auto &Each : Header)
+    Result += FieldBytes + Each.name_string().size() + Each.value().size();
+  return 2 * Result;
+}
+
+/// Receives what is available without waiting.
+std::size_t receive(Tcp::socket &Socket, std::span<char> Target, SystemError &Error) {
+  const ssize_t Count = ::recv(Socket.native_handle(), Target.data(), Target.size(), MSG_DONTWAIT);
+  if (Count > 0) {
+    Error = {};
+    return static_cast<std::size_t>(Count);
+  }
+  if (Count == 0)
+    Error = net::error::eof;
+  else if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)
+    Error = net::error::would_block;
+  else
+    Error = SystemError(errno, boost::system::system_category());
+  return 0;
+}
+
+/// Target of all reads: the loop has one thread, and the bytes are parsed before another read.
+std::span<char> readBuffer() {
+  static std::array<char, ClientSession::LargeReadBytes> Buffer;
+  return Buffer;
+}
+
+} // namespace
+
 ClientSession::ClientSession(std::shared_ptr<GatewayCore> Core, Tcp::socket Socket)
     : m_Core(std::move(Core)), m_Client(std::make_shared<ClientConnection>(std::move(Socket))),
-      m_ReadTimer(m_Core->executor()) {
+      m_Number(m_Core->admission().add(
+          [this](ClientMemoryBudget::Action Action) { onDecision(Action); })),
+      m_ReadTimer(m_Core->executor()), m_RoomTimer(m_Core->executor()) {
   ++m_Core->m_Sessions;
 }
 
-ClientSession::~ClientSession() { --m_Core->m_Sessions; }
+ClientSession::~ClientSession() {
+  m_Core->admission().remove(m_Number);
+  --m_Core->m_Sessions;
+}
 
 ClientLimits ClientSession::limits() const {
-  return m_Core->plan() ? m_Core->plan()->limits() : ClientLimits();
+  ClientLimits Result = m_Core->plan() ? m_Core->plan()->limits() : ClientLimits();
+  const std::size_t MaxBytes = m_Core->admission().budget().limits().maxRequestBytes();
+  const std::size_t OtherBytes = LargeRequestBytes + MaxHeaderMemory;
+  Result.m_MaxBodyBytes =
+      std::min<std::uint64_t>(Result.m_MaxBodyBytes, MaxBytes - std::min(MaxBytes, OtherBytes));
+  return Result;
 }
 
 void ClientSession::closeIfIdle() {
@@ -41,65 +87,231 @@
     KeepOpen = co_await serveNext();
 }
 
-Task<> ClientSession::rejectUnreadable(ErrorKind Kind) {
+void ClientSession::onDecision(ClientMemoryBudget::Action Action) {
+  switch (Action) {
+  case ClientMemoryBudget::Action::Resume:
+    m_RoomTimer.cancel();
+    break;
+  case ClientMemoryBudget::Action::Refuse:
+    endReading(ErrorKind::Overloaded, ClientLimit::Memory);
+    break;
+  case ClientMemoryBudget::Action::EndStalled:
+    endReading(ErrorKind::Overloaded, ClientLimit::Stalled);
+    break;
+  case ClientMemoryBudget::Action::Close:
+    m_Core->admission().report(ClientLimit::Connections);
+    m_IsEnded = true;
+    m_RoomTimer.cancel();
+    m_Client->close();
+    break;
+  }
+}
+
+void ClientSession::endReading(ErrorKind Refusal, ClientLimit Reason) {
+  m_Core->admission().report(Reason);
+  m_IsEnded = true;
+  m_Refusal = Refusal;
+  m_RoomTimer.cancel();
+  SystemError Ignored;
+  m_Client->socket().cancel(Ignored);
+}
+
+void ClientSession::checkBodyProgress() {
+  const Duration Left = m_BodyProgress->deadline() - monotonicNow();
+  if (Left <= Duration(0))
+    endReading(ErrorKind::RequestTimeout, ClientLimit::SlowBody);
+  else
+    m_ReadTimer.set(Left, [this] { checkBodyProgress(); });
+}
+
+std::size_t ClientSession::heldBytes(const Parser &Message) const {
+  const auto &Body = Message.get().body();
+  return RequestBytes + m_HeaderBytes + m_Client->buffer().capacity() +
+         (Body ? Body->capacity() : 0);
+}
+
+std::size_t ClientSession::maxHeldBytes(const Parser &Message) const {
+  const std::uint64_t MaxBody = Message.content_length().value_or(limits().m_MaxBodyBytes);
+  return m_HeaderBytes + MaxBody + LargeRequestBytes;
+}
+
+Task<bool> ClientSession::makeRoom(std::size_t Bytes, std::size_t MaxBytes) {
+  const ClientAdmission::Admission Result = m_Core->admission().hold(m_Number, Bytes, MaxBytes);
+  if (Result == ClientAdmission::Admission::Granted)
+    co_return true;
+  if (Result == ClientAdmission::Admission::Refused) {
+    endReading(ErrorKind::Overloaded, ClientLimit::Memory);
+    co_return false;
+  }
+  const TimePoint Start = monotonicNow();
+  // Decisions end the wait.
+  m_RoomTimer.expires_at(net::steady_timer::time_point::max());
+  co_await m_RoomTimer.async_wait(AsTuple);
+  if (m_BodyProgress)
+    m_BodyProgress->onNotRead(monotonicNow() - Start);
+  co_return !m_IsEnded;
+}
+
+Task<SystemError> ClientSession::readPart(Parser &Message, Part Wanted) {
+  boost::beast::flat_buffer &Unparsed = m_Client->buffer();
+  const auto IsDone = [&] {
+    return Wanted == Part::Header ? Message.is_header_done() : Message.is_done();
+  };
+  // Returns the number of bytes that were parsed.
+  const auto Parse = [&](net::const_buffer Bytes, SystemError &Error) {
+    std::size_t Total = 0;
+    Error = {};
+    while (!IsDone() && Bytes.size() > 0) {
+      const std::size_t Used = Message.put(Bytes, Error);
+      Total += Used;
+      Bytes += Used;
+      if (Error || Used == 0)
+        break;
+    }
+    if (Error == http::error::need_more)
+      Error = {};
+    return Total;
+  };
+
+  SystemError Error;
+  Unparsed.consume(Parse(Unparsed.data(), Error));
+  while (!Error && !IsDone()) {
+    const std::size_t NextBytes = heldBytes(Message) + SmallReadBytes;
+    const bool HasRoom =
+        co_await makeRoom(NextBytes, Wanted == Part::Header ? NextBytes : maxHeldBytes(Message));
+    if (!HasRoom)
+      co_return net::error::operation_aborted;
+    if (!std::exchange(m_IsReadable, false)) {
+      auto [WaitError] = co_await m_Client->socket().async_wait(Tcp::socket::wait_read, AsTuple);
+      if (WaitError)
+        co_return WaitError;
+    }
+    if (m_IsEnded)
+      co_return net::error::operation_aborted;
+    const bool HasReserved = heldBytes(Message) > ClientMemoryBudget::SmallRequestBytes;
+    std::span<char> Received = readBuffer().first(HasReserved ? LargeReadBytes : SmallReadBytes);
+    Received = Received.first(receive(m_Client->socket(), Received, Error));
+    if (Error == net::error::would_block) {
+      Error = {};
+      continue;
+    }
+    if (Error)
+      break;
+    m_Core->admission().onBytes(m_Number, Received.size());
+    if (m_BodyProgress)
+      m_BodyProgress->onBytes(Received.size(), monotonicNow());
+    if (Unparsed.size() == 0)
+      Received = Received.subspan(Parse(net::buffer(Received.data(), Received.size()), Error));
+    if (Error || Received.empty())
+      continue;
+    if (Unparsed.size() + Received.size() > Unparsed.max_size())
+      co_return http::error::buffer_overflow;
+    const bool WasEmpty = Unparsed.size() == 0;
+    net::buffer_copy(Unparsed.prepare(Received.size()),
+                     net::buffer(Received.data(), Received.size()));
+    Unparsed.commit(Received.size());
+    if (!WasEmpty)
+      Unparsed.consume(Parse(Unparsed.data(), Error));
+  }
+  if (Unparsed.size() == 0)
+    Unparsed.shrink_to_fit();
+  co_return Error;
+}
+
+Task<> ClientSession::discardInput() {
+  SystemError Error;
+  m_Client->socket().shutdown(Tcp::socket::shutdown_send, Error);
+  for (std::size_t Discarded = 0; !Error && Discarded < MaxDiscardedBytes;) {
+    auto [WaitError] = co_await m_Client->socket().async_wait(Tcp::socket::wait_read, AsTuple);
+    if (WaitError)
+      co_return;
+    Discarded += receive(m_Client->socket(), readBuffer(), Error);
+    if (Error == net::error::would_block)
+      Error = {};
+  }
+}
+
+Task<> ClientSession::reject(ErrorKind Kind) {
+  m_Core->admission().onClosing(m_Number);
+  // Also bounds the write to a client that does not read.
+  m_ReadTimer.set(DiscardTime, [this] { m_Client->close(); });
   const ErrorAnswer &Answer = errorAnswer(Kind);
   HttpResponse Response = errorResponse(Answer);
+  if (Answer.m_RetryAfter)
+    Response.set(http::field::retry_after,
+                 formatSeconds(m_Core->retryDelays().next(*Answer.m_RetryAfter)));
   Response.keep_alive(false);
   Response.prepare_payload();
   co_await http::async_write(m_Client->socket(), Response, AsTuple);
   m_Core->countRequest("none", Answer.m_Name);
   if (m_Core->tryAcquireLogLine(true))
     logEvent(Severity::Info, "request_unreadable", {{"outcome", Answer.m_Name}});
+  co_await discardInput();
+  m_ReadTimer.cancel();
+}
+
+Task<bool> ClientSession::waitForRequest(Duration Timeout) {
+  if (m_Client->buffer().size() != 0)
+    co_return true;
+  m_ReadTimer.set(Timeout, [this] { m_Client->close(); });
+  auto [WaitError] = co_await m_Client->socket().async_wait(Tcp::socket::wait_read, AsTuple);
+  m_IsReadable = !WaitError;
+  co_return m_IsReadable;
 }
 
 Task<bool> ClientSession::serveNext() {
   const ClientLimits Limits = limits();
-  HttpRequestParser<http::string_body> Parser;
-  Parser.header_limit(Limits.m_MaxHeaderBytes);
-  Parser.body_limit(Limits.m_MaxBodyBytes);
-
-  auto OnTimeout = [this] { m_Client->close(); };
+  m_Core->admission().onIdle(m_Number);
   m_IdleSince = monotonicNow();
-  if (m_Client->buffer().size() == 0) {
-    m_ReadTimer.set(Limits.m_IdleTimeout, OnTimeout);
-    auto [WaitError] = co_await m_Client->socket().async_wait(Tcp::socket::wait_read, AsTuple);
-    if (WaitError)
-      co_return false;
-  }
+  const bool HasRequest = co_await waitForRequest(Limits.m_IdleTimeout);
+  if (!HasRequest || m_IsEnded)
+    co_return false;
   m_IdleSince.reset();
   const GatewayCore::ReadingScope Reading(*m_Core);
-  m_ReadTimer.set(Limits.m_HeaderTimeout, OnTimeout);
-  auto [HeaderError, HeaderSize] =
-      co_await http::async_read_header(m_Client->socket(), m_Client->buffer(), Parser, AsTuple);
-  if (HeaderError) {
-    m_ReadTimer.cancel();
-    if (isMalformedMessage(HeaderError))
-      co_await rejectUnreadable(malformedMessageKind(HeaderError));
-    co_return false;
-  }
+  m_Core->admission().onReading(m_Number);
+  m_HeaderBytes = 0;
+  std::optional<Parser> Message(std::in_place);
+  Message->header_limit(Limits.m_MaxHeaderBytes);
+  Message->body_limit(Limits.m_MaxBodyBytes);
+  m_ReadTimer.set(Limits.m_HeaderTimeout, [this] { m_Client->close(); });
+  SystemError Error = co_await readPart(*Message, Part::Header);
   const TimePoint ArrivedAt = monotonicNow();
-  if (!Parser.is_done()) {
-    m_ReadTimer.set(BodyTimeout, OnTimeout);
-    if (boost::beast::iequals(Parser.get()[http::field::expect], "100-continue")) {
+  if (!Error && !Message->is_done()) {
+    m_HeaderBytes = headerMemory(Message->get());
+    m_BodyProgress.emplace(ArrivedAt);
+    checkBodyProgress();
+    if (boost::beast::iequals(Message->get()[http::field::expect], "100-continue")) {
       http::response<http::empty_body> Continue(http::status::continue_, 11);
       co_await http::async_write(m_Client->socket(), Continue, AsTuple);
     }
-    auto [BodyError, BodySize] =
-        co_await http::async_read(m_Client->socket(), m_Client->buffer(), Parser, AsTuple);
-    if (BodyError) {
-      m_ReadTimer.cancel();
-      if (isMalformedMessage(BodyError))
-        co_await rejectUnreadable(malformedMessageKind(BodyError));
-      co_return false;
-    }
+    Error = co_await readPart(*Message, Part::Message);
+    m_BodyProgress.reset();
   }
   m_ReadTimer.cancel();
+  if (!Error) {
+    m_HeaderBytes = headerMemory(Message->get());
+    const bool HasRoom = co_await makeRoom(heldBytes(*Message), heldBytes(*Message));
+    if (!HasRoom)
+      Error = net::error::operation_aborted;
+  }
   // A TRACE request must not have content (RFC 9110, section 9.3.8), and cannot be sent on with it.
-  if (Parser.get().method() == http::verb::trace && !Parser.get().body().empty()) {
-    co_await rejectUnreadable(ErrorKind::MalformedRequest);
+  if (!Error && Message->get().method() == http::verb::trace &&
+      SharedBody::size(Message->get().body()) > 0)
+    m_Refusal = ErrorKind::MalformedRequest;
+  else if (isMalformedMessage(Error))
+    m_Refusal = malformedMessageKind(Error);
+  if (Error || m_Refusal) {
+    Message.reset();
+    m_Client->buffer().clear();
+    m_Client->buffer().shrink_to_fit();
+    if (m_Refusal)
+      co_await reject(*m_Refusal);
     co_return false;
   }
-  auto Exchange = std::make_shared<RequestExchange>(*m_Core, m_Client, Parser.release(), ArrivedAt);
+  m_Core->admission().onServing(m_Number, heldBytes(*Message));
+  auto Exchange =
+      std::make_shared<RequestExchange>(*m_Core, m_Client, Message->release(), ArrivedAt);
+  Message.reset();
   co_return co_await Exchange->run();
 }
 
--- a/src/libgateway/ClientSession.h
+++ b/src/libgateway/ClientSession.h
@@ -3,6 +3,8 @@
 
 #include "ClientConnection.h"
 #include "Fescuegauge/ErrorKind.h"
+#include "Fescuegauge/HttpParser.h"
+#include "Fescuegauge/SharedBody.h"
 #include "GatewayCore.h"
 
 #include <memory>
@@ -10,15 +12,28 @@
 
 namespace fescuegauge {
 
-/// Reads the requests of one client connection in sequence, within the limits of the plan in force.
-/// A RequestExchange serves each.
+/// Reads the requests of one client connection in sequence, within the limits of the plan in force
+/// and of ClientAdmission. A RequestExchange serves each.
 class ClientSession : public std::enable_shared_from_this<ClientSession> {
 public:
-  /// Time limit for a body, from the end of its header.
-  static constexpr Duration BodyTimeout = std::chrono::seconds(10);
   /// A connection counts as idle after this time without a request. The first request of a new
   /// connection takes some milliseconds to arrive, or more over a slow link.
   static constexpr Duration MinIdleTime = std::chrono::milliseconds(200);
+  /// Bytes read at a time: of a request without a reservation, and of one with it.
+  static constexpr std::size_t SmallReadBytes = 16 << 10;
+  static constexpr std::size_t LargeReadBytes = 64 << 10;
+  /// Memory of a request in progress beside its header and body.
+  static constexpr std::size_t RequestBytes = 16 << 10;
+  /// Memory of a large request beside its header and body: the last segment of the body may be
+  /// larger than its content, and the last read may contain a part of the next request.
+  static constexpr std::size_t LargeRequestBytes =
+      RequestBytes + BodyBytes::MaxSegmentBytes + LargeReadBytes;
+  /// Allowance for a header in the limit on bodies.
+  static constexpr std::size_t MaxHeaderMemory = 1 << 20;
+  /// After a refusal, input is discarded up to these limits, because closing a socket with unread
+  /// bytes resets the connection and may destroy the response.
+  static constexpr Duration DiscardTime = std::chrono::milliseconds(300);
+  static constexpr std::size_t MaxDiscardedBytes = 256 << 10;
 
   ClientSession(std::shared_ptr<GatewayCore> Core, Tcp::socket Socket);
   ~ClientSession();
@@ -28,15 +43,45 @@
   void closeIfIdle();
 
 private:
+  using Parser = HttpRequestParser<SharedBody>;
+
+  enum class Part { Header, Message };
+
   Task<bool> serveNext();
-  Task<> rejectUnreadable(ErrorKind Kind);
+  /// Waits for a request. Returns false if the connection ended before it.
+  Task<bool> waitForRequest(Duration Timeout);
+  /// Reads up to the end of a part. Fails with operation_aborted if a limit ended the read; then
+  /// m_Refusal is set if the client gets a response.
+  Task<SystemError> readPart(Parser &Message, Part Wanted);
+  /// Waits until the request can hold `Bytes`; see ClientMemoryBudget::hold(). Returns false if the
+  /// request must end.
+  Task<bool> makeRoom(std::size_t Bytes, std::size_t MaxBytes);
+  /// Memory held for the request, and the most that it can be after its header.
+  std::size_t heldBytes(const Parser &Message) const;
+  std::size_t maxHeldBytes(const Parser &Message) const;
+  void checkBodyProgress();
+  void onDecision(ClientMemoryBudget::Action Action);
+  void endReading(ErrorKind Refusal, ClientLimit Reason);
+  Task<> reject(ErrorKind Kind);
+  Task<> discardInput();
   ClientLimits limits() const;
 
   std::shared_ptr<GatewayCore> m_Core;
   std::shared_ptr<ClientConnection> m_Client;
+  ClientConnectionNumber m_Number;
   OneShotTimer m_ReadTimer;
+  net::steady_timer m_RoomTimer;
   /// Empty while a request is being read or served.
   std::optional<TimePoint> m_IdleSince;
+  /// Set while a body is being read.
+  std::optional<BodyProgress> m_BodyProgress;
+  /// Memory of the header of the current request.
+  std::size_t m_HeaderBytes = 0;
+  /// Whether the socket is known to have input.
+  bool m_IsReadable = false;
+  /// Whether a limit ended the read in progress, and the response to it.
+  bool m_IsEnded = false;
+  std::optional<ErrorKind> m_Refusal;
 };
 
 } // namespace fescuegauge
--- a/src/libgateway/Gateway.cpp
+++ b/src/libgateway/Gateway.cpp
@@ -55,6 +55,7 @@
       }
       auto Session = std::make_shared<ClientSession>(Self->m_Core, std::move(Socket));
       Self->m_Sessions.push_back(Session);
+      Self->m_Core->admission().closeExcess();
       spawnTask(Self->m_Core->executor(), "session", Session->run());
     }
   }
@@ -67,6 +68,7 @@
       Self->scheduleHousekeeping();
       Self->m_Core->pool().closeExpired();
       Self->m_Core->checkSuspects();
+      Self->m_Core->admission().updateGauges();
       Self->m_Sessions.remove_if([](const auto &Each) { return Each.expired(); });
       if (Self->m_Core->isRefusingRequests())
         for (const auto &Each : Self->m_Sessions)
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -33,12 +33,21 @@
   return Response;
 }
 
+std::string formatSeconds(Duration Length) {
+  char Text[32];
+  std::snprintf(Text, sizeof Text, "%.2f", toSeconds(Length));
+  return Text;
+}
+
 GatewayCore::GatewayCore(net::io_context &Loop, GatewayOptions Options, MetricsService &Metrics)
     : m_Options(std::move(Options)), m_Pool(Loop.get_executor()), m_Random(m_Options.m_Seed),
       m_LoadBalancer(boardOptions(m_Options), m_Random()), m_RetryDelays(m_Random()),
-      m_Suspects(CrashCollectionTime), m_PlacementTimer(Loop.get_executor()),
-      m_WithdrawTimer(Loop.get_executor()), m_SuspectsTimer(Loop.get_executor()),
-      m_StopTimer(Loop.get_executor()),
+      m_Suspects(CrashCollectionTime),
+      m_Admission(Loop.get_executor(),
+                  ClientMemoryLimits::forProcess(m_Options.m_MemoryBytes, m_Options.m_Descriptors),
+                  Metrics),
+      m_PlacementTimer(Loop.get_executor()), m_WithdrawTimer(Loop.get_executor()),
+      m_SuspectsTimer(Loop.get_executor()), m_StopTimer(Loop.get_executor()),
       m_Requests(Metrics.counter({"fescuegauge_gateway_requests_total",
                                   "Client requests by kind of route and outcome.",
                                   {{"kind", 8}, {"outcome", 40}}})),
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -1,6 +1,7 @@
 #ifndef FESCUEGAUGE_LIBGATEWAY_GATEWAYCORE_H
 #define FESCUEGAUGE_LIBGATEWAY_GATEWAYCORE_H
 
+#include "ClientAdmission.h"
 #include "Fescuegauge/AsyncHttpClient.h"
 #include "Fescuegauge/ConnectionPool.h"
 #include "Fescuegauge/CrashSuspects.h"
@@ -27,6 +28,9 @@
 /// Creates this process's own response for an error, without the headers of a single exchange.
 HttpResponse errorResponse(const ErrorAnswer &Answer);
 
+/// Formats a length of time as in a Retry-After header.
+std::string formatSeconds(Duration Length);
+
 /// Request that waits in the DispatchQueue for a slot at an upstream.
 class PlacementWaiter {
 public:
@@ -108,6 +112,7 @@
   RetryDelays &retryDelays() { return m_RetryDelays; }
   RetryBudget &retryBudget(const ServiceId &Service) { return m_RetryBudgets[Service]; }
   CrashSuspects &suspects() { return m_Suspects; }
+  ClientAdmission &admission() { return m_Admission; }
   RandomGenerator &random() { return m_Random; }
   const net::any_io_executor &executor() { return m_Pool.executor(); }
 
@@ -197,22 +202,24 @@
     GatewayCore &m_Core;
   };
   std::size_t requestsInProgress() const { return m_InProgress.size(); }
-  /// Part of MaxResponseBufferBytes that a request uses during the object's lifetime.
+  /// Part of the ClientMemoryBudget, and of MaxResponseBufferBytes, that the buffered response of a
+  /// request uses during the object's lifetime.
   class ResponseBuffer {
   public:
     explicit ResponseBuffer(GatewayCore &Core) : m_Core(Core) {}
     ResponseBuffer(const ResponseBuffer &) = delete;
     ResponseBuffer &operator=(const ResponseBuffer &) = delete;
-    ~ResponseBuffer() { m_Core.m_ResponseBufferBytes -= m_Size; }
+    ~ResponseBuffer() { resize(0); }
 
     /// Returns false, and uses nothing any more, if the limit would be exceeded.
     bool resize(std::size_t Size) {
-      m_Core.m_ResponseBufferBytes -= std::exchange(m_Size, 0);
-      if (m_Core.m_ResponseBufferBytes + Size > MaxResponseBufferBytes)
-        return false;
-      m_Core.m_ResponseBufferBytes += Size;
-      m_Size = Size;
-      return true;
+      const std::size_t Others = m_Core.m_Admission.budget().responseBytes() - m_Size;
+      const bool Fits = Others + Size <= MaxResponseBufferBytes &&
+                        m_Core.m_Admission.resizeResponse(m_Size, Size);
+      if (!Fits)
+        m_Core.m_Admission.resizeResponse(m_Size, 0);
+      m_Size = Fits ? Size : 0;
+      return Fits;
     }
 
   private:
@@ -290,6 +297,7 @@
   RetryDelays m_RetryDelays;
   std::unordered_map<ServiceId, RetryBudget> m_RetryBudgets;
   CrashSuspects m_Suspects;
+  ClientAdmission m_Admission;
   std::shared_ptr<const RouteTable> m_Plan;
   std::map<WaitingNumber, std::shared_ptr<PlacementWaiter>> m_Waiters;
   WaitingNumber m_LastNumber;
@@ -313,7 +321,6 @@
   TimePoint m_RequestCutoff = TimePoint::max();
   OneShotTimer m_StopTimer;
   std::size_t m_RequestsBeingRead = 0;
-  std::size_t m_ResponseBufferBytes = 0;
   std::map<const RequestInProgress *, Callbacks> m_InProgress;
   CounterMetric &m_Requests;
   CounterMetric &m_Attempts;
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -74,16 +74,21 @@
   return parseNumber<std::uint32_t>(std::string(Usage.substr(0, Usage.find(',')))).value_or(0);
 }
 
-std::string formatSeconds(Duration Length) {
-  char Text[32];
-  std::snprintf(Text, sizeof Text, "%.2f", toSeconds(Length));
-  return Text;
+/// Identifies requests with the same target and body.
+Digest digestOf(std::string_view Target, const SharedBody::value_type &Body) {
+  DigestBuilder Builder;
+  Builder.update(Target);
+  Builder.update("\n");
+  if (Body)
+    for (const std::string &Segment : Body->segments())
+      Builder.update(Segment);
+  return Builder.finish();
 }
 
 } // namespace
 
 RequestExchange::RequestExchange(GatewayCore &Core, std::shared_ptr<ClientConnection> Client,
-                                 HttpRequest Request, TimePoint ArrivedAt)
+                                 ClientRequest Request, TimePoint ArrivedAt)
     : m_Core(Core), m_Client(std::move(Client)), m_Request(std::move(Request)),
       m_ArrivedAt(ArrivedAt), m_KeepAlive(m_Request.keep_alive()), m_Plan(Core.plan()),
       m_DeadlineTimer(Core.executor()), m_StallTimer(Core.executor()),
@@ -140,9 +145,8 @@
   m_Service = *Service;
   m_Model = ModelId(std::string(m_Request[Names.m_Model]));
   m_PromptTokens = parsePromptTokens(m_Request[Names.m_TokenUsage]);
-  m_SuspectRequest =
-      makeSuspectRequest(m_Account, sha256(std::string(Target) + "\n" + m_Request.body()),
-                         parseSharedPromptParts(m_Request[Names.m_PromptParts]));
+  m_SuspectRequest = makeSuspectRequest(m_Account, digestOf(Target, m_Request.body()),
+                                        parseSharedPromptParts(m_Request[Names.m_PromptParts]));
   if (isQuarantined())
     return ErrorKind::RequestBlocked;
   if (m_Core.isRefusingRequests() || isTooLateToStart())
@@ -250,9 +254,9 @@
   return {m_Service, m_Model, m_StreamVersion, m_TriedUpstreams, m_PromptTokens};
 }
 
-HttpRequest RequestExchange::upstreamRequest(const UpstreamRecord &To) const {
+ClientRequest RequestExchange::upstreamRequest(const UpstreamRecord &To) const {
   const CallHeaderNames &Names = m_Core.headerNames();
-  HttpRequest Request(m_Request.method(), m_Request.target(), 11);
+  ClientRequest Request(m_Request.method(), m_Request.target(), 11);
   Request.method_string(m_Request.method_string());
   copyHeaders(m_Request, Request);
   for (const std::string &Own :
@@ -270,7 +274,7 @@
   return Request;
 }
 
-bool RequestExchange::prepareSend(const UpstreamRecord &To, HttpRequest &Request) {
+bool RequestExchange::prepareSend(const UpstreamRecord &To, ClientRequest &Request) {
   const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(remainingTime());
   // If the event loop is delayed, the deadline timer is late too.
   if (Left.count() <= 0) {
@@ -427,7 +431,7 @@
       isRepeatable(m_Route->m_Kind) ? Duration::max() : MaxIdleTimeAtMostOnce;
   const ExchangeError Error = co_await Sent.start(
       From.m_Address, MaxIdleTime, std::clamp(remainingTime(), Duration(0), ConnectTimeout),
-      [this, &From](HttpRequest &Request) { return prepareSend(From, Request); });
+      [this, &From](ClientRequest &Request) { return prepareSend(From, Request); });
   if (!Sent.wasSent()) {
     m_MayHaveRun = MayHaveRunBefore;
     --m_AttemptsSent;
@@ -495,6 +499,7 @@
   const unsigned Status = Sent.header().result_int();
   const bool IsFailure = Status >= 500 || isNotRunStatus(Status);
   std::string Buffered;
+  GatewayCore::ResponseBuffer ResponseRoom(m_Core);
   bool IsDone = false;
   while (!IsDone) {
     const std::size_t Before = Buffered.size();
@@ -523,7 +528,9 @@
         co_return AttemptEnd::Failed;
       }
     }
-    if (IsFailure || (!IsDone && !m_HeaderSent && Buffered.size() < MaxBufferedBytes))
+    // Without room, the response is forwarded at once and can no longer be retried.
+    if (IsFailure || (!IsDone && !m_HeaderSent && Buffered.size() < MaxBufferedBytes &&
+                      ResponseRoom.resize(Buffered.size())))
       continue;
     m_StallTimer.cancel();
     recordFirstByte();
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -49,8 +49,8 @@
   /// Maximum wait of an interrupted stream for an upstream that resumes it.
   static constexpr Duration MaxResumeWait = std::chrono::milliseconds(1200);
 
-  RequestExchange(GatewayCore &Core, std::shared_ptr<ClientConnection> Client, HttpRequest Request,
-                  TimePoint ArrivedAt);
+  RequestExchange(GatewayCore &Core, std::shared_ptr<ClientConnection> Client,
+                  ClientRequest Request, TimePoint ArrivedAt);
 
   /// Returns whether the client connection can be used for another request.
   Task<bool> run();
@@ -102,10 +102,10 @@
   /// only the end of the connection ended the response.
   Task<bool> isWhole(const UpstreamExchange &Sent, const UpstreamRecord &From);
   Task<bool> forwardEvent(UpstreamExchange &Sent, const EventSplitter::Event &Event);
-  HttpRequest upstreamRequest(const UpstreamRecord &To) const;
+  ClientRequest upstreamRequest(const UpstreamRecord &To) const;
   /// Sets the remaining time in the request. Returns false if the request must not be sent, because
   /// its deadline has passed or its placement is no longer valid.
-  bool prepareSend(const UpstreamRecord &To, HttpRequest &Request);
+  bool prepareSend(const UpstreamRecord &To, ClientRequest &Request);
   /// Takes a permit if the upstream named a rate limit after the request was placed. Returns false
   /// if no permit is available.
   bool ensurePermit(const UpstreamRecord &To);
@@ -164,7 +164,7 @@
 
   GatewayCore &m_Core;
   std::shared_ptr<ClientConnection> m_Client;
-  HttpRequest m_Request;
+  ClientRequest m_Request;
   TimePoint m_ArrivedAt;
   TimePoint m_Deadline;
   bool m_KeepAlive;
--- a/src/libgateway/UpstreamExchange.h
+++ b/src/libgateway/UpstreamExchange.h
@@ -5,6 +5,7 @@
 #include "Fescuegauge/CallHeaderNames.h"
 #include "Fescuegauge/ConnectionPool.h"
 #include "Fescuegauge/HttpParser.h"
+#include "Fescuegauge/SharedBody.h"
 
 #include <array>
 #include <boost/beast/http/buffer_body.hpp>
@@ -50,7 +51,7 @@
   /// Maximum size of a response header, in bytes.
   static constexpr std::uint32_t MaxHeaderBytes = 64 << 10;
 
-  UpstreamExchange(ConnectionPool &Pool, const CallHeaderNames &HeaderNames, HttpRequest Request,
+  UpstreamExchange(ConnectionPool &Pool, const CallHeaderNames &HeaderNames, ClientRequest Request,
                    std::string Id)
       : m_Pool(Pool), m_HeaderNames(HeaderNames), m_Request(std::move(Request)),
         m_RequestId(std::move(Id)) {}
@@ -58,7 +59,7 @@
   UpstreamExchange &operator=(const UpstreamExchange &) = delete;
 
   /// Completes the request right before it is sent. Returns false if it must not be sent.
-  using BeforeSend = std::function<bool(HttpRequest &)>;
+  using BeforeSend = std::function<bool(ClientRequest &)>;
 
   /// Sends the request and waits for the header of the response. A connection that was idle for
   /// longer than `MaxIdleTime` is not reused. `Prepare` is called before a connection is opened and
@@ -94,7 +95,7 @@
 
   ConnectionPool &m_Pool;
   const CallHeaderNames &m_HeaderNames;
-  HttpRequest m_Request;
+  ClientRequest m_Request;
   std::string m_RequestId;
   ConnectionPtr m_Connection;
   std::optional<Parser> m_Parser;
