Client memory: charge header fields as they arrive; bound requests between processes

600 incomplete headers of 2,600 short fields took 134 MiB of a process with 160 MB: only complete headers were charged. The parser now counts the memory of the fields, and headers are read in parts of 4 KiB.

Requests between processes have no body, but 256 connections could hold a body of 1 MiB each at every embedded server. The limits are 4 KiB of body and 16 KiB of unparsed bytes now.

--- a/src/include/Fescuegauge/EmbeddedHttpServer.h
+++ b/src/include/Fescuegauge/EmbeddedHttpServer.h
@@ -27,8 +27,11 @@
   /// A connection is closed after this time without a complete request.
   static constexpr Duration IdleTimeout = std::chrono::seconds(30);
   static constexpr std::size_t MaxConnections = 256;
+  /// Limits on one request, so that all connections together hold less than 10 MiB of requests.
+  /// Requests between processes have short headers and no body.
+  static constexpr std::size_t MaxBodyBytes = 4 << 10;
   /// Limit of bytes received and not yet parsed.
-  static constexpr std::size_t MaxBufferedBytes = 128 << 10;
+  static constexpr std::size_t MaxBufferedBytes = 16 << 10;
 
   explicit EmbeddedHttpServer(net::io_context &Loop);
   ~EmbeddedHttpServer();
--- a/src/include/Fescuegauge/HttpParser.h
+++ b/src/include/Fescuegauge/HttpParser.h
@@ -26,6 +26,13 @@
 /// discarded: they must not be merged into the header (RFC 9110, section 6.5.1).
 template <bool IsRequest, class Body>
 class HttpParser : public boost::beast::http::parser<IsRequest, Body> {
+public:
+  /// Memory of a field beside its text: each field is an allocation of its own.
+  static constexpr std::size_t FieldBytes = 96;
+
+  /// Memory of the header fields that have been parsed, also of an incomplete header.
+  std::size_t headerMemory() const { return m_HeaderMemory; }
+
 private:
   void on_field_impl(boost::beast::http::field Name, boost::beast::string_view NameText,
                      boost::beast::string_view Value, boost::beast::error_code &Error) override {
@@ -37,11 +44,14 @@
       Error = boost::beast::http::error::header_limit;
       return;
     }
-    if (!this->is_header_done())
+    if (!this->is_header_done()) {
+      m_HeaderMemory += FieldBytes + NameText.size() + Value.size();
       this->get().insert(Name, NameText, Value);
+    }
   }
 
   std::size_t m_TrailerBytes = 0;
+  std::size_t m_HeaderMemory = 0;
 };
 
 template <class Body> using HttpRequestParser = HttpParser<true, Body>;
--- a/src/libgateway/ClientSession.cpp
+++ b/src/libgateway/ClientSession.cpp
@@ -18,15 +18,6 @@
 
 namespace {
 
-/// Memory of a header. Each field is an allocation of its own, and each attempt copies the header.
-std::size_t headerMemory(const http::request_header<> &Header) {
-  constexpr std::size_t FieldBytes = 96;
-  std::size_t Result = Header.target().size();
-  for (const auto &Each : Header)
-    Result += FieldBytes + Each.name_string().size() + Each.value().size();
-  return 2 * Result;
-}
-
 /// Receives what is available without waiting.
 std::size_t receive(Tcp::socket &Socket, std::span<char> Target, SystemError &Error) {
   const ssize_t Count = ::recv(Socket.native_handle(), Target.data(), Target.size(), MSG_DONTWAIT);
@@ -126,13 +117,14 @@
 
 std::size_t ClientSession::heldBytes(const Parser &Message) const {
   const auto &Body = Message.get().body();
-  return RequestBytes + m_HeaderBytes + m_Client->buffer().capacity() +
+  // Each attempt copies the header.
+  return RequestBytes + 2 * Message.headerMemory() + m_Client->buffer().capacity() +
          (Body ? Body->capacity() : 0);
 }
 
 std::size_t ClientSession::maxHeldBytes(const Parser &Message) const {
   const std::uint64_t MaxBody = Message.content_length().value_or(limits().m_MaxBodyBytes);
-  return m_HeaderBytes + MaxBody + LargeRequestBytes;
+  return 2 * Message.headerMemory() + MaxBody + LargeRequestBytes;
 }
 
 Task<bool> ClientSession::makeRoom(std::size_t Bytes, std::size_t MaxBytes) {
@@ -189,7 +181,10 @@
     if (m_IsEnded)
       co_return net::error::operation_aborted;
     const bool HasReserved = heldBytes(Message) > ClientMemoryBudget::SmallRequestBytes;
-    std::span<char> Received = readBuffer().first(HasReserved ? LargeReadBytes : SmallReadBytes);
+    std::size_t ReadBytes = HasReserved ? LargeReadBytes : SmallReadBytes;
+    if (Wanted == Part::Header)
+      ReadBytes = HeaderReadBytes;
+    std::span<char> Received = readBuffer().first(ReadBytes);
     Received = Received.first(receive(m_Client->socket(), Received, Error));
     if (Error == net::error::would_block) {
       Error = {};
@@ -269,7 +264,6 @@
   m_IdleSince.reset();
   const GatewayCore::ReadingScope Reading(*m_Core);
   m_Core->admission().onReading(m_Number);
-  m_HeaderBytes = 0;
   std::optional<Parser> Message(std::in_place);
   Message->header_limit(Limits.m_MaxHeaderBytes);
   Message->body_limit(Limits.m_MaxBodyBytes);
@@ -277,7 +271,6 @@
   SystemError Error = co_await readPart(*Message, Part::Header);
   const TimePoint ArrivedAt = monotonicNow();
   if (!Error && !Message->is_done()) {
-    m_HeaderBytes = headerMemory(Message->get());
     m_BodyProgress.emplace(ArrivedAt);
     checkBodyProgress();
     if (boost::beast::iequals(Message->get()[http::field::expect], "100-continue")) {
@@ -289,7 +282,6 @@
   }
   m_ReadTimer.cancel();
   if (!Error) {
-    m_HeaderBytes = headerMemory(Message->get());
     const bool HasRoom = co_await makeRoom(heldBytes(*Message), heldBytes(*Message));
     if (!HasRoom)
       Error = net::error::operation_aborted;
--- a/src/libgateway/ClientSession.h
+++ b/src/libgateway/ClientSession.h
@@ -19,7 +19,9 @@
   /// A connection counts as idle after this time without a request. The first request of a new
   /// connection takes some milliseconds to arrive, or more over a slow link.
   static constexpr Duration MinIdleTime = std::chrono::milliseconds(200);
-  /// Bytes read at a time: of a request without a reservation, and of one with it.
+  /// Bytes read at a time: of a header, whose short fields take up to 16 times their size, of a
+  /// request without a reservation, and of one with it.
+  static constexpr std::size_t HeaderReadBytes = 4 << 10;
   static constexpr std::size_t SmallReadBytes = 16 << 10;
   static constexpr std::size_t LargeReadBytes = 64 << 10;
   /// Memory of a request in progress beside its header and body.
@@ -75,8 +77,6 @@
   std::optional<TimePoint> m_IdleSince;
   /// Set while a body is being read.
   std::optional<BodyProgress> m_BodyProgress;
-  /// Memory of the header of the current request.
-  std::size_t m_HeaderBytes = 0;
   /// Whether the socket is known to have input.
   bool m_IsReadable = false;
   /// Whether a limit ended the read in progress, and the response to it.
--- a/src/libgateway/EmbeddedHttpServer.cpp
+++ b/src/libgateway/EmbeddedHttpServer.cpp
@@ -100,6 +100,7 @@
   bool KeepOpen = true;
   while (KeepOpen) {
     HttpRequestParser<http::string_body> Parser;
+    Parser.body_limit(MaxBodyBytes);
     IdleTimer.set(IdleTimeout, [&Socket] {
       SystemError Ignored;
       Socket.close(Ignored);
--- a/src/libgateway/InputLimits_test.cpp
+++ b/src/libgateway/InputLimits_test.cpp
@@ -337,6 +337,22 @@
   }
 }
 
+// Guards against requests of other processes whose sum exceeds the memory: 256 bodies of 1 MiB.
+TEST_CASE("the server for other processes refuses a body that no process sends", "[gateway]") {
+  net::io_context Loop;
+  EmbeddedHttpServer Server(Loop);
+  const Endpoint Address = loopbackEndpoint(freePort(Loop));
+  Server.listen(Address);
+  const auto Status = [&](std::size_t Length) {
+    return exchange(Loop, Address,
+                    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(Length) +
+                        "\r\n\r\n" + std::string(std::min<std::size_t>(Length, 4096), 'x'))
+        .status();
+  };
+  CHECK(Status(EmbeddedHttpServer::MaxBodyBytes) == 404);
+  CHECK(Status(EmbeddedHttpServer::MaxBodyBytes + 1) == 413);
+}
+
 // Guards against the end of the process when the client of a TRACE request disconnects: the request
 // could not be sent on with content, and its exception left the disconnect watch behind.
 TEST_CASE("a TRACE request with content is refused", "[gateway]") {
