--- a/src/include/Fescuegauge/Gateway.h
+++ b/src/include/Fescuegauge/Gateway.h
@@ -27,6 +27,9 @@
   std::uint64_t m_Seed = 0;
   /// See LoadBalancerOptions.
   std::optional<ColdBounds> m_ColdBounds;
+  /// Limits on the memory and the descriptors of the process; 0 if unknown. See ClientMemoryLimits.
+  std::size_t m_MemoryBytes = 0;
+  std::size_t m_Descriptors = 0;
 };
 
 /// HTTP reverse proxy of an entry instance on one event loop. Accepts client requests, selects an
