Gateway: engine ranks, slots reserved for urgent ranks, limit by late starts, unreachable data centres

Cause: in a crowd of the lowest rank, requests of all ranks queued at the engines in order of arrival, because reports on remote engines are older than a burst; each request to a data centre that was cut off spent its target on a connection that did not open (900 timeouts of 0.4 s in 3 s).

Services whose routes declare different priorities pass the rank to the engines and reserve slots for more urgent ranks (RankReservation). The requests that an instance has in flight follow the share of late starts (StartTimeLimiter). Two timeouts at a data centre that sends nothing exclude its upstreams until a probe connects (DataCentreReachability).

--- a/src/include/Fescuegauge/LoadBalancer.h
+++ b/src/include/Fescuegauge/LoadBalancer.h
@@ -5,6 +5,7 @@
 #include "Fescuegauge/Ids.h"
 #include "Fescuegauge/InstanceRecord.h"
 #include "Fescuegauge/Random.h"
+#include "Fescuegauge/RankReservation.h"
 #include "Fescuegauge/RoutingPlan.h"
 #include "Fescuegauge/SharedRates.h"
 #include "Fescuegauge/Units.h"
@@ -14,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -104,6 +106,8 @@
   /// With AllFull: if upstreams lack only permits, when the next one is due, or TimePoint::max() if
   /// none will be. Not set if another slot may become free at any time.
   std::optional<TimePoint> m_NextPermit;
+  /// With AllFull: the free slots are reserved for more urgent requests; see RankReservation.
+  bool m_IsReserved = false;
 };
 
 /// Result of a dispatch.
@@ -216,6 +220,9 @@
   bool canStillSend(const UpstreamRecord &Placed, const PlacementRequest &Request,
                     TimePoint Now) const;
 
+  /// What is taken of the upstreams that can start the request now.
+  EngineOccupancy occupancy(const PlacementRequest &Request, TimePoint Now) const;
+
   /// Records that a placed request is about to be sent.
   void onDispatched(const InstanceId &Upstream, std::uint32_t PromptTokens, TimePoint Now);
   /// Records that the engine has read the prompt of a request: its first event came.
@@ -236,6 +243,11 @@
   void onEventGap(const InstanceId &Upstream, Duration Gap, TimePoint Now);
   /// Replaces the last report of another entry instance.
   void onPeerReport(const InstanceId &Peer, UsageByUpstream Usage, TimePoint Now);
+  /// Whether the upstreams of a data centre can be reached. While they cannot, they count as
+  /// silent.
+  void setReachable(const DataCentreId &DataCentre, bool IsReachable);
+  /// The listed upstreams of a data centre.
+  std::vector<UpstreamRecord> upstreamsIn(const DataCentreId &DataCentre) const;
   /// The upstream at this address is about to load weights, and starts no request before `Until`.
   void onLoading(const Endpoint &Address, TimePoint Until);
   /// The upstream stated that it is leaving, to this or to another entry instance. Returns whether
@@ -269,13 +281,16 @@
 
   /// The usage of this instance, for the other entry instances.
   UsageByUpstream ownUsage() const;
-  /// Whether the upstream has requests in flight and sent nothing for SilenceLimit.
+  /// Whether the upstream has requests in flight and sent nothing for SilenceLimit, or cannot be
+  /// reached.
   bool isSilent(const InstanceId &Upstream, TimePoint Now) const;
 
   /// Null if the upstream is not listed.
   const UpstreamRecord *find(const InstanceId &Upstream) const;
 
   std::size_t size() const { return m_Upstreams.size(); }
+  /// The number of entry instances, including this one, whose reports have not expired.
+  std::size_t instanceCount() const { return m_PeerReports.size() + 1; }
 
 private:
   /// The shortest gap between the events of an upstream's streams. A mean would measure how many
@@ -370,7 +385,7 @@
   static double prefillLoad(const State &Upstream, const Engine *Of, double Slowdown, bool IsLocal);
   std::optional<Duration> minEventGap(const ServiceId &Service) const;
   bool isEngine(const ServiceId &Service) const { return m_Engines.contains(Service); }
-  static bool isSilent(const State &Upstream, TimePoint Now);
+  bool isSilent(const State &Upstream, TimePoint Now) const;
 
   LoadBalancerOptions m_Options;
   RandomGenerator m_Random;
@@ -379,6 +394,7 @@
   Evacuations m_Evacuations;
   UpstreamStatements m_Statements;
   SharedRates m_Rates;
+  std::set<DataCentreId> m_UnreachableCentres;
   std::map<InstanceId, PeerUsageReport> m_PeerReports;
   /// No peer report expires before this time.
   TimePoint m_NextPeerExpiryAt;
--- a/src/include/Fescuegauge/RoutingPlan.h
+++ b/src/include/Fescuegauge/RoutingPlan.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace fescuegauge {
@@ -155,6 +156,9 @@
   /// Null if no account has that key.
   const AccountPlan *accountOf(const std::string &Key) const;
   const ServicePlan *service(const ServiceId &Id) const;
+  /// Whether the routes to the service declare different priorities, so that its requests compete
+  /// by rank.
+  bool hasRanks(const ServiceId &Service) const { return m_RankedServices.contains(Service); }
   /// The service that is the origin of the weights; null if there is none.
   const ServicePlan *originService() const;
   /// Selects the service for one request, in proportion to the weights of the route's services.
@@ -166,6 +170,7 @@
   /// Indices of routes by host and prefix.
   std::unordered_map<std::string, std::map<std::string, std::size_t, std::less<>>> m_ByHost;
   std::unordered_map<std::string, std::size_t> m_AccountByKey;
+  std::unordered_set<ServiceId> m_RankedServices;
 };
 
 } // namespace fescuegauge
--- a/src/libdispatch/LoadBalancer.cpp
+++ b/src/libdispatch/LoadBalancer.cpp
@@ -213,7 +213,9 @@
   return Taken + Mean > Budget ? FullLoad : Taken / Budget;
 }
 
-bool LoadBalancer::isSilent(const State &Upstream, TimePoint Now) {
+bool LoadBalancer::isSilent(const State &Upstream, TimePoint Now) const {
+  if (m_UnreachableCentres.contains(Upstream.m_Record.m_DataCentre))
+    return true;
   return Upstream.m_OwnUsage.m_Requests > 0 && Now - Upstream.m_LastByteAt > SilenceLimit;
 }
 
@@ -322,6 +324,32 @@
   return Result;
 }
 
+EngineOccupancy LoadBalancer::occupancy(const PlacementRequest &Request, TimePoint Now) const {
+  EngineOccupancy Result;
+  auto ServiceEntry = m_ByService.find(Request.m_Service);
+  if (ServiceEntry == m_ByService.end())
+    return Result;
+  const std::optional<Duration> ServiceMinGap = minEventGap(Request.m_Service);
+  const auto Engines = m_Engines.find(Request.m_Service);
+  const Engine *RequestEngine = Engines == m_Engines.end() ? nullptr : &Engines->second;
+  for (const State *Each : ServiceEntry->second) {
+    if (!isEligible(*Each, Request, Now) || Each->m_SkippedUntil > Now || isSilent(*Each, Now) ||
+        isLoading(*Each, Now) || m_Statements.isPaused(Each->m_Record.start(), Now))
+      continue;
+    const double Slowdown = slowdownFactor(*Each, ServiceMinGap);
+    const double Limit = inFlightLimit(*Each, Slowdown);
+    const bool IsLocal = Each->m_Record.m_DataCentre == m_Options.m_DataCentre;
+    const double Used =
+        std::max(inFlight(*Each) / Limit, prefillLoad(*Each, RequestEngine, Slowdown, IsLocal));
+    // Requests in excess of the limit of one upstream take nothing of the others.
+    Result.m_Requests += Limit * std::min(Used, 1.0);
+    Result.m_OwnRequests += Each->m_OwnUsage.m_Requests;
+    Result.m_Slots += Limit;
+    ++Result.m_Engines;
+  }
+  return Result;
+}
+
 void LoadBalancer::onDispatched(const InstanceId &Upstream, std::uint32_t PromptTokens,
                                 TimePoint Now) {
   auto Found = m_Upstreams.find(Upstream);
@@ -417,6 +445,21 @@
   expirePeerReports(Now);
 }
 
+void LoadBalancer::setReachable(const DataCentreId &DataCentre, bool IsReachable) {
+  if (IsReachable)
+    m_UnreachableCentres.erase(DataCentre);
+  else
+    m_UnreachableCentres.insert(DataCentre);
+}
+
+std::vector<UpstreamRecord> LoadBalancer::upstreamsIn(const DataCentreId &DataCentre) const {
+  std::vector<UpstreamRecord> Result;
+  for (const auto &[Id, Entry] : m_Upstreams)
+    if (Entry.m_Record.m_DataCentre == DataCentre)
+      Result.push_back(Entry.m_Record);
+  return Result;
+}
+
 void LoadBalancer::onLoading(const Endpoint &Address, TimePoint Until) {
   m_LoadEndByAddress[Address] = Until;
   for (auto &[Id, Entry] : m_Upstreams)
--- a/src/libdispatch/Overload_test.cpp
+++ b/src/libdispatch/Overload_test.cpp
@@ -1,7 +1,9 @@
 #include "EngineModel.h"
 #include "Fescuegauge/DispatchQueue.h"
 #include "Fescuegauge/LoadBalancer.h"
+#include "Fescuegauge/RankReservation.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <optional>
@@ -64,27 +66,46 @@
       m_LoadBalancer.onLoading(Each.m_Address, Until);
   }
 
-  /// Requests arrive evenly at `Rate` per second for `Length`; then running requests are finished.
-  void run(Duration Length, double Rate) {
+  /// Requests of one priority that arrive evenly from `m_From` to `m_Until`.
+  struct Arrivals {
+    int m_Priority = 0;
+    double m_PerSecond = 0;
+    Duration m_From{0};
+    Duration m_Until{0};
+    double m_Due = 0;
+  };
+  /// Requests arrive for `Length`; then running requests are finished.
+  void run(Duration Length, std::vector<Arrivals> Streams) {
     constexpr Duration Step = 1ms;
-    double Due = 0;
     for (TimePoint Now; Now < TimePoint(Length + 5s); Now += Step) {
       for (std::size_t I = 0; I < m_Engines.size(); ++I)
         m_Engines[I].advance(Now, [&](const EngineModel::Event &Each, TimePoint At) {
           onEvent(m_Records[I].m_Id, Each, At);
         });
-      if (Now < TimePoint(Length))
-        for (Due += Rate * toSeconds(Step); Due >= 1; --Due)
-          onArrival(Now);
+      for (Arrivals &Each : Streams)
+        if (Now >= TimePoint(Each.m_From) && Now < TimePoint(std::min(Length, Each.m_Until)))
+          for (Each.m_Due += Each.m_PerSecond * toSeconds(Step); Each.m_Due >= 1; --Each.m_Due)
+            onArrival(Each.m_Priority, Now);
       dispatchWaiting(Now);
     }
   }
+  /// Requests of one priority arrive evenly at `Rate` per second.
+  void run(Duration Length, double Rate) { run(Length, {{0, Rate, 0s, Length}}); }
 
   std::size_t arrived() const { return m_Calls.size(); }
   /// Requests of which every event was on time.
   std::size_t onTime() const {
     return count([](const Call &Each) { return Each.m_IsOnTime; });
   }
+  /// The share of the requests of a priority that arrived in that time and were on time.
+  double onTimeShare(int Priority, Duration From, Duration Until) const {
+    const auto IsMeant = [&](const Call &Each) {
+      return Each.m_Priority == Priority && Each.m_ArrivedAt >= TimePoint(From) &&
+             Each.m_ArrivedAt < TimePoint(Until);
+    };
+    const auto OnTime = count([&](const Call &Each) { return IsMeant(Each) && Each.m_IsOnTime; });
+    return static_cast<double>(OnTime) / static_cast<double>(count(IsMeant));
+  }
   std::size_t placed() const {
     return count([](const Call &Each) { return Each.m_IsPlaced; });
   }
@@ -92,6 +113,7 @@
 
 private:
   struct Call {
+    int m_Priority = 0;
     std::uint32_t m_PromptTokens = 0;
     TimePoint m_ArrivedAt;
     TimePoint m_LastEventAt;
@@ -108,23 +130,28 @@
     return Result;
   }
 
-  void onArrival(TimePoint Now) {
+  void onArrival(int Priority, TimePoint Now) {
     const WaitingNumber Number(m_Calls.size() + 1);
     Call &New = m_Calls[Number];
     New.m_PromptTokens =
         static_cast<std::uint32_t>(uniformBelow(m_Random, std::uint64_t{2} * MeanPrompt)) + 1;
+    New.m_Priority = Priority;
     New.m_ArrivedAt = Now;
+    m_Reservation.onArrival(Service, Priority, slotTime(engine(), New.m_PromptTokens), Now);
     if (m_Queue.waiting(Service) == 0 && place(Number, Now))
       return;
-    const WaitingRequest Entry{Number, 0, false};
+    const WaitingRequest Entry{Number, Priority, false};
     if (m_Queue.shouldQueue(Service, Entry, DispatchQueue::maxQueueTime(Target), Now))
       m_Queue.push(Service, Entry);
   }
 
   bool place(WaitingNumber Number, TimePoint Now) {
     Call &Of = m_Calls.at(Number);
-    const Placement Found =
-        m_LoadBalancer.place({Service, Model, std::nullopt, {}, Of.m_PromptTokens}, Now);
+    const PlacementRequest Request{Service, Model, std::nullopt, {}, Of.m_PromptTokens};
+    const EngineOccupancy Use = m_LoadBalancer.occupancy(Request, Now);
+    if (!m_Reservation.admits(Service, Of.m_Priority, Use.share(), Use.slotsPerEngine()))
+      return false;
+    const Placement Found = m_LoadBalancer.place(Request, Now);
     if (Found.m_Verdict != PlacementVerdict::Placed)
       return false;
     const InstanceId &Id = Found.m_Upstream.m_Id;
@@ -162,6 +189,7 @@
 
   LoadBalancer m_LoadBalancer;
   DispatchQueue m_Queue;
+  RankReservation m_Reservation;
   RandomGenerator m_Random;
   std::vector<UpstreamRecord> m_Records;
   std::vector<EngineModel> m_Engines;
@@ -193,3 +221,22 @@
   CHECK(static_cast<double>(Replay.placed()) >= 0.9 * 10 * 8 * EngineRequestsPerSecond);
   CHECK(static_cast<double>(Replay.onTime()) >= 0.95 * static_cast<double>(Replay.placed()));
 }
+
+// Guards against slots that a crowd of the lowest priority holds when more urgent requests come.
+// Load: the lowest priority at 2.4 times the room of the engines for 6 s; from 3 s on, urgent
+// requests that need about 0.7 of the room.
+TEST_CASE("a crowd of the lowest priority leaves room for urgent requests", "[dispatch]") {
+  OverloadReplay Replay(8);
+  Replay.run(6s, {{2, 180, 0s, 6s}, {0, 26, 0s, 3s}, {0, 52, 3s, 6s}});
+  CHECK(Replay.onTimeShare(0, 0s, 6s) >= 0.9);
+  // The lowest priority gets most of what is left.
+  CHECK(Replay.onTimeShare(2, 0s, 3s) >= 0.1);
+}
+
+// Guards against a reservation that starves the lowest priority while there is room for all.
+TEST_CASE("the lowest priority is served in calm", "[dispatch]") {
+  OverloadReplay Replay(8);
+  Replay.run(10s, {{2, 14, 0s, 10s}, {0, 28, 0s, 10s}});
+  CHECK(Replay.onTimeShare(0, 0s, 10s) >= 0.95);
+  CHECK(Replay.onTimeShare(2, 0s, 10s) >= 0.95);
+}
--- a/src/libdispatch/RouteTable.cpp
+++ b/src/libdispatch/RouteTable.cpp
@@ -21,6 +21,11 @@
   for (std::size_t I = 0; I < m_Plan.m_Accounts.size(); ++I)
     for (const std::string &Key : m_Plan.m_Accounts[I].m_Keys)
       m_AccountByKey.emplace(Key, I);
+  std::unordered_map<ServiceId, int> Priorities;
+  for (const Route &Each : m_Plan.m_Routes)
+    for (const ServiceShare &Share : Each.m_Services)
+      if (Priorities.emplace(Share.m_Service, Each.m_Priority).first->second != Each.m_Priority)
+        m_RankedServices.insert(Share.m_Service);
 }
 
 const Route *RouteTable::find(std::string_view Host, std::string_view Path) const {
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -65,6 +65,19 @@
                            "Requests not sent because their upstream named a rate limit after they "
                            "were placed.",
                            {}})),
+      m_ReachabilityChanges(Metrics.counter(
+          {"fescuegauge_gateway_data_centre_reachability_changes_total",
+           "Data centres whose upstreams could no longer be reached, or could again.",
+           {{"change", 2}}})),
+      m_ReservedSlots(Metrics.counter(
+          {"fescuegauge_gateway_reserved_slots_total",
+           "Requests that found free slots on arrival, all reserved for requests with "
+           "a higher priority.",
+           {{"priority", 10}}})),
+      m_StartLimited(
+          Metrics.counter({"fescuegauge_gateway_start_limited_total",
+                           "Placements denied because earlier requests start late at the engines.",
+                           {}})),
       m_FirstByte(
           Metrics.histogram({"fescuegauge_gateway_first_byte_seconds",
                              "Time from a request's arrival to the first byte of its response.",
@@ -99,6 +112,34 @@
   return Result;
 }
 
+Placement GatewayCore::tryAdmit(const PlacementRequest &Request, const WaitOptions &Queueing) {
+  Placement Denied;
+  Denied.m_Verdict = PlacementVerdict::AllFull;
+  if (Queueing.m_IsLimited || Queueing.m_IsRanked) {
+    const EngineOccupancy Use = m_LoadBalancer.occupancy(Request, monotonicNow());
+    const double Limit =
+        m_StartLimiter.limit(Request.m_Service, Use.m_Slots, m_LoadBalancer.instanceCount());
+    if (Queueing.m_IsLimited && Use.m_Engines > 0 && Use.m_OwnRequests + 1 > Limit) {
+      m_StartLimited.add();
+      return Denied;
+    }
+    // Reports on the engines are older than what the limit follows.
+    if (Queueing.m_IsRanked &&
+        !m_Reservation.admits(Request.m_Service, Queueing.m_Priority,
+                              std::max(Use.share(), Use.m_OwnRequests / Limit),
+                              Use.slotsPerEngine())) {
+      Denied.m_IsReserved = true;
+      return Denied;
+    }
+  }
+  return tryPlace(Request);
+}
+
+void GatewayCore::recordEngineStart(const PlacementRequest &Request, bool IsLate) {
+  m_StartLimiter.onStarted(Request.m_Service, IsLate,
+                           m_LoadBalancer.occupancy(Request, monotonicNow()).m_OwnRequests);
+}
+
 void GatewayCore::undoPlacement(const Placement &Unsent, std::uint32_t PromptTokens) {
   if (Unsent.m_HasPermit)
     m_LoadBalancer.rates().returnPermit(Unsent.m_Upstream.start());
@@ -115,7 +156,9 @@
   Placement Immediate;
   Immediate.m_Verdict = PlacementVerdict::AllFull;
   if (!hasWaitingRival(Request)) {
-    Immediate = tryPlace(Request);
+    Immediate = tryAdmit(Request, Queueing);
+    if (Immediate.m_IsReserved)
+      m_ReservedSlots.add({std::to_string(Queueing.m_Priority)});
     if (Immediate.m_Verdict != PlacementVerdict::AllFull)
       co_return Immediate;
     // A permit of the rate limit is due only after the longest wait, and no slot becomes free
@@ -129,7 +172,7 @@
   m_LastNumber = m_LastNumber.next();
   Entry.m_Number = m_LastNumber;
   const ServiceId Service = Request.m_Service;
-  auto Waiting = std::make_shared<PlacementWaiter>(executor(), std::move(Request));
+  auto Waiting = std::make_shared<PlacementWaiter>(executor(), std::move(Request), Queueing);
   Waiter = Waiting;
   m_Waiters.emplace(Entry.m_Number, Waiting);
   m_Queue.push(Service, Entry);
@@ -160,10 +203,11 @@
   for (const auto &[Service, Count] : Services) {
     for (const WaitingNumber Number : m_Queue.order(Service)) {
       PlacementWaiter &Waiting = *m_Waiters.at(Number);
-      Placement NewPlacement = tryPlace(Waiting.m_Request);
+      Placement NewPlacement = tryAdmit(Waiting.m_Request, Waiting.m_Queueing);
       if (NewPlacement.m_Verdict != PlacementVerdict::Placed) {
         // If this request excludes no upstream, no slot is free for the others either.
-        if (Waiting.m_Request.m_Tried.empty() && !Waiting.m_Request.m_Regions.isRestricted())
+        if (Waiting.m_Request.m_Tried.empty() && !Waiting.m_Request.m_Regions.isRestricted() &&
+            !NewPlacement.m_IsReserved)
           break;
         continue;
       }
@@ -261,6 +305,50 @@
              {{"upstream", Upstream.m_Id}, {"toldBy", From}});
 }
 
+void GatewayCore::onProgress(const UpstreamRecord &From, TimePoint Now) {
+  m_LoadBalancer.onProgress(From.m_Id, Now);
+  if (m_Reachability.onHeard(From.m_DataCentre, Now))
+    setReachable(From.m_DataCentre, true);
+}
+
+void GatewayCore::onConnectTimeout(const UpstreamRecord &To, TimePoint StartedAt) {
+  if (!m_Reachability.onTimeout(To.m_DataCentre, To.m_Id, StartedAt, monotonicNow()))
+    return;
+  setReachable(To.m_DataCentre, false);
+  spawnTask(executor(), "probe_data_centre", probeDataCentre(To.m_DataCentre));
+}
+
+Task<> GatewayCore::probeDataCentre(DataCentreId DataCentre) {
+  while (m_Reachability.isUnreachable(DataCentre)) {
+    co_await sleepFor(DataCentreReachability::ProbeInterval);
+    const std::vector<UpstreamRecord> Listed = m_LoadBalancer.upstreamsIn(DataCentre);
+    if (!m_Reachability.isUnreachable(DataCentre))
+      co_return;
+    if (Listed.empty()) {
+      m_Reachability.onHeard(DataCentre, monotonicNow());
+      setReachable(DataCentre, true);
+      co_return;
+    }
+    const UpstreamRecord &Probed = Listed[uniformBelow(m_Random, Listed.size())];
+    SystemError Error;
+    ConnectionPtr Opened = co_await m_Pool.open(Probed.m_Address, CrashCheckTimeout, Error);
+    if (!Opened)
+      continue;
+    m_Pool.putIdle(Opened, ConnectionPool::DefaultKeepAlive);
+    if (m_Reachability.onHeard(DataCentre, monotonicNow()))
+      setReachable(DataCentre, true);
+  }
+}
+
+void GatewayCore::setReachable(const DataCentreId &DataCentre, bool IsReachable) {
+  m_LoadBalancer.setReachable(DataCentre, IsReachable);
+  m_ReachabilityChanges.add({IsReachable ? "reachable" : "unreachable"});
+  logEvent(Severity::Warning, "data_centre_reachability",
+           {{"upstreamDataCentre", DataCentre}, {"reachable", IsReachable}});
+  if (IsReachable)
+    placeWaiting();
+}
+
 RunningAttempts::iterator GatewayCore::addRunning(RunningAttempt Attempt) {
   return m_Running.insert(m_Running.end(), std::move(Attempt));
 }
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -4,13 +4,16 @@
 #include "Fescuegauge/AsyncHttpClient.h"
 #include "Fescuegauge/ConnectionPool.h"
 #include "Fescuegauge/CrashSuspects.h"
+#include "Fescuegauge/DataCentreReachability.h"
 #include "Fescuegauge/DemandMeter.h"
 #include "Fescuegauge/DispatchQueue.h"
 #include "Fescuegauge/ErrorKind.h"
 #include "Fescuegauge/Gateway.h"
 #include "Fescuegauge/LateStartDetector.h"
 #include "Fescuegauge/LoadBalancer.h"
+#include "Fescuegauge/RankReservation.h"
 #include "Fescuegauge/RetryBudget.h"
+#include "Fescuegauge/StartTimeLimiter.h"
 #include "Fescuegauge/UnstartedRequests.h"
 #include "UpstreamExchange.h"
 
@@ -27,11 +30,23 @@
 /// Creates this process's own response for an error, without the headers of a single exchange.
 HttpResponse errorResponse(const ErrorAnswer &Answer);
 
+/// How a request waits for a placement.
+struct WaitOptions {
+  Duration m_MaxWait{0};
+  int m_Priority = 0;
+  bool m_IsRetry = false;
+  /// Whether slots are reserved for requests with a higher priority.
+  bool m_IsRanked = false;
+  /// Whether the request is new to the engines; see StartTimeLimiter.
+  bool m_IsLimited = false;
+};
+
 /// Request that waits in the DispatchQueue for a slot at an upstream.
 class PlacementWaiter {
 public:
-  PlacementWaiter(const net::any_io_executor &Executor, PlacementRequest Request)
-      : m_Timer(Executor), m_Request(std::move(Request)) {}
+  PlacementWaiter(const net::any_io_executor &Executor, PlacementRequest Request,
+                  const WaitOptions &Queueing)
+      : m_Timer(Executor), m_Request(std::move(Request)), m_Queueing(Queueing) {}
 
   /// Ends the wait without a placement.
   void cancel() { m_Timer.cancel(); }
@@ -41,16 +56,10 @@
 
   net::steady_timer m_Timer;
   PlacementRequest m_Request;
+  WaitOptions m_Queueing;
   std::optional<Placement> m_Placement;
 };
 
-/// How a request waits for a placement.
-struct WaitOptions {
-  Duration m_MaxWait{0};
-  int m_Priority = 0;
-  bool m_IsRetry = false;
-};
-
 /// An attempt in flight at an upstream.
 struct RunningAttempt {
   UpstreamStart m_Upstream;
@@ -118,6 +127,13 @@
                                    std::shared_ptr<PlacementWaiter> &Waiter);
   /// Places a request only if a slot is free now.
   Placement tryPlace(const PlacementRequest &Request);
+  /// Records the arrival of a first request for engines whose requests compete by rank.
+  void recordDemand(const ServicePlan &Service, int Priority, std::uint32_t PromptTokens) {
+    m_Reservation.onArrival(Service.m_Id, Priority, slotTime(*Service.m_Engine, PromptTokens),
+                            monotonicNow());
+  }
+  /// Records that a request started at an engine, and whether it did so after its target latency.
+  void recordEngineStart(const PlacementRequest &Request, bool IsLate);
   /// Undoes a placement whose request was not sent.
   void undoPlacement(const Placement &Unsent, std::uint32_t PromptTokens);
   /// Ends a request that was placed at `Upstream`. `UnreadTokens` is the size of its prompt if the
@@ -151,6 +167,11 @@
   /// Records a rate statement from another entry instance.
   void recordPeerRate(const InstanceId &Peer, const RateStatement &Statement);
 
+  /// Bytes of an answer arrived from the upstream.
+  void onProgress(const UpstreamRecord &From, TimePoint Now);
+  /// A connection to the upstream, attempted at `StartedAt`, did not open in time.
+  void onConnectTimeout(const UpstreamRecord &To, TimePoint StartedAt);
+
   /// Registers an attempt in flight at an upstream, as a suspect if the upstream crashes.
   RunningAttempts::iterator addRunning(RunningAttempt Attempt);
   void removeRunning(RunningAttempts::iterator Attempt) { m_Running.erase(Attempt); }
@@ -275,11 +296,16 @@
   /// Whether a request waits for the same upstreams. One that is restricted to other regions may
   /// wait while upstreams of these have free slots.
   bool hasWaitingRival(const PlacementRequest &Request) const;
+  /// Opens connections to upstreams of an unreachable data centre until one opens.
+  Task<> probeDataCentre(DataCentreId DataCentre);
+  void setReachable(const DataCentreId &DataCentre, bool IsReachable);
   Task<> confirmCrash(UpstreamRecord Upstream, Duration Delay);
   void recordCrash(const UpstreamRecord &Upstream, const CrashCheck &Confirmed);
   void handleSuspectChanges();
   void logQuarantine(const QuarantineChange &Change);
   void callInProgress(std::function<void()> Callbacks::*Callback);
+  /// As tryPlace(), unless the slots that are left are reserved for more urgent requests.
+  Placement tryAdmit(const PlacementRequest &Request, const WaitOptions &Queueing);
   void schedulePlacement();
   void withdrawOverdue();
   void logRate(const UpstreamStart &Upstream, RateStatements::RateChange Change,
@@ -290,6 +316,9 @@
   RandomGenerator m_Random;
   LoadBalancer m_LoadBalancer;
   DispatchQueue m_Queue;
+  RankReservation m_Reservation;
+  StartTimeLimiter m_StartLimiter;
+  DataCentreReachability m_Reachability;
   RetryDelays m_RetryDelays;
   std::unordered_map<ServiceId, RetryBudget> m_RetryBudgets;
   CrashSuspects m_Suspects;
@@ -326,6 +355,9 @@
   CounterMetric &m_QuarantineChanges;
   CounterMetric &m_RateLimitedSends;
   CounterMetric &m_RateRefusedSends;
+  CounterMetric &m_ReachabilityChanges;
+  CounterMetric &m_ReservedSlots;
+  CounterMetric &m_StartLimited;
   HistogramMetric &m_FirstByte;
   HistogramMetric &m_Start;
   HistogramMetric &m_Wait;
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -142,6 +142,11 @@
   m_Service = *Service;
   m_Model = ModelId(std::string(m_Request[Names.m_Model]));
   m_PromptTokens = parsePromptTokens(m_Request[Names.m_TokenUsage]);
+  const ServicePlan *Plan = m_Plan->service(m_Service);
+  m_IsEngineStream = Plan && Plan->m_Engine && isStream(m_Route->m_Kind);
+  m_IsRanked = Plan && Plan->m_Engine && m_Plan->hasRanks(m_Service);
+  if (m_IsRanked && !m_IsRetry)
+    m_Core.recordDemand(*Plan, m_Priority, m_PromptTokens);
   m_SuspectRequest =
       makeSuspectRequest(m_Account, sha256(std::string(Target) + "\n" + m_Request.body()),
                          parseSharedPromptParts(m_Request[Names.m_PromptParts]));
@@ -233,6 +238,9 @@
                remainingTime());
   Queueing.m_Priority = m_Priority;
   Queueing.m_IsRetry = m_IsRetry && !m_HeaderSent;
+  // A stream that was interrupted resumes in the slot that its lost upstream held.
+  Queueing.m_IsRanked = m_IsRanked && !m_HeaderSent;
+  Queueing.m_IsLimited = m_IsEngineStream && !m_HeaderSent;
   const TimePoint Start = monotonicNow();
   const Placement Found =
       co_await m_Core.waitForPlacement(std::move(Required), Queueing, m_PlacementWaiter);
@@ -266,6 +274,9 @@
   Request.set(Names.m_ExpectedUpstream, To.m_Id.str());
   if (m_HeaderSent && m_LastEventId)
     Request.set("Last-Event-ID", std::to_string(*m_LastEventId));
+  if (m_IsRanked)
+    Request.set(Names.m_UpstreamPriority,
+                std::to_string(engineRank(m_Priority, m_IsRetry && !m_HeaderSent)));
   if (m_StreamVersion)
     Request.set(Names.m_ExpectedWeights, std::to_string(m_StreamVersion->value()));
   Request.body() = m_Request.body();
@@ -431,6 +442,9 @@
       From.m_Address, MaxIdleTime, std::clamp(remainingTime(), Duration(0), ConnectTimeout),
       [this, &From](HttpRequest &Request) { return prepareSend(From, Request); });
   if (!Sent.wasSent()) {
+    // An address without a host refuses within a round trip.
+    if (Error == ExchangeError::NotSent && monotonicNow() - m_DispatchedAt >= ConnectTimeout)
+      m_Core.onConnectTimeout(From, m_DispatchedAt);
     m_MayHaveRun = MayHaveRunBefore;
     --m_AttemptsSent;
     if (std::exchange(m_HasPermit, false))
@@ -450,7 +464,7 @@
     co_return isInterrupted() ? AttemptEnd::Interrupted : AttemptEnd::Failed;
   }
   m_LastUpstreamReadAt = monotonicNow();
-  m_Core.loadBalancer().onProgress(From.m_Id, m_LastUpstreamReadAt);
+  m_Core.onProgress(From, m_LastUpstreamReadAt);
   const UpstreamExchange::Header &ResponseHeader = Sent.header();
   const unsigned Status = ResponseHeader.result_int();
   processUpstreamStatements(Sent, From);
@@ -510,7 +524,7 @@
       co_return AttemptEnd::Failed;
     }
     m_LastUpstreamReadAt = monotonicNow();
-    m_Core.loadBalancer().onProgress(From.m_Id, m_LastUpstreamReadAt);
+    m_Core.onProgress(From, m_LastUpstreamReadAt);
     IsDone = Buffered.size() == Before;
     if (IsFailure &&
         (Buffered.size() > MaxFailureBytes || !m_FailureBuffer.resize(Buffered.size())))
@@ -572,7 +586,7 @@
       co_return AttemptEnd::Failed;
     }
     const TimePoint Now = monotonicNow();
-    m_Core.loadBalancer().onProgress(From.m_Id, Now);
+    m_Core.onProgress(From, Now);
     if (m_HeaderSent && !Bytes.empty())
       m_LongestPause = std::max(m_LongestPause, Now - m_LastUpstreamReadAt);
     if (!IsFirstRead && !Bytes.empty())
@@ -665,6 +679,8 @@
 void RequestExchange::recordStart() {
   m_TimeToStart = m_LastUpstreamReadAt - m_DispatchedAt;
   m_Core.observeStart(kindName(), *m_TimeToStart);
+  if (m_IsEngineStream && !m_HeaderSent)
+    m_Core.recordEngineStart(placementRequest(), *m_TimeToStart > m_Route->m_TargetLatency);
   (*m_Running)->m_HasBegun = true;
   m_Core.recordBegun(m_SuspectRequest);
   endUnstarted(GatewayCore::UnstartedEnd::Started);
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -179,6 +179,9 @@
   std::string m_RequestId;
   int m_Priority = 0;
   bool m_IsRetry = false;
+  bool m_IsEngineStream = false;
+  /// Whether the requests of the service compete by rank; see RouteTable::hasRanks().
+  bool m_IsRanked = false;
   SuspectRequest m_SuspectRequest;
   /// The current attempt while it is in flight.
   std::optional<RunningAttempts::iterator> m_Running;
