--- a/src/include/Fescuegauge/StartTimeLimiter.h
+++ b/src/include/Fescuegauge/StartTimeLimiter.h
@@ -22,9 +22,10 @@
 class StartTimeLimiter {
 public:
   /// Relative increase of the limit with a start that is on time.
-  static constexpr double Increase = 0.02;
-  /// The decrease with a late start, as a multiple of Increase.
-  static constexpr double DecreaseFactor = 9;
+  static constexpr double Increase = 0.03;
+  /// The decrease with a late start, as a multiple of Increase. A late answer is still of use, so the
+  /// limit does not serve fewer requests for the sake of a few late ones.
+  static constexpr double DecreaseFactor = 3;
   /// A late start reduces the limit to at most this multiple of the requests in flight, so that it
   /// takes effect soon after a long time without overload.
   static constexpr double MaxHeadroom = 1.5;
--- a/src/libdispatch/RankReservation.cpp
+++ b/src/libdispatch/RankReservation.cpp
@@ -31,10 +31,9 @@
     Of.m_Work[Priority] += toSeconds(Work);
 }
 
-double RankReservation::reservedShare(const ServiceId &Service, int Priority,
-                                      double SlotsPerEngine) const {
+double RankReservation::reservedSlots(const ServiceId &Service, int Priority, double Slots) const {
   auto Found = m_Demands.find(Service);
-  if (Found == m_Demands.end() || SlotsPerEngine <= 0)
+  if (Found == m_Demands.end())
     return 0;
   double Urgent = 0;
   double Total = 0;
@@ -45,8 +44,7 @@
   }
   if (Total <= 0)
     return 0;
-  const double UrgentSlots = Urgent / Total * SlotsPerEngine;
-  return std::min(std::sqrt(UrgentSlots) / SlotsPerEngine, MaxReservedShare);
+  return std::min(std::sqrt(Urgent / Total * Slots), MaxReservedShare * Slots);
 }
 
 } // namespace fescuegauge
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -123,11 +123,11 @@
       m_StartLimited.add();
       return Denied;
     }
-    // Reports on the engines are older than what the limit follows.
+    // Reports on the engines are older than what the limit follows, so both are asked.
     if (Queueing.m_IsRanked &&
-        !m_Reservation.admits(Request.m_Service, Queueing.m_Priority,
-                              std::max(Use.share(), Use.m_OwnRequests / Limit),
-                              Use.slotsPerEngine())) {
+        !(m_Reservation.admits(Request.m_Service, Queueing.m_Priority, Use.m_Requests,
+                               Use.m_Slots) &&
+          m_Reservation.admits(Request.m_Service, Queueing.m_Priority, Use.m_OwnRequests, Limit))) {
       Denied.m_IsReserved = true;
       return Denied;
     }
