--- a/src/include/Fescuegauge/LoadBalancer.h
+++ b/src/include/Fescuegauge/LoadBalancer.h
@@ -289,8 +289,6 @@
   const UpstreamRecord *find(const InstanceId &Upstream) const;
 
   std::size_t size() const { return m_Upstreams.size(); }
-  /// The number of entry instances, including this one, whose reports have not expired.
-  std::size_t instanceCount() const { return m_PeerReports.size() + 1; }
 
 private:
   /// The shortest gap between the events of an upstream's streams. A mean would measure how many
--- a/src/include/Fescuegauge/RankReservation.h
+++ b/src/include/Fescuegauge/RankReservation.h
@@ -13,10 +13,13 @@
 /// How much of the engines that a request may use is taken.
 struct EngineOccupancy {
   double m_Requests = 0;
-  /// The requests of this instance.
-  double m_OwnRequests = 0;
   double m_Slots = 0;
   std::size_t m_Engines = 0;
+
+  double share() const { return m_Slots > 0 ? m_Requests / m_Slots : 0; }
+  double slotsPerEngine() const {
+    return m_Engines > 0 ? m_Slots / static_cast<double>(m_Engines) : 0;
+  }
 };
 
 /// The time for which a request with a mean answer would take a slot of an engine whose batch is
@@ -48,11 +51,11 @@
   /// Records the arrival of a first request that takes `Work` of an engine slot. Retries are left
   /// out, because they would count a request several times.
   void onArrival(const ServiceId &Service, int Priority, Duration Work, TimePoint Now);
-  /// The number out of `Slots` that requests of this priority leave free.
-  double reservedSlots(const ServiceId &Service, int Priority, double Slots) const;
-  /// Whether a request of this priority may take one of `Slots`, of which `Taken` are taken.
-  bool admits(const ServiceId &Service, int Priority, double Taken, double Slots) const {
-    return Taken + reservedSlots(Service, Priority, Slots) <= Slots;
+  /// The share of a service's slots that requests of this priority leave free.
+  double reservedShare(const ServiceId &Service, int Priority, double SlotsPerEngine) const;
+  /// Whether a request of this priority may take a slot.
+  bool admits(const ServiceId &Service, int Priority, const EngineOccupancy &Use) const {
+    return Use.share() + reservedShare(Service, Priority, Use.slotsPerEngine()) <= 1;
   }
 
 private:
--- a/src/libdispatch/LoadBalancer.cpp
+++ b/src/libdispatch/LoadBalancer.cpp
@@ -343,7 +343,6 @@
         std::max(inFlight(*Each) / Limit, prefillLoad(*Each, RequestEngine, Slowdown, IsLocal));
     // Requests in excess of the limit of one upstream take nothing of the others.
     Result.m_Requests += Limit * std::min(Used, 1.0);
-    Result.m_OwnRequests += Each->m_OwnUsage.m_Requests;
     Result.m_Slots += Limit;
     ++Result.m_Engines;
   }
--- a/src/libdispatch/RankReservation.cpp
+++ b/src/libdispatch/RankReservation.cpp
@@ -31,9 +31,10 @@
     Of.m_Work[Priority] += toSeconds(Work);
 }
 
-double RankReservation::reservedSlots(const ServiceId &Service, int Priority, double Slots) const {
+double RankReservation::reservedShare(const ServiceId &Service, int Priority,
+                                      double SlotsPerEngine) const {
   auto Found = m_Demands.find(Service);
-  if (Found == m_Demands.end())
+  if (Found == m_Demands.end() || SlotsPerEngine <= 0)
     return 0;
   double Urgent = 0;
   double Total = 0;
@@ -44,7 +45,8 @@
   }
   if (Total <= 0)
     return 0;
-  return std::min(std::sqrt(Urgent / Total * Slots), MaxReservedShare * Slots);
+  const double UrgentSlots = Urgent / Total * SlotsPerEngine;
+  return std::min(std::sqrt(UrgentSlots) / SlotsPerEngine, MaxReservedShare);
 }
 
 } // namespace fescuegauge
--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -74,10 +74,6 @@
            "Requests that found free slots on arrival, all reserved for requests with "
            "a higher priority.",
            {{"priority", 10}}})),
-      m_StartLimited(
-          Metrics.counter({"fescuegauge_gateway_start_limited_total",
-                           "Placements denied because earlier requests start late at the engines.",
-                           {}})),
       m_FirstByte(
           Metrics.histogram({"fescuegauge_gateway_first_byte_seconds",
                              "Time from a request's arrival to the first byte of its response.",
@@ -113,33 +109,17 @@
 }
 
 Placement GatewayCore::tryAdmit(const PlacementRequest &Request, const WaitOptions &Queueing) {
-  Placement Denied;
-  Denied.m_Verdict = PlacementVerdict::AllFull;
-  if (Queueing.m_IsLimited || Queueing.m_IsRanked) {
-    const EngineOccupancy Use = m_LoadBalancer.occupancy(Request, monotonicNow());
-    const double Limit =
-        m_StartLimiter.limit(Request.m_Service, Use.m_Slots, m_LoadBalancer.instanceCount());
-    if (Queueing.m_IsLimited && Use.m_Engines > 0 && Use.m_OwnRequests + 1 > Limit) {
-      m_StartLimited.add();
-      return Denied;
-    }
-    // Reports on the engines are older than what the limit follows, so both are asked.
-    if (Queueing.m_IsRanked &&
-        !(m_Reservation.admits(Request.m_Service, Queueing.m_Priority, Use.m_Requests,
-                               Use.m_Slots) &&
-          m_Reservation.admits(Request.m_Service, Queueing.m_Priority, Use.m_OwnRequests, Limit))) {
-      Denied.m_IsReserved = true;
-      return Denied;
-    }
+  if (Queueing.m_IsRanked &&
+      !m_Reservation.admits(Request.m_Service, Queueing.m_Priority,
+                            m_LoadBalancer.occupancy(Request, monotonicNow()))) {
+    Placement Denied;
+    Denied.m_Verdict = PlacementVerdict::AllFull;
+    Denied.m_IsReserved = true;
+    return Denied;
   }
   return tryPlace(Request);
 }
 
-void GatewayCore::recordEngineStart(const PlacementRequest &Request, bool IsLate) {
-  m_StartLimiter.onStarted(Request.m_Service, IsLate,
-                           m_LoadBalancer.occupancy(Request, monotonicNow()).m_OwnRequests);
-}
-
 void GatewayCore::undoPlacement(const Placement &Unsent, std::uint32_t PromptTokens) {
   if (Unsent.m_HasPermit)
     m_LoadBalancer.rates().returnPermit(Unsent.m_Upstream.start());
@@ -321,7 +301,12 @@
 Task<> GatewayCore::probeDataCentre(DataCentreId DataCentre) {
   while (m_Reachability.isUnreachable(DataCentre)) {
     co_await sleepFor(DataCentreReachability::ProbeInterval);
-    const std::vector<UpstreamRecord> Listed = m_LoadBalancer.upstreamsIn(DataCentre);
+    std::vector<UpstreamRecord> Listed = m_LoadBalancer.upstreamsIn(DataCentre);
+    // An upstream that leaves or asked for a pause must not get a connection either.
+    std::erase_if(Listed, [&](const UpstreamRecord &Each) {
+      return Each.m_IsLeaving || m_LoadBalancer.isLeaving(Each.start(), monotonicNow()) ||
+             m_LoadBalancer.isPaused(Each.start(), monotonicNow());
+    });
     if (!m_Reachability.isUnreachable(DataCentre))
       co_return;
     if (Listed.empty()) {
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -13,7 +13,6 @@
 #include "Fescuegauge/LoadBalancer.h"
 #include "Fescuegauge/RankReservation.h"
 #include "Fescuegauge/RetryBudget.h"
-#include "Fescuegauge/StartTimeLimiter.h"
 #include "Fescuegauge/UnstartedRequests.h"
 #include "UpstreamExchange.h"
 
@@ -37,8 +36,6 @@
   bool m_IsRetry = false;
   /// Whether slots are reserved for requests with a higher priority.
   bool m_IsRanked = false;
-  /// Whether the request is new to the engines; see StartTimeLimiter.
-  bool m_IsLimited = false;
 };
 
 /// Request that waits in the DispatchQueue for a slot at an upstream.
@@ -132,8 +129,6 @@
     m_Reservation.onArrival(Service.m_Id, Priority, slotTime(*Service.m_Engine, PromptTokens),
                             monotonicNow());
   }
-  /// Records that a request started at an engine, and whether it did so after its target latency.
-  void recordEngineStart(const PlacementRequest &Request, bool IsLate);
   /// Undoes a placement whose request was not sent.
   void undoPlacement(const Placement &Unsent, std::uint32_t PromptTokens);
   /// Ends a request that was placed at `Upstream`. `UnreadTokens` is the size of its prompt if the
@@ -317,7 +312,6 @@
   LoadBalancer m_LoadBalancer;
   DispatchQueue m_Queue;
   RankReservation m_Reservation;
-  StartTimeLimiter m_StartLimiter;
   DataCentreReachability m_Reachability;
   RetryDelays m_RetryDelays;
   std::unordered_map<ServiceId, RetryBudget> m_RetryBudgets;
@@ -357,7 +351,6 @@
   CounterMetric &m_RateRefusedSends;
   CounterMetric &m_ReachabilityChanges;
   CounterMetric &m_ReservedSlots;
-  CounterMetric &m_StartLimited;
   HistogramMetric &m_FirstByte;
   HistogramMetric &m_Start;
   HistogramMetric &m_Wait;
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -143,7 +143,6 @@
   m_Model = ModelId(std::string(m_Request[Names.m_Model]));
   m_PromptTokens = parsePromptTokens(m_Request[Names.m_TokenUsage]);
   const ServicePlan *Plan = m_Plan->service(m_Service);
-  m_IsEngineStream = Plan && Plan->m_Engine && isStream(m_Route->m_Kind);
   m_IsRanked = Plan && Plan->m_Engine && m_Plan->hasRanks(m_Service);
   if (m_IsRanked && !m_IsRetry)
     m_Core.recordDemand(*Plan, m_Priority, m_PromptTokens);
@@ -240,7 +239,6 @@
   Queueing.m_IsRetry = m_IsRetry && !m_HeaderSent;
   // A stream that was interrupted resumes in the slot that its lost upstream held.
   Queueing.m_IsRanked = m_IsRanked && !m_HeaderSent;
-  Queueing.m_IsLimited = m_IsEngineStream && !m_HeaderSent;
   const TimePoint Start = monotonicNow();
   const Placement Found =
       co_await m_Core.waitForPlacement(std::move(Required), Queueing, m_PlacementWaiter);
@@ -679,8 +677,6 @@
 void RequestExchange::recordStart() {
   m_TimeToStart = m_LastUpstreamReadAt - m_DispatchedAt;
   m_Core.observeStart(kindName(), *m_TimeToStart);
-  if (m_IsEngineStream && !m_HeaderSent)
-    m_Core.recordEngineStart(placementRequest(), *m_TimeToStart > m_Route->m_TargetLatency);
   (*m_Running)->m_HasBegun = true;
   m_Core.recordBegun(m_SuspectRequest);
   endUnstarted(GatewayCore::UnstartedEnd::Started);
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -179,7 +179,6 @@
   std::string m_RequestId;
   int m_Priority = 0;
   bool m_IsRetry = false;
-  bool m_IsEngineStream = false;
   /// Whether the requests of the service compete by rank; see RouteTable::hasRanks().
   bool m_IsRanked = false;
   SuspectRequest m_SuspectRequest;
