--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -83,6 +83,15 @@
                            "Requests not sent because their upstream turned cold after they were "
                            "placed and this instance had no permit.",
                            {}})),
+      m_ReachabilityChanges(Metrics.counter(
+          {"fescuegauge_gateway_data_centre_reachability_changes_total",
+           "Data centres whose upstreams could no longer be reached, or could again.",
+           {{"change", 2}}})),
+      m_ReservedSlots(Metrics.counter(
+          {"fescuegauge_gateway_reserved_slots_total",
+           "Requests that found free slots on arrival, all reserved for requests with "
+           "a higher priority.",
+           {{"priority", 10}}})),
       m_FirstByte(
           Metrics.histogram({"fescuegauge_gateway_first_byte_seconds",
                              "Time from a request's arrival to the first byte of its response.",
@@ -116,6 +125,18 @@
   return Result;
 }
 
+Placement GatewayCore::tryAdmit(const PlacementRequest &Request, const WaitOptions &Queueing) {
+  if (Queueing.m_IsRanked &&
+      !m_Reservation.admits(Request.m_Service, Queueing.m_Priority,
+                            m_LoadBalancer.occupancy(Request, monotonicNow()))) {
+    Placement Denied;
+    Denied.m_Verdict = PlacementVerdict::AllFull;
+    Denied.m_IsReserved = true;
+    return Denied;
+  }
+  return tryPlace(Request);
+}
+
 void GatewayCore::undoPlacement(const Placement &Unsent, std::uint32_t PromptTokens) {
   m_LoadBalancer.rates().returnPermit(Unsent.m_Upstream.start(), Unsent.m_Permits);
   release(Unsent.m_Upstream.m_Id, DispatchResult::Abandoned, PromptTokens);
@@ -131,7 +152,9 @@
   Placement Immediate;
   Immediate.m_Verdict = PlacementVerdict::AllFull;
   if (!hasWaitingRival(Request)) {
-    Immediate = tryPlace(Request);
+    Immediate = tryAdmit(Request, Queueing);
+    if (Immediate.m_IsReserved)
+      m_ReservedSlots.add({std::to_string(Queueing.m_Priority)});
     if (Immediate.m_Verdict != PlacementVerdict::AllFull)
       co_return Immediate;
     // A permit of the rate limit is due only after the longest wait, and no slot becomes free
@@ -145,7 +168,7 @@
   m_LastNumber = m_LastNumber.next();
   Entry.m_Number = m_LastNumber;
   const ServiceId Service = Request.m_Service;
-  auto Waiting = std::make_shared<PlacementWaiter>(executor(), std::move(Request));
+  auto Waiting = std::make_shared<PlacementWaiter>(executor(), std::move(Request), Queueing);
   Waiter = Waiting;
   m_Waiters.emplace(Entry.m_Number, Waiting);
   m_Queue.push(Service, Entry);
@@ -176,10 +199,11 @@
   for (const auto &[Service, Count] : Services) {
     for (const WaitingNumber Number : m_Queue.order(Service)) {
       PlacementWaiter &Waiting = *m_Waiters.at(Number);
-      Placement NewPlacement = tryPlace(Waiting.m_Request);
+      Placement NewPlacement = tryAdmit(Waiting.m_Request, Waiting.m_Queueing);
       if (NewPlacement.m_Verdict != PlacementVerdict::Placed) {
         // If this request excludes no upstream, no slot is free for the others either.
-        if (Waiting.m_Request.m_Tried.empty() && !Waiting.m_Request.m_Regions.isRestricted())
+        if (Waiting.m_Request.m_Tried.empty() && !Waiting.m_Request.m_Regions.isRestricted() &&
+            !NewPlacement.m_IsReserved)
           break;
         continue;
       }
@@ -305,6 +329,55 @@
   }
 }
 
+void GatewayCore::onProgress(const UpstreamRecord &From, TimePoint Now) {
+  m_LoadBalancer.onProgress(From.m_Id, Now);
+  if (m_Reachability.onHeard(From.m_DataCentre, Now))
+    setReachable(From.m_DataCentre, true);
+}
+
+void GatewayCore::onConnectTimeout(const UpstreamRecord &To, TimePoint StartedAt) {
+  if (!m_Reachability.onTimeout(To.m_DataCentre, To.m_Id, StartedAt, monotonicNow()))
+    return;
+  setReachable(To.m_DataCentre, false);
+  spawnTask(executor(), "probe_data_centre", probeDataCentre(To.m_DataCentre));
+}
+
+Task<> GatewayCore::probeDataCentre(DataCentreId DataCentre) {
+  while (m_Reachability.isUnreachable(DataCentre)) {
+    co_await sleepFor(DataCentreReachability::ProbeInterval);
+    std::vector<UpstreamRecord> Listed = m_LoadBalancer.upstreamsIn(DataCentre);
+    // An upstream that leaves or asked for a pause must not get a connection either.
+    std::erase_if(Listed, [&](const UpstreamRecord &Each) {
+      return Each.m_IsLeaving || m_LoadBalancer.isLeaving(Each.start(), monotonicNow()) ||
+             m_LoadBalancer.isPaused(Each.start(), monotonicNow());
+    });
+    if (!m_Reachability.isUnreachable(DataCentre))
+      co_return;
+    if (Listed.empty()) {
+      m_Reachability.onHeard(DataCentre, monotonicNow());
+      setReachable(DataCentre, true);
+      co_return;
+    }
+    const UpstreamRecord &Probed = Listed[uniformBelow(m_Random, Listed.size())];
+    SystemError Error;
+    ConnectionPtr Opened = co_await m_Pool.open(Probed.m_Address, CrashCheckTimeout, Error);
+    if (!Opened)
+      continue;
+    m_Pool.putIdle(Opened, ConnectionPool::DefaultKeepAlive);
+    if (m_Reachability.onHeard(DataCentre, monotonicNow()))
+      setReachable(DataCentre, true);
+  }
+}
+
+void GatewayCore::setReachable(const DataCentreId &DataCentre, bool IsReachable) {
+  m_LoadBalancer.setReachable(DataCentre, IsReachable);
+  m_ReachabilityChanges.add({IsReachable ? "reachable" : "unreachable"});
+  logEvent(Severity::Warning, "data_centre_reachability",
+           {{"upstreamDataCentre", DataCentre}, {"reachable", IsReachable}});
+  if (IsReachable)
+    placeWaiting();
+}
+
 RunningAttempts::iterator GatewayCore::addRunning(RunningAttempt Attempt) {
   return m_Running.insert(m_Running.end(), std::move(Attempt));
 }
