--- a/review/standins-2/Rig.h
+++ b/review/standins-2/Rig.h
@@ -28,6 +28,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -544,6 +545,8 @@
     const std::string Output = m_Folder + "/" + m_Name + ".log";
     m_Process = ::fork();
     if (m_Process == 0) {
+      // It ends with the case, also if that is interrupted.
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int File = ::open(Output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(File, 1);
       ::dup2(File, 2);
