--- a/review/standins-2/BlockedSound.cpp
+++ b/review/standins-2/BlockedSound.cpp
@@ -1,4 +1,4 @@
-// Case 10: requests with one part of a prompt crash runners, until they are recognised. They still come when two runners
+// Case 7: requests with one part of a prompt crash runners, until they are recognised. They still come when two runners
 // crash for another reason, while they read sound requests of the same caller. These share another first part.
 #include "Manifest.h"
 #include "Rig.h"
--- a/review/standins-2/PoisonCaller.cpp
+++ b/review/standins-2/PoisonCaller.cpp
@@ -1,4 +1,4 @@
-// Case 9: a lookup that crashes each runner that begins to run it. It comes again with the same path, caller and body.
+// Case 10: a lookup that crashes each runner that begins to run it. It comes again with the same path, caller and body.
 // Another caller looks up the same path all the time, and that is harmless.
 #include "Manifest.h"
 #include "Rig.h"
--- a/review/standins-2/PoisonStream.cpp
+++ b/review/standins-2/PoisonStream.cpp
@@ -1,4 +1,4 @@
-// Case 7: a streaming request that crashes each runner that begins to run it. It comes again and again, as
+// Case 9: a streaming request that crashes each runner that begins to run it. It comes again and again, as
 // the pages say, with the same path, caller and body. The runner's process ends in the middle of the first event.
 #include "Manifest.h"
 #include "Rig.h"
