Gateway: log the move of a request away from a silent upstream

A move cancelled the attempt without a log line, so the logs of a stream that ended as cut-upstream-lost did not show whether its upstream had failed or had been left. request_moved names both upstreams and the time of silence, and request_finished counts the moves.

--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -834,6 +834,17 @@
       Placement Found = m_Core.tryPlace(placementRequest());
       if (Found.m_Verdict == PlacementVerdict::Placed) {
         if (takeRetry()) {
+          ++m_Moves;
+          m_Core.countAttempt("moved");
+          if (m_Core.tryAcquireLogLine(true))
+            logEvent(Severity::Info, "request_moved",
+                     {{"request", m_RequestId},
+                      {"upstream", m_CurrentUpstream},
+                      {"to", Found.m_Upstream.m_Id},
+                      {"attempt", m_AttemptsSent},
+                      {"silentSeconds", SilentTime},
+                      {"upstreamSilent", IsUpstreamSilent},
+                      {"events", m_ForwardedEvents}});
           m_NextPlacement = std::move(Found);
           m_SilentUpstream = m_CurrentUpstream;
           m_CurrentExchange->cancel();
@@ -1017,6 +1028,7 @@
             {"status", m_Status},
             {"returned", m_IsRetry},
             {"attempts", m_AttemptsSent},
+            {"moves", m_Moves},
             {"upstream", m_CurrentUpstream},
             {"allowedSeconds", m_Deadline == TimePoint() ? Duration(0) : m_Deadline - m_ArrivedAt},
             {"limit", m_IsLimitedByRoute ? "route" : "client"},
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -251,6 +251,8 @@
   std::optional<Duration> m_TimeToFirstByte;
   Duration m_QueueTime{0};
   std::uint64_t m_ForwardedEvents = 0;
+  /// Number of moves away from a stalled upstream.
+  std::uint32_t m_Moves = 0;
   /// Longest pause between two reads of a stream.
   Duration m_LongestPause{0};
 
