--- a/src/libgateway/FakeUpstream.h
+++ b/src/libgateway/FakeUpstream.h
@@ -14,6 +14,25 @@
 
 namespace fescuegauge::test {
 
+/// Whether the peer has closed or reset the connection.
+inline bool isClosedByPeer(Tcp::socket &Socket) {
+  char Byte = 0;
+  const auto Received = ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Received == 0 || (Received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+/// Returns false, before the delay is over, if the peer closes the connection.
+inline Task<bool> delayUnlessClosed(Tcp::socket &Socket, Duration Length) {
+  constexpr Duration CheckInterval = std::chrono::milliseconds(5);
+  const TimePoint End = monotonicNow() + Length;
+  for (TimePoint Now = monotonicNow(); Now < End; Now = monotonicNow()) {
+    co_await sleepFor(std::min(CheckInterval, End - Now));
+    if (isClosedByPeer(Socket))
+      co_return false;
+  }
+  co_return true;
+}
+
 /// Upstream whose responses a test scripts byte by byte.
 class FakeUpstream {
 public:
@@ -46,26 +65,6 @@
   void stopListening() { m_Server.stopListening(); }
 
 private:
-  /// Interval at which a delay checks whether the peer has closed the connection.
-  static constexpr Duration CloseCheckInterval = std::chrono::milliseconds(5);
-
-  /// Returns false if the peer closed the connection meanwhile.
-  static Task<bool> delayUnlessClosed(Tcp::socket &Socket, Duration Length) {
-    const TimePoint End = monotonicNow() + Length;
-    for (TimePoint Now = monotonicNow(); Now < End; Now = monotonicNow()) {
-      co_await sleepFor(std::min(CloseCheckInterval, End - Now));
-      if (isClosedByPeer(Socket))
-        co_return false;
-    }
-    co_return true;
-  }
-
-  static bool isClosedByPeer(Tcp::socket &Socket) {
-    char Byte = 0;
-    const auto Received = ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return Received == 0 || (Received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-  }
-
   Task<> serve(Tcp::socket Socket) {
     namespace http = boost::beast::http;
     ++m_Connections;
@@ -299,7 +298,7 @@
 }
 
 inline std::string chunk(const std::string &Bytes) {
-  char Size[16];
+  char Size[20];
   std::snprintf(Size, sizeof Size, "%zx\r\n", Bytes.size());
   return Size + Bytes + "\r\n";
 }
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -76,7 +76,7 @@
 using RunningAttempts = std::list<RunningAttempt>;
 
 /// State shared by all requests of a gateway: the plan, the routing state and the connections.
-class GatewayCore {
+class GatewayCore : public std::enable_shared_from_this<GatewayCore> {
 public:
   /// Requests are served for this time after the start of a drain, until the load balancer has
   /// noticed it and sends clients elsewhere.
--- /dev/null
+++ b/src/libgateway/PauseChecks.h
@@ -0,0 +1,377 @@
+#ifndef FESCUEGAUGE_LIBGATEWAY_PAUSECHECKS_H
+#define FESCUEGAUGE_LIBGATEWAY_PAUSECHECKS_H
+
+#include "PausingUpstream.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <map>
+#include <sstream>
+
+namespace fescuegauge::test {
+
+using namespace std::chrono_literals;
+
+enum class RequestKind { Stream, Safe, Once };
+inline constexpr std::array<const char *, 3> RequestKindNames = {"stream", "safe", "once"};
+inline constexpr std::array<const char *, 6> RunKindNames = {
+    "sound", "rejection", "break", "failure", "no-events", "other-version"};
+inline constexpr std::array<const char *, 5> PhaseNames = {
+    "before-header", "after-header", "between-events", "within-event", "before-end"};
+
+template <typename Names, typename Enum> std::string nameOf(const Names &Of, Enum Value) {
+  return Of.at(static_cast<std::size_t>(Value));
+}
+
+/// How the end of a response is marked.
+enum class Framing { Chunked, Length, Unframed };
+
+/// Number of upstreams that may run one request.
+constexpr std::size_t maxRuns(RequestKind Kind) { return Kind == RequestKind::Once ? 1 : 2; }
+
+/// One request of a client, and what the client received.
+struct ClientCall {
+  std::string m_Id;
+  RequestKind m_Kind = RequestKind::Stream;
+  std::size_t m_Account = 0;
+  Duration m_Start{0};
+  Duration m_Allowed{0};
+  /// The client closes its connection this long after sending.
+  std::optional<Duration> m_LeaveAfter;
+  int m_Events = 0;
+  Duration m_EventGap{0};
+  Framing m_Framing = Framing::Chunked;
+
+  TimePoint m_SentAt;
+  std::optional<TimePoint> m_LeftAt;
+  std::optional<TimePoint> m_EndedAt;
+  RawResponse m_Response;
+  bool m_IsDone = false;
+  /// In the order of their arrival.
+  std::vector<UpstreamRun *> m_Runs;
+
+  std::string bytes() const {
+    return "POST /" + nameOf(RequestKindNames, m_Kind) +
+           "/x HTTP/1.1\r\nHost: host.example\r\nRequest-Id: " + m_Id + "\r\nAccount-Key: key-" +
+           std::to_string(m_Account) + "\r\nDeadline-Ms: " +
+           std::to_string(
+               std::chrono::duration_cast<std::chrono::milliseconds>(m_Allowed).count()) +
+           "\r\nContent-Length: 4\r\n\r\nbody";
+  }
+};
+
+/// The text that one run of a request sends as an event. It differs between runs.
+inline std::string eventText(const UpstreamRun &Run, std::size_t RunNumber, int Event) {
+  return "id: " + std::to_string(Event) + "\ndata: " + Run.m_RequestId + " run-" +
+         std::to_string(RunNumber) + " version-" + std::to_string(Run.m_WeightsVersion) + "\n\n";
+}
+
+/// The body of a plain response.
+inline std::string plainBody(const UpstreamRun &Run, std::size_t RunNumber) {
+  return eventText(Run, RunNumber, 0) + std::string(200, 'x');
+}
+
+/// Pauses longer than this may make the gateway ask another upstream.
+inline constexpr Duration StallTime = 900ms;
+
+/// Counts the checks and the faults of all seeds, and collects the violations.
+class Findings {
+public:
+  /// Every name must be counted at least once over all seeds.
+  void expect(const std::string &Name) { m_Counts[Name]; }
+  void count(const std::string &Name) { ++m_Counts[Name]; }
+  void check(const std::string &Name, bool Holds, const std::string &Detail) {
+    count("check." + Name);
+    if (!Holds)
+      m_Violations.push_back(Name + ": " + Detail);
+  }
+
+  const std::vector<std::string> &violations() const { return m_Violations; }
+  std::vector<std::string> missing() const {
+    std::vector<std::string> Result;
+    for (const auto &[Name, Count] : m_Counts)
+      if (Count == 0)
+        Result.push_back(Name);
+    return Result;
+  }
+  std::string summary() const {
+    std::ostringstream Text;
+    for (const auto &[Name, Count] : m_Counts)
+      Text << Name << '=' << Count << ' ';
+    return Text.str();
+  }
+
+private:
+  std::map<std::string, std::size_t> m_Counts;
+  std::vector<std::string> m_Violations;
+};
+
+/// Bounds that apply to all requests of a scenario.
+struct ScenarioBounds {
+  /// When a draining gateway ends its requests.
+  TimePoint m_Cutoff = TimePoint::max();
+  /// The longest time in which the test did not handle events.
+  Duration m_LongestDelay{0};
+};
+
+/// Checks on one request after the end of its scenario.
+class CallChecker {
+public:
+  CallChecker(const ClientCall &Call, const ScenarioBounds &Bounds, std::uint64_t Seed,
+              Findings &Result)
+      : m_Call(Call), m_Bounds(Bounds), m_Seed(Seed), m_Result(Result) {}
+
+  void checkAll() {
+    readEvents();
+    checkAnswered();
+    checkNotLost();
+    checkRuns();
+    checkNotRunStatus();
+    if (m_Call.m_Response.status() == 200) {
+      if (m_Call.m_Kind == RequestKind::Stream)
+        checkStream();
+      else
+        checkPlain();
+    }
+    checkClosed();
+  }
+
+private:
+  /// An event that the client received, and the run that sent it.
+  struct ReceivedEvent {
+    int m_Id = 0;
+    std::size_t m_Run = 0;
+  };
+
+  /// Allows for a response that takes some time to be forwarded.
+  static constexpr Duration DeadlineMargin = 300ms;
+  /// Time after the end of a request at which no upstream may still have an open connection for it.
+  static constexpr Duration MaxCloseTime = 500ms;
+  /// The gateway may decide before it has read an event that was sent this recently.
+  static constexpr Duration TransitTime = 20ms;
+
+  bool isWhole() const {
+    return m_Call.m_Response.status() == 200 && m_Call.m_Response.isComplete();
+  }
+  void check(const std::string &Name, bool Holds, const std::string &Detail = "") {
+    m_Result.check(Name, Holds, Holds ? "" : Detail + describe());
+  }
+
+  std::string describe() const {
+    std::ostringstream Text;
+    const auto Seconds = [&](TimePoint At) {
+      return std::chrono::duration<double>(At - m_Call.m_SentAt).count();
+    };
+    Text << " [seed " << m_Seed << ", " << m_Call.m_Id << " "
+         << nameOf(RequestKindNames, m_Call.m_Kind) << " of " << m_Call.m_Events
+         << " events, allowed " << std::chrono::duration<double>(m_Call.m_Allowed).count()
+         << " s, status " << m_Call.m_Response.status() << ", "
+         << (m_Call.m_Response.isComplete() ? "whole" : "cut") << " with " << m_Events.size()
+         << " events";
+    if (m_Call.m_EndedAt)
+      Text << " at " << Seconds(*m_Call.m_EndedAt);
+    if (m_Call.m_LeftAt)
+      Text << ", client left at " << Seconds(*m_Call.m_LeftAt);
+    for (const UpstreamRun *Run : m_Call.m_Runs) {
+      Text << "; " << Run->m_Upstream.str() << " " << nameOf(RunKindNames, Run->m_Kind) << " from "
+           << Seconds(Run->m_ArrivedAt) << " after event " << Run->m_ResumedAfter << ", sent "
+           << Run->m_EventTimes.size() << ", paused "
+           << std::chrono::duration<double>(Run->m_PausedTime).count();
+      if (Run->m_AbandonedAt)
+        Text << ", closed at " << Seconds(*Run->m_AbandonedAt);
+      if (Run->m_EndedAt)
+        Text << ", end at " << Seconds(*Run->m_EndedAt);
+    }
+    Text << "]";
+    return Text.str();
+  }
+
+  /// Splits the stream that the client received into events.
+  void readEvents() {
+    if (m_Call.m_Kind != RequestKind::Stream || m_Call.m_Response.status() != 200)
+      return;
+    const std::string Body = dechunked(m_Call.m_Response.m_Bytes);
+    for (std::size_t At = 0; At < Body.size();) {
+      const std::size_t End = Body.find("\n\n", At);
+      if (End == std::string::npos) {
+        m_HasForeignBytes = true;
+        return;
+      }
+      readEvent(Body.substr(At, End + 2 - At));
+      At = End + 2;
+    }
+  }
+
+  void readEvent(const std::string &Text) {
+    const int Id = Text.starts_with("id: ") ? std::atoi(Text.c_str() + 4) : 0;
+    for (std::size_t I = 0; I < m_Call.m_Runs.size(); ++I)
+      if (Text == eventText(*m_Call.m_Runs[I], I, Id)) {
+        m_Events.push_back({Id, I});
+        return;
+      }
+    m_HasForeignBytes = true;
+  }
+
+  /// The body of a chunked response as far as it was received in whole chunks.
+  static std::string dechunked(const std::string &Response) {
+    std::string Body;
+    std::size_t At = Response.find("\r\n\r\n");
+    while (At != std::string::npos && At + 4 <= Response.size()) {
+      const std::size_t SizeAt = Body.empty() ? At + 4 : At;
+      const std::size_t LineEnd = Response.find("\r\n", SizeAt);
+      if (LineEnd == std::string::npos)
+        break;
+      const std::size_t Size =
+          std::stoul("0" + Response.substr(SizeAt, LineEnd - SizeAt), nullptr, 16);
+      if (Size == 0 || LineEnd + 4 + Size > Response.size())
+        break;
+      Body += Response.substr(LineEnd + 2, Size);
+      At = LineEnd + 4 + Size;
+    }
+    return Body;
+  }
+
+  /// A request whose response has not begun ends with a response.
+  void checkAnswered() {
+    if (m_Call.m_LeftAt)
+      return;
+    const bool HasBegun = !m_Events.empty();
+    check("answered", m_Call.m_Response.isComplete() || HasBegun, "neither answer nor refusal");
+  }
+
+  /// Whether the run would have sent the whole response in time.
+  bool isSound(const UpstreamRun &Run) const {
+    const TimePoint Deadline = std::min(m_Call.m_SentAt + m_Call.m_Allowed, m_Bounds.m_Cutoff);
+    return Run.m_Kind == RunKind::Sound && Run.m_EndedAt &&
+           *Run.m_EndedAt <= Deadline - DeadlineMargin;
+  }
+
+  /// A request of which one upstream would have sent the whole response in time gets one.
+  void checkNotLost() {
+    if (m_Call.m_LeftAt)
+      return;
+    for (const UpstreamRun *Run : m_Call.m_Runs) {
+      if (!isSound(*Run))
+        continue;
+      if (Run->m_PausedTime > StallTime)
+        m_Result.count("check.not-lost-after-long-pause");
+      check("not-lost", isWhole() || wasOvertaken(*Run), causeOfLoss(*Run));
+    }
+  }
+
+  /// Whether the client got a later event of another run than this one had sent when the gateway
+  /// closed its connection, and that run would not have sent the whole response in time.
+  bool wasOvertaken(const UpstreamRun &Run) const {
+    if (m_Events.empty())
+      return false;
+    const UpstreamRun &Last = *m_Call.m_Runs[m_Events.back().m_Run];
+    if (&Last == &Run || isSound(Last))
+      return false;
+    const TimePoint Until = Run.m_AbandonedAt.value_or(TimePoint::max() - TransitTime) -
+                            TransitTime - m_Bounds.m_LongestDelay;
+    const auto Sent = std::count_if(Run.m_EventTimes.begin(), Run.m_EventTimes.end(),
+                                    [&](TimePoint At) { return At <= Until; });
+    return m_Events.back().m_Id > Run.m_ResumedAfter + Sent;
+  }
+
+  std::string causeOfLoss(const UpstreamRun &Lost) const {
+    std::string Cause = "of " + Lost.m_Upstream.str() + "; others:";
+    for (const UpstreamRun *Run : m_Call.m_Runs)
+      if (Run != &Lost)
+        Cause += " " + nameOf(RunKindNames, Run->m_Kind);
+    return Cause;
+  }
+
+  void checkRuns() {
+    if (m_Call.m_Runs.empty())
+      return;
+    bool WasRun = false;
+    bool IsRepeated = false;
+    std::size_t RunCount = 0;
+    for (const UpstreamRun *Run : m_Call.m_Runs) {
+      IsRepeated = IsRepeated || WasRun;
+      if (Run->m_Kind == RunKind::Rejection)
+        continue;
+      WasRun = true;
+      ++RunCount;
+    }
+    if (m_Call.m_Kind == RequestKind::Once)
+      check("at-most-once", !IsRepeated);
+    check("attempts-of-route", RunCount <= maxRuns(m_Call.m_Kind));
+  }
+
+  /// Some statuses promise that the request was not run.
+  void checkNotRunStatus() {
+    const unsigned Status = m_Call.m_Response.status();
+    if (Status != 408 && Status != 421 && Status != 429 && Status != 503)
+      return;
+    const bool WasRun =
+        std::any_of(m_Call.m_Runs.begin(), m_Call.m_Runs.end(),
+                    [](const UpstreamRun *Run) { return Run->m_Kind != RunKind::Rejection; });
+    check("not-run-status", !WasRun);
+  }
+
+  /// The events are in order, each of a run that resumed where the one before it ended, and of one
+  /// version of the weights.
+  void checkStream() {
+    bool IsOrdered = !m_HasForeignBytes;
+    bool IsOneVersion = true;
+    for (std::size_t I = 0; I < m_Events.size(); ++I) {
+      const UpstreamRun &Run = *m_Call.m_Runs[m_Events[I].m_Run];
+      IsOrdered = IsOrdered && m_Events[I].m_Id == static_cast<int>(I) + 1;
+      const bool IsFirstOfRun = I == 0 || m_Events[I].m_Run != m_Events[I - 1].m_Run;
+      if (IsFirstOfRun)
+        IsOrdered = IsOrdered && Run.m_ResumedAfter == static_cast<int>(I) &&
+                    (I == 0 || m_Events[I].m_Run > m_Events[I - 1].m_Run);
+      IsOneVersion =
+          IsOneVersion &&
+          m_Call.m_Response.contains("Weights-Version: " + std::to_string(Run.m_WeightsVersion));
+      if (I > 0 && IsFirstOfRun)
+        m_Result.count("fault-effect.joined-runs");
+    }
+    check("order", IsOrdered, "events");
+    check("one-version", IsOneVersion);
+    if (!m_Call.m_Response.isComplete())
+      return;
+    const bool IsEmptyResponse =
+        m_Events.empty() &&
+        std::any_of(m_Call.m_Runs.begin(), m_Call.m_Runs.end(),
+                    [](const UpstreamRun *Run) { return Run->m_Kind == RunKind::NoEvents; });
+    check("whole-stream", IsEmptyResponse || static_cast<int>(m_Events.size()) == m_Call.m_Events);
+  }
+
+  /// The body is the whole body of one run.
+  void checkPlain() {
+    if (!m_Call.m_Response.isComplete())
+      return;
+    bool IsOfRun = false;
+    for (std::size_t I = 0; I < m_Call.m_Runs.size(); ++I)
+      IsOfRun = IsOfRun ||
+                (m_Call.m_Runs[I]->m_Kind == RunKind::Sound &&
+                 m_Call.m_Response.m_Bytes.ends_with("\r\n\r\n" + plainBody(*m_Call.m_Runs[I], I)));
+    check("whole-plain", IsOfRun);
+  }
+
+  /// After the end of the request, no upstream works on it.
+  void checkClosed() {
+    const std::optional<TimePoint> End = m_Call.m_LeftAt ? m_Call.m_LeftAt : m_Call.m_EndedAt;
+    if (!End)
+      return;
+    const TimePoint Limit = *End + MaxCloseTime + m_Bounds.m_LongestDelay;
+    for (const UpstreamRun *Run : m_Call.m_Runs)
+      if (Run->m_EndedAt && *Run->m_EndedAt > Limit)
+        check("closed", Run->m_AbandonedAt && *Run->m_AbandonedAt <= Limit);
+  }
+
+  const ClientCall &m_Call;
+  const ScenarioBounds &m_Bounds;
+  std::uint64_t m_Seed;
+  Findings &m_Result;
+  std::vector<ReceivedEvent> m_Events;
+  bool m_HasForeignBytes = false;
+};
+
+} // namespace fescuegauge::test
+
+#endif // FESCUEGAUGE_LIBGATEWAY_PAUSECHECKS_H
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -92,7 +92,7 @@
     : m_Core(Core), m_Client(std::move(Client)), m_Request(std::move(Request)),
       m_ArrivedAt(ArrivedAt), m_KeepAlive(m_Request.keep_alive()), m_Plan(Core.plan()),
       m_DeadlineTimer(Core.executor()), m_StallTimer(Core.executor()),
-      m_LastUpstreamReadAt(ArrivedAt) {}
+      m_BackupEnded(Core.executor()) {}
 
 std::string_view RequestExchange::kindName() const {
   if (!m_Route)
@@ -202,31 +202,17 @@
 }
 
 Task<> RequestExchange::dispatch() {
-  std::optional<Placement> Next;
   while (true) {
-    if (!Next) {
-      Next = co_await acquirePlacement();
-      if (!Next) {
-        co_await finishWithFailure();
-        co_return;
-      }
+    const std::optional<Placement> Chosen = co_await acquirePlacement();
+    if (!Chosen) {
+      co_await finishWithFailure();
+      co_return;
     }
-    const Placement Chosen = *Next;
-    Next.reset();
-    const AttemptEnd End = co_await performAttempt(Chosen);
+    const AttemptEnd End = co_await performAttempts(*Chosen);
     if (End == AttemptEnd::Delivered) {
       m_Outcome = "delivered";
       co_return;
     }
-    if (End == AttemptEnd::Moved) {
-      Next = std::move(m_NextPlacement);
-      m_NextPlacement.reset();
-      continue;
-    }
-    const bool HasNotRun = End == AttemptEnd::Rejected || End == AttemptEnd::NotSent ||
-                           End == AttemptEnd::NoLongerEligible;
-    if (HasNotRun && m_SilentUpstream)
-      std::erase(m_TriedUpstreams, *std::exchange(m_SilentUpstream, std::nullopt));
     const bool WasNotSent = (End == AttemptEnd::NotSent || End == AttemptEnd::NoLongerEligible) &&
                             ++m_ConnectFailures <= MaxConnectFailures;
     if (isInterrupted() || m_IsClientLost || isQuarantined() || (!WasNotSent && !takeRetry())) {
@@ -290,25 +276,26 @@
   return Request;
 }
 
-bool RequestExchange::prepareSend(const UpstreamRecord &To, ClientRequest &Request) {
+bool RequestExchange::prepareSend(RequestAttempt &This, ClientRequest &Request) {
   const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(remainingTime());
   // If the event loop is delayed, the deadline timer is late too.
   if (Left.count() <= 0) {
-    m_TimedOut = true;
     m_DeadlineTimer.cancel();
+    onDeadline();
   }
   if (isInterrupted() || isTooLateToStart() || isQuarantined() ||
-      !m_Core.loadBalancer().canStillSend(To, placementRequest(), monotonicNow()) ||
-      !ensurePermit(To))
+      !m_Core.loadBalancer().canStillSend(This.upstream(), placementRequest(), monotonicNow()) ||
+      !ensurePermit(This))
     return false;
   Request.set(m_Core.headerNames().m_Deadline, std::to_string(Left.count()));
   return true;
 }
 
-bool RequestExchange::ensurePermit(const UpstreamRecord &To) {
+bool RequestExchange::ensurePermit(RequestAttempt &This) {
   const TimePoint Now = monotonicNow();
+  const UpstreamRecord &To = This.upstream();
   SharedRates &Rates = m_Core.loadBalancer().rates();
-  if (Rates.takePermit(To.start(), To.m_DataCentre, m_Permits, Now) ==
+  if (Rates.takePermit(To.start(), To.m_DataCentre, This.m_Permits, Now) ==
       SharedRates::Permit::Refused) {
     if (Rates.cold().coldUntil(To.start(), Now))
       m_Core.countColdWithheldSend();
@@ -316,58 +303,69 @@
       m_Core.countRateRefusedSend();
     return false;
   }
-  Rates.onSending(To.start(), m_Permits, Now);
+  Rates.onSending(To.start(), This.m_Permits, Now);
   return true;
 }
 
-Task<RequestExchange::AttemptEnd> RequestExchange::performAttempt(const Placement &Chosen) {
-  const UpstreamRecord &To = Chosen.m_Upstream;
+Task<AttemptEnd> RequestExchange::performAttempts(const Placement &Chosen) {
+  AttemptPtr Latest = std::make_shared<RequestAttempt>();
+  Latest->m_Placement = Chosen;
+  m_Current = Latest;
+  const ScopeExit EndOthers([this] {
+    m_StallTimer.cancel();
+    for (const AttemptPtr &Each : {m_Current, m_Backup})
+      if (Each && Each->m_Exchange)
+        Each->cancel(RequestAttempt::Cancellation::Unneeded);
+    m_Backup.reset();
+  });
+  scheduleStallCheck();
+  AttemptEnd End = co_await performAttempt(*Latest);
+  while (true) {
+    // A backup attempt in flight goes on alone.
+    if (m_Current == Latest && m_Backup && !isInterrupted())
+      m_Current = std::exchange(m_Backup, nullptr);
+    if (m_Current == Latest)
+      co_return End;
+    Latest = m_Current;
+    End = co_await waitForEnd(*Latest);
+  }
+}
+
+Task<AttemptEnd> RequestExchange::performAttempt(RequestAttempt &This) {
+  const UpstreamRecord &To = This.upstream();
   const bool IsAtMostOnce = !isRepeatable(m_Route->m_Kind);
-  if (!AtMostOnceSentOnce.check(!IsAtMostOnce || !m_MayHaveRun, m_RequestId)) {
-    m_Core.undoPlacement(Chosen, m_PromptTokens);
+  if (!AtMostOnceSentOnce.check(!IsAtMostOnce || !mayHaveRun(), m_RequestId)) {
+    m_Core.undoPlacement(This.m_Placement, m_PromptTokens);
     co_return AttemptEnd::Failed;
   }
   m_TriedUpstreams.push_back(To.m_Id);
-  m_NextPlacement.reset();
-  m_WasPauseRequested = false;
-  m_Permits = Chosen.m_Permits;
-  m_Withdrawn = false;
-  ScopeExit Abort([&] { endAttempt(Chosen, AttemptEnd::Aborted); });
-  // A version is binding only once the client has received a part of the stream.
-  if (!m_HeaderSent)
-    m_StreamVersion.reset();
-  auto Sent = std::make_shared<UpstreamExchange>(m_Core.pool(), m_Core.headerNames(),
-                                                 upstreamRequest(To), m_RequestId);
-  m_CurrentExchange = Sent;
-  m_CurrentUpstream = To.m_Id;
-  m_UnreadTokens = m_PromptTokens;
-  m_LastUpstreamReadAt = m_DispatchedAt = monotonicNow();
-  m_TimeToStart.reset();
-  m_PlacedWeights = To.heldVersion(m_Model);
-  m_AnsweredWeights.reset();
-  scheduleStallCheck();
-  m_Running = m_Core.addRunning({To.start(), m_SuspectRequest, m_RequestId, Sent});
+  This.m_Permits = This.m_Placement.m_Permits;
+  ScopeExit Abort([&] { endAttempt(This, AttemptEnd::Aborted); });
+  This.m_Exchange = std::make_shared<UpstreamExchange>(m_Core.pool(), m_Core.headerNames(),
+                                                       upstreamRequest(To), m_RequestId);
+  This.m_UnreadTokens = m_PromptTokens;
+  This.m_LastReadAt = This.m_DispatchedAt = monotonicNow();
+  This.m_PlacedWeights = To.heldVersion(m_Model);
+  This.m_Running = m_Core.addRunning({To.start(), m_SuspectRequest, m_RequestId, This.m_Exchange});
   // Only a stream shows when the request has begun: a plain response comes at the end of the run.
   const ServicePlan *Service = m_Plan->service(m_Service);
   if (Service && Service->m_Engine && !m_Model.empty() && isStream(m_Route->m_Kind))
-    m_UnstartedNumber = m_Core.addUnstarted(m_Model, To, [this] { withdraw(); });
-  const AttemptEnd End = co_await sendAndRelay(Chosen, *Sent);
+    This.m_UnstartedNumber = m_Core.addUnstarted(m_Model, To, [this, &This] { withdraw(This); });
+  const AttemptEnd End = co_await sendAndRelay(This);
   Abort.dismiss();
-  co_return endAttempt(Chosen, End);
+  co_return endAttempt(This, End);
 }
 
-RequestExchange::AttemptEnd RequestExchange::endAttempt(const Placement &Chosen, AttemptEnd End) {
-  const UpstreamRecord &To = Chosen.m_Upstream;
+AttemptEnd RequestExchange::endAttempt(RequestAttempt &This, AttemptEnd End) {
+  const UpstreamRecord &To = This.upstream();
   const bool HasFailed =
       End == AttemptEnd::Failed || End == AttemptEnd::Interrupted || End == AttemptEnd::Aborted;
-  endUnstarted(HasFailed ? GatewayCore::UnstartedEnd::NotBegun
-                         : GatewayCore::UnstartedEnd::NoSample);
-  m_StallTimer.cancel();
-  const std::shared_ptr<UpstreamExchange> Sent = std::exchange(m_CurrentExchange, nullptr);
-  const bool Moved = End == AttemptEnd::Failed && m_NextPlacement.has_value();
-  const bool IsAbandoned = isInterrupted() || Moved || m_Withdrawn || End == AttemptEnd::Aborted;
+  endUnstarted(This, HasFailed ? GatewayCore::UnstartedEnd::NotBegun
+                               : GatewayCore::UnstartedEnd::NoSample);
+  const std::shared_ptr<UpstreamExchange> Sent = std::exchange(This.m_Exchange, nullptr);
+  const bool IsAbandoned = isInterrupted() || This.isCancelled() || End == AttemptEnd::Aborted;
   // Absent if an exception ended the attempt before it was registered.
-  if (const auto Running = std::exchange(m_Running, std::nullopt)) {
+  if (const auto Running = std::exchange(This.m_Running, std::nullopt)) {
     if (End == AttemptEnd::Failed && !IsAbandoned)
       m_Core.checkCrash(To, **Running);
     if (IsAbandoned)
@@ -378,23 +376,91 @@
   if (Sent)
     Sent->finish();
 
+  // An upstream that was silent until its backup took over counts as failed.
+  const bool WasGivenUp =
+      This.isCancelled() && This.m_Cancellation != RequestAttempt::Cancellation::TakenOver;
   DispatchResult Result = DispatchResult::Failed;
-  if (isInterrupted() || (m_Withdrawn && End == AttemptEnd::Failed) ||
+  if (isInterrupted() || (WasGivenUp && End == AttemptEnd::Failed) ||
       End == AttemptEnd::NoLongerEligible || End == AttemptEnd::Aborted)
     Result = DispatchResult::Abandoned;
   else if (End == AttemptEnd::Delivered || End == AttemptEnd::FailureResponse)
     Result = DispatchResult::Answered;
   else if (End == AttemptEnd::Rejected)
-    Result = m_WasPauseRequested ? DispatchResult::Deferred : DispatchResult::Rejected;
-  m_Core.release(To.m_Id, Result, std::exchange(m_UnreadTokens, 0));
-  if (m_NextPlacement && !Moved) {
-    m_Core.undoPlacement(*m_NextPlacement, m_PromptTokens);
-    m_NextPlacement.reset();
+    Result = This.m_WasPauseRequested ? DispatchResult::Deferred : DispatchResult::Rejected;
+  m_Core.release(To.m_Id, Result, std::exchange(This.m_UnreadTokens, 0));
+  return End;
+}
+
+void RequestExchange::startBackup(Duration SilentTime) {
+  if (m_Backup || m_BackupAttempts >= MaxBackupAttempts || !isRepeatable(m_Route->m_Kind) ||
+      !canRetry())
+    return;
+  Placement Found = m_Core.tryPlace(placementRequest());
+  if (Found.m_Verdict != PlacementVerdict::Placed)
+    return;
+  if (!takeRetry()) {
+    m_Core.undoPlacement(Found, m_PromptTokens);
+    return;
+  }
+  ++m_BackupAttempts;
+  m_Core.countAttempt("backup");
+  if (m_Core.tryAcquireLogLine(true))
+    logEvent(Severity::Info, "backup_attempt_started",
+             {{"request", m_RequestId},
+              {"upstream", m_Current->upstream().m_Id},
+              {"backup", Found.m_Upstream.m_Id},
+              {"attempt", m_Current->m_Number},
+              {"silentSeconds", SilentTime},
+              {"events", m_ForwardedEvents}});
+  m_Backup = std::make_shared<RequestAttempt>();
+  m_Backup->m_Placement = std::move(Found);
+  m_Backup->m_IsBackup = true;
+  spawnTask(m_Core.executor(), "backup_attempt", runBackup(m_Backup));
+}
+
+Task<> RequestExchange::runBackup(AttemptPtr Backup) {
+  // A cancelled attempt may end after its request.
+  const std::shared_ptr<GatewayCore> Core = m_Core.shared_from_this();
+  const std::shared_ptr<RequestExchange> Self = shared_from_this();
+  try {
+    Backup->m_End = co_await performAttempt(*Backup);
+  } catch (const std::exception &Error) {
+    Backup->m_End = AttemptEnd::Aborted;
+    Backup->m_Exception = std::current_exception();
+    logEvent(Severity::Error, "backup_attempt_aborted",
+             {{"request", m_RequestId}, {"reason", Error.what()}});
   }
-  return Moved ? AttemptEnd::Moved : End;
+  // The request stays with the attempt that it has.
+  if (m_Backup == Backup)
+    m_Backup.reset();
+  m_BackupEnded.notifyAll();
 }
 
-void RequestExchange::recordRateLimit(const UpstreamExchange &Sent, const UpstreamRecord &From) {
+Task<AttemptEnd> RequestExchange::waitForEnd(const RequestAttempt &Backup) {
+  while (!Backup.m_End)
+    co_await m_BackupEnded.waitUntil(TimePoint::max());
+  if (Backup.m_Exception)
+    std::rethrow_exception(Backup.m_Exception);
+  co_return *Backup.m_End;
+}
+
+bool RequestExchange::claimResponse(const RequestAttempt &By) {
+  if (By.isCancelled())
+    return false;
+  const bool IsTakenOver = m_Backup.get() == &By;
+  if (IsTakenOver)
+    std::swap(m_Current, m_Backup);
+  if (const AttemptPtr Other = std::exchange(m_Backup, nullptr)) {
+    logAttempt(*Other, IsTakenOver ? "taken-over" : "unneeded", "");
+    Other->cancel(IsTakenOver ? RequestAttempt::Cancellation::TakenOver
+                              : RequestAttempt::Cancellation::Unneeded);
+  }
+  return true;
+}
+
+void RequestExchange::recordRateLimit(const RequestAttempt &This) {
+  const UpstreamExchange &Sent = *This.m_Exchange;
+  const UpstreamRecord &From = This.upstream();
   const UpstreamExchange::Header &ResponseHeader = Sent.header();
   // A 421 may come from another upstream that uses the address now.
   if (ResponseHeader.result_int() == StatusMisdirected)
@@ -413,8 +479,9 @@
   m_Core.recordRateLimit(From.start(), Named, Sent.sentAt());
 }
 
-void RequestExchange::recordCold(const UpstreamExchange &Sent, const UpstreamRecord &From) {
-  const UpstreamExchange::Header &ResponseHeader = Sent.header();
+void RequestExchange::recordCold(const RequestAttempt &This) {
+  const UpstreamRecord &From = This.upstream();
+  const UpstreamExchange::Header &ResponseHeader = This.m_Exchange->header();
   const auto Field = ResponseHeader.find(m_Core.headerNames().m_UpstreamCold);
   if (Field == ResponseHeader.end() || ResponseHeader.result_int() == StatusMisdirected)
     return;
@@ -425,12 +492,12 @@
              {{"upstream", From.m_Id}, {"value", std::string(Field->value())}});
 }
 
-void RequestExchange::processUpstreamStatements(const UpstreamExchange &Sent,
-                                                const UpstreamRecord &From) {
+void RequestExchange::processUpstreamStatements(RequestAttempt &This) {
   const TimePoint Now = monotonicNow();
-  const UpstreamExchange::Header &ResponseHeader = Sent.header();
-  recordRateLimit(Sent, From);
-  recordCold(Sent, From);
+  const UpstreamRecord &From = This.upstream();
+  const UpstreamExchange::Header &ResponseHeader = This.m_Exchange->header();
+  recordRateLimit(This);
+  recordCold(This);
   if (ResponseHeader.count(m_Core.headerNames().m_UpstreamLeaving) != 0 &&
       m_Core.loadBalancer().onLeaving(From.start(), Now))
     logEvent(Severity::Info, "upstream_leaving",
@@ -439,7 +506,7 @@
       ResponseHeader.count(http::field::retry_after) == 0)
     return;
   if (auto Pause = parsePause(std::string(ResponseHeader[http::field::retry_after]))) {
-    m_WasPauseRequested = true;
+    This.m_WasPauseRequested = true;
     m_Core.loadBalancer().onPauseRequested(From.start(), *Pause, Now);
     if (m_Core.tryAcquireLogLine(true))
       logEvent(Severity::Info, "upstream_pause_asked",
@@ -451,64 +518,63 @@
   }
 }
 
-Task<RequestExchange::AttemptEnd> RequestExchange::sendAndRelay(const Placement &Chosen,
-                                                                UpstreamExchange &Sent) {
+Task<AttemptEnd> RequestExchange::sendAndRelay(RequestAttempt &This) {
   const CallHeaderNames &Names = m_Core.headerNames();
-  const UpstreamRecord &From = Chosen.m_Upstream;
-  const bool MayHaveRunBefore = m_MayHaveRun;
-  // Set before sending: the request may run as soon as its first byte leaves.
-  m_MayHaveRun = true;
-  // Counted before sending, because canRetry() must count this attempt when it stalls.
-  ++m_AttemptsSent;
+  const UpstreamRecord &From = This.upstream();
+  UpstreamExchange &Sent = *This.m_Exchange;
+  // Counted before sending: the request may run as soon as its first byte leaves.
+  ++m_PossibleRuns;
+  This.m_Number = ++m_AttemptsSent;
   const Duration MaxIdleTime =
       isRepeatable(m_Route->m_Kind) ? Duration::max() : MaxIdleTimeAtMostOnce;
   const ExchangeError Error = co_await Sent.start(
       From.m_Address, MaxIdleTime, std::clamp(remainingTime(), Duration(0), ConnectTimeout),
-      [this, &From](ClientRequest &Request) { return prepareSend(From, Request); });
+      [this, &This](ClientRequest &Request) { return prepareSend(This, Request); });
   if (!Sent.wasSent()) {
     // An address without a host refuses within a round trip.
-    if (Error == ExchangeError::NotSent && monotonicNow() - m_DispatchedAt >= ConnectTimeout)
-      m_Core.onConnectTimeout(From, m_DispatchedAt);
-    m_MayHaveRun = MayHaveRunBefore;
+    if (Error == ExchangeError::NotSent && monotonicNow() - This.m_DispatchedAt >= ConnectTimeout)
+      m_Core.onConnectTimeout(From, This.m_DispatchedAt);
+    --m_PossibleRuns;
     --m_AttemptsSent;
-    m_Core.loadBalancer().rates().returnPermit(From.start(), std::exchange(m_Permits, {}));
-    if (Error == ExchangeError::NotSent)
+    m_Core.loadBalancer().rates().returnPermit(From.start(), std::exchange(This.m_Permits, {}));
+    if (Error == ExchangeError::NotSent && !This.isCancelled())
       m_Core.recordUnreachable(From.start());
-    logAttempt(Chosen, "not-sent", exchangeErrorName(Error));
+    logAttempt(This, "not-sent", exchangeErrorName(Error));
     co_return Error == ExchangeError::NotAllowed ? AttemptEnd::NoLongerEligible
                                                  : AttemptEnd::NotSent;
   }
-  if (m_Permits.m_ForNamedRate)
+  if (This.m_Permits.m_ForNamedRate)
     m_Core.countRateLimitedSend();
-  if (m_Permits.m_ForColdRate)
+  if (This.m_Permits.m_ForColdRate)
     m_Core.countColdSend();
-  if (m_AttemptsSent == 1)
+  if (This.m_Number == 1)
     m_Core.retryBudget(m_Service).onFirstAttempt(m_Account);
-  if (Error != ExchangeError::None) {
-    m_IsResponseMalformed = Error == ExchangeError::Malformed;
-    if (!m_Withdrawn)
-      logAttempt(Chosen, "failed", exchangeErrorName(Error));
+  if (Error != ExchangeError::None || This.isCancelled()) {
+    if (!This.isCancelled()) {
+      m_IsResponseMalformed = Error == ExchangeError::Malformed;
+      logAttempt(This, "failed", exchangeErrorName(Error));
+    }
     co_return isInterrupted() ? AttemptEnd::Interrupted : AttemptEnd::Failed;
   }
-  m_LastUpstreamReadAt = monotonicNow();
-  m_Core.onProgress(From, m_LastUpstreamReadAt);
+  This.m_LastReadAt = monotonicNow();
+  m_Core.onProgress(From, This.m_LastReadAt);
   const UpstreamExchange::Header &ResponseHeader = Sent.header();
   const unsigned Status = ResponseHeader.result_int();
-  processUpstreamStatements(Sent, From);
+  processUpstreamStatements(This);
   if (auto Version =
           parseNumber<std::uint64_t>(std::string(ResponseHeader[Names.m_WeightsVersion])))
-    m_AnsweredWeights = WeightsVersion(*Version);
+    This.m_AnsweredWeights = WeightsVersion(*Version);
   if (ResponseHeader.count(Names.m_NotRun) != 0 || Status == StatusMisdirected) {
-    m_MayHaveRun = MayHaveRunBefore;
-    if (MayHaveRunBefore)
-      m_UncountedRejections = std::min(m_UncountedRejections + 1, MaxUncountedRejections);
+    --m_PossibleRuns;
+    if (This.m_IsBackup || (mayHaveRun() && m_ResumptionRejections++ < MaxUncountedRejections))
+      ++m_UncountedRejections;
     co_await Sent.discardRest(RejectionTimeout);
-    logAttempt(Chosen, "rejected", std::to_string(Status));
+    logAttempt(This, "rejected", std::to_string(Status));
     co_return AttemptEnd::Rejected;
   }
   if (ResponseHeader.count(http::field::content_encoding) != 0) {
     m_IsResponseMalformed = true;
-    logAttempt(Chosen, "failed", "content-encoding");
+    logAttempt(This, "failed", "content-encoding");
     co_return AttemptEnd::Failed;
   }
   const bool IsEvents = isStream(m_Route->m_Kind) && Status == 200 &&
@@ -516,53 +582,57 @@
                                            .substr(0, EventStreamType.size()),
                                        EventStreamType);
   if (m_HeaderSent && !IsEvents) {
-    logAttempt(Chosen, "failed", "resumed-without-events");
+    logAttempt(This, "failed", "resumed-without-events");
     co_return AttemptEnd::Failed;
   }
   if (IsEvents)
-    co_return co_await relayEvents(Sent, From);
-  recordStart();
-  co_return co_await relayPlain(Sent, From);
+    co_return co_await relayEvents(This);
+  recordStart(This);
+  co_return co_await relayPlain(This);
 }
 
-void RequestExchange::recordReadError(ExchangeError Error, const UpstreamRecord &From) {
+void RequestExchange::recordReadError(ExchangeError Error, const RequestAttempt &This) {
   m_IsResponseMalformed = Error == ExchangeError::Malformed;
   if (!m_IsResponseMalformed)
     return;
   m_Core.countAttempt("malformed-body");
   if (m_Core.tryAcquireLogLine(true))
-    logEvent(Severity::Warning, "upstream_response_malformed",
-             {{"request", m_RequestId}, {"upstream", From.m_Id}, {"attempt", m_AttemptsSent}});
+    logEvent(
+        Severity::Warning, "upstream_response_malformed",
+        {{"request", m_RequestId}, {"upstream", This.upstream().m_Id}, {"attempt", This.m_Number}});
 }
 
-Task<RequestExchange::AttemptEnd> RequestExchange::relayPlain(UpstreamExchange &Sent,
-                                                              const UpstreamRecord &From) {
+Task<AttemptEnd> RequestExchange::relayPlain(RequestAttempt &This) {
+  UpstreamExchange &Sent = *This.m_Exchange;
   const unsigned Status = Sent.header().result_int();
   const bool IsFailure = Status >= 500 || isNotRunStatus(Status);
   std::string Buffered;
-  GatewayCore::ResponseBuffer ResponseRoom(m_Core);
+  auto ResponseRoom = std::make_unique<GatewayCore::ResponseBuffer>(m_Core);
   bool IsDone = false;
   while (!IsDone) {
     const std::size_t Before = Buffered.size();
     const ExchangeError Error = co_await Sent.read(Buffered);
     if (isInterrupted())
       co_return AttemptEnd::Interrupted;
+    if (This.isCancelled())
+      co_return AttemptEnd::Failed;
     if (Error != ExchangeError::None) {
-      recordReadError(Error, From);
+      recordReadError(Error, This);
       if (m_HeaderSent)
         m_IsClientLost = true;
       co_return AttemptEnd::Failed;
     }
-    m_LastUpstreamReadAt = monotonicNow();
-    m_Core.onProgress(From, m_LastUpstreamReadAt);
+    This.m_LastReadAt = monotonicNow();
+    m_Core.onProgress(This.upstream(), This.m_LastReadAt);
     IsDone = Buffered.size() == Before;
-    if (IsFailure &&
-        (Buffered.size() > MaxFailureBytes || !m_FailureBuffer.resize(Buffered.size())))
+    if (IsFailure && (Buffered.size() > MaxFailureBytes || !ResponseRoom->resize(Buffered.size())))
       co_return AttemptEnd::Failed;
     if (IsDone) {
-      const bool Whole = co_await isWhole(Sent, From);
+      const bool Whole = co_await isWhole(This);
       if (isInterrupted())
         co_return AttemptEnd::Interrupted;
+      if (This.isCancelled())
+        co_return AttemptEnd::Failed;
       if (!Whole) {
         if (m_HeaderSent)
           m_IsClientLost = true;
@@ -570,13 +640,14 @@
       }
       // A failure does not show that the upstream ran the request.
       if (!IsFailure)
-        recordSurvivedStart();
+        recordSurvivedStart(This);
     }
     // Without room, the response is forwarded at once and can no longer be retried.
     if (IsFailure || (!IsDone && !m_HeaderSent && Buffered.size() < MaxBufferedBytes &&
-                      ResponseRoom.resize(Buffered.size())))
+                      ResponseRoom->resize(Buffered.size())))
       continue;
-    m_StallTimer.cancel();
+    if (!claimResponse(This))
+      co_return AttemptEnd::Failed;
     recordFirstByte();
     std::optional<std::uint64_t> Length = Sent.contentLength();
     if (IsDone && !isHeadRequest())
@@ -590,22 +661,21 @@
     Buffered.clear();
   }
   if (IsFailure) {
-    m_FailureResponse = StoredResponse{Sent.header(), std::move(Buffered)};
+    m_FailureResponse = StoredResponse{Sent.header(), std::move(Buffered), std::move(ResponseRoom)};
     co_return AttemptEnd::FailureResponse;
   }
   m_IsResponseComplete = true;
   co_return AttemptEnd::Delivered;
 }
 
-Task<RequestExchange::AttemptEnd> RequestExchange::relayEvents(UpstreamExchange &Sent,
-                                                               const UpstreamRecord &From) {
-  if (m_AnsweredWeights) {
-    if (m_StreamVersion && m_StreamVersion != m_AnsweredWeights)
-      co_return AttemptEnd::Failed;
-    m_StreamVersion = m_AnsweredWeights;
-  }
+Task<AttemptEnd> RequestExchange::relayEvents(RequestAttempt &This) {
+  UpstreamExchange &Sent = *This.m_Exchange;
+  const UpstreamRecord &From = This.upstream();
   // An earlier attempt began the stream, and this one resumes it.
   const bool IsResumed = m_HeaderSent;
+  if (IsResumed && m_StreamVersion && This.m_AnsweredWeights &&
+      m_StreamVersion != This.m_AnsweredWeights)
+    co_return AttemptEnd::Failed;
   const std::uint64_t ForwardedBefore = m_ForwardedEvents;
   EventSplitter Events;
   GatewayCore::ResponseBuffer EventBuffer(m_Core);
@@ -617,25 +687,27 @@
     const ExchangeError Error = co_await Sent.read(Bytes);
     if (isInterrupted())
       co_return AttemptEnd::Interrupted;
+    if (This.isCancelled())
+      co_return AttemptEnd::Failed;
     if (Error != ExchangeError::None) {
-      recordReadError(Error, From);
+      recordReadError(Error, This);
       co_return AttemptEnd::Failed;
     }
     const TimePoint Now = monotonicNow();
     m_Core.onProgress(From, Now);
     if (m_HeaderSent && !Bytes.empty())
-      m_LongestPause = std::max(m_LongestPause, Now - m_LastUpstreamReadAt);
+      m_LongestPause = std::max(m_LongestPause, Now - This.m_LastReadAt);
     if (!IsFirstRead && !Bytes.empty())
-      m_Core.loadBalancer().onEventGap(From.m_Id, Now - m_LastUpstreamReadAt, Now);
+      m_Core.loadBalancer().onEventGap(From.m_Id, Now - This.m_LastReadAt, Now);
     IsFirstRead = false;
-    m_LastUpstreamReadAt = Now;
+    This.m_LastReadAt = Now;
     const bool IsDone = Bytes.empty();
-    if (!IsDone && !m_TimeToStart) {
-      recordStart();
-      reportLateStart(Sent);
+    if (!IsDone && !This.m_TimeToStart) {
+      recordStart(This);
+      reportLateStart(This);
     }
-    if (!IsDone && m_UnreadTokens > 0)
-      m_Core.onPromptRead(From.m_Id, std::exchange(m_UnreadTokens, 0));
+    if (!IsDone && This.m_UnreadTokens > 0)
+      m_Core.onPromptRead(From.m_Id, std::exchange(This.m_UnreadTokens, 0));
     Events.append(Bytes);
     if (Events.isOverlong())
       co_return AttemptEnd::Failed;
@@ -644,10 +716,10 @@
       if (IsResumed && !Event->m_Id)
         co_return AttemptEnd::Failed;
       if (++EventCount == CrashSuspects::EventsToBegin)
-        recordSurvivedStart();
-      const bool Forwarded = co_await forwardEvent(Sent, *Event);
+        recordSurvivedStart(This);
+      const bool Forwarded = co_await forwardEvent(This, *Event);
       if (!Forwarded)
-        co_return AttemptEnd::Interrupted;
+        co_return This.isCancelled() ? AttemptEnd::Failed : AttemptEnd::Interrupted;
     }
     if (!EventBuffer.resize(Events.pending().size()))
       co_return AttemptEnd::Failed;
@@ -658,12 +730,12 @@
     const bool HasNoEvent = m_ForwardedEvents == ForwardedBefore;
     if (!Events.pending().empty() || (HasNoEvent && (IsResumed || Sent.endsWithConnection())))
       co_return AttemptEnd::Failed;
-    const bool Whole = co_await isWhole(Sent, From);
+    const bool Whole = co_await isWhole(This);
     if (isInterrupted())
       co_return AttemptEnd::Interrupted;
-    if (!Whole)
+    if (!Whole || !claimResponse(This))
       co_return AttemptEnd::Failed;
-    recordSurvivedStart();
+    recordSurvivedStart(This);
     const std::optional<std::uint64_t> NoLength;
     const bool IsHeaderWritten = co_await ensureHeaderSent(Sent.header(), NoLength);
     if (!IsHeaderWritten)
@@ -676,29 +748,34 @@
   }
 }
 
-Task<bool> RequestExchange::isWhole(const UpstreamExchange &Sent, const UpstreamRecord &From) {
+Task<bool> RequestExchange::isWhole(RequestAttempt &This) {
   // An upstream that is leaving ends its process after its last response.
+  const UpstreamRecord &From = This.upstream();
   const UpstreamRecord *Listed = m_Core.loadBalancer().find(From.m_Id);
   const bool IsLeaving = !Listed || Listed->m_IsLeaving ||
                          m_Core.loadBalancer().isLeaving(From.start(), monotonicNow());
-  if (!Sent.endsWithConnection() || IsLeaving)
+  if (!This.m_Exchange->endsWithConnection() || IsLeaving)
     co_return true;
-  m_StallTimer.cancel();
+  This.m_IsReadToEnd = true;
   const bool IsCrashed = co_await m_Core.hasCrashed(From, GatewayCore::CrashCheckDelay);
   co_return !IsCrashed;
 }
 
-Task<bool> RequestExchange::forwardEvent(UpstreamExchange &Sent,
+Task<bool> RequestExchange::forwardEvent(const RequestAttempt &This,
                                          const EventSplitter::Event &Event) {
-  if (!Event.m_Id) {
-    m_EventsResumable = false;
-  } else if (m_HeaderSent && m_LastEventId && *Event.m_Id <= *m_LastEventId) {
-    // An upstream that resumes a stream may repeat events that the client has received.
+  // An upstream that resumes a stream may repeat events that the client has received.
+  if (Event.m_Id && m_HeaderSent && m_LastEventId && *Event.m_Id <= *m_LastEventId)
     co_return true;
-  }
+  if (!claimResponse(This))
+    co_return false;
+  if (!Event.m_Id)
+    m_EventsResumable = false;
+  // The version is binding once the client has received a part of the stream.
+  if (This.m_AnsweredWeights)
+    m_StreamVersion = This.m_AnsweredWeights;
   recordFirstByte();
   const std::optional<std::uint64_t> NoLength;
-  const bool IsHeaderWritten = co_await ensureHeaderSent(Sent.header(), NoLength);
+  const bool IsHeaderWritten = co_await ensureHeaderSent(This.m_Exchange->header(), NoLength);
   if (!IsHeaderWritten)
     co_return false;
   if (Event.m_Id)
@@ -715,39 +792,39 @@
   m_Core.observeWait(m_QueueTime);
 }
 
-void RequestExchange::recordStart() {
-  m_TimeToStart = m_LastUpstreamReadAt - m_DispatchedAt;
-  m_Core.observeStart(kindName(), *m_TimeToStart);
-  (*m_Running)->m_HasResponded = true;
-  endUnstarted(GatewayCore::UnstartedEnd::Started);
+void RequestExchange::recordStart(RequestAttempt &This) {
+  This.m_TimeToStart = This.m_LastReadAt - This.m_DispatchedAt;
+  m_Core.observeStart(kindName(), *This.m_TimeToStart);
+  (*This.m_Running)->m_HasResponded = true;
+  endUnstarted(This, GatewayCore::UnstartedEnd::Started);
 }
 
-void RequestExchange::recordSurvivedStart() {
-  if (std::exchange((*m_Running)->m_HasBegun, true))
+void RequestExchange::recordSurvivedStart(const RequestAttempt &This) {
+  if (std::exchange((*This.m_Running)->m_HasBegun, true))
     return;
   m_Core.recordBegun(m_SuspectRequest);
 }
 
-void RequestExchange::reportLateStart(const UpstreamExchange &Sent) {
-  if (!m_AnsweredWeights)
+void RequestExchange::reportLateStart(const RequestAttempt &This) {
+  if (!This.m_AnsweredWeights)
     return;
   const auto Late =
-      m_Core.lateStartDetector().detect(m_Model, *m_AnsweredWeights, m_LastUpstreamReadAt);
+      m_Core.lateStartDetector().detect(m_Model, *This.m_AnsweredWeights, This.m_LastReadAt);
   if (!Late)
     return;
   m_Core.countLateStart();
-  if (m_Core.lateStartDetector().canLog(m_LastUpstreamReadAt))
+  if (m_Core.lateStartDetector().canLog(This.m_LastReadAt))
     logEvent(Severity::Warning, "older_weights_ran_late",
              {{"request", m_RequestId},
-              {"upstream", m_CurrentUpstream},
-              {"attempt", m_AttemptsSent},
+              {"upstream", This.upstream().m_Id},
+              {"attempt", This.m_Number},
               {"model", m_Model},
-              {"placedWeights", m_PlacedWeights},
-              {"answeredWeights", *m_AnsweredWeights},
+              {"placedWeights", This.m_PlacedWeights},
+              {"answeredWeights", *This.m_AnsweredWeights},
               {"leastWeights", Late->m_MinVersion},
               {"lateSeconds", Late->m_Late},
-              {"startSeconds", *m_TimeToStart},
-              {"sinceSentSeconds", m_LastUpstreamReadAt - Sent.sentAt()}});
+              {"startSeconds", *This.m_TimeToStart},
+              {"sinceSentSeconds", This.m_LastReadAt - This.m_Exchange->sentAt()}});
 }
 
 bool RequestExchange::canRetry() const {
@@ -756,7 +833,7 @@
     return false;
   if (m_HeaderSent)
     return canResume();
-  return !m_MayHaveRun || isRepeatable(m_Route->m_Kind);
+  return !mayHaveRun() || isRepeatable(m_Route->m_Kind);
 }
 
 bool RequestExchange::takeRetry() {
@@ -782,8 +859,9 @@
 void RequestExchange::cancelPendingOperations() {
   if (m_PlacementWaiter)
     m_PlacementWaiter->cancel();
-  if (m_CurrentExchange)
-    m_CurrentExchange->cancel();
+  for (const AttemptPtr &Each : {m_Current, m_Backup})
+    if (Each && Each->m_Exchange)
+      Each->m_Exchange->cancel();
 }
 
 void RequestExchange::interrupt() {
@@ -793,18 +871,18 @@
     m_Client->reset();
 }
 
-void RequestExchange::withdraw() {
-  if (std::exchange(m_Withdrawn, true))
+void RequestExchange::withdraw(RequestAttempt &This) {
+  if (This.isCancelled())
     return;
-  m_CurrentExchange->cancel();
+  This.cancel(RequestAttempt::Cancellation::Withdrawn);
   m_Core.countAttempt("withdrawn");
   if (m_Core.tryAcquireLogLine(true))
     logEvent(Severity::Info, "request_withdrawn",
              {{"request", m_RequestId},
-              {"upstream", m_CurrentUpstream},
-              {"attempt", m_AttemptsSent},
-              {"placedWeights", m_PlacedWeights},
-              {"sinceDispatchSeconds", monotonicNow() - m_DispatchedAt}});
+              {"upstream", This.upstream().m_Id},
+              {"attempt", This.m_Number},
+              {"placedWeights", This.m_PlacedWeights},
+              {"sinceDispatchSeconds", monotonicNow() - This.m_DispatchedAt}});
 }
 
 void RequestExchange::onQuarantine() {
@@ -812,47 +890,30 @@
     return;
   if (m_PlacementWaiter)
     m_PlacementWaiter->cancel();
-  if (m_CurrentExchange && m_Running && !(*m_Running)->m_HasResponded)
-    withdraw();
+  for (const AttemptPtr &Each : {m_Current, m_Backup})
+    if (Each && Each->m_Exchange && Each->m_Running && !(*Each->m_Running)->m_HasResponded)
+      withdraw(*Each);
 }
 
-void RequestExchange::endUnstarted(GatewayCore::UnstartedEnd How) {
-  if (m_UnstartedNumber)
-    m_Core.endUnstarted(*std::exchange(m_UnstartedNumber, std::nullopt), m_Service, How);
+void RequestExchange::endUnstarted(RequestAttempt &This, GatewayCore::UnstartedEnd How) {
+  if (This.m_UnstartedNumber)
+    m_Core.endUnstarted(*std::exchange(This.m_UnstartedNumber, std::nullopt), m_Service, How);
 }
 
 void RequestExchange::scheduleStallCheck() {
   m_StallTimer.set(StallCheckInterval, [this] {
+    const RequestAttempt &Observed = *m_Current;
     const TimePoint Now = monotonicNow();
-    const Duration SilentTime =
-        m_IsWriting ? Duration(0) : Now - std::max(m_LastUpstreamReadAt, m_LastClientWriteAt);
-    const bool IsUpstreamSilent = m_Core.loadBalancer().isSilent(m_CurrentUpstream, Now);
+    const Duration SilentTime = m_IsWriting || Observed.m_IsReadToEnd
+                                    ? Duration(0)
+                                    : Now - std::max(Observed.m_LastReadAt, m_LastClientWriteAt);
+    const bool IsUpstreamSilent = m_Core.loadBalancer().isSilent(Observed.upstream().m_Id, Now);
     const bool IsStalled = isStream(m_Route->m_Kind)
                                ? SilentTime > (IsUpstreamSilent ? StallTimeout : LongStallTimeout)
                                : SilentTime > PlainStallFactor * m_Route->m_TargetLatency;
-    if (IsStalled && m_CurrentExchange && isRepeatable(m_Route->m_Kind) && canRetry()) {
-      Placement Found = m_Core.tryPlace(placementRequest());
-      if (Found.m_Verdict == PlacementVerdict::Placed) {
-        if (takeRetry()) {
-          ++m_Moves;
-          m_Core.countAttempt("moved");
-          if (m_Core.tryAcquireLogLine(true))
-            logEvent(Severity::Info, "request_moved",
-                     {{"request", m_RequestId},
-                      {"upstream", m_CurrentUpstream},
-                      {"to", Found.m_Upstream.m_Id},
-                      {"attempt", m_AttemptsSent},
-                      {"silentSeconds", SilentTime},
-                      {"upstreamSilent", IsUpstreamSilent},
-                      {"events", m_ForwardedEvents}});
-          m_NextPlacement = std::move(Found);
-          m_SilentUpstream = m_CurrentUpstream;
-          m_CurrentExchange->cancel();
-          return;
-        }
-        m_Core.undoPlacement(Found, m_PromptTokens);
-      }
-    }
+    // Opening a connection has a time limit of its own.
+    if (IsStalled && Observed.m_Exchange && Observed.m_Exchange->wasSent())
+      startBackup(SilentTime);
     scheduleStallCheck();
   });
 }
@@ -890,7 +951,7 @@
     co_await sendErrorResponse(ErrorKind::Internal, std::nullopt);
     co_return;
   }
-  if (!m_MayHaveRun) {
+  if (!mayHaveRun()) {
     ErrorKind Kind = ErrorKind::Overloaded;
     if (m_LastVerdict == PlacementVerdict::NoneUsable)
       Kind = ErrorKind::NoUpstream;
@@ -931,7 +992,7 @@
   const ErrorAnswer &Answer = errorAnswer(Kind);
   m_Outcome = Answer.m_Name;
   m_Status = static_cast<unsigned>(Answer.m_HttpStatus);
-  if (isNotRunStatus(m_Status) && !NotRunIsTrue.check(!m_MayHaveRun, m_RequestId)) {
+  if (isNotRunStatus(m_Status) && !NotRunIsTrue.check(!mayHaveRun(), m_RequestId)) {
     m_Client->reset();
     co_return;
   }
@@ -999,25 +1060,27 @@
   co_return !Error;
 }
 
-void RequestExchange::logAttempt(const Placement &Chosen, std::string_view Outcome,
+void RequestExchange::logAttempt(const RequestAttempt &This, std::string_view Outcome,
                                  std::string_view Detail) {
   m_Core.countAttempt(Outcome);
   if (m_Core.tryAcquireLogLine(true))
     logEvent(Severity::Info, "attempt_ended",
              {{"request", m_RequestId},
-              {"upstream", Chosen.m_Upstream.m_Id},
+              {"upstream", This.upstream().m_Id},
               {"outcome", Outcome},
               {"detail", Detail},
-              {"inFlight", Chosen.m_InFlight},
-              {"attempt", m_AttemptsSent},
-              {"mayHaveRun", m_MayHaveRun},
-              {"sinceDispatchSeconds", monotonicNow() - m_DispatchedAt}});
+              {"backup", This.m_IsBackup},
+              {"inFlight", This.m_Placement.m_InFlight},
+              {"attempt", This.m_Number},
+              {"mayHaveRun", mayHaveRun()},
+              {"sinceDispatchSeconds", monotonicNow() - This.m_DispatchedAt}});
 }
 
 void RequestExchange::logFinished() {
   const bool Failed = m_Outcome != "delivered";
   if (!m_Core.tryAcquireLogLine(Failed))
     return;
+  const RequestAttempt Last = m_Current ? *m_Current : RequestAttempt();
   logEvent(Severity::Info, "request_finished",
            {{"request", m_RequestId},
             {"route", m_Route ? m_Route->m_Id.str() : std::string()},
@@ -1028,19 +1091,19 @@
             {"status", m_Status},
             {"returned", m_IsRetry},
             {"attempts", m_AttemptsSent},
-            {"moves", m_Moves},
-            {"upstream", m_CurrentUpstream},
+            {"backups", m_BackupAttempts},
+            {"upstream", Last.upstream().m_Id},
             {"allowedSeconds", m_Deadline == TimePoint() ? Duration(0) : m_Deadline - m_ArrivedAt},
             {"limit", m_IsLimitedByRoute ? "route" : "client"},
             {"responseBegun", m_HeaderSent},
             {"connectionKept", m_IsResponseComplete && !m_IsClientLost},
             {"events", m_ForwardedEvents},
             {"longestPauseSeconds", m_LongestPause},
-            {"mayHaveRun", m_MayHaveRun},
+            {"mayHaveRun", mayHaveRun()},
             {"waitSeconds", m_QueueTime},
-            {"placedWeights", m_PlacedWeights},
-            {"answeredWeights", m_AnsweredWeights.value_or(WeightsVersion())},
-            {"startSeconds", m_TimeToStart.value_or(Duration(0))},
+            {"placedWeights", Last.m_PlacedWeights},
+            {"answeredWeights", Last.m_AnsweredWeights.value_or(WeightsVersion())},
+            {"startSeconds", Last.m_TimeToStart.value_or(Duration(0))},
             {"firstByteSeconds", m_TimeToFirstByte.value_or(Duration(0))},
             {"totalSeconds", monotonicNow() - m_ArrivedAt}});
 }
