Pauses test: count the time in which the test handled no events

The failed checks say that the test handled no events for up to 1.93 and 1.96 s, more than the time from the end of the response to the deadline. A run now counts as sound only if its response ended before the deadline by that time, too.

--- a/src/libgateway/PauseChecks.h
+++ b/src/libgateway/PauseChecks.h
@@ -183,7 +183,8 @@
       if (Run->m_EndedAt)
         Text << ", end at " << Seconds(*Run->m_EndedAt);
     }
-    Text << "]";
+    Text << "; events were not handled for up to "
+         << std::chrono::duration<double>(m_Bounds.m_LongestDelay).count() << " s]";
     return Text.str();
   }
 
@@ -240,11 +241,12 @@
     check("answered", m_Call.m_Response.isComplete() || HasBegun, "neither answer nor refusal");
   }
 
-  /// Whether the run would have sent the whole response in time.
+  /// Whether the run would have sent the whole response in time. A response that ended while the
+  /// test did not handle events may reach the gateway after the deadline.
   bool isSound(const UpstreamRun &Run) const {
     const TimePoint Deadline = std::min(m_Call.m_SentAt + m_Call.m_Allowed, m_Bounds.m_Cutoff);
     return Run.m_Kind == RunKind::Sound && Run.m_EndedAt &&
-           *Run.m_EndedAt <= Deadline - DeadlineMargin;
+           *Run.m_EndedAt <= Deadline - DeadlineMargin - m_Bounds.m_LongestDelay;
   }
 
   /// A request of which one upstream would have sent the whole response in time gets one.
