Gateway: the last response of a connection survives further input

What callers saw: a caller that sends bytes behind a request whose response ends the connection (Connection: close of the caller, of a draining gateway or of an error response) could get a truncated response or none, and a reset.

Cause: the session closed the socket at once after the response. The kernel resets a connection that is closed with unread input, or that gets input after the close, and discards what is still in the send buffer. Input was discarded only after a refusal of a request that could not be read.

Change: each session that ends with an open connection ends in the same way: shutdown of the sending side, discard of the input until the client closes, within the existing limits DiscardTime and MaxDiscardedBytes, then close. The client sees the end at once, as before. Nothing waits for it: the request is no longer in progress or being read, so a drain takes as long as before. What has arrived is discarded before the first wait, because the process may end then. Connections that are reset stay so.

--- a/src/libgateway/ClientSession.cpp
+++ b/src/libgateway/ClientSession.cpp
@@ -76,6 +76,10 @@
   bool KeepOpen = true;
   while (KeepOpen && m_Client->isOpen())
     KeepOpen = co_await serveNext();
+  if (!m_Client->isOpen())
+    co_return;
+  startClosing();
+  co_await closeGracefully();
 }
 
 void ClientSession::onDecision(ClientMemoryBudget::Action Action) {
@@ -213,23 +217,32 @@
   co_return Error;
 }
 
-Task<> ClientSession::discardInput() {
+void ClientSession::startClosing() {
+  m_IdleSince.reset();
+  m_Client->buffer().clear();
+  m_Client->buffer().shrink_to_fit();
+  m_Core->admission().onClosing(m_Number);
+  m_ReadTimer.set(DiscardTime, [this] { m_Client->close(); });
+}
+
+Task<> ClientSession::closeGracefully() {
   SystemError Error;
   m_Client->socket().shutdown(Tcp::socket::shutdown_send, Error);
+  // What has arrived is discarded without a wait, because the process may be about to end.
   for (std::size_t Discarded = 0; !Error && Discarded < MaxDiscardedBytes;) {
-    auto [WaitError] = co_await m_Client->socket().async_wait(Tcp::socket::wait_read, AsTuple);
-    if (WaitError)
-      co_return;
     Discarded += receive(m_Client->socket(), readBuffer(), Error);
-    if (Error == net::error::would_block)
-      Error = {};
+    if (Error != net::error::would_block)
+      continue;
+    auto [WaitError] = co_await m_Client->socket().async_wait(Tcp::socket::wait_read, AsTuple);
+    Error = WaitError;
   }
+  m_ReadTimer.cancel();
+  m_Client->close();
 }
 
 Task<> ClientSession::reject(ErrorKind Kind) {
-  m_Core->admission().onClosing(m_Number);
   // Also bounds the write to a client that does not read.
-  m_ReadTimer.set(DiscardTime, [this] { m_Client->close(); });
+  startClosing();
   const ErrorAnswer &Answer = errorAnswer(Kind);
   HttpResponse Response = errorResponse(Answer);
   if (Answer.m_RetryAfter)
@@ -241,8 +254,7 @@
   m_Core->countRequest("none", Answer.m_Name);
   if (m_Core->tryAcquireLogLine(true))
     logEvent(Severity::Info, "request_unreadable", {{"outcome", Answer.m_Name}});
-  co_await discardInput();
-  m_ReadTimer.cancel();
+  co_await closeGracefully();
 }
 
 void ClientSession::checkIdleTime() {
@@ -302,8 +314,6 @@
     m_Refusal = malformedMessageKind(Error);
   if (Error || m_Refusal) {
     Message.reset();
-    m_Client->buffer().clear();
-    m_Client->buffer().shrink_to_fit();
     if (m_Refusal)
       co_await reject(*m_Refusal);
     co_return false;
--- a/src/libgateway/ClientSession.h
+++ b/src/libgateway/ClientSession.h
@@ -32,8 +32,9 @@
       RequestBytes + BodyBytes::MaxSegmentBytes + LargeReadBytes;
   /// Allowance for a header in the limit on bodies.
   static constexpr std::size_t MaxHeaderMemory = 1 << 20;
-  /// After a refusal, input is discarded up to these limits, because closing a socket with unread
-  /// bytes resets the connection and may destroy the response.
+  /// After the last response, input is discarded up to these limits until the client closes the
+  /// connection. A connection that is closed with unread input, or that gets input afterwards, is
+  /// reset, which may destroy the response.
   static constexpr Duration DiscardTime = std::chrono::milliseconds(300);
   static constexpr std::size_t MaxDiscardedBytes = 256 << 10;
 
@@ -67,7 +68,10 @@
   void onDecision(ClientMemoryBudget::Action Action);
   void endReading(ErrorKind Refusal, ClientLimit Reason);
   Task<> reject(ErrorKind Kind);
-  Task<> discardInput();
+  /// Stops reading requests. The connection is closed after DiscardTime at the latest.
+  void startClosing();
+  /// Ends the connection so that the client gets the whole response; see DiscardTime.
+  Task<> closeGracefully();
   ClientLimits limits() const;
 
   std::shared_ptr<GatewayCore> m_Core;
