Gateway: input that crosses an idle timeout does not reset the connection

What callers saw: a reset, and possibly the loss of the end of the previous response, if the next request was sent as the gateway closed the connection at the idle timeout, or as idle after the grace period of a drain.

Change: the end of the idle time ends the wait for a request, and the session then ends the connection as after a last response. The check is a timer even if no time is left, as a wait can only be ended after it has begun.

Evidence: "input that crosses the end of an idle connection does not reset it" fails without the change (reset after the response) and passes with it.

--- a/src/libgateway/ClientSession.cpp
+++ b/src/libgateway/ClientSession.cpp
@@ -66,7 +66,7 @@
 
 void ClientSession::closeIfIdle() {
   if (m_IdleSince && monotonicNow() - *m_IdleSince >= MinIdleTime && m_Client->buffer().size() == 0)
-    m_Client->close();
+    endIdleWait();
 }
 
 Task<> ClientSession::run() {
@@ -257,18 +257,25 @@
   co_await closeGracefully();
 }
 
-void ClientSession::checkIdleTime() {
-  const Duration Left = *m_IdleSince + limits().m_IdleTimeout - monotonicNow();
-  if (Left <= Duration(0))
-    m_Client->close();
-  else
-    m_ReadTimer.set(Left, [this] { checkIdleTime(); });
+void ClientSession::endIdleWait() {
+  SystemError Ignored;
+  m_Client->socket().cancel(Ignored);
+}
+
+void ClientSession::scheduleIdleCheck() {
+  const auto TimeLeft = [this] { return *m_IdleSince + limits().m_IdleTimeout - monotonicNow(); };
+  m_ReadTimer.set(std::max(TimeLeft(), Duration(0)), [this, TimeLeft] {
+    if (TimeLeft() <= Duration(0))
+      endIdleWait();
+    else
+      scheduleIdleCheck();
+  });
 }
 
 Task<bool> ClientSession::waitForRequest() {
   if (m_Client->buffer().size() != 0)
     co_return true;
-  checkIdleTime();
+  scheduleIdleCheck();
   auto [WaitError] = co_await m_Client->socket().async_wait(Tcp::socket::wait_read, AsTuple);
   m_IsReadable = !WaitError;
   co_return m_IsReadable;
--- a/src/libgateway/ClientSession.h
+++ b/src/libgateway/ClientSession.h
@@ -42,7 +42,7 @@
   ~ClientSession();
 
   Task<> run();
-  /// Closes the connection if no request is being read or served and none arrived for MinIdleTime.
+  /// Ends the connection if no request is being read or served and none arrived for MinIdleTime.
   void closeIfIdle();
 
 private:
@@ -51,10 +51,11 @@
   enum class Part { Header, Message };
 
   Task<bool> serveNext();
-  /// Waits for a request. Returns false if the connection ended before it.
+  /// Waits for a request. Returns false if the connection ended, or was idle too long, before it.
   Task<bool> waitForRequest();
-  /// Closes the connection at the idle timeout of the plan in force, which may change meanwhile.
-  void checkIdleTime();
+  /// Ends the wait at the idle timeout of the plan in force, which may change meanwhile.
+  void scheduleIdleCheck();
+  void endIdleWait();
   /// Reads up to the end of a part. Fails with operation_aborted if a limit ended the read; then
   /// m_Refusal is set if the client gets a response.
   Task<SystemError> readPart(Parser &Message, Part Wanted);
--- a/src/libgateway/ConnectionEnd_test.cpp
+++ b/src/libgateway/ConnectionEnd_test.cpp
@@ -50,15 +50,18 @@
     return Result;
   }
   /// Whether the connection was reset. Linux reports a reset after the end of the input as the end.
-  bool wasReset() {
+  bool wasReset() { return state() == TCP_CLOSE; }
+  bool isEndedByPeer() { return state() == TCP_CLOSE_WAIT || wasReset(); }
+  void close() { m_Socket.close(); }
+
+private:
+  int state() {
     tcp_info Info{};
     socklen_t Size = sizeof Info;
     REQUIRE(::getsockopt(m_Socket.native_handle(), IPPROTO_TCP, TCP_INFO, &Info, &Size) == 0);
-    return Info.tcpi_state == TCP_CLOSE;
+    return Info.tcpi_state;
   }
-  void close() { m_Socket.close(); }
 
-private:
   GatewayFixture &m_Fixture;
   Tcp::socket m_Socket;
 };
@@ -213,3 +216,19 @@
   CHECK(Fixture.gateway().isDrained());
   CHECK_FALSE(Client.readToEnd().m_Reset);
 }
+
+// Guards against a response to the previous request that is lost when the idle time ends as the
+// next request arrives.
+TEST_CASE("input that crosses the end of an idle connection does not reset it", "[gateway]") {
+  ConnectionEndFixture Fixture;
+  Fixture.setPlan([](RoutingPlan &Plan) { Plan.m_Limits.m_IdleTimeout = 100ms; });
+  PipeliningClient Client(Fixture);
+  REQUIRE(Client.send(GatewayFixture::request("/once/x", "r1")));
+  REQUIRE(Fixture.runUntil([&] { return Client.isEndedByPeer(); }, 2s));
+  REQUIRE(Client.send(GatewayFixture::request("/once/x", "r2")));
+  Fixture.runUntil([] { return false; }, 20ms);
+  const RawResponse Response = Client.readToEnd();
+  CHECK(Response.status() == 200);
+  CHECK_FALSE(Response.m_Reset);
+  CHECK(Fixture.m_Upstream->requests().size() == 1);
+}
