Gateway: a request that arrived before the idle close is served

What callers saw: a closed connection without a response to a request that had arrived before the gateway decided to close its connection as idle.

Cause: the end of the idle time closed the connection without a look at the socket. The input had not been reported yet, because the loop was busy or the process did not run.

Change: after the wait was ended, the session looks whether input is available and reads it.

Evidence: "a request that arrived before the end of the idle time is served" fails without the change (closed without a response) and passes with it.

--- a/src/libgateway/ClientSession.cpp
+++ b/src/libgateway/ClientSession.cpp
@@ -277,7 +277,9 @@
     co_return true;
   scheduleIdleCheck();
   auto [WaitError] = co_await m_Client->socket().async_wait(Tcp::socket::wait_read, AsTuple);
-  m_IsReadable = !WaitError;
+  // A request that has arrived at the end of the idle time is served.
+  SystemError Ignored;
+  m_IsReadable = !WaitError || m_Client->socket().available(Ignored) > 0;
   co_return m_IsReadable;
 }
 
--- a/src/libgateway/ConnectionEnd_test.cpp
+++ b/src/libgateway/ConnectionEnd_test.cpp
@@ -232,3 +232,24 @@
   CHECK_FALSE(Response.m_Reset);
   CHECK(Fixture.m_Upstream->requests().size() == 1);
 }
+
+// Guards against a request that is dropped without a response, although it arrived before its
+// connection was closed as idle.
+TEST_CASE("a request that arrived before the end of the idle time is served", "[gateway]") {
+  net::io_context Loop;
+  MetricsService Metrics;
+  const auto Core = std::make_shared<GatewayCore>(Loop, GatewayOptions(), Metrics);
+  Tcp::acceptor Acceptor(Loop, Tcp::endpoint(loopbackAddress(), 0));
+  Tcp::socket Client(Loop);
+  Client.connect(Acceptor.local_endpoint());
+  const auto Session = std::make_shared<ClientSession>(Core, Acceptor.accept());
+  net::co_spawn(Loop, Session->run(), net::detached);
+  runFor(Loop, ClientSession::MinIdleTime);
+  net::write(Client, net::buffer(GatewayFixture::request("/once/x", "r1")));
+  Session->closeIfIdle();
+  RawResponse Response;
+  bool Done = false;
+  net::co_spawn(Loop, readRaw(Client, Response, Done), net::detached);
+  REQUIRE(test::runUntil(Loop, [&] { return Done; }));
+  CHECK(Response.isComplete());
+}
