Client memory: requests leave room for the responses in progress

Callers saw streams that ended without their last events while their upstream was sound and sending: "cut-upstream-lost" in the log, with no error of the upstream. The part of an event that has not ended is charged to the same memory as the bodies of requests. Small requests could fill all of it, so a stream that was under way lost its room to requests that could still have been refused.

Half of the part for small requests is now kept for responses. No request can use it, and the fixed costs of further connections do not count against it.

Evidence: the new test of the gateway (8 MiB of memory, 100 bodies of 40 kB) failed before: the stream ended after its first event with outcome=cut-upstream-lost, 0.5 s after its start, when the first part of its second event arrived. The test of the budget failed before in both variants: resizeResponse() refused 3 MiB of 32 MiB.

Ruled out: large requests alone. Not changed: responses that together exceed their own limit (GatewayCore::MaxResponseBufferBytes).

--- a/src/include/Fescuegauge/ClientMemoryBudget.h
+++ b/src/include/Fescuegauge/ClientMemoryBudget.h
@@ -23,10 +23,13 @@
 
   /// All that is held for clients.
   std::size_t m_Bytes = 0;
-  /// Parts of m_Bytes that large requests cannot use: for small requests, and for the bytes that
-  /// the kernel holds for connections that are not read.
+  /// Parts of m_Bytes that large requests cannot use: for small requests and responses, and for the
+  /// bytes that the kernel holds for connections that are not read.
   std::size_t m_SmallBytes = 0;
   std::size_t m_UnreadBytes = 0;
+  /// Part of m_SmallBytes that no request can use, so that a request which may still be refused
+  /// never takes the room of a response in progress.
+  std::size_t m_ResponseBytes = 0;
   std::size_t m_Connections = 0;
 
   /// Limits for a process with these limits of its own; 0 if unknown. Half of the memory is left
@@ -104,7 +107,8 @@
   /// The connection is refused and holds nothing any more.
   void onClosing(ClientConnectionNumber Number);
 
-  /// Changes the bytes held of responses. Returns false, and keeps `Before`, if there is no room.
+  /// Changes the bytes held of responses. Returns false, and keeps `Before`, if there is no room
+  /// beyond the part that is left for responses.
   bool resizeResponse(std::size_t Before, std::size_t After);
 
   /// Decisions that are due.
--- a/src/libgateway/ClientMemoryBudget.cpp
+++ b/src/libgateway/ClientMemoryBudget.cpp
@@ -15,6 +15,7 @@
   Result.m_Bytes = MemoryBytes / 2;
   Result.m_SmallBytes = Result.m_Bytes / 4;
   Result.m_UnreadBytes = Result.m_Bytes / 8;
+  Result.m_ResponseBytes = Result.m_SmallBytes / 2;
   const std::size_t ForConnections =
       Descriptors > OtherDescriptors ? (Descriptors - OtherDescriptors) * 2 / 3 : 0;
   Result.m_Connections =
@@ -94,7 +95,7 @@
   std::size_t Large = m_Large;
   (isLarge(Changed.m_Held) ? Large : Small) -= Changed.m_Held;
   (isLarge(Bytes) ? Large : Small) += Bytes;
-  Small += m_Responses;
+  Small += std::max(m_Responses, m_Limits.m_ResponseBytes);
   if (isLarge(Bytes))
     Small = std::max(Small, m_Limits.m_SmallBytes);
   return Small + Large + m_Limits.m_UnreadBytes <= m_Limits.m_Bytes;
@@ -149,10 +150,11 @@
 
 bool ClientMemoryBudget::resizeResponse(std::size_t Before, std::size_t After) {
   assert(Before <= m_Responses);
-  if (After > Before &&
-      m_Small + m_Large + m_Responses - Before + After + m_Limits.m_UnreadBytes > m_Limits.m_Bytes)
+  const std::size_t Responses = m_Responses - Before + After;
+  if (After > Before && Responses > m_Limits.m_ResponseBytes &&
+      m_Small + m_Large + Responses + m_Limits.m_UnreadBytes > m_Limits.m_Bytes)
     return false;
-  m_Responses = m_Responses - Before + After;
+  m_Responses = Responses;
   return true;
 }
 
--- a/src/libgateway/ClientMemoryBudget_test.cpp
+++ b/src/libgateway/ClientMemoryBudget_test.cpp
@@ -141,6 +141,25 @@
   CHECK_FALSE(F.m_Budget.takeExcess(F.m_Now));
 }
 
+// Guards against responses in progress that find no room because new requests have taken it.
+TEST_CASE("requests leave room for the responses in progress", "[gateway]") {
+  const bool HasLarge = GENERATE(false, true);
+  Fixture F;
+  if (HasLarge)
+    CHECK(F.hold(F.open(), 20 * Mega) == Admission::Granted);
+  ClientConnectionNumber Last = F.open();
+  while (F.hold(Last, ClientMemoryBudget::SmallRequestBytes) == Admission::Granted)
+    Last = F.open();
+  // The fixed costs of further connections do not use it either.
+  for (int I = 0; I < 100; ++I)
+    F.m_Budget.add(F.m_Now);
+  CHECK(F.m_Budget.resizeResponse(0, 3 * Mega));
+  CHECK(F.m_Budget.resizeResponse(3 * Mega, 4 * Mega));
+  CHECK_FALSE(F.m_Budget.resizeResponse(4 * Mega, 5 * Mega));
+  CHECK(F.m_Budget.responseBytes() == 4 * Mega);
+  CHECK(F.m_Budget.takeDecisions(F.m_Now).empty());
+}
+
 // Guards against room that is not returned.
 TEST_CASE("a connection that ends returns all that it held", "[gateway]") {
   Fixture F;
--- /dev/null
+++ b/src/libgateway/Continuity_test.cpp
@@ -0,0 +1,69 @@
+#include "FakeUpstream.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+
+using namespace fescuegauge;
+using namespace fescuegauge::test;
+using namespace std::chrono_literals;
+
+using Script = FakeUpstream::Script;
+
+namespace {
+
+/// A request whose body has `Bytes` bytes.
+std::string requestWithBody(const std::string &Path, const std::string &Id, std::size_t Bytes) {
+  return "POST " + Path + " HTTP/1.1\r\nHost: host.example\r\nRequest-Id: " + Id +
+         "\r\nAccount-Key: key\r\nDeadline-Ms: 2500\r\nContent-Length: " + std::to_string(Bytes) +
+         "\r\n\r\n" + std::string(Bytes, 'x');
+}
+
+} // namespace
+
+// Guards against a stream that is cut while its upstream serves it: the bodies of other requests
+// fill the memory for clients while the stream has a part of an event pending.
+TEST_CASE("a stream in progress is not cut because request bodies fill the memory", "[gateway]") {
+  constexpr std::size_t MemoryBytes = 8 << 20;
+  constexpr std::size_t Bodies = 100;
+  constexpr std::size_t BodyBytes = 40'000;
+  GatewayFixture Fixture(GatewayOptions().m_StopTime, MemoryBytes);
+  Fixture.setPlan([](RoutingPlan &Plan) {
+    for (Route &Each : Plan.m_Routes)
+      Each.m_Timeout = 3s;
+  });
+  constexpr std::size_t PendingBytes = 40'000;
+  const std::string Event = "id: 2\ndata: " + std::string(2 * PendingBytes, 'y') + "\n\n";
+  Fixture.addUpstream([&](const HttpRequest &Request) {
+    if (Request.target() == "/stream/x")
+      return Script{{{streamHeader(Request) + chunk(event(1))},
+                     {chunk(Event.substr(0, PendingBytes)), 500ms},
+                     {chunk(Event.substr(PendingBytes)), 100ms},
+                     {chunk(event(3)) + LastChunk}}};
+    return Script{{{plainResponse(Request, 200, "x"), 900ms}}};
+  });
+  Fixture.records()[0].m_Slots = 2 * Bodies;
+  Fixture.gateway().setUpstreams(Fixture.records());
+  RawResponse Stream;
+  bool IsStreamDone = false;
+  Fixture.start(GatewayFixture::request("/stream/x", "stream"), Stream, IsStreamDone);
+  REQUIRE(Fixture.runUntil([&] { return Stream.contains("token-1"); }, 1s));
+  std::deque<RawResponse> Others(Bodies);
+  std::deque<bool> AreDone(Bodies);
+  for (std::size_t I = 0; I < Bodies; ++I)
+    Fixture.start(requestWithBody("/once/x", "body-" + std::to_string(I), BodyBytes), Others[I],
+                  AreDone[I]);
+  CHECK(Fixture.runUntil([&] { return IsStreamDone; }, 2s));
+  CHECK(Stream.contains("token-3"));
+  CHECK(Stream.isCompleteChunked());
+  CHECK(Fixture.runUntil(
+      [&] { return std::all_of(AreDone.begin(), AreDone.end(), [](bool Each) { return Each; }); },
+      3s));
+  // The memory was full, and the requests that did not fit were refused.
+  const auto Count = [&](unsigned Status) {
+    return std::count_if(Others.begin(), Others.end(),
+                         [&](const RawResponse &Each) { return Each.status() == Status; });
+  };
+  CHECK(Count(200) > 10);
+  CHECK(Count(503) > 0);
+  CHECK(Count(200) + Count(503) == Bodies);
+}
--- a/src/libgateway/FakeUpstream.h
+++ b/src/libgateway/FakeUpstream.h
@@ -173,9 +173,12 @@
 /// route.
 class GatewayFixture {
 public:
-  explicit GatewayFixture(Duration StopTime = GatewayOptions().m_StopTime) {
+  /// `MemoryBytes` is the memory limit of the process; 0 for the default.
+  explicit GatewayFixture(Duration StopTime = GatewayOptions().m_StopTime,
+                          std::size_t MemoryBytes = 0) {
     GatewayOptions Options;
     Options.m_StopTime = StopTime;
+    Options.m_MemoryBytes = MemoryBytes;
     Options.m_Instance = InstanceId("entry-1");
     Options.m_DataCentre = DataCentreId("a");
     Options.m_Region = RegionId("r");
