Client memory: whole responses leave room for events

Callers saw streams that ended early while their upstream was sound, if many plain responses were read at the same time. Plain responses that are held back for a retry, failures, and events that have not ended shared one limit. A plain response can do without its room, since it is then sent on at once, but it could leave none for a stream, which is cut without it.

The budget now tells the two apart. Half of the part for responses, and 4 MiB of the limit on all of them, are left for events.

Evidence: the new test of the gateway (16 MiB of memory, 150 responses of 60 kB) fails in both variants: the stream ends after its first event, outcome=cut-upstream-lost.

Ruled out: the events of streams alone; ordinary events are some hundred bytes, and 2048 of them fit into the part that is left.

--- a/src/include/Fescuegauge/ClientMemoryBudget.h
+++ b/src/include/Fescuegauge/ClientMemoryBudget.h
@@ -4,6 +4,7 @@
 #include "Fescuegauge/Ids.h"
 #include "Fescuegauge/Units.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -41,6 +42,16 @@
   std::size_t maxRequestBytes() const { return m_Bytes - m_SmallBytes - m_UnreadBytes; }
 };
 
+/// What a held part of a response is.
+enum class ResponsePart {
+  /// An event that has not ended. Without room, its stream is cut.
+  Event,
+  /// A response that is held back until it is whole. Without room, it is sent on at once, or
+  /// another
+  /// failure replaces it.
+  Whole,
+};
+
 using ClientConnectionNumber = StrongNumber<struct ClientConnectionNumberTag>;
 
 /// Accounts for the memory that client connections use, and decides which of them are read, wait or
@@ -108,8 +119,8 @@
   void onClosing(ClientConnectionNumber Number);
 
   /// Changes the bytes held of responses. Returns false, and keeps `Before`, if there is no room
-  /// beyond the part that is left for responses.
-  bool resizeResponse(std::size_t Before, std::size_t After);
+  /// beyond the part that is left for responses. Half of that part is left for events.
+  bool resizeResponse(ResponsePart Part, std::size_t Before, std::size_t After);
 
   /// Decisions that are due.
   std::vector<Decision> takeDecisions(TimePoint Now);
@@ -119,7 +130,7 @@
   std::size_t waiting() const { return m_Waiting.size(); }
   std::size_t smallBytes() const { return m_Small; }
   std::size_t largeBytes() const { return m_Large; }
-  std::size_t responseBytes() const { return m_Responses; }
+  std::size_t responseBytes() const { return m_Events + m_WholeResponses; }
 
 private:
   enum class State { Idle, Reading, Waiting, Serving, Closing };
@@ -137,6 +148,11 @@
 
   static bool isLarge(std::size_t Bytes) { return Bytes > SmallRequestBytes; }
   bool fits(const Connection &Changed, std::size_t Bytes) const;
+  /// Bytes of responses with what is left for events.
+  static std::size_t withEventRoom(std::size_t WholeResponses, std::size_t Events,
+                                   const ClientMemoryLimits &Limits) {
+    return WholeResponses + std::max(Events, Limits.m_ResponseBytes / 2);
+  }
   void charge(Connection &Changed, std::size_t Bytes);
   bool isStalled(const Connection &Each, TimePoint Now) const;
   void stopWaiting(ClientConnectionNumber Number);
@@ -151,7 +167,8 @@
   std::size_t m_Excess = 0;
   std::size_t m_Small = 0;
   std::size_t m_Large = 0;
-  std::size_t m_Responses = 0;
+  std::size_t m_Events = 0;
+  std::size_t m_WholeResponses = 0;
 };
 
 /// Time limit of a request body: a pause, and a minimum rate. Has no I/O and no clock.
--- a/src/libgateway/ClientAdmission.cpp
+++ b/src/libgateway/ClientAdmission.cpp
@@ -77,8 +77,8 @@
   scheduleDecisions(Duration(0));
 }
 
-bool ClientAdmission::resizeResponse(std::size_t Before, std::size_t After) {
-  const bool Fits = m_Budget.resizeResponse(Before, After);
+bool ClientAdmission::resizeResponse(ResponsePart Part, std::size_t Before, std::size_t After) {
+  const bool Fits = m_Budget.resizeResponse(Part, Before, After);
   if (After < Before)
     scheduleDecisions(Duration(0));
   return Fits;
--- a/src/libgateway/ClientAdmission.h
+++ b/src/libgateway/ClientAdmission.h
@@ -54,7 +54,7 @@
   Admission hold(ClientConnectionNumber Number, std::size_t Bytes, std::size_t MaxBytes);
   void onServing(ClientConnectionNumber Number, std::size_t Bytes);
   void onClosing(ClientConnectionNumber Number);
-  bool resizeResponse(std::size_t Before, std::size_t After);
+  bool resizeResponse(ResponsePart Part, std::size_t Before, std::size_t After);
 
   /// Counts and logs a connection that was refused or closed.
   void report(ClientLimit Reason);
--- a/src/libgateway/ClientMemoryBudget.cpp
+++ b/src/libgateway/ClientMemoryBudget.cpp
@@ -95,7 +95,7 @@
   std::size_t Large = m_Large;
   (isLarge(Changed.m_Held) ? Large : Small) -= Changed.m_Held;
   (isLarge(Bytes) ? Large : Small) += Bytes;
-  Small += std::max(m_Responses, m_Limits.m_ResponseBytes);
+  Small += std::max(withEventRoom(m_WholeResponses, m_Events, m_Limits), m_Limits.m_ResponseBytes);
   if (isLarge(Bytes))
     Small = std::max(Small, m_Limits.m_SmallBytes);
   return Small + Large + m_Limits.m_UnreadBytes <= m_Limits.m_Bytes;
@@ -148,13 +148,20 @@
   Changed.m_State = State::Closing;
 }
 
-bool ClientMemoryBudget::resizeResponse(std::size_t Before, std::size_t After) {
-  assert(Before <= m_Responses);
-  const std::size_t Responses = m_Responses - Before + After;
-  if (After > Before && Responses > m_Limits.m_ResponseBytes &&
-      m_Small + m_Large + Responses + m_Limits.m_UnreadBytes > m_Limits.m_Bytes)
+bool ClientMemoryBudget::resizeResponse(ResponsePart Part, std::size_t Before, std::size_t After) {
+  std::size_t Events = m_Events;
+  std::size_t WholeResponses = m_WholeResponses;
+  std::size_t &Changed = Part == ResponsePart::Event ? Events : WholeResponses;
+  assert(Before <= Changed);
+  Changed = Changed - Before + After;
+  const bool IsEventInReserve =
+      Part == ResponsePart::Event && Events <= m_Limits.m_ResponseBytes / 2;
+  const std::size_t Needed = withEventRoom(WholeResponses, Events, m_Limits);
+  if (After > Before && !IsEventInReserve && Needed > m_Limits.m_ResponseBytes &&
+      m_Small + m_Large + Needed + m_Limits.m_UnreadBytes > m_Limits.m_Bytes)
     return false;
-  m_Responses = Responses;
+  m_Events = Events;
+  m_WholeResponses = WholeResponses;
   return true;
 }
 
--- a/src/libgateway/ClientMemoryBudget_test.cpp
+++ b/src/libgateway/ClientMemoryBudget_test.cpp
@@ -153,13 +153,42 @@
   // The fixed costs of further connections do not use it either.
   for (int I = 0; I < 100; ++I)
     F.m_Budget.add(F.m_Now);
-  CHECK(F.m_Budget.resizeResponse(0, 3 * Mega));
-  CHECK(F.m_Budget.resizeResponse(3 * Mega, 4 * Mega));
-  CHECK_FALSE(F.m_Budget.resizeResponse(4 * Mega, 5 * Mega));
+  CHECK(F.m_Budget.resizeResponse(ResponsePart::Event, 0, 3 * Mega));
+  CHECK(F.m_Budget.resizeResponse(ResponsePart::Event, 3 * Mega, 4 * Mega));
+  CHECK_FALSE(F.m_Budget.resizeResponse(ResponsePart::Event, 4 * Mega, 5 * Mega));
   CHECK(F.m_Budget.responseBytes() == 4 * Mega);
   CHECK(F.m_Budget.takeDecisions(F.m_Now).empty());
 }
 
+// Guards against streams that are cut because responses which are held back until they are whole
+// have taken their room.
+TEST_CASE("whole responses leave room for events", "[gateway]") {
+  Fixture F;
+  const auto FillWithRequests = [&] {
+    ClientConnectionNumber Last = F.open();
+    while (F.hold(Last, ClientMemoryBudget::SmallRequestBytes) == Admission::Granted)
+      Last = F.open();
+  };
+  const bool AreRequestsFirst = GENERATE(false, true);
+  if (AreRequestsFirst)
+    FillWithRequests();
+  std::size_t Held = 0;
+  constexpr std::size_t Step = 64 << 10;
+  while (F.m_Budget.resizeResponse(ResponsePart::Whole, Held, Held + Step))
+    Held += Step;
+  if (AreRequestsFirst)
+    CHECK(Held == 2 * Mega);
+  else
+    CHECK(Held > 20 * Mega);
+  if (!AreRequestsFirst)
+    FillWithRequests();
+  CHECK(F.m_Budget.resizeResponse(ResponsePart::Event, 0, 2 * Mega));
+  CHECK_FALSE(F.m_Budget.resizeResponse(ResponsePart::Event, 2 * Mega, 3 * Mega));
+  CHECK(F.m_Budget.responseBytes() == Held + 2 * Mega);
+  CHECK(F.m_Budget.resizeResponse(ResponsePart::Whole, Held, 0));
+  CHECK(F.m_Budget.resizeResponse(ResponsePart::Event, 2 * Mega, 3 * Mega));
+}
+
 // Guards against room that is not returned.
 TEST_CASE("a connection that ends returns all that it held", "[gateway]") {
   Fixture F;
@@ -167,10 +196,10 @@
   CHECK(F.hold(First, 20 * Mega) == Admission::Granted);
   const auto Second = F.open();
   CHECK(F.hold(Second, Mega) == Admission::Wait);
-  CHECK(F.m_Budget.resizeResponse(0, Mega));
-  CHECK_FALSE(F.m_Budget.resizeResponse(Mega, 20 * Mega));
+  CHECK(F.m_Budget.resizeResponse(ResponsePart::Event, 0, Mega));
+  CHECK_FALSE(F.m_Budget.resizeResponse(ResponsePart::Event, Mega, 20 * Mega));
   CHECK(F.m_Budget.responseBytes() == Mega);
-  CHECK(F.m_Budget.resizeResponse(Mega, 0));
+  CHECK(F.m_Budget.resizeResponse(ResponsePart::Event, Mega, 0));
   F.m_Budget.remove(First);
   F.m_Budget.remove(Second);
   CHECK(F.m_Budget.largeBytes() + F.m_Budget.smallBytes() == 0);
--- a/src/libgateway/Continuity_test.cpp
+++ b/src/libgateway/Continuity_test.cpp
@@ -105,3 +105,45 @@
   // The connection is used for the next request.
   CHECK(Upstream.connections() == 1);
 }
+
+// Guards against a stream that is cut although its upstream serves it: responses that need not be
+// buffered, or that are failures, take the room in which it keeps an event that has not ended.
+TEST_CASE("a stream in progress is not cut because other responses fill the buffers",
+          "[gateway][known-red]") {
+  const bool AreFailures = GENERATE(false, true);
+  CAPTURE(AreFailures);
+  constexpr std::size_t MemoryBytes = 16 << 20;
+  constexpr std::size_t Count = 150;
+  constexpr std::size_t HeldBytes = 60'000;
+  GatewayFixture Fixture(GatewayOptions().m_StopTime, MemoryBytes);
+  Fixture.setPlan();
+  constexpr std::size_t PendingBytes = 40'000;
+  const std::string Event = "id: 2\ndata: " + std::string(2 * PendingBytes, 'y') + "\n\n";
+  Fixture.addUpstream([&](const HttpRequest &Request) {
+    if (Request.target() == "/stream/x")
+      return Script{{{streamHeader(Request) + chunk(event(1))},
+                     {chunk(Event.substr(0, PendingBytes)), 500ms},
+                     {chunk(Event.substr(PendingBytes)), 100ms},
+                     {chunk(event(3)) + LastChunk}}};
+    const std::string Whole =
+        plainResponse(Request, AreFailures ? 500 : 200, std::string(HeldBytes + 1, 'x'));
+    return Script{{{Whole.substr(0, Whole.size() - 1)}, {Whole.substr(Whole.size() - 1), 900ms}}};
+  });
+  Fixture.records()[0].m_Slots = 1000;
+  Fixture.gateway().setUpstreams(Fixture.records());
+  RawResponse Stream;
+  bool IsStreamDone = false;
+  Fixture.start(GatewayFixture::request("/stream/x", "stream"), Stream, IsStreamDone);
+  REQUIRE(Fixture.runUntil([&] { return Stream.contains("token-1"); }, 1s));
+  std::deque<RawResponse> Others(Count);
+  std::deque<bool> AreDone(Count);
+  for (std::size_t I = 0; I < Count; ++I)
+    Fixture.start(GatewayFixture::request("/once/x", "r" + std::to_string(I)), Others[I],
+                  AreDone[I]);
+  CHECK(Fixture.runUntil([&] { return IsStreamDone; }, 2s));
+  CHECK(Stream.contains("token-3"));
+  CHECK(Stream.isCompleteChunked());
+  CHECK(Fixture.runUntil(
+      [&] { return std::all_of(AreDone.begin(), AreDone.end(), [](bool Each) { return Each; }); },
+      3s));
+}
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -106,6 +106,8 @@
   /// Limit on the parts of responses that are held back for all requests: bodies of failures, and
   /// events that have not ended. A response that exceeds it counts as no response.
   static constexpr std::size_t MaxResponseBufferBytes = 16 << 20;
+  /// Part of it that only events can use.
+  static constexpr std::size_t EventBufferBytes = 4 << 20;
   /// Maximum number of client requests in progress; further ones are refused.
   static constexpr std::size_t MaxRequests = 2048;
 
@@ -230,7 +232,8 @@
   /// request uses during the object's lifetime.
   class ResponseBuffer {
   public:
-    explicit ResponseBuffer(GatewayCore &Core) : m_Core(Core) {}
+    explicit ResponseBuffer(GatewayCore &Core, ResponsePart Part = ResponsePart::Event)
+        : m_Core(Core), m_Part(Part) {}
     ResponseBuffer(const ResponseBuffer &) = delete;
     ResponseBuffer &operator=(const ResponseBuffer &) = delete;
     ~ResponseBuffer() { resize(0); }
@@ -238,16 +241,20 @@
     /// Returns false, and uses nothing any more, if the limit would be exceeded.
     bool resize(std::size_t Size) {
       const std::size_t Others = m_Core.m_Admission.budget().responseBytes() - m_Size;
-      const bool Fits = Others + Size <= MaxResponseBufferBytes &&
-                        m_Core.m_Admission.resizeResponse(m_Size, Size);
+      const std::size_t Limit = m_Part == ResponsePart::Event
+                                    ? MaxResponseBufferBytes
+                                    : MaxResponseBufferBytes - EventBufferBytes;
+      const bool Fits =
+          Others + Size <= Limit && m_Core.m_Admission.resizeResponse(m_Part, m_Size, Size);
       if (!Fits)
-        m_Core.m_Admission.resizeResponse(m_Size, 0);
+        m_Core.m_Admission.resizeResponse(m_Part, m_Size, 0);
       m_Size = Fits ? Size : 0;
       return Fits;
     }
 
   private:
     GatewayCore &m_Core;
+    ResponsePart m_Part;
     std::size_t m_Size = 0;
   };
 
