Gateway: the deadline of a request says nothing about an upstream

A request with 100 ms left marked an upstream whose connections do not open at once, as during a pause under load, as unreachable, so all instances limited it to the cold rate for 5 s. Cause: the time to open the connection was cut by the deadline, and its end counted as a connection that could not be opened. It no longer counts unless the whole time for a connection passed or the upstream refused it.

--- a/src/libgateway/Continuity_test.cpp
+++ b/src/libgateway/Continuity_test.cpp
@@ -146,3 +146,87 @@
       [&] { return std::all_of(AreDone.begin(), AreDone.end(), [](bool Each) { return Each; }); },
       3s));
 }
+
+namespace {
+
+/// Upstream that is paused under load: the queue of its listener is full, so that no further
+/// connection opens. It is paused from the start, or after its first response.
+class PausedUpstream {
+public:
+  explicit PausedUpstream(net::io_context &Loop)
+      : m_Acceptor(Loop, Tcp::endpoint(loopbackAddress(), 0)) {}
+
+  Endpoint address() const { return loopbackEndpoint(m_Acceptor.local_endpoint().port()); }
+
+  void pause() {
+    ::listen(m_Acceptor.native_handle(), 0);
+    // Linux lets one connection more than the stated length into the queue.
+    for (int I = 0; I < 3; ++I) {
+      m_Queued.emplace_back(m_Acceptor.get_executor());
+      m_Queued.back().async_connect(tcpEndpoint(address()), net::detached);
+    }
+  }
+
+  /// Responds to the first request with bytes that end with their connection, and pauses.
+  void pauseAfter(std::function<std::string(const HttpRequest &)> Respond) {
+    net::co_spawn(m_Acceptor.get_executor(), serveFirst(std::move(Respond)), net::detached);
+  }
+
+private:
+  Task<> serveFirst(std::function<std::string(const HttpRequest &)> Respond) {
+    auto [Error, Socket] = co_await m_Acceptor.async_accept(AsTuple);
+    boost::beast::flat_buffer Buffer;
+    HttpRequest Request;
+    co_await boost::beast::http::async_read(Socket, Buffer, Request, AsTuple);
+    co_await net::async_write(Socket, net::buffer(Respond(Request)), AsTuple);
+    pause();
+  }
+
+  Tcp::acceptor m_Acceptor;
+  std::deque<Tcp::socket> m_Queued;
+};
+
+} // namespace
+
+// Guards against a response without a length that is cut at its end because its upstream is too
+// busy to accept the connection that shows that it is alive.
+TEST_CASE("an unframed response of an upstream that pauses after it is complete", "[gateway]") {
+  const bool IsStream = GENERATE(true, false);
+  GatewayFixture Fixture;
+  PausedUpstream Paused(Fixture.loop());
+  Paused.pauseAfter([&](const HttpRequest &Request) {
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(Request["Request-Id"]) +
+           "\r\nContent-Type: " + (IsStream ? "text/event-stream" : "text/plain") + "\r\n\r\n" +
+           event(1);
+  });
+  Fixture.setPlan();
+  Fixture.addUpstream([](const HttpRequest &) { return Script{}; });
+  Fixture.records()[0].m_Address = Paused.address();
+  Fixture.gateway().setUpstreams(Fixture.records());
+  const RawResponse Response =
+      Fixture.exchange(GatewayFixture::request(IsStream ? "/stream/x" : "/once/x", "r1"));
+  CHECK(Response.status() == 200);
+  CHECK(Response.contains("token-1"));
+  CHECK(Response.isComplete());
+}
+
+// Guards against a sound upstream that gets fewer requests from all entry instances because the
+// deadline of one request left no time to open a connection.
+TEST_CASE("a connection attempt cut by the deadline says nothing about its upstream", "[gateway]") {
+  GatewayFixture Fixture;
+  PausedUpstream Paused(Fixture.loop());
+  Paused.pause();
+  Fixture.gateway().setColdBounds(ColdBounds{1.5, 5});
+  Fixture.setPlan([](RoutingPlan &Plan) {
+    Plan.m_Services[0].m_ColdStart = ColdStartParameters{3s, RequestRate(17)};
+  });
+  Fixture.addUpstream([](const HttpRequest &) { return Script{}; });
+  Fixture.records()[0].m_Address = Paused.address();
+  Fixture.gateway().setUpstreams(Fixture.records());
+  std::string Bytes = GatewayFixture::request("/safe/x", "r1");
+  const std::string_view Deadline = "Deadline-Ms: 1200";
+  Bytes.replace(Bytes.find(Deadline), Deadline.size(), "Deadline-Ms: 100");
+  const RawResponse Response = Fixture.exchange(Bytes);
+  CHECK(Response.status() >= 500);
+  CHECK(Fixture.gateway().coldForPeers().empty());
+}
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -532,12 +532,14 @@
       [this, &This](ClientRequest &Request) { return prepareSend(This, Request); });
   if (!Sent.wasSent()) {
     // An address without a host refuses within a round trip.
-    if (Error == ExchangeError::NotSent && monotonicNow() - This.m_DispatchedAt >= ConnectTimeout)
+    const bool HasTimedOut = monotonicNow() - This.m_DispatchedAt >= ConnectTimeout;
+    if (Error == ExchangeError::NotSent && HasTimedOut)
       m_Core.onConnectTimeout(From, This.m_DispatchedAt);
     --m_PossibleRuns;
     --m_AttemptsSent;
     m_Core.loadBalancer().rates().returnPermit(From.start(), std::exchange(This.m_Permits, {}));
-    if (Error == ExchangeError::NotSent && !This.isCancelled())
+    // The end of the request may have cut the time to open the connection.
+    if (Error == ExchangeError::NotSent && (HasTimedOut || remainingTime() > Duration(0)))
       m_Core.recordUnreachable(From.start());
     logAttempt(This, "not-sent", exchangeErrorName(Error));
     co_return Error == ExchangeError::NotAllowed ? AttemptEnd::NoLongerEligible
