Gateway test: a retried stream is not bound to the weights of its lost upstream

Clients got 502 for a resumable stream although an upstream was free that could run it: the version in a response header without an event was taken as binding for the placement of the next attempt. During a rollout, and always after a withdrawal, no other upstream holds it.

--- a/src/libgateway/Continuity_test.cpp
+++ b/src/libgateway/Continuity_test.cpp
@@ -230,3 +230,50 @@
   CHECK(Response.status() >= 500);
   CHECK(Fixture.gateway().coldForPeers().empty());
 }
+
+// Guards against a stream that ends without an answer beside new weights: its upstream is lost
+// before the first event, and its next attempt is bound to the weights that the lost one stated.
+TEST_CASE("a stream without an event is not bound to the weights of its lost upstream",
+          "[gateway]") {
+  const bool IsWithdrawn = GENERATE(false, true);
+  CAPTURE(IsWithdrawn);
+  const ModelId Model("m");
+  GatewayFixture Fixture;
+  Fixture.setPlan([](RoutingPlan &Plan) {
+    Plan.m_Services[0].m_Engine = EngineParameters();
+    for (Route &Each : Plan.m_Routes)
+      Each.m_Timeout = 3s;
+  });
+  // Only the weights tell the two upstreams apart.
+  const auto Serve = [&](const HttpRequest &Request) {
+    if (Request.target() != "/stream/x")
+      return Script{{{plainResponse(Request, 200, "x")}}};
+    std::string Header = streamHeader(Request);
+    if (Request["Expected-Upstream"] != "upstream-1")
+      return Script{{{Header + chunk(event(1)) + LastChunk}}};
+    Header.replace(Header.find("Weights-Version: 3"), 18, "Weights-Version: 2");
+    return Script{{{Header}, {"", 300ms}},
+                  IsWithdrawn ? Script::End::KeepOpen : Script::End::Reset};
+  };
+  Fixture.addUpstream(Serve);
+  Fixture.records()[0].m_Weights = {{Model, WeightsVersion(2)}};
+  Fixture.gateway().setUpstreams(Fixture.records());
+  // These earn the retry budget.
+  for (int I = 0; I < 40; ++I)
+    Fixture.exchange(GatewayFixture::request("/safe/x", "warm-" + std::to_string(I)));
+  RawResponse Response;
+  bool Done = false;
+  Fixture.start(GatewayFixture::request("/stream/x", "r1", "Model: m\r\n"), Response, Done);
+  REQUIRE(Fixture.runUntil([&] { return !Fixture.gateway().ownUsage().empty(); }, 1s));
+  FakeUpstream &Newer = Fixture.addUpstream(Serve);
+  Fixture.records()[1].m_Weights = {{Model, WeightsVersion(3)}};
+  Fixture.gateway().setUpstreams(Fixture.records());
+  if (IsWithdrawn)
+    Fixture.gateway().setWeightsBounds(Model, {{WeightsVersion(3), monotonicNow() + 500ms}});
+  CHECK(Fixture.runUntil([&] { return Done; }, 3s));
+  CHECK(Response.status() == 200);
+  CHECK(Response.contains("token-1"));
+  CHECK(Response.isCompleteChunked());
+  REQUIRE(Newer.requests().size() == 1);
+  CHECK(Newer.requests()[0].count("Expected-Weights") == 0);
+}
