--- a/src/libgateway/PauseChecks.h
+++ b/src/libgateway/PauseChecks.h
@@ -241,6 +241,12 @@
     check("answered", m_Call.m_Response.isComplete() || HasBegun, "neither answer nor refusal");
   }
 
+  /// When the connection of the run closed, or its response ended.
+  static TimePoint endOf(const UpstreamRun &Run) {
+    const TimePoint End = Run.m_EndedAt.value_or(TimePoint::max());
+    return std::min(End, Run.m_AbandonedAt.value_or(End));
+  }
+
   /// Whether the run would have sent the whole response in time. A response that ended while the
   /// test did not handle events may reach the gateway after the deadline.
   bool isSound(const UpstreamRun &Run) const {
@@ -291,7 +297,11 @@
     bool WasRun = false;
     bool IsRepeated = false;
     std::size_t RunCount = 0;
+    TimePoint LastEnd;
     for (const UpstreamRun *Run : m_Call.m_Runs) {
+      if (Run->m_ArrivedAt + TransitTime < LastEnd)
+        m_Result.count("effect.runs-at-the-same-time");
+      LastEnd = std::max(LastEnd, endOf(*Run));
       IsRepeated = IsRepeated || WasRun;
       if (Run->m_Kind == RunKind::Rejection)
         continue;
@@ -330,7 +340,7 @@
           IsOneVersion &&
           m_Call.m_Response.contains("Weights-Version: " + std::to_string(Run.m_WeightsVersion));
       if (I > 0 && IsFirstOfRun)
-        m_Result.count("fault-effect.joined-runs");
+        m_Result.count("effect.joined-runs");
     }
     check("order", IsOrdered, "events");
     check("one-version", IsOneVersion);
