--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,7 +1,12 @@
 """Soak: runs the programs on loopback under load while processes are killed, paused and restarted
 and configuration changes, all at the same time, and checks what callers and engines see.
 
-Usage: scripts/soak.py [--seed N] [--runs N] [--seconds S] [--actors N] [--callers N]
+Usage: scripts/soak.py [--seed N] [--runs N] [--seconds S] [--pause-seconds S] [--actors N]
+                       [--callers N]
+
+Engines pause for up to 2 s beside all other actions, and after them beside planned changes only. A
+pause is no reason to give up a request: each one that was accepted and that no other disturbance
+overlaps must be answered.
 
 A run is repeated with its seed, which determines the series of actions; their timing also depends
 on the machine. Callers keep using open connections until the process behind them is gone. The exit
@@ -28,6 +33,11 @@
 # What a response may take beyond its deadline, because the caller and the instance share the
 # machine with all others and the instance may be paused meanwhile.
 LATE_SECONDS = 10
+# Shortest and longest pause of an engine.
+PAUSE_SECONDS = (0.2, 2)
+# A request may suffer from a disturbance that ended this long before it was sent, because other
+# processes learn of the restart later.
+AFTERMATH_SECONDS = 5
 # Day of the epoch that idempotency keys begin with.
 DAY = 20426
 
@@ -105,12 +115,22 @@
         self.actions = [self.kill_engine, self.stall_engine, self.kill_agent, self.pause_agent,
                         self.terminate_agent, self.kill_entry, self.pause_entry,
                         self.terminate_entry, self.terminate_entry, self.disturb_table,
-                        self.change_target, self.roll_out]
+                        self.change_target, self.roll_out, self.pause_engines,
+                        self.pause_engines]
+        # Beside these, every accepted request must be answered.
+        self.harmless_actions = [self.pause_engines, self.pause_engines, self.pause_engines,
+                                 self.drain_entry, self.change_target, self.roll_out]
 
     def run(self):
         try:
             while not self.soak.stopped.is_set():
-                self.random.choice(self.actions)()
+                is_calm = self.soak.is_calm.is_set()
+                action = self.random.choice(self.harmless_actions if is_calm else self.actions)
+                if action in self.harmless_actions:
+                    action()
+                else:
+                    with self.soak.disturbances.record():
+                        action()
                 self.soak.stopped.wait(self.random.uniform(0.1, 1.0))
         except Exception as error:
             self.soak.violate("action failed", repr(error))
@@ -134,6 +154,35 @@
                 self.pause(3)
                 self.soak.cluster.engine_faults(upstream, stalled=False)
 
+    def pause_engines(self):
+        """Pauses one or several engines, at once or one shortly after the other, some of them
+        several times."""
+        group = self.random.choice(["engine", "engine", "keyed-engine"])
+        with self.soak.victims(self.random, group, self.random.randrange(1, 5)) as names:
+            threads = [threading.Thread(target=self.pause_engine, args=(name, *self.pause_series()))
+                       for name in names]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+
+    def pause_series(self):
+        """Returns a delay and the lengths of the pauses after it."""
+        delay = self.random.choice([0, self.random.uniform(0, 1)])
+        count = self.random.choice([1, 1, 2, 3])
+        return delay, [self.random.uniform(*PAUSE_SECONDS) for _ in range(count)]
+
+    def pause_engine(self, name, delay, lengths):
+        engine = self.soak.cluster.upstreams[name].engine
+        time.sleep(delay)
+        for length in lengths:
+            with self.soak.pauses.record():
+                engine.signal(signal.SIGSTOP)
+                time.sleep(length)
+                engine.signal(signal.SIGCONT)
+            # Responses go on for a moment between the pauses.
+            time.sleep(0.05)
+
     def with_agent(self, action):
         with self.soak.victim(self.random, "agent") as name:
             if name:
@@ -182,8 +231,13 @@
         self.with_entry(lambda entry: self.stop_and_continue(entry, 2))
 
     def terminate_entry(self):
+        self.end_entry(self.random.choice(["plain", "paused", "second signal"]))
+
+    def drain_entry(self):
+        self.end_entry("plain")
+
+    def end_entry(self, kind):
         def action(entry):
-            kind = self.random.choice(["plain", "paused", "second signal"])
             if kind == "second signal":
                 # It ends the drain at once.
                 self.soak.killed.add(entry)
@@ -223,13 +277,45 @@
         self.apply([rollout("asistente", self.random.choice(["v1", "v2"]))])
 
 
+class Intervals:
+    """Times at which actions were under way."""
+
+    def __init__(self):
+        self._intervals = []
+
+    @contextlib.contextmanager
+    def record(self):
+        interval = [time.monotonic(), float("inf")]
+        self._intervals.append(interval)
+        try:
+            yield
+        finally:
+            interval[1] = time.monotonic()
+
+    def __len__(self):
+        return len(self._intervals)
+
+    def are_over(self):
+        return all(end < float("inf") for _, end in self._intervals)
+
+    def overlap(self, result, aftermath=0):
+        """Whether an action, or `aftermath` seconds after it, overlaps a request."""
+        return any(begin <= result["end"] and result["begin"] <= end + aftermath
+                   for begin, end in self._intervals)
+
+
 class Soak:
     """One seeded run."""
 
-    def __init__(self, seed, seconds, actors, callers):
+    def __init__(self, seed, seconds, pause_seconds, actors, callers):
         self.seed = seed
         self.seconds = seconds
+        self.pause_seconds = pause_seconds
         self.stopped = threading.Event()
+        # Set while only harmless actions take place.
+        self.is_calm = threading.Event()
+        self.pauses = Intervals()
+        self.disturbances = Intervals()
         self.killed = set()
         self.terminated = set()
         self.violations = []
@@ -238,6 +324,7 @@
         self._free = {}
         # Number of processes of a group that stay free of actions at any time.
         self._least_free = {"engine": 2, "agent": 2, "entry": 1, "table": 0}
+        self.beside_pauses = collections.Counter()
         self.cluster = Cluster()
         self.actors = [Actor(self, number) for number in range(actors)]
         self.callers = [Caller(self, number) for number in range(callers)]
@@ -260,6 +347,19 @@
                 with self._lock:
                     free.add(name)
 
+    @contextlib.contextmanager
+    def victims(self, chooser, group, count):
+        """Reserves up to `count` processes of a group that all others may lack meanwhile."""
+        with self._lock:
+            free = self._free[group]
+            names = chooser.sample(sorted(free), min(count, len(free)))
+            free.difference_update(names)
+        try:
+            yield names
+        finally:
+            with self._lock:
+                free.update(names)
+
     def start(self):
         cluster = self.cluster
         cluster.start_services()
@@ -267,7 +367,9 @@
         self.entry_names = list(cluster.entries)
         # Engines of keyed work are not killed, because the counts of its executions would be lost.
         engines = [name for name in cluster.upstreams if name.startswith("asistente")]
-        self._free = {"engine": set(engines), "agent": set(cluster.upstreams) - {"bodega-0"},
+        keyed_engines = [name for name in cluster.upstreams if name.startswith("pedidos")]
+        self._free = {"engine": set(engines), "keyed-engine": set(keyed_engines),
+                      "agent": set(cluster.upstreams) - {"bodega-0"},
                       "entry": set(self.entry_names), "table": {"table"}}
 
     def check_recovery(self):
@@ -319,10 +421,21 @@
             if outcome == "broken" and process not in self.killed and (
                     process not in self.terminated or has_run):
                 self.violate("connection lost", shown)
+            self.check_beside_pauses(result, shown)
             limit = ANSWER_WITHIN_MS / 1000 + LATE_SECONDS
             if outcome not in ("unsent", "broken") and result["end"] - result["begin"] > limit:
                 self.violate("late", shown)
 
+    def check_beside_pauses(self, result, shown):
+        """A request that overlaps a pause and no other disturbance is answered or refused."""
+        outcome = result["outcome"]
+        if (outcome == "unsent" or not self.pauses.overlap(result)
+                or self.disturbances.overlap(result, AFTERMATH_SECONDS)):
+            return
+        self.beside_pauses[outcome] += 1
+        if outcome in ("truncated", "unknown", "refused"):
+            self.violate("lost beside a pause", shown)
+
     def run(self):
         """Returns whether all checks hold."""
         with self.cluster:
@@ -330,6 +443,9 @@
             for thread in self.callers + self.actors:
                 thread.start()
             self.stopped.wait(self.seconds)
+            self.is_calm.set()
+            wait_until(self.disturbances.are_over, "the disturbances are over")
+            self.stopped.wait(AFTERMATH_SECONDS + self.pause_seconds)
             self.stopped.set()
             for thread in self.actors + self.callers:
                 thread.join(3 * WAIT_LIMIT_SECONDS)
@@ -338,11 +454,16 @@
             self.check_recovery()
             results = [result for caller in self.callers for result in caller.results]
             self.check_results(results)
+            if self.pause_seconds > AFTERMATH_SECONDS and not self.beside_pauses:
+                self.violate("never evaluated", "requests beside pauses")
             outcomes = collections.Counter(result["outcome"] for result in results)
             reasons = collections.Counter(result["detail"] for result in results
                                           if result["outcome"] in ("not-run", "unknown"))
             print(f"seed={self.seed} result={'failed' if self.violations else 'passed'} "
                   f"terminated={len(self.terminated)} killed={len(self.killed)} "
+                  f"pauses={len(self.pauses)} beside_pauses="
+                  + ",".join(f"{name}:{count}"
+                             for name, count in sorted(self.beside_pauses.items())) + " "
                   + " ".join(f"{name}={count}" for name, count in sorted(outcomes.items()))
                   + " reasons="
                   + ",".join(f"{name}:{count}" for name, count in reasons.most_common()),
@@ -351,7 +472,8 @@
                 print(f"  {violation}")
             if self.violations:
                 print(f"  logs: {self.cluster.folder}\n  repeat: scripts/soak.py "
-                      f"--seed {self.seed} --seconds {self.seconds} --actors {len(self.actors)} "
+                      f"--seed {self.seed} --seconds {self.seconds} "
+                      f"--pause-seconds {self.pause_seconds} --actors {len(self.actors)} "
                       f"--callers {len(self.callers)}", flush=True)
         return not self.violations
 
@@ -361,13 +483,16 @@
     parser.add_argument("--seed", type=int, default=1, help="seed of the first run")
     parser.add_argument("--runs", type=int, default=1, help="runs, with one seed after the other")
     parser.add_argument("--seconds", type=float, default=30, help="length of the faults of a run")
+    parser.add_argument("--pause-seconds", type=float, default=15,
+                        help="time after them in which only engines pause, beside planned changes")
     parser.add_argument("--actors", type=int, default=4, help="series of actions that overlap")
     parser.add_argument("--callers", type=int, default=8, help="callers with open connections")
     chosen = parser.parse_args()
     # Ends the programs that were started, too.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     failed = [seed for seed in range(chosen.seed, chosen.seed + chosen.runs)
-              if not Soak(seed, chosen.seconds, chosen.actors, chosen.callers).run()]
+              if not Soak(seed, chosen.seconds, chosen.pause_seconds, chosen.actors,
+                           chosen.callers).run()]
     if failed:
         print(f"failed seeds: {failed}")
     return 1 if failed else 0
