A slow control message no longer closes the connection that carries attempts

What callers saw: a stream or a request on a sound upstream ended as broken, or a confirmation as unknown, although the upstream only paused for about a second. It needed a control message to the agent in that second: an offer of a change of the targets, a membership probe, a query for an attempt.

Cause: a control message that had no answer within its timeout (1 s by default) closed the whole connection to its peer. Entry instances send control messages over the connection that also carries their attempts, so all of them ended as lost before anybody else had taken them over. Whether they were then answered depended on the retry budget and on another upstream; work that may run once got the outcome unknown.

Fix: a call that only timed out leaves a monitored connection open. Its heartbeats, which look at the connection itself, decide whether the peer is gone. An unmonitored connection carries no attempts and has no heartbeats, so it is still replaced. A call that fails otherwise still closes either.

Ruled out: claim writes between entry instances use unmonitored connections; a closed one costs a second submission with the same claim id, not an answer.

--- a/src/include/Fescuegauge/RpcNode.h
+++ b/src/include/Fescuegauge/RpcNode.h
@@ -193,7 +193,7 @@
                   ChunkCallback Reply);
   using ResultCallback = std::function<void(std::optional<std::string> Payload)>;
   /// `Done` receives std::nullopt if no answer arrives within `Timeout`, which starts when the
-  /// message is sent.
+  /// message is sent. An unmonitored connection is then closed; a monitored one stays open.
   void control(const InstanceId &Peer, Topic Subject, std::string Payload, Duration Timeout,
                ResultCallback Done);
 
--- a/src/librpc/RpcNode.cpp
+++ b/src/librpc/RpcNode.cpp
@@ -338,6 +338,15 @@
     });
   }
 
+  /// Closes the connection after a call on it failed. A call that only timed out leaves a monitored
+  /// connection open, since attempts may be running on it: its heartbeats decide.
+  void handleFailedCall(const InstanceId &Peer, std::uint64_t Epoch, const kj::Exception &Failure) {
+    const Outgoing *Link = findLink(Peer, Epoch);
+    bool HasTimedOut = Failure.getType() == kj::Exception::Type::OVERLOADED;
+    if (Link && !(Link->m_IsMonitored && HasTimedOut))
+      scheduleDisconnect(Peer, Epoch);
+  }
+
   void connect(const InstanceId &Peer, Outgoing &Link);
   void sendFetch(const InstanceId &Peer, const Digest &Chunk, Duration Timeout,
                  const ChunkCallback &Reply);
@@ -716,8 +725,8 @@
   tasks().add(timer()
                   .timeoutAfter(Timeout.count() * kj::MICROSECONDS, kj::mv(Answer))
                   .then([Reply](ChunkAnswer Result) { Reply(std::move(Result)); },
-                        [this, Peer, Epoch = Link.m_Epoch, Reply](kj::Exception &&) {
-                          scheduleDisconnect(Peer, Epoch);
+                        [this, Peer, Epoch = Link.m_Epoch, Reply](kj::Exception &&Failure) {
+                          handleFailedCall(Peer, Epoch, Failure);
                           Reply({ChunkAnswer::Status::NoAnswer, {}});
                         }));
 }
@@ -745,8 +754,8 @@
   tasks().add(timer()
                   .timeoutAfter(Timeout.count() * kj::MICROSECONDS, kj::mv(Answer))
                   .then([Done](std::optional<std::string> Content) { Done(std::move(Content)); },
-                        [this, Peer, Epoch = Link.m_Epoch, Done](kj::Exception &&) {
-                          scheduleDisconnect(Peer, Epoch);
+                        [this, Peer, Epoch = Link.m_Epoch, Done](kj::Exception &&Failure) {
+                          handleFailedCall(Peer, Epoch, Failure);
                           Done(std::nullopt);
                         }));
 }
--- a/src/librpc/RpcNode_test.cpp
+++ b/src/librpc/RpcNode_test.cpp
@@ -62,11 +62,16 @@
       Reply({ChunkAnswer::Status::NotHeld, {}});
   }
   void onControl(const PeerIdentity &, Topic, std::string Payload, ReplyCallback Reply) override {
-    Reply("echo " + Payload);
+    if (m_HoldsReplies)
+      m_HeldReplies.push_back(std::move(Reply));
+    else
+      Reply("echo " + Payload);
   }
 
   bool m_HoldsAttempts = false;
+  bool m_HoldsReplies = false;
   std::vector<std::shared_ptr<AttemptSink>> m_HeldSinks;
+  std::vector<ReplyCallback> m_HeldReplies;
   Event m_Received;
   Event m_PeerLost;
 };
@@ -86,7 +91,12 @@
   Event m_Ended;
 };
 
-RpcOptions optionsFor(const std::string &Name, const std::string &Deployment = "test") {
+constexpr Duration DefaultFailureTime = 400ms;
+/// Longer than any pause in a test.
+constexpr Duration LongFailureTime = 60s;
+
+RpcOptions optionsFor(const std::string &Name, const std::string &Deployment = "test",
+                      Duration FailureTime = DefaultFailureTime) {
   RpcOptions Options;
   Options.m_Listen = {"127.0.0.1", 0};
   Options.m_Self.m_Deployment = Deployment;
@@ -94,7 +104,7 @@
   Options.m_Self.m_Incarnation = Incarnation(1);
   Options.m_Self.m_DataCentre = DataCentreId("dc");
   Options.m_HeartbeatInterval = 20ms;
-  Options.m_FailureTime = 400ms;
+  Options.m_FailureTime = FailureTime;
   return Options;
 }
 
@@ -159,13 +169,16 @@
   EventLoop m_ServerLoop{2};
   FakeAgent m_Agent;
   FakeAgent m_Unused;
-  std::unique_ptr<RpcNode> m_Server =
-      std::make_unique<RpcNode>(m_ServerLoop, optionsFor("agent"), m_Agent);
-  RpcNode m_Client{m_Loop, optionsFor("entry"), m_Unused};
+  std::unique_ptr<RpcNode> m_Server;
+  RpcNode m_Client;
   InstanceId m_Peer{"agent"};
   std::shared_ptr<RecordingSink> m_Sink = std::make_shared<RecordingSink>();
 
-  UnansweredAttempt() {
+  explicit UnansweredAttempt(Duration ClientFailureTime = DefaultFailureTime,
+                             Duration ServerFailureTime = DefaultFailureTime)
+      : m_Server(std::make_unique<RpcNode>(
+            m_ServerLoop, optionsFor("agent", "test", ServerFailureTime), m_Agent)),
+        m_Client(m_Loop, optionsFor("entry", "test", ClientFailureTime), m_Unused) {
     m_Agent.m_HoldsAttempts = true;
     m_Loop.postAndWait([&] { m_Client.addPeer(m_Peer, {"127.0.0.1", m_Server->port()}, true); });
     REQUIRE(waitFor(m_Loop, [&] { return m_Client.isConnected(m_Peer); }));
@@ -179,6 +192,15 @@
   void releaseSink() {
     m_ServerLoop.postAndWait([&] { m_Agent.m_HeldSinks.clear(); });
   }
+  /// The agent answers the attempt; true if the answer arrives.
+  bool isAnswered() {
+    m_ServerLoop.postAndWait([&] {
+      m_Agent.m_HeldSinks.front()->onFragment({AttemptId("a1"), 0, "whole", {}});
+      m_Agent.m_HeldSinks.front()->onEnd(AttemptId("a1"), completeEnd(5));
+    });
+    return m_Sink->m_Ended.wait() && m_Sink->m_End.m_Status == AttemptStatus::Complete &&
+           m_Sink->m_Answer == "whole";
+  }
 };
 
 } // namespace
@@ -205,6 +227,26 @@
   CHECK(Attempt.m_Sink->m_Ends == 1);
 }
 
+// Guards against losing an attempt because its sound agent was slow to answer a control message.
+TEST_CASE("an attempt survives a control message that its agent does not answer in time") {
+  UnansweredAttempt Attempt(LongFailureTime, LongFailureTime);
+  Attempt.m_ServerLoop.postAndWait([&] { Attempt.m_Agent.m_HoldsReplies = true; });
+  std::optional<std::string> Answer("none");
+  Event TimedOut;
+  Attempt.m_Loop.post([&] {
+    Attempt.m_Client.control(Attempt.m_Peer, Topic::Configuration, "offer", 10ms, [&](auto Reply) {
+      Answer = Reply;
+      TimedOut.set();
+    });
+  });
+  REQUIRE(TimedOut.wait());
+  CHECK_FALSE(Answer);
+  CHECK(Attempt.isAnswered());
+  Attempt.m_Loop.postAndWait([&] { CHECK(Attempt.m_Client.counters().m_ConnectionsLost == 0); });
+  // Replies belong to the loop's thread.
+  Attempt.m_ServerLoop.postAndWait([&] { Attempt.m_Agent.m_HeldReplies.clear(); });
+}
+
 // Guards against a connection that stays open but delivers nothing. A blocked server loop simulates
 // it.
 TEST_CASE("a connection that delivers nothing is closed at both ends") {
