A pause of the own process no longer counts as silence of its peers

What callers saw: requests in progress ended as broken or unknown after an entry instance or an agent had paused, for example for want of processor time, although engines, connections and the other processes were sound.

Cause: after a pause, the timers ran before the data that had arrived meanwhile was read. The entry instance then found that no agent had answered for the failure time and closed all its connections, with all attempts on them. The agent found the same about its entry instances, closed their connections, and its AttemptLedger cancelled their attempts.

Fix: RpcNode excludes the time by which its own maintenance ran late from the silence of its peers. AttemptService tells its ledger of a pause, and the ledger keeps its sources open for 0.5 s more, so that the heartbeats that arrived during the pause are handled first.

Ruled out: Membership has a rule of its own for pauses (PauseThreshold). RequestLifecycle acts only on deadlines.

--- a/src/fescuegauged/AttemptService.cpp
+++ b/src/fescuegauged/AttemptService.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
+/// A longer gap between two ticks is treated as a pause of this process.
+constexpr Duration PauseThreshold = std::chrono::milliseconds(300);
 
 /// Placeholder for the version of a plain service, which has none. With it, the same rule decides
 /// for engines and plain services whether an upstream accepts work.
@@ -55,6 +57,9 @@
   });
   m_Loop.every(TickInterval, [this] {
     TimePoint Now = EventLoop::now();
+    if (Now - m_LastTickAt > PauseThreshold)
+      m_Ledger.recordPause(Now);
+    m_LastTickAt = Now;
     for (const AttemptId &Abandoned : m_Ledger.onTimer(Now))
       cancel(Abandoned);
     if (!m_IsStatusQueryPending && Now >= m_StatusReceivedAt + EngineStatusInterval)
--- a/src/fescuegauged/AttemptService.h
+++ b/src/fescuegauged/AttemptService.h
@@ -78,6 +78,7 @@
   EventLoop &m_Loop;
   EngineClient m_Engine;
   AttemptLedger m_Ledger;
+  TimePoint m_LastTickAt;
   boost::asio::thread_pool m_Threads;
   MembershipService *m_Membership = nullptr;
   RpcService *m_Rpc = nullptr;
--- a/src/include/Fescuegauge/AttemptLedger.h
+++ b/src/include/Fescuegauge/AttemptLedger.h
@@ -75,6 +75,8 @@
   static constexpr std::size_t MaxRunning = 4096;
   /// A source that sends no heartbeat for this long is closed and its attempts are cancelled.
   static constexpr Duration HeartbeatTimeout = std::chrono::seconds(2);
+  /// Time after a pause of this process in which no source is closed.
+  static constexpr Duration PauseGrace = std::chrono::milliseconds(500);
 
   enum class Verdict {
     /// Send the attempt to the engine. Returned once per attempt id.
@@ -111,6 +113,9 @@
   /// Records the loss of the engine. Returns the attempts that it ended: Failed, or Refused if no
   /// byte of the attempt had been sent.
   std::vector<AttemptStatement> engineLost();
+  /// Must be called after a pause of this process, before onTimer(). Heartbeats that arrived during
+  /// the pause are handled only after it.
+  void recordPause(TimePoint Now);
   /// Closes sources whose heartbeats timed out. Returns the attempts that the engine must cancel.
   std::vector<AttemptId> onTimer(TimePoint Now);
   std::optional<TimePoint> nextTimer() const;
--- a/src/librequests/AttemptLedger.cpp
+++ b/src/librequests/AttemptLedger.cpp
@@ -184,6 +184,13 @@
   return Lost;
 }
 
+void AttemptLedger::recordPause(TimePoint Now) {
+  for (auto &[Id, Origin] : m_Sources)
+    if (Origin.m_IsOpen)
+      Origin.m_LastHeartbeatAt =
+          std::max(Origin.m_LastHeartbeatAt, Now - HeartbeatTimeout + PauseGrace);
+}
+
 std::vector<AttemptId> AttemptLedger::onTimer(TimePoint Now) {
   std::vector<AttemptId> Cancelled;
   for (auto &[Id, Origin] : m_Sources) {
--- a/src/librequests/Attempts_test.cpp
+++ b/src/librequests/Attempts_test.cpp
@@ -63,6 +63,25 @@
   CHECK_FALSE(Ledger.state(AttemptId("malformed")).m_State);
 }
 
+// Guards against cancelling the attempts of a sound entry instance after a pause of this process,
+// in which its heartbeats were not handled.
+TEST_CASE("attempts survive a pause of their agent if heartbeats arrived during it") {
+  AttemptLedger Ledger(Incarnation(1));
+  REQUIRE(Ledger.openSource(Source, 1, Start));
+  CHECK(Ledger.arrive(attempt(1), {}, Start).m_Verdict == AttemptLedger::Verdict::Run);
+  REQUIRE(Ledger.start(attempt(1)));
+  TimePoint Resumed = Start + AttemptLedger::HeartbeatTimeout + 1s;
+  Ledger.recordPause(Resumed);
+  CHECK(Ledger.onTimer(Resumed).empty());
+  Ledger.heartbeat(Source, Resumed);
+  CHECK(Ledger.onTimer(Resumed + AttemptLedger::PauseGrace).empty());
+  CHECK(Ledger.state(attempt(1)).m_State == AttemptState::Started);
+  // Without a heartbeat after the pause, the source is closed.
+  Resumed += AttemptLedger::HeartbeatTimeout + 1s;
+  Ledger.recordPause(Resumed);
+  CHECK(Ledger.onTimer(Resumed + AttemptLedger::PauseGrace) == std::vector{attempt(1)});
+}
+
 // Guards against an unbounded number of sources, and against running late copies of attempts from
 // an evicted source.
 TEST_CASE("closed sources are evicted and their earlier attempts stay refused") {
--- a/src/librpc/RpcNode.cpp
+++ b/src/librpc/RpcNode.cpp
@@ -258,9 +258,11 @@
   void open(kj::Own<kj::AsyncIoStream> Stream);
 
   kj::Promise<void> runMaintenance() {
-    auto Interval = std::min(m_Options.m_HeartbeatInterval, m_Options.m_FailureTime / 4);
-    return timer().afterDelay(Interval.count() * kj::MICROSECONDS).then([this] {
+    Duration Interval = std::min(m_Options.m_HeartbeatInterval, m_Options.m_FailureTime / 4);
+    TimePoint DueAt = EventLoop::now() + Interval;
+    return timer().afterDelay(Interval.count() * kj::MICROSECONDS).then([this, DueAt] {
       TimePoint Now = EventLoop::now();
+      excludePause(Now - DueAt, Now);
       closeInactiveIncoming(Now);
       for (auto &[Peer, Link] : m_Outgoing)
         maintainConnection(Peer, Link, Now);
@@ -268,6 +270,17 @@
     });
   }
 
+  /// Excludes a pause of this process from the silence of its peers, because what they sent during
+  /// the pause has not been read yet.
+  void excludePause(Duration Pause, TimePoint Now) {
+    if (Pause <= Duration(0))
+      return;
+    for (auto &[Id, Connection] : m_Incoming)
+      Connection->m_LastCall = std::min(Connection->m_LastCall + Pause, Now);
+    for (auto &[Peer, Link] : m_Outgoing)
+      Link.m_LastAnswer = std::min(Link.m_LastAnswer + Pause, Now);
+  }
+
   void closeInactiveIncoming(TimePoint Now) {
     std::vector<std::uint64_t> Inactive;
     for (auto &[Id, Connection] : m_Incoming)
--- a/src/librpc/RpcNode_test.cpp
+++ b/src/librpc/RpcNode_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <condition_variable>
 #include <mutex>
+#include <thread>
 
 using namespace fescuegauge;
 using namespace std::chrono_literals;
@@ -247,6 +248,23 @@
   Attempt.m_ServerLoop.postAndWait([&] { Attempt.m_Agent.m_HeldReplies.clear(); });
 }
 
+// Guards against losing attempts after a pause of this process, in which it could not read what its
+// sound peers sent. A blocked loop simulates the pause.
+TEST_CASE("an attempt survives a pause of either process that is longer than the failure time") {
+  constexpr Duration FailureTime = 1s;
+  constexpr Duration Pause = 2 * FailureTime;
+  const bool DoesCallerPause = GENERATE(true, false);
+  CAPTURE(DoesCallerPause);
+  UnansweredAttempt Attempt(DoesCallerPause ? FailureTime : LongFailureTime,
+                            DoesCallerPause ? LongFailureTime : FailureTime);
+  EventLoop &Paused = DoesCallerPause ? Attempt.m_Loop : Attempt.m_ServerLoop;
+  Paused.post([=] { std::this_thread::sleep_for(Pause); });
+  // Several rounds of maintenance follow the pause.
+  std::this_thread::sleep_for(Pause + FailureTime / 2);
+  CHECK(Attempt.isAnswered());
+  Attempt.m_Loop.postAndWait([&] { CHECK(Attempt.m_Client.counters().m_ConnectionsLost == 0); });
+}
+
 // Guards against a connection that stays open but delivers nothing. A blocked server loop simulates
 // it.
 TEST_CASE("a connection that delivers nothing is closed at both ends") {
