A request is not given up on a silent upstream before another one has taken it over

What callers saw: streams that ended in the middle and confirmations with the outcome unknown after a sound process had paused for between one and a half and two seconds.

Cause: without a heartbeat for 2 s, the entry instance closed the connection to an agent, with all attempts on it, and only then looked for another upstream. An empty retry budget, no room elsewhere, or work that may run only once ended the request. The agent did the same in the other direction: it closed the connections and cancelled the attempts of an entry instance that was silent for 2 s. Up to 0.5 s of that time are the interval between heartbeats, so a pause of 1.5 s was enough.

Fix: silence and failure are two events now. After half of the failure time, RpcNode reports that the peer is silent, and RequestLifecycle dispatches the idempotent requests there to a second upstream too, if the budget (takeHedge, which leaves a reserve for retries), the suspicion of crashes and another upstream allow it. The first attempt goes on. The attempt that delivers the next byte is kept and the other one is cancelled, so two answers never mix, and a refusal or the loss of one leaves the other running. Work that may run only once stays where it is. The connection is closed and the agent cancels after the failure time, which is 4 s by default instead of 2 s: more than a pause of 2 s and a heartbeat interval together. A killed process is still noticed at once by its closed connection. A dark agent costs idempotent requests 2 s as before; the outcome unknown comes after 4 s instead of 2 s.

The version and the generation in the ticket now come from the attempt that delivered, not from the latest one.

Evidence: process_test pauses agents, engines, both, and an entry instance, beside a change of the targets, with an empty retry budget and 12 long requests each. The randomised runs of requests_test now contain second attempts and require some.

Ruled out: pauses of engines of up to 1.9 s lose nothing by themselves (a status query may take 5 s, a stream 30 s).

--- a/src/fescuegauged/AnswerQueue.cpp
+++ b/src/fescuegauged/AnswerQueue.cpp
@@ -2,8 +2,7 @@
 
 namespace fescuegauge {
 
-void AnswerQueue::pushFragment(const DeliverFragment &Fragment, const Digest &ServedDigest,
-                               std::string Ticket) {
+void AnswerQueue::pushFragment(const DeliverFragment &Fragment, std::string Ticket) {
   std::lock_guard Lock(m_Mutex);
   if (m_HasOverflowed)
     return;
@@ -12,7 +11,7 @@
   Event Added;
   Added.m_Data = m_HasOverflowed ? std::string() : Fragment.m_Data;
   Added.m_ContentType = Fragment.m_ContentType;
-  Added.m_ServedDigest = ServedDigest;
+  Added.m_ServedDigest = Fragment.m_ServedDigest;
   Added.m_Ticket = std::move(Ticket);
   Added.m_HasOverflowed = m_HasOverflowed;
   m_Events.push_back(std::move(Added));
--- a/src/fescuegauged/AnswerQueue.h
+++ b/src/fescuegauged/AnswerQueue.h
@@ -31,8 +31,7 @@
     bool m_HasOverflowed = false;
   };
 
-  void pushFragment(const DeliverFragment &Fragment, const Digest &ServedDigest,
-                    std::string Ticket);
+  void pushFragment(const DeliverFragment &Fragment, std::string Ticket);
   void pushFinish(const FinishRequest &Final);
 
   /// Removes and returns the next event. Returns nothing if none arrives within `Timeout`.
--- a/src/fescuegauged/RequestService.cpp
+++ b/src/fescuegauged/RequestService.cpp
@@ -66,9 +66,6 @@
     Received.m_Data = Fragment.m_Data;
     Received.m_ServedDigest = Fragment.m_ServedDigest;
     Received.m_ContentType = "text/plain; charset=utf-8";
-    if (auto Found = m_Owner.m_PendingRequests.find(m_Request);
-        Found != m_Owner.m_PendingRequests.end())
-      Found->second->m_ServedDigest = Fragment.m_ServedDigest;
     m_Owner.perform(m_Owner.m_Lifecycle.fragment(Received, EventLoop::now()));
   }
 
@@ -130,6 +127,9 @@
       m_AgentIncarnations[Peer.m_Instance] = Peer.m_Incarnation;
       perform(m_Lifecycle.upstreamConnected(Peer.m_Instance, EventLoop::now()));
     });
+    m_Rpc->m_SilentHandlers.push_back([this](const InstanceId &Peer) {
+      perform(m_Lifecycle.upstreamSilent(Peer, EventLoop::now()));
+    });
     m_Rpc->m_DisconnectedHandlers.push_back([this](const InstanceId &Peer) {
       perform(m_Lifecycle.upstreamUnreachable(Peer, EventLoop::now()));
     });
@@ -522,8 +522,7 @@
   auto Found = m_PendingRequests.find(Action.m_Request);
   if (Found == m_PendingRequests.end())
     return perform(m_Lifecycle.attemptNotSent(Action.m_Attempt, EventLoop::now()));
-  PendingRequest &Pending = *Found->second;
-  Pending.m_Generation = generationOf(Action.m_Upstream);
+  const PendingRequest &Pending = *Found->second;
   AttemptRequest Request;
   Request.m_Attempt = Action.m_Attempt;
   Request.m_Request = Action.m_Request;
@@ -534,7 +533,7 @@
   Request.m_Execution = Pending.m_Request.m_NonIdempotent ? Pending.m_Request.m_Account.str() +
                                                                 "/" + Pending.m_Request.m_Key.str()
                                                           : Action.m_Attempt.str();
-  Request.m_Generation = Pending.m_Generation;
+  Request.m_Generation = generationOf(Action.m_Upstream);
   Request.m_RequiredDigest = Action.m_RequiredDigest.value_or(Digest());
   Request.m_ResumeFrom = Action.m_ResumeOffset;
   Request.m_Priority = Pending.m_Priority;
@@ -572,10 +571,10 @@
     Found->second->m_FirstTokenAt = EventLoop::now();
   const PendingRequest &Pending = *Found->second;
   GenerationTicket Ticket;
-  Ticket.m_Generation = Pending.m_Generation;
-  Ticket.m_ServedDigest = Pending.m_ServedDigest;
+  Ticket.m_Generation = generationOf(Action.m_Upstream);
+  Ticket.m_ServedDigest = Action.m_ServedDigest;
   Ticket.m_AcknowledgedWrite = Pending.m_Request.m_NonIdempotent;
-  Pending.m_AnswerQueue->pushFragment(Action, Pending.m_ServedDigest, Ticket.encode());
+  Pending.m_AnswerQueue->pushFragment(Action, Ticket.encode());
 }
 
 void RequestService::perform(const FinishRequest &Action) {
@@ -902,6 +901,10 @@
   return m_Scheduler.takeRetry(Request.m_Id);
 }
 
+bool RequestService::takeHedge(const RequestDescription &Request, TimePoint) {
+  return m_Scheduler.takeHedge(Request.m_Id);
+}
+
 GenerationId RequestService::generationOf(const InstanceId &Upstream) const {
   const InstanceRecord *Record = m_Membership->view().find(Upstream);
   return Record ? Record->m_Generation : GenerationId();
@@ -920,6 +923,7 @@
     State["draining"] = m_IsDraining;
     State["dispatches"] = m_Lifecycle.counters().m_Dispatches;
     State["retries"] = m_Lifecycle.counters().m_Retries;
+    State["secondAttempts"] = m_Lifecycle.counters().m_SecondAttempts;
     State["resumes"] = m_Lifecycle.counters().m_Resumes;
     State["lateFragments"] = m_Lifecycle.counters().m_LateFragments;
     State["claimTransactions"] = m_Batcher.transactionsSent();
--- a/src/fescuegauged/RequestService.h
+++ b/src/fescuegauged/RequestService.h
@@ -52,9 +52,6 @@
     TimePoint m_ArrivedAt;
     std::optional<TimePoint> m_StartedAt;
     std::optional<TimePoint> m_FirstTokenAt;
-    Digest m_ServedDigest;
-    /// The generation of the upstream of the latest attempt.
-    GenerationId m_Generation;
     int m_Priority = 0;
     bool m_IsQueued = false;
   };
@@ -117,6 +114,7 @@
   void updateLoad();
 
   bool takeRetry(const RequestDescription &Request, TimePoint Now) override;
+  bool takeHedge(const RequestDescription &Request, TimePoint Now) override;
   GenerationId generationOf(const InstanceId &Upstream) const override;
   Incarnation incarnationOf(const InstanceId &Upstream) const override;
 
--- a/src/fescuegauged/RpcService.cpp
+++ b/src/fescuegauged/RpcService.cpp
@@ -74,6 +74,12 @@
     Callback(Peer);
 }
 
+void RpcService::onSilent(const InstanceId &Peer) {
+  logEvent(Severity::Info, "peer_silent", {{"peer", Peer}});
+  for (const auto &Callback : m_SilentHandlers)
+    Callback(Peer);
+}
+
 void RpcService::onDisconnected(const InstanceId &Peer) {
   logEvent(Severity::Info, "connection_lost", {{"peer", Peer}});
   for (const auto &Callback : m_DisconnectedHandlers)
--- a/src/fescuegauged/RpcService.h
+++ b/src/fescuegauged/RpcService.h
@@ -44,6 +44,7 @@
   std::function<std::string(const PeerIdentity &)> m_HeartbeatReportProvider;
   std::function<void(const InstanceId &, const std::string &)> m_HeartbeatAnswerHandler;
   std::vector<std::function<void(const PeerIdentity &)>> m_ConnectedHandlers;
+  std::vector<std::function<void(const InstanceId &)>> m_SilentHandlers;
   std::vector<std::function<void(const InstanceId &)>> m_DisconnectedHandlers;
 
 private:
@@ -55,6 +56,7 @@
   std::string onHeartbeat(const PeerIdentity &From) override;
   void onHeartbeatAnswer(const InstanceId &Peer, const std::string &Report) override;
   void onConnected(const PeerIdentity &Peer) override;
+  void onSilent(const InstanceId &Peer) override;
   void onDisconnected(const InstanceId &Peer) override;
   void onRunAttempt(const PeerIdentity &From, AttemptRequest Request,
                     std::shared_ptr<AttemptSink> Sink) override;
--- a/src/fescuegauged/process_test.py
+++ b/src/fescuegauged/process_test.py
@@ -22,6 +22,9 @@
 # The retry budget of an entry instance is a tenth of its traffic and is initially empty. After this
 # number of requests over four entry instances, each can retry all requests running at one time.
 REQUESTS_TO_FILL_RETRY_BUDGET = 500
+# Tokens of a stream that lasts for longer than the processes pause, 2 ms a token.
+TOKENS_OF_LONG_STREAM = 1500
+PAUSES_SECONDS = (1.2, 1.9)
 
 
 class LoadGenerator:
@@ -313,6 +316,53 @@
         quotations = [result for result in results if result["class"] == "quotation"]
         self.assertEqual([r for r in quotations if r["outcome"] not in ("complete", "not-run")], [])
 
+    # Guards against accepted requests that lose their answers because sound processes pause, beside a
+    # change of the targets and without retries in the budget of their account.
+    def test_pauses_cost_no_accepted_request_its_answer(self):
+        upstreams = [u for u in self.cluster.upstreams.values() if u.kind == "engine"]
+        cases = {"agents": [u.agent for u in upstreams], "engines": [u.engine for u in upstreams],
+                 "agents and engines": [p for u in upstreams for p in (u.agent, u.engine)],
+                 "entry": [self.entry(0)]}
+        for number, (name, pause) in enumerate((n, p) for n in cases for p in PAUSES_SECONDS):
+            with self.subTest(paused=name, seconds=pause):
+                self.wait_until_serving()
+                self.check_pause(f"pause{number}", cases[name], pause)
+
+    def check_pause(self, name, paused, seconds):
+        results = [None] * 12
+
+        def send(index):
+            service, work_class, key = (("asistente", "quotation", None) if index % 3 else
+                                        ("pedidos", "confirmation", f"20426-{name}-{index}"))
+            prompt = f"{name} {index}"
+            expected = expected_answer(self.roots[service], prompt, TOKENS_OF_LONG_STREAM)
+            try:
+                status, body = self.ask(self.entry(0), service, work_class, prompt, key=key,
+                                        account=name, tokens=TOKENS_OF_LONG_STREAM)
+                results[index] = (index, *outcome_of(status, body, expected)[:1])
+            except (OSError, http.client.HTTPException) as error:
+                results[index] = (index, repr(error))
+
+        agents = [u.agent for u in self.cluster.upstreams.values()]
+        threads = [threading.Thread(target=send, args=(i,)) for i in range(len(results))]
+        for thread in threads:
+            thread.start()
+        wait_until(lambda: sum(self.cluster.dump(a)["attempts"]["running"] for a in agents) >=
+                   len(results), "all requests run")
+        for process in paused:
+            process.signal(signal.SIGSTOP)
+        try:
+            put = [target("bodega", "stock-check", answerWithinMs=10000 + int(1000 * seconds))]
+            change = threading.Thread(target=self.cluster.apply, args=(self.entry(2), put))
+            change.start()
+            time.sleep(seconds)
+        finally:
+            for process in paused:
+                process.signal(signal.SIGCONT)
+        for thread in threads + [change]:
+            thread.join()
+        self.assertEqual([r for r in results if r[1] != "complete"], [])
+
     # Guards against a killed entry instance that breaks requests at other entry instances.
     def test_killed_entry(self):
         survivors = [self.entry(0), self.entry(2)]
--- a/src/include/Fescuegauge/AttemptLedger.h
+++ b/src/include/Fescuegauge/AttemptLedger.h
@@ -74,7 +74,7 @@
   /// Concurrently running attempts. Further attempts are refused (Overloaded).
   static constexpr std::size_t MaxRunning = 4096;
   /// A source that sends no heartbeat for this long is closed and its attempts are cancelled.
-  static constexpr Duration HeartbeatTimeout = std::chrono::seconds(2);
+  static constexpr Duration HeartbeatTimeout = std::chrono::seconds(4);
   /// Time after a pause of this process in which no source is closed.
   static constexpr Duration PauseGrace = std::chrono::milliseconds(500);
 
--- a/src/include/Fescuegauge/RequestLifecycle.h
+++ b/src/include/Fescuegauge/RequestLifecycle.h
@@ -77,6 +77,8 @@
   /// Status of the attempt that sent the fragment. That of the first fragment goes to the caller.
   int m_HttpStatus = 200;
   std::string m_ContentType;
+  InstanceId m_Upstream;
+  Digest m_ServedDigest;
 };
 
 /// Send the caller the final response. There is exactly one for each request.
@@ -128,6 +130,9 @@
 
   /// Takes one retry from the retry budget. Returns false if the budget is exhausted.
   virtual bool takeRetry(const RequestDescription &Request, TimePoint Now) = 0;
+  /// Takes an attempt beside a running one from the retry budget. Returns false if the budget or
+  /// the load does not allow it.
+  virtual bool takeHedge(const RequestDescription &Request, TimePoint Now) = 0;
   virtual GenerationId generationOf(const InstanceId &Upstream) const = 0;
   /// Returns the incarnation of the agent process that the open connection leads to.
   virtual Incarnation incarnationOf(const InstanceId &Upstream) const = 0;
@@ -137,9 +142,11 @@
 ///
 /// A non-idempotent request is claimed first and dispatched at most once under its claim. If the
 /// upstream is lost, the caller gets the outcome Unknown immediately. Other requests are retried
-/// within the retry budget, and resumed on the same version if bytes were already delivered. An
-/// attempt of a non-idempotent request is not cancelled when its caller disconnects or its deadline
-/// passes: it runs to its end, so that a repeated request finds the recorded answer.
+/// within the retry budget, and resumed on the same version if bytes were already delivered. If an
+/// upstream falls silent, they stay there and are dispatched to a second one too; the attempt that
+/// delivers first is kept and the other one is cancelled. An attempt of a non-idempotent request is
+/// not cancelled when its caller disconnects or its deadline passes: it runs to its end, so that a
+/// repeated request finds the recorded answer.
 class RequestLifecycle {
 public:
   /// Requests in progress. Further requests are refused as not run (Overloaded).
@@ -169,6 +176,8 @@
     std::uint64_t m_Dispatches = 0;
     std::uint64_t m_Retries = 0;
     std::uint64_t m_Resumes = 0;
+    /// Attempts beside one on a silent upstream.
+    std::uint64_t m_SecondAttempts = 0;
     std::uint64_t m_ResolvedLater = 0;
     std::map<RequestOutcome, std::uint64_t> m_Outcomes;
   };
@@ -196,6 +205,9 @@
   RequestActions engineCrashed(const InstanceId &Upstream, Incarnation CrashIncarnation,
                                std::span<const SuspectRequest> Unstarted,
                                std::span<const AttemptStatement> Ended, TimePoint Now);
+  /// The upstream has become silent but may still go on. Its idempotent requests get a second
+  /// attempt elsewhere if the retry budget and another upstream allow it.
+  RequestActions upstreamSilent(const InstanceId &Upstream, TimePoint Now);
   /// The connection was closed or its heartbeats timed out. No request becomes a crash suspect.
   RequestActions upstreamUnreachable(const InstanceId &Upstream, TimePoint Now);
   /// A connection to the agent was opened or reopened. Its unresolved attempts are queried.
@@ -250,6 +262,8 @@
     GenerationId m_Generation;
     int m_ClaimDispatches = 0;
     std::optional<Attempt> m_Attempt;
+    /// Attempt beside m_Attempt while the upstream of that one is silent.
+    std::optional<Attempt> m_SecondAttempt;
     std::size_t m_Attempts = 0;
     /// Number of attempts that may have run.
     std::size_t m_PossiblyRunAttempts = 0;
@@ -268,16 +282,31 @@
 
   /// Returns the request that the attempt belongs to, or nullptr if the attempt has ended.
   ActiveRequest *findAttempt(const AttemptId &Attempt);
+  /// Returns the attempt of the request with this id, which must be running.
+  static const Attempt &runningAttempt(const ActiveRequest &Active, const AttemptId &Id);
+  std::vector<AttemptId> attemptsOn(const InstanceId &Upstream) const;
+  /// Cancels the other attempt of the request if there is one.
+  void keepOnly(ActiveRequest &Active, const AttemptId &Id, TimePoint Now, RequestActions &Actions);
+  /// Releases the attempt if the request has another one, which then goes on alone. Returns false
+  /// if it is the only one.
+  bool releaseOneOfTwo(ActiveRequest &Active, const AttemptId &Id, bool IsUpstreamLost,
+                       TimePoint Now);
   void appendClaimActions(ClaimActions FromClaims, TimePoint Now, RequestActions &Actions);
   void handleClaimDecision(const ClaimDecision &Decision, TimePoint Now, RequestActions &Actions);
   bool dispatch(ActiveRequest &Active, TimePoint Now, RequestActions &Actions);
+  /// Dispatches the request to a second upstream while its first attempt goes on, if that is
+  /// allowed.
+  void dispatchSecond(ActiveRequest &Active, TimePoint Now, RequestActions &Actions);
+  Attempt startAttempt(ActiveRequest &Active, const InstanceId &Upstream, RequestActions &Actions);
   std::optional<InstanceId> selectUpstream(ActiveRequest &Active, TimePoint Now);
   void releaseAttempt(ActiveRequest &Active, bool IsUpstreamLost, TimePoint Now);
-  void handleNotRun(ActiveRequest &Active, ErrorKind Reason, TimePoint Now,
+  /// The attempt with this id did not run. If another one goes on, nothing else happens.
+  void handleNotRun(ActiveRequest &Active, const AttemptId &Id, ErrorKind Reason, TimePoint Now,
                     RequestActions &Actions);
-  void handleLoss(ActiveRequest &Active, ErrorKind Reason, bool IsUpstreamLost, TimePoint Now,
-                  RequestActions &Actions);
-  void cancelAttempt(ActiveRequest &Active, TimePoint Now, RequestActions &Actions);
+  /// The attempt with this id was lost. If another one goes on, nothing else happens.
+  void handleLoss(ActiveRequest &Active, const AttemptId &Id, ErrorKind Reason, bool IsUpstreamLost,
+                  TimePoint Now, RequestActions &Actions);
+  void cancelAttempts(ActiveRequest &Active, TimePoint Now, RequestActions &Actions);
   void complete(ActiveRequest &Active, const AnswerEnd &End, TimePoint Now,
                 RequestActions &Actions);
   void finish(ActiveRequest &Active, RequestOutcome Outcome, std::optional<ErrorKind> Error,
--- a/src/include/Fescuegauge/RpcNode.h
+++ b/src/include/Fescuegauge/RpcNode.h
@@ -135,6 +135,9 @@
   virtual void onHeartbeatAnswer(const InstanceId &, const std::string &) {}
   /// The peer accepted a connection that this process opened.
   virtual void onConnected(const PeerIdentity &) {}
+  /// The peer has not answered heartbeats for half of the failure time. Its connection stays open
+  /// and may go on. Called once for each such silence.
+  virtual void onSilent(const InstanceId &) {}
   /// A connection that this process opened was lost.
   virtual void onDisconnected(const InstanceId &) {}
   /// An incoming connection was closed, or carried no call for longer than its time limit.
@@ -153,7 +156,7 @@
   PeerIdentity m_Self;
   Duration m_HeartbeatInterval = std::chrono::milliseconds(500);
   /// A monitored connection without heartbeats or answers for this long is closed and replaced.
-  Duration m_FailureTime = std::chrono::seconds(2);
+  Duration m_FailureTime = std::chrono::seconds(4);
   /// Further incoming connections are closed immediately.
   std::size_t m_MaxConnections = 2048;
   /// An unmonitored connection that is not used for this long is closed.
--- a/src/include/Fescuegauge/Settings.h
+++ b/src/include/Fescuegauge/Settings.h
@@ -92,7 +92,8 @@
 struct HeartbeatSettings {
   Duration m_Interval = std::chrono::milliseconds(500);
   /// A connection without a heartbeat for this long is closed and replaced.
-  Duration m_FailureTime = std::chrono::seconds(2);
+  /// After half of the time, idempotent requests are dispatched to a second upstream too.
+  Duration m_FailureTime = std::chrono::seconds(4);
 };
 
 /// The settings of one `fescuegauged` process. Values that operators may change while it runs are
--- a/src/librequests/RequestLifecycle.cpp
+++ b/src/librequests/RequestLifecycle.cpp
@@ -143,9 +143,13 @@
   Query.m_Excluded = Active.m_UsedUpstreams;
   if (m_Suspects.isSuspect(Active.m_Suspect, Now)) {
     // If an upstream with two suspects crashed, it would be unknown which of them caused the crash.
-    for (const auto &[Id, Other] : m_Requests)
-      if (&Other != &Active && Other.m_Attempt && m_Suspects.isSuspect(Other.m_Suspect, Now))
-        Query.m_Excluded.push_back(Other.m_Attempt->m_Upstream);
+    for (const auto &[Id, Other] : m_Requests) {
+      if (&Other == &Active || !m_Suspects.isSuspect(Other.m_Suspect, Now))
+        continue;
+      for (const std::optional<Attempt> &Running : {Other.m_Attempt, Other.m_SecondAttempt})
+        if (Running)
+          Query.m_Excluded.push_back(Running->m_Upstream);
+    }
     if (auto Chosen = m_Selector.select(Query, Now))
       return Chosen;
     Query.m_Excluded = Active.m_UsedUpstreams;
@@ -169,27 +173,49 @@
     }
     ++Active.m_ClaimDispatches;
   }
+  Active.m_Phase = Phase::Dispatched;
+  Active.m_Attempt = startAttempt(Active, *Upstream, Actions);
+  return true;
+}
+
+RequestLifecycle::Attempt RequestLifecycle::startAttempt(ActiveRequest &Active,
+                                                         const InstanceId &Upstream,
+                                                         RequestActions &Actions) {
   Attempt Next;
   Next.m_Id = AttemptNumber{m_Options.m_Source, m_NextAttempt++}.id();
-  Next.m_Upstream = *Upstream;
-  Next.m_Agent = m_Environment.incarnationOf(*Upstream);
+  Next.m_Upstream = Upstream;
+  Next.m_Agent = m_Environment.incarnationOf(Upstream);
   Next.m_StartOffset = Active.m_ReceivedBytes;
   m_Attempts.emplace(Next.m_Id, Active.m_Request.m_Id);
   DispatchAttempt Action{Next.m_Id,
                          Active.m_Request.m_Id,
-                         *Upstream,
+                         Upstream,
                          Active.m_ReceivedBytes,
                          Active.m_ReceivedBytes > 0 ? Active.m_ServedDigest
                                                     : Active.m_Constraints.m_RequiredDigest,
                          Active.m_Suspect};
-  Active.m_Phase = Phase::Dispatched;
-  Active.m_UsedUpstreams.push_back(*Upstream);
-  Active.m_Attempt = std::move(Next);
+  Active.m_UsedUpstreams.push_back(Upstream);
   ++Active.m_Attempts;
   ++Active.m_PossiblyRunAttempts;
   ++m_Counters.m_Dispatches;
   Actions.push_back(std::move(Action));
-  return true;
+  return Next;
+}
+
+void RequestLifecycle::dispatchSecond(ActiveRequest &Active, TimePoint Now,
+                                      RequestActions &Actions) {
+  // A copy of a request that may have crashed an upstream could crash another one.
+  bool IsExcluded = Active.m_Request.m_NonIdempotent || Active.m_IsFinished ||
+                    Active.m_SecondAttempt || m_Suspects.isSuspect(Active.m_Suspect, Now);
+  bool CanContinue = Active.m_ReceivedBytes == 0 || Active.m_Constraints.m_Resumable;
+  if (IsExcluded || !CanContinue || Active.m_Attempts >= MaxAttempts || !Active.m_TimerAt ||
+      Now >= *Active.m_TimerAt || !m_Environment.takeHedge(Active.m_Request, Now))
+    return;
+  auto Upstream = selectUpstream(Active, Now);
+  if (!Upstream)
+    return;
+  Active.m_SecondAttempt = startAttempt(Active, *Upstream, Actions);
+  ++m_Counters.m_SecondAttempts;
 }
 
 RequestLifecycle::ActiveRequest *RequestLifecycle::findAttempt(const AttemptId &Id) {
@@ -197,6 +223,33 @@
   return Found == m_Attempts.end() ? nullptr : &m_Requests.at(Found->second);
 }
 
+const RequestLifecycle::Attempt &RequestLifecycle::runningAttempt(const ActiveRequest &Active,
+                                                                  const AttemptId &Id) {
+  return Active.m_SecondAttempt && Active.m_SecondAttempt->m_Id == Id ? *Active.m_SecondAttempt
+                                                                      : *Active.m_Attempt;
+}
+
+bool RequestLifecycle::releaseOneOfTwo(ActiveRequest &Active, const AttemptId &Id,
+                                       bool IsUpstreamLost, TimePoint Now) {
+  if (!Active.m_SecondAttempt)
+    return false;
+  if (Active.m_Attempt->m_Id == Id)
+    std::swap(Active.m_Attempt, Active.m_SecondAttempt);
+  m_Selector.release(Active.m_SecondAttempt->m_Upstream, Active.m_Request, IsUpstreamLost, Now);
+  m_Attempts.erase(Active.m_SecondAttempt->m_Id);
+  Active.m_SecondAttempt.reset();
+  return true;
+}
+
+void RequestLifecycle::keepOnly(ActiveRequest &Active, const AttemptId &Id, TimePoint Now,
+                                RequestActions &Actions) {
+  if (!Active.m_SecondAttempt)
+    return;
+  const Attempt Other = Active.m_Attempt->m_Id == Id ? *Active.m_SecondAttempt : *Active.m_Attempt;
+  Actions.push_back(CancelAttempt{Other.m_Id, Other.m_Upstream});
+  releaseOneOfTwo(Active, Other.m_Id, false, Now);
+}
+
 void RequestLifecycle::releaseAttempt(ActiveRequest &Active, bool IsUpstreamLost, TimePoint Now) {
   m_Selector.release(Active.m_Attempt->m_Upstream, Active.m_Request, IsUpstreamLost, Now);
   m_Attempts.erase(Active.m_Attempt->m_Id);
@@ -223,8 +276,9 @@
   std::optional<Digest> Required =
       Active->m_ReceivedBytes > 0 ? Active->m_ServedDigest : Active->m_Constraints.m_RequiredDigest;
   if (Required && *Required != Fragment.m_ServedDigest) {
-    Actions.push_back(CancelAttempt{Active->m_Attempt->m_Id, Active->m_Attempt->m_Upstream});
-    handleLoss(*Active, ErrorKind::UpstreamLost, false, Now, Actions);
+    Actions.push_back(
+        CancelAttempt{Fragment.m_Attempt, runningAttempt(*Active, Fragment.m_Attempt).m_Upstream});
+    handleLoss(*Active, Fragment.m_Attempt, ErrorKind::UpstreamLost, false, Now, Actions);
     return flushRemovals(std::move(Actions));
   }
   if (Active->m_ReceivedBytes == 0 && !Active->m_IsFinished && Active->m_TimerAt &&
@@ -240,13 +294,15 @@
   }
   if (!OneVersionPerAnswer.check(Active->m_ServedDigest == Fragment.m_ServedDigest))
     return Actions;
+  keepOnly(*Active, Fragment.m_Attempt, Now, Actions);
   if (Active->m_Request.m_NonIdempotent && Active->m_Body.size() <= RecordedAnswer::MaxBodyBytes)
     Active->m_Body.append(
         Fragment.m_Data.substr(0, RecordedAnswer::MaxBodyBytes + 1 - Active->m_Body.size()));
   if (!Active->m_IsFinished)
     Actions.push_back(DeliverFragment{Active->m_Request.m_Id, Fragment.m_Offset,
                                       std::string(Fragment.m_Data), Fragment.m_HttpStatus,
-                                      Fragment.m_ContentType});
+                                      Fragment.m_ContentType, Active->m_Attempt->m_Upstream,
+                                      Fragment.m_ServedDigest});
   if (++Active->m_Attempt->m_FragmentCount == CrashSuspects::EventsToBegin)
     m_Suspects.recordBegun(Active->m_Suspect, Now);
   Active->m_ReceivedBytes += Fragment.m_Data.size();
@@ -263,10 +319,12 @@
   if (!AnswerToOwnRequest.check(Active->m_Request.m_Id == End.m_Request, End.m_Request.str()))
     return Actions;
   // Fragments were lost, or the end was received before them.
-  if (End.m_TotalBytes != Active->m_ReceivedBytes)
-    handleLoss(*Active, ErrorKind::UpstreamLost, false, Now, Actions);
-  else
+  if (End.m_TotalBytes != Active->m_ReceivedBytes) {
+    handleLoss(*Active, End.m_Attempt, ErrorKind::UpstreamLost, false, Now, Actions);
+  } else {
+    keepOnly(*Active, End.m_Attempt, Now, Actions);
     complete(*Active, End, Now, Actions);
+  }
   return flushRemovals(std::move(Actions));
 }
 
@@ -299,31 +357,34 @@
     return attemptStatement(Statement, std::nullopt, Now);
   RequestActions Actions;
   // A refusal by a later incarnation of the agent does not show whether an earlier one ran it.
-  if (Statement.isNotRun() && Statement.m_Agent == Active->m_Attempt->m_Agent)
-    handleNotRun(*Active, Reason, Now, Actions);
+  if (Statement.isNotRun() &&
+      Statement.m_Agent == runningAttempt(*Active, Statement.m_Attempt).m_Agent)
+    handleNotRun(*Active, Statement.m_Attempt, Reason, Now, Actions);
   else
-    handleLoss(*Active, ErrorKind::UpstreamLost, false, Now, Actions);
+    handleLoss(*Active, Statement.m_Attempt, ErrorKind::UpstreamLost, false, Now, Actions);
   return flushRemovals(std::move(Actions));
 }
 
 RequestActions RequestLifecycle::attemptNotSent(const AttemptId &Id, TimePoint Now) {
   RequestActions Actions;
   if (ActiveRequest *Active = findAttempt(Id))
-    handleNotRun(*Active, ErrorKind::NoUpstream, Now, Actions);
+    handleNotRun(*Active, Id, ErrorKind::NoUpstream, Now, Actions);
   return flushRemovals(std::move(Actions));
 }
 
 RequestActions RequestLifecycle::attemptFailed(const AttemptId &Id, TimePoint Now) {
   RequestActions Actions;
   if (ActiveRequest *Active = findAttempt(Id))
-    handleLoss(*Active, ErrorKind::UpstreamLost, false, Now, Actions);
+    handleLoss(*Active, Id, ErrorKind::UpstreamLost, false, Now, Actions);
   return flushRemovals(std::move(Actions));
 }
 
-void RequestLifecycle::handleNotRun(ActiveRequest &Active, ErrorKind Reason, TimePoint Now,
-                                    RequestActions &Actions) {
-  releaseAttempt(Active, false, Now);
+void RequestLifecycle::handleNotRun(ActiveRequest &Active, const AttemptId &Id, ErrorKind Reason,
+                                    TimePoint Now, RequestActions &Actions) {
   --Active.m_PossiblyRunAttempts;
+  if (releaseOneOfTwo(Active, Id, false, Now))
+    return;
+  releaseAttempt(Active, false, Now);
   if (!Active.m_Request.m_NonIdempotent) {
     retryOrFinish(Active, Reason, Now, Actions);
     return;
@@ -336,8 +397,10 @@
     finish(Active, RequestOutcome::NotRun, notRunReason(Reason), Actions);
 }
 
-void RequestLifecycle::handleLoss(ActiveRequest &Active, ErrorKind Reason, bool IsUpstreamLost,
-                                  TimePoint Now, RequestActions &Actions) {
+void RequestLifecycle::handleLoss(ActiveRequest &Active, const AttemptId &Id, ErrorKind Reason,
+                                  bool IsUpstreamLost, TimePoint Now, RequestActions &Actions) {
+  if (releaseOneOfTwo(Active, Id, IsUpstreamLost, Now))
+    return;
   Attempt LostAttempt = *Active.m_Attempt;
   releaseAttempt(Active, IsUpstreamLost, Now);
   if (!Active.m_Request.m_NonIdempotent) {
@@ -382,7 +445,7 @@
 void RequestLifecycle::finishUnanswered(ActiveRequest &Active, ErrorKind Reason, TimePoint Now,
                                         RequestActions &Actions) {
   if (Active.m_Attempt)
-    cancelAttempt(Active, Now, Actions);
+    cancelAttempts(Active, Now, Actions);
   if (Active.m_PossiblyRunAttempts == 0)
     finish(Active, RequestOutcome::NotRun, notRunReason(Reason), Actions);
   else
@@ -390,8 +453,9 @@
            errorAnswer(Reason).m_WasRun == WasRun::No ? ErrorKind::UpstreamLost : Reason, Actions);
 }
 
-void RequestLifecycle::cancelAttempt(ActiveRequest &Active, TimePoint Now,
-                                     RequestActions &Actions) {
+void RequestLifecycle::cancelAttempts(ActiveRequest &Active, TimePoint Now,
+                                      RequestActions &Actions) {
+  keepOnly(Active, Active.m_Attempt->m_Id, Now, Actions);
   Actions.push_back(CancelAttempt{Active.m_Attempt->m_Id, Active.m_Attempt->m_Upstream});
   releaseAttempt(Active, false, Now);
 }
@@ -444,24 +508,38 @@
     ActiveRequest *Active = findAttempt(Statement.m_Attempt);
     if (!Active)
       continue;
-    if (Statement.isNotRun() && Statement.m_Agent == Active->m_Attempt->m_Agent)
-      handleNotRun(*Active, ErrorKind::NoUpstream, Now, Actions);
+    if (Statement.isNotRun() &&
+        Statement.m_Agent == runningAttempt(*Active, Statement.m_Attempt).m_Agent)
+      handleNotRun(*Active, Statement.m_Attempt, ErrorKind::NoUpstream, Now, Actions);
     else
-      handleLoss(*Active, ErrorKind::UpstreamLost, true, Now, Actions);
+      handleLoss(*Active, Statement.m_Attempt, ErrorKind::UpstreamLost, true, Now, Actions);
   }
   return flushRemovals(std::move(Actions));
 }
 
+std::vector<AttemptId> RequestLifecycle::attemptsOn(const InstanceId &Upstream) const {
+  std::vector<AttemptId> Found;
+  for (const auto &[Id, Active] : m_Requests)
+    for (const std::optional<Attempt> *Running : {&Active.m_Attempt, &Active.m_SecondAttempt})
+      if (*Running && (*Running)->m_Upstream == Upstream)
+        Found.push_back((*Running)->m_Id);
+  std::sort(Found.begin(), Found.end());
+  return Found;
+}
+
+RequestActions RequestLifecycle::upstreamSilent(const InstanceId &Upstream, TimePoint Now) {
+  RequestActions Actions;
+  for (const AttemptId &Id : attemptsOn(Upstream))
+    if (ActiveRequest *Active = findAttempt(Id))
+      dispatchSecond(*Active, Now, Actions);
+  return flushRemovals(std::move(Actions));
+}
+
 RequestActions RequestLifecycle::upstreamUnreachable(const InstanceId &Upstream, TimePoint Now) {
   RequestActions Actions;
-  std::vector<AttemptId> Lost;
-  for (const auto &[Id, Active] : m_Requests)
-    if (Active.m_Attempt && Active.m_Attempt->m_Upstream == Upstream)
-      Lost.push_back(Active.m_Attempt->m_Id);
-  std::sort(Lost.begin(), Lost.end());
-  for (const AttemptId &Id : Lost)
+  for (const AttemptId &Id : attemptsOn(Upstream))
     if (ActiveRequest *Active = findAttempt(Id))
-      handleLoss(*Active, ErrorKind::UpstreamLost, true, Now, Actions);
+      handleLoss(*Active, Id, ErrorKind::UpstreamLost, true, Now, Actions);
   return flushRemovals(std::move(Actions));
 }
 
@@ -512,7 +590,7 @@
   if (Active.m_Phase == Phase::Claiming)
     appendClaimActions(m_Claims.abandon(Request, Now), Now, Actions);
   else if (!Active.m_Request.m_NonIdempotent)
-    cancelAttempt(Active, Now, Actions);
+    cancelAttempts(Active, Now, Actions);
   finish(Active, RequestOutcome::Abandoned, std::nullopt, Actions);
   if (Active.m_Attempt)
     awaitResult(Active, Now);
@@ -528,8 +606,9 @@
   if (Active.m_IsFinished) {
     if (!Active.m_Attempt)
       return;
-    Actions.push_back(CancelAttempt{Active.m_Attempt->m_Id, Active.m_Attempt->m_Upstream});
-    handleLoss(Active, ErrorKind::OutcomeUnknown, false, Now, Actions);
+    const AttemptId Id = Active.m_Attempt->m_Id;
+    Actions.push_back(CancelAttempt{Id, Active.m_Attempt->m_Upstream});
+    handleLoss(Active, Id, ErrorKind::OutcomeUnknown, false, Now, Actions);
     return;
   }
   if (Active.m_Phase == Phase::Claiming) {
--- a/src/librequests/RequestLifecycle_test.cpp
+++ b/src/librequests/RequestLifecycle_test.cpp
@@ -28,6 +28,7 @@
     --m_InFlight;
   }
   bool takeRetry(const RequestDescription &, TimePoint) override { return m_Retries-- > 0; }
+  bool takeHedge(const RequestDescription &, TimePoint) override { return m_Retries-- > 0; }
   GenerationId generationOf(const InstanceId &) const override { return m_Generation; }
   Incarnation incarnationOf(const InstanceId &) const override { return Incarnation(1); }
 
@@ -275,3 +276,126 @@
   F.fragment(Attempt, 3, "def");
   CHECK_FALSE(F.m_Suspects.isQuarantined(Running[0], F.m_Now));
 }
+
+namespace {
+
+/// A stream whose upstream u1 falls silent after its first bytes.
+struct SilentUpstream : LifecycleFixture {
+  explicit SilentUpstream(int Retries = 1) {
+    m_Routing.m_Retries = Retries;
+    m_First = dispatch(false);
+    fragment(m_First, 0, "abc");
+    RequestActions Actions = m_Lifecycle.upstreamSilent(InstanceId("u1"), m_Now);
+    if (const auto *Second = find<DispatchAttempt>(Actions)) {
+      m_Second = Second->m_Attempt;
+      CHECK(Second->m_Upstream == InstanceId("u2"));
+      CHECK(Second->m_ResumeOffset == 3);
+      CHECK(Second->m_RequiredDigest == Version);
+    }
+    CHECK_FALSE(find<CancelAttempt>(Actions));
+    CHECK_FALSE(find<FinishRequest>(Actions));
+  }
+  /// The attempt delivers the rest of the answer, which must be the whole one.
+  void checkCompletes(const AttemptId &Attempt) {
+    CHECK(get<DeliverFragment>(fragment(Attempt, 3, "def")).m_Data == "def");
+    CHECK(get<FinishRequest>(end(Attempt, 6)).m_Outcome == RequestOutcome::Complete);
+    CHECK(m_Routing.m_InFlight == 0);
+    CHECK(m_Lifecycle.runningCount() == 0);
+    CHECK(m_Lifecycle.isIdle());
+  }
+
+  AttemptId m_First;
+  AttemptId m_Second;
+};
+
+} // namespace
+
+// Guards against giving up a request on a paused upstream before another one has taken it over.
+TEST_CASE("a request stays on its silent upstream whatever happens to its second attempt") {
+  SilentUpstream F;
+  REQUIRE_FALSE(F.m_Second.empty());
+  RequestActions Actions;
+  SECTION("the second attempt is refused") {
+    Actions = F.m_Lifecycle.attemptRefused({F.m_Second, AttemptState::Refused, Incarnation(1)},
+                                           ErrorKind::Overloaded, F.m_Now);
+  }
+  SECTION("the second attempt is not sent") {
+    Actions = F.m_Lifecycle.attemptNotSent(F.m_Second, F.m_Now);
+  }
+  SECTION("the second attempt fails") {
+    Actions = F.m_Lifecycle.attemptFailed(F.m_Second, F.m_Now);
+  }
+  SECTION("the second upstream is lost") {
+    Actions = F.m_Lifecycle.upstreamUnreachable(InstanceId("u2"), F.m_Now);
+  }
+  SECTION("the second upstream serves another version") {
+    Actions = F.fragment(F.m_Second, 3, "xyz", sha256("other"));
+    CHECK(F.get<CancelAttempt>(Actions).m_Attempt == F.m_Second);
+  }
+  SECTION("the second answer ends too early") { Actions = F.end(F.m_Second, 5); }
+  CHECK_FALSE(F.find<FinishRequest>(Actions));
+  CHECK_FALSE(F.find<DispatchAttempt>(Actions));
+  F.checkCompletes(F.m_First);
+}
+
+// Guards against giving up a request on a paused upstream when no second attempt is possible.
+TEST_CASE("a request stays on its silent upstream without a retry budget or another upstream") {
+  const bool HasBudget = GENERATE(false, true);
+  SilentUpstream F(0);
+  if (HasBudget) {
+    F.m_Routing.m_Retries = 1;
+    F.m_Routing.m_Upstreams.resize(1);
+    CHECK(F.m_Lifecycle.upstreamSilent(InstanceId("u1"), F.m_Now).empty());
+  }
+  CHECK(F.m_Second.empty());
+  F.checkCompletes(F.m_First);
+}
+
+// Guards against an answer that mixes two attempts, and against a second attempt that runs on.
+TEST_CASE("the attempt that delivers first is kept and the other one is cancelled") {
+  SilentUpstream F;
+  const bool IsFirstKept = GENERATE(true, false);
+  const AttemptId Kept = IsFirstKept ? F.m_First : F.m_Second;
+  const AttemptId Other = IsFirstKept ? F.m_Second : F.m_First;
+  RequestActions Actions = F.fragment(Kept, 3, "d");
+  CHECK(F.get<CancelAttempt>(Actions).m_Attempt == Other);
+  CHECK(F.get<DeliverFragment>(Actions).m_Upstream == InstanceId(IsFirstKept ? "u1" : "u2"));
+  CHECK(F.fragment(Other, 4, "x").empty());
+  CHECK(F.end(Other, 4).empty());
+  CHECK(F.fragment(Kept, 4, "ef").size() == 1);
+  CHECK(F.get<FinishRequest>(F.end(Kept, 6)).m_Outcome == RequestOutcome::Complete);
+  CHECK(F.m_Routing.m_InFlight == 0);
+  CHECK(F.m_Lifecycle.isIdle());
+}
+
+// Guards against a request that is dispatched again although its second attempt runs, and against
+// attempts that outlive their request.
+TEST_CASE("two attempts end with their request, and one goes on when the other is lost") {
+  SilentUpstream F;
+  SECTION("the silent upstream is lost") {
+    CHECK(F.m_Lifecycle.upstreamUnreachable(InstanceId("u1"), F.m_Now).empty());
+    F.checkCompletes(F.m_Second);
+  }
+  SECTION("the caller disconnects or the deadline passes") {
+    const bool IsDisconnected = GENERATE(true, false);
+    F.m_Now += 10s;
+    RequestActions Actions = IsDisconnected
+                                 ? F.m_Lifecycle.callerDisconnected(RequestId("r1"), F.m_Now)
+                                 : F.m_Lifecycle.onTimer(F.m_Now);
+    CHECK(std::count_if(Actions.begin(), Actions.end(), [](const RequestAction &Action) {
+            return std::holds_alternative<CancelAttempt>(Action);
+          }) == 2);
+    CHECK(F.find<FinishRequest>(Actions));
+    CHECK(F.m_Routing.m_InFlight == 0);
+    CHECK(F.m_Lifecycle.isIdle());
+  }
+}
+
+// Guards against running work twice that may run only once.
+TEST_CASE("a non-idempotent request gets no second attempt") {
+  LifecycleFixture F;
+  AttemptId Attempt = F.dispatch(true);
+  CHECK(F.m_Lifecycle.upstreamSilent(InstanceId("u1"), F.m_Now).empty());
+  F.fragment(Attempt, 0, "abc");
+  CHECK(F.find<FinishRequest>(F.end(Attempt, 3)));
+}
--- a/src/librequests/RequestModel_test.cpp
+++ b/src/librequests/RequestModel_test.cpp
@@ -45,6 +45,7 @@
   std::uint64_t LateCopies = 0;
   std::uint64_t Dropped = 0;
   std::uint64_t ResolvedLater = 0;
+  std::uint64_t SecondAttempts = 0;
   std::uint64_t Repeats = 0;
   std::uint64_t Handovers = 0;
   std::uint64_t MaxCrashes = 0;
@@ -65,6 +66,7 @@
     LateCopies += Result.m_LateCopiesRefused;
     Dropped += Result.m_FragmentsDropped;
     ResolvedLater += Result.m_ResolvedLater;
+    SecondAttempts += Result.m_SecondAttempts;
     Repeats += Result.m_RepeatsAnswered;
     Handovers += Result.m_Handovers;
     MaxCrashes = std::max(MaxCrashes, Result.m_MaxCrashesPerRequest);
@@ -78,6 +80,7 @@
   CHECK(LateCopies > 0);
   CHECK(Dropped > 0);
   CHECK(ResolvedLater > 0);
+  CHECK(SecondAttempts > 0);
   CHECK(Repeats > 0);
   CHECK(Handovers > 0);
   CHECK(MaxCrashes >= CrashSuspects::CrashesToQuarantine);
--- a/src/librequests/model/SimulatedDeployment.h
+++ b/src/librequests/model/SimulatedDeployment.h
@@ -93,6 +93,7 @@
   std::uint64_t m_LateCopiesRefused = 0;
   std::uint64_t m_FragmentsDropped = 0;
   std::uint64_t m_ResolvedLater = 0;
+  std::uint64_t m_SecondAttempts = 0;
   std::uint64_t m_Handovers = 0;
   std::uint64_t m_RepeatsAnswered = 0;
   /// Requests with outcome "not run" because the table was unreachable.
--- a/src/librpc/RpcNode.cpp
+++ b/src/librpc/RpcNode.cpp
@@ -199,6 +199,8 @@
     bool m_IsMonitored = false;
     bool m_IsConnecting = false;
     bool m_IsReady = false;
+    /// The silence of the peer has been reported.
+    bool m_IsSilent = false;
     /// Increases with each connection, so that late results of an earlier one are ignored.
     std::uint64_t m_Epoch = 0;
     kj::Own<kj::AsyncIoStream> m_Stream;
@@ -308,12 +310,17 @@
   }
 
   void maintainConnection(const InstanceId &Peer, Outgoing &Link, TimePoint Now) {
-    bool HasTimedOut = Link.m_IsMonitored && Now - Link.m_LastAnswer > m_Options.m_FailureTime;
+    Duration Silence = Now - Link.m_LastAnswer;
+    bool HasTimedOut = Link.m_IsMonitored && Silence > m_Options.m_FailureTime;
     bool IsIdle = !Link.m_IsMonitored && Now - Link.m_LastUse > m_Options.m_IdleTime;
     if (Link.m_IsReady && (HasTimedOut || IsIdle))
       disconnect(Peer, Link);
     if (!Link.m_IsMonitored)
       return;
+    bool WasSilent =
+        std::exchange(Link.m_IsSilent, Link.m_IsReady && Silence > m_Options.m_FailureTime / 2);
+    if (Link.m_IsSilent && !WasSilent)
+      m_Handler.onSilent(Peer);
     if (Link.m_IsReady)
       sendHeartbeat(Peer, Link);
     else if (!Link.m_IsConnecting && Now >= Link.m_NextConnect)
--- a/src/librpc/RpcNode_test.cpp
+++ b/src/librpc/RpcNode_test.cpp
@@ -43,6 +43,10 @@
 class FakeAgent : public RpcHandler {
 public:
   void onPeerLost(const PeerIdentity &) override { m_PeerLost.set(); }
+  void onSilent(const InstanceId &) override {
+    ++m_Silences;
+    m_Silent.set();
+  }
   void onRunAttempt(const PeerIdentity &, AttemptRequest Request,
                     std::shared_ptr<AttemptSink> Sink) override {
     if (m_HoldsAttempts) {
@@ -75,6 +79,8 @@
   std::vector<ReplyCallback> m_HeldReplies;
   Event m_Received;
   Event m_PeerLost;
+  Event m_Silent;
+  int m_Silences = 0;
 };
 
 class RecordingSink : public AttemptSink {
@@ -265,6 +271,22 @@
   Attempt.m_Loop.postAndWait([&] { CHECK(Attempt.m_Client.counters().m_ConnectionsLost == 0); });
 }
 
+// Guards against giving up the attempts of a sound agent that pauses, and against a silence that is
+// not reported before the connection is closed.
+TEST_CASE("a silent peer is reported once and keeps its attempts") {
+  UnansweredAttempt Attempt(4s, LongFailureTime);
+  Event Release;
+  Attempt.m_ServerLoop.post([&] { Release.wait(); });
+  const bool WasReported = Attempt.m_Unused.m_Silent.wait();
+  Release.set();
+  REQUIRE(WasReported);
+  CHECK(Attempt.isAnswered());
+  Attempt.m_Loop.postAndWait([&] {
+    CHECK(Attempt.m_Client.counters().m_ConnectionsLost == 0);
+    CHECK(Attempt.m_Unused.m_Silences == 1);
+  });
+}
+
 // Guards against a connection that stays open but delivers nothing. A blocked server loop simulates
 // it.
 TEST_CASE("a connection that delivers nothing is closed at both ends") {
--- a/src/libsettings/Schema.cpp
+++ b/src/libsettings/Schema.cpp
@@ -385,8 +385,9 @@
           "Time between heartbeats on a connection to another process."),
       numberKey<&Settings::m_Heartbeats, &HeartbeatSettings::m_FailureTime>(
           "heartbeats.failureSeconds", Presence::Optional, 0.04, 60,
-          "A connection without a heartbeat for this long is replaced. At least twice the "
-          "interval."),
+          "A connection without a heartbeat for this long is replaced. After half of the time, "
+          "idempotent requests on it are sent to a second upstream too. Should be longer than any "
+          "pause of a sound process, and must be at least twice the interval."),
   };
 }
 
