A connection with attempts in progress outlives a declaration of death

What callers saw: a confirmation ended in the middle (outcome unknown) and a stream was moved or broken although its agent answered over the same connection.

Cause: when the membership declared an agent dead, the entry instance closed its own connection to it, with the attempts on it. The agent refutes such a declaration and comes back, its attempts don't.

Fix: a dead agent gets no new work, as before, but its connection is closed only when no attempt is on it any more. The heartbeats of the connection itself end the attempts if the agent really is gone.

Ruled out: agents outside of the dispatch subset; their connections were already kept while attempts ran.

--- a/src/fescuegauged/RequestService.cpp
+++ b/src/fescuegauged/RequestService.cpp
@@ -818,7 +818,8 @@
 }
 
 /// Opens and closes connections according to the dispatch subset of this instance. A connection
-/// with attempts in progress is not closed until they end.
+/// with attempts in progress is not closed until they end, even if the agent was declared dead: the
+/// heartbeats of the connection itself show whether it has failed.
 void RequestService::updateConnections() {
   m_IsConnectionUpdateDue = false;
   const Membership &View = m_Membership->view();
@@ -827,11 +828,12 @@
   for (auto Existing = m_ConnectedAgents.begin(); Existing != m_ConnectedAgents.end();) {
     const InstanceRecord *Record = View.find(*Existing);
     bool IsDead = !Record || Record->m_State == InstanceState::Dead;
-    if (IsDead || (!Wanted.contains(*Existing) && m_Router.inFlight(*Existing) == 0)) {
+    bool IsWanted = !IsDead && Wanted.contains(*Existing);
+    if (!IsWanted && m_Router.inFlight(*Existing) == 0) {
       m_Rpc->node().removePeer(*Existing);
       Existing = m_ConnectedAgents.erase(Existing);
     } else {
-      m_IsConnectionUpdateDue = m_IsConnectionUpdateDue || !Wanted.contains(*Existing);
+      m_IsConnectionUpdateDue = m_IsConnectionUpdateDue || !IsWanted;
       ++Existing;
     }
   }
--- a/src/fescuegauged/process_test.py
+++ b/src/fescuegauged/process_test.py
@@ -16,8 +16,9 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent.parent / "scripts"))
 
-from loopback_cluster import (TOKENS, Cluster, call, call_json, expected_answer,  # noqa: E402
-                              expected_plain_answer, outcome_of, rollout, target, wait_until)
+from loopback_cluster import (TOKENS, WAIT_LIMIT_SECONDS, Cluster, call,  # noqa: E402
+                              call_json, expected_answer, expected_plain_answer, outcome_of,
+                              rollout, target, wait_until)
 
 # The retry budget of an entry instance is a tenth of its traffic and is initially empty. After this
 # number of requests over four entry instances, each can retry all requests running at one time.
@@ -363,6 +364,48 @@
             thread.join()
         self.assertEqual([r for r in results if r[1] != "complete"], [])
 
+    # Guards against cutting a stream whose connection is open because its agent, which was paused, was
+    # declared dead.
+    def test_stream_outlives_a_false_declaration_of_death(self):
+        entry = self.cluster.add_entry("entry-patient", "dc-1",
+                                       {"heartbeats": {"failureSeconds": WAIT_LIMIT_SECONDS}})
+        self.cluster.wait_ready([entry])
+        wait_until(lambda: self.ask(entry, "pedidos", "confirmation", "warm-up",
+                                    key="20426-patient-warm-up")[0] == 200,
+                   "the entry instance answers")
+        results = []
+
+        def send():
+            try:
+                results.append(self.ask(entry, "pedidos", "confirmation", "patient",
+                                        key="20426-patient", tokens=TOKENS_OF_LONG_STREAM))
+            except (OSError, http.client.HTTPException) as error:
+                results.append(error)
+
+        def is_dead(upstream):
+            members = self.cluster.dump(entry)["membership"]["members"]
+            return all(member["id"] != upstream.name for member in members)
+
+        stream = threading.Thread(target=send)
+        stream.start()
+        victim = wait_until(
+            lambda: next((u for u in self.cluster.upstreams.values()
+                          if self.cluster.dump(u.agent)["attempts"]["running"]), None),
+            "the stream has begun")
+        victim.agent.signal(signal.SIGSTOP)
+        try:
+            wait_until(lambda: is_dead(victim), "the agent is declared dead")
+            # The entry instance updates its connections every 0.1 s.
+            time.sleep(0.5)
+        finally:
+            victim.agent.signal(signal.SIGCONT)
+        stream.join()
+        entry.stop()
+        del self.cluster.entries[entry.name]
+        self.wait_until_serving()
+        self.assertEqual(results, [(200, expected_answer(self.roots["pedidos"], "patient",
+                                                         TOKENS_OF_LONG_STREAM))])
+
     # Guards against a killed entry instance that breaks requests at other entry instances.
     def test_killed_entry(self):
         survivors = [self.entry(0), self.entry(2)]
