A plain service's answer of more than 1 MiB is no longer aborted

What callers saw: an accepted request to a plain service ended without its answer (the response was cut), each time the answer was larger than 1 MiB, although limits.maxAnswerBytes allows 8 MiB by default.

Cause: the queue between the loop and the caller's thread holds 1 MiB, and the whole answer of a plain service is one fragment. It overflowed an empty queue, and the sound answer was given up for want of room that it had already taken up.

Fix: an empty queue accepts every fragment. The limit on what queues up behind a slow caller stays.

It was found by reading, beside the search for answers that are given up for want of memory; no run of the daemon with such an answer was made.

--- a/src/fescuegauged/AnswerQueue.cpp
+++ b/src/fescuegauged/AnswerQueue.cpp
@@ -6,8 +6,11 @@
   std::lock_guard Lock(m_Mutex);
   if (m_HasOverflowed)
     return;
+  // An empty queue accepts every fragment, because the whole answer of a plain service is one
+  // fragment.
+  const bool IsCallerSlow = m_QueuedBytes > 0;
   m_QueuedBytes += Fragment.m_Data.size();
-  m_HasOverflowed = m_QueuedBytes > MaxQueuedBytes;
+  m_HasOverflowed = IsCallerSlow && m_QueuedBytes > MaxQueuedBytes;
   Event Added;
   Added.m_Data = m_HasOverflowed ? std::string() : Fragment.m_Data;
   Added.m_ContentType = Fragment.m_ContentType;
--- a/src/fescuegauged/AnswerQueue.h
+++ b/src/fescuegauged/AnswerQueue.h
@@ -16,7 +16,7 @@
 class AnswerQueue {
 public:
   /// Limit on bytes queued for a slow caller. An answer that exceeds it is aborted, so that slow
-  /// callers cannot exhaust memory.
+  /// callers cannot exhaust memory. A single fragment may be larger.
   static constexpr std::size_t MaxQueuedBytes = 1u << 20;
 
   struct Event {
