SIGHUP no longer ends the daemon and the requests in it

What callers saw: every request in a process ended without an answer when an operator sent it SIGHUP.

Cause: fescuegauged handled SIGTERM and SIGINT only, and the default action of SIGHUP ends the process at once, without a drain. The node of the platform reads its settings again on this signal, so operators have a reason to send it.

Fix: the daemon ignores SIGHUP. Its settings don't change while it runs; what operators change are declarations.

--- a/src/fescuegauged/main.cpp
+++ b/src/fescuegauged/main.cpp
@@ -21,6 +21,8 @@
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   // A write to a connection that the peer has closed returns an error instead.
   signal(SIGPIPE, SIG_IGN);
+  // The settings of a running process do not change, and the signal must not interrupt requests.
+  signal(SIGHUP, SIG_IGN);
 }
 
 int runDaemon(const std::string &SettingsFile) {
--- a/src/fescuegauged/process_test.py
+++ b/src/fescuegauged/process_test.py
@@ -460,6 +460,22 @@
         self.cluster.wait_ready()
         self.wait_until_serving()
 
+    # Guards against a signal to read settings again that ends a process and interrupts its requests.
+    def test_hangup_signal_cuts_nothing(self):
+        processes = [self.entry(2), self.cluster.upstreams["asistente-0"].agent]
+        load = LoadGenerator(self.cluster, self.roots, [self.entry(2)])
+        load.wait_for_more(10)
+        for process in processes:
+            process.signal(signal.SIGHUP)
+        time.sleep(0.2)
+        survivors = [process.name for process in processes if process.is_running()]
+        if self.entry(2).is_running():
+            load.wait_for_more(10)
+        results = load.stop()
+        self.assertEqual(survivors, [process.name for process in processes])
+        self.check_results(results)
+        self.assertEqual([r for r in results if r["outcome"] not in ("complete", "not-run")], [])
+
     # Guards against a request that crashes one upstream after another.
     def test_crashing_request_is_refused_after_two_losses(self):
         victims = [u for u in self.cluster.upstreams.values() if u.service == "asistente"]
