--- a/src/libgateway/PauseScenario.h
+++ b/src/libgateway/PauseScenario.h
@@ -3,6 +3,7 @@
 
 #include "Fescuegauge/Random.h"
 #include "Fescuegauge/RetryBudget.h"
+#include "GatewayCore.h"
 #include "PauseChecks.h"
 
 #include <deque>
@@ -189,6 +190,8 @@
 
   void drawUpstreams() {
     m_IsEngine = draw(2) == 0;
+    const std::size_t LeastSlots = 1 + draw(2);
+    const std::size_t MoreSlots = LeastSlots == 1 ? 2 : 5;
     m_Upstreams.resize(2 + draw(4));
     for (std::size_t I = 0; I < m_Upstreams.size(); ++I) {
       UpstreamState &Each = m_Upstreams[I];
@@ -203,8 +206,7 @@
       Record.m_DataCentre = DataCentreId("a");
       Record.m_Region = RegionId("r");
       Record.m_Service = ServiceId("service");
-      Record.m_Slots = Each.m_Slots = m_Seed % 2 == 0 ? 1 + static_cast<std::uint32_t>(draw(2))
-                                                      : 2 + static_cast<std::uint32_t>(draw(5));
+      Record.m_Slots = Each.m_Slots = static_cast<std::uint32_t>(LeastSlots + draw(MoreSlots));
       Each.m_Server = std::make_unique<PausingUpstream>(
           m_Fixture.loop(),
           [this, I](const HttpRequest &Request) -> UpstreamRun & { return startRun(I, Request); },
@@ -283,7 +285,7 @@
     const net::any_io_executor Executor = co_await net::this_coro::executor;
     for (ClientCall &Call : m_Calls)
       net::co_spawn(Executor, send(Call), net::detached);
-    if (m_Seed % 4 == 0)
+    if (draw(3) == 0)
       net::co_spawn(Executor, drain(drawTime(500ms, ArrivalTime)), net::detached);
     for (std::size_t Left = draw(4); Left > 0; --Left) {
       co_await sleepFor(drawTime(100ms, 1500ms));
@@ -310,7 +312,7 @@
   Task<> drain(Duration After) {
     co_await sleepFor(After);
     m_Fixture.gateway().beginDrain();
-    m_Bounds.m_Cutoff = monotonicNow() + m_StopTime - 300ms;
+    m_Bounds.m_Cutoff = monotonicNow() + m_StopTime - GatewayCore::StopMargin;
     m_Result.count("fault.drain");
   }
 
--- a/src/libgateway/Pauses_test.cpp
+++ b/src/libgateway/Pauses_test.cpp
@@ -265,6 +265,9 @@
   for (const std::string &Each : Result.violations())
     UNSCOPED_INFO(Each);
   CHECK(Result.violations().empty());
+  // A few seeds, as for the repetition of a failure, cannot cover everything.
+  if (End - First < SeedsAtOnce)
+    return;
   for (const std::string &Each : Result.missing())
     UNSCOPED_INFO("never counted: " << Each);
   CHECK(Result.missing().empty());
