--- a/src/include/Fescuegauge/ChangeSignal.h
+++ b/src/include/Fescuegauge/ChangeSignal.h
@@ -15,10 +15,14 @@
 
   /// Suspends the calling coroutine until notifyAll() is called or `Deadline` has passed.
   Task<> waitUntil(TimePoint Deadline);
+  /// The same without a deadline.
+  Task<> wait();
   void notifyAll();
   std::size_t waiterCount() const { return m_Waiters.size(); }
 
 private:
+  Task<> waitFor(std::shared_ptr<net::steady_timer> Timer);
+
   net::any_io_executor m_Executor;
   std::list<std::shared_ptr<net::steady_timer>> m_Waiters;
 };
--- a/src/include/Fescuegauge/LoadBalancer.h
+++ b/src/include/Fescuegauge/LoadBalancer.h
@@ -122,6 +122,9 @@
   Deferred,
   /// No connection could be opened, or the connection ended without a complete answer.
   Failed,
+  /// The upstream was silent, and another one took the request over. Counts as a failure, but
+  /// requests that stall together count once: the upstream may only have paused.
+  Stalled,
   /// The client left or its deadline passed; says nothing about the upstream.
   Abandoned,
 };
--- a/src/libdispatch/Dispatch_test.cpp
+++ b/src/libdispatch/Dispatch_test.cpp
@@ -170,6 +170,18 @@
   CHECK(Balancer.place(at(1ms), {InstanceId(Second)}).m_Upstream.m_Id.str() == First);
 }
 
+// Guards against a sound upstream that is skipped for 5 s after one pause of all its requests.
+TEST_CASE("requests that stall together count as one failure", "[dispatch]") {
+  EngineBalancer Balancer({upstream("u1", 8)});
+  for (int I = 0; I < 6; ++I)
+    REQUIRE(Balancer.dispatch(at(0s)) == "u1");
+  for (int I = 0; I < 6; ++I)
+    Balancer->onEnded(InstanceId("u1"), DispatchResult::Stalled, 0, at(0s));
+  Balancer->setUpstreams(std::vector{upstream("u1", 8), upstream("u2", 8)});
+  CHECK(Balancer.dispatch(at(LoadBalancer::FailurePause - 1ms)) == "u2");
+  CHECK(Balancer.dispatch(at(LoadBalancer::FailurePause)) == "u1");
+}
+
 TEST_CASE("an upstream that is silent with requests in flight gets no more", "[dispatch]") {
   EngineBalancer Balancer({upstream("u1", 4)});
   REQUIRE(Balancer.dispatch(at(0s)) == "u1");
--- a/src/libdispatch/LoadBalancer.cpp
+++ b/src/libdispatch/LoadBalancer.cpp
@@ -391,6 +391,10 @@
     break;
   case DispatchResult::Deferred:
     break;
+  case DispatchResult::Stalled:
+    if (Now < Entry.m_SkippedUntil)
+      break;
+    [[fallthrough]];
   case DispatchResult::Failed:
     Entry.m_SkippedUntil =
         Now + exponentialBackoff(FailurePause, Entry.m_FailuresInRow++, MaxFailurePause);
--- a/src/libgateway/Pauses_test.cpp
+++ b/src/libgateway/Pauses_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <cstdlib>
+#include <ctime>
 #include <deque>
 #include <thread>
 #include <utility>
@@ -197,6 +198,55 @@
             .status() == 200);
 }
 
+// Guards against events of another upstream inside the plain response of the first one, after
+// which the connection was kept.
+TEST_CASE("a plain response to a request for a stream is not continued by events", "[gateway]") {
+  GatewayFixture Fixture;
+  Fixture.setPlan([](RoutingPlan &Plan) {
+    for (Route &Each : Plan.m_Routes)
+      Each.m_Timeout = 6s;
+  });
+  bool HasArrived = false;
+  const auto Serve = [&](const HttpRequest &Request) {
+    if (Request.target() != "/stream/x")
+      return Script{{{plainResponse(Request, 200, "x")}}};
+    if (std::exchange(HasArrived, true))
+      return Script{{{streamHeader(Request) + chunk(event(1)) + LastChunk}}};
+    // More than the gateway holds back.
+    const std::string Whole = plainResponse(Request, 200, std::string(200'000, 'x'));
+    return Script{{{Whole.substr(0, 120'000)}, {Whole.substr(120'000), 2500ms}}};
+  };
+  Fixture.addUpstream(Serve);
+  Fixture.addUpstream(Serve);
+  for (int I = 0; I < FullBudget; ++I)
+    Fixture.exchange(GatewayFixture::request("/safe/earning", "e" + std::to_string(I)));
+  std::string Bytes = GatewayFixture::request("/stream/x", "r1");
+  const std::string Allowed = "Deadline-Ms: 1200";
+  Bytes.replace(Bytes.find(Allowed), Allowed.size(), "Deadline-Ms: 6000");
+  const RawResponse Response = Fixture.exchange(Bytes, 7s);
+  CHECK_FALSE(Response.contains("token-1"));
+  CHECK(Response.isComplete());
+}
+
+// Guards against a busy loop while a request waits for the attempt that took it over.
+TEST_CASE("a stream that its backup serves takes little processor time", "[gateway]") {
+  PausedRequest Paused("/stream/x");
+  const std::clock_t Before = std::clock();
+  const TimePoint Begin = monotonicNow();
+  const RawResponse Response = Paused.run(2, FullBudget, [](const HttpRequest &Request) {
+    return Script{{{streamHeader(Request)},
+                   {chunk(event(2))},
+                   {chunk(event(3)), 1500ms},
+                   {chunk(event(4)), 1500ms},
+                   {LastChunk}}};
+  });
+  const double Busy = static_cast<double>(std::clock() - Before) / CLOCKS_PER_SEC;
+  CHECK(isWholeStream(Response));
+  CHECK(Response.contains("token-4"));
+  // The requests that earn the retry budget take most of it.
+  CHECK(Busy < 0.25 * toSeconds(monotonicNow() - Begin));
+}
+
 namespace {
 
 /// Names that must be counted in a run over all seeds.
--- a/src/libgateway/RequestAttempt.h
+++ b/src/libgateway/RequestAttempt.h
@@ -32,14 +32,15 @@
 
 /// State of one attempt of a request at one upstream.
 struct RequestAttempt {
-  /// Why this process cancelled the attempt, other than for the end of the whole request.
+  /// Why this process cancelled the attempt, other than for the deadline of the request or because
+  /// its client disconnected.
   enum class Cancellation {
     None,
     /// The request must no longer begin at this upstream, or anywhere.
     Withdrawn,
     /// The upstream was silent, and the backup attempt went on first.
     TakenOver,
-    /// This is a backup attempt, and the attempt that it was to replace went on first.
+    /// Another attempt serves the request, or the request has ended.
     Unneeded,
   };
 
@@ -49,10 +50,12 @@
   /// Null after the end of the attempt.
   std::shared_ptr<UpstreamExchange> m_Exchange;
   Cancellation m_Cancellation = Cancellation::None;
-  /// Set after the end of a backup attempt.
+  /// Set after the end of the attempt.
   std::optional<AttemptEnd> m_End;
-  /// The exception that ended a backup attempt.
+  /// The exception that ended the attempt.
   std::exception_ptr m_Exception;
+  /// Whether the end of the attempt was logged.
+  bool m_IsEndLogged = false;
 
   /// Number among the attempts of the request that were sent; the first is 1.
   std::uint32_t m_Number = 0;
@@ -79,8 +82,10 @@
 
   const UpstreamRecord &upstream() const { return m_Placement.m_Upstream; }
   bool isCancelled() const { return m_Cancellation != Cancellation::None; }
+  /// The first reason is kept.
   void cancel(Cancellation Why) {
-    m_Cancellation = Why;
+    if (!isCancelled())
+      m_Cancellation = Why;
     if (m_Exchange)
       m_Exchange->cancel();
   }
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -283,7 +283,7 @@
     m_DeadlineTimer.cancel();
     onDeadline();
   }
-  if (isInterrupted() || isTooLateToStart() || isQuarantined() ||
+  if (isInterrupted() || This.isCancelled() || isTooLateToStart() || isQuarantined() ||
       !m_Core.loadBalancer().canStillSend(This.upstream(), placementRequest(), monotonicNow()) ||
       !ensurePermit(This))
     return false;
@@ -319,15 +319,31 @@
     m_Backup.reset();
   });
   scheduleStallCheck();
-  AttemptEnd End = co_await performAttempt(*Latest);
+  co_await runAttempt(*Latest);
   while (true) {
     // A backup attempt in flight goes on alone.
     if (m_Current == Latest && m_Backup && !isInterrupted())
       m_Current = std::exchange(m_Backup, nullptr);
-    if (m_Current == Latest)
-      co_return End;
+    if (m_Current == Latest) {
+      if (Latest->m_Exception)
+        std::rethrow_exception(Latest->m_Exception);
+      co_return *Latest->m_End;
+    }
     Latest = m_Current;
-    End = co_await waitForEnd(*Latest);
+    while (!Latest->m_End)
+      co_await m_BackupEnded.wait();
+  }
+}
+
+Task<> RequestExchange::runAttempt(RequestAttempt &This) {
+  try {
+    This.m_End = co_await performAttempt(This);
+  } catch (const std::exception &Error) {
+    This.m_Exception = std::current_exception();
+    This.m_End = AttemptEnd::Aborted;
+    logEvent(
+        Severity::Error, "attempt_aborted",
+        {{"request", m_RequestId}, {"upstream", This.upstream().m_Id}, {"reason", Error.what()}});
   }
 }
 
@@ -375,14 +391,16 @@
   }
   if (Sent)
     Sent->finish();
+  if (End == AttemptEnd::Failed && !IsAbandoned && !This.m_IsEndLogged)
+    logAttempt(This, "failed", "response");
 
-  // An upstream that was silent until its backup took over counts as failed.
-  const bool WasGivenUp =
-      This.isCancelled() && This.m_Cancellation != RequestAttempt::Cancellation::TakenOver;
+  const bool IsTakenOver = This.m_Cancellation == RequestAttempt::Cancellation::TakenOver;
   DispatchResult Result = DispatchResult::Failed;
-  if (isInterrupted() || (WasGivenUp && End == AttemptEnd::Failed) ||
+  if (isInterrupted() || (This.isCancelled() && !IsTakenOver && End == AttemptEnd::Failed) ||
       End == AttemptEnd::NoLongerEligible || End == AttemptEnd::Aborted)
     Result = DispatchResult::Abandoned;
+  else if (IsTakenOver)
+    Result = DispatchResult::Stalled;
   else if (End == AttemptEnd::Delivered || End == AttemptEnd::FailureResponse)
     Result = DispatchResult::Answered;
   else if (End == AttemptEnd::Rejected)
@@ -422,28 +440,13 @@
   // A cancelled attempt may end after its request.
   const std::shared_ptr<GatewayCore> Core = m_Core.shared_from_this();
   const std::shared_ptr<RequestExchange> Self = shared_from_this();
-  try {
-    Backup->m_End = co_await performAttempt(*Backup);
-  } catch (const std::exception &Error) {
-    Backup->m_End = AttemptEnd::Aborted;
-    Backup->m_Exception = std::current_exception();
-    logEvent(Severity::Error, "backup_attempt_aborted",
-             {{"request", m_RequestId}, {"reason", Error.what()}});
-  }
-  // The request stays with the attempt that it has.
+  co_await runAttempt(*Backup);
+  // The first attempt goes on without a backup.
   if (m_Backup == Backup)
     m_Backup.reset();
   m_BackupEnded.notifyAll();
 }
 
-Task<AttemptEnd> RequestExchange::waitForEnd(const RequestAttempt &Backup) {
-  while (!Backup.m_End)
-    co_await m_BackupEnded.waitUntil(TimePoint::max());
-  if (Backup.m_Exception)
-    std::rethrow_exception(Backup.m_Exception);
-  co_return *Backup.m_End;
-}
-
 bool RequestExchange::claimResponse(const RequestAttempt &By) {
   if (By.isCancelled())
     return false;
@@ -541,7 +544,8 @@
     // The end of the request may have cut the time to open the connection.
     if (Error == ExchangeError::NotSent && (HasTimedOut || remainingTime() > Duration(0)))
       m_Core.recordUnreachable(From.start());
-    logAttempt(This, "not-sent", exchangeErrorName(Error));
+    if (!This.isCancelled())
+      logAttempt(This, "not-sent", exchangeErrorName(Error));
     co_return Error == ExchangeError::NotAllowed ? AttemptEnd::NoLongerEligible
                                                  : AttemptEnd::NotSent;
   }
@@ -571,7 +575,8 @@
     if (This.m_IsBackup || (mayHaveRun() && m_ResumptionRejections++ < MaxUncountedRejections))
       ++m_UncountedRejections;
     co_await Sent.discardRest(RejectionTimeout);
-    logAttempt(This, "rejected", std::to_string(Status));
+    if (!This.isCancelled())
+      logAttempt(This, "rejected", std::to_string(Status));
     co_return AttemptEnd::Rejected;
   }
   if (ResponseHeader.count(http::field::content_encoding) != 0) {
@@ -903,9 +908,12 @@
 }
 
 void RequestExchange::scheduleStallCheck() {
+  m_StallCheckDueAt = monotonicNow() + StallCheckInterval;
   m_StallTimer.set(StallCheckInterval, [this] {
     const RequestAttempt &Observed = *m_Current;
     const TimePoint Now = monotonicNow();
+    // After a pause of this process, timers run before what arrived meanwhile is read.
+    const bool WasPaused = Now - m_StallCheckDueAt > StallCheckInterval;
     const Duration SilentTime = m_IsWriting || Observed.m_IsReadToEnd
                                     ? Duration(0)
                                     : Now - std::max(Observed.m_LastReadAt, m_LastClientWriteAt);
@@ -914,7 +922,7 @@
                                ? SilentTime > (IsUpstreamSilent ? StallTimeout : LongStallTimeout)
                                : SilentTime > PlainStallFactor * m_Route->m_TargetLatency;
     // Opening a connection has a time limit of its own.
-    if (IsStalled && Observed.m_Exchange && Observed.m_Exchange->wasSent())
+    if (IsStalled && !WasPaused && Observed.m_Exchange && Observed.m_Exchange->wasSent())
       startBackup(SilentTime);
     scheduleStallCheck();
   });
@@ -1062,8 +1070,9 @@
   co_return !Error;
 }
 
-void RequestExchange::logAttempt(const RequestAttempt &This, std::string_view Outcome,
+void RequestExchange::logAttempt(RequestAttempt &This, std::string_view Outcome,
                                  std::string_view Detail) {
+  This.m_IsEndLogged = true;
   m_Core.countAttempt(Outcome);
   if (m_Core.tryAcquireLogLine(true))
     logEvent(Severity::Info, "attempt_ended",
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -26,9 +26,9 @@
 /// An upstream that is silent may only have paused. A repeatable request stays there while a backup
 /// attempt runs at another upstream, and the first of the two attempts that has something to
 /// forward, the next event of a stream or a plain response, claims the response: the other one is
-/// cancelled, and the client receives nothing of it. A backup attempt that ends before costs the
-/// request nothing but its part of the retry budget and, if it may have run, one of the route's
-/// attempts.
+/// cancelled, and the client receives nothing of it. If a backup attempt ends before that, the
+/// first attempt goes on. The backup took one retry from the retry budget and, if it may have run,
+/// counts as one of the route's attempts.
 class RequestExchange : public std::enable_shared_from_this<RequestExchange> {
 public:
   /// Number of upstreams to which the request could not be sent before a further one needs a retry.
@@ -93,9 +93,10 @@
   /// Starts a backup attempt if the request may have another attempt and an upstream has a free
   /// slot. Without one, the request stays where it is.
   void startBackup(Duration SilentTime);
+  /// Performs a backup attempt, which may end after its request.
   Task<> runBackup(AttemptPtr Backup);
-  /// Waits for the end of an attempt that was started as a backup.
-  Task<AttemptEnd> waitForEnd(const RequestAttempt &Backup);
+  /// Performs an attempt and stores how it ended in it.
+  Task<> runAttempt(RequestAttempt &This);
   /// Called when an attempt has something to forward. From here on it alone serves the request, and
   /// the other attempt in flight is cancelled. Returns false if this attempt was cancelled before.
   bool claimResponse(const RequestAttempt &By);
@@ -124,8 +125,10 @@
   bool takeRetry();
   /// Whether an upstream may have run the request.
   bool mayHaveRun() const { return m_PossibleRuns > 0; }
+  /// A plain response to a request for a stream cannot be resumed.
   bool canResume() const {
-    return m_HeaderSent && m_Route->m_Kind == Repeatability::ResumableStream && m_EventsResumable;
+    return m_HeaderSent && m_Route->m_Kind == Repeatability::ResumableStream && m_LastEventId &&
+           m_EventsResumable;
   }
   void onDeadline();
   /// Called when the process is about to end. A write to the client continues, because it may
@@ -171,7 +174,7 @@
   Task<bool> writeClient(std::string Bytes);
   bool canKeepConnection() const { return m_KeepAlive && !m_Core.isDraining(); }
 
-  void logAttempt(const RequestAttempt &This, std::string_view Outcome, std::string_view Detail);
+  void logAttempt(RequestAttempt &This, std::string_view Outcome, std::string_view Detail);
   void logFinished();
   std::string_view kindName() const;
 
@@ -200,6 +203,7 @@
 
   OneShotTimer m_DeadlineTimer;
   OneShotTimer m_StallTimer;
+  TimePoint m_StallCheckDueAt;
   std::shared_ptr<PlacementWaiter> m_PlacementWaiter;
   /// The attempt for whose end dispatch() waits, or the last one; null before the first attempt.
   AttemptPtr m_Current;
