Daemon: repairs from the review of second attempts

A second attempt was paid for from the retry budget before an upstream was selected, so that each silence without another upstream took from the budget of later retries. The upstream is selected first, as it is released if the budget refuses. The ticket names the generation that the upstream had when the attempt was dispatched, because its record may be gone or replaced when it delivers. Both were found by reading.

--- a/src/fescuegauged/RequestService.cpp
+++ b/src/fescuegauged/RequestService.cpp
@@ -522,7 +522,7 @@
   auto Found = m_PendingRequests.find(Action.m_Request);
   if (Found == m_PendingRequests.end())
     return perform(m_Lifecycle.attemptNotSent(Action.m_Attempt, EventLoop::now()));
-  const PendingRequest &Pending = *Found->second;
+  PendingRequest &Pending = *Found->second;
   AttemptRequest Request;
   Request.m_Attempt = Action.m_Attempt;
   Request.m_Request = Action.m_Request;
@@ -533,7 +533,7 @@
   Request.m_Execution = Pending.m_Request.m_NonIdempotent ? Pending.m_Request.m_Account.str() +
                                                                 "/" + Pending.m_Request.m_Key.str()
                                                           : Action.m_Attempt.str();
-  Request.m_Generation = generationOf(Action.m_Upstream);
+  Request.m_Generation = Pending.m_Generations[Action.m_Upstream] = generationOf(Action.m_Upstream);
   Request.m_RequiredDigest = Action.m_RequiredDigest.value_or(Digest());
   Request.m_ResumeFrom = Action.m_ResumeOffset;
   Request.m_Priority = Pending.m_Priority;
@@ -571,7 +571,9 @@
     Found->second->m_FirstTokenAt = EventLoop::now();
   const PendingRequest &Pending = *Found->second;
   GenerationTicket Ticket;
-  Ticket.m_Generation = generationOf(Action.m_Upstream);
+  if (const auto Known = Pending.m_Generations.find(Action.m_Upstream);
+      Known != Pending.m_Generations.end())
+    Ticket.m_Generation = Known->second;
   Ticket.m_ServedDigest = Action.m_ServedDigest;
   Ticket.m_AcknowledgedWrite = Pending.m_Request.m_NonIdempotent;
   Pending.m_AnswerQueue->pushFragment(Action, Ticket.encode());
--- a/src/fescuegauged/RequestService.h
+++ b/src/fescuegauged/RequestService.h
@@ -54,6 +54,8 @@
     std::optional<TimePoint> m_FirstTokenAt;
     int m_Priority = 0;
     bool m_IsQueued = false;
+    /// Of the upstreams of all attempts, when they were dispatched.
+    std::map<InstanceId, GenerationId> m_Generations;
   };
   struct CachedOwner {
     OwnerRow m_Row;
--- a/src/librequests/RequestLifecycle.cpp
+++ b/src/librequests/RequestLifecycle.cpp
@@ -209,11 +209,15 @@
                     Active.m_SecondAttempt || m_Suspects.isSuspect(Active.m_Suspect, Now);
   bool CanContinue = Active.m_ReceivedBytes == 0 || Active.m_Constraints.m_Resumable;
   if (IsExcluded || !CanContinue || Active.m_Attempts >= MaxAttempts || !Active.m_TimerAt ||
-      Now >= *Active.m_TimerAt || !m_Environment.takeHedge(Active.m_Request, Now))
+      Now >= *Active.m_TimerAt)
     return;
   auto Upstream = selectUpstream(Active, Now);
   if (!Upstream)
     return;
+  if (!m_Environment.takeHedge(Active.m_Request, Now)) {
+    m_Selector.release(*Upstream, Active.m_Request, false, Now);
+    return;
+  }
   Active.m_SecondAttempt = startAttempt(Active, *Upstream, Actions);
   ++m_Counters.m_SecondAttempts;
 }
