--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -276,26 +276,26 @@
   return Request;
 }
 
-bool RequestExchange::prepareSend(RequestAttempt &This, ClientRequest &Request) {
+bool RequestExchange::prepareSend(RequestAttempt &Attempt, ClientRequest &Request) {
   const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(remainingTime());
   // If the event loop is delayed, the deadline timer is late too.
   if (Left.count() <= 0) {
     m_DeadlineTimer.cancel();
     onDeadline();
   }
-  if (isInterrupted() || This.isCancelled() || isTooLateToStart() || isQuarantined() ||
-      !m_Core.loadBalancer().canStillSend(This.upstream(), placementRequest(), monotonicNow()) ||
-      !ensurePermit(This))
+  if (isInterrupted() || Attempt.isCancelled() || isTooLateToStart() || isQuarantined() ||
+      !m_Core.loadBalancer().canStillSend(Attempt.upstream(), placementRequest(), monotonicNow()) ||
+      !ensurePermit(Attempt))
     return false;
   Request.set(m_Core.headerNames().m_Deadline, std::to_string(Left.count()));
   return true;
 }
 
-bool RequestExchange::ensurePermit(RequestAttempt &This) {
+bool RequestExchange::ensurePermit(RequestAttempt &Attempt) {
   const TimePoint Now = monotonicNow();
-  const UpstreamRecord &To = This.upstream();
+  const UpstreamRecord &To = Attempt.upstream();
   SharedRates &Rates = m_Core.loadBalancer().rates();
-  if (Rates.takePermit(To.start(), To.m_DataCentre, This.m_Permits, Now) ==
+  if (Rates.takePermit(To.start(), To.m_DataCentre, Attempt.m_Permits, Now) ==
       SharedRates::Permit::Refused) {
     if (Rates.cold().coldUntil(To.start(), Now))
       m_Core.countColdWithheldSend();
@@ -303,7 +303,7 @@
       m_Core.countRateRefusedSend();
     return false;
   }
-  Rates.onSending(To.start(), This.m_Permits, Now);
+  Rates.onSending(To.start(), Attempt.m_Permits, Now);
   return true;
 }
 
@@ -335,53 +335,56 @@
   }
 }
 
-Task<> RequestExchange::runAttempt(RequestAttempt &This) {
+Task<> RequestExchange::runAttempt(RequestAttempt &Attempt) {
   try {
-    This.m_End = co_await performAttempt(This);
+    Attempt.m_End = co_await performAttempt(Attempt);
   } catch (const std::exception &Error) {
-    This.m_Exception = std::current_exception();
-    This.m_End = AttemptEnd::Aborted;
-    logEvent(
-        Severity::Error, "attempt_aborted",
-        {{"request", m_RequestId}, {"upstream", This.upstream().m_Id}, {"reason", Error.what()}});
+    Attempt.m_Exception = std::current_exception();
+    Attempt.m_End = AttemptEnd::Aborted;
+    logEvent(Severity::Error, "attempt_aborted",
+             {{"request", m_RequestId},
+              {"upstream", Attempt.upstream().m_Id},
+              {"reason", Error.what()}});
   }
 }
 
-Task<AttemptEnd> RequestExchange::performAttempt(RequestAttempt &This) {
-  const UpstreamRecord &To = This.upstream();
+Task<AttemptEnd> RequestExchange::performAttempt(RequestAttempt &Attempt) {
+  const UpstreamRecord &To = Attempt.upstream();
   const bool IsAtMostOnce = !isRepeatable(m_Route->m_Kind);
   if (!AtMostOnceSentOnce.check(!IsAtMostOnce || !mayHaveRun(), m_RequestId)) {
-    m_Core.undoPlacement(This.m_Placement, m_PromptTokens);
+    m_Core.undoPlacement(Attempt.m_Placement, m_PromptTokens);
     co_return AttemptEnd::Failed;
   }
   m_TriedUpstreams.push_back(To.m_Id);
-  This.m_Permits = This.m_Placement.m_Permits;
-  ScopeExit Abort([&] { endAttempt(This, AttemptEnd::Aborted); });
-  This.m_Exchange = std::make_shared<UpstreamExchange>(m_Core.pool(), m_Core.headerNames(),
-                                                       upstreamRequest(To), m_RequestId);
-  This.m_UnreadTokens = m_PromptTokens;
-  This.m_LastReadAt = This.m_DispatchedAt = monotonicNow();
-  This.m_PlacedWeights = To.heldVersion(m_Model);
-  This.m_Running = m_Core.addRunning({To.start(), m_SuspectRequest, m_RequestId, This.m_Exchange});
+  Attempt.m_Permits = Attempt.m_Placement.m_Permits;
+  ScopeExit Abort([&] { endAttempt(Attempt, AttemptEnd::Aborted); });
+  Attempt.m_Exchange = std::make_shared<UpstreamExchange>(m_Core.pool(), m_Core.headerNames(),
+                                                          upstreamRequest(To), m_RequestId);
+  Attempt.m_UnreadTokens = m_PromptTokens;
+  Attempt.m_LastReadAt = Attempt.m_DispatchedAt = monotonicNow();
+  Attempt.m_PlacedWeights = To.heldVersion(m_Model);
+  Attempt.m_Running =
+      m_Core.addRunning({To.start(), m_SuspectRequest, m_RequestId, Attempt.m_Exchange});
   // Only a stream shows when the request has begun: a plain response comes at the end of the run.
   const ServicePlan *Service = m_Plan->service(m_Service);
   if (Service && Service->m_Engine && !m_Model.empty() && isStream(m_Route->m_Kind))
-    This.m_UnstartedNumber = m_Core.addUnstarted(m_Model, To, [this, &This] { withdraw(This); });
-  const AttemptEnd End = co_await sendAndRelay(This);
+    Attempt.m_UnstartedNumber =
+        m_Core.addUnstarted(m_Model, To, [this, &Attempt] { withdraw(Attempt); });
+  const AttemptEnd End = co_await sendAndRelay(Attempt);
   Abort.dismiss();
-  co_return endAttempt(This, End);
+  co_return endAttempt(Attempt, End);
 }
 
-AttemptEnd RequestExchange::endAttempt(RequestAttempt &This, AttemptEnd End) {
-  const UpstreamRecord &To = This.upstream();
+AttemptEnd RequestExchange::endAttempt(RequestAttempt &Attempt, AttemptEnd End) {
+  const UpstreamRecord &To = Attempt.upstream();
   const bool HasFailed =
       End == AttemptEnd::Failed || End == AttemptEnd::Interrupted || End == AttemptEnd::Aborted;
-  endUnstarted(This, HasFailed ? GatewayCore::UnstartedEnd::NotBegun
-                               : GatewayCore::UnstartedEnd::NoSample);
-  const std::shared_ptr<UpstreamExchange> Sent = std::exchange(This.m_Exchange, nullptr);
-  const bool IsAbandoned = isInterrupted() || This.isCancelled() || End == AttemptEnd::Aborted;
+  endUnstarted(Attempt, HasFailed ? GatewayCore::UnstartedEnd::NotBegun
+                                  : GatewayCore::UnstartedEnd::NoSample);
+  const std::shared_ptr<UpstreamExchange> Sent = std::exchange(Attempt.m_Exchange, nullptr);
+  const bool IsAbandoned = isInterrupted() || Attempt.isCancelled() || End == AttemptEnd::Aborted;
   // Absent if an exception ended the attempt before it was registered.
-  if (const auto Running = std::exchange(This.m_Running, std::nullopt)) {
+  if (const auto Running = std::exchange(Attempt.m_Running, std::nullopt)) {
     if (End == AttemptEnd::Failed && !IsAbandoned)
       m_Core.checkCrash(To, **Running);
     if (IsAbandoned)
@@ -391,12 +394,12 @@
   }
   if (Sent)
     Sent->finish();
-  if (End == AttemptEnd::Failed && !IsAbandoned && !This.m_IsEndLogged)
-    logAttempt(This, "failed", "response");
+  if (End == AttemptEnd::Failed && !IsAbandoned && !Attempt.m_IsEndLogged)
+    logAttempt(Attempt, "failed", "response");
 
-  const bool IsTakenOver = This.m_Cancellation == RequestAttempt::Cancellation::TakenOver;
+  const bool IsTakenOver = Attempt.m_Cancellation == RequestAttempt::Cancellation::TakenOver;
   DispatchResult Result = DispatchResult::Failed;
-  if (isInterrupted() || (This.isCancelled() && !IsTakenOver && End == AttemptEnd::Failed) ||
+  if (isInterrupted() || (Attempt.isCancelled() && !IsTakenOver && End == AttemptEnd::Failed) ||
       End == AttemptEnd::NoLongerEligible || End == AttemptEnd::Aborted)
     Result = DispatchResult::Abandoned;
   else if (IsTakenOver)
@@ -404,8 +407,8 @@
   else if (End == AttemptEnd::Delivered || End == AttemptEnd::FailureResponse)
     Result = DispatchResult::Answered;
   else if (End == AttemptEnd::Rejected)
-    Result = This.m_WasPauseRequested ? DispatchResult::Deferred : DispatchResult::Rejected;
-  m_Core.release(To.m_Id, Result, std::exchange(This.m_UnreadTokens, 0));
+    Result = Attempt.m_WasPauseRequested ? DispatchResult::Deferred : DispatchResult::Rejected;
+  m_Core.release(To.m_Id, Result, std::exchange(Attempt.m_UnreadTokens, 0));
   return End;
 }
 
@@ -461,9 +464,9 @@
   return true;
 }
 
-void RequestExchange::recordRateLimit(const RequestAttempt &This) {
-  const UpstreamExchange &Sent = *This.m_Exchange;
-  const UpstreamRecord &From = This.upstream();
+void RequestExchange::recordRateLimit(const RequestAttempt &Attempt) {
+  const UpstreamExchange &Sent = *Attempt.m_Exchange;
+  const UpstreamRecord &From = Attempt.upstream();
   const UpstreamExchange::Header &ResponseHeader = Sent.header();
   // A 421 may come from another upstream that uses the address now.
   if (ResponseHeader.result_int() == StatusMisdirected)
@@ -482,9 +485,9 @@
   m_Core.recordRateLimit(From.start(), Named, Sent.sentAt());
 }
 
-void RequestExchange::recordCold(const RequestAttempt &This) {
-  const UpstreamRecord &From = This.upstream();
-  const UpstreamExchange::Header &ResponseHeader = This.m_Exchange->header();
+void RequestExchange::recordCold(const RequestAttempt &Attempt) {
+  const UpstreamRecord &From = Attempt.upstream();
+  const UpstreamExchange::Header &ResponseHeader = Attempt.m_Exchange->header();
   const auto Field = ResponseHeader.find(m_Core.headerNames().m_UpstreamCold);
   if (Field == ResponseHeader.end() || ResponseHeader.result_int() == StatusMisdirected)
     return;
@@ -495,12 +498,12 @@
              {{"upstream", From.m_Id}, {"value", std::string(Field->value())}});
 }
 
-void RequestExchange::processUpstreamStatements(RequestAttempt &This) {
+void RequestExchange::processUpstreamStatements(RequestAttempt &Attempt) {
   const TimePoint Now = monotonicNow();
-  const UpstreamRecord &From = This.upstream();
-  const UpstreamExchange::Header &ResponseHeader = This.m_Exchange->header();
-  recordRateLimit(This);
-  recordCold(This);
+  const UpstreamRecord &From = Attempt.upstream();
+  const UpstreamExchange::Header &ResponseHeader = Attempt.m_Exchange->header();
+  recordRateLimit(Attempt);
+  recordCold(Attempt);
   if (ResponseHeader.count(m_Core.headerNames().m_UpstreamLeaving) != 0 &&
       m_Core.loadBalancer().onLeaving(From.start(), Now))
     logEvent(Severity::Info, "upstream_leaving",
@@ -509,7 +512,7 @@
       ResponseHeader.count(http::field::retry_after) == 0)
     return;
   if (auto Pause = parsePause(std::string(ResponseHeader[http::field::retry_after]))) {
-    This.m_WasPauseRequested = true;
+    Attempt.m_WasPauseRequested = true;
     m_Core.loadBalancer().onPauseRequested(From.start(), *Pause, Now);
     if (m_Core.tryAcquireLogLine(true))
       logEvent(Severity::Info, "upstream_pause_asked",
@@ -521,67 +524,67 @@
   }
 }
 
-Task<AttemptEnd> RequestExchange::sendAndRelay(RequestAttempt &This) {
+Task<AttemptEnd> RequestExchange::sendAndRelay(RequestAttempt &Attempt) {
   const CallHeaderNames &Names = m_Core.headerNames();
-  const UpstreamRecord &From = This.upstream();
-  UpstreamExchange &Sent = *This.m_Exchange;
+  const UpstreamRecord &From = Attempt.upstream();
+  UpstreamExchange &Sent = *Attempt.m_Exchange;
   // Counted before sending: the request may run as soon as its first byte leaves.
   ++m_PossibleRuns;
-  This.m_Number = ++m_AttemptsSent;
+  Attempt.m_Number = ++m_AttemptsSent;
   const Duration MaxIdleTime =
       isRepeatable(m_Route->m_Kind) ? Duration::max() : MaxIdleTimeAtMostOnce;
   const ExchangeError Error = co_await Sent.start(
       From.m_Address, MaxIdleTime, std::clamp(remainingTime(), Duration(0), ConnectTimeout),
-      [this, &This](ClientRequest &Request) { return prepareSend(This, Request); });
+      [this, &Attempt](ClientRequest &Request) { return prepareSend(Attempt, Request); });
   if (!Sent.wasSent()) {
     // An address without a host refuses within a round trip.
-    const bool HasTimedOut = monotonicNow() - This.m_DispatchedAt >= ConnectTimeout;
+    const bool HasTimedOut = monotonicNow() - Attempt.m_DispatchedAt >= ConnectTimeout;
     if (Error == ExchangeError::NotSent && HasTimedOut)
-      m_Core.onConnectTimeout(From, This.m_DispatchedAt);
+      m_Core.onConnectTimeout(From, Attempt.m_DispatchedAt);
     --m_PossibleRuns;
     --m_AttemptsSent;
-    m_Core.loadBalancer().rates().returnPermit(From.start(), std::exchange(This.m_Permits, {}));
+    m_Core.loadBalancer().rates().returnPermit(From.start(), std::exchange(Attempt.m_Permits, {}));
     // The end of the request may have cut the time to open the connection.
     if (Error == ExchangeError::NotSent && (HasTimedOut || remainingTime() > Duration(0)))
       m_Core.recordUnreachable(From.start());
-    if (!This.isCancelled())
-      logAttempt(This, "not-sent", exchangeErrorName(Error));
+    if (!Attempt.isCancelled())
+      logAttempt(Attempt, "not-sent", exchangeErrorName(Error));
     co_return Error == ExchangeError::NotAllowed ? AttemptEnd::NoLongerEligible
                                                  : AttemptEnd::NotSent;
   }
-  if (This.m_Permits.m_ForNamedRate)
+  if (Attempt.m_Permits.m_ForNamedRate)
     m_Core.countRateLimitedSend();
-  if (This.m_Permits.m_ForColdRate)
+  if (Attempt.m_Permits.m_ForColdRate)
     m_Core.countColdSend();
-  if (This.m_Number == 1)
+  if (Attempt.m_Number == 1)
     m_Core.retryBudget(m_Service).onFirstAttempt(m_Account);
-  if (Error != ExchangeError::None || This.isCancelled()) {
-    if (!This.isCancelled()) {
+  if (Error != ExchangeError::None || Attempt.isCancelled()) {
+    if (!Attempt.isCancelled()) {
       m_IsResponseMalformed = Error == ExchangeError::Malformed;
-      logAttempt(This, "failed", exchangeErrorName(Error));
+      logAttempt(Attempt, "failed", exchangeErrorName(Error));
     }
     co_return isInterrupted() ? AttemptEnd::Interrupted : AttemptEnd::Failed;
   }
-  This.m_LastReadAt = monotonicNow();
-  m_Core.onProgress(From, This.m_LastReadAt);
+  Attempt.m_LastReadAt = monotonicNow();
+  m_Core.onProgress(From, Attempt.m_LastReadAt);
   const UpstreamExchange::Header &ResponseHeader = Sent.header();
   const unsigned Status = ResponseHeader.result_int();
-  processUpstreamStatements(This);
+  processUpstreamStatements(Attempt);
   if (auto Version =
           parseNumber<std::uint64_t>(std::string(ResponseHeader[Names.m_WeightsVersion])))
-    This.m_AnsweredWeights = WeightsVersion(*Version);
+    Attempt.m_AnsweredWeights = WeightsVersion(*Version);
   if (ResponseHeader.count(Names.m_NotRun) != 0 || Status == StatusMisdirected) {
     --m_PossibleRuns;
-    if (This.m_IsBackup || (mayHaveRun() && m_ResumptionRejections++ < MaxUncountedRejections))
+    if (Attempt.m_IsBackup || (mayHaveRun() && m_ResumptionRejections++ < MaxUncountedRejections))
       ++m_UncountedRejections;
     co_await Sent.discardRest(RejectionTimeout);
-    if (!This.isCancelled())
-      logAttempt(This, "rejected", std::to_string(Status));
+    if (!Attempt.isCancelled())
+      logAttempt(Attempt, "rejected", std::to_string(Status));
     co_return AttemptEnd::Rejected;
   }
   if (ResponseHeader.count(http::field::content_encoding) != 0) {
     m_IsResponseMalformed = true;
-    logAttempt(This, "failed", "content-encoding");
+    logAttempt(Attempt, "failed", "content-encoding");
     co_return AttemptEnd::Failed;
   }
   const bool IsEvents = isStream(m_Route->m_Kind) && Status == 200 &&
@@ -589,28 +592,29 @@
                                            .substr(0, EventStreamType.size()),
                                        EventStreamType);
   if (m_HeaderSent && !IsEvents) {
-    logAttempt(This, "failed", "resumed-without-events");
+    logAttempt(Attempt, "failed", "resumed-without-events");
     co_return AttemptEnd::Failed;
   }
   if (IsEvents)
-    co_return co_await relayEvents(This);
-  recordStart(This);
-  co_return co_await relayPlain(This);
+    co_return co_await relayEvents(Attempt);
+  recordStart(Attempt);
+  co_return co_await relayPlain(Attempt);
 }
 
-void RequestExchange::recordReadError(ExchangeError Error, const RequestAttempt &This) {
+void RequestExchange::recordReadError(ExchangeError Error, const RequestAttempt &Attempt) {
   m_IsResponseMalformed = Error == ExchangeError::Malformed;
   if (!m_IsResponseMalformed)
     return;
   m_Core.countAttempt("malformed-body");
   if (m_Core.tryAcquireLogLine(true))
-    logEvent(
-        Severity::Warning, "upstream_response_malformed",
-        {{"request", m_RequestId}, {"upstream", This.upstream().m_Id}, {"attempt", This.m_Number}});
+    logEvent(Severity::Warning, "upstream_response_malformed",
+             {{"request", m_RequestId},
+              {"upstream", Attempt.upstream().m_Id},
+              {"attempt", Attempt.m_Number}});
 }
 
-Task<AttemptEnd> RequestExchange::relayPlain(RequestAttempt &This) {
-  UpstreamExchange &Sent = *This.m_Exchange;
+Task<AttemptEnd> RequestExchange::relayPlain(RequestAttempt &Attempt) {
+  UpstreamExchange &Sent = *Attempt.m_Exchange;
   const unsigned Status = Sent.header().result_int();
   const bool IsFailure = Status >= 500 || isNotRunStatus(Status);
   std::string Buffered;
@@ -621,24 +625,24 @@
     const ExchangeError Error = co_await Sent.read(Buffered);
     if (isInterrupted())
       co_return AttemptEnd::Interrupted;
-    if (This.isCancelled())
+    if (Attempt.isCancelled())
       co_return AttemptEnd::Failed;
     if (Error != ExchangeError::None) {
-      recordReadError(Error, This);
+      recordReadError(Error, Attempt);
       if (m_HeaderSent)
         m_IsClientLost = true;
       co_return AttemptEnd::Failed;
     }
-    This.m_LastReadAt = monotonicNow();
-    m_Core.onProgress(This.upstream(), This.m_LastReadAt);
+    Attempt.m_LastReadAt = monotonicNow();
+    m_Core.onProgress(Attempt.upstream(), Attempt.m_LastReadAt);
     IsDone = Buffered.size() == Before;
     if (IsFailure && (Buffered.size() > MaxFailureBytes || !ResponseRoom->resize(Buffered.size())))
       co_return AttemptEnd::Failed;
     if (IsDone) {
-      const bool Whole = co_await isWhole(This);
+      const bool Whole = co_await isWhole(Attempt);
       if (isInterrupted())
         co_return AttemptEnd::Interrupted;
-      if (This.isCancelled())
+      if (Attempt.isCancelled())
         co_return AttemptEnd::Failed;
       if (!Whole) {
         if (m_HeaderSent)
@@ -647,13 +651,13 @@
       }
       // A failure does not show that the upstream ran the request.
       if (!IsFailure)
-        recordSurvivedStart(This);
+        recordSurvivedStart(Attempt);
     }
     // Without room, the response is forwarded at once and can no longer be retried.
     if (IsFailure || (!IsDone && !m_HeaderSent && Buffered.size() < MaxBufferedBytes &&
                       ResponseRoom->resize(Buffered.size())))
       continue;
-    if (!claimResponse(This))
+    if (!claimResponse(Attempt))
       co_return AttemptEnd::Failed;
     recordFirstByte();
     std::optional<std::uint64_t> Length = Sent.contentLength();
@@ -675,13 +679,13 @@
   co_return AttemptEnd::Delivered;
 }
 
-Task<AttemptEnd> RequestExchange::relayEvents(RequestAttempt &This) {
-  UpstreamExchange &Sent = *This.m_Exchange;
-  const UpstreamRecord &From = This.upstream();
+Task<AttemptEnd> RequestExchange::relayEvents(RequestAttempt &Attempt) {
+  UpstreamExchange &Sent = *Attempt.m_Exchange;
+  const UpstreamRecord &From = Attempt.upstream();
   // An earlier attempt began the stream, and this one resumes it.
   const bool IsResumed = m_HeaderSent;
-  if (IsResumed && m_StreamVersion && This.m_AnsweredWeights &&
-      m_StreamVersion != This.m_AnsweredWeights)
+  if (IsResumed && m_StreamVersion && Attempt.m_AnsweredWeights &&
+      m_StreamVersion != Attempt.m_AnsweredWeights)
     co_return AttemptEnd::Failed;
   const std::uint64_t ForwardedBefore = m_ForwardedEvents;
   EventSplitter Events;
@@ -694,27 +698,27 @@
     const ExchangeError Error = co_await Sent.read(Bytes);
     if (isInterrupted())
       co_return AttemptEnd::Interrupted;
-    if (This.isCancelled())
+    if (Attempt.isCancelled())
       co_return AttemptEnd::Failed;
     if (Error != ExchangeError::None) {
-      recordReadError(Error, This);
+      recordReadError(Error, Attempt);
       co_return AttemptEnd::Failed;
     }
     const TimePoint Now = monotonicNow();
     m_Core.onProgress(From, Now);
     if (m_HeaderSent && !Bytes.empty())
-      m_LongestPause = std::max(m_LongestPause, Now - This.m_LastReadAt);
+      m_LongestPause = std::max(m_LongestPause, Now - Attempt.m_LastReadAt);
     if (!IsFirstRead && !Bytes.empty())
-      m_Core.loadBalancer().onEventGap(From.m_Id, Now - This.m_LastReadAt, Now);
+      m_Core.loadBalancer().onEventGap(From.m_Id, Now - Attempt.m_LastReadAt, Now);
     IsFirstRead = false;
-    This.m_LastReadAt = Now;
+    Attempt.m_LastReadAt = Now;
     const bool IsDone = Bytes.empty();
-    if (!IsDone && !This.m_TimeToStart) {
-      recordStart(This);
-      reportLateStart(This);
+    if (!IsDone && !Attempt.m_TimeToStart) {
+      recordStart(Attempt);
+      reportLateStart(Attempt);
     }
-    if (!IsDone && This.m_UnreadTokens > 0)
-      m_Core.onPromptRead(From.m_Id, std::exchange(This.m_UnreadTokens, 0));
+    if (!IsDone && Attempt.m_UnreadTokens > 0)
+      m_Core.onPromptRead(From.m_Id, std::exchange(Attempt.m_UnreadTokens, 0));
     Events.append(Bytes);
     if (Events.isOverlong())
       co_return AttemptEnd::Failed;
@@ -723,10 +727,10 @@
       if (IsResumed && !Event->m_Id)
         co_return AttemptEnd::Failed;
       if (++EventCount == CrashSuspects::EventsToBegin)
-        recordSurvivedStart(This);
-      const bool Forwarded = co_await forwardEvent(This, *Event);
+        recordSurvivedStart(Attempt);
+      const bool Forwarded = co_await forwardEvent(Attempt, *Event);
       if (!Forwarded)
-        co_return This.isCancelled() ? AttemptEnd::Failed : AttemptEnd::Interrupted;
+        co_return Attempt.isCancelled() ? AttemptEnd::Failed : AttemptEnd::Interrupted;
     }
     if (!EventBuffer.resize(Events.pending().size()))
       co_return AttemptEnd::Failed;
@@ -737,12 +741,12 @@
     const bool HasNoEvent = m_ForwardedEvents == ForwardedBefore;
     if (!Events.pending().empty() || (HasNoEvent && (IsResumed || Sent.endsWithConnection())))
       co_return AttemptEnd::Failed;
-    const bool Whole = co_await isWhole(This);
+    const bool Whole = co_await isWhole(Attempt);
     if (isInterrupted())
       co_return AttemptEnd::Interrupted;
-    if (!Whole || !claimResponse(This))
+    if (!Whole || !claimResponse(Attempt))
       co_return AttemptEnd::Failed;
-    recordSurvivedStart(This);
+    recordSurvivedStart(Attempt);
     const std::optional<std::uint64_t> NoLength;
     const bool IsHeaderWritten = co_await ensureHeaderSent(Sent.header(), NoLength);
     if (!IsHeaderWritten)
@@ -755,34 +759,34 @@
   }
 }
 
-Task<bool> RequestExchange::isWhole(RequestAttempt &This) {
+Task<bool> RequestExchange::isWhole(RequestAttempt &Attempt) {
   // An upstream that is leaving ends its process after its last response.
-  const UpstreamRecord &From = This.upstream();
+  const UpstreamRecord &From = Attempt.upstream();
   const UpstreamRecord *Listed = m_Core.loadBalancer().find(From.m_Id);
   const bool IsLeaving = !Listed || Listed->m_IsLeaving ||
                          m_Core.loadBalancer().isLeaving(From.start(), monotonicNow());
-  if (!This.m_Exchange->endsWithConnection() || IsLeaving)
+  if (!Attempt.m_Exchange->endsWithConnection() || IsLeaving)
     co_return true;
-  This.m_IsReadToEnd = true;
+  Attempt.m_IsReadToEnd = true;
   const bool IsCrashed = co_await m_Core.hasCrashed(From, GatewayCore::CrashCheckDelay);
   co_return !IsCrashed;
 }
 
-Task<bool> RequestExchange::forwardEvent(const RequestAttempt &This,
+Task<bool> RequestExchange::forwardEvent(const RequestAttempt &Attempt,
                                          const EventSplitter::Event &Event) {
   // An upstream that resumes a stream may repeat events that the client has received.
   if (Event.m_Id && m_HeaderSent && m_LastEventId && *Event.m_Id <= *m_LastEventId)
     co_return true;
-  if (!claimResponse(This))
+  if (!claimResponse(Attempt))
     co_return false;
   if (!Event.m_Id)
     m_EventsResumable = false;
   // The version is binding once the client has received a part of the stream.
-  if (This.m_AnsweredWeights)
-    m_StreamVersion = This.m_AnsweredWeights;
+  if (Attempt.m_AnsweredWeights)
+    m_StreamVersion = Attempt.m_AnsweredWeights;
   recordFirstByte();
   const std::optional<std::uint64_t> NoLength;
-  const bool IsHeaderWritten = co_await ensureHeaderSent(This.m_Exchange->header(), NoLength);
+  const bool IsHeaderWritten = co_await ensureHeaderSent(Attempt.m_Exchange->header(), NoLength);
   if (!IsHeaderWritten)
     co_return false;
   if (Event.m_Id)
@@ -799,39 +803,39 @@
   m_Core.observeWait(m_QueueTime);
 }
 
-void RequestExchange::recordStart(RequestAttempt &This) {
-  This.m_TimeToStart = This.m_LastReadAt - This.m_DispatchedAt;
-  m_Core.observeStart(kindName(), *This.m_TimeToStart);
-  (*This.m_Running)->m_HasResponded = true;
-  endUnstarted(This, GatewayCore::UnstartedEnd::Started);
+void RequestExchange::recordStart(RequestAttempt &Attempt) {
+  Attempt.m_TimeToStart = Attempt.m_LastReadAt - Attempt.m_DispatchedAt;
+  m_Core.observeStart(kindName(), *Attempt.m_TimeToStart);
+  (*Attempt.m_Running)->m_HasResponded = true;
+  endUnstarted(Attempt, GatewayCore::UnstartedEnd::Started);
 }
 
-void RequestExchange::recordSurvivedStart(const RequestAttempt &This) {
-  if (std::exchange((*This.m_Running)->m_HasBegun, true))
+void RequestExchange::recordSurvivedStart(const RequestAttempt &Attempt) {
+  if (std::exchange((*Attempt.m_Running)->m_HasBegun, true))
     return;
   m_Core.recordBegun(m_SuspectRequest);
 }
 
-void RequestExchange::reportLateStart(const RequestAttempt &This) {
-  if (!This.m_AnsweredWeights)
+void RequestExchange::reportLateStart(const RequestAttempt &Attempt) {
+  if (!Attempt.m_AnsweredWeights)
     return;
   const auto Late =
-      m_Core.lateStartDetector().detect(m_Model, *This.m_AnsweredWeights, This.m_LastReadAt);
+      m_Core.lateStartDetector().detect(m_Model, *Attempt.m_AnsweredWeights, Attempt.m_LastReadAt);
   if (!Late)
     return;
   m_Core.countLateStart();
-  if (m_Core.lateStartDetector().canLog(This.m_LastReadAt))
+  if (m_Core.lateStartDetector().canLog(Attempt.m_LastReadAt))
     logEvent(Severity::Warning, "older_weights_ran_late",
              {{"request", m_RequestId},
-              {"upstream", This.upstream().m_Id},
-              {"attempt", This.m_Number},
+              {"upstream", Attempt.upstream().m_Id},
+              {"attempt", Attempt.m_Number},
               {"model", m_Model},
-              {"placedWeights", This.m_PlacedWeights},
-              {"answeredWeights", *This.m_AnsweredWeights},
+              {"placedWeights", Attempt.m_PlacedWeights},
+              {"answeredWeights", *Attempt.m_AnsweredWeights},
               {"leastWeights", Late->m_MinVersion},
               {"lateSeconds", Late->m_Late},
-              {"startSeconds", *This.m_TimeToStart},
-              {"sinceSentSeconds", This.m_LastReadAt - This.m_Exchange->sentAt()}});
+              {"startSeconds", *Attempt.m_TimeToStart},
+              {"sinceSentSeconds", Attempt.m_LastReadAt - Attempt.m_Exchange->sentAt()}});
 }
 
 bool RequestExchange::canRetry() const {
@@ -878,18 +882,18 @@
     m_Client->reset();
 }
 
-void RequestExchange::withdraw(RequestAttempt &This) {
-  if (This.isCancelled())
+void RequestExchange::withdraw(RequestAttempt &Attempt) {
+  if (Attempt.isCancelled())
     return;
-  This.cancel(RequestAttempt::Cancellation::Withdrawn);
+  Attempt.cancel(RequestAttempt::Cancellation::Withdrawn);
   m_Core.countAttempt("withdrawn");
   if (m_Core.tryAcquireLogLine(true))
     logEvent(Severity::Info, "request_withdrawn",
              {{"request", m_RequestId},
-              {"upstream", This.upstream().m_Id},
-              {"attempt", This.m_Number},
-              {"placedWeights", This.m_PlacedWeights},
-              {"sinceDispatchSeconds", monotonicNow() - This.m_DispatchedAt}});
+              {"upstream", Attempt.upstream().m_Id},
+              {"attempt", Attempt.m_Number},
+              {"placedWeights", Attempt.m_PlacedWeights},
+              {"sinceDispatchSeconds", monotonicNow() - Attempt.m_DispatchedAt}});
 }
 
 void RequestExchange::onQuarantine() {
@@ -902,9 +906,9 @@
       withdraw(*Each);
 }
 
-void RequestExchange::endUnstarted(RequestAttempt &This, GatewayCore::UnstartedEnd How) {
-  if (This.m_UnstartedNumber)
-    m_Core.endUnstarted(*std::exchange(This.m_UnstartedNumber, std::nullopt), m_Service, How);
+void RequestExchange::endUnstarted(RequestAttempt &Attempt, GatewayCore::UnstartedEnd How) {
+  if (Attempt.m_UnstartedNumber)
+    m_Core.endUnstarted(*std::exchange(Attempt.m_UnstartedNumber, std::nullopt), m_Service, How);
 }
 
 void RequestExchange::scheduleStallCheck() {
@@ -1070,21 +1074,21 @@
   co_return !Error;
 }
 
-void RequestExchange::logAttempt(RequestAttempt &This, std::string_view Outcome,
+void RequestExchange::logAttempt(RequestAttempt &Attempt, std::string_view Outcome,
                                  std::string_view Detail) {
-  This.m_IsEndLogged = true;
+  Attempt.m_IsEndLogged = true;
   m_Core.countAttempt(Outcome);
   if (m_Core.tryAcquireLogLine(true))
     logEvent(Severity::Info, "attempt_ended",
              {{"request", m_RequestId},
-              {"upstream", This.upstream().m_Id},
+              {"upstream", Attempt.upstream().m_Id},
               {"outcome", Outcome},
               {"detail", Detail},
-              {"backup", This.m_IsBackup},
-              {"inFlight", This.m_Placement.m_InFlight},
-              {"attempt", This.m_Number},
+              {"backup", Attempt.m_IsBackup},
+              {"inFlight", Attempt.m_Placement.m_InFlight},
+              {"attempt", Attempt.m_Number},
               {"mayHaveRun", mayHaveRun()},
-              {"sinceDispatchSeconds", monotonicNow() - This.m_DispatchedAt}});
+              {"sinceDispatchSeconds", monotonicNow() - Attempt.m_DispatchedAt}});
 }
 
 void RequestExchange::logFinished() {
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -86,40 +86,40 @@
   /// Performs an attempt at `Chosen` and, while it is silent, backup attempts beside it. Returns
   /// how the last attempt in flight ended.
   Task<AttemptEnd> performAttempts(const Placement &Chosen);
-  Task<AttemptEnd> performAttempt(RequestAttempt &This);
+  Task<AttemptEnd> performAttempt(RequestAttempt &Attempt);
   /// Releases the slot, the registrations and the connection of an attempt.
-  AttemptEnd endAttempt(RequestAttempt &This, AttemptEnd End);
-  Task<AttemptEnd> sendAndRelay(RequestAttempt &This);
+  AttemptEnd endAttempt(RequestAttempt &Attempt, AttemptEnd End);
+  Task<AttemptEnd> sendAndRelay(RequestAttempt &Attempt);
   /// Starts a backup attempt if the request may have another attempt and an upstream has a free
   /// slot. Without one, the request stays where it is.
   void startBackup(Duration SilentTime);
   /// Performs a backup attempt, which may end after its request.
   Task<> runBackup(AttemptPtr Backup);
   /// Performs an attempt and stores how it ended in it.
-  Task<> runAttempt(RequestAttempt &This);
+  Task<> runAttempt(RequestAttempt &Attempt);
   /// Called when an attempt has something to forward. From here on it alone serves the request, and
   /// the other attempt in flight is cancelled. Returns false if this attempt was cancelled before.
   bool claimResponse(const RequestAttempt &By);
   /// Processes the headers in which an upstream states that it is leaving, its rate limit or a
   /// pause.
-  void processUpstreamStatements(RequestAttempt &This);
-  void recordRateLimit(const RequestAttempt &This);
-  void recordCold(const RequestAttempt &This);
+  void processUpstreamStatements(RequestAttempt &Attempt);
+  void recordRateLimit(const RequestAttempt &Attempt);
+  void recordCold(const RequestAttempt &Attempt);
   /// Records that reading the body of a response failed.
-  void recordReadError(ExchangeError Error, const RequestAttempt &This);
-  Task<AttemptEnd> relayEvents(RequestAttempt &This);
-  Task<AttemptEnd> relayPlain(RequestAttempt &This);
+  void recordReadError(ExchangeError Error, const RequestAttempt &Attempt);
+  Task<AttemptEnd> relayEvents(RequestAttempt &Attempt);
+  Task<AttemptEnd> relayPlain(RequestAttempt &Attempt);
   /// Whether a response that was read to its end is whole. Confirms that the upstream is alive if
   /// only the end of the connection ended the response.
-  Task<bool> isWhole(RequestAttempt &This);
-  Task<bool> forwardEvent(const RequestAttempt &This, const EventSplitter::Event &Event);
+  Task<bool> isWhole(RequestAttempt &Attempt);
+  Task<bool> forwardEvent(const RequestAttempt &Attempt, const EventSplitter::Event &Event);
   ClientRequest upstreamRequest(const UpstreamRecord &To) const;
   /// Sets the remaining time in the request. Returns false if the request must not be sent, because
   /// its deadline has passed or its placement is no longer valid.
-  bool prepareSend(RequestAttempt &This, ClientRequest &Request);
+  bool prepareSend(RequestAttempt &Attempt, ClientRequest &Request);
   /// Takes a permit if the upstream named a rate limit, or turned cold, after the request was
   /// placed. Returns false if no permit is available.
-  bool ensurePermit(RequestAttempt &This);
+  bool ensurePermit(RequestAttempt &Attempt);
 
   bool canRetry() const;
   bool takeRetry();
@@ -140,20 +140,20 @@
   void scheduleStallCheck();
   /// Cancels an attempt because the request must no longer begin: on the weights of its upstream,
   /// or anywhere, if it is quarantined.
-  void withdraw(RequestAttempt &This);
+  void withdraw(RequestAttempt &Attempt);
   /// Whether requests with the same keys crash upstreams.
   bool isQuarantined() const { return m_Core.isQuarantined(m_SuspectRequest); }
   /// Ends the wait for a placement, and attempts without a response, if the request is quarantined.
   void onQuarantine();
   /// Ends the registration as an unstarted request.
-  void endUnstarted(RequestAttempt &This, GatewayCore::UnstartedEnd How);
+  void endUnstarted(RequestAttempt &Attempt, GatewayCore::UnstartedEnd How);
   void recordFirstByte();
   /// Called at the first bytes of an attempt's stream, or at the header of a plain response.
-  void recordStart(RequestAttempt &This);
+  void recordStart(RequestAttempt &Attempt);
   /// Called when the upstream of an attempt has survived the start of the request.
-  void recordSurvivedStart(const RequestAttempt &This);
+  void recordSurvivedStart(const RequestAttempt &Attempt);
   /// Counts and logs a stream that began on older weights after the bound.
-  void reportLateStart(const RequestAttempt &This);
+  void reportLateStart(const RequestAttempt &Attempt);
   /// A response to HEAD has the header of a response to GET, and no body.
   bool isHeadRequest() const { return m_Request.method() == boost::beast::http::verb::head; }
   bool isInterrupted() const { return m_TimedOut || m_ClientDisconnected; }
@@ -174,7 +174,7 @@
   Task<bool> writeClient(std::string Bytes);
   bool canKeepConnection() const { return m_KeepAlive && !m_Core.isDraining(); }
 
-  void logAttempt(RequestAttempt &This, std::string_view Outcome, std::string_view Detail);
+  void logAttempt(RequestAttempt &Attempt, std::string_view Outcome, std::string_view Detail);
   void logFinished();
   std::string_view kindName() const;
 
