--- a/src/libgateway/ConnectionEnd_test.cpp
+++ b/src/libgateway/ConnectionEnd_test.cpp
@@ -20,7 +20,7 @@
 /// More than the gateway reads together with a request.
 constexpr std::size_t ManyBytes = 20 << 10;
 
-/// A client that does not read until it is told to, and may send further bytes before.
+/// A client that does not read until the test starts it, and may send further bytes before.
 class PipeliningClient {
 public:
   static constexpr int ReceiveBufferBytes = 4 << 10;
--- a/src/libgateway/Continuity_test.cpp
+++ b/src/libgateway/Continuity_test.cpp
@@ -258,7 +258,7 @@
     for (Route &Each : Plan.m_Routes)
       Each.m_Timeout = 3s;
   });
-  // Only the weights tell the two upstreams apart.
+  // The two upstreams differ only in their weights.
   const auto Serve = [&](const HttpRequest &Request) {
     if (Request.target() != "/stream/x")
       return Script{{{plainResponse(Request, 200, "x")}}};
--- a/src/libgateway/Pauses_test.cpp
+++ b/src/libgateway/Pauses_test.cpp
@@ -295,7 +295,7 @@
 
 } // namespace
 
-// Guards against accepted work that is given up at an upstream that only paused, before another
+// Guards against accepted work that is abandoned at an upstream that only paused, before another
 // upstream has taken it over. FESCUEGAUGE_TEST_FIRST_SEED and FESCUEGAUGE_TEST_SEEDS set the seeds.
 TEST_CASE("requests of paused upstreams are neither lost nor run twice", "[gateway][random]") {
   constexpr std::uint64_t SeedsAtOnce = 16;
--- a/src/libgateway/PausingUpstream.h
+++ b/src/libgateway/PausingUpstream.h
@@ -42,7 +42,7 @@
 
 /// One request at one upstream.
 ///
-/// If the gateway closes the connection, the run goes on without writing, so that m_EndedAt tells
+/// If the gateway closes the connection, the run goes on without writing, so that m_EndedAt is
 /// when the response would have ended.
 struct UpstreamRun {
   std::string m_RequestId;
