Gateway: a response that is cut at its deadline is not logged as a disconnected client

What the logs showed: request_finished outcome=caller-left for a request whose connection the gateway itself reset at the deadline, so that a response that was lost could not be told from a client that disconnected.

Cause: closing the socket aborts the wait of the disconnect watch, and the watch took any error for the end of the client. It now ignores the abort.

The test fails before (outcome caller-left, 1 of 1 run) and passes with the change.

--- a/src/libgateway/ClientConnection.cpp
+++ b/src/libgateway/ClientConnection.cpp
@@ -35,7 +35,8 @@
     return;
   m_Socket.async_wait(Tcp::socket::wait_read,
                       [Self = shared_from_this(), WatchNumber = m_WatchNumber](SystemError Error) {
-                        if (WatchNumber != Self->m_WatchNumber || !Self->m_OnDisconnect)
+                        if (WatchNumber != Self->m_WatchNumber || !Self->m_OnDisconnect ||
+                            Error == net::error::operation_aborted)
                           return;
                         if (!Error) {
                           char Byte = 0;
--- a/src/libgateway/ClientConnection.h
+++ b/src/libgateway/ClientConnection.h
@@ -26,7 +26,8 @@
   void reset();
 
   /// Calls `OnDisconnect` once if the client closes the connection before stopDisconnectWatch().
-  /// The watch ends early if the client sends a further request.
+  /// The watch ends early if the client sends a further request, or if this process closes the
+  /// connection.
   void startDisconnectWatch(std::function<void()> OnDisconnect);
   void stopDisconnectWatch();
 
--- a/src/libgateway/ResponseEnd_test.cpp
+++ b/src/libgateway/ResponseEnd_test.cpp
@@ -298,3 +298,24 @@
     CHECK(Called.repeatedBytes() <= AsyncHttpClient::MaxAnswerBytes + MaxSocketBytes);
   }
 }
+
+// Guards against counting a response that this process cut at its deadline as one whose client
+// disconnected.
+TEST_CASE("a response that is cut at its deadline does not count as a disconnected client",
+          "[gateway]") {
+  GatewayFixture Fixture;
+  Fixture.setPlan();
+  // More than the socket buffers take from a client that does not read.
+  Fixture.addUpstream([](const HttpRequest &Request) {
+    return Script{{{plainResponse(Request, 200, std::string(16 << 20, 'x'))}}};
+  });
+  Tcp::socket Client(Fixture.loop());
+  Client.connect(tcpEndpoint(Fixture.address()));
+  net::write(Client, net::buffer(GatewayFixture::request("/safe/x", "r1")));
+  const auto HasEnded = [&](const char *Outcome) {
+    return Fixture.metrics().find(std::string("outcome=\"") + Outcome) != std::string::npos;
+  };
+  Fixture.runUntil([&] { return HasEnded("caller-left") || HasEnded("cut-at-deadline"); }, 3s);
+  CHECK(HasEnded("cut-at-deadline"));
+  CHECK_FALSE(HasEnded("caller-left"));
+}
