Gateway: a whole response that has arrived at its deadline is sent

What callers saw: a request ended without an answer at its deadline, although the whole response lay in the gateway's socket before; the client got a header and a reset. An at-most-once request had run. In most cases of the same kind it got 504 instead.

Cause: the event loop handles a deadline without regard to what arrived before it. When the loop is late, the timer runs between the reads of a response, or between the writes of its header and its body, and the deadline cancels both. The same at the cutoff of a stop and while an unframed response is confirmed to be whole, which takes 40 ms and more.

Change: at the deadline, a request whose response is arriving goes on for as long as there is input to read, 150 ms at most. A response that is whole is sent; header and body are written at once. A response that has not begun is withheld from there on until it is whole, so that the client gets either all of it or 504.

Ruled out: a longer deadline for all requests, which would hold requests whose upstream is silent.

--- a/src/libgateway/RequestAttempt.h
+++ b/src/libgateway/RequestAttempt.h
@@ -74,6 +74,8 @@
 
   TimePoint m_DispatchedAt;
   TimePoint m_LastReadAt;
+  /// m_LastReadAt at the latest check for a response that arrives at the deadline.
+  TimePoint m_ReadAtCheck;
   /// Time from the dispatch to the start of the response.
   std::optional<Duration> m_TimeToStart;
   /// Version of the weights by the upstream's record, and by its response.
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -215,6 +215,8 @@
     }
     const bool WasNotSent = (End == AttemptEnd::NotSent || End == AttemptEnd::NoLongerEligible) &&
                             ++m_ConnectFailures <= MaxConnectFailures;
+    if (m_IsExpiring)
+      m_TimedOut = true;
     if (isInterrupted() || m_IsClientLost || isQuarantined() || (!WasNotSent && !takeRetry())) {
       co_await finishWithFailure();
       co_return;
@@ -283,7 +285,8 @@
     m_DeadlineTimer.cancel();
     onDeadline();
   }
-  if (isInterrupted() || Attempt.isCancelled() || isTooLateToStart() || isQuarantined() ||
+  if (m_IsExpiring || isInterrupted() || Attempt.isCancelled() || isTooLateToStart() ||
+      isQuarantined() ||
       !m_Core.loadBalancer().canStillSend(Attempt.upstream(), placementRequest(), monotonicNow()) ||
       !ensurePermit(Attempt))
     return false;
@@ -663,10 +666,7 @@
     std::optional<std::uint64_t> Length = Sent.contentLength();
     if (IsDone && !isHeadRequest())
       Length = Buffered.size();
-    const bool IsHeaderWritten = co_await ensureHeaderSent(Sent.header(), Length);
-    if (!IsHeaderWritten)
-      co_return AttemptEnd::Interrupted;
-    const bool Written = co_await sendBody(std::move(Buffered), IsDone);
+    const bool Written = co_await sendPart(Sent.header(), Length, std::move(Buffered), IsDone);
     if (!Written)
       co_return AttemptEnd::Interrupted;
     Buffered.clear();
@@ -748,10 +748,7 @@
       co_return AttemptEnd::Failed;
     recordSurvivedStart(Attempt);
     const std::optional<std::uint64_t> NoLength;
-    const bool IsHeaderWritten = co_await ensureHeaderSent(Sent.header(), NoLength);
-    if (!IsHeaderWritten)
-      co_return AttemptEnd::Interrupted;
-    const bool Written = co_await sendBody({}, true);
+    const bool Written = co_await sendPart(Sent.header(), NoLength, {}, true);
     if (!Written)
       co_return AttemptEnd::Interrupted;
     m_IsResponseComplete = true;
@@ -785,14 +782,11 @@
   if (Attempt.m_AnsweredWeights)
     m_StreamVersion = Attempt.m_AnsweredWeights;
   recordFirstByte();
-  const std::optional<std::uint64_t> NoLength;
-  const bool IsHeaderWritten = co_await ensureHeaderSent(Attempt.m_Exchange->header(), NoLength);
-  if (!IsHeaderWritten)
-    co_return false;
   if (Event.m_Id)
     m_LastEventId = Event.m_Id;
   ++m_ForwardedEvents;
-  co_return co_await sendBody(Event.m_Bytes, false);
+  const std::optional<std::uint64_t> NoLength;
+  co_return co_await sendPart(Attempt.m_Exchange->header(), NoLength, Event.m_Bytes, false);
 }
 
 void RequestExchange::recordFirstByte() {
@@ -852,8 +846,35 @@
 }
 
 void RequestExchange::onDeadline() {
+  const TimePoint Now = monotonicNow();
+  const bool IsFirstCheck = !std::exchange(m_IsExpiring, true);
+  if (IsFirstCheck)
+    m_ExpiryLimit = Now + MaxExpiryTime;
+  if (Now < m_ExpiryLimit && isResponseArriving(IsFirstCheck)) {
+    m_DeadlineTimer.set(ExpiryCheckInterval, [this] { onDeadline(); });
+    return;
+  }
   m_TimedOut = true;
-  interrupt();
+  if (m_IsStopping)
+    cancelPendingOperations();
+  else
+    interrupt();
+}
+
+bool RequestExchange::isResponseArriving(bool IsFirstCheck) {
+  if (m_IsWriting && m_IsLastPart)
+    return true;
+  bool Result = false;
+  for (const AttemptPtr &Each : {m_Current, m_Backup}) {
+    if (!Each || !Each->m_Exchange || !Each->m_Exchange->wasSent())
+      continue;
+    // The bytes of a read that completed in this turn of the loop are handled in the next one.
+    const bool HasRead =
+        std::exchange(Each->m_ReadAtCheck, Each->m_LastReadAt) != Each->m_LastReadAt;
+    Result =
+        Result || IsFirstCheck || HasRead || Each->m_IsReadToEnd || Each->m_Exchange->hasInput();
+  }
+  return Result;
 }
 
 void RequestExchange::onClientDisconnected() {
@@ -863,8 +884,8 @@
 }
 
 void RequestExchange::onStop() {
-  m_TimedOut = true;
-  cancelPendingOperations();
+  m_IsStopping = true;
+  onDeadline();
 }
 
 void RequestExchange::cancelPendingOperations() {
@@ -946,6 +967,7 @@
 }
 
 Task<> RequestExchange::finishWithFailure() {
+  m_Withheld.clear();
   if (m_ClientDisconnected) {
     m_Outcome = "caller-left";
     m_Client->close();
@@ -997,9 +1019,8 @@
   if (isHeadRequest())
     Length = parseNumber<std::uint64_t>(
         std::string(m_FailureResponse->m_Header[http::field::content_length]));
-  const bool IsHeaderWritten = co_await ensureHeaderSent(m_FailureResponse->m_Header, Length);
-  if (IsHeaderWritten)
-    m_IsResponseComplete = co_await sendBody(std::move(m_FailureResponse->m_Body), true);
+  m_IsResponseComplete = co_await sendPart(m_FailureResponse->m_Header, Length,
+                                           std::move(m_FailureResponse->m_Body), true);
 }
 
 Task<> RequestExchange::sendErrorResponse(ErrorKind Kind, std::optional<Duration> RetryAfter) {
@@ -1026,16 +1047,13 @@
   m_IsClientLost = static_cast<bool>(Error);
 }
 
-Task<bool> RequestExchange::ensureHeaderSent(const UpstreamExchange::Header &From,
-                                             std::optional<std::uint64_t> Length) {
-  if (m_HeaderSent)
-    co_return true;
+std::string RequestExchange::makeHeader(const UpstreamExchange::Header &From,
+                                        std::optional<std::uint64_t> Length) {
   http::response_header<> ResponseHeader;
   ResponseHeader.version(11);
   ResponseHeader.result(From.result_int());
   ResponseHeader.reason(From.reason());
   copyHeaders(From, ResponseHeader);
-  m_Status = From.result_int();
   m_IsChunked = !Length;
   if (Length)
     ResponseHeader.set(http::field::content_length, std::to_string(*Length));
@@ -1043,25 +1061,43 @@
     ResponseHeader.set(http::field::transfer_encoding, "chunked");
   if (!canKeepConnection())
     ResponseHeader.set(http::field::connection, "close");
-  m_HeaderSent = true;
   std::ostringstream Text;
   Text << ResponseHeader;
-  co_return co_await writeClient(Text.str());
+  return Text.str();
 }
 
-Task<bool> RequestExchange::sendBody(std::string Bytes, bool IsLast) {
+std::string RequestExchange::frame(std::string Bytes, bool IsLast) const {
   if (isHeadRequest())
-    co_return true;
-  std::string Framed;
+    return {};
   if (!m_IsChunked)
-    Framed = std::move(Bytes);
-  else if (!Bytes.empty())
+    return Bytes;
+  std::string Framed;
+  if (!Bytes.empty())
     Framed = beast::buffers_to_string(http::make_chunk(net::buffer(Bytes)));
-  if (m_IsChunked && IsLast)
+  if (IsLast)
     Framed += beast::buffers_to_string(http::make_chunk_last());
-  if (Framed.empty())
+  return Framed;
+}
+
+Task<bool> RequestExchange::sendPart(const UpstreamExchange::Header &From,
+                                     std::optional<std::uint64_t> Length, std::string Bytes,
+                                     bool IsLast) {
+  std::string Text = std::exchange(m_Withheld, {});
+  if (!m_HeaderSent && Text.empty())
+    Text = makeHeader(From, Length);
+  Text += frame(std::move(Bytes), IsLast);
+  if (Text.empty())
     co_return true;
-  co_return co_await writeClient(std::move(Framed));
+  // If the event loop is delayed, the deadline timer is late too.
+  const bool IsDeadlineOver = m_IsExpiring || remainingTime() <= Duration(0);
+  if (!m_HeaderSent && IsDeadlineOver && !IsLast) {
+    m_Withheld = std::move(Text);
+    co_return m_Withheld.size() <= MaxBufferedBytes;
+  }
+  m_HeaderSent = true;
+  m_IsLastPart = IsLast;
+  m_Status = From.result_int();
+  co_return co_await writeClient(std::move(Text));
 }
 
 Task<bool> RequestExchange::writeClient(std::string Bytes) {
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -61,6 +61,10 @@
   /// Maximum number of backup attempts of a request. Their rejections never count as attempts,
   /// because the request is still in flight elsewhere.
   static constexpr std::uint32_t MaxBackupAttempts = 3;
+  /// Time after the deadline, or after GatewayCore::requestCutoff(), in which a response that has
+  /// arrived is read to its end and sent. A delayed loop handles the deadline first.
+  static constexpr Duration MaxExpiryTime = GatewayCore::StopMargin / 2;
+  static constexpr Duration ExpiryCheckInterval = std::chrono::milliseconds(1);
   /// Maximum wait of an interrupted stream for an upstream that resumes it.
   static constexpr Duration MaxResumeWait = std::chrono::milliseconds(1200);
 
@@ -130,7 +134,9 @@
     return m_HeaderSent && m_Route->m_Kind == Repeatability::ResumableStream && m_LastEventId &&
            m_EventsResumable;
   }
+  /// Ends the request, unless a response is arriving that may be whole within MaxExpiryTime.
   void onDeadline();
+  bool isResponseArriving(bool IsFirstCheck);
   /// Called when the process is about to end. A write to the client continues, because it may
   /// complete the response; the end of the process cuts a write that does not.
   void onStop();
@@ -167,10 +173,14 @@
   Task<> finishWithFailure();
   Task<> sendErrorResponse(ErrorKind Kind, std::optional<Duration> RetryAfter);
   Task<> sendFailureResponse();
-  /// Sends the header of the response unless it was sent before. Returns false if the write fails.
-  Task<bool> ensureHeaderSent(const UpstreamExchange::Header &From,
-                              std::optional<std::uint64_t> Length);
-  Task<bool> sendBody(std::string Bytes, bool IsLast);
+  /// Sends a part of the body, after the header of the response if that was not sent before. A
+  /// response that begins at its deadline is withheld until its last part. Returns false if the
+  /// write fails or too much would have to be withheld.
+  Task<bool> sendPart(const UpstreamExchange::Header &From, std::optional<std::uint64_t> Length,
+                      std::string Bytes, bool IsLast);
+  std::string makeHeader(const UpstreamExchange::Header &From, std::optional<std::uint64_t> Length);
+  /// Adds the framing of the response to a part of its body.
+  std::string frame(std::string Bytes, bool IsLast) const;
   Task<bool> writeClient(std::string Bytes);
   bool canKeepConnection() const { return m_KeepAlive && !m_Core.isDraining(); }
 
@@ -210,6 +220,11 @@
   /// The attempt beside it; null if there is none in flight.
   AttemptPtr m_Backup;
   ChangeSignal m_BackupEnded;
+  /// The deadline has passed, or the process is about to end. What has arrived is still read and
+  /// sent, until m_ExpiryLimit.
+  bool m_IsExpiring = false;
+  TimePoint m_ExpiryLimit;
+  bool m_IsStopping = false;
   bool m_TimedOut = false;
   bool m_ClientDisconnected = false;
 
@@ -232,6 +247,8 @@
 
   bool m_HeaderSent = false;
   bool m_IsChunked = false;
+  /// Parts of a response that cannot begin before it is whole; see sendPart().
+  std::string m_Withheld;
   bool m_IsClientLost = false;
   bool m_IsResponseComplete = false;
   bool m_EventsResumable = true;
@@ -239,6 +256,8 @@
   std::optional<WeightsVersion> m_StreamVersion;
   /// Whether a write to the client is in progress; the upstream is not read meanwhile.
   bool m_IsWriting = false;
+  /// Whether the latest write has the end of the response.
+  bool m_IsLastPart = false;
   TimePoint m_LastClientWriteAt;
   std::optional<Duration> m_TimeToFirstByte;
   Duration m_QueueTime{0};
--- a/src/libgateway/ResponseEnd_test.cpp
+++ b/src/libgateway/ResponseEnd_test.cpp
@@ -1,9 +1,12 @@
 #include "FakeUpstream.h"
 #include "GatewayCore.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <thread>
 #include <utility>
+#include <vector>
 
 using namespace fescuegauge;
 using namespace fescuegauge::test;
@@ -299,6 +302,176 @@
   }
 }
 
+namespace {
+
+/// What the upstream of a DelayedLoop sends.
+struct UpstreamBytes {
+  const char *m_Name;
+  const char *m_Path;
+  std::string m_Bytes;
+  Script::End m_End = Script::End::KeepOpen;
+};
+
+/// What a DelayedLoop handles late.
+enum class DelayedPart {
+  Response,
+  /// The header of the response was read before.
+  Body,
+};
+
+/// A gateway whose event loop handles nothing from the arrival of a response, or of its body,
+/// shortly before the deadline of its request "r1", until after the deadline.
+class DelayedLoop {
+public:
+  DelayedLoop(const UpstreamBytes &Sent, DelayedPart Delayed, Duration Late, Duration StopTime)
+      : m_Sent(Sent), m_Delayed(Delayed), m_Late(Late), m_Fixture(StopTime),
+        m_Server(m_Fixture.loop(),
+                 [this](Tcp::socket Socket) { return serve(std::move(Socket)); }) {
+    m_Fixture.setPlan();
+    UpstreamRecord Record;
+    Record.m_Id = InstanceId("upstream-1");
+    Record.m_Address = m_Server.address();
+    Record.m_DataCentre = DataCentreId("a");
+    Record.m_Region = RegionId("r");
+    Record.m_Service = ServiceId("service");
+    Record.m_Slots = 4;
+    m_Fixture.records().push_back(Record);
+    m_Fixture.gateway().setUpstreams(m_Fixture.records());
+  }
+
+  Gateway &gateway() { return m_Fixture.gateway(); }
+
+  RawResponse run() {
+    std::string Bytes = GatewayFixture::request(m_Sent.m_Path, "r1");
+    const std::string Longer = "Deadline-Ms: 1200";
+    Bytes.replace(Bytes.find(Longer), Longer.size(), "Deadline-Ms: 250");
+    m_Begin = monotonicNow();
+    return m_Fixture.exchange(Bytes);
+  }
+
+  /// Whether the response arrived before the deadline, which a busy machine may prevent.
+  bool hasArrivedInTime() const { return m_HasArrivedInTime; }
+
+private:
+  static constexpr Duration DelayedBefore = 20ms;
+
+  Task<> serve(Tcp::socket Socket) {
+    boost::beast::flat_buffer Buffer;
+    HttpRequest Request;
+    auto [Error, Size] = co_await boost::beast::http::async_read(Socket, Buffer, Request, AsTuple);
+    if (Error)
+      co_return;
+    const std::chrono::milliseconds Allowed(std::stoi(std::string(Request["Deadline-Ms"])));
+    const TimePoint LatestDeadline = monotonicNow() + Allowed + 1ms;
+    net::const_buffer Unsent = net::buffer(m_Sent.m_Bytes);
+    if (m_Delayed == DelayedPart::Body)
+      Unsent += net::write(Socket, net::buffer(Unsent, m_Sent.m_Bytes.find("\r\n\r\n") + 4));
+    co_await sleepFor(m_Begin + Allowed - DelayedBefore - monotonicNow());
+    net::write(Socket, Unsent);
+    if (m_Sent.m_End == Script::End::Close)
+      Socket.shutdown(Tcp::socket::shutdown_send);
+    m_HasArrivedInTime = monotonicNow() < m_Begin + Allowed;
+    std::this_thread::sleep_for(LatestDeadline + m_Late - monotonicNow());
+    co_await boost::beast::http::async_read(Socket, Buffer, Request, AsTuple);
+  }
+
+  const UpstreamBytes &m_Sent;
+  DelayedPart m_Delayed;
+  Duration m_Late;
+  TimePoint m_Begin;
+  bool m_HasArrivedInTime = false;
+  GatewayFixture m_Fixture;
+  LoopbackServer m_Server;
+};
+
+/// Serves a request in a delayed loop, and again if its response was late.
+RawResponse serveDelayed(const UpstreamBytes &Sent, DelayedPart Delayed, Duration Late,
+                         bool IsStopping = false) {
+  constexpr int MaxTries = 5;
+  RawResponse Response;
+  bool HasArrivedInTime = false;
+  for (int Try = 0; Try < MaxTries && !HasArrivedInTime; ++Try) {
+    // The cutoff of a stop is before the deadline of the request.
+    DelayedLoop Loop(Sent, Delayed, Late, IsStopping ? 500ms : GatewayOptions().m_StopTime);
+    if (IsStopping)
+      Loop.gateway().beginDrain();
+    Response = Loop.run();
+    HasArrivedInTime = Loop.hasArrivedInTime();
+  }
+  REQUIRE(HasArrivedInTime);
+  return Response;
+}
+
+std::vector<UpstreamBytes> wholeResponses() {
+  const std::string Start = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Type: ";
+  const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string Body(300, 'x');
+  return {
+      {"length", "/safe/x", Start + "text/plain\r\nContent-Length: 300\r\n\r\n" + Body},
+      {"at-most-once", "/once/x", Start + "text/plain\r\nContent-Length: 300\r\n\r\n" + Body},
+      {"chunks", "/safe/x", Start + "text/plain\r\n" + Chunked + chunk(Body) + LastChunk},
+      {"unframed", "/safe/x", Start + "text/plain\r\n\r\n" + Body, Script::End::Close},
+      {"unframed-stream", "/stream/x", Start + "text/event-stream\r\n\r\n" + event(1) + event(2),
+       Script::End::Close},
+      {"stream", "/stream/x",
+       Start + "text/event-stream\r\n" + Chunked + chunk(event(1)) + chunk(event(2)) + LastChunk}};
+}
+
+constexpr std::array<Duration, 3> LateTimes = {0ms, 1ms, 30ms};
+constexpr std::array<DelayedPart, 2> DelayedParts = {DelayedPart::Response, DelayedPart::Body};
+
+std::string describe(const UpstreamBytes &Sent, DelayedPart Delayed, Duration Late) {
+  return std::string(Sent.m_Name) + (Delayed == DelayedPart::Body ? ", body" : ", response") +
+         " handled " + std::to_string(toSeconds(Late)) + " s after the deadline";
+}
+
+} // namespace
+
+// Guards against a response that is complete in the socket and is cut, or replaced by an error,
+// because the loop handles the deadline before it.
+TEST_CASE("a whole response that arrived before its deadline is not lost by a delayed loop",
+          "[gateway]") {
+  for (const UpstreamBytes &Each : wholeResponses())
+    for (const DelayedPart Delayed : DelayedParts)
+      for (const Duration Late : LateTimes) {
+        INFO(describe(Each, Delayed, Late));
+        const RawResponse Response = serveDelayed(Each, Delayed, Late);
+        CHECK(Response.status() == 200);
+        CHECK(Response.isComplete());
+      }
+}
+
+// Guards against the same loss when a process that stops ends its requests.
+TEST_CASE("a whole response that arrived before the cutoff of a stop is not lost by a delayed loop",
+          "[gateway]") {
+  for (const UpstreamBytes &Each : wholeResponses()) {
+    // At-most-once work does not begin if the process may end before its deadline.
+    if (Each.m_Path == std::string_view("/once/x"))
+      continue;
+    for (const DelayedPart Delayed : DelayedParts)
+      for (const Duration Late : LateTimes) {
+        INFO(describe(Each, Delayed, Late));
+        const RawResponse Response = serveDelayed(Each, Delayed, Late, true);
+        CHECK(Response.status() == 200);
+        CHECK(Response.isComplete());
+      }
+  }
+}
+
+// Guards against a stream that begins when its deadline has passed, only to be cut.
+TEST_CASE("a stream that begins at its deadline is refused and not cut", "[gateway]") {
+  UpstreamBytes Begin = wholeResponses().back();
+  Begin.m_Name = "first event of a stream";
+  Begin.m_Bytes.resize(Begin.m_Bytes.find(chunk(event(2))));
+  for (const DelayedPart Delayed : DelayedParts)
+    for (const Duration Late : LateTimes) {
+      INFO(describe(Begin, Delayed, Late));
+      const RawResponse Response = serveDelayed(Begin, Delayed, Late);
+      CHECK(Response.status() == 504);
+      CHECK(Response.isComplete());
+    }
+}
+
 // Guards against counting a response that this process cut at its deadline as one whose client
 // disconnected.
 TEST_CASE("a response that is cut at its deadline does not count as a disconnected client",
--- a/src/libgateway/UpstreamExchange.cpp
+++ b/src/libgateway/UpstreamExchange.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cerrno>
+#include <sys/socket.h>
 #include <utility>
 
 namespace fescuegauge {
@@ -164,6 +166,15 @@
   m_Connection.reset();
 }
 
+bool UpstreamExchange::hasInput() {
+  if (!m_Connection || !m_Connection->socket().is_open())
+    return false;
+  char Byte = 0;
+  const ssize_t Received =
+      ::recv(m_Connection->socket().native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void UpstreamExchange::cancel() {
   m_IsCancelled = true;
   if (m_Connection)
--- a/src/libgateway/UpstreamExchange.h
+++ b/src/libgateway/UpstreamExchange.h
@@ -85,6 +85,8 @@
   /// on until it is open, or has failed, and keeps it for other requests.
   void cancel();
 
+  /// Whether bytes of the response, or its end, have arrived and were not read.
+  bool hasInput();
   /// Whether any byte of the request may have left this process.
   bool wasSent() const { return m_WasSent; }
   /// Time at which the write of the request began, if it did.
