Gateway: a request that its upstream has begun is not withdrawn

What callers saw: 502 for a stream whose first event had arrived, when the bound on older weights expired and the retry budget was empty.

Cause: the same as of the responses cut at their deadline. A delayed loop runs the timer that withdraws unstarted requests before it reads the first event, which shows that the request has begun. A quarantine withdraws in the same way.

Change: if input of the attempt has arrived, the loop reads it before the attempt is withdrawn, which takes 1 ms. An attempt of which only the header has arrived is withdrawn then.

--- a/src/libgateway/Continuity_test.cpp
+++ b/src/libgateway/Continuity_test.cpp
@@ -291,3 +291,30 @@
   REQUIRE(Newer.requests().size() == 1);
   CHECK(Newer.requests()[0].count("Expected-Weights") == 0);
 }
+
+// Guards against a stream that its engine has begun and that is withdrawn, and lost without a
+// retry, because a delayed loop handles the bound on older weights before the first event.
+TEST_CASE("a stream whose first event has arrived is not withdrawn", "[gateway]") {
+  const ModelId Model("m");
+  GatewayFixture Fixture;
+  Fixture.setPlan([](RoutingPlan &Plan) { Plan.m_Services[0].m_Engine = EngineParameters(); });
+  LoopbackServer Server(Fixture.loop(), [&](Tcp::socket Socket) -> Task<> {
+    boost::beast::flat_buffer Buffer;
+    HttpRequest Request;
+    auto [Error, Size] = co_await boost::beast::http::async_read(Socket, Buffer, Request, AsTuple);
+    if (Error)
+      co_return;
+    net::write(Socket, net::buffer(streamHeader(Request) + chunk(event(1))));
+    Fixture.gateway().setWeightsBounds(Model, {{WeightsVersion(4), monotonicNow()}});
+    co_await sleepFor(20ms);
+    co_await net::async_write(Socket, net::buffer(chunk(event(2)) + LastChunk), AsTuple);
+  });
+  Fixture.addUpstream([](const HttpRequest &) { return Script{}; });
+  Fixture.records()[0].m_Address = Server.address();
+  Fixture.records()[0].m_Weights = {{Model, WeightsVersion(3)}};
+  Fixture.gateway().setUpstreams(Fixture.records());
+  const RawResponse Response =
+      Fixture.exchange(GatewayFixture::request("/stream/x", "r1", "Model: m\r\n"));
+  CHECK(Response.status() == 200);
+  CHECK(Response.isCompleteChunked());
+}
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -851,7 +851,7 @@
   if (IsFirstCheck)
     m_ExpiryLimit = Now + MaxExpiryTime;
   if (Now < m_ExpiryLimit && isResponseArriving(IsFirstCheck)) {
-    m_DeadlineTimer.set(ExpiryCheckInterval, [this] { onDeadline(); });
+    m_DeadlineTimer.set(InputCheckInterval, [this] { onDeadline(); });
     return;
   }
   m_TimedOut = true;
@@ -903,7 +903,24 @@
     m_Client->reset();
 }
 
+Task<> RequestExchange::withdrawUnlessBegun(AttemptPtr Attempt) {
+  const std::shared_ptr<GatewayCore> Core = m_Core.shared_from_this();
+  const std::shared_ptr<RequestExchange> Self = shared_from_this();
+  co_await sleepFor(InputCheckInterval);
+  if (Attempt->m_Running && !(*Attempt->m_Running)->m_HasResponded)
+    withdrawNow(*Attempt);
+}
+
 void RequestExchange::withdraw(RequestAttempt &Attempt) {
+  // A delayed loop may have to read the start of the response.
+  const AttemptPtr Withdrawn = &Attempt == m_Current.get() ? m_Current : m_Backup;
+  if (Attempt.m_Exchange && Attempt.m_Exchange->hasInput() && Withdrawn.get() == &Attempt)
+    spawnTask(m_Core.executor(), "withdraw", withdrawUnlessBegun(Withdrawn));
+  else
+    withdrawNow(Attempt);
+}
+
+void RequestExchange::withdrawNow(RequestAttempt &Attempt) {
   if (Attempt.isCancelled())
     return;
   Attempt.cancel(RequestAttempt::Cancellation::Withdrawn);
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -64,7 +64,8 @@
   /// Time after the deadline, or after GatewayCore::requestCutoff(), in which a response that has
   /// arrived is read to its end and sent. A delayed loop handles the deadline first.
   static constexpr Duration MaxExpiryTime = GatewayCore::StopMargin / 2;
-  static constexpr Duration ExpiryCheckInterval = std::chrono::milliseconds(1);
+  /// Time in which the loop reads input that has arrived before a timer.
+  static constexpr Duration InputCheckInterval = std::chrono::milliseconds(1);
   /// Maximum wait of an interrupted stream for an upstream that resumes it.
   static constexpr Duration MaxResumeWait = std::chrono::milliseconds(1200);
 
@@ -147,6 +148,9 @@
   /// Cancels an attempt because the request must no longer begin: on the weights of its upstream,
   /// or anywhere, if it is quarantined.
   void withdraw(RequestAttempt &Attempt);
+  void withdrawNow(RequestAttempt &Attempt);
+  /// Withdraws an attempt whose input, which has arrived, is not the start of its response.
+  Task<> withdrawUnlessBegun(AttemptPtr Attempt);
   /// Whether requests with the same keys crash upstreams.
   bool isQuarantined() const { return m_Core.isQuarantined(m_SuspectRequest); }
   /// Ends the wait for a placement, and attempts without a response, if the request is quarantined.
