Gateway: delays of the event loop are counted and logged

The logs could not show whether the loop was late when a request ended at its deadline. Timers of requests in progress, the stall check and the deadline, now report how late they ran: a histogram and, from 100 ms on, a line event_loop_delayed, at most two a second. No timer was added.

--- a/src/libgateway/GatewayCore.cpp
+++ b/src/libgateway/GatewayCore.cpp
@@ -105,7 +105,11 @@
       m_Wait(Metrics.histogram({"fescuegauge_gateway_queue_seconds",
                                 "Time that dispatched requests waited for a slot.",
                                 {}},
-                               {0.001, 0.01, 0.025, 0.05, 0.1, 0.2, 0.5})) {}
+                               {0.001, 0.01, 0.025, 0.05, 0.1, 0.2, 0.5})),
+      m_LoopDelay(Metrics.histogram({"fescuegauge_gateway_loop_delay_seconds",
+                                     "How late timers of requests were handled.",
+                                     {}},
+                                    {0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2})) {}
 
 void GatewayCore::setPlan(std::shared_ptr<const RouteTable> Plan) {
   m_Plan = std::move(Plan);
@@ -541,6 +545,16 @@
   m_StopTimer.set(Left, [this] { callInProgress(&Callbacks::m_OnStop); });
 }
 
+void GatewayCore::observeLoopDelay(Duration Late) {
+  m_LoopDelay.observe({}, std::max(toSeconds(Late), 0.0));
+  const TimePoint Now = monotonicNow();
+  if (Late < MinLoggedLoopDelay || Now - m_LoopDelayLoggedAt < LoopDelayLogInterval)
+    return;
+  m_LoopDelayLoggedAt = Now;
+  logEvent(Severity::Info, "event_loop_delayed",
+           {{"seconds", Late}, {"requests", requestsInProgress()}, {"sessions", m_Sessions}});
+}
+
 bool GatewayCore::tryAcquireLogLine(bool IsFailure) {
   const TimePoint Now = monotonicNow();
   if (Now - m_LogWindowStart >= std::chrono::seconds(1)) {
--- a/src/libgateway/GatewayCore.h
+++ b/src/libgateway/GatewayCore.h
@@ -108,6 +108,9 @@
   static constexpr std::size_t MaxResponseBufferBytes = 16 << 20;
   /// Part of it that only events can use.
   static constexpr std::size_t EventBufferBytes = 4 << 20;
+  /// Delays of the event loop are logged from this length on, one line per interval.
+  static constexpr Duration MinLoggedLoopDelay = std::chrono::milliseconds(100);
+  static constexpr Duration LoopDelayLogInterval = std::chrono::milliseconds(500);
   /// Maximum number of client requests in progress; further ones are refused.
   static constexpr std::size_t MaxRequests = 2048;
 
@@ -273,6 +276,8 @@
   void countColdSend() { m_ColdSends.add(); }
   void countColdWithheldSend() { m_ColdWithheldSends.add(); }
   void countLateStart() { m_LateOlderWeights.add(); }
+  /// Records by how much a timer of the event loop was late. Longer delays are logged.
+  void observeLoopDelay(Duration Late);
   void observeWait(Duration Time) { m_Wait.observe({}, toSeconds(Time)); }
   /// Returns whether a log line on a request may be written, and counts it against the limit of the
   /// current second. Failures and refusals have a limit of their own.
@@ -380,6 +385,8 @@
   HistogramMetric &m_FirstByte;
   HistogramMetric &m_Start;
   HistogramMetric &m_Wait;
+  HistogramMetric &m_LoopDelay;
+  TimePoint m_LoopDelayLoggedAt;
   TimePoint m_LogWindowStart;
   std::uint32_t m_LogLines = 0;
   std::uint32_t m_FailureLogLines = 0;
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -848,8 +848,10 @@
 void RequestExchange::onDeadline() {
   const TimePoint Now = monotonicNow();
   const bool IsFirstCheck = !std::exchange(m_IsExpiring, true);
-  if (IsFirstCheck)
+  if (IsFirstCheck) {
     m_ExpiryLimit = Now + MaxExpiryTime;
+    m_Core.observeLoopDelay(Now - std::min(m_Deadline, m_Core.requestCutoff()));
+  }
   if (Now < m_ExpiryLimit && isResponseArriving(IsFirstCheck)) {
     m_DeadlineTimer.set(InputCheckInterval, [this] { onDeadline(); });
     return;
@@ -954,6 +956,7 @@
   m_StallTimer.set(StallCheckInterval, [this] {
     const RequestAttempt &Observed = *m_Current;
     const TimePoint Now = monotonicNow();
+    m_Core.observeLoopDelay(Now - m_StallCheckDueAt);
     // After a pause of this process, timers run before what arrived meanwhile is read.
     const bool WasPaused = Now - m_StallCheckDueAt > StallCheckInterval;
     const Duration SilentTime = m_IsWriting || Observed.m_IsReadToEnd
