Agent: pieces are served while digests are in doubt

From the third mismatch of one piece until the origin sent digests again, an agent answered requests for its pieces and holdings with 404, for as long as the origin was unreachable. Digests in doubt are still not served.

--- a/src/libagent/WeightsAgent.cpp
+++ b/src/libagent/WeightsAgent.cpp
@@ -146,6 +146,15 @@
         return Each;
     return nullptr;
   }
+  /// The transfer whose pieces are served. While digests are in doubt, the pieces that match them
+  /// still are: receivers verify pieces with digests of their own.
+  std::shared_ptr<Transfer> findServed(const ModelId &Model, WeightsVersion Version) const {
+    if (std::shared_ptr<Transfer> Known = findTransfer(Model, Version))
+      return Known;
+    const bool IsDoubted =
+        m_Doubted && m_Doubted->model() == Model && m_Doubted->version() == Version;
+    return IsDoubted ? m_Doubted : nullptr;
+  }
   void storePiece(Transfer &Version, std::uint32_t Piece, PieceBytes Bytes);
   /// Ends the current transfer, to continue it with digests from the origin.
   void discardDigests();
@@ -770,7 +779,7 @@
                                                                   std::string Known) {
   const TimePoint Start = monotonicNow();
   co_await sleepFor(HoldingsInterval);
-  while (const auto Version = findTransfer(Wanted.m_Model, Wanted.m_Version)) {
+  while (const auto Version = findServed(Wanted.m_Model, Wanted.m_Version)) {
     std::string Held = encodeHoldings(Version->m_Exchange.held());
     if (Held != Known || monotonicNow() - Start > HoldingsWait)
       co_return HandlerResponse{200, "text/plain", std::move(Held)};
@@ -781,7 +790,7 @@
 
 Task<HandlerResponse> WeightsAgent::Implementation::servePiece(PieceName Wanted,
                                                                std::uint32_t Piece) {
-  const auto Version = findTransfer(Wanted.m_Model, Wanted.m_Version);
+  const auto Version = findServed(Wanted.m_Model, Wanted.m_Version);
   if (Version && Piece < Version->count() && Version->m_Pieces[Piece]) {
     ++m_UploadedPieces;
     co_return HandlerResponse{200, "application/octet-stream", *Version->m_Pieces[Piece]};
--- a/src/libagent/WeightsAgent_test.cpp
+++ b/src/libagent/WeightsAgent_test.cpp
@@ -3,6 +3,7 @@
 #include "Fescuegauge/Rendezvous.h"
 #include "Fescuegauge/WeightsAgent.h"
 #include "LoopbackTestUtils.h"
+#include "PieceProtocol.h"
 
 #include <boost/asio/this_coro.hpp>
 #include <catch2/catch.hpp>
@@ -262,6 +263,56 @@
   CHECK(Fixture.m_Origin.m_Sent <= static_cast<int>(FakeOrigin::Pieces) + Mismatches);
 }
 
+// Guards against an agent that stops serving its pieces while it waits for the origin's digests in
+// place of those in doubt.
+TEST_CASE("an agent with doubted digests serves the pieces that it holds", "[agent]") {
+  constexpr int Mismatches = 3;
+  constexpr std::uint32_t Wrong = 5;
+  net::io_context Loop;
+  AgentFixture Fixture(Loop);
+  Fixture.m_Origin.m_OnDigests = [&](DigestList &List) {
+    List.m_Digests[Wrong] = sha256("other");
+    Fixture.m_Origin.m_UnknownVersions = {First};
+  };
+  Fixture.m_Agent->announce(Model, First, std::nullopt);
+  const auto HasDigests = [&] { return Fixture.m_Agent->dumpState().contains("pieces"); };
+  REQUIRE(Fixture.runUntil(HasDigests));
+  REQUIRE(Fixture.runUntil([&] { return !HasDigests(); }));
+  test::runFor(Loop, 50ms);
+  const auto Get = [&](std::string_view Name) {
+    std::optional<CallResult> Result;
+    const auto Call = [&]() -> Task<> {
+      Result = co_await Fixture.m_HttpClient.call(Fixture.m_Address,
+                                                  makeGet(piecePath(Model, First, Name)), 2s);
+    };
+    spawnTask(Loop.get_executor(), "get", Call());
+    REQUIRE(Fixture.runUntil([&] { return Result.has_value(); }));
+    return std::move(*Result);
+  };
+  const int Held = Fixture.m_Origin.m_Sent - Mismatches;
+  REQUIRE(Held > 0);
+  int Served = 0;
+  for (std::uint32_t Piece = 0; Piece < FakeOrigin::Pieces; ++Piece) {
+    const CallResult Answer = Get(std::to_string(Piece));
+    if (Answer.status() != 200)
+      continue;
+    ++Served;
+    CHECK(Piece != Wrong);
+    CHECK(Answer.m_Response.body() == pieceBytes(First, Piece));
+  }
+  CHECK(Served == Held);
+  const CallResult Holdings = Get(HoldingsName);
+  REQUIRE(Holdings.status() == 200);
+  const auto Listed = parseHoldings(Holdings.m_Response.body(), FakeOrigin::Pieces);
+  REQUIRE(Listed);
+  CHECK(Listed->count() == static_cast<std::size_t>(Held));
+  CHECK(Get(DigestsName).status() == StatusUnavailable);
+  Fixture.m_Origin.m_OnDigests = nullptr;
+  Fixture.m_Origin.m_UnknownVersions.clear();
+  REQUIRE(Fixture.runUntil([&] { return Fixture.m_Runner.holds(First); }));
+  checkLoadedCompletely(Fixture, First);
+}
+
 // Guards against an agent that takes incomplete or foreign digests from another agent: one bad list
 // of the origin reached four of six runners.
 TEST_CASE("a list of another agent that does not match the plan is not used", "[agent]") {
