--- a/src/libgateway/PauseChecks.h
+++ b/src/libgateway/PauseChecks.h
@@ -326,12 +326,14 @@
                            }));
   }
 
-  /// A request ends when the plan of its arrival says so, not a later one.
+  /// A request ends when the plan of its arrival says so, not a later one. Its arrival, the timer
+  /// of its deadline and the check of input after that can each wait for a delayed loop.
   void checkInTime() {
     if (m_Call.m_LeftAt || m_MostAllowed == Duration(0) || !m_Call.m_EndedAt)
       return;
+    constexpr int Turns = 3;
     check("in-time", *m_Call.m_EndedAt <= m_Call.m_SentAt + m_MostAllowed + DeadlineMargin +
-                                              m_Bounds.m_LongestDelay);
+                                              Turns * m_Bounds.m_LongestDelay);
   }
 
   /// Whether the request crossed the close of its idle connection. Nothing shows its client that
--- a/src/libgateway/PauseScenario.h
+++ b/src/libgateway/PauseScenario.h
@@ -166,11 +166,12 @@
     drawPauses();
     drawFirstPlan();
     putInForce({}, m_Fixture.records());
+    pollGateway();
     net::co_spawn(m_PeerLoop, run(), net::detached);
   }
 
   void pollGateway() { m_GatewayPolls.poll(m_Fixture.loop()); }
-  /// Runs upstreams and clients.
+  /// Runs upstreams and clients. Their first requests find a plan in force.
   void pollPeers() { m_PeerPolls.poll(m_PeerLoop); }
 
   bool isDone() const {
