Gateway: requests that have arrived at a limit are read or refused

The header timeout closed the connection without a response, also when the rest of the header was already in the socket and the event loop was late. A body that takes several reads got 408 in the same case. Input that has arrived when the limit ends is now read first, for at most 1 s; a client that is late gets 408 with Connection: close.

The limit on connections closed a connection without a response, also when a request had arrived on it. It gets 503 now, written without waiting, so that the descriptor is free at once. A request that arrives only after the close still gets no response.

Tests: four new cases of ConnectionEnd_test.cpp.

--- a/src/libgateway/ClientSession.cpp
+++ b/src/libgateway/ClientSession.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <sstream>
 #include <sys/socket.h>
 
 namespace fescuegauge {
@@ -96,14 +97,19 @@
   case ClientMemoryBudget::Action::Close:
     m_Core->admission().report(ClientLimit::Connections);
     m_IsEnded = true;
+    m_Refusal.reset();
     m_RoomTimer.cancel();
-    m_Client->close();
+    if (m_State == State::Reading || (m_State == State::Waiting && hasInput()))
+      refuseAndClose(ErrorKind::Overloaded);
+    else
+      m_Client->close();
     break;
   }
 }
 
-void ClientSession::endReading(ErrorKind Refusal, ClientLimit Reason) {
-  m_Core->admission().report(Reason);
+void ClientSession::endReading(ErrorKind Refusal, std::optional<ClientLimit> Reason) {
+  if (Reason)
+    m_Core->admission().report(*Reason);
   m_IsEnded = true;
   m_Refusal = Refusal;
   m_RoomTimer.cancel();
@@ -111,12 +117,28 @@
   m_Client->socket().cancel(Ignored);
 }
 
-void ClientSession::checkBodyProgress() {
-  const Duration Left = m_BodyProgress->deadline() - monotonicNow();
-  if (Left <= Duration(0))
-    endReading(ErrorKind::RequestTimeout, ClientLimit::SlowBody);
-  else
-    m_ReadTimer.set(Left, [this] { checkBodyProgress(); });
+std::size_t ClientSession::unreadBytes() {
+  SystemError Error;
+  const std::size_t Bytes = m_Client->socket().available(Error);
+  return Error ? 0 : Bytes;
+}
+
+void ClientSession::checkTimeLimit(bool IsInputRead) {
+  const TimePoint Deadline = m_BodyProgress ? m_BodyProgress->deadline() : m_HeaderDeadline;
+  const Duration Left = Deadline - monotonicNow();
+  m_ArrivedInput.reset();
+  if (Left > Duration(0)) {
+    m_ReadTimer.set(Left, [this] { checkTimeLimit(false); });
+    return;
+  }
+  const std::size_t Arrived = IsInputRead ? 0 : unreadBytes();
+  if (Arrived > 0) {
+    m_ArrivedInput = Arrived;
+    m_ReadTimer.set(ArrivedInputTime, [this] { checkTimeLimit(true); });
+    return;
+  }
+  endReading(ErrorKind::RequestTimeout,
+             m_BodyProgress ? std::optional(ClientLimit::SlowBody) : std::nullopt);
 }
 
 std::size_t ClientSession::heldBytes(const Parser &Message) const {
@@ -172,6 +194,10 @@
   SystemError Error;
   Unparsed.consume(Parse(Unparsed.data(), Error));
   while (!Error && !IsDone()) {
+    if (m_ArrivedInput == 0U)
+      checkTimeLimit(true);
+    if (m_IsEnded)
+      co_return net::error::operation_aborted;
     const std::size_t NextBytes = heldBytes(Message) + SmallReadBytes;
     const bool HasRoom =
         co_await makeRoom(NextBytes, Wanted == Part::Header ? NextBytes : maxHeldBytes(Message));
@@ -199,6 +225,8 @@
     m_Core->admission().onBytes(m_Number, Received.size());
     if (m_BodyProgress)
       m_BodyProgress->onBytes(Received.size(), monotonicNow());
+    if (m_ArrivedInput)
+      *m_ArrivedInput -= std::min(*m_ArrivedInput, Received.size());
     if (Unparsed.size() == 0)
       Received = Received.subspan(Parse(net::buffer(Received.data(), Received.size()), Error));
     if (Error || Received.empty())
@@ -218,6 +246,7 @@
 }
 
 void ClientSession::startClosing() {
+  m_State = State::Responding;
   m_IdleSince.reset();
   m_Client->buffer().clear();
   m_Client->buffer().shrink_to_fit();
@@ -240,9 +269,7 @@
   m_Client->close();
 }
 
-Task<> ClientSession::reject(ErrorKind Kind) {
-  // Also bounds the write to a client that does not read.
-  startClosing();
+HttpResponse ClientSession::refusal(ErrorKind Kind) {
   const ErrorAnswer &Answer = errorAnswer(Kind);
   HttpResponse Response = errorResponse(Answer);
   if (Answer.m_RetryAfter)
@@ -250,13 +277,39 @@
                  formatSeconds(m_Core->retryDelays().next(*Answer.m_RetryAfter)));
   Response.keep_alive(false);
   Response.prepare_payload();
-  co_await http::async_write(m_Client->socket(), Response, AsTuple);
+  return Response;
+}
+
+void ClientSession::reportRefusal(ErrorKind Kind) {
+  const ErrorAnswer &Answer = errorAnswer(Kind);
   m_Core->countRequest("none", Answer.m_Name);
   if (m_Core->tryAcquireLogLine(true))
     logEvent(Severity::Info, "request_unreadable", {{"outcome", Answer.m_Name}});
+}
+
+Task<> ClientSession::reject(ErrorKind Kind) {
+  // Also bounds the write to a client that does not read.
+  startClosing();
+  HttpResponse Response = refusal(Kind);
+  co_await http::async_write(m_Client->socket(), Response, AsTuple);
+  reportRefusal(Kind);
   co_await closeGracefully();
 }
 
+void ClientSession::refuseAndClose(ErrorKind Kind) {
+  std::ostringstream Bytes;
+  Bytes << refusal(Kind);
+  const std::string Text = std::move(Bytes).str();
+  // Fits into the send buffer unless the client has left earlier responses unread.
+  ::send(m_Client->socket().native_handle(), Text.data(), Text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  reportRefusal(Kind);
+  SystemError Error;
+  m_Client->socket().shutdown(Tcp::socket::shutdown_send, Error);
+  for (std::size_t Discarded = 0; !Error && Discarded < MaxDiscardedBytes;)
+    Discarded += receive(m_Client->socket(), readBuffer(), Error);
+  m_Client->close();
+}
+
 void ClientSession::endIdleWait() {
   SystemError Ignored;
   m_Client->socket().cancel(Ignored);
@@ -284,24 +337,27 @@
 }
 
 Task<bool> ClientSession::serveNext() {
+  m_State = State::Waiting;
   m_Core->admission().onIdle(m_Number);
   m_IdleSince = monotonicNow();
   const bool HasRequest = co_await waitForRequest();
   if (!HasRequest || m_IsEnded)
     co_return false;
   m_IdleSince.reset();
+  m_State = State::Reading;
   const ClientLimits Limits = limits();
   const GatewayCore::ReadingScope Reading(*m_Core);
   m_Core->admission().onReading(m_Number);
   std::optional<Parser> Message(std::in_place);
   Message->header_limit(Limits.m_MaxHeaderBytes);
   Message->body_limit(Limits.m_MaxBodyBytes);
-  m_ReadTimer.set(Limits.m_HeaderTimeout, [this] { m_Client->close(); });
+  m_HeaderDeadline = monotonicNow() + Limits.m_HeaderTimeout;
+  checkTimeLimit(false);
   SystemError Error = co_await readPart(*Message, Part::Header);
   const TimePoint ArrivedAt = monotonicNow();
   if (!Error && !Message->is_done()) {
     m_BodyProgress.emplace(ArrivedAt);
-    checkBodyProgress();
+    checkTimeLimit(false);
     if (boost::beast::iequals(Message->get()[http::field::expect], "100-continue")) {
       http::response<http::empty_body> Continue(http::status::continue_, 11);
       co_await http::async_write(m_Client->socket(), Continue, AsTuple);
@@ -310,6 +366,7 @@
     m_BodyProgress.reset();
   }
   m_ReadTimer.cancel();
+  m_ArrivedInput.reset();
   if (!Error) {
     const bool HasRoom = co_await makeRoom(heldBytes(*Message), heldBytes(*Message));
     if (!HasRoom)
@@ -321,6 +378,7 @@
     m_Refusal = ErrorKind::MalformedRequest;
   else if (isMalformedMessage(Error))
     m_Refusal = malformedMessageKind(Error);
+  m_State = State::Responding;
   if (Error || m_Refusal) {
     Message.reset();
     if (m_Refusal)
--- a/src/libgateway/ClientSession.h
+++ b/src/libgateway/ClientSession.h
@@ -38,6 +38,10 @@
   static constexpr Duration DiscardTime = std::chrono::milliseconds(300);
   static constexpr std::size_t MaxDiscardedBytes = 256 << 10;
 
+  /// Input that has arrived when a time limit ends is read before the limit is applied, because the
+  /// event loop may be late. The rest of a request may take this time.
+  static constexpr Duration ArrivedInputTime = std::chrono::seconds(1);
+
   ClientSession(std::shared_ptr<GatewayCore> Core, Tcp::socket Socket);
   ~ClientSession();
 
@@ -49,6 +53,13 @@
   using Parser = HttpRequestParser<SharedBody>;
 
   enum class Part { Header, Message };
+  enum class State {
+    /// No part of a request is known to have arrived.
+    Waiting,
+    Reading,
+    /// A request is served or refused, or the connection ends.
+    Responding,
+  };
 
   Task<bool> serveNext();
   /// Waits for a request. Returns false if the connection ended, or was idle too long, before it.
@@ -65,15 +76,25 @@
   /// Memory held for the request, and the most that it can be after its header.
   std::size_t heldBytes(const Parser &Message) const;
   std::size_t maxHeldBytes(const Parser &Message) const;
-  void checkBodyProgress();
+  /// Ends the read at the time limit of the header or of the body. `IsInputRead` tells whether the
+  /// input that had arrived at the limit was read.
+  void checkTimeLimit(bool IsInputRead);
   void onDecision(ClientMemoryBudget::Action Action);
-  void endReading(ErrorKind Refusal, ClientLimit Reason);
+  void endReading(ErrorKind Refusal, std::optional<ClientLimit> Reason);
   Task<> reject(ErrorKind Kind);
+  /// Response that refuses a request which was not read as a whole.
+  HttpResponse refusal(ErrorKind Kind);
+  void reportRefusal(ErrorKind Kind);
+  /// Refuses a request that has arrived in whole or in part, and closes the connection, without
+  /// waiting for the client.
+  void refuseAndClose(ErrorKind Kind);
   /// Stops reading requests. The connection is closed after DiscardTime at the latest.
   void startClosing();
   /// Ends the connection so that the client gets the whole response; see DiscardTime.
   Task<> closeGracefully();
   ClientLimits limits() const;
+  std::size_t unreadBytes();
+  bool hasInput() { return m_Client->buffer().size() > 0 || unreadBytes() > 0; }
 
   std::shared_ptr<GatewayCore> m_Core;
   std::shared_ptr<ClientConnection> m_Client;
@@ -82,8 +103,12 @@
   net::steady_timer m_RoomTimer;
   /// Empty while a request is being read or served.
   std::optional<TimePoint> m_IdleSince;
+  State m_State = State::Waiting;
+  TimePoint m_HeaderDeadline;
   /// Set while a body is being read.
   std::optional<BodyProgress> m_BodyProgress;
+  /// Bytes that had arrived when a time limit ended, and were not read.
+  std::optional<std::size_t> m_ArrivedInput;
   /// Whether the socket is known to have input.
   bool m_IsReadable = false;
   /// Whether a limit ended the read in progress, and the response to it.
--- a/src/libgateway/ConnectionEnd_test.cpp
+++ b/src/libgateway/ConnectionEnd_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 #include <netinet/tcp.h>
+#include <thread>
 
 using namespace fescuegauge;
 using namespace fescuegauge::test;
@@ -253,3 +254,110 @@
   REQUIRE(test::runUntil(Loop, [&] { return Done; }));
   CHECK(Response.isComplete());
 }
+
+namespace {
+
+/// Limits of a plan with which the header of a request may be late within the time of a test.
+void setShortHeaderTimeout(RoutingPlan &Plan) {
+  Plan.m_Limits.m_HeaderTimeout = 200ms;
+  Plan.m_Limits.m_MaxHeaderBytes = 64 << 10;
+}
+
+} // namespace
+
+// Guards against a request that is dropped without a response, although its header arrived within
+// the time limit: the event loop was late, and the header takes more than one read.
+TEST_CASE("a header that arrived before its time limit is read by a late loop", "[gateway]") {
+  const std::size_t FieldBytes = GENERATE(std::size_t(10), ClientSession::HeaderReadBytes + 2048);
+  ConnectionEndFixture Fixture;
+  Fixture.setPlan(setShortHeaderTimeout);
+  PipeliningClient Client(Fixture);
+  const std::string Request = GatewayFixture::request(
+      "/once/x", "r1", UntilClose + "X-Long: " + std::string(FieldBytes, 'x') + "\r\n");
+  REQUIRE(Client.send(Request.substr(0, 20)));
+  Fixture.runUntil([] { return false; }, 50ms);
+  REQUIRE(Client.send(Request.substr(20)));
+  std::this_thread::sleep_for(300ms);
+  const RawResponse Response = Client.readToEnd();
+  CHECK(Response.status() == 200);
+  CHECK(Response.isComplete());
+}
+
+// Guards against the same loss of a request whose body arrived within its time limit.
+TEST_CASE("a body that arrived before its time limit is read by a late loop", "[gateway]") {
+  ConnectionEndFixture Fixture;
+  Fixture.setPlan([](RoutingPlan &Plan) {
+    for (Route &Each : Plan.m_Routes)
+      Each.m_Timeout = 20s;
+  });
+  PipeliningClient Client(Fixture);
+  const std::string Body(3 * ClientSession::SmallReadBytes, 'x');
+  REQUIRE(Client.send(
+      "POST /once/x HTTP/1.1\r\nHost: host.example\r\nRequest-Id: r1\r\n"
+      "Account-Key: key\r\nConnection: close\r\nDeadline-Ms: 20000\r\nContent-Length: " +
+      std::to_string(Body.size()) + "\r\n\r\n"));
+  // Bytes keep the pause limit away, so that the limit on the whole time ends the read.
+  for (std::size_t I = 0; I < 2; ++I) {
+    Fixture.runUntil([] { return false; }, BodyProgress::Grace / 2 - 50ms);
+    REQUIRE(Client.send(Body.substr(0, 1)));
+  }
+  REQUIRE(Client.send(Body.substr(2)));
+  std::this_thread::sleep_for(400ms);
+  const RawResponse Response = Client.readToEnd();
+  CHECK(Response.status() == 200);
+  CHECK(Response.isComplete());
+}
+
+// Guards against a late client that cannot tell the end of its connection from a failure.
+TEST_CASE("a header that arrives too late gets a response", "[gateway]") {
+  ConnectionEndFixture Fixture;
+  Fixture.setPlan(setShortHeaderTimeout);
+  PipeliningClient Client(Fixture);
+  const TimePoint Start = monotonicNow();
+  REQUIRE(Client.send(GatewayFixture::request("/once/x", "r1").substr(0, 20)));
+  const RawResponse Response = Client.readToEnd();
+  CHECK(Response.status() == 408);
+  CHECK(Response.isComplete());
+  CHECK(Response.contains("Connection: close"));
+  CHECK_FALSE(Response.m_Reset);
+  CHECK(monotonicNow() - Start < 2s);
+  CHECK(Fixture.metrics().find("request-timeout") != std::string::npos);
+}
+
+// Guards against a request that is dropped without a response when its connection is closed because
+// there are too many.
+TEST_CASE("a request on a connection that is closed by the limit gets a response", "[gateway]") {
+  const bool IsFirstBusy = GENERATE(false, true);
+  net::io_context Loop;
+  MetricsService Metrics;
+  GatewayOptions Options;
+  // Allows one connection.
+  Options.m_Descriptors = ClientMemoryLimits::OtherDescriptors + 2;
+  const auto Core = std::make_shared<GatewayCore>(Loop, Options, Metrics);
+  REQUIRE(Core->admission().budget().limits().m_Connections == 1);
+  Tcp::acceptor Acceptor(Loop, Tcp::endpoint(loopbackAddress(), 0));
+  std::array<Tcp::socket, 2> Clients{Tcp::socket(Loop), Tcp::socket(Loop)};
+  std::array<std::shared_ptr<ClientSession>, 2> Sessions;
+  const std::string Request = GatewayFixture::request("/once/x", "r1");
+  const auto Connect = [&](std::size_t Number) {
+    Clients[Number].connect(Acceptor.local_endpoint());
+    Sessions[Number] = std::make_shared<ClientSession>(Core, Acceptor.accept());
+    net::co_spawn(Loop, Sessions[Number]->run(), net::detached);
+  };
+  Connect(0);
+  runFor(Loop, 20ms);
+  net::write(Clients[0], net::buffer(IsFirstBusy ? Request.substr(0, 20) : Request));
+  if (IsFirstBusy)
+    runFor(Loop, 20ms);
+  Connect(1);
+  net::write(Clients[1], net::buffer(Request));
+  Core->admission().closeExcess();
+  // The longest idle connection is closed, or the newest one beside a busy one.
+  RawResponse Response;
+  bool Done = false;
+  net::co_spawn(Loop, readRaw(Clients[IsFirstBusy ? 1 : 0], Response, Done, true), net::detached);
+  REQUIRE(test::runUntil(Loop, [&] { return Done; }));
+  CHECK(Response.status() == 503);
+  CHECK(Response.isComplete());
+  CHECK_FALSE(Response.m_Reset);
+}
