Requests: known-red test of an answer that has arrived at its deadline

The daemon has the fault of the gateway: RequestLifecycle ends a request at its deadline before it sees the end of the answer, which has arrived.

--- a/src/librequests/RequestLifecycle_test.cpp
+++ b/src/librequests/RequestLifecycle_test.cpp
@@ -222,6 +222,25 @@
     }
 }
 
+// Guards against a whole answer that is cut at its deadline, or replaced by an error, because the
+// deadline is handled before the end of the answer, which has arrived.
+TEST_CASE("an answer that has arrived at its deadline is delivered whole", "[known-red]") {
+  const bool IsBegun = GENERATE(false, true);
+  CAPTURE(IsBegun);
+  LifecycleFixture F;
+  const AttemptId Attempt = F.dispatch(false);
+  if (IsBegun)
+    F.fragment(Attempt, 0, "abc");
+  F.m_Now += 10s;
+  RequestActions AtDeadline = F.m_Lifecycle.onTimer(F.m_Now);
+  CHECK_FALSE(F.find<FinishRequest>(AtDeadline));
+  if (!IsBegun)
+    F.fragment(Attempt, 0, "abc");
+  RequestActions AtEnd = F.end(Attempt, 3);
+  const FinishRequest *Final = F.find<FinishRequest>(AtEnd);
+  CHECK((Final && Final->m_Outcome == RequestOutcome::Complete));
+}
+
 // Guards against a dispatch to another generation if the selector returns an upstream of it.
 TEST_CASE("a claimed request is not dispatched outside its generation") {
   LifecycleFixture F;
