--- a/src/libgateway/PauseChecks.h
+++ b/src/libgateway/PauseChecks.h
@@ -1,6 +1,7 @@
 #ifndef FESCUEGAUGE_LIBGATEWAY_PAUSECHECKS_H
 #define FESCUEGAUGE_LIBGATEWAY_PAUSECHECKS_H
 
+#include "ArrivalWatch.h"
 #include "PausingUpstream.h"
 
 #include <algorithm>
@@ -327,11 +328,11 @@
   }
 
   /// A request ends when the plan of its arrival says so, not a later one. Its arrival, the timer
-  /// of its deadline and the check of input after that can each wait for a delayed loop.
+  /// of its deadline and each check of ArrivalWatch after that can wait for a delayed loop.
   void checkInTime() {
     if (m_Call.m_LeftAt || m_MostAllowed == Duration(0) || !m_Call.m_EndedAt)
       return;
-    constexpr int Turns = 3;
+    constexpr int Turns = 2 + ArrivalWatch::MaxQuietChecks;
     check("in-time", *m_Call.m_EndedAt <= m_Call.m_SentAt + m_MostAllowed + DeadlineMargin +
                                               Turns * m_Bounds.m_LongestDelay);
   }
