--- a/src/libgateway/ArrivalWatch.h
+++ b/src/libgateway/ArrivalWatch.h
@@ -9,7 +9,7 @@
 
 namespace fescuegauge {
 
-/// Decides whether a response goes on arriving when its request is about to be given up.
+/// Decides whether a response goes on arriving when its request is about to end.
 ///
 /// Meant for a timer of a delayed event loop: it runs before the bytes that arrived earlier are
 /// read, and reading them takes several turns of the loop. Each turn between two checks allows one
@@ -31,7 +31,7 @@
     bool operator==(const Progress &) const = default;
   };
 
-  /// Records a check. `HasInput` tells whether further bytes have arrived.
+  /// Records a check. `HasInput` is true if further bytes have arrived.
   bool isArriving(const Progress &Current, bool HasInput) {
     const bool HasRead = m_Last != Current;
     m_Last = Current;
--- a/src/libgateway/ClientSession.h
+++ b/src/libgateway/ClientSession.h
@@ -76,8 +76,8 @@
   /// Memory held for the request, and the most that it can be after its header.
   std::size_t heldBytes(const Parser &Message) const;
   std::size_t maxHeldBytes(const Parser &Message) const;
-  /// Ends the read at the time limit of the header or of the body. `IsInputRead` tells whether the
-  /// input that had arrived at the limit was read.
+  /// Ends the read at the time limit of the header or of the body. `IsInputRead` is true if
+  /// the input that had arrived at the limit was read.
   void checkTimeLimit(bool IsInputRead);
   void onDecision(ClientMemoryBudget::Action Action);
   void endReading(ErrorKind Refusal, std::optional<ClientLimit> Reason);
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -215,6 +215,7 @@
     }
     const bool WasNotSent = (End == AttemptEnd::NotSent || End == AttemptEnd::NoLongerEligible) &&
                             ++m_ConnectFailures <= MaxConnectFailures;
+    // An attempt that fails past the deadline is not retried.
     if (isDeadlineOver())
       m_TimedOut = true;
     if (isInterrupted() || m_IsClientLost || isQuarantined() || (!WasNotSent && !takeRetry())) {
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -136,7 +136,8 @@
     return m_HeaderSent && m_Route->m_Kind == Repeatability::ResumableStream && m_LastEventId &&
            m_EventsResumable;
   }
-  /// Ends the request, unless a response is arriving that may be whole within MaxExpiryTime.
+  /// Called at the deadline, and repeatedly after it while a response is arriving or being written
+  /// that may be whole within MaxExpiryTime. Ends the request otherwise.
   void onDeadline();
   bool isResponseArriving();
   /// Whether the deadline or GatewayCore::requestCutoff() has passed. If the event loop is delayed,
@@ -152,6 +153,7 @@
   /// Cancels an attempt because the request must no longer begin: on the weights of its upstream,
   /// or anywhere, if it is quarantined.
   void withdraw(RequestAttempt &Attempt);
+  /// Cancels the attempt.
   void withdrawNow(RequestAttempt &Attempt);
   /// Withdraws an attempt that was sent, unless the start of its response has arrived.
   static Task<> withdrawUnlessBegun(std::shared_ptr<GatewayCore> Core,
@@ -187,6 +189,7 @@
   /// write fails or too much would have to be withheld.
   Task<bool> sendPart(const UpstreamExchange::Header &From, std::optional<std::uint64_t> Length,
                       std::string Bytes, bool IsLast);
+  /// Creates the header of the response and selects the framing of its body.
   std::string makeHeader(const UpstreamExchange::Header &From, std::optional<std::uint64_t> Length);
   /// Adds the framing of the response to a part of its body.
   std::string frame(std::string Bytes, bool IsLast) const;
@@ -235,6 +238,7 @@
   TimePoint m_ExpiryLimit;
   int m_ExpiryChecks = 0;
   bool m_IsStopping = false;
+  /// The request ends, because its deadline has passed or the process is about to end.
   bool m_TimedOut = false;
   bool m_ClientDisconnected = false;
 
