--- a/src/libgateway/PauseChecks.h
+++ b/src/libgateway/PauseChecks.h
@@ -77,7 +77,8 @@
   std::string header() const {
     return "POST " + path() + " HTTP/1.1\r\nHost: host.example\r\nRequest-Id: " + m_Id +
            "\r\nAccount-Key: " + key() + (m_NamesModel ? "\r\nModel: model" : "") +
-           (m_HasLargeHeader ? "\r\nPadding: " + std::string(2 * LowHeaderLimit, 'x') : "") +
+           (m_HasLargeHeader ? "\r\nPadding: " + std::string(std::size_t{2} * LowHeaderLimit, 'x')
+                             : "") +
            "\r\nDeadline-Ms: " +
            std::to_string(
                std::chrono::duration_cast<std::chrono::milliseconds>(m_Allowed).count()) +
