Gateway tests: one function lists an upstream that a test serves itself

DelayedLoop had a copy of the record of GatewayFixture::addUpstream(), and a case of Continuity_test.cpp replaced the address of an unused fake. Tests only; all checks stay.

--- a/src/libgateway/Continuity_test.cpp
+++ b/src/libgateway/Continuity_test.cpp
@@ -312,8 +312,7 @@
     co_await sleepFor(20ms);
     co_await net::async_write(Socket, net::buffer(chunk(event(2)) + LastChunk), AsTuple);
   });
-  Fixture.addUpstream([](const HttpRequest &) { return Script{}; });
-  Fixture.records()[0].m_Address = Server.address();
+  Fixture.listUpstream(Server.address());
   Fixture.records()[0].m_Weights = {{Model, WeightsVersion(3)}};
   Fixture.gateway().setUpstreams(Fixture.records());
   const RawResponse Response =
--- a/src/libgateway/FakeUpstream.h
+++ b/src/libgateway/FakeUpstream.h
@@ -221,16 +221,21 @@
 
   FakeUpstream &addUpstream(FakeUpstream::RequestHandler Handler) {
     m_Upstreams.push_back(std::make_unique<FakeUpstream>(m_Loop, std::move(Handler)));
+    listUpstream(m_Upstreams.back()->address());
+    return *m_Upstreams.back();
+  }
+
+  /// Adds an upstream that the test serves itself.
+  void listUpstream(const Endpoint &Address) {
     UpstreamRecord Record;
-    Record.m_Id = InstanceId("upstream-" + std::to_string(m_Upstreams.size()));
-    Record.m_Address = m_Upstreams.back()->address();
+    Record.m_Id = InstanceId("upstream-" + std::to_string(m_Records.size() + 1));
+    Record.m_Address = Address;
     Record.m_DataCentre = DataCentreId("a");
     Record.m_Region = RegionId("r");
     Record.m_Service = ServiceId("service");
     Record.m_Slots = 4;
     m_Records.push_back(Record);
     m_Gateway->setUpstreams(m_Records);
-    return *m_Upstreams.back();
   }
 
   static std::string request(const std::string &Path, const std::string &Id,
--- a/src/libgateway/ResponseEnd_test.cpp
+++ b/src/libgateway/ResponseEnd_test.cpp
@@ -331,15 +331,7 @@
         m_Server(m_Fixture.loop(),
                  [this](Tcp::socket Socket) { return serve(std::move(Socket)); }) {
     m_Fixture.setPlan();
-    UpstreamRecord Record;
-    Record.m_Id = InstanceId("upstream-1");
-    Record.m_Address = m_Server.address();
-    Record.m_DataCentre = DataCentreId("a");
-    Record.m_Region = RegionId("r");
-    Record.m_Service = ServiceId("service");
-    Record.m_Slots = 4;
-    m_Fixture.records().push_back(Record);
-    m_Fixture.gateway().setUpstreams(m_Fixture.records());
+    m_Fixture.listUpstream(m_Server.address());
   }
 
   Gateway &gateway() { return m_Fixture.gateway(); }
