Daemon: a SIGHUP while the settings are read does not end the process

Same cause as in fescuegauge-node: signals got their handlers after the settings were read, so that the default action of SIGHUP ended the process. They are blocked and ignored first; a SIGTERM that arrives meanwhile is received when the daemon waits for it.

test_hangup_signal_during_the_start fails on (exit code -1 in place of 2) and passes now.

--- a/scripts/loopback_cluster.py
+++ b/scripts/loopback_cluster.py
@@ -108,7 +108,7 @@
     """A deployment on loopback: platform stand-in, upstreams with agents, entry instances."""
 
     def __init__(self, build=None, origin_rate=100e6, list_lag_ms=200):
-        self.build = pathlib.Path(build or os.environ.get("FESCUEGAUGE_BUILD", ROOT / "build"))
+        self.build = build or self.default_build()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="fescuegauge-"))
         self.processes = []
         self.upstreams = {}
@@ -118,6 +118,10 @@
             ["fescuegauge-standin-platform", "--origin-bytes-per-second", str(origin_rate),
              "--list-lag-ms", str(list_lag_ms)])
 
+    @staticmethod
+    def default_build():
+        return pathlib.Path(os.environ.get("FESCUEGAUGE_BUILD", ROOT / "build"))
+
     def __enter__(self):
         return self
 
--- a/src/fescuegauged/main.cpp
+++ b/src/fescuegauged/main.cpp
@@ -26,10 +26,10 @@
 }
 
 int runDaemon(const std::string &SettingsFile) {
+  blockSignals();
   return leaf::try_handle_all(
       [&]() -> leaf::result<int> {
         BOOST_LEAF_AUTO(Configured, fescuegauge::loadSettings(SettingsFile));
-        blockSignals();
         return fescuegauge::Daemon(std::move(Configured)).run();
       },
       [](const fescuegauge::SettingsErrors &Errors) {
--- a/src/fescuegauged/process_test.py
+++ b/src/fescuegauged/process_test.py
@@ -6,10 +6,13 @@
 
 import http.client
 import json
+import os
 import pathlib
 import signal
 import socket
+import subprocess
 import sys
+import tempfile
 import threading
 import time
 import unittest
@@ -529,7 +532,6 @@
 class SettingsTest(unittest.TestCase):
     # Guards against a process that starts with invalid or unknown settings.
     def test_bad_settings_start_nothing(self):
-        import subprocess
         with Cluster() as cluster:
             path = cluster.folder / "bad.json"
             path.write_text('// comment first\n{"role": "king", "extra": 1 /* no */}')
@@ -540,6 +542,21 @@
             self.assertIn("role", text)
             self.assertIn("extra", text)
 
+    # Guards against a process that a SIGHUP ends while it reads its settings.
+    def test_hangup_signal_during_the_start(self):
+        build = Cluster.default_build()
+        with tempfile.TemporaryDirectory() as folder:
+            settings = pathlib.Path(folder) / "settings.json"
+            os.mkfifo(settings)
+            process = subprocess.Popen([str(build / "bin" / "fescuegauged"), "--settings",
+                                        str(settings)], stderr=subprocess.DEVNULL)
+            self.addCleanup(process.kill)
+            with open(settings, "w", encoding="utf-8") as file:
+                process.send_signal(signal.SIGHUP)
+                file.write("not JSON")
+            # The exit code for invalid settings.
+            self.assertEqual(process.wait(WAIT_LIMIT_SECONDS), 2)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
