Gateway: the log states why a backup attempt was withheld

A request whose upstream is silent until its deadline showed backups=0 and nothing of the reason. request_finished has backupWithheld: attempts, no-slot, no-upstream or retry-budget.

Not changed: a first backup attempt that does not need the budget. A start balance of each instance would exceed the bound on retries of the whole deployment when many instances start at once.

--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -416,17 +416,24 @@
 }
 
 void RequestExchange::startBackup(Duration SilentTime) {
-  if (m_Backup || m_IsExpiring || m_BackupAttempts >= MaxBackupAttempts ||
-      !isRepeatable(m_Route->m_Kind) || !canRetry())
+  if (m_Backup || m_IsExpiring || !isRepeatable(m_Route->m_Kind))
     return;
+  if (m_BackupAttempts >= MaxBackupAttempts || !canRetry()) {
+    m_BackupWithheld = "attempts";
+    return;
+  }
   Placement Found = m_Core.tryPlace(placementRequest());
-  if (Found.m_Verdict != PlacementVerdict::Placed)
+  if (Found.m_Verdict != PlacementVerdict::Placed) {
+    m_BackupWithheld = Found.m_Verdict == PlacementVerdict::AllFull ? "no-slot" : "no-upstream";
     return;
+  }
   if (!takeRetry()) {
     m_Core.undoPlacement(Found, m_PromptTokens);
+    m_BackupWithheld = "retry-budget";
     return;
   }
   ++m_BackupAttempts;
+  m_BackupWithheld = "none";
   m_Core.countAttempt("backup");
   if (m_Core.tryAcquireLogLine(true))
     logEvent(Severity::Info, "backup_attempt_started",
@@ -1170,6 +1177,7 @@
             {"returned", m_IsRetry},
             {"attempts", m_AttemptsSent},
             {"backups", m_BackupAttempts},
+            {"backupWithheld", m_BackupWithheld},
             {"upstream", Last.upstream().m_Id},
             {"allowedSeconds", m_Deadline == TimePoint() ? Duration(0) : m_Deadline - m_ArrivedAt},
             {"limit", m_IsLimitedByRoute ? "route" : "client"},
--- a/src/libgateway/RequestExchange.h
+++ b/src/libgateway/RequestExchange.h
@@ -246,6 +246,8 @@
   /// Attempts that were sent, or are about to be.
   std::uint32_t m_AttemptsSent = 0;
   std::uint32_t m_BackupAttempts = 0;
+  /// Why the latest backup attempt that was due was not started.
+  std::string_view m_BackupWithheld = "none";
   /// Rejections that do not count as attempts, and those of them that were not of backup attempts.
   std::uint32_t m_UncountedRejections = 0;
   std::uint32_t m_ResumptionRejections = 0;
