Daemon: a stop sends each caller the outcome of its request

A drain that was cut short, by its limit or a second signal, stopped the HTTP server first and closed all connections; the outcomes were written to queues that nothing read any more. Callers found their connection closed, though the outcome was known, or the request had never been dispatched.

Kernel::stop() lets each service interrupt its work before any stops, and the HTTP server gives exchanges in progress 0.5 s for their responses. A request that waited in the queue is answered as not run, in place of unknown.

--- a/src/fescuegauged/HttpService.cpp
+++ b/src/fescuegauged/HttpService.cpp
@@ -12,6 +12,8 @@
 #include <Poco/URI.h>
 #include <array>
 #include <boost/json.hpp>
+#include <chrono>
+#include <thread>
 
 namespace fescuegauge {
 
@@ -246,8 +248,14 @@
 }
 
 void HttpService::stop() {
-  if (m_Server)
-    m_Server->m_Server.stopAll(true);
+  if (!m_Server)
+    return;
+  m_Server->m_Server.stop();
+  // A request that was read meanwhile, or was interrupted, gets its response.
+  const auto End = std::chrono::steady_clock::now() + MaxResponseTime;
+  while (m_ActiveExchanges > 0 && std::chrono::steady_clock::now() < End)
+    std::this_thread::sleep_for(ResponseCheckInterval);
+  m_Server->m_Server.stopAll(true);
 }
 
 std::uint16_t HttpService::port() const { return m_Server->m_Socket.address().port(); }
--- a/src/fescuegauged/HttpService.h
+++ b/src/fescuegauged/HttpService.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <boost/json/value.hpp>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -85,6 +86,10 @@
   std::uint16_t port() const;
 
 private:
+  /// Time that stop() gives the exchanges in progress to send their responses.
+  static constexpr std::chrono::milliseconds MaxResponseTime{500};
+  static constexpr std::chrono::milliseconds ResponseCheckInterval{5};
+
   struct Server;
   const Settings &m_Settings;
   std::map<std::string, Handler> m_Routes;
--- a/src/fescuegauged/RequestService.cpp
+++ b/src/fescuegauged/RequestService.cpp
@@ -171,15 +171,18 @@
   return Idle;
 }
 
-void RequestService::stop() {
+void RequestService::interruptWork() {
   m_Loop.postAndWait([this] {
     for (const auto &[Id, Interrupted] : m_PendingRequests) {
       logEvent(Severity::Warning, "request_interrupted",
                {{"request", Id}, {"class", Interrupted->m_Request.m_Class}});
       FinishRequest Final;
       Final.m_Request = Id;
-      Final.m_Outcome = RequestOutcome::Unknown;
-      Final.m_Error = ErrorKind::OutcomeUnknown;
+      // A request in the queue was not dispatched.
+      const bool IsQueued = Interrupted->m_IsQueued;
+      Final.m_Outcome = IsQueued ? RequestOutcome::NotRun : RequestOutcome::Unknown;
+      Final.m_Error = IsQueued ? ErrorKind::Draining : ErrorKind::OutcomeUnknown;
+      Final.m_RetryAfter = errorAnswer(*Final.m_Error).m_RetryAfter;
       Interrupted->m_AnswerQueue->pushFinish(Final);
     }
     m_PendingRequests.clear();
--- a/src/fescuegauged/RequestService.h
+++ b/src/fescuegauged/RequestService.h
@@ -39,7 +39,7 @@
   void start(Kernel &Services) override;
   void beginDrain() override;
   bool isDrained() const override;
-  void stop() override;
+  void interruptWork() override;
   boost::json::object dumpState() const override;
 
 private:
--- a/src/fescuegauged/process_test.py
+++ b/src/fescuegauged/process_test.py
@@ -4,6 +4,7 @@
 conditions, never for a fixed time.
 """
 
+import contextlib
 import http.client
 import json
 import os
@@ -463,6 +464,38 @@
         self.cluster.wait_ready()
         self.wait_until_serving()
 
+    # Guards against callers whose connections end without an outcome when a drain is cut short.
+    def test_second_signal_sends_an_outcome_for_each_request(self):
+        victim = self.entry(3)
+        engines = [u for u in self.cluster.upstreams.values() if u.service == "asistente"]
+        answers = []
+
+        def ask(number):
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                answers.append(self.ask(victim, "asistente", "quotation", f"cut short {number}"))
+
+        for upstream in engines:
+            self.cluster.engine_faults(upstream, stalled=True)
+        threads = [threading.Thread(target=ask, args=(number,)) for number in range(8)]
+        for thread in threads:
+            thread.start()
+        wait_until(lambda: self.cluster.dump(victim)["requests"]["inProgress"] == len(threads),
+                   "the requests are read")
+        victim.signal(signal.SIGTERM)
+        wait_until(lambda: "drain_started" in victim.log(), "the drain has begun")
+        victim.signal(signal.SIGTERM)
+        for thread in threads:
+            thread.join()
+        for upstream in engines:
+            self.cluster.engine_faults(upstream, stalled=False)
+        self.assertEqual(victim.handle.wait(timeout=WAIT_LIMIT_SECONDS), 0)
+        self.cluster.add_entry(victim.name, victim.data_centre)
+        self.cluster.wait_ready()
+        self.wait_until_serving()
+        self.assertEqual(len(answers), len(threads))
+        for _, body in answers:
+            self.assertIn(json.loads(body)["error"], ["outcome-unknown", "draining"])
+
     # Guards against a signal to read settings again that ends a process and interrupts its requests.
     def test_hangup_signal_cuts_nothing(self):
         processes = [self.entry(2), self.cluster.upstreams["asistente-0"].agent]
--- a/src/include/Fescuegauge/Kernel.h
+++ b/src/include/Fescuegauge/Kernel.h
@@ -29,6 +29,9 @@
   virtual void beginDrain() {}
   /// True when no work is in progress.
   virtual bool isDrained() const { return true; }
+  /// Called once before any service stops. Ends the work in progress with an outcome for each
+  /// caller.
+  virtual void interruptWork() {}
   /// Called once, in the reverse of the start order.
   virtual void stop() {}
   /// Why the service is not ready; empty if it is.
--- a/src/libkernel/Kernel.cpp
+++ b/src/libkernel/Kernel.cpp
@@ -31,6 +31,8 @@
 }
 
 void Kernel::stop() {
+  for (std::size_t I = 0; I < m_Started; ++I)
+    m_Services[I]->interruptWork();
   while (m_Started > 0)
     m_Services[--m_Started]->stop();
 }
