Daemon: a request that is read during a stop gets its response

It now counts the requests that each process has logged against the responses that callers received, and takes a request that ends without a response 0.2 s or more after its last byte as read. Only processes that were killed are excused, not those whose drain was cut short.

The server checked for exchanges in progress and then closed all connections, while idle ones still took requests. It now closes each connection between two requests; 0.5 s later it closes those that are left.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -38,6 +38,10 @@
 # A request may suffer from a disturbance that ended this long before it was sent, because other
 # processes learn of the restart later.
 AFTERMATH_SECONDS = 5
+# A request that ends without a response later than this after its last byte counts as read.
+LOSS_SLACK_SECONDS = 0.2
+# Marks the requests of callers in the logs of instances.
+ACCOUNT_PREFIX = "soak-account-"
 # Day of the epoch that idempotency keys begin with.
 DAY = 20426
 
@@ -76,7 +80,7 @@
     def send(self, request):
         name = self.random.choice(self.soak.entry_names)
         is_keyed = self.random.random() < 0.5
-        account = f"account-{self.random.randrange(5)}"
+        account = f"{ACCOUNT_PREFIX}{self.random.randrange(5)}"
         path, headers = "/v1/asistente/quotation", {"Client-Account": account}
         result = {"request": request, "entry": name, "execution": None, "begin": time.monotonic()}
         if is_keyed:
@@ -92,6 +96,7 @@
         try:
             connection.request("POST", path,
                                json.dumps({"prompt": request, "maxTokens": TOKENS}), headers)
+            result["sent"] = time.monotonic()
             response = connection.getresponse()
             result["outcome"] = "truncated"
             body = response.read()
@@ -240,7 +245,7 @@
         def action(entry):
             if kind == "second signal":
                 # It ends the drain at once.
-                self.soak.killed.add(entry)
+                self.soak.cut_short.add(entry)
             self.soak.terminated.add(entry)
             entry.signal(signal.SIGTERM)
             if kind == "paused":
@@ -317,6 +322,7 @@
         self.pauses = Intervals()
         self.disturbances = Intervals()
         self.killed = set()
+        self.cut_short = set()
         self.terminated = set()
         self.violations = []
         self.entry_names = []
@@ -415,17 +421,36 @@
                 self.violate("executed, but reported as not run", shown)
             if outcome == "complete" and result["execution"] and not has_run:
                 self.violate("reported as complete, but not executed", shown)
-            # A request that a terminated process has not read is lost with its connection. A
-            # response that an upstream began and lost is truncated visibly if the retry budget is
+            # A response that an upstream began and lost is truncated visibly if the retry budget is
             # empty.
             if outcome == "broken" and process not in self.killed and (
-                    process not in self.terminated or has_run):
+                    process not in self.terminated or has_run or self.was_read(result)):
                 self.violate("connection lost", shown)
             self.check_beside_pauses(result, shown)
             limit = ANSWER_WITHIN_MS / 1000 + LATE_SECONDS
             if outcome not in ("unsent", "broken") and result["end"] - result["begin"] > limit:
                 self.violate("late", shown)
 
+    @staticmethod
+    def was_read(result):
+        """Whether a request that ended without a response did not merely cross the close of its
+        connection by a process that ends."""
+        return result["end"] - result.get("sent", result["end"]) > LOSS_SLACK_SECONDS
+
+    def check_answered(self, results):
+        """Checks that each request that a process has logged got a response."""
+        answered = collections.Counter(result["process"] for result in results
+                                       if result["outcome"] not in ("unsent", "broken"))
+        for process in self.cluster.processes:
+            if process.name not in self.entry_names or process in self.killed:
+                continue
+            logged = sum("event=request_finished" in line
+                         and f" account={ACCOUNT_PREFIX}" in line
+                         for line in process.log().splitlines())
+            if logged > answered[process]:
+                self.violate("read without a response", f"{logged - answered[process]} of {logged}, "
+                             f"{process.log_path}")
+
     def check_beside_pauses(self, result, shown):
         """A request that overlaps a pause and no other disturbance is answered or refused."""
         outcome = result["outcome"]
@@ -433,6 +458,7 @@
                 or self.disturbances.overlap(result, AFTERMATH_SECONDS)):
             return
         self.beside_pauses[outcome] += 1
+        # A broken connection is judged like all others; see check_results().
         if outcome in ("truncated", "unknown", "refused"):
             self.violate("lost beside a pause", shown)
 
@@ -454,6 +480,7 @@
             self.check_recovery()
             results = [result for caller in self.callers for result in caller.results]
             self.check_results(results)
+            self.check_answered(results)
             if self.pause_seconds > AFTERMATH_SECONDS and not self.beside_pauses:
                 self.violate("never evaluated", "requests beside pauses")
             outcomes = collections.Counter(result["outcome"] for result in results)
--- a/src/fescuegauged/HttpService.cpp
+++ b/src/fescuegauged/HttpService.cpp
@@ -12,8 +12,7 @@
 #include <Poco/URI.h>
 #include <array>
 #include <boost/json.hpp>
-#include <chrono>
-#include <thread>
+#include <future>
 
 namespace fescuegauge {
 
@@ -250,12 +249,15 @@
 void HttpService::stop() {
   if (!m_Server)
     return;
-  m_Server->m_Server.stop();
-  // A request that was read meanwhile, or was interrupted, gets its response.
-  const auto End = std::chrono::steady_clock::now() + MaxResponseTime;
-  while (m_ActiveExchanges > 0 && std::chrono::steady_clock::now() < End)
-    std::this_thread::sleep_for(ResponseCheckInterval);
-  m_Server->m_Server.stopAll(true);
+  Poco::Net::HTTPServer &Stopped = m_Server->m_Server;
+  Stopped.stop();
+  // Waits for the response to each request that has been read. A connection whose client is slow to
+  // send or to read is closed at the time limit.
+  const std::future<void> Closed =
+      std::async(std::launch::async, [&Stopped] { Stopped.stopAll(false); });
+  if (Closed.wait_for(MaxResponseTime) != std::future_status::ready)
+    Stopped.stopAll(true);
+  Closed.wait();
 }
 
 std::uint16_t HttpService::port() const { return m_Server->m_Socket.address().port(); }
--- a/src/fescuegauged/HttpService.h
+++ b/src/fescuegauged/HttpService.h
@@ -88,7 +88,6 @@
 private:
   /// Time that stop() gives the exchanges in progress to send their responses.
   static constexpr std::chrono::milliseconds MaxResponseTime{500};
-  static constexpr std::chrono::milliseconds ResponseCheckInterval{5};
 
   struct Server;
   const Settings &m_Settings;
