--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -24,7 +24,8 @@
 constexpr unsigned StatusMisdirected = 421;
 constexpr unsigned StatusUnavailable = 503;
 
-// The response of a request that expires at the stop of its process is sent before the process ends.
+// The response of a request that expires at the stop of its process is sent before the process
+// ends.
 static_assert(2 * RequestExpiry::MaxTime <= GatewayCore::StopMargin);
 
 Invariant NotRunIsTrue("gateway.not_run_is_true");
--- a/src/librequests/RequestLifecycle.cpp
+++ b/src/librequests/RequestLifecycle.cpp
@@ -435,8 +435,7 @@
   }
   bool CanContinue = Active.m_ReceivedBytes == 0 || Active.m_Constraints.m_Resumable;
   if (CanContinue && Active.m_Attempts < MaxAttempts && hasTime(Active, Now) &&
-      m_Environment.takeRetry(Active.m_Request, Now) &&
-      dispatch(Active, Now, Actions)) {
+      m_Environment.takeRetry(Active.m_Request, Now) && dispatch(Active, Now, Actions)) {
     ++m_Counters.m_Retries;
     if (Active.m_ReceivedBytes > 0)
       ++m_Counters.m_Resumes;
--- a/src/librequests/RequestLifecycle_test.cpp
+++ b/src/librequests/RequestLifecycle_test.cpp
@@ -219,8 +219,8 @@
       LifecycleFixture F;
       AttemptId Attempt = F.dispatch(NonIdempotent);
       F.m_Now += 10s;
-      auto Actions = IsDisconnected ? F.m_Lifecycle.callerDisconnected(RequestId("r1"), F.m_Now)
-                                    : F.expire();
+      auto Actions =
+          IsDisconnected ? F.m_Lifecycle.callerDisconnected(RequestId("r1"), F.m_Now) : F.expire();
       CHECK(F.get<FinishRequest>(Actions).m_Outcome == (IsDisconnected  ? RequestOutcome::Abandoned
                                                         : NonIdempotent ? RequestOutcome::Unknown
                                                                         : RequestOutcome::Broken));
@@ -448,9 +448,8 @@
   SECTION("the caller disconnects or the deadline passes") {
     const bool IsDisconnected = GENERATE(true, false);
     F.m_Now += 10s;
-    RequestActions Actions = IsDisconnected
-                                 ? F.m_Lifecycle.callerDisconnected(RequestId("r1"), F.m_Now)
-                                 : F.expire();
+    RequestActions Actions =
+        IsDisconnected ? F.m_Lifecycle.callerDisconnected(RequestId("r1"), F.m_Now) : F.expire();
     CHECK(std::count_if(Actions.begin(), Actions.end(), [](const RequestAction &Action) {
             return std::holds_alternative<CancelAttempt>(Action);
           }) == 2);
