RpcNode: a sink whose release the loop discards is not leaked

The deleter of a sink that answers a remote attempt posted a task that held a raw pointer and deleted it on the loop's thread. EventLoop discards queued tasks when it stops, and tasks that are posted after the stop, so the sink and its capability leaked if the last reference was released shortly before or after the stop. A daemon whose drain is cut short may meet it at its exit too, since its services are destroyed after its loop has stopped; that was not run.

In rpc_test the held sinks of FakeAgent are released on the test's thread right before ~EventLoop(), so that the stop races with the release.

The node now keeps its sinks and destroys their capabilities on the loop's thread: when the last reference is released or, at the latest, when the node is closed. A sink that is used after that sends nothing; its connection is closed by then.

Ruled out: a pending call, a reference cycle and a promise that is not fulfilled. The leak occurs without any such call once the loop is stopped before the release. Also tried: a posted task that owns the sink. It passes the new tests, but destroys the capability on the releasing thread if the loop has already stopped, against the rule of makeRemoteSink().

--- a/src/librpc/RpcNode.cpp
+++ b/src/librpc/RpcNode.cpp
@@ -8,6 +8,7 @@
 #include <capnp/rpc-twoparty.h>
 #include <deque>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace fescuegauge {
@@ -148,37 +149,48 @@
   std::shared_ptr<AttemptSink> m_Sink;
 };
 
-/// Sends the answer to an attempt over the connection on which it was dispatched.
+/// Sends the answer to an attempt over the connection on which it was dispatched. Sends nothing
+/// once the node has closed it.
 class RemoteSink final : public AttemptSink {
 public:
   explicit RemoteSink(rpc::AttemptSink::Client Client) : m_Client(kj::mv(Client)) {}
   ~RemoteSink() noexcept override = default;
 
   void onFragment(const AttemptFragment &Fragment) override {
-    auto Call = m_Client.fragmentRequest();
-    Call.setAttempt(Fragment.m_Attempt.str());
-    Call.setOffset(Fragment.m_Offset);
-    Call.setData(dataOf(Fragment.m_Data));
-    Call.setServedDigest(dataOf(Fragment.m_ServedDigest));
-    send(Call.send().ignoreResult());
+    KJ_IF_MAYBE (Client, m_Client) {
+      auto Call = Client->fragmentRequest();
+      Call.setAttempt(Fragment.m_Attempt.str());
+      Call.setOffset(Fragment.m_Offset);
+      Call.setData(dataOf(Fragment.m_Data));
+      Call.setServedDigest(dataOf(Fragment.m_ServedDigest));
+      send(Call.send().ignoreResult());
+    }
   }
 
   void onEnd(const AttemptId &Attempt, const AttemptEnd &End) override {
-    auto Call = m_Client.endRequest();
-    Call.setAttempt(Attempt.str());
-    encode(End, Call.initEnd());
-    send(Call.send().ignoreResult());
+    KJ_IF_MAYBE (Client, m_Client) {
+      auto Call = Client->endRequest();
+      Call.setAttempt(Attempt.str());
+      encode(End, Call.initEnd());
+      send(Call.send().ignoreResult());
+    }
   }
 
+  /// Releases the capability; called on the loop's thread.
+  void close() { m_Client = nullptr; }
+
 private:
   /// Send failures are ignored: the dispatching process detects the lost connection itself.
   static void send(kj::Promise<void> Sent) {
     Sent.detach([](kj::Exception &&) {});
   }
 
-  rpc::AttemptSink::Client m_Client;
+  kj::Maybe<rpc::AttemptSink::Client> m_Client;
 };
 
+/// The sinks of a node whose capabilities are not released yet. Accessed only on the loop's thread.
+using RemoteSinks = std::set<std::shared_ptr<RemoteSink>>;
+
 } // namespace
 
 struct RpcNode::Impl final : public kj::TaskSet::ErrorHandler {
@@ -231,11 +243,17 @@
   }
 
   /// The last reference may be released on any thread, but the capability must be destroyed on the
-  /// loop's thread.
+  /// loop's thread. The loop discards the release if it stops first; the capability is then
+  /// destroyed when the node is closed.
   std::shared_ptr<AttemptSink> makeRemoteSink(rpc::AttemptSink::Client Client) {
-    EventLoop &Loop = m_Loop;
-    return {new RemoteSink(kj::mv(Client)),
-            [&Loop](AttemptSink *Released) { Loop.post([Released] { delete Released; }); }};
+    auto Sink = std::make_shared<RemoteSink>(kj::mv(Client));
+    m_RemoteSinks->insert(Sink);
+    return {Sink.get(), [&Loop = m_Loop, Sinks = m_RemoteSinks, Sink](AttemptSink *) {
+              Loop.post([Sinks, Sink] {
+                Sink->close();
+                Sinks->erase(Sink);
+              });
+            }};
   }
 
   void listen() {
@@ -440,6 +458,8 @@
   bool m_IsClosed = false;
   /// Expires with the node; checked by tasks that may outlive it.
   std::shared_ptr<int> m_Alive = std::make_shared<int>(0);
+  /// Shared with the tasks that release sinks, which may outlive the node.
+  std::shared_ptr<RemoteSinks> m_RemoteSinks = std::make_shared<RemoteSinks>();
   kj::Own<kj::ConnectionReceiver> m_Receiver;
   kj::Promise<void> m_Accepting = nullptr;
   kj::Promise<void> m_Maintenance = nullptr;
@@ -646,6 +666,8 @@
     m_Impl->close(m_Impl->m_Incoming.begin()->first);
   for (auto &[Peer, Link] : m_Impl->m_Outgoing)
     m_Impl->disconnect(Peer, Link);
+  for (const std::shared_ptr<RemoteSink> &Sink : std::exchange(*m_Impl->m_RemoteSinks, {}))
+    Sink->close();
   m_Impl->m_Tasks = nullptr;
 }
 
--- a/src/librpc/RpcNode_test.cpp
+++ b/src/librpc/RpcNode_test.cpp
@@ -234,6 +234,43 @@
   CHECK(Attempt.m_Sink->m_Ends == 1);
 }
 
+// Guards against a leak of the capability that a sink holds: the task that releases it is discarded
+// by a loop that stops before it runs the task. LeakSanitizer reports it when the program exits.
+TEST_CASE("a sink whose last reference is released while its loop stops is not leaked") {
+  UnansweredAttempt Attempt;
+  SECTION("after the loop has stopped") {
+    Attempt.m_Server.reset();
+    Attempt.m_ServerLoop.stop();
+    Attempt.m_Agent.m_HeldSinks.clear();
+  }
+  SECTION("before the loop has stopped, with the node closed") {
+    Attempt.m_Server.reset();
+    Event Started;
+    Attempt.m_ServerLoop.post([&] {
+      Started.set();
+      // Long enough for the stop to be requested while the release is still queued.
+      std::this_thread::sleep_for(100ms);
+    });
+    REQUIRE(Started.wait());
+    Attempt.m_Agent.m_HeldSinks.clear();
+    Attempt.m_ServerLoop.stop();
+  }
+  CHECK(Attempt.m_Sink->m_Ended.wait());
+}
+
+// Guards against the use of a capability of a closed connection by an agent that answers late.
+TEST_CASE("a sink that is used after its node was closed sends nothing") {
+  UnansweredAttempt Attempt;
+  Attempt.m_Server.reset();
+  Attempt.m_ServerLoop.postAndWait([&] {
+    Attempt.m_Agent.m_HeldSinks.front()->onFragment({AttemptId("a1"), 0, "late", {}});
+    Attempt.m_Agent.m_HeldSinks.front()->onEnd(AttemptId("a1"), completeEnd(4));
+  });
+  REQUIRE(Attempt.m_Sink->m_Ended.wait());
+  CHECK(Attempt.m_Sink->m_End.m_Status == AttemptStatus::ConnectionLost);
+  CHECK(Attempt.m_Sink->m_Answer.empty());
+}
+
 // Guards against losing an attempt because its sound agent was slow to answer a control message.
 TEST_CASE("an attempt survives a control message that its agent does not answer in time") {
   UnansweredAttempt Attempt(LongFailureTime, LongFailureTime);
