Daemon: a stop is bounded, and a fragment in hand counts as arrival

HttpService::stop() called Poco's stopAll(false) and, after its limit, stopAll(true). The service now knows its open connections. At a stop it shuts their receiving side, so that requests which have arrived are still read and answered and no further one is; 0.5 s later it shuts what is left. test_unfinished_request_does_not_delay_a_stop passes with an exit within 4 s of "drained".

RequestLifecycle counted a fragment that it was handling as a check without input, and could end the request that the fragment belongs to. The new section of "a request whose answer arrives at its deadline" covers it.

request_interrupted names the account.

--- a/src/fescuegauged/HttpService.cpp
+++ b/src/fescuegauged/HttpService.cpp
@@ -5,14 +5,18 @@
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerConnection.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 #include <Poco/URI.h>
 #include <array>
 #include <boost/json.hpp>
-#include <future>
+#include <chrono>
+#include <list>
+#include <mutex>
+#include <thread>
 
 namespace fescuegauge {
 
@@ -188,6 +192,70 @@
   std::atomic<int> &m_ActiveExchanges;
 };
 
+/// The open connections of the server. Used by several threads.
+class OpenConnections {
+public:
+  using Position = std::list<Poco::Net::StreamSocket>::iterator;
+
+  Position add(const Poco::Net::StreamSocket &Socket) {
+    std::lock_guard Lock(m_Mutex);
+    return m_Sockets.insert(m_Sockets.end(), Socket);
+  }
+  void remove(Position Closed) {
+    std::lock_guard Lock(m_Mutex);
+    m_Sockets.erase(Closed);
+  }
+  bool isEmpty() const {
+    std::lock_guard Lock(m_Mutex);
+    return m_Sockets.empty();
+  }
+  /// A connection that its client has closed is left out.
+  template <typename Action> void forEach(Action Apply) {
+    std::lock_guard Lock(m_Mutex);
+    for (Poco::Net::StreamSocket &Each : m_Sockets) {
+      try {
+        Apply(Each);
+      } catch (const Poco::Exception &Error) {
+        logEvent(Severity::Debug, "connection_ended", {{"reason", Error.displayText()}});
+      }
+    }
+  }
+
+private:
+  mutable std::mutex m_Mutex;
+  std::list<Poco::Net::StreamSocket> m_Sockets;
+};
+
+class Connection final : public Poco::Net::HTTPServerConnection {
+public:
+  Connection(const Poco::Net::StreamSocket &Socket, Poco::Net::HTTPServerParams::Ptr Parameters,
+             Poco::Net::HTTPRequestHandlerFactory::Ptr Handlers, OpenConnections &Others)
+      : HTTPServerConnection(Socket, std::move(Parameters), std::move(Handlers)), m_Others(Others),
+        m_Position(Others.add(Socket)) {}
+  ~Connection() override { m_Others.remove(m_Position); }
+  Connection(const Connection &) = delete;
+  Connection &operator=(const Connection &) = delete;
+
+private:
+  OpenConnections &m_Others;
+  OpenConnections::Position m_Position;
+};
+
+class ConnectionFactory final : public Poco::Net::TCPServerConnectionFactory {
+public:
+  ConnectionFactory(Poco::Net::HTTPServerParams::Ptr Parameters,
+                    Poco::Net::HTTPRequestHandlerFactory::Ptr Handlers, OpenConnections &Others)
+      : m_Parameters(std::move(Parameters)), m_Handlers(std::move(Handlers)), m_Others(Others) {}
+  Poco::Net::TCPServerConnection *createConnection(const Poco::Net::StreamSocket &Socket) override {
+    return new Connection(Socket, m_Parameters, m_Handlers, m_Others);
+  }
+
+private:
+  Poco::Net::HTTPServerParams::Ptr m_Parameters;
+  Poco::Net::HTTPRequestHandlerFactory::Ptr m_Handlers;
+  OpenConnections &m_Others;
+};
+
 } // namespace
 
 struct HttpService::Server {
@@ -196,8 +264,11 @@
         m_Socket(Poco::Net::SocketAddress(Configured.m_Listen.m_Http.m_Host,
                                           Configured.m_Listen.m_Http.m_Port),
                  ListenBacklog),
-        m_Server(new RoutingHandlerFactory(RouteTable, ActiveExchanges), m_Pool, m_Socket,
-                 parameters(Configured.m_Limits)) {}
+        m_Parameters(parameters(Configured.m_Limits)),
+        m_Server(new ConnectionFactory(m_Parameters,
+                                       new RoutingHandlerFactory(RouteTable, ActiveExchanges),
+                                       m_Connections),
+                 m_Pool, m_Socket, m_Parameters) {}
 
   static constexpr int ListenBacklog = 512;
 
@@ -211,9 +282,11 @@
     return Result;
   }
 
+  OpenConnections m_Connections;
   Poco::ThreadPool m_Pool;
   Poco::Net::ServerSocket m_Socket;
-  Poco::Net::HTTPServer m_Server;
+  Poco::Net::HTTPServerParams::Ptr m_Parameters;
+  Poco::Net::TCPServer m_Server;
 };
 
 HttpService::HttpService(const Settings &Configured) : Service("http"), m_Settings(Configured) {}
@@ -249,15 +322,14 @@
 void HttpService::stop() {
   if (!m_Server)
     return;
-  Poco::Net::HTTPServer &Stopped = m_Server->m_Server;
-  Stopped.stop();
-  // Waits for the response to each request that has been read. A connection whose client is slow to
-  // send or to read is closed at the time limit.
-  const std::future<void> Closed =
-      std::async(std::launch::async, [&Stopped] { Stopped.stopAll(false); });
-  if (Closed.wait_for(MaxResponseTime) != std::future_status::ready)
-    Stopped.stopAll(true);
-  Closed.wait();
+  m_Server->m_Server.stop();
+  // What has arrived on a connection is still read and answered; then it ends.
+  m_Server->m_Connections.forEach(
+      [](Poco::Net::StreamSocket &Socket) { Socket.shutdownReceive(); });
+  const auto End = std::chrono::steady_clock::now() + MaxResponseTime;
+  while (!m_Server->m_Connections.isEmpty() && std::chrono::steady_clock::now() < End)
+    std::this_thread::sleep_for(ConnectionCheckInterval);
+  m_Server->m_Connections.forEach([](Poco::Net::StreamSocket &Socket) { Socket.shutdown(); });
 }
 
 std::uint16_t HttpService::port() const { return m_Server->m_Socket.address().port(); }
--- a/src/fescuegauged/HttpService.h
+++ b/src/fescuegauged/HttpService.h
@@ -88,6 +88,7 @@
 private:
   /// Time that stop() gives the exchanges in progress to send their responses.
   static constexpr std::chrono::milliseconds MaxResponseTime{500};
+  static constexpr std::chrono::milliseconds ConnectionCheckInterval{5};
 
   struct Server;
   const Settings &m_Settings;
--- a/src/fescuegauged/RequestService.cpp
+++ b/src/fescuegauged/RequestService.cpp
@@ -175,7 +175,9 @@
   m_Loop.postAndWait([this] {
     for (const auto &[Id, Interrupted] : m_PendingRequests) {
       logEvent(Severity::Warning, "request_interrupted",
-               {{"request", Id}, {"class", Interrupted->m_Request.m_Class}});
+               {{"request", Id},
+                {"class", Interrupted->m_Request.m_Class},
+                {"account", Interrupted->m_Request.m_Account}});
       FinishRequest Final;
       Final.m_Request = Id;
       // A request in the queue was not dispatched.
--- a/src/fescuegauged/process_test.py
+++ b/src/fescuegauged/process_test.py
@@ -30,6 +30,8 @@
 # Tokens of a stream that lasts for longer than the processes pause, 2 ms a token.
 TOKENS_OF_LONG_STREAM = 1500
 PAUSES_SECONDS = (1.2, 1.9)
+# Time from the end of the drain to the end of the process.
+MAX_STOP_SECONDS = 4
 
 
 class LoadGenerator:
@@ -496,6 +498,35 @@
         for _, body in answers:
             self.assertIn(json.loads(body)["error"], ["outcome-unknown", "draining"])
 
+    # Guards against a stop that waits for clients which are slow to send, while other connections
+    # go on taking requests.
+    def test_unfinished_request_does_not_delay_a_stop(self):
+        victim = self.entry(3)
+        stopped = threading.Event()
+        with socket.create_connection(("127.0.0.1", victim.ports["http"])) as unfinished:
+            unfinished.sendall(b"POST /v1/asistente/quotation HTTP/1.1\r\nHost")
+
+            def send_slowly():
+                with contextlib.suppress(OSError):
+                    while not stopped.wait(0.5):
+                        unfinished.sendall(b"x")
+
+            sender = threading.Thread(target=send_slowly)
+            sender.start()
+            victim.signal(signal.SIGTERM)
+            wait_until(lambda: "event=drained" in victim.log(), "the process is drained")
+            drained_at = time.monotonic()
+            exit_code = victim.handle.wait(timeout=WAIT_LIMIT_SECONDS)
+            elapsed = time.monotonic() - drained_at
+            stopped.set()
+            sender.join()
+        self.cluster.add_entry(victim.name, victim.data_centre)
+        self.cluster.wait_ready()
+        self.wait_until_serving()
+        self.assertEqual(exit_code, 0)
+        # The platform kills the process after its grace time.
+        self.assertLess(elapsed, MAX_STOP_SECONDS)
+
     # Guards against a signal to read settings again that ends a process and interrupts its requests.
     def test_hangup_signal_cuts_nothing(self):
         processes = [self.entry(2), self.cluster.upstreams["asistente-0"].agent]
--- a/src/include/Fescuegauge/RequestLifecycle.h
+++ b/src/include/Fescuegauge/RequestLifecycle.h
@@ -287,7 +287,8 @@
   /// Returns the request that the attempt belongs to, or nullptr if the attempt has ended.
   ActiveRequest *findAttempt(const AttemptId &Attempt);
   /// Whether the deadline has passed and a response that has arrived may still be delivered.
-  static bool isExpiring(ActiveRequest &Active, TimePoint Now);
+  /// `HasInput` is true if a part of it is being handled.
+  static bool isExpiring(ActiveRequest &Active, bool HasInput, TimePoint Now);
   /// Whether the request has time for a further attempt.
   static bool hasTime(const ActiveRequest &Active, TimePoint Now) {
     return Active.m_TimerAt && Now < *Active.m_TimerAt && !Active.m_Expiry.hasBegun();
@@ -333,7 +334,7 @@
   void retryOrFinish(ActiveRequest &Active, ErrorKind Reason, TimePoint Now,
                      RequestActions &Actions);
   void setTimer(ActiveRequest &Active, std::optional<TimePoint> TimerAt);
-  void handleTimeout(ActiveRequest &Active, TimePoint Now, RequestActions &Actions);
+  void handleTimeout(ActiveRequest &Active, bool HasInput, TimePoint Now, RequestActions &Actions);
 
   Options m_Options;
   UpstreamSelector &m_Selector;
--- a/src/librequests/RequestLifecycle.cpp
+++ b/src/librequests/RequestLifecycle.cpp
@@ -286,7 +286,7 @@
   }
   if (Active->m_ReceivedBytes == 0 && !Active->m_IsFinished && Active->m_TimerAt &&
       Now >= *Active->m_TimerAt) {
-    handleTimeout(*Active, Now, Actions);
+    handleTimeout(*Active, true, Now, Actions);
     if (!Active->m_Attempt)
       return flushRemovals(std::move(Actions));
   }
@@ -603,17 +603,17 @@
   setTimer(Active, Now + ResultTimeout);
 }
 
-bool RequestLifecycle::isExpiring(ActiveRequest &Active, TimePoint Now) {
+bool RequestLifecycle::isExpiring(ActiveRequest &Active, bool HasInput, TimePoint Now) {
   const RequestConstraints &Constraints = Active.m_Constraints;
   const bool IsStale =
       Active.m_ReceivedBytes == 0 && Constraints.m_StaleAt && Now >= *Constraints.m_StaleAt;
   if (IsStale || !Active.m_Attempt || Now < Constraints.m_Deadline)
     return false;
   const ArrivalWatch::Progress Received{TimePoint(), Active.m_ReceivedBytes};
-  return Active.m_Expiry.check(Now, Active.m_DeadlineWatch.isArriving(Received, false));
+  return Active.m_Expiry.check(Now, Active.m_DeadlineWatch.isArriving(Received, HasInput));
 }
 
-void RequestLifecycle::handleTimeout(ActiveRequest &Active, TimePoint Now,
+void RequestLifecycle::handleTimeout(ActiveRequest &Active, bool HasInput, TimePoint Now,
                                      RequestActions &Actions) {
   if (Active.m_IsFinished) {
     if (!Active.m_Attempt)
@@ -623,7 +623,7 @@
     handleLoss(Active, Id, ErrorKind::OutcomeUnknown, false, Now, Actions);
     return;
   }
-  if (isExpiring(Active, Now)) {
+  if (isExpiring(Active, HasInput, Now)) {
     setTimer(Active, Now + ArrivalWatch::CheckInterval);
     return;
   }
@@ -660,7 +660,7 @@
     RequestId Request = m_Timers.begin()->second;
     ActiveRequest &Active = m_Requests.at(Request);
     setTimer(Active, std::nullopt);
-    handleTimeout(Active, Now, Actions);
+    handleTimeout(Active, false, Now, Actions);
   }
   return flushRemovals(std::move(Actions));
 }
--- a/src/librequests/RequestLifecycle_test.cpp
+++ b/src/librequests/RequestLifecycle_test.cpp
@@ -269,6 +269,13 @@
   SECTION("the upstream is silent") {
     CHECK_FALSE(F.find<DispatchAttempt>(F.m_Lifecycle.upstreamSilent(InstanceId("u1"), F.m_Now)));
   }
+  SECTION("the first fragment is in hand when the checks end") {
+    F.m_Now += ArrivalWatch::CheckInterval;
+    F.m_Lifecycle.onTimer(F.m_Now);
+    F.m_Now += ArrivalWatch::CheckInterval;
+    CHECK(F.find<DeliverFragment>(F.fragment(Attempt, 0, "abc")));
+    CHECK(F.get<FinishRequest>(F.end(Attempt, 3)).m_Outcome == RequestOutcome::Complete);
+  }
   SECTION("the answer does not end") {
     std::uint64_t Offset = 0;
     while (F.m_Lifecycle.openCount() > 0) {
