--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -20,6 +20,7 @@
 import json
 import pathlib
 import random
+import re
 import signal
 import sys
 import threading
@@ -42,6 +43,8 @@
 LOSS_SLACK_SECONDS = 0.2
 # Marks the requests of callers in the logs of instances.
 ACCOUNT_PREFIX = "soak-account-"
+REQUEST_LINE = re.compile(r'event=(request_finished|request_interrupted) .*?\brequest="?([^ "]+)"? '
+                          r'.*account=' + ACCOUNT_PREFIX)
 # Day of the epoch that idempotency keys begin with.
 DAY = 20426
 
@@ -99,6 +102,7 @@
             result["sent"] = time.monotonic()
             response = connection.getresponse()
             result["outcome"] = "truncated"
+            result["id"] = response.getheader("Request-Id")
             body = response.read()
         except (OSError, http.client.HTTPException) as error:
             connection.close()
@@ -243,9 +247,6 @@
 
     def end_entry(self, kind):
         def action(entry):
-            if kind == "second signal":
-                # It ends the drain at once.
-                self.soak.cut_short.add(entry)
             self.soak.terminated.add(entry)
             entry.signal(signal.SIGTERM)
             if kind == "paused":
@@ -322,7 +323,7 @@
         self.pauses = Intervals()
         self.disturbances = Intervals()
         self.killed = set()
-        self.cut_short = set()
+        self.logged_requests = 0
         self.terminated = set()
         self.violations = []
         self.entry_names = []
@@ -439,17 +440,15 @@
 
     def check_answered(self, results):
         """Checks that each request that a process has logged got a response."""
-        answered = collections.Counter(result["process"] for result in results
-                                       if result["outcome"] not in ("unsent", "broken"))
+        answered = {result["id"] for result in results if "id" in result}
         for process in self.cluster.processes:
             if process.name not in self.entry_names or process in self.killed:
                 continue
-            logged = sum("event=request_finished" in line
-                         and f" account={ACCOUNT_PREFIX}" in line
-                         for line in process.log().splitlines())
-            if logged > answered[process]:
-                self.violate("read without a response", f"{logged - answered[process]} of {logged}, "
-                             f"{process.log_path}")
+            for event, request in REQUEST_LINE.findall(process.log()):
+                self.logged_requests += 1
+                if request not in answered:
+                    self.violate("read without a response",
+                                 f"{event} request={request} {process.log_path}")
 
     def check_beside_pauses(self, result, shown):
         """A request that overlaps a pause and no other disturbance is answered or refused."""
@@ -483,6 +482,8 @@
             self.check_answered(results)
             if self.pause_seconds > AFTERMATH_SECONDS and not self.beside_pauses:
                 self.violate("never evaluated", "requests beside pauses")
+            if not self.logged_requests:
+                self.violate("never evaluated", "requests that a process has logged")
             outcomes = collections.Counter(result["outcome"] for result in results)
             reasons = collections.Counter(result["detail"] for result in results
                                           if result["outcome"] in ("not-run", "unknown"))
