Known red: one unanswered status query ends all attempts of an engine

A pause of an engine that leaves one query of its status without an answer ends its attempts, which go on.

--- a/src/fescuegauged/process_test.py
+++ b/src/fescuegauged/process_test.py
@@ -622,5 +622,34 @@
             self.assertEqual(process.wait(WAIT_LIMIT_SECONDS), 2)
 
 
+@unittest.skipUnless(os.environ.get("FESCUEGAUGE_KNOWN_RED"), "listed in KNOWN-RED.txt")
+class KnownRedTest(unittest.TestCase):
+    # Guards against one unanswered query of an engine's status that ends all its attempts, although
+    # the engine goes on.
+    def test_one_failed_status_query_ends_no_attempt(self):
+        with Cluster() as cluster:
+            cluster.start_services()
+            engines = [u for u in cluster.upstreams.values() if u.service == "pedidos"]
+            entry = list(cluster.entries.values())[0]
+            statuses = []
+
+            def ask(number):
+                with contextlib.suppress(OSError, http.client.HTTPException):
+                    statuses.append(cluster.ask(entry, "pedidos", "confirmation", f"p{number}",
+                                                key=f"20426-{number}")[0])
+
+            for upstream in engines:
+                cluster.engine_faults(upstream, stalled=True)
+            threads = [threading.Thread(target=ask, args=(number,)) for number in range(12)]
+            for thread in threads:
+                thread.start()
+            time.sleep(1.9)
+            for upstream in engines:
+                cluster.engine_faults(upstream, stalled=False)
+            for thread in threads:
+                thread.join()
+            self.assertEqual(statuses, [200] * len(threads))
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
