Gateway: a whole response of a backup attempt is not reset at its deadline

Callers could lose a whole response, and found the connection reset on which they sent their next request.

Cause: when a backup attempt has sent the end of a response, its request goes on in a later turn of the loop. If a check at the deadline, or at the cutoff of a stop, ran between the two, it saw neither an attempt nor a write, and reset the connection. A reset discards what the client has not read yet.

Ruled out: the idle time (no plan with a short one), a stop, a reload.

A request whose response is complete has no deadline any more. The new test runs slow handlers beside the end of such a response.

--- a/src/libgateway/Pauses_test.cpp
+++ b/src/libgateway/Pauses_test.cpp
@@ -1,3 +1,4 @@
+#include "LoopbackTestUtils.h"
 #include "PauseScenario.h"
 
 #include <atomic>
@@ -229,6 +230,64 @@
   CHECK(Response.isComplete());
 }
 
+// Guards against a whole response whose connection is reset, because the deadline passes after the
+// end of the backup attempt and before the request goes on.
+TEST_CASE("a response that a backup attempt ends at its deadline keeps its connection",
+          "[gateway]") {
+  int WholeResponses = 0;
+  for (const Duration EndBefore : {0ms, 2ms, 4ms, 6ms, 8ms}) {
+    INFO("ends " << toSeconds(EndBefore) << " s before the deadline");
+    GatewayFixture Fixture;
+    Fixture.setPlan([](RoutingPlan &Plan) {
+      for (Route &Each : Plan.m_Routes)
+        Each.m_Timeout = 6s;
+    });
+    OneShotTimer SlowTimer(Fixture.loop().get_executor());
+    TimePoint SlowUntil;
+    // Slow handlers let timers become due between any two steps of a request.
+    std::function<void()> RunSlowly = [&] {
+      std::this_thread::sleep_for(2ms);
+      if (monotonicNow() < SlowUntil)
+        net::post(Fixture.loop(), RunSlowly);
+    };
+    bool HasArrived = false;
+    const auto Serve = [&](const HttpRequest &Request) {
+      if (Request.target() != "/stream/x")
+        return Script{{{plainResponse(Request, 200, "x")}}};
+      if (!std::exchange(HasArrived, true))
+        return Script{{{streamHeader(Request)}, {chunk(event(1))}, {chunk(event(2)), 4s}}};
+      const Duration Left =
+          std::chrono::milliseconds(std::stoul(std::string(Request["Deadline-Ms"])));
+      SlowUntil = monotonicNow() + Left + 100ms;
+      SlowTimer.set(Left - 20ms, RunSlowly);
+      return Script{{{streamHeader(Request)}, {chunk(event(2))}, {LastChunk, Left - EndBefore}}};
+    };
+    Fixture.addUpstream(Serve);
+    Fixture.addUpstream(Serve);
+    for (int I = 0; I < FullBudget; ++I)
+      Fixture.exchange(GatewayFixture::request("/safe/earning", "e" + std::to_string(I)));
+    std::string Bytes = GatewayFixture::request("/stream/x", "r1");
+    const std::string Allowed = "Deadline-Ms: 1200";
+    Bytes.replace(Bytes.find(Allowed), Allowed.size(), "Deadline-Ms: 1500");
+    Tcp::socket Socket(Fixture.loop());
+    RawResponse Response;
+    bool IsDone = false;
+    const auto Send = [&]() -> Task<> {
+      co_await Socket.async_connect(tcpEndpoint(Fixture.address()), AsTuple);
+      co_await net::async_write(Socket, net::buffer(Bytes), AsTuple);
+      co_await readRaw(Socket, Response, IsDone);
+    };
+    net::co_spawn(Fixture.loop(), Send(), net::detached);
+    REQUIRE(Fixture.runUntil([&] { return IsDone; }, 4s));
+    runFor(Fixture.loop(), 200ms);
+    if (!isWholeStream(Response))
+      continue;
+    ++WholeResponses;
+    CHECK_FALSE(isClosedByPeer(Socket));
+  }
+  CHECK(WholeResponses > 0);
+}
+
 // Guards against a busy loop while a request waits for the attempt that took it over.
 TEST_CASE("a stream that its backup serves takes little processor time", "[gateway]") {
   PausedRequest Paused("/stream/x");
--- a/src/libgateway/RequestExchange.cpp
+++ b/src/libgateway/RequestExchange.cpp
@@ -857,6 +857,9 @@
 }
 
 void RequestExchange::onDeadline() {
+  // The end of a backup attempt is handled in a later turn of the loop.
+  if (m_IsResponseComplete)
+    return;
   const TimePoint Now = monotonicNow();
   if (!m_Expiry.hasBegun())
     m_Core.observeLoopDelay(Now - std::min(m_Deadline, m_Core.requestCutoff()));
