--- a/src/fescuegauged/HttpService.cpp
+++ b/src/fescuegauged/HttpService.cpp
@@ -322,6 +322,8 @@
 void HttpService::stop() {
   if (!m_Server)
     return;
+  // Connections that are not accepted yet end at once, and so does the wait for further ones.
+  m_Server->m_Socket.impl()->shutdownReceive();
   m_Server->m_Server.stop();
   // What has arrived on a connection is still read and answered; then it ends.
   m_Server->m_Connections.forEach(
