Gateway: a response without a length is not whole after a reset during the upload

What callers saw: an upstream answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of its body and reset the connection while the upload was still being written. The client received that part as a complete response.

Cause: UpstreamExchange relied on a failed write to fail the read as well. Linux stores a reset once, as the error of the socket. The write that is in progress takes it, and the read after it sees an end (0 bytes), which completes a body that only the end of the connection ends.

Change: at such an end, before the request is written, poll() tells whether the socket has an error or both of its directions have ended. If so, the read returns Broken, like any other reset. The check is in read(), so it comes before isWhole(), which accepts the end of an upstream that is leaving. The result of the write alone is not enough: its handler may run after that of the read. A reset that follows a complete body cannot be told apart any more and counts as broken too. Once the request is written, only the read can take the error, so nothing changes there. A connection whose write failed was not pooled before either.

Ruled out: refusing every response that ends with its connection before the request is written. It would refuse sound responses of upstreams that shut their sending side down and read on.

--- a/src/libgateway/LoopbackTestUtils.h
+++ b/src/libgateway/LoopbackTestUtils.h
@@ -77,8 +77,12 @@
 public:
   using ConnectionHandler = std::function<Task<>(Tcp::socket)>;
 
-  LoopbackServer(net::io_context &Loop, ConnectionHandler OnConnection)
+  /// `ReceiveBufferBytes` is the size of the connections' receive buffers, if it is set.
+  LoopbackServer(net::io_context &Loop, ConnectionHandler OnConnection,
+                 std::optional<int> ReceiveBufferBytes = std::nullopt)
       : m_Acceptor(Loop, Tcp::endpoint(loopbackAddress(), 0)), m_Handler(std::move(OnConnection)) {
+    if (ReceiveBufferBytes)
+      m_Acceptor.set_option(net::socket_base::receive_buffer_size(*ReceiveBufferBytes));
     net::co_spawn(Loop, accept(), net::detached);
   }
 
--- a/src/libgateway/UpstreamExchange.cpp
+++ b/src/libgateway/UpstreamExchange.cpp
@@ -46,7 +46,7 @@
   http::async_write(
       m_Connection->socket(), m_Request,
       [Self = shared_from_this(), Kept = m_Connection](SystemError Error, std::size_t) {
-        // A failed write also fails the read, which reports the error.
+        // The read reports how the exchange ends: the response may be whole without the request.
         Self->m_IsWritten = !Error;
       });
 }
@@ -149,6 +149,8 @@
     if (Received > 0)
       co_return ExchangeError::None;
   }
+  if (endsWithConnection() && wasLostDuringWrite())
+    co_return ExchangeError::Broken;
   m_IsComplete = true;
   co_return ExchangeError::None;
 }
@@ -173,6 +175,15 @@
   return ::poll(&Polled, 1, 0) > 0;
 }
 
+bool UpstreamExchange::wasLostDuringWrite() const {
+  if (m_IsWritten)
+    return false;
+  // Without requested events, poll() reports only an error and the end of both directions. A peer
+  // that only shuts its sending side down causes neither.
+  pollfd Polled{m_Connection->socket().native_handle(), 0, 0};
+  return ::poll(&Polled, 1, 0) > 0;
+}
+
 void UpstreamExchange::cancel() {
   m_IsCancelled = true;
   if (m_Connection)
--- a/src/libgateway/UpstreamExchange.h
+++ b/src/libgateway/UpstreamExchange.h
@@ -72,7 +72,8 @@
   /// Length of the body, if the response states it.
   std::optional<std::uint64_t> contentLength() const;
   /// Whether only the end of the connection ends the body. The death of the upstream's process
-  /// looks like that end too.
+  /// looks like that end too. A reset while the request is written is detected: read() returns
+  /// Broken, also if the reset follows the end of the body, because the two cannot be told apart.
   bool endsWithConnection() const { return m_Parser->need_eof(); }
   /// Appends the next part of the body to `Bytes`. Nothing is appended at the end of the body.
   Task<ExchangeError> read(std::string &Bytes);
@@ -100,6 +101,10 @@
   void write();
   Task<ExchangeError> readHeader();
   Task<bool> discardBody();
+  /// Whether the connection was lost before the request was written. Linux reports a reset once:
+  /// the write takes the error, and the read sees an end like that of an unframed body. The write
+  /// may not have been completed yet.
+  bool wasLostDuringWrite() const;
 
   ConnectionPool &m_Pool;
   const CallHeaderNames &m_HeaderNames;
@@ -112,6 +117,7 @@
   bool m_IsReused = false;
   bool m_WasSent = false;
   TimePoint m_SentAt;
+  /// The whole request was passed to the socket.
   bool m_IsWritten = false;
   bool m_IsComplete = false;
   bool m_IsCancelled = false;
