HttpParser: a field that extends over several lines is refused

What callers saw: an upstream sent a 200 in whose header a line began with a blank or a tab, so that the name of a field held a blank. The client received the response, and the line was passed on as a part of the value before it.

Cause: Boost.Beast accepts obsolete line folding and joins the lines. No reader of this project checked for it. A fold cannot be told from a field whose name begins with a blank.

Change: HttpParser fails with bad_obs_fold if the value of a field does not begin after its colon, as it does for each field on one line. The parser calls on_field_impl() with a name that refers to the received bytes, and has read the value's first byte by then. All readers of the gateway and of the node program use this parser: responses of upstreams count as malformed (502, or another attempt), those of the store, of agents and of other instances are no answer, and requests get 400. RFC 9112, section 5.2, allows both and the alternative, to replace the fold by blanks; that would pass on a line that may be a broken field.

Evidence: three cases in InputLimits_test.cpp for all five readers.

--- a/src/include/Fescuegauge/HttpParser.h
+++ b/src/include/Fescuegauge/HttpParser.h
@@ -23,9 +23,10 @@
 /// Parser for all HTTP messages that this process receives.
 ///
 /// An exception thrown by a parser leaves the composed read operation, where no coroutine can catch
-/// it. Therefore every limit is checked here and reported as an error code. A
-/// response with an invalid status code fails with http::error::bad_status. Trailer fields are
-/// discarded: they must not be merged into the header (RFC 9110, section 6.5.1).
+/// it. Therefore every limit is checked here and reported as an error code. A response with an
+/// invalid status code fails with http::error::bad_status, and a folded field with
+/// http::error::bad_obs_fold. Trailer fields are discarded: they must not be merged into the header
+/// (RFC 9110, section 6.5.1).
 template <bool IsRequest, class Body>
 class HttpParser : public boost::beast::http::parser<IsRequest, Body> {
 public:
@@ -39,6 +40,10 @@
   void on_field_impl(boost::beast::http::field Name, boost::beast::string_view NameText,
                      boost::beast::string_view Value, boost::beast::error_code &Error) override {
     constexpr std::size_t MaxPartBytes = HttpFieldLimits::MaxPartBytes;
+    if (isFolded(NameText, Value)) {
+      Error = boost::beast::http::error::bad_obs_fold;
+      return;
+    }
     if (this->is_header_done())
       m_TrailerBytes += NameText.size() + Value.size();
     if (NameText.size() > MaxPartBytes || Value.size() > MaxPartBytes ||
@@ -52,6 +57,17 @@
     }
   }
 
+  /// Whether the field extends over several lines. A line that begins with a blank cannot be told
+  /// from a field whose name does, and RFC 9112, section 5.2, allows recipients to reject it.
+  /// `Name` refers to the received bytes. Boost.Beast joins the lines of a folded value elsewhere
+  /// or skips a first line that is empty; the value then does not begin after the colon.
+  static bool isFolded(boost::beast::string_view Name, boost::beast::string_view Value) {
+    const char *Begin = Name.data() + Name.size() + 1;
+    while (*Begin == ' ' || *Begin == '\t')
+      ++Begin;
+    return Value.data() != Begin;
+  }
+
   void on_response_impl(int Code, boost::beast::string_view Reason, int Version,
                         boost::beast::error_code &Error) override {
     if constexpr (!IsRequest) {
--- a/src/libgateway/InputLimits_test.cpp
+++ b/src/libgateway/InputLimits_test.cpp
@@ -80,8 +80,8 @@
   /// The message into which bytes are inserted.
   virtual MessageParts message() const = 0;
   /// Makes the reader read `Bytes` and waits for the outcome. With `EndsInput` the connection ends
-  /// after them.
-  virtual void read(const std::string &Bytes, bool EndsInput) = 0;
+  /// after them. Returns whether they were accepted as a message.
+  virtual bool read(const std::string &Bytes, bool EndsInput) = 0;
   /// Whether the reader serves a valid message on another connection.
   virtual bool servesValid() = 0;
 };
@@ -123,12 +123,14 @@
   MessageParts message() const override {
     return {"HTTP/1.1 200 OK", "", "Request-Id: odd\r\nContent-Type: text/plain\r\n"};
   }
-  void read(const std::string &Bytes, bool EndsInput) override {
+  bool read(const std::string &Bytes, bool EndsInput) override {
     m_Bytes = Bytes;
     m_EndsInput = EndsInput;
-    const unsigned Status = m_Fixture.exchange(GatewayFixture::request(m_Path, "odd")).status();
+    const RawResponse Response = m_Fixture.exchange(GatewayFixture::request(m_Path, "odd"));
+    const unsigned Status = Response.status();
     // None of the statuses that state that a request was not run.
     CHECK((Status != 0 && Status != 408 && Status != 421 && Status != 429 && Status != 503));
+    return Response.contains("\r\n\r\nbody");
   }
   bool servesValid() override {
     return m_Fixture.exchange(GatewayFixture::request("/safe/x", "valid")).status() == 200;
@@ -154,8 +156,8 @@
     return {"POST /safe/x", " HTTP/1.1",
             "Host: host.example\r\nRequest-Id: odd\r\nAccount-Key: key\r\nDeadline-Ms: 1200\r\n"};
   }
-  void read(const std::string &Bytes, bool EndsInput) override {
-    exchange(m_Fixture.loop(), m_Fixture.address(), Bytes, EndsInput);
+  bool read(const std::string &Bytes, bool EndsInput) override {
+    return exchange(m_Fixture.loop(), m_Fixture.address(), Bytes, EndsInput).status() == 200;
   }
   bool servesValid() override {
     return m_Fixture.exchange(GatewayFixture::request("/safe/x", "valid")).status() == 200;
@@ -172,7 +174,7 @@
       : m_Pool(m_Loop.get_executor()), m_Client(m_Pool),
         m_Server(m_Loop, [this](Tcp::socket Socket) { return serve(std::move(Socket)); }) {}
   MessageParts message() const override { return {"HTTP/1.1 200 OK", "", ""}; }
-  void read(const std::string &Bytes, bool) override { call(Bytes); }
+  bool read(const std::string &Bytes, bool) override { return call(Bytes).isAnswered(); }
   bool servesValid() override { return call(message().text()).status() == 200; }
 
 private:
@@ -217,8 +219,8 @@
   MessageParts message() const override {
     return {"POST /", " HTTP/1.1", "Host: host.example\r\n"};
   }
-  void read(const std::string &Bytes, bool EndsInput) override {
-    exchange(m_Loop, m_Address, Bytes, EndsInput);
+  bool read(const std::string &Bytes, bool EndsInput) override {
+    return exchange(m_Loop, m_Address, Bytes, EndsInput).status() == 200;
   }
   bool servesValid() override {
     return exchange(m_Loop, m_Address, message().text()).status() == 200;
@@ -303,6 +305,98 @@
   }
 }
 
+namespace {
+
+const std::vector<std::string> FoldedFields = {
+    " Name: v\r\n",   "\tName: v\r\n",   " : v\r\n",          " Content-Length: 3\r\n",
+    " \r\n",          "Name:\r\n v\r\n", "Name: v\r\n\t\r\n", "Name: v\r\n more\r\n",
+    "Name: \r\n \r\n"};
+
+/// Lines that are no field, each with an invalid name.
+std::vector<std::string> linesWithInvalidNames() {
+  std::vector<std::string> Lines = {"Na me: v\r\n",  "Na\tme: v\r\n", "Name : v\r\n",
+                                    "Name\t: v\r\n", ": v\r\n",       "Name\r\n"};
+  for (const char Byte : {'\0', '\x01', '\x08', '\x0b', '\x0c', '\x1b', '\x1f', '\x7f', '\x80',
+                          '\r', '\n', '(', ')', '[', ']', '{', '}', '"'})
+    Lines.push_back(std::string("Na") + Byte + "me: v\r\n");
+  return Lines;
+}
+
+/// Messages with the line at different places.
+std::vector<MessageParts> messagesWithLine(const MessageParts &Parts, const std::string &Line) {
+  std::vector<MessageParts> Result(4, Parts);
+  Result[0].m_Fields = Line + Parts.m_Fields;
+  Result[1].m_Fields += Line;
+  Result[2].m_Trailer = "First: v\r\n" + Line;
+  Result[3].m_Trailer = Line;
+  if (Parts.m_StartLine.starts_with("HTTP/")) {
+    Result.push_back(Parts);
+    Result.back().m_Interim = "HTTP/1.1 103 Early Hints\r\nFirst: v\r\n" + Line + "\r\n";
+    Result.push_back(Result[1]);
+    Result.back().m_StartLine = "HTTP/1.1 500 Any";
+  }
+  return Result;
+}
+
+} // namespace
+
+// Guards against a response that reaches the client with a line that is no field, or with a body
+// that such a line frames: a line that begins with a blank was joined to the field before.
+TEST_CASE("a message with a folded field or an invalid name is refused", "[gateway]") {
+  std::vector<std::string> Lines = linesWithInvalidNames();
+  Lines.insert(Lines.end(), FoldedFields.begin(), FoldedFields.end());
+  for (const NamedReader &Each : Readers) {
+    const std::unique_ptr<Reader> Target = Each.m_Make();
+    for (const char *Valid : {"Name:\r\n", "Name: \t\r\n", "Name:v\r\n", "Name: v \r\n"}) {
+      MessageParts Parts = Target->message();
+      Parts.m_Fields += Valid;
+      Parts.m_Trailer = Valid;
+      INFO(Each.m_Name << '\n' << Parts.text());
+      CHECK(Target->read(Parts.text(), false));
+    }
+    for (const std::string &Line : Lines)
+      for (const MessageParts &Parts : messagesWithLine(Target->message(), Line)) {
+        INFO(Each.m_Name << '\n' << Parts.text());
+        CHECK_FALSE(Target->read(Parts.text(), false));
+      }
+    CHECK(Target->servesValid());
+  }
+}
+
+// Guards against a fold that is not recognized because its line comes in two reads.
+TEST_CASE("a folded field is refused if its lines arrive in parts", "[gateway]") {
+  for (const std::string &Field : FoldedFields) {
+    GatewayFixture Fixture;
+    Fixture.setPlan();
+    std::size_t Split = 0;
+    Fixture.addUpstream([&](const HttpRequest &Request) {
+      const std::string Bytes = plainResponse(Request, 200, "whole", "First: v\r\n" + Field);
+      return Script{{{Bytes.substr(0, Split)}, {Bytes.substr(Split), 2ms}}};
+    });
+    HttpRequest Example;
+    Example.set("Request-Id", "r-1000");
+    const std::size_t Begin = plainResponse(Example, 200, "whole", "").size() - 9;
+    for (Split = Begin; Split <= Begin + Field.size() + 12; ++Split) {
+      const std::string Id = "r-" + std::to_string(1000 + Split - Begin);
+      INFO(Field << "split at " << Split - Begin);
+      CHECK(Fixture.exchange(GatewayFixture::request("/safe/x", Id)).status() == 502);
+    }
+  }
+}
+
+// Guards against a request that is forwarded with a folded field, and against an error that blames
+// its size or the upstream.
+TEST_CASE("a request with a folded field gets status 400", "[gateway]") {
+  GatewayFixture Fixture;
+  Fixture.setPlan();
+  FakeUpstream &Upstream = Fixture.addUpstream(
+      [](const HttpRequest &Request) { return Script{{{plainResponse(Request, 200, "whole")}}}; });
+  for (const std::string &Field : FoldedFields)
+    CHECK(Fixture.exchange(GatewayFixture::request("/safe/x", "r1", "First: v\r\n" + Field))
+              .status() == 400);
+  CHECK(Upstream.requests().empty());
+}
+
 // Guards against a trailer field that takes effect as a header field.
 TEST_CASE("trailer fields are not merged into the header", "[gateway]") {
   GatewayFixture Fixture;
