Gateway test: responses with an invalid status, by all readers

Statuses 000, 00, 099, 0200, 2000, 20x, 600, 999, -20 and the like, without an id and as an interim response too, were refused before by the readers of upstreams and of calls to the store and to other instances. The test is kept; nothing else changes.

--- a/src/libgateway/InputLimits_test.cpp
+++ b/src/libgateway/InputLimits_test.cpp
@@ -363,6 +363,29 @@
   }
 }
 
+// Guards against a status that is none, and reaches the client as a response.
+TEST_CASE("a response with an invalid status is refused by all readers", "[gateway]") {
+  for (const NamedReader &Each : Readers) {
+    const std::unique_ptr<Reader> Target = Each.m_Make();
+    const MessageParts Valid = Target->message();
+    if (!Valid.m_StartLine.starts_with("HTTP/"))
+      continue;
+    for (const char *Status : {"000", "00", "0", "099", "0200", "2000", "20x", "-20", "600", "999",
+                               "", " 200", "+20", "0x2"}) {
+      std::vector<MessageParts> Messages(3, Valid);
+      Messages[0].m_StartLine = Messages[1].m_StartLine =
+          std::string("HTTP/1.1 ") + Status + " Any";
+      Messages[1].m_Fields = "";
+      Messages[2].m_Interim = std::string("HTTP/1.1 ") + Status + " Any\r\n\r\n";
+      for (const MessageParts &Parts : Messages) {
+        INFO(Each.m_Name << '\n' << Parts.text());
+        CHECK_FALSE(Target->read(Parts.text(), false));
+      }
+    }
+    CHECK(Target->servesValid());
+  }
+}
+
 // Guards against a fold that is not recognized because its line comes in two reads.
 TEST_CASE("a folded field is refused if its lines arrive in parts", "[gateway]") {
   for (const std::string &Field : FoldedFields) {
