Gateway test: a call whose unframed response is reset is not answered

AsyncHttpClient writes a request whole before it reads, so that a reset fails the write or the read. The test passes without a change and is kept.

--- a/src/libgateway/BrokenResponse_test.cpp
+++ b/src/libgateway/BrokenResponse_test.cpp
@@ -194,3 +194,30 @@
   CHECK(Response.isComplete());
   CHECK(Response.contains(Each.m_Path == std::string("/stream/x") ? "token-1" : "whole"));
 }
+
+// Guards against a part of an answer of the store or of another instance that counts as a whole
+// one.
+TEST_CASE("a call whose unframed response is reset does not count as answered", "[gateway]") {
+  const Duration Delay = GENERATE(0ms, 2ms, 50ms);
+  // The second one is still being written when it is reset.
+  const std::size_t BodyBytes = GENERATE(std::size_t{2}, UploadBytes);
+  CAPTURE(Delay.count(), BodyBytes);
+  net::io_context Loop;
+  EarlyUpstream Called(Loop, [&](const HttpRequest &Request) {
+    return EarlyUpstream::Response{header(Request, Unframed) + "part", EarlyUpstream::End::Reset,
+                                   Delay};
+  });
+  ConnectionPool Pool(Loop.get_executor());
+  AsyncHttpClient HttpClient(Pool);
+  std::optional<CallResult> Result;
+  net::co_spawn(
+      Loop,
+      [&]() -> Task<> {
+        HttpRequest Request = makePost("/any", std::string(BodyBytes, 'u'));
+        Result = co_await HttpClient.call(Called.address(), std::move(Request), CallTimeouts{1s});
+      },
+      net::detached);
+  REQUIRE(test::runUntil(
+      Loop, [&] { return Result.has_value(); }, 2s));
+  CHECK_FALSE(Result->isAnswered());
+}
