Daemon and tool: answers are read by the parser of the gateway

What callers saw: the daemon passed on a part of an engine's or a plain service's answer, or the bytes of its framing, as a whole answer: chunks cut within a chunk, without the last one or with an invalid size; a header that is cut; a field name with a blank, a control byte or no colon; a folded field; two different lengths. The tool accepted answers of instances, and the daemon those of the store, in the same way.

Cause: the POCO client session takes the end of the connection for the end of any body without a length, accepts any line with or without a colon, and the last of several lengths. performHttp(), EngineClient and EntryClient each checked some of this themselves.

Change: BlockingHttpExchange sends one request over a POCO socket and reads the response through HttpParser, like the gateway's exchange with an upstream. All three use it. It limits the header to 16 KiB (before, 100 fields), skips up to 8 interim responses, and accepts a body that only the end of the connection ends only if the request was written. It keeps a total timeout itself, so the thread of EntryClient that shut the connection down is gone; that shutdown ended an unframed body as if it were whole. PocoStatus.h has no users left.

Ruled out: checks around POCO. It gives neither the raw header nor the state of the chunks, so each reader would need a parser beside it.

Evidence: EngineClient_test.cpp for a plain service and for a stream.

Test changed: three cases of Tool_test.cpp expect the reason that the answer is not whole or not valid, instead of that its text is no JSON or has too many fields. They still fail on an answer that is accepted.

--- a/src/fescuegauge/EntryClient.cpp
+++ b/src/fescuegauge/EntryClient.cpp
@@ -1,21 +1,13 @@
 #include "EntryClient.h"
 
+#include "Fescuegauge/BlockingHttpExchange.h"
 #include "Fescuegauge/EndpointText.h"
-#include "Fescuegauge/PocoStatus.h"
 
-#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/Net/StreamSocket.h>
-#include <Poco/Timespan.h>
-#include <array>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/leaf/handle_errors.hpp>
-#include <condition_variable>
-#include <mutex>
-#include <thread>
 
 namespace fescuegauge {
 
@@ -31,42 +23,6 @@
 /// than are accepted while a proposal is in progress.
 constexpr int HistoryLookupLimit = 100;
 
-Poco::Timespan timespan(Duration Length) { return {Length.count()}; }
-
-/// Shuts a connection down when the exchange exceeds its total timeout. The receive timeout does
-/// not end an exchange with an instance that sends its response byte by byte.
-class ExchangeTimeout {
-public:
-  ExchangeTimeout(const Poco::Net::StreamSocket &Socket, Duration Limit)
-      : m_Socket(Socket), m_Thread([this, Limit] {
-          std::unique_lock Lock(m_Mutex);
-          if (m_Finished.wait_for(Lock, Limit, [this] { return m_IsFinished; }))
-            return;
-          try {
-            m_Socket.shutdown();
-          } catch (const Poco::Exception &) {
-            // The connection is closed already.
-          }
-        }) {}
-  ~ExchangeTimeout() {
-    {
-      std::lock_guard Lock(m_Mutex);
-      m_IsFinished = true;
-    }
-    m_Finished.notify_one();
-    m_Thread.join();
-  }
-  ExchangeTimeout(const ExchangeTimeout &) = delete;
-  ExchangeTimeout &operator=(const ExchangeTimeout &) = delete;
-
-private:
-  Poco::Net::StreamSocket m_Socket;
-  std::mutex m_Mutex;
-  std::condition_variable m_Finished;
-  bool m_IsFinished = false;
-  std::thread m_Thread;
-};
-
 } // namespace
 
 /// The result of one request to one instance.
@@ -95,40 +51,22 @@
                                             const std::string &Body) const {
   Exchange Result;
   try {
-    Poco::Net::StreamSocket Socket;
-    Socket.connect(Poco::Net::SocketAddress(Entry.m_Host, Entry.m_Port),
-                   timespan(m_Limits.m_ConnectTimeout));
-    // The timeout of HTTPClientSession applies only to connections that the session opens.
-    Socket.setReceiveTimeout(timespan(m_Limits.m_ReceiveTimeout));
-    Socket.setSendTimeout(timespan(m_Limits.m_ReceiveTimeout));
-    ExchangeTimeout Limit(Socket, m_Limits.m_TotalTimeout);
-    Poco::Net::HTTPClientSession Session(Socket);
-    // Without keep-alive the session would close this connection and open another one.
-    Session.setKeepAlive(true);
+    BlockingHttpExchange Server(
+        Entry, {m_Limits.m_ConnectTimeout, m_Limits.m_ReceiveTimeout, m_Limits.m_TotalTimeout});
+    Result.m_WasSent = true;
     Poco::Net::HTTPRequest Request(Method, Path, Poco::Net::HTTPMessage::HTTP_1_1);
-    Request.setHost(endpointText(Entry));
-    Request.set("Connection", "close");
     Request.set("Accept", "application/json");
-    if (!Body.empty()) {
+    if (!Body.empty())
       Request.setContentType("application/json");
-      Request.setContentLength64(static_cast<Poco::Int64>(Body.size()));
-    }
-    Result.m_WasSent = true;
-    Session.sendRequest(Request) << Body << std::flush;
-    Poco::Net::HTTPResponse Response;
-    std::istream &In = Session.receiveResponse(Response);
-    Result.m_Status = statusCode(Response);
+    Server.start(Request, Body);
+    Result.m_Status = Server.status();
     std::string Text;
-    std::array<char, 16384> Buffer{};
-    while (In) {
-      In.read(Buffer.data(), Buffer.size());
-      Text.append(Buffer.data(), static_cast<std::size_t>(In.gcount()));
+    while (Server.read(Text))
       if (Text.size() > m_Limits.m_MaxAnswer.count()) {
         Result.m_Failure =
             "answer is larger than " + std::to_string(m_Limits.m_MaxAnswer.count()) + " bytes";
         return Result;
       }
-    }
     json::parse_options Options;
     Options.max_depth = MaxAnswerDepth;
     json::error_code Failure;
--- a/src/fescuegauged/EngineClient.cpp
+++ b/src/fescuegauged/EngineClient.cpp
@@ -1,13 +1,14 @@
 #include "EngineClient.h"
 
+#include "Fescuegauge/BlockingHttpExchange.h"
 #include "Fescuegauge/HttpClient.h"
 #include "Fescuegauge/JsonFields.h"
-#include "Fescuegauge/PocoStatus.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
 #include <boost/json.hpp>
+#include <utility>
 
 namespace fescuegauge {
 
@@ -63,27 +64,48 @@
   return json::serialize(Body);
 }
 
-/// Reads server-sent events from a stream.
+/// Reads server-sent events from the body of a response.
 class EventReader {
 public:
-  explicit EventReader(std::istream &In) : m_In(In) {}
+  explicit EventReader(BlockingHttpExchange &Exchange) : m_Exchange(Exchange) {}
 
-  /// Returns the data of the next event, nothing at the end of the stream or if a line exceeds
+  /// Returns the data of the next event, nothing at the end of the body or if a line exceeds
   /// MaxEventBytes.
   std::optional<std::string> next() {
     constexpr std::string_view Prefix = "data: ";
-    std::string Line;
-    while (std::getline(m_In, Line)) {
-      if (Line.size() > MaxEventBytes)
-        return std::nullopt;
-      if (Line.starts_with(Prefix))
-        return Line.substr(Prefix.size());
-    }
+    while (auto Line = nextLine())
+      if (Line->starts_with(Prefix))
+        return Line->substr(Prefix.size());
     return std::nullopt;
   }
 
 private:
-  std::istream &m_In;
+  std::optional<std::string> nextLine() {
+    std::size_t Searched = m_Begin;
+    std::size_t End = 0;
+    while ((End = m_Received.find('\n', Searched)) == std::string::npos) {
+      m_Received.erase(0, std::exchange(m_Begin, 0));
+      Searched = m_Received.size();
+      if (Searched > MaxEventBytes)
+        return std::nullopt;
+      if (!m_Exchange.read(m_Received)) {
+        // The last line of a body may lack its end.
+        if (m_Received.empty())
+          return std::nullopt;
+        return std::exchange(m_Received, {});
+      }
+    }
+    std::string Line = m_Received.substr(m_Begin, End - m_Begin);
+    m_Begin = End + 1;
+    if (Line.size() > MaxEventBytes)
+      return std::nullopt;
+    return Line;
+  }
+
+  BlockingHttpExchange &m_Exchange;
+  std::string m_Received;
+  /// Position of the next line in m_Received.
+  std::size_t m_Begin = 0;
 };
 
 std::string statusReason(int Status) {
@@ -189,19 +211,14 @@
   std::uint64_t Offset = Request.m_ResumeFrom;
   bool IsSent = false;
   try {
-    Poco::Net::HTTPClientSession Session(m_Address.m_Host, m_Address.m_Port);
-    Poco::Timespan IdleTimeout(StreamIdleTimeout.count());
-    Session.setTimeout(Poco::Timespan(ControlTimeout.count()), IdleTimeout, IdleTimeout);
-    Poco::Net::HTTPRequest Head("POST", "/generate", Poco::Net::HTTPMessage::HTTP_1_1);
-    std::string Body = makeBody(Request);
-    Head.setContentType("application/json");
-    Head.setContentLength64(static_cast<Poco::Int64>(Body.size()));
-    std::ostream &Out = Session.sendRequest(Head);
+    BlockingHttpExchange Exchange(m_Address, {ControlTimeout, StreamIdleTimeout});
     IsSent = true;
-    Out << Body << std::flush;
-    Poco::Net::HTTPResponse Response;
-    EventReader Events(Session.receiveResponse(Response));
-    const int Status = statusCode(Response);
+    Poco::Net::HTTPRequest Head(Poco::Net::HTTPRequest::HTTP_POST, "/generate",
+                                Poco::Net::HTTPMessage::HTTP_1_1);
+    Head.setContentType("application/json");
+    Exchange.start(Head, makeBody(Request));
+    EventReader Events(Exchange);
+    const int Status = Exchange.status();
     if (Status == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
       Result.m_Status = EngineRunResult::Status::Refused;
       Result.m_Reason = "the engine refused the request";
@@ -211,7 +228,7 @@
       Result.m_Reason = statusReason(Status);
       return Result;
     }
-    Result.m_ServedRoot = Digest::fromHex(Response.get("Served-Digest", "")).value_or(Digest());
+    Result.m_ServedRoot = Digest::fromHex(Exchange.field("Served-Digest")).value_or(Digest());
     while (auto Event = Events.next()) {
       if (*Event == "[DONE]") {
         Result.m_Status = EngineRunResult::Status::Complete;
