Known red: an upload ends while its upstream reads nothing for 2.5 s

The connection's window is full, so that TCP_USER_TIMEOUT (HttpConnection::UnacknowledgedDataTimeout) ends it as if its host were lost. The time limit detects lost hosts and stays.

--- a/src/libgateway/BrokenResponse_test.cpp
+++ b/src/libgateway/BrokenResponse_test.cpp
@@ -47,6 +47,8 @@
             ReceiveBufferBytes) {}
 
   Endpoint address() const { return m_Server.address(); }
+  /// Reads nothing between the header of a request and its response.
+  void setDelayBeforeResponse(Duration Delay) { m_DelayBeforeResponse = Delay; }
   /// Number of requests that arrived.
   int requests() const { return m_Requests; }
 
@@ -65,6 +67,8 @@
     if (HeaderError)
       co_return;
     ++m_Requests;
+    if (m_DelayBeforeResponse > Duration(0))
+      co_await sleepFor(m_DelayBeforeResponse);
     const Response Early = m_Respond(Parser.get());
     co_await net::async_write(Socket, net::buffer(Early.m_Bytes), AsTuple);
     if (Early.m_DelayBeforeEnd > Duration(0))
@@ -79,6 +83,7 @@
   }
 
   Responder m_Respond;
+  Duration m_DelayBeforeResponse{0};
   int m_Requests = 0;
   LoopbackServer m_Server;
 };
@@ -221,3 +226,24 @@
       Loop, [&] { return Result.has_value(); }, 2s));
   CHECK_FALSE(Result->isAnswered());
 }
+
+// Guards against an upload that ends because its upstream pauses longer than the time limit on
+// unacknowledged data: a pause cannot be told from a lost host while no data can be sent.
+TEST_CASE("an upload goes on after its upstream has read nothing for three seconds",
+          "[gateway][known-red]") {
+  GatewayFixture Fixture;
+  Fixture.setPlan([](RoutingPlan &Plan) {
+    for (Route &Each : Plan.m_Routes)
+      Each.m_Timeout = 6s;
+  });
+  EarlyUpstream Paused(Fixture.loop(), [](const HttpRequest &Request) {
+    return EarlyUpstream::Response{header(Request, "Content-Length: 5\r\n") + "whole",
+                                   EarlyUpstream::End::ShutDown};
+  });
+  Paused.setDelayBeforeResponse(3s);
+  Fixture.listUpstream(Paused.address());
+  std::string Request = upload("/once/x", "r1");
+  const std::string_view Deadline = "Deadline-Ms: 1200";
+  Request.replace(Request.find(Deadline), Deadline.size(), "Deadline-Ms: 5000");
+  CHECK(isWholeSuccess(Fixture.exchange(Request, 7s)));
+}
