--- a/src/libgateway/InputLimits_test.cpp
+++ b/src/libgateway/InputLimits_test.cpp
@@ -324,16 +324,21 @@
 
 /// Messages with the line at different places.
 std::vector<MessageParts> messagesWithLine(const MessageParts &Parts, const std::string &Line) {
-  std::vector<MessageParts> Result(4, Parts);
-  Result[0].m_Fields = Line + Parts.m_Fields;
-  Result[1].m_Fields += Line;
-  Result[2].m_Trailer = "First: v\r\n" + Line;
-  Result[3].m_Trailer = Line;
+  MessageParts First = Parts;
+  First.m_Fields = Line + Parts.m_Fields;
+  MessageParts Later = Parts;
+  Later.m_Fields += Line;
+  MessageParts FirstInTrailer = Parts;
+  FirstInTrailer.m_Trailer = Line;
+  MessageParts LaterInTrailer = Parts;
+  LaterInTrailer.m_Trailer = "First: v\r\n" + Line;
+  std::vector<MessageParts> Result = {First, Later, FirstInTrailer, LaterInTrailer};
   if (Parts.m_StartLine.starts_with("HTTP/")) {
-    Result.push_back(Parts);
-    Result.back().m_Interim = "HTTP/1.1 103 Early Hints\r\nFirst: v\r\n" + Line + "\r\n";
-    Result.push_back(Result[1]);
-    Result.back().m_StartLine = "HTTP/1.1 500 Any";
+    MessageParts InInterim = Parts;
+    InInterim.m_Interim = "HTTP/1.1 103 Early Hints\r\nFirst: v\r\n" + Line + "\r\n";
+    MessageParts InFailure = Later;
+    InFailure.m_StartLine = "HTTP/1.1 500 Any";
+    Result.insert(Result.end(), {InInterim, InFailure});
   }
   return Result;
 }
@@ -372,12 +377,14 @@
       continue;
     for (const char *Status : {"000", "00", "0", "099", "0200", "2000", "20x", "-20", "600", "999",
                                "", " 200", "+20", "0x2"}) {
-      std::vector<MessageParts> Messages(3, Valid);
-      Messages[0].m_StartLine = Messages[1].m_StartLine =
-          std::string("HTTP/1.1 ") + Status + " Any";
-      Messages[1].m_Fields = "";
-      Messages[2].m_Interim = std::string("HTTP/1.1 ") + Status + " Any\r\n\r\n";
-      for (const MessageParts &Parts : Messages) {
+      const std::string StatusLine = std::string("HTTP/1.1 ") + Status + " Any";
+      MessageParts WithId = Valid;
+      WithId.m_StartLine = StatusLine;
+      MessageParts WithoutId = WithId;
+      WithoutId.m_Fields = "";
+      MessageParts AsInterim = Valid;
+      AsInterim.m_Interim = StatusLine + "\r\n\r\n";
+      for (const MessageParts &Parts : {WithId, WithoutId, AsInterim}) {
         INFO(Each.m_Name << '\n' << Parts.text());
         CHECK_FALSE(Target->read(Parts.text(), false));
       }
@@ -388,18 +395,22 @@
 
 // Guards against a fold that is not recognized because its line comes in two reads.
 TEST_CASE("a folded field is refused if its lines arrive in parts", "[gateway]") {
+  HttpRequest Example;
+  Example.set("Request-Id", "r-1000");
   for (const std::string &Field : FoldedFields) {
+    const auto Respond = [&](const HttpRequest &To) {
+      return plainResponse(To, 200, "whole", "First: v\r\n" + Field);
+    };
+    const std::size_t Begin = Respond(Example).find("First");
+    const std::size_t End = Respond(Example).find("whole");
     GatewayFixture Fixture;
     Fixture.setPlan();
     std::size_t Split = 0;
     Fixture.addUpstream([&](const HttpRequest &Request) {
-      const std::string Bytes = plainResponse(Request, 200, "whole", "First: v\r\n" + Field);
+      const std::string Bytes = Respond(Request);
       return Script{{{Bytes.substr(0, Split)}, {Bytes.substr(Split), 2ms}}};
     });
-    HttpRequest Example;
-    Example.set("Request-Id", "r-1000");
-    const std::size_t Begin = plainResponse(Example, 200, "whole", "").size() - 9;
-    for (Split = Begin; Split <= Begin + Field.size() + 12; ++Split) {
+    for (Split = Begin; Split <= End; ++Split) {
       const std::string Id = "r-" + std::to_string(1000 + Split - Begin);
       INFO(Field << "split at " << Split - Begin);
       CHECK(Fixture.exchange(GatewayFixture::request("/safe/x", Id)).status() == 502);
