--- a/src/include/Fescuegauge/HttpParser.h
+++ b/src/include/Fescuegauge/HttpParser.h
@@ -57,10 +57,10 @@
     }
   }
 
-  /// Whether the field extends over several lines. A line that begins with a blank cannot be told
-  /// from a field whose name does, and RFC 9112, section 5.2, allows recipients to reject it.
-  /// `Name` refers to the received bytes. Boost.Beast joins the lines of a folded value elsewhere
-  /// or skips a first line that is empty; the value then does not begin after the colon.
+  /// Whether the field extends over several lines. A line that begins with a blank cannot be
+  /// distinguished from a field whose name does, and RFC 9112, section 5.2, allows recipients to
+  /// reject it. `Name` refers to the received bytes. Boost.Beast joins the lines of a folded value
+  /// elsewhere or skips a first line that is empty; the value then does not begin after the colon.
   static bool isFolded(boost::beast::string_view Name, boost::beast::string_view Value) {
     const char *Begin = Name.data() + Name.size() + 1;
     while (*Begin == ' ' || *Begin == '\t')
--- a/src/libgateway/BrokenResponse_test.cpp
+++ b/src/libgateway/BrokenResponse_test.cpp
@@ -228,7 +228,7 @@
 }
 
 // Guards against an upload that ends because its upstream pauses longer than the time limit on
-// unacknowledged data: a pause cannot be told from a lost host while no data can be sent.
+// unacknowledged data: a pause cannot be distinguished from a lost host while no data can be sent.
 TEST_CASE("an upload goes on after its upstream has read nothing for three seconds",
           "[gateway][known-red]") {
   GatewayFixture Fixture;
--- a/src/libgateway/UpstreamExchange.h
+++ b/src/libgateway/UpstreamExchange.h
@@ -73,7 +73,8 @@
   std::optional<std::uint64_t> contentLength() const;
   /// Whether only the end of the connection ends the body. The death of the upstream's process
   /// looks like that end too. A reset while the request is written is detected: read() returns
-  /// Broken, also if the reset follows the end of the body, because the two cannot be told apart.
+  /// Broken, also if the reset follows the end of the body, because the two cannot be
+  /// distinguished.
   bool endsWithConnection() const { return m_Parser->need_eof(); }
   /// Appends the next part of the body to `Bytes`. Nothing is appended at the end of the body.
   Task<ExchangeError> read(std::string &Bytes);
