Daemon: a stop answers requests on connections that wait to be served

Cause: HttpService::stop() shut the listening socket first, which resets the connections that are not accepted yet, and TCPServer::stop() discards those that wait for a thread. Requests have arrived on both if the process was paused or all threads serve idle connections.

The server now goes on accepting until the queue of the listening socket and that of the threads are empty, for 0.5 s at most, and ends idle connections meanwhile, which frees their threads. Then the listening socket is shut, and responses in progress have 0.5 s, as before. A filter of the server counts the connections at their accept, so that none is overlooked between the accept and its thread.

--- a/src/fescuegauged/HttpService.cpp
+++ b/src/fescuegauged/HttpService.cpp
@@ -199,6 +199,7 @@
 
   Position add(const Poco::Net::StreamSocket &Socket) {
     std::lock_guard Lock(m_Mutex);
+    ++m_AddedCount;
     return m_Sockets.insert(m_Sockets.end(), Socket);
   }
   void remove(Position Closed) {
@@ -209,6 +210,11 @@
     std::lock_guard Lock(m_Mutex);
     return m_Sockets.empty();
   }
+  /// The number of connections that were added since the start.
+  int addedCount() const {
+    std::lock_guard Lock(m_Mutex);
+    return m_AddedCount;
+  }
   /// A connection that its client has closed is left out.
   template <typename Action> void forEach(Action Apply) {
     std::lock_guard Lock(m_Mutex);
@@ -224,6 +230,20 @@
 private:
   mutable std::mutex m_Mutex;
   std::list<Poco::Net::StreamSocket> m_Sockets;
+  int m_AddedCount = 0;
+};
+
+/// Counts the connections that are accepted, before they are queued for a thread.
+class AcceptCounter final : public Poco::Net::TCPServerConnectionFilter {
+public:
+  bool accept(const Poco::Net::StreamSocket & /*Socket*/) override {
+    ++m_Count;
+    return true;
+  }
+  int count() const { return m_Count; }
+
+private:
+  std::atomic<int> m_Count{0};
 };
 
 class Connection final : public Poco::Net::HTTPServerConnection {
@@ -268,7 +288,9 @@
         m_Server(new ConnectionFactory(m_Parameters,
                                        new RoutingHandlerFactory(RouteTable, ActiveExchanges),
                                        m_Connections),
-                 m_Pool, m_Socket, m_Parameters) {}
+                 m_Pool, m_Socket, m_Parameters) {
+    m_Server.setConnectionFilter(m_AcceptCounter);
+  }
 
   static constexpr int ListenBacklog = 512;
 
@@ -282,7 +304,22 @@
     return Result;
   }
 
+  bool hasConnectionsToAccept() const {
+    return m_Socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+  }
+
+  /// Returns true if an accepted connection waits for a thread.
+  bool hasQueuedConnections() const {
+    return m_AcceptCounter->count() > m_Connections.addedCount() + m_Server.refusedConnections();
+  }
+
+  /// Ends each connection that a thread serves as soon as what has arrived on it is answered.
+  void endConnections() {
+    m_Connections.forEach([](Poco::Net::StreamSocket &Socket) { Socket.shutdownReceive(); });
+  }
+
   OpenConnections m_Connections;
+  Poco::AutoPtr<AcceptCounter> m_AcceptCounter{new AcceptCounter};
   Poco::ThreadPool m_Pool;
   Poco::Net::ServerSocket m_Socket;
   Poco::Net::HTTPServerParams::Ptr m_Parameters;
@@ -322,16 +359,24 @@
 void HttpService::stop() {
   if (!m_Server)
     return;
-  // Connections that are not accepted yet end at once, and so does the wait for further ones.
+  // A request that has arrived is answered, also on a connection that is not accepted yet or waits
+  // for a thread, because the process was paused or all threads serve idle connections.
+  endConnectionsWhile(
+      [this] { return m_Server->hasConnectionsToAccept() || m_Server->hasQueuedConnections(); });
   m_Server->m_Socket.impl()->shutdownReceive();
+  endConnectionsWhile([this] { return m_Server->hasQueuedConnections(); });
   m_Server->m_Server.stop();
-  // What has arrived on a connection is still read and answered; then it ends.
-  m_Server->m_Connections.forEach(
-      [](Poco::Net::StreamSocket &Socket) { Socket.shutdownReceive(); });
+  endConnectionsWhile([this] { return !m_Server->m_Connections.isEmpty(); });
+  m_Server->m_Connections.forEach([](Poco::Net::StreamSocket &Socket) { Socket.shutdown(); });
+}
+
+void HttpService::endConnectionsWhile(const std::function<bool()> &IsWaiting) {
   const auto End = std::chrono::steady_clock::now() + MaxResponseTime;
-  while (!m_Server->m_Connections.isEmpty() && std::chrono::steady_clock::now() < End)
+  m_Server->endConnections();
+  while (IsWaiting() && std::chrono::steady_clock::now() < End) {
     std::this_thread::sleep_for(ConnectionCheckInterval);
-  m_Server->m_Connections.forEach([](Poco::Net::StreamSocket &Socket) { Socket.shutdown(); });
+    m_Server->endConnections();
+  }
 }
 
 std::uint16_t HttpService::port() const { return m_Server->m_Socket.address().port(); }
--- a/src/fescuegauged/HttpService.h
+++ b/src/fescuegauged/HttpService.h
@@ -86,7 +86,12 @@
   std::uint16_t port() const;
 
 private:
-  /// Time that stop() gives the exchanges in progress to send their responses.
+  /// Ends open connections, and those that threads begin to serve meanwhile, until `IsWaiting`
+  /// returns false or MaxResponseTime is over.
+  void endConnectionsWhile(const std::function<bool()> &IsWaiting);
+
+  /// Time that stop() gives waiting connections to be served, and then the exchanges in progress to
+  /// send their responses.
   static constexpr std::chrono::milliseconds MaxResponseTime{500};
   static constexpr std::chrono::milliseconds ConnectionCheckInterval{5};
 
--- /dev/null
+++ b/src/fescuegauged/HttpService_test.cpp
@@ -0,0 +1,116 @@
+#include "HttpService.h"
+
+#include "Fescuegauge/Metrics.h"
+
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <array>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <latch>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace fescuegauge;
+
+namespace {
+
+/// The HTTP server of a process with two threads for connections.
+class SmallServer {
+public:
+  SmallServer() {
+    m_Settings.m_Listen.m_Http = {"127.0.0.1", 0};
+    m_Settings.m_Limits.m_MaxConnections = ThreadCount;
+    m_Kernel.add(std::make_unique<MetricsService>());
+    m_Kernel.add(std::make_unique<HttpService>(m_Settings));
+  }
+
+  static constexpr int ThreadCount = 2;
+
+  void start() { m_Kernel.start(); }
+  HttpService &http() { return m_Kernel.find<HttpService>("http"); }
+
+private:
+  Settings m_Settings;
+  Kernel m_Kernel;
+};
+
+/// A client that keeps its connection open.
+class Client {
+public:
+  explicit Client(std::uint16_t Port) : m_Socket(Poco::Net::SocketAddress("127.0.0.1", Port)) {
+    m_Socket.setReceiveTimeout(Poco::Timespan(MaxWaitSeconds, 0));
+  }
+
+  void send(const std::string &Path) {
+    const std::string Request = "GET " + Path + " HTTP/1.1\r\nHost: test\r\n\r\n";
+    m_Socket.sendBytes(Request.data(), static_cast<int>(Request.size()));
+  }
+
+  /// Returns the first line of a response, or the reason for which there is none.
+  std::string readStatusLine() {
+    std::string Received;
+    std::array<char, 4096> Block{};
+    try {
+      while (Received.find("\r\n\r\n") == std::string::npos) {
+        const int Count = m_Socket.receiveBytes(Block.data(), Block.size());
+        if (Count <= 0)
+          return "end of the connection";
+        Received.append(Block.data(), static_cast<std::size_t>(Count));
+      }
+    } catch (const Poco::Exception &Error) {
+      return Error.displayText();
+    }
+    return Received.substr(0, Received.find('\r'));
+  }
+
+private:
+  static constexpr int MaxWaitSeconds = 10;
+
+  Poco::Net::StreamSocket m_Socket;
+};
+
+/// Time in which requests reach the queue of the server.
+constexpr auto ArrivalTime = std::chrono::milliseconds(100);
+
+} // namespace
+
+// Guards against a stop that drops connections for which no thread was free, with the requests that
+// have arrived on them.
+TEST_CASE("a stop answers requests that wait for a thread") {
+  SmallServer Server;
+  const bool AreThreadsIdle = GENERATE(true, false);
+  std::latch Release(1);
+  Server.http().addRoute("GET /slow", [&](HttpExchange &Exchange) {
+    Release.wait();
+    Exchange.sendText("late", "text/plain");
+  });
+  Server.start();
+  std::vector<Client> Served;
+  for (int I = 0; I < SmallServer::ThreadCount; ++I) {
+    Client &Added = Served.emplace_back(Server.http().port());
+    Added.send(AreThreadsIdle ? "/healthz" : "/slow");
+    if (AreThreadsIdle)
+      REQUIRE(Added.readStatusLine() == "HTTP/1.1 200 OK");
+  }
+  std::this_thread::sleep_for(ArrivalTime);
+  std::vector<Client> Waiting;
+  for (int I = 0; I < SmallServer::ThreadCount; ++I)
+    Waiting.emplace_back(Server.http().port()).send("/healthz");
+  std::this_thread::sleep_for(ArrivalTime);
+
+  std::thread Stopping([&] { Server.http().stop(); });
+  if (!AreThreadsIdle) {
+    std::this_thread::sleep_for(ArrivalTime);
+    Release.count_down();
+  }
+  Stopping.join();
+
+  CAPTURE(AreThreadsIdle);
+  if (!AreThreadsIdle)
+    for (Client &Each : Served)
+      CHECK(Each.readStatusLine() == "HTTP/1.1 200 OK");
+  for (Client &Each : Waiting)
+    CHECK(Each.readStatusLine() == "HTTP/1.1 200 OK");
+}
--- a/src/fescuegauged/process_test.py
+++ b/src/fescuegauged/process_test.py
@@ -4,6 +4,7 @@
 conditions, never for a fixed time.
 """
 
+import collections
 import contextlib
 import http.client
 import json
@@ -498,6 +499,35 @@
         for _, body in answers:
             self.assertIn(json.loads(body)["error"], ["outcome-unknown", "draining"])
 
+    # Guards against a stop that resets connections which are not accepted yet, with the requests that
+    # have arrived on them.
+    def test_stop_answers_connections_that_are_not_accepted_yet(self):
+        victim = self.entry(3)
+        # So many that the process gets to its stop before it has accepted them.
+        connections = [http.client.HTTPConnection("127.0.0.1", victim.ports["http"],
+                                                  timeout=WAIT_LIMIT_SECONDS) for _ in range(256)]
+        statuses = collections.Counter()
+        victim.signal(signal.SIGSTOP)
+        for connection in connections:
+            connection.request("POST", "/v1/asistente/quotation",
+                               json.dumps({"prompt": "waiting", "maxTokens": TOKENS}),
+                               {"Client-Account": "account-0"})
+        victim.signal(signal.SIGTERM)
+        victim.signal(signal.SIGCONT)
+        for connection in connections:
+            with contextlib.closing(connection):
+                try:
+                    statuses[connection.getresponse().status] += 1
+                except (OSError, http.client.HTTPException) as error:
+                    statuses[repr(error)] += 1
+        exit_code = victim.handle.wait(timeout=WAIT_LIMIT_SECONDS)
+        self.cluster.add_entry(victim.name, victim.data_centre)
+        self.cluster.wait_ready()
+        self.wait_until_serving()
+        self.assertEqual(exit_code, 0)
+        # Requests that are read after the signal are refused.
+        self.assertEqual(statuses[200] + statuses[503], len(connections), statuses)
+
     # Guards against a stop that waits for clients which are slow to send, while other connections
     # go on taking requests.
     def test_unfinished_request_does_not_delay_a_stop(self):
