BlockingHttpExchange: one function reads the rest of a body up to a limit

performHttp() and EntryClient::exchange() each had this loop. No change of behaviour for callers: a body that is too long or not whole is no answer. fescuegauged_test, tool_test and platform_test pass.

--- a/src/fescuegauge/EntryClient.cpp
+++ b/src/fescuegauge/EntryClient.cpp
@@ -60,17 +60,16 @@
       Request.setContentType("application/json");
     Server.start(Request, Body);
     Result.m_Status = Server.status();
-    std::string Text;
-    while (Server.read(Text))
-      if (Text.size() > m_Limits.m_MaxAnswer.count()) {
-        Result.m_Failure =
-            "answer is larger than " + std::to_string(m_Limits.m_MaxAnswer.count()) + " bytes";
-        return Result;
-      }
+    const std::optional<std::string> Text = Server.readRest(m_Limits.m_MaxAnswer);
+    if (!Text) {
+      Result.m_Failure =
+          "answer is larger than " + std::to_string(m_Limits.m_MaxAnswer.count()) + " bytes";
+      return Result;
+    }
     json::parse_options Options;
     Options.max_depth = MaxAnswerDepth;
     json::error_code Failure;
-    json::value Parsed = json::parse(Text, Failure, {}, Options);
+    json::value Parsed = json::parse(*Text, Failure, {}, Options);
     if (Failure || !Parsed.is_object())
       Result.m_Failure =
           "answer with HTTP status " + std::to_string(Result.m_Status) + " is not a JSON object";
--- a/src/include/Fescuegauge/BlockingHttpExchange.h
+++ b/src/include/Fescuegauge/BlockingHttpExchange.h
@@ -5,6 +5,7 @@
 #include "Fescuegauge/Units.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -58,6 +59,8 @@
   /// Appends the next part of the body to `Bytes`. Returns false, and appends nothing, at the end
   /// of a whole response.
   bool read(std::string &Bytes);
+  /// Reads the rest of the body. Returns nothing if it is longer than `Limit`.
+  std::optional<std::string> readRest(Bytes Limit);
 
 private:
   class Connection;
--- a/src/libplatform/BlockingHttpExchange.cpp
+++ b/src/libplatform/BlockingHttpExchange.cpp
@@ -166,4 +166,12 @@
   return false;
 }
 
+std::optional<std::string> BlockingHttpExchange::readRest(Bytes Limit) {
+  std::string Rest;
+  while (read(Rest))
+    if (Rest.size() > Limit.count())
+      return std::nullopt;
+  return Rest;
+}
+
 } // namespace fescuegauge
--- a/src/libplatform/HttpClient.cpp
+++ b/src/libplatform/HttpClient.cpp
@@ -8,18 +8,6 @@
 
 namespace fescuegauge {
 
-namespace {
-
-/// Reads the body; false if it is longer than `Limit`.
-bool readBody(BlockingHttpExchange &Exchange, Bytes Limit, std::string &Body) {
-  while (Exchange.read(Body))
-    if (Body.size() > Limit.count())
-      return false;
-  return true;
-}
-
-} // namespace
-
 HttpResult performHttp(const HttpCall &Call) {
   HttpResult Result;
   try {
@@ -29,8 +17,10 @@
     if (!Call.m_Body.empty() || Call.m_Method != Poco::Net::HTTPRequest::HTTP_GET)
       Request.setContentType(Call.m_ContentType);
     Exchange.start(Request, Call.m_Body);
-    if (!readBody(Exchange, Call.m_MaxAnswer, Result.m_Body))
+    std::optional<std::string> Body = Exchange.readRest(Call.m_MaxAnswer);
+    if (!Body)
       return Result;
+    Result.m_Body = std::move(*Body);
     Result.m_Status = Exchange.status();
     Result.m_Progress = HttpProgress::Answered;
   } catch (const Poco::Exception &) {
