Gateway: a drain ends after waiting connections are accepted and answered

Callers got a reset in place of a response if an instance was paused during its drain: all connections that were opened meanwhile ended unread when the process went on, because it was "drained" or its stop time was over before its next accept.

--- a/src/include/Fescuegauge/Gateway.h
+++ b/src/include/Fescuegauge/Gateway.h
@@ -88,7 +88,8 @@
   bool isDraining() const;
   /// Rate of client requests to this instance.
   RequestRate demand() const;
-  /// Whether the grace period is over and no request is in progress.
+  /// Whether the grace period is over, no request is in progress and no connection waits to be
+  /// accepted, as after a pause of the process.
   bool isDrained() const;
 
   boost::json::object dumpState() const;
--- a/src/libgateway/Gateway.cpp
+++ b/src/libgateway/Gateway.cpp
@@ -5,6 +5,7 @@
 #include "GatewayCore.h"
 
 #include <list>
+#include <poll.h>
 
 namespace fescuegauge {
 
@@ -33,6 +34,12 @@
     scheduleHousekeeping();
   }
 
+  /// Returns true if a connection was opened and not accepted yet.
+  bool hasConnectionsToAccept() {
+    pollfd Polled{m_Acceptor.native_handle(), POLLIN, 0};
+    return ::poll(&Polled, 1, 0) > 0;
+  }
+
   void beginDrain() {
     if (m_Core->isDraining())
       return;
@@ -210,7 +217,7 @@
 bool Gateway::isDrained() const {
   GatewayCore &Core = m_Implementation->core();
   return Core.isRefusingRequests() && Core.requestsInProgress() == 0 &&
-         Core.requestsBeingRead() == 0;
+         Core.requestsBeingRead() == 0 && !m_Implementation->hasConnectionsToAccept();
 }
 
 boost::json::object Gateway::dumpState() const {
