--- a/src/libgateway/BrokenResponse_test.cpp
+++ b/src/libgateway/BrokenResponse_test.cpp
@@ -242,8 +242,6 @@
   });
   Paused.setDelayBeforeResponse(3s);
   Fixture.listUpstream(Paused.address());
-  std::string Request = upload("/once/x", "r1");
-  const std::string_view Deadline = "Deadline-Ms: 1200";
-  Request.replace(Request.find(Deadline), Deadline.size(), "Deadline-Ms: 5000");
+  const std::string Request = GatewayFixture::withDeadline(upload("/once/x", "r1"), 5s);
   CHECK(isWholeSuccess(Fixture.exchange(Request, 7s)));
 }
--- a/src/libgateway/Continuity_test.cpp
+++ b/src/libgateway/Continuity_test.cpp
@@ -237,10 +237,8 @@
   Fixture.addUpstream([](const HttpRequest &) { return Script{}; });
   Fixture.records()[0].m_Address = Paused.address();
   Fixture.gateway().setUpstreams(Fixture.records());
-  std::string Bytes = GatewayFixture::request("/safe/x", "r1");
-  const std::string_view Deadline = "Deadline-Ms: 1200";
-  Bytes.replace(Bytes.find(Deadline), Deadline.size(), "Deadline-Ms: 100");
-  const RawResponse Response = Fixture.exchange(Bytes);
+  const RawResponse Response = Fixture.exchange(
+      GatewayFixture::withDeadline(GatewayFixture::request("/safe/x", "r1"), 100ms));
   CHECK(Response.status() >= 500);
   CHECK(Fixture.gateway().coldForPeers().empty());
 }
--- a/src/libgateway/FakeUpstream.h
+++ b/src/libgateway/FakeUpstream.h
@@ -245,6 +245,14 @@
            "\r\nbody";
   }
 
+  /// Returns the request with another time in which its client expects the response.
+  static std::string withDeadline(std::string Request, std::chrono::milliseconds Allowed) {
+    const std::string_view Name = "Deadline-Ms: ";
+    const std::size_t Begin = Request.find(Name) + Name.size();
+    return Request.replace(Begin, Request.find('\r', Begin) - Begin,
+                           std::to_string(Allowed.count()));
+  }
+
   /// Sends raw bytes and reads until the server closes the connection, the response is complete or
   /// `Limit` has passed.
   RawResponse exchange(const std::string &Bytes, Duration Limit = std::chrono::milliseconds(2500)) {
@@ -255,8 +263,8 @@
     return Result;
   }
 
-  /// The same without waiting. The arguments must outlive the exchange, which ends when `Done` is
-  /// set.
+  /// The same without waiting. `Result` and `Done` must outlive the exchange, which ends when
+  /// `Done` is set.
   void start(const std::string &Bytes, RawResponse &Result, bool &Done) {
     net::co_spawn(m_Loop, callRaw(m_Address, Bytes, Result, Done), net::detached);
   }
--- a/src/libgateway/Gateway_test.cpp
+++ b/src/libgateway/Gateway_test.cpp
@@ -1561,9 +1561,8 @@
     // These earn the retry budget.
     for (int I = 0; I < 40; ++I)
       Fixture.exchange(GatewayFixture::request("/safe/x", "warm-" + std::to_string(I)));
-    std::string Bytes = GatewayFixture::request("/stream/x", "r1");
-    Bytes.replace(Bytes.find("Deadline-Ms: 1200"), 17, "Deadline-Ms: 6000");
-    const RawResponse Response = Fixture.exchange(Bytes, 7s);
+    const RawResponse Response = Fixture.exchange(
+        GatewayFixture::withDeadline(GatewayFixture::request("/stream/x", "r1"), 6s), 7s);
     CHECK(Rejections == 1);
     CHECK(Response.isCompleteChunked());
     CHECK(Response.contains("token-2"));
--- a/src/libgateway/Pauses_test.cpp
+++ b/src/libgateway/Pauses_test.cpp
@@ -57,9 +57,7 @@
   static constexpr Duration Pause = 1500ms;
 
   static std::string request(const std::string &Path) {
-    std::string Bytes = GatewayFixture::request(Path, Path);
-    const std::string Allowed = "Deadline-Ms: 1200";
-    return Bytes.replace(Bytes.find(Allowed), Allowed.size(), "Deadline-Ms: 6000");
+    return GatewayFixture::withDeadline(GatewayFixture::request(Path, Path), 6s);
   }
 
   Script respond(const HttpRequest &Request) {
@@ -222,10 +220,8 @@
   Fixture.addUpstream(Serve);
   for (int I = 0; I < FullBudget; ++I)
     Fixture.exchange(GatewayFixture::request("/safe/earning", "e" + std::to_string(I)));
-  std::string Bytes = GatewayFixture::request("/stream/x", "r1");
-  const std::string Allowed = "Deadline-Ms: 1200";
-  Bytes.replace(Bytes.find(Allowed), Allowed.size(), "Deadline-Ms: 6000");
-  const RawResponse Response = Fixture.exchange(Bytes, 7s);
+  const RawResponse Response = Fixture.exchange(
+      GatewayFixture::withDeadline(GatewayFixture::request("/stream/x", "r1"), 6s), 7s);
   CHECK_FALSE(Response.contains("token-1"));
   CHECK(Response.isComplete());
 }
@@ -267,9 +263,8 @@
     Fixture.addUpstream(Serve);
     for (int I = 0; I < FullBudget; ++I)
       Fixture.exchange(GatewayFixture::request("/safe/earning", "e" + std::to_string(I)));
-    std::string Bytes = GatewayFixture::request("/stream/x", "r1");
-    const std::string Allowed = "Deadline-Ms: 1200";
-    Bytes.replace(Bytes.find(Allowed), Allowed.size(), "Deadline-Ms: 1500");
+    const std::string Bytes =
+        GatewayFixture::withDeadline(GatewayFixture::request("/stream/x", "r1"), 1500ms);
     Tcp::socket Socket(Fixture.loop());
     RawResponse Response;
     bool IsDone = false;
--- a/src/libgateway/ResponseEnd_test.cpp
+++ b/src/libgateway/ResponseEnd_test.cpp
@@ -148,10 +148,8 @@
     m_Fixture.records()[0].m_Slots = static_cast<std::uint32_t>(2 * Count);
     m_Fixture.gateway().setUpstreams(m_Fixture.records());
     for (std::size_t I = 0; I < Count; ++I) {
-      std::string Request = GatewayFixture::request(Path, "r" + std::to_string(I));
-      const std::string_view Deadline = "Deadline-Ms: 1200";
-      Request.replace(Request.find(Deadline), Deadline.size(), "Deadline-Ms: 50000");
-      m_Fixture.start(Request, m_Responses[I], m_Done[I]);
+      const std::string Request = GatewayFixture::request(Path, "r" + std::to_string(I));
+      m_Fixture.start(GatewayFixture::withDeadline(Request, 50s), m_Responses[I], m_Done[I]);
     }
   }
 
@@ -337,9 +335,8 @@
   Gateway &gateway() { return m_Fixture.gateway(); }
 
   RawResponse run() {
-    std::string Bytes = GatewayFixture::request(m_Sent.m_Path, "r1", "Connection: close\r\n");
-    const std::string Longer = "Deadline-Ms: 1200";
-    Bytes.replace(Bytes.find(Longer), Longer.size(), "Deadline-Ms: 250");
+    std::string Bytes = GatewayFixture::withDeadline(
+        GatewayFixture::request(m_Sent.m_Path, "r1", "Connection: close\r\n"), 250ms);
     RawResponse Response;
     bool Done = false;
     m_Begin = monotonicNow();
