Daemon: a request that a stop cuts is refused as not run

Cause: the stop shuts the receiving side of each connection, and a body that ends early counted as the caller's mistake. In chunks it was worse: POCO's stream does not report a missing last chunk, so the part that had arrived was run as the whole request.

Evidence: the new test stops the server after a header, after half of a body and after the first of several chunks.

--- a/src/fescuegauged/HttpService.cpp
+++ b/src/fescuegauged/HttpService.cpp
@@ -23,8 +23,9 @@
 namespace json = boost::json;
 
 HttpExchange::HttpExchange(Poco::Net::HTTPServerRequest &Request,
-                           Poco::Net::HTTPServerResponse &Response)
-    : m_Request(Request), m_Response(Response) {
+                           Poco::Net::HTTPServerResponse &Response,
+                           const std::atomic<bool> &IsStopping)
+    : m_Request(Request), m_Response(Response), m_IsStopping(IsStopping) {
   Poco::URI Uri(Request.getURI());
   Uri.getPathSegments(m_PathSegments);
   for (const auto &[Name, Value] : Uri.getQueryParameters())
@@ -65,10 +66,13 @@
     if (std::chrono::steady_clock::now() > Deadline)
       return ErrorKind::RequestTimeout;
   }
-  if (m_Request.hasContentLength() &&
-      m_Body.size() != static_cast<std::size_t>(m_Request.getContentLength64()))
-    return ErrorKind::MalformedRequest;
-  return std::nullopt;
+  const bool HasLength = m_Request.hasContentLength();
+  const bool IsCut =
+      HasLength && m_Body.size() != static_cast<std::size_t>(m_Request.getContentLength64());
+  // The stream of a body in chunks does not report whether the last one has arrived.
+  if (m_IsStopping && (IsCut || !HasLength))
+    return ErrorKind::Draining;
+  return IsCut ? std::optional(ErrorKind::MalformedRequest) : std::nullopt;
 }
 
 void HttpExchange::sendJson(const json::value &Body, int Status) {
@@ -140,14 +144,15 @@
 
 class RoutingHandler final : public Poco::Net::HTTPRequestHandler {
 public:
-  RoutingHandler(const Routes &RouteTable, std::atomic<int> &ActiveExchanges)
-      : m_RouteTable(RouteTable), m_ActiveExchanges(ActiveExchanges) {}
+  RoutingHandler(const Routes &RouteTable, std::atomic<int> &ActiveExchanges,
+                 const std::atomic<bool> &IsStopping)
+      : m_RouteTable(RouteTable), m_ActiveExchanges(ActiveExchanges), m_IsStopping(IsStopping) {}
 
   void handleRequest(Poco::Net::HTTPServerRequest &Request,
                      Poco::Net::HTTPServerResponse &Response) override {
     ++m_ActiveExchanges;
     try {
-      HttpExchange Exchange(Request, Response);
+      HttpExchange Exchange(Request, Response, m_IsStopping);
       if (const HttpService::Handler *Found = find(Request))
         (*Found)(Exchange);
       else
@@ -176,20 +181,23 @@
 
   const Routes &m_RouteTable;
   std::atomic<int> &m_ActiveExchanges;
+  const std::atomic<bool> &m_IsStopping;
 };
 
 class RoutingHandlerFactory final : public Poco::Net::HTTPRequestHandlerFactory {
 public:
-  RoutingHandlerFactory(const Routes &RouteTable, std::atomic<int> &ActiveExchanges)
-      : m_RouteTable(RouteTable), m_ActiveExchanges(ActiveExchanges) {}
+  RoutingHandlerFactory(const Routes &RouteTable, std::atomic<int> &ActiveExchanges,
+                        const std::atomic<bool> &IsStopping)
+      : m_RouteTable(RouteTable), m_ActiveExchanges(ActiveExchanges), m_IsStopping(IsStopping) {}
   Poco::Net::HTTPRequestHandler *
   createRequestHandler(const Poco::Net::HTTPServerRequest &) override {
-    return new RoutingHandler(m_RouteTable, m_ActiveExchanges);
+    return new RoutingHandler(m_RouteTable, m_ActiveExchanges, m_IsStopping);
   }
 
 private:
   const Routes &m_RouteTable;
   std::atomic<int> &m_ActiveExchanges;
+  const std::atomic<bool> &m_IsStopping;
 };
 
 /// The open connections of the server. Used by several threads.
@@ -279,15 +287,17 @@
 } // namespace
 
 struct HttpService::Server {
-  Server(const Settings &Configured, const Routes &RouteTable, std::atomic<int> &ActiveExchanges)
+  Server(const Settings &Configured, const Routes &RouteTable, std::atomic<int> &ActiveExchanges,
+         const std::atomic<bool> &IsStopping)
       : m_Pool(2, static_cast<int>(Configured.m_Limits.m_MaxConnections)),
         m_Socket(Poco::Net::SocketAddress(Configured.m_Listen.m_Http.m_Host,
                                           Configured.m_Listen.m_Http.m_Port),
                  ListenBacklog),
         m_Parameters(parameters(Configured.m_Limits)),
-        m_Server(new ConnectionFactory(m_Parameters,
-                                       new RoutingHandlerFactory(RouteTable, ActiveExchanges),
-                                       m_Connections),
+        m_Server(new ConnectionFactory(
+                     m_Parameters,
+                     new RoutingHandlerFactory(RouteTable, ActiveExchanges, IsStopping),
+                     m_Connections),
                  m_Pool, m_Socket, m_Parameters) {
     m_Server.setConnectionFilter(m_AcceptCounter);
   }
@@ -352,13 +362,14 @@
   addRoute("GET /metrics", [&Metrics](HttpExchange &Exchange) {
     Exchange.sendText(Metrics.serialize(), "text/plain; version=0.0.4");
   });
-  m_Server = std::make_unique<Server>(m_Settings, m_Routes, m_ActiveExchanges);
+  m_Server = std::make_unique<Server>(m_Settings, m_Routes, m_ActiveExchanges, m_IsStopping);
   m_Server->m_Server.start();
 }
 
 void HttpService::stop() {
   if (!m_Server)
     return;
+  m_IsStopping = true;
   // A request that has arrived is answered, also on a connection that is not accepted yet or waits
   // for a thread, because the process was paused or all threads serve idle connections.
   endConnectionsWhile(
--- a/src/fescuegauged/HttpService.h
+++ b/src/fescuegauged/HttpService.h
@@ -25,7 +25,9 @@
 /// One HTTP request and its response. Used by one thread.
 class HttpExchange {
 public:
-  HttpExchange(Poco::Net::HTTPServerRequest &Request, Poco::Net::HTTPServerResponse &Response);
+  /// `IsStopping` is set before the server stops reading from its connections.
+  HttpExchange(Poco::Net::HTTPServerRequest &Request, Poco::Net::HTTPServerResponse &Response,
+               const std::atomic<bool> &IsStopping);
 
   /// The segments of the path, percent-decoded.
   const std::vector<std::string> &pathSegments() const { return m_PathSegments; }
@@ -33,7 +35,7 @@
   std::string header(const std::string &Name) const;
   const std::string &body() const { return m_Body; }
   /// Reads the body. Returns the error to answer with if a limit is exceeded or the body is
-  /// incomplete.
+  /// incomplete: ErrorKind::Draining if the server, rather than the caller, may have ended it.
   std::optional<ErrorKind> readBody(const LimitSettings &Limits);
 
   void sendJson(const boost::json::value &Body, int Status = 200);
@@ -60,6 +62,7 @@
 private:
   Poco::Net::HTTPServerRequest &m_Request;
   Poco::Net::HTTPServerResponse &m_Response;
+  const std::atomic<bool> &m_IsStopping;
   std::vector<std::string> m_PathSegments;
   std::map<std::string, std::string> m_QueryParameters;
   std::string m_Body;
@@ -99,6 +102,7 @@
   const Settings &m_Settings;
   std::map<std::string, Handler> m_Routes;
   std::atomic<int> m_ActiveExchanges{0};
+  std::atomic<bool> m_IsStopping{false};
   std::unique_ptr<Server> m_Server;
 };
 
--- a/src/fescuegauged/HttpService_test.cpp
+++ b/src/fescuegauged/HttpService_test.cpp
@@ -43,9 +43,10 @@
     m_Socket.setReceiveTimeout(Poco::Timespan(MaxWaitSeconds, 0));
   }
 
-  void send(const std::string &Path) {
-    const std::string Request = "GET " + Path + " HTTP/1.1\r\nHost: test\r\n\r\n";
-    m_Socket.sendBytes(Request.data(), static_cast<int>(Request.size()));
+  void request(const std::string &Path) { send("GET " + Path + " HTTP/1.1\r\nHost: test\r\n\r\n"); }
+
+  void send(const std::string &Bytes) {
+    m_Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
   }
 
   /// Returns the first line of a response, or the reason for which there is none.
@@ -74,6 +75,14 @@
 /// Time in which requests reach the queue of the server.
 constexpr auto ArrivalTime = std::chrono::milliseconds(100);
 
+/// Handles a request with a body.
+void serveWork(HttpExchange &Exchange) {
+  if (auto Failure = Exchange.readBody(LimitSettings()))
+    Exchange.sendError(*Failure, "not read");
+  else
+    Exchange.sendText("run", "text/plain");
+}
+
 } // namespace
 
 // Guards against a stop that drops connections for which no thread was free, with the requests that
@@ -90,14 +99,14 @@
   std::vector<Client> Served;
   for (int I = 0; I < SmallServer::ThreadCount; ++I) {
     Client &Added = Served.emplace_back(Server.http().port());
-    Added.send(AreThreadsIdle ? "/healthz" : "/slow");
+    Added.request(AreThreadsIdle ? "/healthz" : "/slow");
     if (AreThreadsIdle)
       REQUIRE(Added.readStatusLine() == "HTTP/1.1 200 OK");
   }
   std::this_thread::sleep_for(ArrivalTime);
   std::vector<Client> Waiting;
   for (int I = 0; I < SmallServer::ThreadCount; ++I)
-    Waiting.emplace_back(Server.http().port()).send("/healthz");
+    Waiting.emplace_back(Server.http().port()).request("/healthz");
   std::this_thread::sleep_for(ArrivalTime);
 
   std::thread Stopping([&] { Server.http().stop(); });
@@ -114,3 +123,20 @@
   for (Client &Each : Waiting)
     CHECK(Each.readStatusLine() == "HTTP/1.1 200 OK");
 }
+
+// Guards against a sound request that is refused as malformed, or run without the rest of its body,
+// because the server stopped reading before all of it arrived.
+TEST_CASE("a stop refuses a request that has not arrived whole as not run") {
+  const std::string Arrived =
+      GENERATE(as<std::string>(), "Content-Length: 8\r\n\r\n", "Content-Length: 8\r\n\r\npart",
+               "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n");
+  CAPTURE(Arrived);
+  SmallServer Server;
+  Server.http().addRoute("POST /work", serveWork);
+  Server.start();
+  Client Sender(Server.http().port());
+  Sender.send("POST /work HTTP/1.1\r\nHost: test\r\n" + Arrived);
+  std::this_thread::sleep_for(ArrivalTime);
+  Server.http().stop();
+  CHECK(Sender.readStatusLine() == "HTTP/1.1 503 Service Unavailable");
+}
