--- a/src/fescuegauged/HttpService_test.cpp
+++ b/src/fescuegauged/HttpService_test.cpp
@@ -49,6 +49,8 @@
     m_Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
   }
 
+  void shutdownSend() { m_Socket.shutdownSend(); }
+
   /// Returns the first line of a response, or the reason for which there is none.
   std::string readStatusLine() {
     std::string Received;
@@ -140,3 +142,21 @@
   Server.http().stop();
   CHECK(Sender.readStatusLine() == "HTTP/1.1 503 Service Unavailable");
 }
+
+// Guards against work that is run though the message that asked for it is broken off or ambiguous.
+TEST_CASE("a request with broken framing is not run", "[known-red]") {
+  const std::string Message =
+      GENERATE(as<std::string>(), "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+               "Transfer-Encoding: chunked\r\n\r\n8\r\npart",
+               "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\nzz\r\n",
+               "Content-Length: 4\r\nName: a\r\n b\r\n\r\nwork", "Content-Length : 4\r\n\r\nwork",
+               "Content-Length: 4\r\nContent-Length: 2\r\n\r\nwork");
+  CAPTURE(Message);
+  SmallServer Server;
+  Server.http().addRoute("POST /work", serveWork);
+  Server.start();
+  Client Sender(Server.http().port());
+  Sender.send("POST /work HTTP/1.1\r\nHost: test\r\n" + Message);
+  Sender.shutdownSend();
+  CHECK(Sender.readStatusLine() == "HTTP/1.1 400 Bad Request");
+}
