Daemon: a pause during a stop does not use up its time to answer

The stop now counts its checks, 5 ms apart, and not the time.

The new process test pauses the process again for 0.7 s when it is drained, with 256 connections that wait.

--- a/src/fescuegauged/HttpService.cpp
+++ b/src/fescuegauged/HttpService.cpp
@@ -382,9 +382,9 @@
 }
 
 void HttpService::endConnectionsWhile(const std::function<bool()> &IsWaiting) {
-  const auto End = std::chrono::steady_clock::now() + MaxResponseTime;
   m_Server->endConnections();
-  while (IsWaiting() && std::chrono::steady_clock::now() < End) {
+  // Checks are counted, because a pause of the process is not time to accept or to answer.
+  for (int Checks = 0; Checks < MaxStopChecks && IsWaiting(); ++Checks) {
     std::this_thread::sleep_for(ConnectionCheckInterval);
     m_Server->endConnections();
   }
--- a/src/fescuegauged/HttpService.h
+++ b/src/fescuegauged/HttpService.h
@@ -90,13 +90,13 @@
 
 private:
   /// Ends open connections, and those that threads begin to serve meanwhile, until `IsWaiting`
-  /// returns false or MaxResponseTime is over.
+  /// returns false or MaxStopChecks are over.
   void endConnectionsWhile(const std::function<bool()> &IsWaiting);
 
-  /// Time that stop() gives waiting connections to be served, and then the exchanges in progress to
-  /// send their responses.
-  static constexpr std::chrono::milliseconds MaxResponseTime{500};
   static constexpr std::chrono::milliseconds ConnectionCheckInterval{5};
+  /// stop() gives waiting connections 0.5 s to be served, and then exchanges as long to send their
+  /// responses.
+  static constexpr int MaxStopChecks = 100;
 
   struct Server;
   const Settings &m_Settings;
--- a/src/fescuegauged/process_test.py
+++ b/src/fescuegauged/process_test.py
@@ -31,6 +31,7 @@
 # Tokens of a stream that lasts for longer than the processes pause, 2 ms a token.
 TOKENS_OF_LONG_STREAM = 1500
 PAUSES_SECONDS = (1.2, 1.9)
+STOP_PAUSE_SECONDS = 0.7
 # Time from the end of the drain to the end of the process.
 MAX_STOP_SECONDS = 4
 
@@ -502,6 +503,13 @@
     # Guards against a stop that resets connections which are not accepted yet, with the requests that
     # have arrived on them.
     def test_stop_answers_connections_that_are_not_accepted_yet(self):
+        self.check_stop_answers_waiting_connections(pause_again=False)
+
+    # The same if the process is paused again, for longer than its stop waits.
+    def test_pause_during_a_stop_resets_no_waiting_connection(self):
+        self.check_stop_answers_waiting_connections(pause_again=True)
+
+    def check_stop_answers_waiting_connections(self, pause_again):
         victim = self.entry(3)
         # So many that the process gets to its stop before it has accepted them.
         connections = [http.client.HTTPConnection("127.0.0.1", victim.ports["http"],
@@ -514,6 +522,11 @@
                                {"Client-Account": "account-0"})
         victim.signal(signal.SIGTERM)
         victim.signal(signal.SIGCONT)
+        if pause_again:
+            wait_until(lambda: "event=drained" in victim.log(), "the stop has begun")
+            victim.signal(signal.SIGSTOP)
+            time.sleep(STOP_PAUSE_SECONDS)
+            victim.signal(signal.SIGCONT)
         for connection in connections:
             with contextlib.closing(connection):
                 try:
